--- /dev/null
+++ b/lib/telemetry/telemetry.go
@@ -0,0 +1,38 @@
+// Package telemetry sets up structured logs and metrics.
+package telemetry
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// NewLogger returns a JSON logger at a level such as "info" that writes to standard error.
+func NewLogger(level string) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("log level %q is not one of debug, info, warn, error: %w", level, err)
+	}
+	config := zap.NewProductionConfig()
+	config.Level = zap.NewAtomicLevelAt(parsed)
+	config.Sampling = nil
+	config.DisableCaller = true
+	config.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	logger, err := config.Build()
+	if err != nil {
+		return nil, fmt.Errorf("build logger: %w", err)
+	}
+	return logger, nil
+}
+
+// Handler serves the metrics of a set and of the process in the Prometheus text format.
+func Handler(set *metrics.Set) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+}
