--- /dev/null
+++ b/endpoint/backend.go
@@ -0,0 +1,280 @@
+package endpoint
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/errkind"
+)
+
+const (
+	// dataFrameBytes is the largest data frame of a response that is not an event stream.
+	dataFrameBytes = 32 << 10
+	// maxEventBytes bounds one server-sent event of an engine.
+	maxEventBytes = 1 << 20
+	// maxAnswerBytes bounds the response of one request.
+	maxAnswerBytes = 16 << 20
+	// doneEvent ends an event stream by the convention of model APIs.
+	doneEvent = "data: [DONE]"
+	// backendRetryAfter is when a caller may try again after the endpoint failed.
+	backendRetryAfter = time.Second
+)
+
+// call is one attempt of a request as the endpoint sees it.
+type call struct {
+	requestID      string
+	workspace      string
+	method         string
+	path           string
+	contentType    string
+	body           []byte
+	idempotencyKey string
+	priority       int32
+	resumeTokens   int64
+	// engine tells a model engine from a plain service.
+	engine bool
+	// fingerprint is what every answer of the engine must carry; empty when the
+	// engine reports none.
+	fingerprint string
+}
+
+// sink receives the frames of a response.
+type sink interface {
+	header(status int, contentType string) error
+	data(payload []byte) error
+}
+
+// result is the end of an attempt.
+type result struct {
+	outcome    laburnumgwv1.Outcome
+	kind       errkind.Kind
+	message    string
+	retryAfter time.Duration
+	totalBytes int64
+	checksum   uint64
+	tokens     int64
+	status     int
+}
+
+func notRun(err error) result {
+	var typed *errkind.Error
+	r := result{outcome: laburnumgwv1.Outcome_OUTCOME_NOT_RUN, kind: errkind.NotRun, message: err.Error()}
+	if errors.As(err, &typed) {
+		r.retryAfter = typed.RetryAfter
+	}
+	return r
+}
+
+func unknown(format string, args ...any) result {
+	return result{
+		outcome: laburnumgwv1.Outcome_OUTCOME_UNKNOWN, kind: errkind.OutcomeUnknown,
+		message: fmt.Sprintf(format, args...), retryAfter: backendRetryAfter,
+	}
+}
+
+// backend sends requests to the endpoint on this VM.
+type backend struct {
+	base string
+	http *http.Client
+}
+
+// newBackend returns a client that opens a new connection for each request.
+// net/http repeats a request with an Idempotency-Key on its own when a reused
+// connection breaks, which could run a non-idempotent request twice.
+func newBackend(base string) *backend {
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: 64 << 10}
+	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &backend{base: base, http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
+}
+
+// run sends one call and relays the response. It reports NOT_RUN only when no
+// connection to the endpoint was established.
+func (b *backend) run(ctx context.Context, c call, out sink) result {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), c.method, b.base+c.path, bytes.NewReader(c.body))
+	if err != nil {
+		return notRun(errkind.Wrap(err, errkind.NotRun, "check the request's path", "request cannot be built"))
+	}
+	setHeaders(request, c)
+	response, err := b.http.Do(request)
+	if err != nil {
+		if !connected.Load() {
+			return notRun(errkind.Wrap(err, errkind.NotRun, "retry on another endpoint", "endpoint refused the connection").
+				WithRetryAfter(backendRetryAfter))
+		}
+		return unknown("connection to the endpoint broke before its response: %v", err)
+	}
+	defer response.Body.Close()
+	if echoed := response.Header.Get("X-Request-Id"); echoed != "" && echoed != c.requestID {
+		return unknown("endpoint answered request %q on the connection of %q", echoed, c.requestID)
+	}
+	if c.engine && response.StatusCode != http.StatusOK {
+		return engineFailure(response)
+	}
+	return relay(response, c, out)
+}
+
+func setHeaders(request *http.Request, c call) {
+	request.Header.Set("X-Request-Id", c.requestID)
+	request.Header.Set("X-Workspace", c.workspace)
+	request.Header.Set("X-Priority", strconv.Itoa(int(c.priority)))
+	if c.contentType != "" {
+		request.Header.Set("Content-Type", c.contentType)
+	}
+	if c.idempotencyKey != "" {
+		request.Header.Set("Idempotency-Key", c.idempotencyKey)
+	}
+	if c.resumeTokens > 0 {
+		request.Header.Set("X-Resume-Tokens", strconv.FormatInt(c.resumeTokens, 10))
+	}
+}
+
+// engineFailure describes a refusal of the engine. Engine requests have no side
+// effects, so the entry may retry them elsewhere.
+func engineFailure(response *http.Response) result {
+	text, _ := io.ReadAll(io.LimitReader(response.Body, 512))
+	return result{
+		outcome: laburnumgwv1.Outcome_OUTCOME_FAILED, kind: errkind.Failed, status: response.StatusCode,
+		message:    fmt.Sprintf("engine answered status %d: %s", response.StatusCode, strings.TrimSpace(string(text))),
+		retryAfter: backendRetryAfter,
+	}
+}
+
+// counter forwards data frames and sums them up for the final frame.
+type counter struct {
+	out    sink
+	total  int64
+	digest *xxhash.Digest
+	tokens int64
+}
+
+func (c *counter) data(payload []byte) error {
+	c.total += int64(len(payload))
+	if c.total > maxAnswerBytes {
+		return errkind.New(errkind.TooLarge, "ask for a smaller response", "response exceeds %d bytes", maxAnswerBytes)
+	}
+	_, _ = c.digest.Write(payload)
+	return c.out.data(payload)
+}
+
+func (c *counter) result(status int) result {
+	return result{
+		outcome: laburnumgwv1.Outcome_OUTCOME_COMPLETE, status: status,
+		totalBytes: c.total, checksum: c.digest.Sum64(), tokens: c.tokens,
+	}
+}
+
+func relay(response *http.Response, c call, out sink) result {
+	contentType := response.Header.Get("Content-Type")
+	if strings.HasPrefix(contentType, "text/event-stream") {
+		return relayEvents(response, c, out)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	if err != nil {
+		return unknown("response of the endpoint ended early: %v", err)
+	}
+	if err := checkFingerprint(body, c.fingerprint); err != nil {
+		return wrongWeights(err)
+	}
+	if err := out.header(response.StatusCode, contentType); err != nil {
+		return unknown("relay of the response failed: %v", err)
+	}
+	sum := &counter{out: out, digest: xxhash.New()}
+	for start := 0; start < len(body); start += dataFrameBytes {
+		if err := sum.data(body[start:min(len(body), start+dataFrameBytes)]); err != nil {
+			return unknown("relay of the response failed: %v", err)
+		}
+	}
+	return sum.result(response.StatusCode)
+}
+
+// relayEvents relays complete events only, one data frame each, so that a broken
+// stream can be resumed after the last relayed event.
+func relayEvents(response *http.Response, c call, out sink) result {
+	if err := out.header(response.StatusCode, response.Header.Get("Content-Type")); err != nil {
+		return unknown("relay of the response failed: %v", err)
+	}
+	sum := &counter{out: out, digest: xxhash.New()}
+	reader := bufio.NewReaderSize(response.Body, dataFrameBytes)
+	for {
+		event, err := readEvent(reader)
+		if err != nil {
+			r := unknown("event stream of the engine ended early: %v", err)
+			r.tokens = sum.tokens
+			return r
+		}
+		if strings.HasPrefix(string(event), doneEvent) {
+			if err := sum.data(event); err != nil {
+				return unknown("relay of the response failed: %v", err)
+			}
+			return sum.result(response.StatusCode)
+		}
+		if payload, ok := bytes.CutPrefix(event, []byte("data:")); ok && c.engine {
+			if err := checkFingerprint(payload, c.fingerprint); err != nil {
+				return wrongWeights(err)
+			}
+			sum.tokens++
+		}
+		if err := sum.data(event); err != nil {
+			return unknown("relay of the response failed: %v", err)
+		}
+	}
+}
+
+// readEvent reads one event with its closing blank line.
+func readEvent(reader *bufio.Reader) ([]byte, error) {
+	var event []byte
+	for {
+		line, err := reader.ReadSlice('\n')
+		event = append(event, line...)
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, err
+		}
+		if len(event) > maxEventBytes {
+			return nil, fmt.Errorf("event exceeds %d bytes", maxEventBytes)
+		}
+		if bytes.HasSuffix(event, []byte("\n\n")) || bytes.HasSuffix(event, []byte("\r\n\r\n")) {
+			return event, nil
+		}
+	}
+}
+
+// checkFingerprint compares the weights that the engine names in its answer with
+// the ones that this process verified and handed over.
+func checkFingerprint(payload []byte, expected string) error {
+	if expected == "" {
+		return nil
+	}
+	var answer struct {
+		Fingerprint string `json:"system_fingerprint"`
+	}
+	if err := json.Unmarshal(payload, &answer); err != nil {
+		return fmt.Errorf("parse engine answer: %w", err)
+	}
+	if answer.Fingerprint != expected {
+		return fmt.Errorf("engine answered from weights %q, expected %q", answer.Fingerprint, expected)
+	}
+	return nil
+}
+
+func wrongWeights(err error) result {
+	return result{
+		outcome: laburnumgwv1.Outcome_OUTCOME_FAILED, kind: errkind.Corrupt,
+		message: err.Error(), retryAfter: backendRetryAfter,
+	}
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"laburnumgw/lib/config"
+	"laburnumgw/lib/errkind"
+)
+
+const (
+	// maxBodyBytes bounds the body of a request.
+	maxBodyBytes = 4 << 20
+	// defaultDeadline applies when a caller names none.
+	defaultDeadline = 60 * time.Second
+	// maxDeadline bounds what a caller can ask for.
+	maxDeadline = 10 * time.Minute
+	// maxKeyBytes bounds an idempotency key.
+	maxKeyBytes = 255
+	// maxPriority bounds the absolute value of a priority.
+	maxPriority = 100
+	// modelPathPrefix is where model requests arrive by the convention of model APIs.
+	modelPathPrefix = "/v1/"
+	// defaultWorkspace applies to callers that name none.
+	defaultWorkspace = "default"
+)
+
+// Names of the headers that callers use.
+const (
+	headerWorkspace = "X-Workspace"
+	headerPriority  = "X-Priority"
+	headerDeadline  = "X-Request-Deadline-Ms"
+	headerKey       = "Idempotency-Key"
+	headerRequestID = "X-Request-Id"
+)
+
+// request is a caller's request after it was checked.
+type request struct {
+	id             string
+	workspace      string
+	priority       int32
+	deadline       time.Time
+	model          string
+	service        string
+	method         string
+	path           string
+	contentType    string
+	body           []byte
+	idempotent     bool
+	idempotencyKey string
+	shards         int
+	prefix         string
+}
+
+// parseRequest checks a caller's request against the configuration.
+func parseRequest(r *http.Request, id string, snapshot *config.Snapshot, now time.Time) (*request, error) {
+	parsed := &request{
+		id:             id,
+		workspace:      r.Header.Get(headerWorkspace),
+		method:         r.Method,
+		path:           r.URL.RequestURI(),
+		contentType:    r.Header.Get("Content-Type"),
+		idempotencyKey: r.Header.Get(headerKey),
+	}
+	if parsed.workspace == "" {
+		parsed.workspace = defaultWorkspace
+	}
+	if err := parseHeaders(r, parsed, snapshot, now); err != nil {
+		return nil, err
+	}
+	body, err := readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	parsed.body = body
+	if name, service, ok := matchService(snapshot, r.URL.Path); ok {
+		return parsed, parsed.forService(name, service)
+	}
+	if strings.HasPrefix(r.URL.Path, modelPathPrefix) {
+		return parsed, parsed.forModel(snapshot)
+	}
+	return nil, errkind.New(errkind.NotFound, "use a path of a configured service or a model API path",
+		"no service or model answers %q", r.URL.Path)
+}
+
+func parseHeaders(r *http.Request, parsed *request, snapshot *config.Snapshot, now time.Time) error {
+	parsed.priority = int32(snapshot.Workspaces[parsed.workspace].Priority)
+	if text := r.Header.Get(headerPriority); text != "" {
+		value, err := strconv.Atoi(text)
+		if err != nil || value < -maxPriority || value > maxPriority {
+			return badHeader(headerPriority, text, fmt.Sprintf("use a whole number from -%d to %d", maxPriority, maxPriority))
+		}
+		parsed.priority = int32(value)
+	}
+	wait := defaultDeadline
+	if text := r.Header.Get(headerDeadline); text != "" {
+		value, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || value <= 0 || value > maxDeadline.Milliseconds() {
+			return badHeader(headerDeadline, text, fmt.Sprintf("use milliseconds from 1 to %d", maxDeadline.Milliseconds()))
+		}
+		wait = time.Duration(value) * time.Millisecond
+	}
+	parsed.deadline = now.Add(wait)
+	if len(parsed.idempotencyKey) > maxKeyBytes {
+		return badHeader(headerKey, "(long)", fmt.Sprintf("use at most %d bytes", maxKeyBytes))
+	}
+	return nil
+}
+
+func badHeader(name, value, remedy string) error {
+	return errkind.New(errkind.BadRequest, remedy, "header %s has the value %q", name, value)
+}
+
+func readBody(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, errkind.New(errkind.TooLarge, "send a smaller body", "body exceeds %d bytes", maxBodyBytes)
+	}
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.BadRequest, "send the whole body", "body cannot be read")
+	}
+	return body, nil
+}
+
+// matchService returns the service with the longest path prefix.
+func matchService(snapshot *config.Snapshot, path string) (string, config.Service, bool) {
+	bestName := ""
+	var best config.Service
+	for name, service := range snapshot.Services {
+		if !hasPathPrefix(path, service.Path) {
+			continue
+		}
+		if bestName == "" || len(service.Path) > len(best.Path) {
+			bestName = name
+			best = service
+		}
+	}
+	return bestName, best, bestName != ""
+}
+
+func hasPathPrefix(path, prefix string) bool {
+	prefix = strings.TrimSuffix(prefix, "/")
+	return path == prefix || strings.HasPrefix(path, prefix+"/")
+}
+
+func (r *request) forService(name string, service config.Service) error {
+	r.service = name
+	r.idempotent = slices.Contains(service.Idempotent, r.method)
+	if r.idempotent {
+		return nil
+	}
+	if r.idempotencyKey == "" && service.RequireKey {
+		return errkind.New(errkind.KeyMissing, "send an Idempotency-Key header that is unique to this booking or order, and the same one when you repeat it",
+			"%s %s is not idempotent and has no %s", r.method, r.path, headerKey)
+	}
+	if r.idempotencyKey != "" {
+		r.shards = service.Shards
+	}
+	return nil
+}
+
+// prefixBytes is the length of the prompt prefix that is used for cache affinity.
+const prefixBytes = 512
+
+func (r *request) forModel(snapshot *config.Snapshot) error {
+	const remedy = "send a JSON object with a model field"
+	if r.method != http.MethodPost {
+		return errkind.New(errkind.BadRequest, "use POST", "method %s is not supported for models", r.method)
+	}
+	var body struct {
+		Model    string          `json:"model"`
+		Messages json.RawMessage `json:"messages"`
+	}
+	if err := json.Unmarshal(r.body, &body); err != nil {
+		return errkind.Wrap(err, errkind.BadRequest, remedy, "body is not a JSON object")
+	}
+	if body.Model == "" {
+		return errkind.New(errkind.BadRequest, remedy, "body names no model")
+	}
+	if _, ok := snapshot.Models[body.Model]; !ok {
+		return errkind.New(errkind.NotFound, "use a model of the configuration", "model %q is not configured", body.Model)
+	}
+	r.model = body.Model
+	r.idempotent = true
+	r.prefix = string(body.Messages[:min(len(body.Messages), prefixBytes)])
+	return nil
+}
