Add the configuration reader, merge and schema

Cause: operators' files had no reader. Ruled out: decoding each file into structs; a merge of structs cannot tell an unset value from a zero value and loses the line that set it. Conclusion: files are merged as trees that keep file, line and column.

--- /dev/null
+++ b/lib/config/decode.go
@@ -0,0 +1,228 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// decoder turns a merged tree into typed settings. It collects all problems and the
+// origin of every effective value.
+type decoder struct {
+	problems []Problem
+	values   map[string]Value
+	// partial is set when a file could not be parsed. Missing values and names are
+	// then not reported, because that file may set them.
+	partial bool
+}
+
+func (d *decoder) add(kind ProblemKind, at Origin, key, text, remedy string) {
+	d.problems = append(d.problems, Problem{
+		Kind: kind, File: at.File, Line: at.Line, Column: at.Column, Key: key, Text: text, Remedy: remedy,
+	})
+}
+
+// section is one map of the schema while it is decoded.
+type section struct {
+	d    *decoder
+	path string
+	node *node
+	// inherit is the path of the section whose values apply when this one sets none.
+	inherit string
+}
+
+// section returns the map below a key, empty when it is absent, and reports keys
+// that the schema does not know.
+func (d *decoder) section(n *node, path string, known ...string) *section {
+	s := &section{d: d, path: path, node: d.mapping(n, path)}
+	for _, key := range slices.Sorted(maps.Keys(s.node.fields)) {
+		if !slices.Contains(known, key) {
+			d.add(ProblemUnknownKey, s.node.fields[key].origin, join(path, key), "unknown key", suggest(key, known))
+		}
+	}
+	return s
+}
+
+// mapping returns n when it is a map and an empty map otherwise.
+func (d *decoder) mapping(n *node, path string) *node {
+	if n == nil {
+		return &node{kind: kindMap}
+	}
+	if n.kind == kindMap {
+		return n
+	}
+	d.wrongType(n, path, "a map")
+	return &node{kind: kindMap, origin: n.origin}
+}
+
+// named calls decode for each entry of a map of names, in byte order.
+func (d *decoder) named(n *node, path string, decode func(name string, n *node)) {
+	m := d.mapping(n, path)
+	for _, name := range slices.Sorted(maps.Keys(m.fields)) {
+		if !ValidName(name) {
+			d.add(ProblemOutOfRange, m.fields[name].origin, join(path, name), "the name cannot be used",
+				fmt.Sprintf("use at most %d letters, digits, dots, hyphens and underscores, not starting with a dot", maxNameLength))
+			continue
+		}
+		decode(name, m.fields[name])
+	}
+}
+
+func (d *decoder) wrongType(n *node, path, want string) {
+	d.add(ProblemWrongType, n.origin, path, fmt.Sprintf("is a %s", n.kind), "use "+want)
+}
+
+// field returns the scalar of a key, or nil when it is absent or of another type.
+func (s *section) field(key, want string, kinds ...kind) *node {
+	n, ok := s.node.fields[key]
+	if !ok {
+		return nil
+	}
+	if !slices.Contains(kinds, n.kind) {
+		s.d.wrongType(n, join(s.path, key), want)
+		return nil
+	}
+	return n
+}
+
+// record keeps an effective value. A value that is not set takes the origin of the
+// section from which it is inherited.
+func (s *section) record(key, text string) {
+	path := join(s.path, key)
+	var origin Origin
+	if n, ok := s.node.fields[key]; ok {
+		origin = n.origin
+	} else if s.inherit != "" {
+		origin = s.d.values[join(s.inherit, key)].Origin
+	}
+	s.d.values[path] = Value{Path: path, Text: text, Origin: origin}
+}
+
+func (s *section) outOfRange(n *node, key, low, high string) {
+	s.d.add(ProblemOutOfRange, n.origin, join(s.path, key), fmt.Sprintf("%s is out of range", n.text),
+		fmt.Sprintf("use a value from %s to %s", low, high))
+}
+
+func (s *section) integer(key string, value, low, high int) int {
+	if n := s.field(key, "an integer", kindInt); n != nil {
+		parsed, err := strconv.ParseInt(n.text, 0, 64)
+		if err != nil || parsed < int64(low) || parsed > int64(high) {
+			s.outOfRange(n, key, strconv.Itoa(low), strconv.Itoa(high))
+		} else {
+			value = int(parsed)
+		}
+	}
+	s.record(key, strconv.Itoa(value))
+	return value
+}
+
+func (s *section) number(key string, value, low, high float64) float64 {
+	if n := s.field(key, "a number", kindInt, kindFloat); n != nil {
+		parsed, err := strconv.ParseFloat(n.text, 64)
+		if err != nil || math.IsNaN(parsed) || parsed < low || parsed > high {
+			s.outOfRange(n, key, formatFloat(low), formatFloat(high))
+		} else {
+			value = parsed
+		}
+	}
+	s.record(key, formatFloat(value))
+	return value
+}
+
+func formatFloat(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
+
+func (s *section) duration(key string, value, high time.Duration) time.Duration {
+	if n := s.field(key, `a duration such as "5s" or "24h"`, kindString); n != nil {
+		parsed, err := time.ParseDuration(n.text)
+		switch {
+		case err != nil:
+			s.d.add(ProblemWrongType, n.origin, join(s.path, key), fmt.Sprintf("%q is not a duration", n.text),
+				`use a number with a unit, such as "500ms", "5s" or "24h"`)
+		case parsed < minDuration || parsed > high:
+			s.outOfRange(n, key, minDuration.String(), high.String())
+		default:
+			value = parsed
+		}
+	}
+	s.record(key, value.String())
+	return value
+}
+
+func (s *section) boolean(key string, value bool) bool {
+	if n := s.field(key, "true or false", kindBool); n != nil {
+		value = strings.EqualFold(n.text, "true")
+	}
+	s.record(key, strconv.FormatBool(value))
+	return value
+}
+
+// text accepts numbers as they are written, so that "version: 1.10" needs no quotes.
+func (s *section) text(key, value string) string {
+	if n := s.field(key, "a string", kindString, kindInt, kindFloat); n != nil {
+		value = n.text
+	}
+	if value != "" {
+		s.record(key, value)
+	}
+	return value
+}
+
+// name is a required text that can be part of a platform key.
+func (s *section) name(key, remedy string) string {
+	_, present := s.node.fields[key]
+	value := s.text(key, "")
+	if !present {
+		s.missing(key, remedy)
+		return ""
+	}
+	if n := s.node.fields[key]; n.kind != kindMap && n.kind != kindList && n.kind != kindBool && !ValidName(value) {
+		s.d.add(ProblemOutOfRange, n.origin, join(s.path, key), fmt.Sprintf("%q cannot be used as a name", value),
+			fmt.Sprintf("use 1 to %d letters, digits, dots, hyphens and underscores, not starting with a dot", maxNameLength))
+	}
+	return value
+}
+
+func (s *section) missing(key, remedy string) {
+	if s.d.partial {
+		return
+	}
+	s.d.add(ProblemMissing, s.node.origin, join(s.path, key), "is required", remedy)
+}
+
+func (s *section) choice(key, value string, allowed []string) string {
+	if n := s.field(key, "one of "+strings.Join(allowed, ", "), kindString); n != nil {
+		if slices.Contains(allowed, n.text) {
+			value = n.text
+		} else {
+			s.d.add(ProblemOutOfRange, n.origin, join(s.path, key), fmt.Sprintf("%q is not allowed", n.text), suggest(n.text, allowed))
+		}
+	}
+	s.record(key, value)
+	return value
+}
+
+// list returns the sorted strings of a key; an entry that occurs twice is a problem.
+func (s *section) list(key string, value []string, check func(item *node, path string) bool) []string {
+	n := s.field(key, "a list of strings", kindList)
+	if n != nil {
+		value = []string{}
+		for _, item := range n.items {
+			path := join(s.path, key)
+			switch {
+			case item.kind != kindString && item.kind != kindInt && item.kind != kindFloat:
+				s.d.wrongType(item, path, "a list of strings")
+			case slices.Contains(value, item.text):
+				s.d.add(ProblemContradictory, item.origin, path, fmt.Sprintf("%q occurs twice", item.text), "keep one of the two")
+			case check(item, path):
+				value = append(value, item.text)
+			}
+		}
+		slices.Sort(value)
+	}
+	s.record(key, strings.Join(value, ", "))
+	return value
+}
