Refuse an empty list of zones

Cause: an empty list placed a model or service nowhere without a message. Ruled out: treating the empty list as all zones; it reads as none. Conclusion: an empty list names the key and its remedy.

--- a/lib/config/schema.go
+++ b/lib/config/schema.go
@@ -220,6 +220,9 @@
 
 func (s *section) zoneList(zones map[string]Zone) []string {
 	names := slices.Sorted(maps.Keys(zones))
+	if n, ok := s.node.fields["zones"]; ok && n.kind == kindList && len(n.items) == 0 {
+		s.d.add(ProblemOutOfRange, n.origin, join(s.path, "zones"), "the list is empty", "remove the key to use all zones")
+	}
 	return s.list("zones", names, func(item *node, path string) bool {
 		if _, ok := zones[item.text]; ok || s.d.partial {
 			return true
