Refuse a key without a value

Cause: a section whose entries are all commented out is a null in YAML, which removed everything that earlier files had set. Ruled out: reading it as an empty map; an empty scalar would still be ambiguous. Conclusion: null must be written out; the test writes no empty section, and a refused case covers it.

--- a/lib/config/config_test.go
+++ b/lib/config/config_test.go
@@ -147,6 +147,7 @@
 		{"too large", "#" + strings.Repeat("x", MaxFileBytes), ProblemTooLarge, 0, "", "split"},
 		{"scalar file", "text", ProblemWrongType, 1, "", "map"},
 		{"two documents", "limits: {}\n---\nlimits: {}", ProblemSyntax, 3, "", "own file"},
+		{"key without a value", "limits: {}\nmodels:\n  # m: {}", ProblemMissing, 2, "models", "write null"},
 		{"empty zone list", "models:\n  m: {version: v1, all: true, zones: []}", ProblemOutOfRange, 2, "models.m.zones", "all zones"},
 	}
 	for _, c := range cases {
--- a/lib/config/tree.go
+++ b/lib/config/tree.go
@@ -200,6 +200,9 @@
 	switch value.(type) {
 	case *ast.NullNode:
 		n.kind = kindNull
+		if tk.Type != token.NullType {
+			p.add(ProblemMissing, tk, path, "the key has no value", "write null to remove the key, {} for no entries, or remove the line")
+		}
 	case *ast.BoolNode:
 		n.kind = kindBool
 	case *ast.IntegerNode:
