Add the first API of lib/routing and lib/retry

lib/routing holds one entry's table of endpoints with filters, scorers, named policies, ejection with probes, a prefix index and a ring of recent decisions. lib/retry holds the retry budget, backoff with full jitter and the planner that decides what follows an attempt.

--- /dev/null
+++ b/lib/retry/budget.go
@@ -0,0 +1,109 @@
+package retry
+
+import (
+	"cmp"
+	"time"
+)
+
+// Defaults of the budget.
+const (
+	DefaultRatio     = 0.1
+	DefaultPerSecond = 3.0
+)
+
+const (
+	// budgetWindow is the time over which retries are bounded.
+	budgetWindow = 10 * time.Second
+	// slotWidth is the resolution of the counters.
+	slotWidth = 100 * time.Millisecond
+	// slotCount covers the window and the part of a slot at its start.
+	slotCount = int64(budgetWindow/slotWidth) + 1
+)
+
+// BudgetSettings configure a Budget.
+type BudgetSettings struct {
+	// Ratio is the number of retries allowed for each first attempt; zero for
+	// DefaultRatio.
+	Ratio float64
+	// PerSecond is the number of retries allowed in addition; zero for
+	// DefaultPerSecond, negative for none. It is meant for one process; to bound the
+	// sum over all entries, divide it by their number.
+	PerSecond float64
+}
+
+// Budget bounds the retries over any 10 s to Ratio of the first attempts in the same
+// 10 s plus PerSecond for each second. It is not safe for concurrent use.
+type Budget struct {
+	settings BudgetSettings
+	slots    [slotCount]slot
+	latest   int64
+	origin   time.Time
+}
+
+type slot struct {
+	firsts  float64
+	retries float64
+}
+
+// NewBudget returns a budget without history.
+func NewBudget(settings BudgetSettings) *Budget {
+	b := &Budget{}
+	b.Configure(settings)
+	return b
+}
+
+// Configure replaces the settings and keeps the counters.
+func (b *Budget) Configure(settings BudgetSettings) {
+	settings.Ratio = cmp.Or(settings.Ratio, DefaultRatio)
+	settings.PerSecond = max(cmp.Or(settings.PerSecond, DefaultPerSecond), 0)
+	b.settings = settings
+}
+
+// FirstAttempt counts the first attempt of a request.
+func (b *Budget) FirstAttempt(now time.Time) {
+	b.current(now).firsts++
+}
+
+// TryRetry counts a retry and returns true when the budget allows it.
+func (b *Budget) TryRetry(now time.Time) bool {
+	current := b.current(now)
+	if !b.allows() {
+		return false
+	}
+	current.retries++
+	return true
+}
+
+// allows checks the window that ends now.
+func (b *Budget) allows() bool {
+	allowance := b.settings.PerSecond * budgetWindow.Seconds()
+	firsts, retries := 0.0, 1.0
+	for age := range slotCount {
+		s := b.slot(b.latest - age)
+		retries += s.retries
+		firsts += s.firsts
+	}
+	return retries <= b.settings.Ratio*firsts+allowance
+}
+
+func (b *Budget) slot(number int64) *slot {
+	return &b.slots[((number%slotCount)+slotCount)%slotCount]
+}
+
+// current returns the counters for now and clears those that left the window. A time
+// before the latest one counts as the latest.
+func (b *Budget) current(now time.Time) *slot {
+	if b.origin.IsZero() {
+		b.origin = now
+	}
+	number := int64(now.Sub(b.origin) / slotWidth)
+	if number-b.latest >= slotCount {
+		b.slots = [slotCount]slot{}
+		b.latest = number
+	}
+	for b.latest < number {
+		b.latest++
+		*b.slot(b.latest) = slot{}
+	}
+	return b.slot(b.latest)
+}
--- /dev/null
+++ b/lib/retry/plan.go
@@ -0,0 +1,225 @@
+package retry
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"time"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+)
+
+// DefaultMaxAttempts bounds the attempts of one request, the first one included.
+const DefaultMaxAttempts = 4
+
+// DefaultRetryAfter is returned with final answers that the caller may repeat.
+const DefaultRetryAfter = time.Second
+
+// Action is what follows an attempt.
+type Action uint8
+
+// Actions.
+const (
+	// Answer ends the request at once with the attempt's response or Next.Err.
+	Answer Action = iota
+	// Retry sends the request to another endpoint.
+	Retry
+	// Resume continues the stream on an endpoint that serves Next.VersionDigest.
+	Resume
+)
+
+// Request describes what the plan needs to know about a request.
+type Request struct {
+	Idempotent bool
+	// Resumable streams can continue after the tokens already relayed.
+	Resumable bool
+	Deadline  time.Time
+}
+
+// Attempt is the end of one attempt.
+type Attempt struct {
+	Outcome laburnumgwv1.Outcome
+	// Sent is false when the request never left the entry. It makes the outcome
+	// NOT_RUN, whatever Outcome says.
+	Sent bool
+	// RelayedBytes counts the payload bytes that reached the caller.
+	RelayedBytes int64
+	// VersionDigest is the digest of the response's header, empty without one.
+	VersionDigest string
+	// RetryAfter is the time that the endpoint asked for.
+	RetryAfter time.Duration
+	// Err describes the failure for the final answer.
+	Err error
+}
+
+// State accumulates the attempts of one request.
+type State struct {
+	request  Request
+	attempts int
+	relayed  bool
+	digest   string
+	// notRun holds while every attempt was never sent or refused with NOT_RUN.
+	notRun bool
+	// unknown is set when an attempt's outcome is unknown.
+	unknown bool
+	// inProgress is set when an earlier attempt with the same key is running.
+	inProgress bool
+	retryAfter time.Duration
+	lastErr    error
+}
+
+// NewState returns the state of a request before its first attempt.
+func NewState(request Request) *State {
+	return &State{request: request, notRun: true}
+}
+
+// Attempts returns the number of attempts that ended.
+func (s *State) Attempts() int { return s.attempts }
+
+// NotRun reports whether every attempt was never sent or refused with NOT_RUN.
+func (s *State) NotRun() bool { return s.notRun }
+
+// AcceptsVersion reports whether a response of the given version digest may be relayed.
+// Once bytes were relayed, only the version that produced them may continue.
+func (s *State) AcceptsVersion(digest string) bool {
+	return !s.relayed || digest == s.digest
+}
+
+// Next states what follows an attempt.
+type Next struct {
+	Action Action
+	// After is the time to wait before the next attempt.
+	After time.Duration
+	// VersionDigest must be served by the endpoint that resumes the stream.
+	VersionDigest string
+	// Err is the final answer; nil when the attempt completed. Its RetryAfter is set
+	// when the caller may repeat the request.
+	Err error
+}
+
+// Settings configure a Planner.
+type Settings struct {
+	// MaxAttempts includes the first attempt; zero for DefaultMaxAttempts.
+	MaxAttempts int
+	Backoff     Backoff
+}
+
+// Planner decides what follows each attempt.
+type Planner struct {
+	settings Settings
+	budget   *Budget
+	rng      *rand.Rand
+}
+
+// NewPlanner returns a planner that draws on the given budget.
+func NewPlanner(settings Settings, budget *Budget, rng *rand.Rand) *Planner {
+	settings.MaxAttempts = cmp.Or(settings.MaxAttempts, DefaultMaxAttempts)
+	settings.Backoff.Base = cmp.Or(settings.Backoff.Base, DefaultBaseDelay)
+	settings.Backoff.Max = cmp.Or(settings.Backoff.Max, DefaultMaxDelay)
+	return &Planner{settings: settings, budget: budget, rng: rng}
+}
+
+// Next records the end of an attempt and decides what follows it. The budget is
+// consumed only when another attempt follows.
+func (p *Planner) Next(s *State, a Attempt, now time.Time) Next {
+	s.record(a)
+	if a.outcome() == laburnumgwv1.Outcome_OUTCOME_COMPLETE {
+		return Next{Action: Answer}
+	}
+	action, cause := s.follow(a)
+	if action == Answer {
+		return s.giveUp(cause)
+	}
+	if s.attempts >= p.settings.MaxAttempts {
+		return s.giveUp("the attempts are used up")
+	}
+	after := p.delay(s, action)
+	if now.After(s.request.Deadline) {
+		return s.giveUp("the deadline leaves no time for another attempt")
+	}
+	if !p.budget.TryRetry(now) {
+		return s.giveUp("the retry budget is used up")
+	}
+	next := Next{Action: action, After: after}
+	if action == Resume {
+		next.VersionDigest = s.digest
+	}
+	return next
+}
+
+// delay returns the backoff before the next attempt. The first resumption follows at
+// once, because the caller is waiting for the next token.
+func (p *Planner) delay(s *State, action Action) time.Duration {
+	if action == Resume && s.attempts == 1 {
+		return 0
+	}
+	return p.settings.Backoff.Delay(s.attempts, p.rng)
+}
+
+// NoEndpoint returns the final answer of a request for which no endpoint is eligible.
+// It is "not run" only when no earlier attempt may have run.
+func (s *State) NoEndpoint(err error) Next {
+	s.lastErr = err
+	return s.giveUp("no endpoint is eligible")
+}
+
+func (a Attempt) outcome() laburnumgwv1.Outcome {
+	if !a.Sent {
+		return laburnumgwv1.Outcome_OUTCOME_NOT_RUN
+	}
+	return a.Outcome
+}
+
+func (s *State) record(a Attempt) {
+	s.attempts++
+	s.lastErr = a.Err
+	s.retryAfter = max(s.retryAfter, a.RetryAfter)
+	if a.RelayedBytes > 0 && !s.relayed {
+		s.relayed = true
+		s.digest = a.VersionDigest
+	}
+	switch a.outcome() {
+	case laburnumgwv1.Outcome_OUTCOME_NOT_RUN:
+	case laburnumgwv1.Outcome_OUTCOME_COMPLETE, laburnumgwv1.Outcome_OUTCOME_FAILED:
+		s.notRun = false
+	case laburnumgwv1.Outcome_OUTCOME_IN_PROGRESS:
+		s.notRun = false
+		s.inProgress = true
+	default:
+		s.notRun = false
+		s.unknown = true
+	}
+}
+
+// follow returns the action that the outcome permits, or Answer and the reason.
+func (s *State) follow(a Attempt) (Action, string) {
+	if s.inProgress {
+		return Answer, "an earlier attempt with the same key is still running"
+	}
+	if s.relayed {
+		return s.followStream()
+	}
+	if a.outcome() == laburnumgwv1.Outcome_OUTCOME_NOT_RUN || s.request.Idempotent {
+		return Retry, ""
+	}
+	return Answer, "the request is not idempotent"
+}
+
+// followStream permits a resumption on the same version only: the caller has already
+// received a part of that version's answer.
+func (s *State) followStream() (Action, string) {
+	switch {
+	case !s.request.Idempotent:
+		return Answer, "the request is not idempotent"
+	case !s.request.Resumable:
+		return Answer, "the stream cannot be resumed"
+	case s.digest == "":
+		return Answer, "the version of the stream is not known"
+	}
+	return Resume, ""
+}
+
+// giveUp returns the final answer. The kind depends on what the attempts may have
+// done and not on why the request was given up.
+func (s *State) giveUp(cause string) Next {
+	return Next{Action: Answer, Err: s.finalError(cause)}
+}
--- /dev/null
+++ b/lib/routing/ejection.go
@@ -0,0 +1,147 @@
+package routing
+
+import (
+	"time"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+)
+
+const (
+	// consecutiveFailures eject an endpoint.
+	consecutiveFailures = 3
+	// failureRate over at least failureSamples attempts ejects an endpoint.
+	failureRate    = 0.5
+	failureSamples = 20
+	// failureWindow is the time after which counted attempts lose half their weight.
+	failureWindow = 5 * time.Second
+	// Probes of an ejected endpoint start at probeInterval and double up to
+	// maxProbeInterval.
+	probeInterval    = time.Second
+	maxProbeInterval = 30 * time.Second
+	// probePatience is the time after which a due probe no longer waits for an
+	// idempotent request.
+	probePatience = 10 * time.Second
+)
+
+// verdict is what the outcome of an attempt says about the endpoint.
+type verdict uint8
+
+const (
+	neutral verdict = iota
+	success
+	failure
+)
+
+// classify judges an outcome. A refusal is the normal answer of a full endpoint, and
+// a cancelled attempt says nothing; an attempt that could not be sent is a failure.
+func classify(r Result) verdict {
+	switch r.Outcome {
+	case laburnumgwv1.Outcome_OUTCOME_COMPLETE, laburnumgwv1.Outcome_OUTCOME_IN_PROGRESS:
+		return success
+	case laburnumgwv1.Outcome_OUTCOME_FAILED, laburnumgwv1.Outcome_OUTCOME_UNKNOWN:
+		return failure
+	case laburnumgwv1.Outcome_OUTCOME_NOT_RUN:
+		if !r.Sent {
+			return failure
+		}
+	}
+	return neutral
+}
+
+// health counts the outcomes of an endpoint's attempts and holds its ejection.
+type health struct {
+	consecutive int
+	attempts    float64
+	failures    float64
+	windowFrom  time.Time
+	lastFailure time.Time
+
+	ejected   bool
+	ejectedAt time.Time
+	interval  time.Duration
+	nextProbe time.Time
+}
+
+func (h *health) attemptFinished(v verdict, a Attempt, now time.Time) {
+	if v == neutral {
+		return
+	}
+	h.decay(now)
+	h.attempts++
+	if v == success {
+		h.consecutive = 0
+		h.succeeded(a)
+		return
+	}
+	h.consecutive++
+	h.failures++
+	h.lastFailure = now
+}
+
+// succeeded ends the ejection when the attempt was sent after it began. An older
+// attempt may have run before the endpoint failed.
+func (h *health) succeeded(a Attempt) {
+	if h.ejected && !a.sent.Before(h.ejectedAt) {
+		*h = health{}
+	}
+}
+
+func (h *health) decay(now time.Time) {
+	if h.windowFrom.IsZero() {
+		h.windowFrom = now
+	}
+	for now.Sub(h.windowFrom) >= failureWindow && h.attempts > 0 {
+		h.attempts /= 2
+		h.failures /= 2
+		if h.attempts < 1 {
+			h.attempts = 0
+			h.failures = 0
+		}
+		h.windowFrom = h.windowFrom.Add(failureWindow)
+	}
+	if h.attempts == 0 {
+		h.windowFrom = now
+	}
+}
+
+func (h *health) wantsEjection(now time.Time) bool {
+	if h.ejected || !h.lastFailure.Equal(now) {
+		return false
+	}
+	if h.consecutive >= consecutiveFailures {
+		return true
+	}
+	return h.attempts >= failureSamples && h.failures >= failureRate*h.attempts
+}
+
+func (h *health) probeSent(now time.Time) {
+	h.interval = min(2*h.interval, maxProbeInterval)
+	h.nextProbe = now.Add(h.interval)
+}
+
+// probeDue reports whether a request may probe the endpoint. Others than idempotent
+// requests wait longer, because a failed probe leaves their outcome unknown.
+func (h *health) probeDue(idempotent bool, now time.Time) bool {
+	due := h.nextProbe
+	if !idempotent {
+		due = due.Add(probePatience)
+	}
+	return h.ejected && !now.Before(due)
+}
+
+func (e *endpoint) eject(now time.Time) {
+	e.health.ejected = true
+	e.health.ejectedAt = now
+	e.health.interval = probeInterval
+	e.health.nextProbe = now.Add(probeInterval)
+}
+
+// mayEject reports whether the endpoint is not the last of a pool.
+func (e *endpoint) mayEject() bool {
+	for _, p := range e.pools {
+		if len(p.members) == 1 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/lib/routing/errors.go
@@ -0,0 +1,92 @@
+package routing
+
+import (
+	"fmt"
+	"strings"
+
+	"laburnumgw/lib/errkind"
+)
+
+// FilterCount is the number of endpoints that one filter removed.
+type FilterCount struct {
+	Filter Filter
+	Count  int
+}
+
+// maxFilters is the number of filters.
+const maxFilters = 10
+
+// FilterCounts lists the filters that removed endpoints, in the order of application.
+type FilterCounts struct {
+	entries [maxFilters]FilterCount
+	n       int
+}
+
+func (f *FilterCounts) add(name Filter, count int) {
+	if count == 0 {
+		return
+	}
+	f.entries[f.n] = FilterCount{name, count}
+	f.n++
+}
+
+// Entries returns the counts.
+func (f *FilterCounts) Entries() []FilterCount { return f.entries[:f.n] }
+
+// NoEndpointError states why no endpoint was eligible.
+type NoEndpointError struct {
+	RequestID string
+	Model     string
+	Service   string
+	// Pool is the number of endpoints of the model or service.
+	Pool    int
+	Removed []FilterCount
+	// Candidates is set only when Request.Detail is set.
+	Candidates []Candidate
+}
+
+// Error names the model or service and the number of endpoints that each filter
+// removed.
+func (e *NoEndpointError) Error() string {
+	var b strings.Builder
+	if e.Model != "" {
+		fmt.Fprintf(&b, "no endpoint is eligible for model %q", e.Model)
+	} else {
+		fmt.Fprintf(&b, "no endpoint is eligible for service %q", e.Service)
+	}
+	if e.Pool == 0 {
+		b.WriteString(": none serves it")
+		return b.String()
+	}
+	fmt.Fprintf(&b, " among %d", e.Pool)
+	separator := ": "
+	for _, removed := range e.Removed {
+		fmt.Fprintf(&b, "%s%d %s", separator, removed.Count, removed.Filter)
+		separator = ", "
+	}
+	return b.String()
+}
+
+// Count returns the number of endpoints that a filter removed.
+func (e *NoEndpointError) Count(f Filter) int {
+	for _, removed := range e.Removed {
+		if removed.Filter == f {
+			return removed.Count
+		}
+	}
+	return 0
+}
+
+func (t *Table) noEndpoint(q *query) error {
+	cause := &NoEndpointError{
+		RequestID:  q.request.ID,
+		Model:      q.request.Model,
+		Service:    q.request.Service,
+		Pool:       q.poolSize,
+		Removed:    append([]FilterCount(nil), q.counts.Entries()...),
+		Candidates: q.detail,
+	}
+	remedy := "repeat the request after the time in Retry-After"
+	return errkind.Wrap(cause, errkind.NotRun, remedy, "request %s was not run", q.request.ID).
+		WithRetryAfter(t.settings.RetryAfter)
+}
--- /dev/null
+++ b/lib/routing/policy.go
@@ -0,0 +1,106 @@
+package routing
+
+import (
+	"laburnumgw/lib/errkind"
+)
+
+// policy chooses one of the candidates that passed the filters.
+type policy interface {
+	pick(t *Table, q *query, p *pool) int
+	// scored reports whether the policy uses the scorers.
+	scored() bool
+}
+
+// Policies lists the names of all policies, the default first.
+func Policies() []string {
+	return []string{"least-estimated", "power-of-two", "least-reported", "round-robin", "random"}
+}
+
+func newPolicy(name string) (policy, error) {
+	switch name {
+	case "least-estimated":
+		return leastEstimated{}, nil
+	case "power-of-two":
+		return powerOfTwo{}, nil
+	case "least-reported":
+		return leastReported{}, nil
+	case "round-robin":
+		return roundRobin{}, nil
+	case "random":
+		return uniform{}, nil
+	}
+	return nil, errkind.New(errkind.Invalid,
+		"set routing.policy to least-estimated, power-of-two, least-reported, round-robin or random",
+		"routing policy %q is unknown", name)
+}
+
+// leastEstimated takes the best score and breaks ties at random.
+type leastEstimated struct{}
+
+func (leastEstimated) scored() bool { return true }
+
+func (leastEstimated) pick(t *Table, q *query, _ *pool) int {
+	t.score(q)
+	return t.least(q, func(c *candidate) float64 { return c.score })
+}
+
+// leastReported takes the lowest load of the last reports, without corrections.
+type leastReported struct{}
+
+func (leastReported) scored() bool { return false }
+
+func (leastReported) pick(t *Table, q *query, _ *pool) int {
+	return t.least(q, func(c *candidate) float64 { return c.endpoint.reported })
+}
+
+// least returns the candidate with the lowest value; ties are broken at random.
+func (t *Table) least(q *query, value func(*candidate) float64) int {
+	best, ties := 0, 1
+	lowest := value(&q.candidates[0])
+	for i := 1; i < len(q.candidates); i++ {
+		v := value(&q.candidates[i])
+		switch {
+		case v < lowest:
+			best, ties, lowest = i, 1, v
+		case v == lowest:
+			ties++
+			if t.rng.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
+// powerOfTwo takes the lower estimated load of two endpoints chosen at random.
+type powerOfTwo struct{}
+
+func (powerOfTwo) scored() bool { return false }
+
+func (powerOfTwo) pick(t *Table, q *query, _ *pool) int {
+	a := t.rng.IntN(len(q.candidates))
+	b := t.rng.IntN(len(q.candidates))
+	if q.candidates[b].load < q.candidates[a].load {
+		return b
+	}
+	return a
+}
+
+// roundRobin takes the endpoints in turn.
+type roundRobin struct{}
+
+func (roundRobin) scored() bool { return false }
+
+func (roundRobin) pick(_ *Table, q *query, p *pool) int {
+	p.cursor++
+	return p.cursor % len(q.candidates)
+}
+
+// uniform takes any endpoint with equal probability.
+type uniform struct{}
+
+func (uniform) scored() bool { return false }
+
+func (uniform) pick(t *Table, q *query, _ *pool) int {
+	return t.rng.IntN(len(q.candidates))
+}
--- /dev/null
+++ b/lib/routing/request.go
@@ -0,0 +1,104 @@
+package routing
+
+import (
+	"time"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+)
+
+// Request describes one attempt of a request to Pick.
+type Request struct {
+	ID      string
+	Attempt uint32
+	// Model is the name of the requested model; empty for a plain service.
+	Model string
+	// Service is the name of the plain service when Model is empty.
+	Service string
+	// VersionDigest is the digest that must answer; empty for any. A resumed stream
+	// sets it.
+	VersionDigest string
+	// Adapter must be loaded on the endpoint; empty for none.
+	Adapter string
+	// Idempotent requests may serve as probes of ejected endpoints.
+	Idempotent bool
+	// Tokens estimates the work of the request; zero when unknown.
+	Tokens int64
+	// Prefixes holds the hashes of the prompt's prefixes, the longest first.
+	Prefixes []uint64
+	// Tried names the VMs that earlier attempts of the request were sent to.
+	Tried []string
+	// PreferredVM owns the journal shard of the request; empty for none.
+	PreferredVM string
+	// OwnerOnly refuses the request when PreferredVM cannot take it.
+	OwnerOnly bool
+	// Detail records every candidate in the decision, which allocates.
+	Detail bool
+}
+
+// Reason states why an endpoint was chosen.
+type Reason string
+
+// Reasons of a decision.
+const (
+	// ReasonScore means that the endpoint won by its score.
+	ReasonScore Reason = "score"
+	// ReasonPrefix means that prefix affinity decided.
+	ReasonPrefix Reason = "prefix_affinity"
+	// ReasonOwner means that the endpoint owns the journal shard.
+	ReasonOwner Reason = "owner"
+	// ReasonProbe means that the attempt probes an ejected endpoint.
+	ReasonProbe Reason = "probe"
+	// ReasonSuspect means that only suspect endpoints were left.
+	ReasonSuspect Reason = "only_suspect_left"
+	// ReasonEjected means that only ejected endpoints were left.
+	ReasonEjected Reason = "only_ejected_left"
+)
+
+// Decision is the result of Pick.
+type Decision struct {
+	RequestID string
+	Attempt   uint32
+	VM        string
+	Address   string
+	Zone      string
+	// VersionDigest is the digest that the endpoint serves for the model.
+	VersionDigest string
+	Reason        Reason
+	Policy        string
+	// Score is the score of the chosen endpoint; lower is better.
+	Score float64
+	// Load is the estimated number of requests on the chosen endpoint.
+	Load float64
+	// Eligible and Pool count the endpoints that passed the filters and all
+	// endpoints of the model or service.
+	Eligible int
+	Pool     int
+	// Candidates is set only when Request.Detail is set.
+	Candidates []Candidate
+}
+
+// Candidate is one endpoint that a decision considered.
+type Candidate struct {
+	VM         string
+	Zone       string
+	Score      float64
+	FilteredBy Filter
+}
+
+// Result is the outcome of one attempt.
+type Result struct {
+	Outcome laburnumgwv1.Outcome
+	// Sent is false when the request never left the entry.
+	Sent bool
+	// Load is the load carried by the last frame; nil when there was none. The
+	// finished attempt is no longer part of it.
+	Load *laburnumgwv1.Load
+}
+
+// Attempt identifies an attempt between AttemptSent and AttemptFinished.
+type Attempt struct {
+	endpoint *endpoint
+	tokens   int64
+	probe    bool
+	sent     time.Time
+}
--- /dev/null
+++ b/lib/routing/table.go
@@ -0,0 +1,245 @@
+package routing
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/errkind"
+)
+
+// Defaults of the settings.
+const (
+	DefaultPolicy        = "least-estimated"
+	DefaultAffinityBound = 1.2
+	DefaultQueueLength   = 64
+	DefaultRetryAfter    = time.Second
+	// defaultLimit is assumed for an endpoint that has not reported a limit.
+	defaultLimit = 1
+)
+
+// Settings configure a table.
+type Settings struct {
+	// Zone and Region are those of the entry.
+	Zone   string
+	Region string
+	// Policy names the routing policy; empty for DefaultPolicy.
+	Policy string
+	// AffinityBound is the multiple of the mean load up to which an endpoint may be
+	// chosen for its cached prefix; zero for DefaultAffinityBound.
+	AffinityBound float64
+	// QueueLength is the length of the queue of a warm endpoint; zero for
+	// DefaultQueueLength.
+	QueueLength int
+	// RetryAfter is returned with refusals; zero for DefaultRetryAfter.
+	RetryAfter time.Duration
+}
+
+// Zone is the state of one availability zone in the configuration.
+type Zone struct {
+	Name   string
+	Region string
+	// Out is set when operators have taken the zone out of service.
+	Out bool
+}
+
+// Incarnation orders the starts of one VM's process.
+type Incarnation struct {
+	Counter uint64
+	ID      uint64
+}
+
+// Compare returns -1, 0 or 1 as i is older than, equal to or newer than other.
+func (i Incarnation) Compare(other Incarnation) int {
+	if c := cmp.Compare(i.Counter, other.Counter); c != 0 {
+		return c
+	}
+	return cmp.Compare(i.ID, other.ID)
+}
+
+// Liveness is the membership state of an endpoint.
+type Liveness uint8
+
+// Liveness states.
+const (
+	Alive Liveness = iota
+	Suspect
+	Dead
+)
+
+// Table holds the endpoints known to one entry. It is not safe for concurrent use.
+type Table struct {
+	settings  Settings
+	policy    policy
+	rng       *rand.Rand
+	endpoints map[string]*endpoint
+	pools     map[poolKey]*pool
+	zones     map[string]Zone
+	prefixes  *prefixIndex
+	query     query
+}
+
+// New returns an empty table. It fails when the policy is unknown.
+func New(settings Settings, rng *rand.Rand) (*Table, error) {
+	t := &Table{
+		rng:       rng,
+		endpoints: map[string]*endpoint{},
+		pools:     map[poolKey]*pool{},
+		prefixes:  newPrefixIndex(),
+	}
+	if err := t.Configure(settings); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// Configure replaces the settings. An invalid setting leaves the table unchanged.
+func (t *Table) Configure(settings Settings) error {
+	settings.Policy = cmp.Or(settings.Policy, DefaultPolicy)
+	settings.AffinityBound = cmp.Or(settings.AffinityBound, DefaultAffinityBound)
+	settings.QueueLength = cmp.Or(settings.QueueLength, DefaultQueueLength)
+	settings.RetryAfter = cmp.Or(settings.RetryAfter, DefaultRetryAfter)
+	chosen, err := newPolicy(settings.Policy)
+	if err != nil {
+		return err
+	}
+	if settings.AffinityBound < 1 {
+		return errkind.New(errkind.Invalid, "set affinity_bound to 1 or more",
+			"affinity_bound %g is below the mean load", settings.AffinityBound)
+	}
+	t.settings = settings
+	t.policy = chosen
+	return nil
+}
+
+// SetZones replaces the zone states. Until the first call every zone is in service;
+// afterwards a zone that the configuration does not name is out of service.
+func (t *Table) SetZones(zones []Zone) {
+	t.zones = make(map[string]Zone, len(zones))
+	for _, zone := range zones {
+		t.zones[zone.Name] = zone
+	}
+}
+
+func (t *Table) zoneOut(name string) bool {
+	if t.zones == nil {
+		return false
+	}
+	zone, known := t.zones[name]
+	return !known || zone.Out
+}
+
+// ReportReceived applies a load report. It returns false for a report that is older
+// than one already applied.
+func (t *Table) ReportReceived(r *laburnumgwv1.ReportRequest, now time.Time) bool {
+	incarnation := Incarnation{r.GetIncarnation().GetCounter(), r.GetIncarnation().GetId()}
+	e := t.endpoints[r.GetVm()]
+	if e == nil {
+		e = &endpoint{vm: r.GetVm(), incarnation: incarnation}
+		t.endpoints[e.vm] = e
+	}
+	switch order := incarnation.Compare(e.incarnation); {
+	case order < 0:
+		return false
+	case order == 0 && r.GetSequence() <= e.sequence && e.sequence > 0:
+		return false
+	case order > 0:
+		e.restart(incarnation)
+		t.prefixes.forget(e)
+	}
+	e.sequence = r.GetSequence()
+	e.address = r.GetAddress()
+	e.zone = r.GetZone()
+	e.region = r.GetRegion()
+	e.zoneOut = t.zoneOut(e.zone)
+	e.liveness = Alive
+	e.reportReceived(r.GetLoad(), now)
+	t.updatePools(e, r)
+	return true
+}
+
+// SetLiveness applies a membership decision. The next newer report makes the
+// endpoint alive again.
+func (t *Table) SetLiveness(vm string, state Liveness) {
+	e := t.endpoints[vm]
+	if e == nil {
+		return
+	}
+	e.liveness = state
+}
+
+// SetLeaving marks an endpoint as leaving until it restarts. A mark for an older
+// incarnation is ignored.
+func (t *Table) SetLeaving(vm string, incarnation Incarnation) {
+	e := t.endpoints[vm]
+	if e == nil || incarnation.Compare(e.incarnation) < 0 {
+		return
+	}
+	e.leaving = true
+}
+
+// SetAdapters replaces the adapters that are loaded on an endpoint.
+func (t *Table) SetAdapters(vm string, adapters []string) {
+	if e := t.endpoints[vm]; e != nil {
+		e.adapters = slices.Clone(adapters)
+	}
+}
+
+// Remove forgets an endpoint.
+func (t *Table) Remove(vm string) {
+	e := t.endpoints[vm]
+	if e == nil {
+		return
+	}
+	delete(t.endpoints, vm)
+	t.prefixes.forget(e)
+	for _, p := range e.pools {
+		t.leavePool(e, p)
+	}
+	e.pools = nil
+}
+
+// AttemptSent records that the attempt of a decision was sent.
+func (t *Table) AttemptSent(d Decision, r *Request, now time.Time) Attempt {
+	e := t.endpoints[d.VM]
+	if e == nil {
+		return Attempt{}
+	}
+	a := Attempt{endpoint: e, tokens: r.Tokens, sent: now}
+	e.own++
+	e.ownTokens += r.Tokens
+	if e.health.ejected {
+		a.probe = true
+		e.health.probeSent(now)
+	}
+	t.prefixes.learn(e, r.Prefixes)
+	return a
+}
+
+// LoadReceived applies the load carried by a response frame of a running attempt.
+func (t *Table) LoadReceived(a Attempt, load *laburnumgwv1.Load, now time.Time) {
+	if a.endpoint == nil || load == nil {
+		return
+	}
+	a.endpoint.frameReceived(load, now)
+}
+
+// AttemptFinished records the end of an attempt. It must be called once for each
+// AttemptSent; the outcome is OUTCOME_UNSPECIFIED when the caller cancelled.
+func (t *Table) AttemptFinished(a Attempt, result Result, now time.Time) {
+	e := a.endpoint
+	if e == nil {
+		return
+	}
+	e.own--
+	e.ownTokens -= a.tokens
+	if result.Load != nil {
+		e.frameReceived(result.Load, now)
+	}
+	e.health.attemptFinished(classify(result), a, now)
+	if e.health.wantsEjection(now) && e.mayEject() {
+		e.eject(now)
+	}
+}
