--- /dev/null
+++ b/lib/routing/state_test.go
@@ -0,0 +1,92 @@
+package routing_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/routing"
+)
+
+// Guards against new work for a drained zone or a leaving endpoint (I3, I7). The entry
+// may learn of the change late, but the first decision afterwards must follow it.
+func TestDrainIsImmediate(t *testing.T) {
+	kinds := map[string]routing.Request{
+		"first attempt":  {Attempt: 1, Model: "chat", Idempotent: true},
+		"retry":          {Attempt: 2, Model: "chat", Tried: []string{"vm-1"}},
+		"resumed stream": {Attempt: 2, Model: "chat", VersionDigest: "v1"},
+		"shard owner":    {Attempt: 1, Service: "booking", PreferredVM: "vm-0", OwnerOnly: true},
+		"plain service":  {Attempt: 1, Service: "booking", PreferredVM: "vm-0"},
+		"cached prefix":  {Attempt: 1, Model: "chat", Prefixes: []uint64{11}},
+	}
+	incarnation := routing.Incarnation{Counter: 1, ID: 7}
+	changes := map[string]func(*routing.Table){
+		"zone out": func(table *routing.Table) {
+			table.SetZones([]routing.Zone{{Name: "a", Out: true}, {Name: "b"}, {Name: "c"}})
+		},
+		"zone removed": func(table *routing.Table) {
+			table.SetZones([]routing.Zone{{Name: "b"}, {Name: "c"}})
+		},
+		"membership says leaving": func(table *routing.Table) {
+			for i := 0; i < 12; i += 3 {
+				table.SetLeaving(fmt.Sprintf("vm-%d", i), incarnation)
+			}
+		},
+		"report says leaving": func(table *routing.Table) {
+			for i := 0; i < 12; i += 3 {
+				leaving := report(i, "a", 2)
+				leaving.Load.Leaving = true
+				table.ReportReceived(leaving, start)
+			}
+		},
+	}
+	Convey("No decision after the change chooses zone a", t, func() {
+		chosen := 0
+		for kind, template := range kinds {
+			for change, apply := range changes {
+				table := newTable(1)
+				table.SetZones([]routing.Zone{{Name: "a"}, {Name: "b"}, {Name: "c"}})
+				for i := range 12 {
+					table.ReportReceived(report(i, string(rune('a'+i%3)), 1), start)
+				}
+				table.PrefixEventReceived(routing.PrefixEvent{
+					VM: "vm-0", Incarnation: incarnation, Sequence: 1, Stored: []uint64{11}})
+				apply(table)
+				for i := range 50 {
+					request := template
+					now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+					decision, err := table.Pick(&request, now)
+					if request.OwnerOnly {
+						SoMsg(kind+", "+change, err, ShouldNotBeNil)
+						continue
+					}
+					So(err, ShouldBeNil)
+					SoMsg(kind+", "+change, decision.Zone, ShouldNotEqual, "a")
+					table.AttemptSent(decision, &request, now)
+					chosen++
+				}
+			}
+		}
+		So(chosen, ShouldEqual, 5*4*50)
+	})
+	Convey("A frame that says leaving counts, until the endpoint restarts", t, func() {
+		table := newTable(1)
+		table.ReportReceived(report(0, "a", 1), start)
+		request := routing.Request{Model: "chat"}
+		decision, err := table.Pick(&request, start)
+		So(err, ShouldBeNil)
+		attempt := table.AttemptSent(decision, &request, start)
+		table.LoadReceived(attempt, &laburnumgwv1.Load{Limit: 4, Leaving: true}, start)
+		table.ReportReceived(report(0, "a", 2), start)
+		_, err = table.Pick(&request, start)
+		So(err, ShouldNotBeNil)
+		restarted := report(0, "a", 1)
+		restarted.Incarnation.Counter = 2
+		table.ReportReceived(restarted, start)
+		_, err = table.Pick(&request, start)
+		So(err, ShouldBeNil)
+	})
+}
