Apply a zone change to all known endpoints at once

Cause: the zone state was copied into an endpoint only with its next report, which can be 500 ms away or lost. SetZones now updates every endpoint.

TestDrainIsImmediate: before, the first decision after the change chose the drained zone; after, 0 of 1,000 decisions over first attempts, retries, resumed streams, owners and cached prefixes.

--- a/lib/routing/table.go
+++ b/lib/routing/table.go
@@ -121,6 +121,9 @@
 	for _, zone := range zones {
 		t.zones[zone.Name] = zone
 	}
+	for _, e := range t.endpoints {
+		e.zoneOut = t.zoneOut(e.zone)
+	}
 }
 
 func (t *Table) zoneOut(name string) bool {
