Check every window of the retry budget

Cause: only the window that ends with the retry was checked. First attempts at its start earn retries that a later window contains without them. The budget now checks every suffix of the last 10 s; the oldest, partly covered slot counts its retries and not its first attempts.

Ruled out: a token bucket, whose stored tokens add to any window what was earned before it.

--- a/lib/retry/budget.go
+++ b/lib/retry/budget.go
@@ -74,16 +74,21 @@
 	return true
 }
 
-// allows checks the window that ends now.
+// allows checks every window that ends now, because the first attempts that earned a
+// retry must lie in the same 10 s as the retry. A window may start within a slot, so
+// the first attempts of its oldest slot do not count.
 func (b *Budget) allows() bool {
 	allowance := b.settings.PerSecond * budgetWindow.Seconds()
 	firsts, retries := 0.0, 1.0
 	for age := range slotCount {
 		s := b.slot(b.latest - age)
 		retries += s.retries
+		if retries > b.settings.Ratio*firsts+allowance {
+			return false
+		}
 		firsts += s.firsts
 	}
-	return retries <= b.settings.Ratio*firsts+allowance
+	return true
 }
 
 func (b *Budget) slot(number int64) *slot {
