Compare the end of the backoff with the deadline

Cause: the planner checked the time at which it decided, not the time at which the next attempt starts. TestPlanProperties: before, failed in the first history; after, no violation in 5,000 histories.

--- a/lib/retry/plan.go
+++ b/lib/retry/plan.go
@@ -133,7 +133,7 @@
 		return s.giveUp("the attempts are used up")
 	}
 	after := p.delay(s, action)
-	if now.After(s.request.Deadline) {
+	if !now.Add(after).Before(s.request.Deadline) {
 		return s.giveUp("the deadline leaves no time for another attempt")
 	}
 	if !p.budget.TryRetry(now) {
