Limit ejections to half of the available endpoints of each pool

Cause: ejection looked at the number of members only. It now counts the endpoints that are alive, in service and not leaving, and every event that makes one unavailable reinstates the endpoints that were ejected longest ago.

Ruled out: relying on the last-resort choice of ejected endpoints alone; it keeps requests flowing but lets the remaining endpoints take more than twice their load.

--- a/lib/routing/ejection.go
+++ b/lib/routing/ejection.go
@@ -114,6 +114,12 @@
 	return h.attempts >= failureSamples && h.failures >= failureRate*h.attempts
 }
 
+// reinstate ends an ejection without a successful probe. The failures stay counted.
+func (h *health) reinstate() {
+	h.ejected = false
+	h.consecutive = consecutiveFailures - 1
+}
+
 func (h *health) probeSent(now time.Time) {
 	h.interval = min(2*h.interval, maxProbeInterval)
 	h.nextProbe = now.Add(h.interval)
@@ -136,12 +142,54 @@
 	e.health.nextProbe = now.Add(probeInterval)
 }
 
-// mayEject reports whether the endpoint is not the last of a pool.
+// mayEject reports whether every pool of the endpoint stays at most half ejected.
 func (e *endpoint) mayEject() bool {
 	for _, p := range e.pools {
-		if len(p.members) == 1 {
+		available, ejected := p.countEjected()
+		if e.available() {
+			ejected++
+		}
+		if 2*ejected > available {
 			return false
 		}
 	}
 	return true
 }
+
+func (p *pool) countEjected() (available, ejected int) {
+	for i := range p.members {
+		e := p.members[i].endpoint
+		if !e.available() {
+			continue
+		}
+		available++
+		if e.health.ejected {
+			ejected++
+		}
+	}
+	return available, ejected
+}
+
+// limitEjections reinstates the endpoints that were ejected longest ago until at most
+// half of the available endpoints are ejected.
+func (p *pool) limitEjections() {
+	available, ejected := p.countEjected()
+	for 2*ejected > available {
+		p.oldestEjected().health.reinstate()
+		ejected--
+	}
+}
+
+func (p *pool) oldestEjected() *endpoint {
+	var oldest *endpoint
+	for i := range p.members {
+		e := p.members[i].endpoint
+		if !e.available() || !e.health.ejected {
+			continue
+		}
+		if oldest == nil || e.health.ejectedAt.Before(oldest.health.ejectedAt) {
+			oldest = e
+		}
+	}
+	return oldest
+}
--- a/lib/routing/pool.go
+++ b/lib/routing/pool.go
@@ -87,4 +87,12 @@
 		delete(t.pools, p.key)
 		return
 	}
+	p.limitEjections()
+}
+
+// limitEjections restores the limit on ejections in every pool of an endpoint.
+func (t *Table) limitEjections(e *endpoint) {
+	for _, p := range e.pools {
+		p.limitEjections()
+	}
 }
--- a/lib/routing/table.go
+++ b/lib/routing/table.go
@@ -124,6 +124,9 @@
 	for _, e := range t.endpoints {
 		e.zoneOut = t.zoneOut(e.zone)
 	}
+	for _, p := range t.pools {
+		p.limitEjections()
+	}
 }
 
 func (t *Table) zoneOut(name string) bool {
@@ -160,6 +163,7 @@
 	e.liveness = Alive
 	e.reportReceived(r.GetLoad(), now)
 	t.updatePools(e, r)
+	t.limitEjections(e)
 	return true
 }
 
@@ -171,6 +175,7 @@
 		return
 	}
 	e.liveness = state
+	t.limitEjections(e)
 }
 
 // SetLeaving marks an endpoint as leaving until it restarts. A mark for an older
@@ -181,6 +186,7 @@
 		return
 	}
 	e.leaving = true
+	t.limitEjections(e)
 }
 
 // SetAdapters replaces the adapters that are loaded on an endpoint.
@@ -226,7 +232,15 @@
 	if a.endpoint == nil || load == nil {
 		return
 	}
-	a.endpoint.frameReceived(load, now)
+	t.frameReceived(a.endpoint, load, now)
+}
+
+func (t *Table) frameReceived(e *endpoint, load *laburnumgwv1.Load, now time.Time) {
+	wasAvailable := e.available()
+	e.frameReceived(load, now)
+	if wasAvailable && !e.available() {
+		t.limitEjections(e)
+	}
 }
 
 // AttemptFinished records the end of an attempt. It must be called once for each
@@ -239,7 +253,7 @@
 	e.own--
 	e.ownTokens -= a.tokens
 	if result.Load != nil {
-		e.frameReceived(result.Load, now)
+		t.frameReceived(e, result.Load, now)
 	}
 	e.health.attemptFinished(classify(result), a, now)
 	if e.health.wantsEjection(now) && e.mayEject() {
