--- /dev/null
+++ b/lib/admission/gate.go
@@ -0,0 +1,190 @@
+package admission
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"laburnumgw/lib/errkind"
+)
+
+// Release ends an admitted request. Calls after the first one have no effect.
+type Release func(Result)
+
+// Gate is the goroutine-safe adapter of a Controller. Each Acquire gets an own id, so
+// two attempts with the same request id never share a slot.
+type Gate struct {
+	mu         sync.Mutex
+	controller *Controller
+	waiters    map[string]chan Decision
+	sequence   uint64
+	timer      *time.Timer
+	idle       chan struct{}
+}
+
+// NewGate returns the gate of an endpoint that has just started and is cold.
+func NewGate(config Config) *Gate {
+	return &Gate{
+		controller: New(config, time.Now()),
+		waiters:    make(map[string]chan Decision),
+		idle:       make(chan struct{}),
+	}
+}
+
+// Acquire waits until the request may run and returns the function that ends it. The
+// error is of kind errkind.NotRun: the request was not sent to the endpoint.
+func (g *Gate) Acquire(ctx context.Context, request Request) (Release, error) {
+	id, wait, err := g.offer(request)
+	if err != nil {
+		return nil, err
+	}
+	if wait == nil {
+		return g.release(id), nil
+	}
+	select {
+	case decision := <-wait:
+		return g.granted(decision)
+	case <-ctx.Done():
+		return g.leave(ctx, id, wait)
+	}
+}
+
+func (g *Gate) offer(request Request) (string, chan Decision, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sequence++
+	id := request.ID + "#" + strconv.FormatUint(g.sequence, 10)
+	request.ID = id
+	decision, others := g.controller.Offer(request, time.Now())
+	g.deliver(others)
+	defer g.schedule()
+	switch decision.Verdict {
+	case Admitted:
+		return id, nil, nil
+	case Queued:
+		wait := make(chan Decision, 1)
+		g.waiters[id] = wait
+		return id, wait, nil
+	default:
+		return id, nil, decision.Err
+	}
+}
+
+func (g *Gate) granted(decision Decision) (Release, error) {
+	if decision.Verdict == Refused {
+		return nil, decision.Err
+	}
+	return g.release(decision.ID), nil
+}
+
+// leave gives up a queued request. A request that was admitted at the same moment is
+// released without having run.
+func (g *Gate) leave(ctx context.Context, id string, wait chan Decision) (Release, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	removed, others := g.controller.Cancel(id, time.Now())
+	g.deliver(others)
+	if !removed {
+		g.deliver(g.controller.Finish(id, Abandoned, 0, time.Now()))
+	}
+	delete(g.waiters, id)
+	g.schedule()
+	select {
+	case decision := <-wait:
+		if decision.Verdict == Refused {
+			return nil, decision.Err
+		}
+	default:
+	}
+	return nil, errkind.Wrap(ctx.Err(), errkind.NotRun, "repeat the request",
+		"the caller left before the request was run")
+}
+
+func (g *Gate) release(id string) Release {
+	started := time.Now()
+	var once sync.Once
+	return func(result Result) {
+		once.Do(func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			now := time.Now()
+			g.deliver(g.controller.Finish(id, result, now.Sub(started), now))
+			g.schedule()
+		})
+	}
+}
+
+// deliver hands decisions to the waiting callers. The caller holds the lock.
+func (g *Gate) deliver(decisions []Decision) {
+	for _, decision := range decisions {
+		wait, ok := g.waiters[decision.ID]
+		if !ok {
+			continue
+		}
+		delete(g.waiters, decision.ID)
+		wait <- decision
+	}
+}
+
+// schedule arms the timer for the next expiry and notices the end of a drain. The
+// caller holds the lock.
+func (g *Gate) schedule() {
+	if g.timer != nil {
+		g.timer.Stop()
+		g.timer = nil
+	}
+	if next, ok := g.controller.Next(); ok {
+		g.timer = time.AfterFunc(time.Until(next), g.tick)
+	}
+	load := g.controller.Load()
+	if load.Leaving && load.InFlight == 0 {
+		g.closeIdle()
+	}
+}
+
+func (g *Gate) closeIdle() {
+	select {
+	case <-g.idle:
+	default:
+		close(g.idle)
+	}
+}
+
+func (g *Gate) tick() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.controller.Tick(time.Now()))
+	g.schedule()
+}
+
+// Drain refuses queued and new requests and returns.
+func (g *Gate) Drain(ctx context.Context) error {
+	g.mu.Lock()
+	g.deliver(g.controller.Drain(time.Now()))
+	g.schedule()
+	g.mu.Unlock()
+	return ctx.Err()
+}
+
+// Cold returns the endpoint to the cold limit.
+func (g *Gate) Cold() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.controller.Cold(time.Now())
+}
+
+// Configure replaces the settings.
+func (g *Gate) Configure(config Config) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.controller.Configure(config, time.Now()))
+	g.schedule()
+}
+
+// Load returns the figures for load reports.
+func (g *Gate) Load() Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.controller.Load()
+}
--- /dev/null
+++ b/lib/admission/queue.go
@@ -0,0 +1,244 @@
+package admission
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// queued is a request that waits. A zero expires means that it may wait forever.
+type queued struct {
+	request  Request
+	expires  time.Time
+	sequence uint64
+}
+
+// before orders the requests of one workspace: priority, deadline, arrival.
+func (q *queued) before(other *queued) int {
+	if q.request.Priority != other.request.Priority {
+		if q.request.Priority > other.request.Priority {
+			return -1
+		}
+		return 1
+	}
+	if order := compareDeadlines(q.request.Deadline, other.request.Deadline); order != 0 {
+		return order
+	}
+	if q.sequence < other.sequence {
+		return -1
+	}
+	return 1
+}
+
+func compareDeadlines(a, b time.Time) int {
+	switch {
+	case a.Equal(b):
+		return 0
+	case a.IsZero():
+		return 1
+	case b.IsZero():
+		return -1
+	default:
+		return a.Compare(b)
+	}
+}
+
+// lane is the queue of one workspace. It exists while the workspace has queued or
+// running requests.
+type lane struct {
+	name     string
+	entries  []*queued
+	inFlight int
+	settings Workspace
+}
+
+func (l *lane) weight() int { return min(max(1, l.settings.Weight), maxWeight) }
+
+func (l *lane) belowMax() bool {
+	return l.settings.MaxInFlight <= 0 || l.inFlight < l.settings.MaxInFlight
+}
+
+// fairQueue holds the waiting requests by workspace.
+type fairQueue struct {
+	settings map[string]Workspace
+	lanes    map[string]*lane
+	// ring holds the lanes with queued requests in the order of their visits.
+	ring     []*lane
+	length   int
+	sequence uint64
+}
+
+func newFairQueue() fairQueue { return fairQueue{lanes: make(map[string]*lane)} }
+
+func (f *fairQueue) configure(settings map[string]Workspace) {
+	f.settings = settings
+	for name, l := range f.lanes {
+		l.settings = settings[name]
+	}
+}
+
+func (f *fairQueue) lane(name string) *lane {
+	l, ok := f.lanes[name]
+	if !ok {
+		l = &lane{name: name, settings: f.settings[name]}
+		f.lanes[name] = l
+	}
+	return l
+}
+
+// release forgets a lane without requests, which keeps the map bounded.
+func (f *fairQueue) release(l *lane) {
+	if len(l.entries) == 0 && l.inFlight == 0 {
+		delete(f.lanes, l.name)
+	}
+}
+
+func (f *fairQueue) started(workspace string) { f.lane(workspace).inFlight++ }
+
+func (f *fairQueue) finished(workspace string) {
+	l := f.lane(workspace)
+	l.inFlight--
+	f.release(l)
+}
+
+// eligible reports whether the workspace may start one more request.
+func (f *fairQueue) eligible(workspace string) bool {
+	if l, ok := f.lanes[workspace]; ok {
+		return l.belowMax()
+	}
+	return true
+}
+
+func (f *fairQueue) waiting(workspace string) bool {
+	l, ok := f.lanes[workspace]
+	return ok && len(l.entries) > 0
+}
+
+func (f *fairQueue) has(id string) bool {
+	_, index := f.find(id)
+	return index >= 0
+}
+
+func (f *fairQueue) find(id string) (*lane, int) {
+	for _, l := range f.ring {
+		for i, entry := range l.entries {
+			if entry.request.ID == id {
+				return l, i
+			}
+		}
+	}
+	return nil, -1
+}
+
+func (f *fairQueue) push(entry *queued) {
+	f.sequence++
+	entry.sequence = f.sequence
+	l := f.lane(entry.request.Workspace)
+	if len(l.entries) == 0 {
+		f.ring = append(f.ring, l)
+	}
+	index, _ := slices.BinarySearchFunc(l.entries, entry, (*queued).before)
+	l.entries = slices.Insert(l.entries, index, entry)
+	f.length++
+}
+
+// take removes one entry of a lane.
+func (f *fairQueue) take(l *lane, index int) *queued {
+	entry := l.entries[index]
+	l.entries = slices.Delete(l.entries, index, index+1)
+	f.length--
+	if len(l.entries) == 0 {
+		f.ring = slices.DeleteFunc(f.ring, func(other *lane) bool { return other == l })
+		f.release(l)
+	}
+	return entry
+}
+
+func (f *fairQueue) remove(id string) bool {
+	l, index := f.find(id)
+	if index < 0 {
+		return false
+	}
+	f.take(l, index)
+	return true
+}
+
+// pop removes the oldest request of the workspaces that may start one, or returns nil.
+func (f *fairQueue) pop() *queued {
+	var best *lane
+	for _, l := range f.ring {
+		if l.belowMax() && (best == nil || l.entries[0].sequence < best.entries[0].sequence) {
+			best = l
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return f.take(best, 0)
+}
+
+// heaviest returns the workspace with the most queued requests relative to its weight.
+func (f *fairQueue) heaviest() string {
+	best := f.ring[0]
+	for _, l := range f.ring[1:] {
+		left := len(l.entries) * best.weight()
+		right := len(best.entries) * l.weight()
+		if left > right || (left == right && strings.Compare(l.name, best.name) < 0) {
+			best = l
+		}
+	}
+	return best.name
+}
+
+func (l *lane) worstIndex() int {
+	worst := 0
+	for i, entry := range l.entries {
+		current := l.entries[worst]
+		lower := entry.request.Priority < current.request.Priority
+		newer := entry.request.Priority == current.request.Priority && entry.sequence > current.sequence
+		if lower || newer {
+			worst = i
+		}
+	}
+	return worst
+}
+
+func (f *fairQueue) evict(workspace string) *queued {
+	l := f.lanes[workspace]
+	return f.take(l, l.worstIndex())
+}
+
+// removeWhere removes and returns the entries that match.
+func (f *fairQueue) removeWhere(match func(*queued) bool) []*queued {
+	var removed []*queued
+	for _, l := range slices.Clone(f.ring) {
+		for i := len(l.entries) - 1; i >= 0; i-- {
+			if match(l.entries[i]) {
+				removed = append(removed, f.take(l, i))
+			}
+		}
+	}
+	return removed
+}
+
+func (f *fairQueue) removeAll() []*queued {
+	return f.removeWhere(func(*queued) bool { return true })
+}
+
+func (f *fairQueue) expired(now time.Time) []*queued {
+	return f.removeWhere(func(entry *queued) bool {
+		return !entry.expires.IsZero() && !entry.expires.After(now)
+	})
+}
+
+func (f *fairQueue) nextExpiry() (time.Time, bool) {
+	var first time.Time
+	for _, l := range f.ring {
+		for _, entry := range l.entries {
+			if !entry.expires.IsZero() && (first.IsZero() || entry.expires.Before(first)) {
+				first = entry.expires
+			}
+		}
+	}
+	return first, !first.IsZero()
+}
--- /dev/null
+++ b/lib/admission/ramp.go
@@ -0,0 +1,114 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// coldLatencyFactor is the ratio of recent to warm median latency that shows a cold endpoint.
+	coldLatencyFactor = 3
+	// recentSamples is the number of latencies whose median is compared. A median keeps
+	// single long answers from looking like a cold endpoint.
+	recentSamples = 9
+	// baselineSamples is the number of latencies that form the warm median.
+	baselineSamples = 65
+	// minBaselineSamples is the number of latencies required before a comparison.
+	minBaselineSamples = 17
+	// maxFailureShare is the divisor of successes that failures may reach in a ramp period.
+	maxFailureShare = 10
+)
+
+// ramp is the slow start of one endpoint: the current limit and the signs that the
+// endpoint is warm or has become cold again.
+type ramp struct {
+	limits    Limits
+	limit     int
+	since     time.Time
+	successes int
+	failures  int
+	recent    []time.Duration
+	baseline  []time.Duration
+}
+
+// reset returns to the cold limit and forgets the warm median, so that a lasting
+// change of latency causes one slow start and not a series of them.
+func (r *ramp) reset(limits Limits, now time.Time) {
+	*r = ramp{limits: limits, limit: warmLimit(limits), since: now}
+}
+
+func (r *ramp) configure(limits Limits) {
+	wasCold := r.cold()
+	r.limits = limits
+	if !wasCold {
+		r.limit = warmLimit(limits)
+		return
+	}
+	r.limit = warmLimit(limits)
+}
+
+func (r *ramp) cold() bool { return r.limit < warmLimit(r.limits) }
+
+// finish takes the end of one request into account.
+func (r *ramp) finish(result Result, latency time.Duration, now time.Time) {
+	switch result {
+	case Succeeded:
+		r.successes++
+	case Failed:
+		r.failures++
+		return
+	default:
+		return
+	}
+	if r.cold() {
+		r.grow(now)
+		return
+	}
+	r.observe(latency)
+	if r.slow() {
+		r.reset(r.limits, now)
+	}
+}
+
+// grow doubles the limit when a period of successful work is complete. The period
+// needs as many successes as the limit allows at once, so an idle endpoint stays cold.
+func (r *ramp) grow(now time.Time) {
+	if now.Sub(r.since) < r.limits.Ramp || r.successes < r.limit {
+		return
+	}
+	if r.failures*maxFailureShare <= r.successes {
+		r.limit = min(r.limit*2, warmLimit(r.limits))
+	}
+	r.since = now
+	r.successes = 0
+	r.failures = 0
+}
+
+// observe adds a warm latency. Latencies reach the baseline only after they left the
+// recent window, so a slow phase is compared with the time before it.
+func (r *ramp) observe(latency time.Duration) {
+	r.recent = append(r.recent, latency)
+	if len(r.recent) <= recentSamples {
+		return
+	}
+	r.baseline = append(r.baseline, r.recent[0])
+	r.recent = slices.Delete(r.recent, 0, 1)
+	if len(r.baseline) > baselineSamples {
+		r.baseline = slices.Delete(r.baseline, 0, 1)
+	}
+}
+
+func (r *ramp) slow() bool {
+	if len(r.recent) < recentSamples || len(r.baseline) < minBaselineSamples {
+		return false
+	}
+	return median(r.recent) > coldLatencyFactor*median(r.baseline)
+}
+
+func median(samples []time.Duration) time.Duration {
+	sorted := slices.Clone(samples)
+	slices.Sort(sorted)
+	return sorted[len(sorted)/2]
+}
+
+func warmLimit(limits Limits) int { return max(1, limits.WarmInFlight) }
