Add failing tests of the admission bounds

Cause: the bounds of design section 1.5 on limits, goodput, fair share, early refusals and drains have no test yet. Ruled out: wall-clock load tests; the simulation runs in virtual time and repeats exactly for its seed.

--- /dev/null
+++ b/lib/admission/bounds_test.go
@@ -0,0 +1,118 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const second = time.Second
+
+var testLimits = Limits{
+	ColdInFlight: 2, WarmInFlight: 16, Ramp: 2 * second, QueueLength: 32, QueueWait: 5 * second,
+}
+
+// Guards against an endpoint that gets more work than its cold or warm limit while
+// 8 entries offer 10 times too much, also after it became cold again under load.
+func TestLimitHoldsUnderOverload(t *testing.T) {
+	Convey("8 entries offering 10 times the capacity", t, func() {
+		s := newSimulation(Config{Limits: testLimits})
+		load := func(seed uint64, duration time.Duration) {
+			var streams []arrivals
+			for range 8 {
+				streams = append(streams, arrivals{"shelfwatch", 10 * 160.0 / 8, 2 * second, second / 10})
+			}
+			s.run(seed, duration, streams...)
+		}
+		load(1, second)
+		So(s.maxConcurrent, ShouldEqual, testLimits.ColdInFlight)
+		So(s.controller.Load().Cold, ShouldBeTrue)
+		load(2, 20*second)
+		So(s.maxConcurrent, ShouldEqual, testLimits.WarmInFlight)
+		So(s.controller.Load().Cold, ShouldBeFalse)
+		s.controller.Cold(s.now)
+		s.advance(s.now.Add(second))
+		s.maxConcurrent = 0
+		load(3, second)
+		So(s.maxConcurrent, ShouldEqual, testLimits.ColdInFlight)
+		So(s.aboveLimit, ShouldEqual, 0)
+		printf("in-flight above the cold or warm limit: %d", s.aboveLimit)
+	})
+}
+
+// Guards against a warm endpoint that slowed down by more than three times and still
+// gets the warm limit, and against a slow start for each single long answer.
+func TestLatencyShowsColdEndpoint(t *testing.T) {
+	Convey("The median of recent latencies decides", t, func() {
+		limits := testLimits
+		limits.ColdInFlight = limits.WarmInFlight
+		c := New(Config{Limits: limits}, epoch)
+		now := epoch
+		serve := func(latency time.Duration) {
+			now = now.Add(latency)
+			c.Offer(Request{ID: "r", Workspace: "w"}, now)
+			c.Finish("r", Succeeded, latency, now)
+		}
+		for i := range 60 {
+			latency := second / 10
+			if i%10 == 0 {
+				latency = 2 * second
+			}
+			serve(latency)
+		}
+		limits.ColdInFlight = 2
+		c.Configure(Config{Limits: limits}, now)
+		So(c.Load().Limit, ShouldEqual, limits.WarmInFlight)
+		for range 9 {
+			serve(second)
+		}
+		So(c.Load().Limit, ShouldEqual, 2)
+	})
+}
+
+// Guards against overload that makes the endpoint work on requests whose callers
+// have given up, and against refusals that come too late to try elsewhere.
+func TestGoodputUnderOverload(t *testing.T) {
+	for _, factor := range []float64{2, 5} {
+		Convey(fmt.Sprintf("Offered load of %v times the capacity", factor), t, func() {
+			limits := testLimits
+			limits.ColdInFlight = limits.WarmInFlight
+			limits.QueueLength = 400
+			limits.QueueWait = 0
+			s := newSimulation(Config{Limits: limits})
+			capacity := 16 * 10.0
+			s.run(4, 60*second, arrivals{"w", factor * capacity, second, second / 10})
+			goodput := float64(s.useful["w"]) / (60 * capacity)
+			printf("goodput at %vx: %.1f%% of capacity, refusals after half of the deadline: %d",
+				factor, goodput*100, s.lateRefusals)
+			So(goodput, ShouldBeGreaterThanOrEqualTo, 0.9)
+			So(s.lateRefusals, ShouldEqual, 0)
+		})
+	}
+}
+
+// Guards against a workspace that loses requests because another one overloads the
+// endpoint, with equal and with different weights.
+func TestFairShare(t *testing.T) {
+	for _, weight := range []int{1, 3} {
+		Convey(fmt.Sprintf("One workspace at 90%% of its share, weight %d, the other at 10 times its own", weight), t, func() {
+			limits := testLimits
+			limits.ColdInFlight = limits.WarmInFlight
+			s := newSimulation(Config{Limits: limits, Workspaces: map[string]Workspace{"inside": {Weight: weight}}})
+			capacity := 160.0
+			share := capacity * float64(weight) / float64(weight+1)
+			s.run(5, 60*second,
+				arrivals{"inside", 0.9 * share, 2 * second, second / 10},
+				arrivals{"above", 10 * (capacity - share), 2 * second, second / 10})
+			offered := s.admitted["inside"] + s.refused["inside"]
+			admitted := float64(s.admitted["inside"]) / float64(offered)
+			printf("weight %d: admitted inside the share %.2f%%, above it %d", weight, admitted*100, s.admitted["above"])
+			So(admitted, ShouldBeGreaterThanOrEqualTo, 0.99)
+			So(s.admitted["above"], ShouldBeGreaterThan, 0)
+		})
+	}
+}
+
+func printf(format string, args ...any) { fmt.Printf("\n"+format+"\n", args...) }
