Start cold and double the limit after each period of successful work

Cause: a new controller started at the warm limit, so a cold endpoint got 16 requests at once instead of 2. Ruled out: doubling after a fixed number of successes without a period; a fast engine would be warm after a few short requests. Doubling with time alone; an idle endpoint would count as warm without having done any work. TestLatencyShowsColdEndpoint still fails: 4 instead of 2. The latency test is examined next.

--- a/lib/admission/ramp.go
+++ b/lib/admission/ramp.go
@@ -34,7 +34,7 @@
 // reset returns to the cold limit and forgets the warm median, so that a lasting
 // change of latency causes one slow start and not a series of them.
 func (r *ramp) reset(limits Limits, now time.Time) {
-	*r = ramp{limits: limits, limit: warmLimit(limits), since: now}
+	*r = ramp{limits: limits, limit: coldLimit(limits), since: now}
 }
 
 func (r *ramp) configure(limits Limits) {
@@ -44,7 +44,7 @@
 		r.limit = warmLimit(limits)
 		return
 	}
-	r.limit = warmLimit(limits)
+	r.limit = min(max(r.limit, coldLimit(limits)), warmLimit(limits))
 }
 
 func (r *ramp) cold() bool { return r.limit < warmLimit(r.limits) }
@@ -112,3 +112,5 @@
 }
 
 func warmLimit(limits Limits) int { return max(1, limits.WarmInFlight) }
+
+func coldLimit(limits Limits) int { return min(max(1, limits.ColdInFlight), warmLimit(limits)) }
