Serve workspaces by deficit round robin and give lighter ones room

Cause: a FIFO queue that is full of one workspace refuses all others. Ruled out: a fixed partition of the queue per workspace; it wastes the places of idle workspaces, and their number is not known in advance. Conclusion: when the queue is full, the workspace with the most queued requests relative to its weight loses its newest request of the lowest priority.

--- a/lib/admission/admission.go
+++ b/lib/admission/admission.go
@@ -167,9 +167,13 @@
 		c.start(entry)
 		return Decision{ID: request.ID, Verdict: Admitted}, others
 	}
-	if c.queue.length >= c.config.Limits.QueueLength {
+	victim, ok := c.makeRoom(entry)
+	if !ok {
 		return c.refuse(request, "the queue is full"), others
 	}
+	if victim != nil {
+		others = append(others, c.refuse(victim.request, "a workspace inside its share took the place in the queue"))
+	}
 	c.queue.push(entry)
 	return Decision{ID: request.ID, Verdict: Queued}, others
 }
@@ -277,6 +281,27 @@
 	return decisions
 }
 
+// makeRoom returns the request that loses its place to entry, if the queue is full.
+// It reports false when entry itself is the one to refuse.
+func (c *Controller) makeRoom(entry *queued) (*queued, bool) {
+	if c.queue.length < c.config.Limits.QueueLength {
+		return nil, true
+	}
+	if c.queue.length == 0 {
+		return nil, false
+	}
+	workspace := entry.request.Workspace
+	heaviest := c.queue.heaviest()
+	if c.queue.lighterWithOneMore(workspace, heaviest) {
+		return c.queue.evict(heaviest), true
+	}
+	worst := c.queue.worst(workspace)
+	if worst == nil || worst.request.Priority >= entry.request.Priority {
+		return nil, false
+	}
+	return c.queue.evict(workspace), true
+}
+
 // expiry returns the time at which a request that still waits is refused.
 func (c *Controller) expiry(request Request, now time.Time) time.Time {
 	var expires time.Time
--- a/lib/admission/queue.go
+++ b/lib/admission/queue.go
@@ -49,6 +49,7 @@
 	name     string
 	entries  []*queued
 	inFlight int
+	deficit  int
 	settings Workspace
 }
 
@@ -58,7 +59,9 @@
 	return l.settings.MaxInFlight <= 0 || l.inFlight < l.settings.MaxInFlight
 }
 
-// fairQueue holds the waiting requests by workspace.
+// fairQueue holds the waiting requests and serves workspaces by deficit round robin.
+// Each request costs the highest weight of the competing workspaces, and a visit adds
+// the workspace's own weight, so a large weight does not cause long bursts.
 type fairQueue struct {
 	settings map[string]Workspace
 	lanes    map[string]*lane
@@ -142,12 +145,13 @@
 	f.length++
 }
 
-// take removes one entry of a lane.
+// take removes one entry of a lane. A lane that becomes empty loses its deficit.
 func (f *fairQueue) take(l *lane, index int) *queued {
 	entry := l.entries[index]
 	l.entries = slices.Delete(l.entries, index, index+1)
 	f.length--
 	if len(l.entries) == 0 {
+		l.deficit = 0
 		f.ring = slices.DeleteFunc(f.ring, func(other *lane) bool { return other == l })
 		f.release(l)
 	}
@@ -163,18 +167,58 @@
 	return true
 }
 
-// pop removes the oldest request of the workspaces that may start one, or returns nil.
+// pop removes the next request by deficit round robin, or returns nil when no
+// workspace with queued requests may start one.
 func (f *fairQueue) pop() *queued {
-	var best *lane
+	cost := f.cost()
+	if cost == 0 {
+		return nil
+	}
+	for {
+		l := f.ring[0]
+		f.ring = append(f.ring[1:], l)
+		if !l.belowMax() {
+			continue
+		}
+		l.deficit = min(l.deficit+l.weight(), 2*cost)
+		if l.deficit >= cost {
+			l.deficit -= cost
+			return f.take(l, 0)
+		}
+	}
+}
+
+// cost returns the highest weight of the workspaces that may start a request.
+func (f *fairQueue) cost() int {
+	cost := 0
 	for _, l := range f.ring {
-		if l.belowMax() && (best == nil || l.entries[0].sequence < best.entries[0].sequence) {
-			best = l
+		if l.belowMax() {
+			cost = max(cost, l.weight())
 		}
 	}
-	if best == nil {
-		return nil
+	return cost
+}
+
+// ahead estimates how many requests start before a new one: those of its own
+// workspace that precede it, and for each turn of the own workspace the others' turns.
+func (f *fairQueue) ahead(entry *queued) int {
+	own := f.settings[entry.request.Workspace]
+	weight := (&lane{settings: own}).weight()
+	before := 0
+	if l, ok := f.lanes[entry.request.Workspace]; ok {
+		for _, other := range l.entries {
+			if other.before(&queued{request: entry.request, sequence: f.sequence + 1}) < 0 {
+				before++
+			}
+		}
 	}
-	return f.take(best, 0)
+	ahead := before
+	for _, l := range f.ring {
+		if l.name != entry.request.Workspace {
+			ahead += min(len(l.entries), (before+1)*l.weight()/weight+1)
+		}
+	}
+	return ahead
 }
 
 // heaviest returns the workspace with the most queued requests relative to its weight.
@@ -190,6 +234,28 @@
 	return best.name
 }
 
+// lighterWithOneMore reports whether a workspace with one more queued request is
+// still lighter than another one. When the queue is full, this holds for each
+// workspace inside its share against the heaviest one.
+func (f *fairQueue) lighterWithOneMore(workspace, other string) bool {
+	count := 0
+	if l, ok := f.lanes[workspace]; ok {
+		count = len(l.entries)
+	}
+	weight := (&lane{settings: f.settings[workspace]}).weight()
+	heavy := f.lanes[other]
+	return workspace != other && (count+1)*heavy.weight() < len(heavy.entries)*weight
+}
+
+// worst returns the newest request of the lowest priority of a workspace.
+func (f *fairQueue) worst(workspace string) *queued {
+	l, ok := f.lanes[workspace]
+	if !ok || len(l.entries) == 0 {
+		return nil
+	}
+	return l.entries[l.worstIndex()]
+}
+
 func (l *lane) worstIndex() int {
 	worst := 0
 	for i, entry := range l.entries {
