Refuse requests that cannot start before 2/5 of their deadline

Cause: requests waited until their deadlines, so the endpoint worked on requests whose callers gave up, and refusals came too late to try elsewhere. Ruled out: refusing only on expiry; at 5 times the capacity most requests would wait 2/5 of their deadline before they are refused. Refusing on the estimate while nothing runs; a too high estimate would never be corrected. Conclusion: the estimate refuses at once, and expiry bounds the rest.

--- a/lib/admission/admission.go
+++ b/lib/admission/admission.go
@@ -113,6 +113,10 @@
 }
 
 const (
+	// queueShareNumerator and queueShareDenominator bound the wait in the queue to 2/5 of
+	// the time to the deadline. A refusal then reaches the caller before half of it.
+	queueShareNumerator   = 2
+	queueShareDenominator = 5
 	// minRetryAfter and maxRetryAfter bound the hint in refusals.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
@@ -167,6 +171,9 @@
 		c.start(entry)
 		return Decision{ID: request.ID, Verdict: Admitted}, others
 	}
+	if c.waitsTooLong(entry, now) {
+		return c.refuse(request, "the estimated wait exceeds the time left for queueing"), others
+	}
 	victim, ok := c.makeRoom(entry)
 	if !ok {
 		return c.refuse(request, "the queue is full"), others
@@ -209,6 +216,9 @@
 	for _, entry := range c.queue.expired(now) {
 		decisions = append(decisions, c.refuse(entry.request, "the time left for queueing has passed"))
 	}
+	for _, entry := range c.hopeless(now) {
+		decisions = append(decisions, c.refuse(entry.request, "the deadline cannot be met"))
+	}
 	return append(decisions, c.startNext()...)
 }
 
@@ -311,12 +321,34 @@
 	if request.Deadline.IsZero() {
 		return expires
 	}
-	if expires.IsZero() || request.Deadline.Before(expires) {
-		expires = request.Deadline
+	budget := request.Deadline.Sub(now) * queueShareNumerator / queueShareDenominator
+	if byDeadline := now.Add(budget); expires.IsZero() || byDeadline.Before(expires) {
+		expires = byDeadline
 	}
 	return expires
 }
 
+// waitsTooLong reports whether a request that is not queued yet would expire first.
+// While nothing runs there is no fresh service time, so the request is tried.
+func (c *Controller) waitsTooLong(entry *queued, now time.Time) bool {
+	if entry.expires.IsZero() || len(c.inFlight) == 0 {
+		return false
+	}
+	ahead := c.queue.ahead(entry)
+	return now.Add(c.drainTime(ahead + 1)).After(entry.expires)
+}
+
+// hopeless removes and returns the queued requests that would miss their deadlines.
+func (c *Controller) hopeless(now time.Time) []*queued {
+	if len(c.inFlight) == 0 || c.serviceTime == 0 {
+		return nil
+	}
+	return c.queue.removeWhere(func(entry *queued) bool {
+		deadline := entry.request.Deadline
+		return !deadline.IsZero() && now.Add(c.serviceTime).After(deadline)
+	})
+}
+
 // drainTime estimates how long the endpoint takes to start n queued requests.
 func (c *Controller) drainTime(n int) time.Duration {
 	return c.serviceTime * time.Duration(n) / time.Duration(max(1, c.ramp.limit))
