Make Drain wait for the running requests

Cause: Drain returned while requests were running, so a planned stop could cut them off. Ruled out: letting queued requests run during a drain; their callers find another endpoint sooner when they are refused at once. Conclusion: Drain returns when nothing runs or its context ends.

--- a/lib/admission/gate.go
+++ b/lib/admission/gate.go
@@ -158,13 +158,19 @@
 	g.schedule()
 }
 
-// Drain refuses queued and new requests and returns.
+// Drain refuses queued and new requests and waits until the running ones have
+// finished or ctx ends.
 func (g *Gate) Drain(ctx context.Context) error {
 	g.mu.Lock()
 	g.deliver(g.controller.Drain(time.Now()))
 	g.schedule()
 	g.mu.Unlock()
-	return ctx.Err()
+	select {
+	case <-g.idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // Cold returns the endpoint to the cold limit.
