Measure the latency test at the moment of detection

Cause: TestLatencyShowsColdEndpoint served 9 slow requests although 5 of them suffice; the other 4 took 4 s of successful work, which doubles the limit to 4 after the ramp of 2 s. The controller is right, the test's count was wrong. Ruled out: a longer ramp in the test, which would hide when the limit fell. Figures: limit at the moment of detection 2, at most 9 slow requests. Conclusion: the test stops at the first change of the limit, requires the cold limit there, and in addition that a single slow answer does not cause it.

--- a/lib/admission/bounds_test.go
+++ b/lib/admission/bounds_test.go
@@ -65,10 +65,13 @@
 		limits.ColdInFlight = 2
 		c.Configure(Config{Limits: limits}, now)
 		So(c.Load().Limit, ShouldEqual, limits.WarmInFlight)
-		for range 9 {
+		slow := 0
+		for c.Load().Limit == limits.WarmInFlight && slow < 9 {
 			serve(second)
+			slow++
 		}
 		So(c.Load().Limit, ShouldEqual, 2)
+		So(slow, ShouldBeGreaterThan, 1)
 	})
 }
 
