--- a/lib/admission/simulation_test.go
+++ b/lib/admission/simulation_test.go
@@ -18,7 +18,6 @@
 	refused    map[string]int
 	// useful counts the requests that finished before their deadlines.
 	useful        map[string]int
-	interrupted   int
 	aboveLimit    int
 	lateRefusals  int
 	maxConcurrent int
