--- /dev/null
+++ b/lib/weights/digest.go
@@ -0,0 +1,58 @@
+// Package weights describes and holds the weights of a model version: its manifest,
+// the digests that verify each chunk, the bitmap of chunks that a VM holds, and an
+// in-memory store that yields a version only when every chunk is verified.
+package weights
+
+import (
+	"encoding/hex"
+
+	"lukechampine.com/blake3"
+
+	"laburnumgw/lib/errkind"
+)
+
+// DigestSize is the length of a digest in bytes.
+const DigestSize = 32
+
+// Digest is a BLAKE3 digest. Its text form is lower-case hexadecimal.
+type Digest [DigestSize]byte
+
+// Sum returns the digest of data.
+func Sum(data []byte) Digest { return blake3.Sum256(data) }
+
+// ParseDigest reads the text form of a digest.
+func ParseDigest(text string) (Digest, error) {
+	var digest Digest
+	if len(text) != 2*DigestSize {
+		return digest, errkind.New(errkind.Invalid, "use 64 hexadecimal digits",
+			"digest has %d characters", len(text))
+	}
+	if _, err := hex.Decode(digest[:], []byte(text)); err != nil {
+		return Digest{}, errkind.Wrap(err, errkind.Invalid, "use 64 hexadecimal digits", "malformed digest")
+	}
+	return digest, nil
+}
+
+// DigestFromBytes reads the binary form of a digest.
+func DigestFromBytes(data []byte) (Digest, error) {
+	if len(data) != DigestSize {
+		return Digest{}, errkind.New(errkind.Invalid, "send digests of 32 bytes", "digest has %d bytes", len(data))
+	}
+	return Digest(data), nil
+}
+
+// String returns the text form.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Digest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Digest) UnmarshalText(text []byte) error {
+	parsed, err := ParseDigest(string(text))
+	if err != nil {
+		return err
+	}
+	*d = parsed
+	return nil
+}
