Verify chunks in Put and require completeness in Open

Cause: the store accepted any bytes and opened partial versions. Ruled out: verifying again in each read; chunks are copied before verification and are never changed afterwards. Conclusion: Open yields whole, verified versions only.

--- a/lib/weights/store.go
+++ b/lib/weights/store.go
@@ -132,6 +132,9 @@
 // errkind.Stale when the version was removed.
 func (r *Replica) Put(index int, data []byte) error {
 	copied := slices.Clone(data)
+	if err := r.manifest.Verify(index, copied); err != nil {
+		return err
+	}
 	r.store.mu.Lock()
 	defer r.store.mu.Unlock()
 	if r.removed {
@@ -183,6 +186,10 @@
 	if r.removed {
 		return nil, r.errRemoved()
 	}
+	if missing := len(r.manifest.Chunks) - r.count; missing > 0 {
+		return nil, errkind.New(errkind.Unavailable, "wait until the version is complete",
+			"%d of %d chunks of version %s are missing", missing, len(r.manifest.Chunks), r.digest)
+	}
 	r.readers++
 	return &reader{replica: r, chunks: r.chunks}, nil
 }
