--- /dev/null
+++ b/entry/dispatch.go
@@ -0,0 +1,259 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/retry"
+	"laburnumgw/lib/routing"
+	"laburnumgw/lib/rpc"
+)
+
+var (
+	// errEndpointDead ends the attempts on an endpoint that membership found dead.
+	errEndpointDead = errors.New("endpoint is dead")
+	// errIncomplete marks a response that ended without a valid final frame.
+	errIncomplete = errors.New("response is incomplete")
+)
+
+// responder receives the response of a request.
+type responder interface {
+	// header announces the response of an attempt. It is called once an attempt.
+	header(h *laburnumgwv1.Header) error
+	// data delivers payload in order.
+	data(payload []byte) error
+	// relayed returns the bytes and tokens that reached the caller so far.
+	relayed() (payload int64, tokens int64)
+	// complete ends a response whose final frame was valid.
+	complete() error
+}
+
+// dispatcher runs requests: it chooses an endpoint for each attempt, sends the
+// attempt and decides what follows.
+type dispatcher struct {
+	routes  *routes
+	conns   *rpc.Pool
+	metrics *entryMetrics
+	log     *zap.Logger
+
+	mu      sync.Mutex
+	planner *retry.Planner
+	budget  *retry.Budget
+	// attempts holds the cancel functions of running attempts by VM.
+	attempts map[string]map[*runningAttempt]struct{}
+}
+
+type runningAttempt struct {
+	cancel context.CancelCauseFunc
+}
+
+// run serves one request and returns the error to answer, or nil.
+func (d *dispatcher) run(ctx context.Context, r *request, generation uint64, out responder) error {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	state := retry.NewState(retry.Request{Idempotent: r.idempotent, Resumable: r.model != "", Deadline: r.deadline})
+	d.mu.Lock()
+	d.budget.FirstAttempt(time.Now())
+	d.mu.Unlock()
+	var tried []string
+	digest := ""
+	for number := uint32(1); ; number++ {
+		decision, err := d.routes.pick(r, number, digest, tried)
+		if err != nil {
+			return state.NoEndpoint(err).Err
+		}
+		ended := d.attempt(ctx, r, decision, number, generation, out)
+		next := d.next(state, ended)
+		if next.Action == retry.Answer {
+			return next.Err
+		}
+		d.metrics.retries.Inc()
+		d.log.Info("retry", zap.String("request", r.id), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
+			zap.Stringer("outcome", ended.Outcome), zap.Bool("resume", next.Action == retry.Resume), zap.Error(ended.Err))
+		if !sleep(ctx, next.After) {
+			return state.NoEndpoint(ctx.Err()).Err
+		}
+		tried = append(tried, decision.VM)
+		digest = next.VersionDigest
+	}
+}
+
+func (d *dispatcher) next(state *retry.State, ended retry.Attempt) retry.Next {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.planner.Next(state, ended, time.Now())
+}
+
+func sleep(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attempt sends a request to one endpoint and relays the response.
+func (d *dispatcher) attempt(ctx context.Context, r *request, decision routing.Decision, number uint32, generation uint64, out responder) retry.Attempt {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := d.register(decision.VM, cancel)
+	defer done()
+	ctx, sent := rpc.TrackSent(ctx)
+	tracked := d.routes.sent(decision, r, number)
+	_, tokens := out.relayed()
+	exchange := &exchange{request: r, number: number, decision: decision, out: out, sum: xxhash.New(),
+		onLoad: func(load *laburnumgwv1.Load) { d.routes.loadReceived(tracked, load) }}
+	final, err := d.exchange(ctx, r, decision, &laburnumgwv1.ServeRequest{
+		RequestId: r.id, Attempt: number, Workspace: r.workspace, Priority: r.priority,
+		DeadlineMs: time.Until(r.deadline).Milliseconds(), Model: r.model, VersionDigest: decision.VersionDigest,
+		Service: r.service, Method: r.method, Path: r.path, ContentType: r.contentType, Body: r.body,
+		Idempotent: r.idempotent, IdempotencyKey: r.idempotencyKey, ResumeTokens: tokens, ConfigGeneration: generation,
+	}, exchange)
+	if cause := context.Cause(ctx); err != nil && cause != nil {
+		err = cause
+	}
+	ended := exchange.ended(final, err, sent.Load())
+	d.routes.finished(tracked, decision, r, number, ended, final)
+	d.metrics.attempt(ended.Outcome)
+	return ended
+}
+
+// register makes an attempt end when its endpoint is found dead.
+func (d *dispatcher) register(vm string, cancel context.CancelCauseFunc) func() {
+	running := &runningAttempt{cancel: cancel}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.attempts[vm] == nil {
+		d.attempts[vm] = make(map[*runningAttempt]struct{})
+	}
+	d.attempts[vm][running] = struct{}{}
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.attempts[vm], running)
+		if len(d.attempts[vm]) == 0 {
+			delete(d.attempts, vm)
+		}
+	}
+}
+
+// endpointDead ends the attempts on a dead endpoint, so that idempotent requests
+// are retried in time.
+func (d *dispatcher) endpointDead(vm string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for running := range d.attempts[vm] {
+		running.cancel(errEndpointDead)
+	}
+}
+
+func (d *dispatcher) exchange(ctx context.Context, r *request, decision routing.Decision, message *laburnumgwv1.ServeRequest, x *exchange) (*laburnumgwv1.Final, error) {
+	conn, err := d.conns.Conn(decision.Address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := laburnumgwv1.NewEndpointClient(conn).Serve(ctx, message)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		frame, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil, errIncomplete
+		}
+		if err != nil {
+			return nil, err
+		}
+		if frame.GetRequestId() != r.id || frame.GetAttempt() != x.number {
+			d.metrics.foreignFrames.Inc()
+			d.log.Warn("dropped a frame of another attempt", zap.String("request", r.id), zap.String("frame_request", frame.GetRequestId()))
+			continue
+		}
+		final, err := x.receive(frame)
+		if final != nil || err != nil {
+			return final, err
+		}
+	}
+}
+
+// exchange is the state of one attempt on the wire.
+type exchange struct {
+	request  *request
+	number   uint32
+	decision routing.Decision
+	out      responder
+	sum      *xxhash.Digest
+	total    int64
+	digest   string
+	headed   bool
+	onLoad   func(*laburnumgwv1.Load)
+}
+
+// receive handles one frame. It returns the final frame when the response ended.
+func (x *exchange) receive(frame *laburnumgwv1.ServeResponse) (*laburnumgwv1.Final, error) {
+	if load := frame.GetLoad(); load != nil {
+		x.onLoad(load)
+	}
+	switch part := frame.GetFrame().(type) {
+	case *laburnumgwv1.ServeResponse_Header:
+		x.headed = true
+		x.digest = part.Header.GetVersionDigest()
+		return nil, x.out.header(part.Header)
+	case *laburnumgwv1.ServeResponse_Data:
+		if !x.headed {
+			return nil, errIncomplete
+		}
+		x.total += int64(len(part.Data))
+		_, _ = x.sum.Write(part.Data)
+		return nil, x.out.data(part.Data)
+	case *laburnumgwv1.ServeResponse_Final:
+		return x.finish(part.Final)
+	default:
+		return nil, nil
+	}
+}
+
+func (x *exchange) finish(final *laburnumgwv1.Final) (*laburnumgwv1.Final, error) {
+	if final.GetOutcome() != laburnumgwv1.Outcome_OUTCOME_COMPLETE {
+		return final, nil
+	}
+	if !x.headed || final.GetTotalBytes() != x.total || final.GetChecksum() != x.sum.Sum64() {
+		return nil, errIncomplete
+	}
+	return final, x.out.complete()
+}
+
+// ended describes the end of the attempt to the retry plan.
+func (x *exchange) ended(final *laburnumgwv1.Final, err error, sent bool) retry.Attempt {
+	payload, _ := x.out.relayed()
+	ended := retry.Attempt{
+		Outcome: laburnumgwv1.Outcome_OUTCOME_UNKNOWN, Sent: sent,
+		RelayedBytes: payload, VersionDigest: x.digest, Err: err,
+	}
+	if final == nil || err != nil {
+		if ended.Err == nil {
+			ended.Err = errIncomplete
+		}
+		return ended
+	}
+	ended.Outcome = final.GetOutcome()
+	ended.RetryAfter = time.Duration(final.GetRetryAfterMs()) * time.Millisecond
+	if ended.Outcome != laburnumgwv1.Outcome_OUTCOME_COMPLETE {
+		ended.Err = errkind.New(errkind.Kind(final.GetErrorKind()), "", "%s", final.GetMessage())
+	}
+	return ended
+}
--- /dev/null
+++ b/lib/rpc/rpc.go
@@ -0,0 +1,131 @@
+// Package rpc keeps the gRPC connections between the system's processes.
+package rpc
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/stats"
+
+	"laburnumgw/lib/mtls"
+)
+
+const (
+	// MaxMessageBytes bounds one message: a request body of 4 MB, or a bundle.
+	MaxMessageBytes = 16 << 20
+	// connectTimeout bounds one attempt to connect. Round trips between regions
+	// take a few milliseconds.
+	connectTimeout = 2 * time.Second
+	// maxConnectBackoff lets a restarted VM be reached again soon.
+	maxConnectBackoff = 2 * time.Second
+	// idleTimeout closes connections that carried no call, so that the number of
+	// connections follows the peers in use.
+	idleTimeout = 5 * time.Minute
+)
+
+// Pool holds one connection for each address.
+type Pool struct {
+	keys  *mtls.Keys
+	roles []mtls.Role
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewPool returns a pool whose peers must prove one of the roles.
+func NewPool(keys *mtls.Keys, roles ...mtls.Role) *Pool {
+	return &Pool{keys: keys, roles: roles, conns: make(map[string]*grpc.ClientConn)}
+}
+
+// Conn returns the connection to an address. It connects on the first call.
+func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn, ok := p.conns[address]; ok {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(p.keys.ClientCredentials(p.roles...)),
+		grpc.WithStatsHandler(sentHandler{}),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithIdleTimeout(idleTimeout),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxConnectBackoff},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("connect to %s: %w", address, err)
+	}
+	p.conns[address] = conn
+	return conn, nil
+}
+
+// Forget closes the connection to an address, when its process is gone.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	conn := p.conns[address]
+	delete(p.conns, address)
+	p.mu.Unlock()
+	if conn != nil {
+		conn.Close()
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conn := range p.conns {
+		conn.Close()
+		delete(p.conns, address)
+	}
+}
+
+// ServerOptions returns the options of every server of the system.
+func ServerOptions(keys *mtls.Keys, policy mtls.Policy) []grpc.ServerOption {
+	return append(policy.ServerOptions(),
+		grpc.Creds(keys.ServerCredentials()),
+		grpc.MaxRecvMsgSize(MaxMessageBytes),
+		grpc.MaxSendMsgSize(MaxMessageBytes),
+	)
+}
+
+type sentKey struct{}
+
+// TrackSent returns a context whose call sets the flag when its headers leave for a
+// connected peer. While the flag is unset, the peer has not seen the call.
+func TrackSent(ctx context.Context) (context.Context, *atomic.Bool) {
+	sent := new(atomic.Bool)
+	return context.WithValue(ctx, sentKey{}, sent), sent
+}
+
+// sentHandler sets the flags of TrackSent.
+type sentHandler struct{}
+
+// TagRPC implements stats.Handler.
+func (sentHandler) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+// HandleRPC implements stats.Handler.
+func (sentHandler) HandleRPC(ctx context.Context, event stats.RPCStats) {
+	switch event.(type) {
+	case *stats.OutHeader, *stats.OutPayload:
+	default:
+		return
+	}
+	if sent, ok := ctx.Value(sentKey{}).(*atomic.Bool); ok {
+		sent.Store(true)
+	}
+}
+
+// TagConn implements stats.Handler.
+func (sentHandler) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+// HandleConn implements stats.Handler.
+func (sentHandler) HandleConn(context.Context, stats.ConnStats) {}
