Add the state machine that propagates configurations

Cause: an accepted configuration has to reach every process within 4 s without every process reading the platform. Ruled out: pushing whole bundles with fan-out 4, which sends each bundle about four times to each process. Notices without files are sent instead, and the receiver pulls what it lacks.

--- /dev/null
+++ b/lib/configsync/delta.go
@@ -0,0 +1,187 @@
+package configsync
+
+import (
+	"cmp"
+	"slices"
+
+	pb "laburnumgw/api/laburnumgw/v1"
+)
+
+// historyLength is the number of generations for which deltas can be made.
+const historyLength = 16
+
+// history holds the digests of the last bundles.
+type history struct {
+	versions []pastVersion
+}
+
+type pastVersion struct {
+	generation uint64
+	files      map[string]bool
+	manifests  map[string]bool
+}
+
+func (h *history) add(bundle *pb.ConfigBundle) {
+	past := pastVersion{generation: bundle.GetGeneration(), files: make(map[string]bool), manifests: make(map[string]bool)}
+	for _, file := range bundle.GetFiles() {
+		past.files[file.GetDigest()] = true
+	}
+	for _, model := range bundle.GetModels() {
+		past.manifests[model.GetManifestDigest()] = true
+	}
+	h.versions = append(h.versions, past)
+	if len(h.versions) > historyLength {
+		h.versions = h.versions[1:]
+	}
+}
+
+func (h *history) find(generation uint64) (pastVersion, bool) {
+	for _, past := range h.versions {
+		if past.generation == generation {
+			return past, true
+		}
+	}
+	return pastVersion{}, false
+}
+
+// delta returns the bundle without what the caller has in its generation, and with
+// placements without assignments, which are large and change separately.
+func (h *history) delta(bundle *pb.ConfigBundle, have uint64) *pb.ConfigBundle {
+	past, ok := h.find(have)
+	if !ok {
+		return bundle
+	}
+	short := summary(bundle)
+	for _, file := range bundle.GetFiles() {
+		if past.files[file.GetDigest()] {
+			file = &pb.ConfigFile{Name: file.GetName(), Digest: file.GetDigest()}
+		}
+		short.Files = append(short.Files, file)
+	}
+	for _, model := range bundle.GetModels() {
+		if past.manifests[model.GetManifestDigest()] {
+			model = withoutChunks(model)
+		}
+		short.Models = append(short.Models, model)
+	}
+	return short
+}
+
+func withoutChunks(model *pb.ModelVersion) *pb.ModelVersion {
+	return &pb.ModelVersion{Model: model.GetModel(), Version: model.GetVersion(), ManifestDigest: model.GetManifestDigest(),
+		Size: model.GetSize(), ChunkSize: model.GetChunkSize()}
+}
+
+// fillIn completes a delta from the own bundle. It fails when a part is missing.
+// The placements of the delta have no assignments and are left out.
+func fillIn(own, short *pb.ConfigBundle) (*pb.ConfigBundle, bool) {
+	files := make(map[string]*pb.ConfigFile)
+	for _, file := range own.GetFiles() {
+		files[file.GetDigest()] = file
+	}
+	models := make(map[string]*pb.ModelVersion)
+	for _, model := range own.GetModels() {
+		models[model.GetManifestDigest()] = model
+	}
+	full := &pb.ConfigBundle{Generation: short.GetGeneration(), Digest: short.GetDigest()}
+	for _, file := range short.GetFiles() {
+		known := files[file.GetDigest()]
+		if len(file.GetContent()) == 0 && known != nil {
+			file = &pb.ConfigFile{Name: file.GetName(), Digest: file.GetDigest(), Content: known.GetContent()}
+		} else if len(file.GetContent()) == 0 {
+			return nil, false
+		}
+		full.Files = append(full.Files, file)
+	}
+	for _, model := range short.GetModels() {
+		if len(model.GetChunkDigests()) == 0 && model.GetSize() > 0 {
+			model = models[model.GetManifestDigest()]
+		}
+		if model == nil {
+			return nil, false
+		}
+		full.Models = append(full.Models, model)
+	}
+	return full, true
+}
+
+// summary returns what a query is answered with.
+func summary(bundle *pb.ConfigBundle) *pb.ConfigBundle {
+	short := &pb.ConfigBundle{Generation: bundle.GetGeneration(), Digest: bundle.GetDigest()}
+	for _, p := range bundle.GetPlacements() {
+		short.Placements = append(short.Placements, &pb.Placement{Model: p.GetModel(), Fencing: p.GetFencing(), Generation: p.GetGeneration()})
+	}
+	return short
+}
+
+func comparePlacements(a, b *pb.Placement) int {
+	return cmp.Or(cmp.Compare(a.GetFencing(), b.GetFencing()), cmp.Compare(a.GetGeneration(), b.GetGeneration()))
+}
+
+func placementOf(bundle *pb.ConfigBundle, model string) *pb.Placement {
+	for _, p := range bundle.GetPlacements() {
+		if p.GetModel() == model {
+			return p
+		}
+	}
+	return nil
+}
+
+// placementsNewer reports whether other shows a newer placement than own.
+func placementsNewer(own, other *pb.ConfigBundle) bool {
+	return len(newerPlacements(own, other)) > 0
+}
+
+// newerPlacements returns the placements of other that are newer than those of own.
+func newerPlacements(own, other *pb.ConfigBundle) []*pb.Placement {
+	var newer []*pb.Placement
+	for _, p := range other.GetPlacements() {
+		if comparePlacements(p, placementOf(own, p.GetModel())) > 0 {
+			newer = append(newer, p)
+		}
+	}
+	return newer
+}
+
+// withPlacements returns the bundle with the newest of the own placements and the given
+// ones, so that a placement never goes back when the configuration goes forward.
+func withPlacements(own, bundle *pb.ConfigBundle, given []*pb.Placement) *pb.ConfigBundle {
+	merged := &pb.ConfigBundle{Generation: bundle.GetGeneration(), Digest: bundle.GetDigest(),
+		Files: bundle.GetFiles(), Models: bundle.GetModels()}
+	merged.Placements = append(merged.Placements, own.GetPlacements()...)
+	for _, p := range given {
+		i := slices.IndexFunc(merged.Placements, func(q *pb.Placement) bool { return q.GetModel() == p.GetModel() })
+		switch {
+		case i < 0:
+			merged.Placements = append(merged.Placements, p)
+		case comparePlacements(p, merged.Placements[i]) > 0:
+			merged.Placements[i] = p
+		}
+	}
+	return merged
+}
+
+// mergePlacements takes over newer placements of a bundle of the own generation and
+// digest. It reports whether there were any.
+func (n *Node) mergePlacements(bundle *pb.ConfigBundle) bool {
+	own := n.newest()
+	newer := newerPlacements(own, bundle)
+	if bundle.GetDigest() != own.GetDigest() || len(newer) == 0 {
+		return false
+	}
+	merged := withPlacements(own, own, newer)
+	if len(bundle.GetModels()) > 0 {
+		merged.Models = bundle.GetModels()
+	}
+	n.join.best = merged
+	if n.current != nil && n.current.GetGeneration() == merged.GetGeneration() {
+		n.current = merged
+		n.out.Act = merged
+	}
+	return true
+}
+
+// placementNotice returns the push that carries placements of a bundle.
+func placementNotice(own *pb.ConfigBundle, placements []*pb.Placement) *pb.ConfigBundle {
+	return &pb.ConfigBundle{Generation: own.GetGeneration(), Digest: own.GetDigest(), Placements: placements}
+}
--- a/lib/membership/endpoint.go
+++ b/lib/membership/endpoint.go
@@ -143,6 +143,17 @@
 	return true
 }
 
+// Entries returns the entries that are reported to and answer.
+func (p *Endpoint) Entries() []Peer {
+	var peers []Peer
+	for _, vm := range p.order {
+		if t := p.targets[vm]; t.chosen && t.answered {
+			peers = append(peers, t.peer)
+		}
+	}
+	return peers
+}
+
 // Probe answers a probe of an entry.
 func (p *Endpoint) Probe(_ *pb.ReportRequest) *pb.ReportResponse {
 	own := &pb.EntryInfo{Vm: p.self.VM, Incarnation: p.incarnation.Proto(), Leaving: p.leaving, Heartbeat: p.sequence}
