Add the first API and state machine of lib/swarm

Cause: the endpoint's weight transfer needs an interface to build against. Ruled out: pushing chunks, since only the receiver knows what is already on its way. Conclusion: Machine.Step takes one event and returns the actions to perform.

--- /dev/null
+++ b/lib/swarm/doc.go
@@ -0,0 +1,42 @@
+// Package swarm decides how the VMs of a fleet distribute one model version among
+// themselves: which chunk a VM fetches next and from whom, whom it serves, and which
+// VM fetches a chunk from the weight store or over an inter-region link.
+//
+// A Machine is the state machine of one VM for one version. It performs no I/O,
+// starts no goroutines and reads no clock. An adapter drives it from one goroutine:
+//
+//	machine, err := swarm.New(config, rng, now())
+//	...
+//	ticker := time.NewTicker(machine.TickInterval())
+//	for {
+//		var event swarm.Event = swarm.Tick{}
+//		select {
+//		case <-ticker.C:
+//		case event = <-events: // from membership, RPC handlers and finished fetches
+//		}
+//		for _, action := range machine.Step(now(), event) {
+//			switch a := action.(type) {
+//			case swarm.FetchChunk:
+//				// Start GetChunk to a.From, or the weight store's client when
+//				// a.From is swarm.Origin. Pass the bytes to Replica.Put and send
+//				// ChunkDone with ResultOK, or with ResultCorrupt when Put fails
+//				// with errkind.Corrupt.
+//			case swarm.CancelFetch:
+//				// Cancel the context of that fetch.
+//			case swarm.SendBitmap:
+//				// Call Exchange; send BitmapReceived with the response, or
+//				// BitmapFailed.
+//			case swarm.AcceptUpload:
+//				// Let the waiting GetChunk handler send Replica.Chunk, then send
+//				// UploadFinished.
+//			case swarm.RefuseUpload:
+//				// End that handler with ResourceExhausted when a.Held, else NotFound.
+//			case swarm.Completed:
+//				// Replica.Open succeeds from here on.
+//			}
+//		}
+//	}
+//
+// The handler of Exchange sends BitmapReceived and answers with Machine.Held. The
+// clock is any monotonic duration that is the same for all calls.
+package swarm
--- /dev/null
+++ b/lib/swarm/fetch.go
@@ -0,0 +1,328 @@
+package swarm
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+)
+
+const (
+	// waitChunkTimes bounds the wait for the first byte. A peer that works needs up to
+	// 8 chunk times for the uploads that wait before this one.
+	waitChunkTimes = 12
+	// idleChunkTimes bounds the time without progress of a fetch that has begun.
+	idleChunkTimes = 6
+	// sourceWaitChunkTimes bounds the wait for the first byte of the weight store,
+	// whose link may be shared by many fetches.
+	sourceWaitChunkTimes = 32
+	// duplicateChunkTimes is the age at which one of the last chunks is requested from
+	// a second peer.
+	duplicateChunkTimes = 3
+	// maxCopies is the number of concurrent fetches of one chunk.
+	maxCopies = 2
+)
+
+// fetch is a request for a chunk that has not ended.
+type fetch struct {
+	id    FetchID
+	chunk int
+	// from is nil for the weight store.
+	from *peer
+	// source is set for a fetch from the region's source.
+	source  bool
+	started time.Duration
+	// progress is the time of the last bytes; it is started before the first ones.
+	progress time.Duration
+	moving   bool
+}
+
+func (m *Machine) startFetch(now time.Duration, chunk int, from *peer, source bool) {
+	m.lastFetch++
+	f := &fetch{id: m.lastFetch, chunk: chunk, from: from, source: source, started: now, progress: now}
+	m.fetches = append(m.fetches, f)
+	m.requested.Set(chunk)
+	name := Origin
+	if from != nil {
+		from.pending++
+		name = from.VM
+	}
+	m.emit(FetchChunk{ID: f.id, Chunk: chunk, From: name})
+}
+
+// endFetch forgets a fetch.
+func (m *Machine) endFetch(f *fetch) {
+	m.fetches = slices.DeleteFunc(m.fetches, func(other *fetch) bool { return other == f })
+	if f.from != nil {
+		f.from.pending--
+	}
+	if m.copies(f.chunk) == 0 {
+		m.requested.Clear(f.chunk)
+	}
+}
+
+func (m *Machine) cancel(f *fetch) {
+	m.endFetch(f)
+	m.emit(CancelFetch{ID: f.id})
+}
+
+func (m *Machine) copies(chunk int) int {
+	count := 0
+	for _, f := range m.fetches {
+		if f.chunk == chunk {
+			count++
+		}
+	}
+	return count
+}
+
+func (m *Machine) fetchesFrom(p *peer) []*fetch {
+	var found []*fetch
+	for _, f := range m.fetches {
+		if f.from == p {
+			found = append(found, f)
+		}
+	}
+	return found
+}
+
+func (m *Machine) findFetch(id FetchID) *fetch {
+	for _, f := range m.fetches {
+		if f.id == id {
+			return f
+		}
+	}
+	return nil
+}
+
+func (m *Machine) handleProgress(now time.Duration, id FetchID) {
+	if f := m.findFetch(id); f != nil {
+		f.progress = now
+		f.moving = true
+	}
+}
+
+// handleDone ends a fetch. A result of a fetch that was cancelled is ignored.
+func (m *Machine) handleDone(now time.Duration, e ChunkDone) {
+	f := m.findFetch(e.ID)
+	if f == nil {
+		return
+	}
+	m.endFetch(f)
+	if f.from == nil {
+		m.handleOriginResult(now, e)
+	} else {
+		m.handlePeerResult(now, f, e)
+	}
+	if e.Result == ResultOK {
+		m.gain(now, f)
+	}
+}
+
+func (m *Machine) handlePeerResult(now time.Duration, f *fetch, e ChunkDone) {
+	p := f.from
+	switch e.Result {
+	case ResultOK:
+		p.faults = 0
+	case ResultCorrupt:
+		m.recordLie(now, p)
+	case ResultNotHeld:
+		held := p.held.Clone()
+		held.Clear(f.chunk)
+		m.setHeld(p, held)
+		m.recordLie(now, p)
+	case ResultFailed:
+		m.recordFault(now, p)
+	case ResultRefused:
+		p.busyUntil = now + m.jitter(m.cfg.ChunkTime)
+	case ResultRateLimited:
+		p.busyUntil = now + max(e.RetryAfter, m.cfg.ChunkTime)
+	}
+}
+
+// jitter returns a random duration between half of d and d.
+func (m *Machine) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(m.rng.Int64N(int64(d/2)+1))
+}
+
+// gain records a chunk that is now held.
+func (m *Machine) gain(now time.Duration, f *fetch) {
+	if m.held.Has(f.chunk) {
+		return
+	}
+	m.held.Set(f.chunk)
+	m.count++
+	for _, other := range slices.Clone(m.fetches) {
+		if other.chunk == f.chunk {
+			m.cancel(other)
+		}
+	}
+	if f.from == nil {
+		m.notifyGateways(now, f.chunk)
+	}
+}
+
+// expireFetches cancels fetches that make no progress.
+func (m *Machine) expireFetches(now time.Duration) {
+	for _, f := range slices.Clone(m.fetches) {
+		limit := m.after(idleChunkTimes)
+		switch {
+		case f.moving:
+		case f.from == nil:
+			limit = m.after(sourceWaitChunkTimes)
+		default:
+			limit = m.after(waitChunkTimes)
+		}
+		if now-f.progress < limit {
+			continue
+		}
+		m.cancel(f)
+		if f.from == nil {
+			m.handleOriginResult(now, ChunkDone{Result: ResultFailed})
+		} else {
+			m.recordFault(now, f.from)
+		}
+	}
+}
+
+// downloadLimit leaves most of the link to a fetch from the region's source, since
+// the whole region waits for that chunk.
+func (m *Machine) downloadLimit() int {
+	limit := m.cfg.Limits.Downloads
+	for _, f := range m.fetches {
+		if f.source {
+			limit--
+		}
+	}
+	return max(1, limit)
+}
+
+func (m *Machine) peerFetches() int {
+	count := 0
+	for _, f := range m.fetches {
+		if !f.source {
+			count++
+		}
+	}
+	return count
+}
+
+// fillFetches starts fetches from peers up to the limit.
+func (m *Machine) fillFetches(now time.Duration) {
+	if m.Complete() || m.cfg.Policy == PolicyOriginOnly {
+		return
+	}
+	for m.peerFetches() < m.downloadLimit() {
+		if !m.startPeerFetch(now) && !m.startDuplicate(now) {
+			return
+		}
+	}
+}
+
+// usable reports whether a chunk may be requested from a peer of the region now.
+func (m *Machine) usable(now time.Duration, p *peer) bool {
+	if m.cfg.Policy == PolicyFixedTree {
+		return p == m.parent && p.trusted(now)
+	}
+	return p.Region == m.cfg.Self.Region && p.count > 0 && p.pending == 0 && now >= p.busyUntil && p.trusted(now)
+}
+
+// startPeerFetch chooses a chunk that a usable peer holds, and the peer.
+func (m *Machine) startPeerFetch(now time.Duration) bool {
+	union := make([]uint64, len(m.held.Words()))
+	var usable []*peer
+	for _, p := range m.peers {
+		if !m.usable(now, p) {
+			continue
+		}
+		usable = append(usable, p)
+		for i, word := range p.held.Words() {
+			union[i] |= word
+		}
+	}
+	chunk := m.pickChunk(union)
+	if chunk < 0 {
+		return false
+	}
+	from := m.pickPeer(usable, chunk)
+	m.startFetch(now, chunk, from, false)
+	return true
+}
+
+// pickChunk returns a chunk that is offered and neither held nor requested, or -1.
+// It prefers the one that the fewest peers hold and chooses at random among equals.
+func (m *Machine) pickChunk(offered []uint64) int {
+	best, ties := -1, 0
+	var rarity int32
+	held, requested := m.held.Words(), m.requested.Words()
+	for i, word := range offered {
+		for word &^= held[i] | requested[i]; word != 0; word &= word - 1 {
+			chunk := i*64 + bits.TrailingZeros64(word)
+			count := m.holders[chunk]
+			switch m.cfg.Policy {
+			case PolicyFixedTree:
+				return chunk
+			case PolicyRandomPiece:
+				count = 0
+			}
+			switch {
+			case best < 0 || count < rarity:
+				best, rarity, ties = chunk, count, 1
+			case count == rarity:
+				ties++
+				if m.rng.IntN(ties) == 0 {
+					best = chunk
+				}
+			}
+		}
+	}
+	return best
+}
+
+// pickPeer returns a random one of the peers that hold a chunk.
+func (m *Machine) pickPeer(peers []*peer, chunk int) *peer {
+	var best *peer
+	ties := 0
+	for _, p := range peers {
+		if !p.held.Has(chunk) {
+			continue
+		}
+		ties++
+		if m.rng.IntN(ties) == 0 {
+			best = p
+		}
+	}
+	return best
+}
+
+// startDuplicate requests one of the last chunks from a second peer when every
+// missing chunk is requested and the first peer is slow.
+func (m *Machine) startDuplicate(now time.Duration) bool {
+	if m.cfg.Chunks-m.count != m.requested.Count() || m.cfg.Policy == PolicyFixedTree {
+		return false
+	}
+	for _, f := range m.fetches {
+		if now-f.started < m.after(duplicateChunkTimes) || m.copies(f.chunk) >= maxCopies {
+			continue
+		}
+		for _, p := range m.peers {
+			if m.usable(now, p) && p.held.Has(f.chunk) {
+				m.startFetch(now, f.chunk, p, false)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// trustedHolder reports whether a peer of the region offers a chunk.
+func (m *Machine) trustedHolder(now time.Duration, chunk int) bool {
+	if m.holders[chunk] == 0 {
+		return false
+	}
+	for _, p := range m.peers {
+		if p.Region == m.cfg.Self.Region && p.held.Has(chunk) && p.trusted(now) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/lib/swarm/machine.go
@@ -0,0 +1,153 @@
+package swarm
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"laburnumgw/lib/weights"
+)
+
+// Machine is the state machine of one VM for one model version. It is not safe for
+// concurrent use.
+type Machine struct {
+	cfg  Config
+	rng  *rand.Rand
+	plan *Plan
+
+	held  weights.Bitmap
+	count int
+	// holders counts the peers of the region that hold each chunk.
+	holders   []int32
+	peers     []*peer
+	byVM      map[string]*peer
+	neighbors []*peer
+	parent    *peer
+
+	fetches   []*fetch
+	requested weights.Bitmap
+	lastFetch FetchID
+	duties    []*duty
+
+	sourceUntil    time.Duration
+	sourceFailures int
+
+	uploads []*upload
+	waiting []*upload
+
+	tokens   float64
+	tokensAt time.Duration
+
+	started   time.Duration
+	completed bool
+	withdrawn bool
+	actions   []Action
+}
+
+// New returns a Machine that starts at now. It knows no members until MembersChanged.
+func New(cfg Config, rng *rand.Rand, now time.Duration) (*Machine, error) {
+	if err := cfg.prepare(); err != nil {
+		return nil, err
+	}
+	m := &Machine{
+		cfg:       cfg,
+		rng:       rng,
+		plan:      cfg.Planner(nil),
+		held:      weights.NewBitmap(cfg.Chunks),
+		holders:   make([]int32, cfg.Chunks),
+		byVM:      make(map[string]*peer),
+		requested: weights.NewBitmap(cfg.Chunks),
+		tokens:    float64(cfg.Limits.ExchangeBurst),
+		tokensAt:  now,
+		started:   now,
+	}
+	if cfg.Held.Len() > 0 {
+		m.held = cfg.Held.Clone()
+		m.count = m.held.Count()
+	}
+	return m, nil
+}
+
+// TickInterval returns the time between Tick events.
+func (m *Machine) TickInterval() time.Duration { return m.cfg.ChunkTime / 2 }
+
+// Digest returns the digest of the version.
+func (m *Machine) Digest() weights.Digest { return m.cfg.Digest }
+
+// Held returns a copy of the chunks that this VM holds.
+func (m *Machine) Held() weights.Bitmap { return m.held.Clone() }
+
+// Complete reports whether every chunk is held.
+func (m *Machine) Complete() bool { return m.count == m.cfg.Chunks }
+
+// Step handles one event and returns the actions to perform, in order. Now must not
+// decrease from one call to the next.
+func (m *Machine) Step(now time.Duration, event Event) []Action {
+	if m.withdrawn {
+		if e, ok := event.(UploadRequested); ok {
+			return []Action{RefuseUpload{ID: e.ID}}
+		}
+		return nil
+	}
+	m.actions = nil
+	m.handle(now, event)
+	if m.withdrawn {
+		return m.actions
+	}
+	m.runSource(now)
+	m.fillFetches(now)
+	m.gossip(now)
+	m.reportCompletion()
+	return m.actions
+}
+
+func (m *Machine) handle(now time.Duration, event Event) {
+	switch e := event.(type) {
+	case MembersChanged:
+		m.handleMembers(now, e.Members)
+	case BitmapReceived:
+		m.handleBitmap(now, e)
+	case BitmapFailed:
+		if p := m.byVM[e.To]; p != nil {
+			m.recordFault(now, p)
+		}
+	case ChunkProgress:
+		m.handleProgress(now, e.ID)
+	case ChunkDone:
+		m.handleDone(now, e)
+	case UploadRequested:
+		m.handleUpload(now, e)
+	case UploadFinished:
+		m.handleUploadFinished(now, e.ID)
+	case Tick:
+		m.expireFetches(now)
+		m.expireUploads(now)
+	case Withdrawn:
+		m.withdraw()
+	}
+}
+
+func (m *Machine) emit(action Action) { m.actions = append(m.actions, action) }
+
+func (m *Machine) reportCompletion() {
+	if !m.completed && m.Complete() {
+		m.completed = true
+		m.emit(Completed{})
+	}
+}
+
+// withdraw cancels everything that concerns the version.
+func (m *Machine) withdraw() {
+	for _, f := range slices.Clone(m.fetches) {
+		m.cancel(f)
+	}
+	m.dropUploads("")
+	m.withdrawn = true
+}
+
+// after returns a timeout of a number of chunk times. The floor keeps network and
+// scheduling delays from looking like faults when chunks are small.
+func (m *Machine) after(chunkTimes int) time.Duration {
+	const floor = 500 * time.Millisecond
+	return max(floor, time.Duration(chunkTimes)*m.cfg.ChunkTime)
+}
--- /dev/null
+++ b/lib/swarm/peer.go
@@ -0,0 +1,151 @@
+package swarm
+
+import (
+	"math/bits"
+	"time"
+
+	"laburnumgw/lib/weights"
+)
+
+const (
+	// avoidChunkTimes is the first period, in chunk times, for which a peer is avoided
+	// after a fault. It doubles with each further fault.
+	avoidChunkTimes = 8
+	// maxAvoidDoublings bounds that period.
+	maxAvoidDoublings = 4
+	// maxLies is the number of corrupt chunks and of chunks named but not held after
+	// which a peer is no longer used for this version.
+	maxLies = 3
+)
+
+// peer is what a Machine knows about another VM.
+type peer struct {
+	Member
+	held     weights.Bitmap
+	count    int
+	neighbor bool
+	// inbound is set when the peer has sent its bitmap.
+	inbound bool
+	// pending is the number of fetches from the peer.
+	pending int
+	// faults counts faults since the last success.
+	faults int
+	// lies counts corrupt chunks and chunks that were named but not held.
+	lies       int
+	avoidUntil time.Duration
+	busyUntil  time.Duration
+	// told is the number of own chunks in the last bitmap sent to the peer.
+	told         int
+	exchanged    bool
+	lastExchange time.Duration
+}
+
+func (p *peer) banned() bool { return p.lies >= maxLies }
+
+func (p *peer) trusted(now time.Duration) bool { return !p.banned() && now >= p.avoidUntil }
+
+// setHeld replaces the peer's bitmap and updates the number of holders per chunk.
+func (m *Machine) setHeld(p *peer, held weights.Bitmap) {
+	counts := p.Region == m.cfg.Self.Region
+	before, after := p.held.Words(), held.Words()
+	for i := range after {
+		gained := after[i] &^ before[i]
+		lost := before[i] &^ after[i]
+		for ; counts && gained != 0; gained &= gained - 1 {
+			m.holders[i*64+bits.TrailingZeros64(gained)]++
+		}
+		for ; counts && lost != 0; lost &= lost - 1 {
+			m.holders[i*64+bits.TrailingZeros64(lost)]--
+		}
+	}
+	p.held = held
+	p.count = held.Count()
+}
+
+// recordFault avoids a peer for a period that doubles with each fault.
+func (m *Machine) recordFault(now time.Duration, p *peer) {
+	period := avoidChunkTimes * m.cfg.ChunkTime << min(p.faults, maxAvoidDoublings)
+	p.faults++
+	p.avoidUntil = max(p.avoidUntil, now+period)
+}
+
+// recordLie is recordFault for a peer that sent wrong bytes or a wrong bitmap.
+func (m *Machine) recordLie(now time.Duration, p *peer) {
+	m.recordFault(now, p)
+	p.lies++
+	if p.banned() {
+		m.setHeld(p, weights.NewBitmap(m.cfg.Chunks))
+	}
+}
+
+// handleMembers adds and removes peers and computes the plan for the new members.
+func (m *Machine) handleMembers(now time.Duration, members []Member) {
+	m.plan = m.cfg.Planner(members)
+	kept := m.peers[:0]
+	for _, p := range m.peers {
+		member, live := m.plan.members[p.VM]
+		if live && member == p.Member {
+			p.neighbor = false
+			kept = append(kept, p)
+			continue
+		}
+		m.dropPeer(p)
+	}
+	clear(m.peers[len(kept):])
+	m.peers = kept
+	for _, member := range members {
+		if member.VM != m.cfg.Self.VM && m.byVM[member.VM] == nil {
+			p := &peer{Member: member, held: weights.NewBitmap(m.cfg.Chunks)}
+			m.byVM[member.VM] = p
+			m.peers = append(m.peers, p)
+		}
+	}
+	m.selectNeighbors()
+	m.assignDuties(now)
+}
+
+func (m *Machine) dropPeer(p *peer) {
+	for _, f := range m.fetchesFrom(p) {
+		m.cancel(f)
+	}
+	m.dropUploads(p.VM)
+	m.setHeld(p, weights.NewBitmap(m.cfg.Chunks))
+	delete(m.byVM, p.VM)
+}
+
+func (m *Machine) selectNeighbors() {
+	var names []string
+	switch m.cfg.Policy {
+	case PolicyOriginOnly:
+	case PolicyFixedTree:
+		parent, children := m.plan.treeLinks(m.cfg.Self.VM)
+		m.parent = m.byVM[parent]
+		names = append(children, parent)
+	default:
+		names = m.plan.neighbors(m.cfg.Self, m.cfg.Limits.Neighbors)
+	}
+	m.neighbors = m.neighbors[:0]
+	for _, name := range names {
+		m.addNeighbor(m.byVM[name])
+	}
+	// A peer that selected this VM stays a neighbour across member changes.
+	for _, p := range m.peers {
+		if p.inbound {
+			m.addNeighbor(p)
+		}
+	}
+}
+
+// addNeighbor makes a peer a neighbour, up to three times the number that this VM
+// selects by itself.
+func (m *Machine) addNeighbor(p *peer) {
+	if p == nil || p.neighbor || m.cfg.Policy == PolicyOriginOnly {
+		return
+	}
+	foreign := p.Region != m.cfg.Self.Region && m.cfg.Policy != PolicyFixedTree
+	if foreign || len(m.neighbors) >= 3*m.cfg.Limits.Neighbors {
+		return
+	}
+	p.neighbor = true
+	m.neighbors = append(m.neighbors, p)
+}
--- /dev/null
+++ b/lib/swarm/plan.go
@@ -0,0 +1,148 @@
+package swarm
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"laburnumgw/lib/rendezvous"
+	"laburnumgw/lib/weights"
+)
+
+// fetcherRanks is the number of VMs of a region that may fetch a chunk from the
+// region's source, the first alone unless it fails.
+const fetcherRanks = 4
+
+// Plan is the assignment of chunks to VMs that follows from a list of members. Every
+// VM that knows the same members computes the same plan. It is never changed.
+type Plan struct {
+	home    string
+	regions []string
+	members map[string]Member
+	local   map[string][]string
+	ranks   map[string][][]string
+	tree    []string
+}
+
+// NewPlan ranks the members of each region for each chunk. When the home region has
+// no member, the first region by name takes its place.
+func NewPlan(digest weights.Digest, chunks int, home string, members []Member) *Plan {
+	p := &Plan{
+		home:    home,
+		members: make(map[string]Member, len(members)),
+		local:   make(map[string][]string),
+		ranks:   make(map[string][][]string),
+	}
+	var all []string
+	for _, member := range members {
+		if _, ok := p.members[member.VM]; ok {
+			continue
+		}
+		p.members[member.VM] = member
+		p.local[member.Region] = append(p.local[member.Region], member.VM)
+		all = append(all, member.VM)
+	}
+	for region := range p.local {
+		p.regions = append(p.regions, region)
+	}
+	slices.Sort(p.regions)
+	if len(p.local[home]) == 0 && len(p.regions) > 0 {
+		p.home = p.regions[0]
+	}
+	name := digest.String()
+	for _, region := range p.regions {
+		ranks := make([][]string, chunks)
+		for chunk := range ranks {
+			ranks[chunk] = top(name+"/"+strconv.Itoa(chunk), p.local[region], fetcherRanks)
+		}
+		p.ranks[region] = ranks
+	}
+	p.tree = rendezvous.Rank(name, all)
+	return p
+}
+
+// Fetchers returns the VMs of a region that fetch a chunk from the region's source,
+// in order of rank.
+func (p *Plan) Fetchers(region string, chunk int) []string {
+	ranks := p.ranks[region]
+	if chunk < 0 || chunk >= len(ranks) {
+		return nil
+	}
+	return ranks[chunk]
+}
+
+// Home returns the region whose VMs fetch from the weight store.
+func (p *Plan) Home() string { return p.home }
+
+// neighbors returns the peers that a VM selects: a third from its own zone, so that
+// a partitioned zone stays connected, and the others from its whole region.
+func (p *Plan) neighbors(self Member, count int) []string {
+	var zone, rest []string
+	for _, vm := range p.local[self.Region] {
+		if vm == self.VM {
+			continue
+		}
+		rest = append(rest, vm)
+		if p.members[vm].Zone == self.Zone {
+			zone = append(zone, vm)
+		}
+	}
+	selected := top(self.VM, zone, (count+2)/3)
+	for _, vm := range top(self.VM, rest, count) {
+		if len(selected) < count && !slices.Contains(selected, vm) {
+			selected = append(selected, vm)
+		}
+	}
+	return selected
+}
+
+// treeLinks returns the parent and the children of a VM in the fixed tree.
+func (p *Plan) treeLinks(vm string) (parent string, children []string) {
+	const arity = 2
+	index := slices.Index(p.tree, vm)
+	if index < 0 {
+		return "", nil
+	}
+	if index > 0 {
+		parent = p.tree[(index-1)/arity]
+	}
+	first := arity*index + 1
+	for i := first; i < first+arity && i < len(p.tree); i++ {
+		children = append(children, p.tree[i])
+	}
+	return parent, children
+}
+
+// top returns the count members of highest rendezvous weight in descending order. It
+// avoids sorting all members, since it runs for each chunk.
+func top(key string, members []string, count int) []string {
+	type scored struct {
+		vm    string
+		score uint64
+	}
+	best := make([]scored, 0, count+1)
+	for _, vm := range members {
+		entry := scored{vm, rendezvous.Score(key, vm)}
+		if len(best) == count && entry.score < best[count-1].score {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, entry, func(a, b scored) int {
+			if a.score != b.score {
+				if a.score > b.score {
+					return -1
+				}
+				return 1
+			}
+			return strings.Compare(a.vm, b.vm)
+		})
+		best = slices.Insert(best, at, entry)
+		if len(best) > count {
+			best = best[:count]
+		}
+	}
+	names := make([]string, len(best))
+	for i, entry := range best {
+		names[i] = entry.vm
+	}
+	return names
+}
--- /dev/null
+++ b/lib/swarm/source.go
@@ -0,0 +1,203 @@
+package swarm
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// sourceWindow is the number of chunks that may be outstanding at the region's
+	// source. It bounds concurrent fetches when the source is slower than planned.
+	sourceWindow = 64
+	// takeoverChunkTimes is the delay after which the next in rank may fetch a chunk.
+	takeoverChunkTimes = 24
+	// takeoverEvidence is the number of later chunks that must have appeared before the
+	// next in rank concludes that a fetcher failed. Without it, a slow source would be
+	// asked for each chunk by every rank.
+	takeoverEvidence = 16
+	// blindTakeoverChunkTimes replaces the evidence when it never comes.
+	blindTakeoverChunkTimes = 192
+	// probeChunkTimes is the time given to a fetcher of lower rank to show its bitmap.
+	probeChunkTimes = 4
+	// sourceBackoffChunkTimes is the first pause after a failure of the source.
+	sourceBackoffChunkTimes = 4
+	// maxSourceDoublings bounds that pause.
+	maxSourceDoublings = 6
+)
+
+// duty is a chunk that this VM may fetch from the region's source.
+type duty struct {
+	chunk  int
+	rank   int
+	probed bool
+	// probedAt is the time of the last question to other fetchers.
+	probedAt time.Duration
+}
+
+func (m *Machine) home() bool { return m.plan.Home() == m.cfg.Self.Region }
+
+// assignDuties lists the chunks that this VM fetches from the region's source.
+func (m *Machine) assignDuties(_ time.Duration) {
+	m.duties = nil
+	for chunk := range m.cfg.Chunks {
+		rank := -1
+		switch m.cfg.Policy {
+		case PolicyOriginOnly:
+			rank = 0
+		case PolicyFixedTree:
+			if m.parent == nil {
+				rank = 0
+			}
+		default:
+			rank = slices.Index(m.plan.Fetchers(m.cfg.Self.Region, chunk), m.cfg.Self.VM)
+		}
+		if rank >= 0 {
+			m.duties = append(m.duties, &duty{chunk: chunk, rank: rank})
+		}
+	}
+}
+
+func (m *Machine) sourceFetches() int {
+	count := 0
+	for _, f := range m.fetches {
+		if f.source {
+			count++
+		}
+	}
+	return count
+}
+
+// runSource starts the fetches from the region's source that are due.
+func (m *Machine) runSource(now time.Duration) {
+	if m.Complete() || now < m.sourceUntil {
+		return
+	}
+	for _, d := range m.duties {
+		if m.sourceFetches() >= m.cfg.Limits.SourceFetches {
+			return
+		}
+		if m.held.Has(d.chunk) || m.requested.Has(d.chunk) || !m.due(now, d) {
+			continue
+		}
+		if m.home() || m.baseline() {
+			m.startFetch(now, d.chunk, nil, true)
+			continue
+		}
+		m.fetchFromHome(now, d)
+	}
+}
+
+// baseline reports whether the policy fetches without a plan between VMs.
+func (m *Machine) baseline() bool {
+	return m.cfg.Policy == PolicyOriginOnly || m.cfg.Policy == PolicyFixedTree
+}
+
+// due reports whether it is this VM's turn to fetch a chunk.
+func (m *Machine) due(now time.Duration, d *duty) bool {
+	if m.baseline() {
+		return true
+	}
+	at := m.started + time.Duration(d.chunk)*m.cfg.SourceInterval
+	at += time.Duration(d.rank) * m.after(takeoverChunkTimes)
+	if now < at || m.trustedHolder(now, d.chunk) {
+		return false
+	}
+	seen, later := m.seen(d.chunk)
+	if d.rank == 0 {
+		return d.chunk <= seen+sourceWindow
+	}
+	evidence := later >= takeoverEvidence || seen >= m.cfg.Chunks-takeoverEvidence
+	if !evidence && now < at+m.after(blindTakeoverChunkTimes)<<d.rank {
+		return false
+	}
+	return m.probeFetchers(now, d)
+}
+
+// seen returns the number of chunks that have reached this VM or its peers, and how
+// many of them come after a chunk.
+func (m *Machine) seen(chunk int) (total, later int) {
+	for i, holders := range m.holders {
+		if holders == 0 && !m.held.Has(i) {
+			continue
+		}
+		total++
+		if i > chunk {
+			later++
+		}
+	}
+	return total, later
+}
+
+// probeFetchers asks the fetchers of lower rank for their bitmaps, since a chunk that
+// one of them holds may not have reached a neighbour yet. It reports whether they had
+// time to answer.
+func (m *Machine) probeFetchers(now time.Duration, d *duty) bool {
+	if d.probed {
+		return now >= d.probedAt+m.after(probeChunkTimes)
+	}
+	d.probed = true
+	d.probedAt = now
+	for _, vm := range m.plan.Fetchers(m.cfg.Self.Region, d.chunk)[:d.rank] {
+		if p := m.byVM[vm]; p != nil && p.trusted(now) {
+			m.exchange(now, p)
+		}
+	}
+	return false
+}
+
+// fetchFromHome fetches a chunk from a VM of the home region, or asks the VMs that
+// fetch it there whether they hold it.
+func (m *Machine) fetchFromHome(now time.Duration, d *duty) {
+	var holders []*peer
+	for _, p := range m.peers {
+		if p.Region == m.plan.Home() && p.held.Has(d.chunk) && p.trusted(now) && now >= p.busyUntil {
+			holders = append(holders, p)
+		}
+	}
+	if len(holders) > 0 {
+		m.startFetch(now, d.chunk, m.pickPeer(holders, d.chunk), true)
+		return
+	}
+	if now < d.probedAt+m.after(probeChunkTimes) {
+		return
+	}
+	d.probedAt = now
+	for _, vm := range m.plan.Fetchers(m.plan.Home(), d.chunk) {
+		if p := m.byVM[vm]; p != nil && p.trusted(now) {
+			m.exchange(now, p)
+			return
+		}
+	}
+}
+
+// notifyGateways tells the gateway of each other region that a chunk is available.
+func (m *Machine) notifyGateways(now time.Duration, chunk int) {
+	if m.baseline() {
+		return
+	}
+	for _, region := range m.plan.regions {
+		if region == m.cfg.Self.Region {
+			continue
+		}
+		for _, vm := range m.plan.Fetchers(region, chunk)[:1] {
+			if p := m.byVM[vm]; p != nil {
+				m.exchange(now, p)
+			}
+		}
+	}
+}
+
+// handleOriginResult pauses fetches from the weight store after a failure, for a
+// period that doubles with each one, and obeys the store's Retry-After.
+func (m *Machine) handleOriginResult(now time.Duration, e ChunkDone) {
+	if e.Result == ResultOK {
+		m.sourceFailures = 0
+		return
+	}
+	pause := m.after(sourceBackoffChunkTimes) << min(m.sourceFailures, maxSourceDoublings)
+	m.sourceFailures++
+	if e.Result == ResultRateLimited {
+		pause = max(e.RetryAfter, m.cfg.ChunkTime)
+	}
+	m.sourceUntil = max(m.sourceUntil, now+pause+m.jitter(m.cfg.ChunkTime))
+}
