--- /dev/null
+++ b/lib/journal/journal.go
@@ -0,0 +1,156 @@
+// Package journal makes non-idempotent requests run at most once. A request is
+// identified by its workspace, service and idempotency key. Its intent is recorded on
+// the platform before it runs, and its answer afterwards.
+//
+// Shard is the deterministic state machine of one shard. It takes events and a clock
+// value and returns the platform operations to perform. Journal is the adapter that
+// performs them.
+package journal
+
+import (
+	"encoding/hex"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"lukechampine.com/blake3"
+)
+
+const (
+	// commitInterval is the shortest time between two writes of a shard.
+	commitInterval = 50 * time.Millisecond
+	// verifyInterval is the longest time for which an owner does not look at its head.
+	verifyInterval = 2 * time.Second
+	// pollInterval is the time between two reads of a head that another process owns.
+	pollInterval = time.Second
+	// wantedPeriod is how long a process stays interested after a request or claim.
+	wantedPeriod = 10 * time.Second
+	// maxBackoff bounds the time between two attempts on a failing platform.
+	maxBackoff = 2 * time.Second
+	// maxRetryAfter bounds the time that the platform may ask a shard to wait.
+	maxRetryAfter = 30 * time.Second
+
+	answerRetention = 24 * time.Hour
+	keyRetention    = 7 * 24 * time.Hour
+	// clockSlack is added to keyRetention before a record is forgotten. VM clocks can be
+	// wrong by minutes, and a key must be refused as expired before its record is gone.
+	clockSlack = time.Hour
+
+	// maxInlineBytes is the size of the largest answer that is recorded completely.
+	maxInlineBytes = 4 << 10
+	// maxContentType bounds the recorded content type.
+	maxContentType = 256
+	// maxOpenBytes is the size of the head at which its records move to a segment.
+	maxOpenBytes = 16 << 10
+	// maxBatchBytes bounds one batch, so that head and batch stay below 1 MB.
+	maxBatchBytes = 256 << 10
+	// maxWaiting bounds the callers of one shard that wait for the platform.
+	maxWaiting = 512
+	// maxRunning bounds the granted requests of one shard.
+	maxRunning = 1024
+	// maxRecords and maxAnswerBytes bound the keys and answers of one shard in memory;
+	// the oldest answers go first.
+	maxRecords     = 80_000
+	maxAnswerBytes = 4 << 20
+)
+
+// Key identifies a non-idempotent request.
+type Key struct {
+	Workspace      string
+	Service        string
+	IdempotencyKey string
+}
+
+// Digest identifies a body or a key. It is a truncated BLAKE3 hash.
+type Digest [16]byte
+
+// DigestOf returns the digest of bytes.
+func DigestOf(data []byte) Digest {
+	sum := blake3.Sum256(data)
+	return Digest(sum[:16])
+}
+
+// MarshalText encodes the digest as hexadecimal digits.
+func (d Digest) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, d[:]), nil }
+
+// UnmarshalText decodes hexadecimal digits.
+func (d *Digest) UnmarshalText(text []byte) error {
+	decoded, err := hex.DecodeString(string(text))
+	copy(d[:], decoded)
+	return err
+}
+
+// hash returns the digest under which the key is recorded. The fields are separated by
+// their lengths, so no two keys have the same input.
+func (k Key) hash() Digest {
+	var input []byte
+	for _, field := range []string{k.Workspace, k.Service, k.IdempotencyKey} {
+		input = append(input, byte(len(field)>>24), byte(len(field)>>16), byte(len(field)>>8), byte(len(field)))
+		input = append(input, field...)
+	}
+	return DigestOf(input)
+}
+
+// ShardOf returns the shard of a key. Entries use it to find the owner.
+func ShardOf(service, idempotencyKey string, shards int) int {
+	if shards <= 1 {
+		return 0
+	}
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(service)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(idempotencyKey)
+	return int(digest.Sum64() % uint64(shards))
+}
+
+// Answer is the response to a request.
+type Answer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Replay is a recorded answer. Bodies above 4 KB are recorded by size and digest only.
+type Replay struct {
+	Status      int
+	ContentType string
+	Body        []byte
+	// Omitted says that Body is not recorded; Size and BodyDigest describe it.
+	Omitted    bool
+	Size       int64
+	BodyDigest Digest
+}
+
+func replayOf(answer Answer) *Replay {
+	replay := &Replay{
+		Status:      answer.Status,
+		ContentType: answer.ContentType,
+		Size:        int64(len(answer.Body)),
+		BodyDigest:  DigestOf(answer.Body),
+	}
+	if len(replay.ContentType) > maxContentType {
+		replay.ContentType = ""
+	}
+	if len(answer.Body) > maxInlineBytes {
+		replay.Omitted = true
+		return replay
+	}
+	replay.Body = append([]byte(nil), answer.Body...)
+	return replay
+}
+
+// uuidTime returns the time in a UUIDv7 key, or false for keys of another form.
+func uuidTime(key string) (time.Time, bool) {
+	if len(key) != 36 || key[8] != '-' || key[13] != '-' || key[14] != '7' || key[18] != '-' || key[23] != '-' {
+		return time.Time{}, false
+	}
+	decoded, err := hex.DecodeString(key[:8] + key[9:13])
+	if err != nil {
+		return time.Time{}, false
+	}
+	var millis int64
+	for _, b := range decoded {
+		millis = millis<<8 | int64(b)
+	}
+	return time.UnixMilli(millis), true
+}
--- /dev/null
+++ b/lib/journal/shard.go
@@ -0,0 +1,360 @@
+package journal
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"laburnumgw/lib/errkind"
+)
+
+// Identity names a process and its incarnation.
+type Identity struct {
+	VM          string
+	Incarnation string
+}
+
+// ReplyKind says how a caller's wait ended.
+type ReplyKind int
+
+// Kinds of replies.
+const (
+	// Waiting means that a later reply follows.
+	Waiting ReplyKind = iota
+	// Granted means that the caller may run the request exactly once.
+	Granted
+	// Replayed means that the request ran before and its answer is recorded.
+	Replayed
+	// Refused means that the request does not run; Err says why.
+	Refused
+)
+
+// Reply is the answer to one caller.
+type Reply struct {
+	Waiter  uint64
+	Kind    ReplyKind
+	Attempt uint64
+	Replay  *Replay
+	Err     *errkind.Error
+}
+
+// Call asks to run one request.
+type Call struct {
+	// Waiter identifies the caller; it is never zero and never repeated.
+	Waiter uint64
+	Key    Key
+	Body   Digest
+}
+
+// status is the relation of a process to a shard.
+type status int
+
+const (
+	statusUnowned status = iota
+	statusOwned
+	// statusReleased is final: the process leaves.
+	statusReleased
+)
+
+// batch is a write of the head whose outcome is open.
+type batch struct {
+	head    head
+	value   []byte
+	entries []entry
+	// loaded is set for a takeover and holds the log's records.
+	loaded   *records
+	segments []closed
+	orphans  []closed
+	// create is set when the head does not exist.
+	create  bool
+	release bool
+	// expired lists the segments that the batch drops from the head.
+	expired []closed
+}
+
+// Shard is the state machine of one shard in one process. It is not safe for
+// concurrent use.
+type Shard struct {
+	self    Identity
+	prefix  string
+	status  status
+	records *records
+
+	// arrivals wait for the first look at a shard that the process does not own.
+	arrivals []Call
+	// pending holds the entries for the next batch, in order.
+	pending []entry
+	running int
+	// attempts numbers the grants.
+	attempts uint64
+	// releasing is set by Release.
+	releasing bool
+
+	sync syncState
+}
+
+// NewShard returns the state of a shard that the process does not own yet.
+func NewShard(self Identity, service string, number int) *Shard {
+	return &Shard{
+		self:    self,
+		prefix:  fmt.Sprintf("journal/%s/%d/", service, number),
+		records: newRecords(),
+	}
+}
+
+// Owned reports whether the process owns the shard as far as it knows.
+func (s *Shard) Owned() bool { return s.status == statusOwned }
+
+// Released reports whether the process has left the shard.
+func (s *Shard) Released() bool { return s.status == statusReleased }
+
+// Begin decides about a call, or makes its caller wait for a reply of Done.
+func (s *Shard) Begin(call Call, now time.Time) Reply {
+	s.records.prune(now)
+	if err := checkAge(call.Key.IdempotencyKey, now); err != nil {
+		return refused(call.Waiter, err)
+	}
+	s.sync.wantedUntil = now.Add(wantedPeriod)
+	if rec, ok := s.records.byKey[call.Key.hash()]; ok {
+		return s.repeat(rec, call)
+	}
+	return s.first(call, now)
+}
+
+// first handles a key without a record.
+func (s *Shard) first(call Call, now time.Time) Reply {
+	if err := s.cannotWait(now); err != nil {
+		return refused(call.Waiter, err)
+	}
+	if s.status != statusOwned {
+		s.arrivals = append(s.arrivals, call)
+		return Reply{Waiter: call.Waiter, Kind: Waiting}
+	}
+	rec := &record{
+		key:    call.Key.hash(),
+		body:   call.Body,
+		at:     now.Unix(),
+		state:  stateQueued,
+		waiter: call.Waiter,
+	}
+	s.records.add(rec)
+	s.pending = append(s.pending, entry{Kind: entryIntent, Key: rec.key, Body: rec.body, At: rec.at})
+	return Reply{Waiter: call.Waiter, Kind: Waiting}
+}
+
+// cannotWait returns the refusal of a new key, if there is a reason for one.
+func (s *Shard) cannotWait(now time.Time) *errkind.Error {
+	switch {
+	case s.status == statusReleased || s.releasing:
+		return notRun(time.Second, "the process is leaving")
+	case now.Before(s.sync.retryAt):
+		return notRun(s.sync.retryAt.Sub(now), "the platform is unavailable")
+	case len(s.arrivals)+len(s.pending) >= maxWaiting || s.running >= maxRunning:
+		return notRun(time.Second, "the journal's queue is full")
+	case len(s.records.byKey) >= maxRecords:
+		return notRun(maxRetryAfter, "the journal holds its maximum number of keys")
+	case s.status == statusOwned:
+		return nil
+	default:
+		return s.notEligible(now)
+	}
+}
+
+// repeat handles a key with a record.
+func (s *Shard) repeat(rec *record, call Call) Reply {
+	if rec.body != call.Body {
+		return refused(call.Waiter, errkind.New(errkind.KeyReused, "use a new Idempotency-Key for a different request",
+			"the Idempotency-Key was used before with a different body"))
+	}
+	switch rec.state {
+	case stateAnswered:
+		if rec.answer == nil {
+			return refused(call.Waiter, outcomeUnknown("the recorded answer is past its retention"))
+		}
+		return Reply{Waiter: call.Waiter, Kind: Replayed, Replay: rec.answer}
+	case stateUnknown:
+		return refused(call.Waiter, outcomeUnknown("an earlier attempt may have run and its answer is lost"))
+	case stateIdle:
+		return s.resume(rec, call)
+	case stateCommitting:
+		if rec.waiter == 0 && !s.releasing {
+			rec.waiter = call.Waiter
+			return Reply{Waiter: call.Waiter, Kind: Waiting}
+		}
+	}
+	err := errkind.New(errkind.InProgress, "repeat with the same Idempotency-Key", "an earlier attempt is still running")
+	return refused(call.Waiter, err.WithRetryAfter(time.Second))
+}
+
+// resume grants a key whose committed intent was never run. No write is needed: every
+// other owner reads the intent as an unknown outcome, because its void is in no batch.
+func (s *Shard) resume(rec *record, call Call) Reply {
+	if s.releasing || s.status != statusOwned || s.running >= maxRunning {
+		return refused(call.Waiter, notRun(time.Second, "the process is leaving or at its limit"))
+	}
+	s.removePending(entryVoid, rec.key)
+	return s.grant(rec, call.Waiter)
+}
+
+func (s *Shard) grant(rec *record, waiter uint64) Reply {
+	s.attempts++
+	s.running++
+	rec.state = stateRunning
+	rec.attempt = s.attempts
+	rec.waiter = 0
+	return Reply{Waiter: waiter, Kind: Granted, Attempt: rec.attempt}
+}
+
+// Leave ends the wait of a caller. It reports false when the caller was not waiting;
+// its reply has then been given.
+func (s *Shard) Leave(waiter uint64, key Key) bool {
+	for i, call := range s.arrivals {
+		if call.Waiter == waiter {
+			s.arrivals = slices.Delete(s.arrivals, i, i+1)
+			return true
+		}
+	}
+	rec, ok := s.records.byKey[key.hash()]
+	if !ok || rec.waiter != waiter {
+		return false
+	}
+	rec.waiter = 0
+	if rec.state == stateQueued {
+		s.removePending(entryIntent, rec.key)
+		s.records.forget(rec)
+	}
+	return true
+}
+
+// Complete records the answer of a granted attempt.
+func (s *Shard) Complete(key Key, attempt uint64, answer Answer, now time.Time) {
+	rec := s.take(key, attempt)
+	if rec == nil {
+		return
+	}
+	rec.state = stateAnswered
+	rec.answer = replayOf(answer)
+	rec.answeredAt = now.Unix()
+	s.records.noteAnswer(rec)
+	if s.status == statusOwned {
+		s.pending = append(s.pending, answerEntries(rec)...)
+	}
+}
+
+// Unknown ends a granted attempt whose outcome is not known. The log needs no entry:
+// an intent without an answer means the same.
+func (s *Shard) Unknown(key Key, attempt uint64) {
+	if rec := s.take(key, attempt); rec != nil {
+		rec.state = stateUnknown
+	}
+}
+
+// NotStarted ends a granted attempt that was provably never sent. The key may run
+// again here at once, and elsewhere after its void is written.
+func (s *Shard) NotStarted(key Key, attempt uint64, now time.Time) {
+	rec := s.take(key, attempt)
+	if rec == nil {
+		return
+	}
+	if s.status != statusOwned {
+		s.records.forget(rec)
+		return
+	}
+	s.makeIdle(rec, now)
+}
+
+// take returns the record of a running attempt and ends it.
+func (s *Shard) take(key Key, attempt uint64) *record {
+	rec, ok := s.records.byKey[key.hash()]
+	if !ok || rec.state != stateRunning || rec.attempt != attempt {
+		return nil
+	}
+	s.running--
+	return rec
+}
+
+// makeIdle queues the void of a committed intent that was not run. A later call may
+// still use the intent until the void is part of a batch.
+func (s *Shard) makeIdle(rec *record, now time.Time) {
+	rec.state = stateIdle
+	rec.waiter = 0
+	s.pending = append(s.pending, entry{Kind: entryVoid, Key: rec.key, At: now.Unix()})
+}
+
+// Claim makes the process take the shard when no live process owns it.
+func (s *Shard) Claim(now time.Time) { s.sync.wantedUntil = now.Add(wantedPeriod) }
+
+// Release makes the process leave the shard. New keys are refused, and the head is
+// released after the running requests have ended and their answers are written.
+func (s *Shard) Release() []Reply {
+	s.releasing = true
+	replies := s.refuseWaiting(notRun(time.Second, "the process is leaving"))
+	if s.status == statusUnowned && s.sync.open == nil {
+		s.status = statusReleased
+	}
+	return replies
+}
+
+func (s *Shard) removePending(kind entryKind, key Digest) {
+	s.pending = slices.DeleteFunc(s.pending, func(e entry) bool { return e.Kind == kind && e.Key == key })
+}
+
+// refuseWaiting refuses all callers that wait. Intents in no batch are forgotten;
+// intents in an open batch stay and are voided when the batch turns out to be written.
+func (s *Shard) refuseWaiting(err *errkind.Error) []Reply {
+	var replies []Reply
+	for _, call := range s.arrivals {
+		replies = append(replies, refused(call.Waiter, err))
+	}
+	s.arrivals = nil
+	var kept []entry
+	for _, e := range s.pending {
+		rec := s.records.byKey[e.Key]
+		if e.Kind != entryIntent || rec == nil || rec.state != stateQueued {
+			kept = append(kept, e)
+			continue
+		}
+		replies = append(replies, refused(rec.waiter, err))
+		s.records.forget(rec)
+	}
+	s.pending = kept
+	for _, e := range s.sync.uncertain() {
+		rec := s.records.byKey[e.Key]
+		if rec != nil && rec.state == stateCommitting && rec.waiter != 0 {
+			replies = append(replies, refused(rec.waiter, err))
+			rec.waiter = 0
+		}
+	}
+	return replies
+}
+
+func refused(waiter uint64, err *errkind.Error) Reply {
+	return Reply{Waiter: waiter, Kind: Refused, Err: err}
+}
+
+func notRun(retryAfter time.Duration, reason string) *errkind.Error {
+	err := errkind.New(errkind.NotRun, "repeat with the same Idempotency-Key", "the request was not run: %s", reason)
+	return err.WithRetryAfter(min(max(retryAfter, commitInterval), maxRetryAfter))
+}
+
+func outcomeUnknown(reason string) *errkind.Error {
+	return errkind.New(errkind.OutcomeUnknown,
+		"check the service for the effect of the request before sending it with a new Idempotency-Key", "%s", reason)
+}
+
+// checkAge refuses UUIDv7 keys that are older than the retention, and keys from the
+// future, whose age could not be judged when they are repeated.
+func checkAge(key string, now time.Time) *errkind.Error {
+	created, ok := uuidTime(key)
+	switch {
+	case !ok:
+		return nil
+	case now.Sub(created) > keyRetention:
+		return errkind.New(errkind.KeyExpired, "use a new Idempotency-Key",
+			"the Idempotency-Key is older than the retention of %s", keyRetention)
+	case created.Sub(now) > clockSlack:
+		return errkind.New(errkind.KeyExpired, "correct the clock and use a new Idempotency-Key",
+			"the time in the Idempotency-Key is in the future")
+	}
+	return nil
+}
--- /dev/null
+++ b/lib/journal/sync.go
@@ -0,0 +1,330 @@
+package journal
+
+import (
+	"encoding/json"
+	"errors"
+	"time"
+
+	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/platform"
+)
+
+// OpKind is a call of the platform.
+type OpKind int
+
+// Kinds of platform calls.
+const (
+	OpGet OpKind = iota + 1
+	OpList
+	OpCreate
+	OpUpdate
+	OpDelete
+)
+
+// Op is one platform call to perform. A shard has at most one open call.
+type Op struct {
+	Kind    OpKind
+	Key     string
+	Value   []byte
+	Version int64
+}
+
+// Result is the outcome of an Op.
+type Result struct {
+	Object  platform.Object
+	Objects []platform.Object
+	Err     error
+}
+
+// step is the purpose of the open call.
+type step int
+
+const (
+	stepNone step = iota
+	// stepLook reads the head of a shard that the process does not own.
+	stepLook
+	// stepLoad reads the segments before a takeover.
+	stepLoad
+	// stepResolve reads the head after a write that did not succeed.
+	stepResolve
+	// stepVerify reads the head of an owned shard that is idle.
+	stepVerify
+	// stepWrite writes the open batch to the head.
+	stepWrite
+	// stepRoll creates a segment of the open records of the head.
+	stepRoll
+	stepDelete
+)
+
+// observation is what a process has seen of a head that it does not own.
+type observation struct {
+	head   head
+	exists bool
+	since  time.Time
+	last   time.Time
+}
+
+// syncState is the part of a Shard that follows the platform.
+type syncState struct {
+	step step
+	// head and version are the last confirmed write of an owner.
+	head    head
+	version int64
+	// open is the batch whose outcome is not known yet.
+	open     *batch
+	resolve  bool
+	observed observation
+	load     *load
+	// highestEpoch keeps epochs growing when a restore has taken the head back.
+	highestEpoch uint64
+	// wantedUntil is the time until which the process wants to own the shard.
+	wantedUntil time.Time
+	lastContact time.Time
+	retryAt     time.Time
+	failures    int
+
+	segments []closed
+	garbage  []closed
+	// rolled is the segment that replaces the open records in the next batch.
+	rolled      *closed
+	headMissing bool
+}
+
+// Next returns the platform call to perform now, or the time at which to ask again. A
+// zero time means that an event must come first.
+func (s *Shard) Next(now time.Time) (*Op, time.Time) {
+	y := &s.sync
+	if y.step != stepNone || s.status == statusReleased {
+		return nil, time.Time{}
+	}
+	if now.Before(y.retryAt) {
+		return nil, y.retryAt
+	}
+	if y.resolve {
+		return s.call(stepResolve, &Op{Kind: OpGet, Key: s.headKey()}), time.Time{}
+	}
+	if s.wantsWrite() {
+		return s.write(now), time.Time{}
+	}
+	if s.status == statusOwned {
+		return s.verify(now)
+	}
+	return s.look(now)
+}
+
+func (s *Shard) headKey() string { return s.prefix + "head" }
+
+func (s *Shard) call(purpose step, op *Op) *Op {
+	s.sync.step = purpose
+	return op
+}
+
+// verify reads the head of an idle owner, which shows a restore or a new owner.
+func (s *Shard) verify(now time.Time) (*Op, time.Time) {
+	if due := s.sync.lastContact.Add(verifyInterval); now.Before(due) {
+		return nil, due
+	}
+	return s.call(stepVerify, &Op{Kind: OpGet, Key: s.headKey()}), time.Time{}
+}
+
+// look reads the head of a shard that the process wants, and its segments when the
+// process may take it over.
+func (s *Shard) look(now time.Time) (*Op, time.Time) {
+	if s.sync.load != nil {
+		return s.call(stepLoad, &Op{Kind: OpList, Key: s.prefix + "segment/"}), time.Time{}
+	}
+	if len(s.arrivals) == 0 && !now.Before(s.sync.wantedUntil) {
+		return nil, time.Time{}
+	}
+	if due := s.nextLook(); now.Before(due) {
+		return nil, due
+	}
+	return s.call(stepLook, &Op{Kind: OpGet, Key: s.headKey()}), time.Time{}
+}
+
+// nextLook returns the time of the next poll, or the earlier one of a possible takeover.
+func (s *Shard) nextLook() time.Time {
+	last := s.sync.observed.last
+	due := last.Add(pollInterval)
+	if at := s.eligibleAt(); at.After(last) && at.Before(due) {
+		return at
+	}
+	return due
+}
+
+// uncertain returns the entries that were sent to the platform and are not confirmed.
+func (y *syncState) uncertain() []entry {
+	if y.open == nil {
+		return nil
+	}
+	return y.open.entries
+}
+
+func (s *Shard) wantsWrite() bool {
+	y := &s.sync
+	if y.open != nil {
+		return true
+	}
+	if s.status != statusOwned {
+		return false
+	}
+	return s.mustRoll() || y.rolled != nil || len(s.pending) > 0 ||
+		s.mayRelease() || len(y.garbage) > 0
+}
+
+func (s *Shard) mustRoll() bool {
+	if s.sync.rolled != nil {
+		return false
+	}
+	size := 0
+	for _, e := range s.sync.head.Open {
+		size += e.size()
+	}
+	return size > maxOpenBytes
+}
+
+func (s *Shard) mayRelease() bool { return s.releasing && s.running == 0 }
+
+// write returns the next write of the shard.
+func (s *Shard) write(now time.Time) *Op {
+	y := &s.sync
+	switch {
+	case y.open != nil:
+		return s.writeOpen()
+	case s.mustRoll():
+		value := encode(segment{Entries: y.head.Open})
+		return s.call(stepRoll, &Op{Kind: OpCreate, Key: segmentKey(s.prefix, y.head.Next), Value: value})
+	case y.rolled == nil && len(s.pending) == 0 && len(y.garbage) > 0:
+		next := y.garbage[0]
+		return s.call(stepDelete, &Op{Kind: OpDelete, Key: next.key, Version: next.version})
+	default:
+		s.openBatch(now)
+		return s.writeOpen()
+	}
+}
+
+func (s *Shard) writeOpen() *Op {
+	y := &s.sync
+	op := &Op{Kind: OpUpdate, Key: s.headKey(), Value: y.open.value, Version: y.version}
+	if y.open.create {
+		op.Kind = OpCreate
+	}
+	return s.call(stepWrite, op)
+}
+
+// openBatch freezes the pending entries into the next write of the head. Its content
+// stays the same until its outcome is known, so a repeated write is the same write.
+func (s *Shard) openBatch(now time.Time) {
+	y := &s.sync
+	b := &batch{head: y.head, create: y.headMissing}
+	b.head.Batch++
+	b.entries = s.cutPending()
+	s.applyRoll(b)
+	s.dropExpired(b, now)
+	b.head.Open = append(append([]entry(nil), b.head.Open...), b.entries...)
+	if s.mayRelease() && len(s.pending) == 0 {
+		b.release = true
+		b.head.Owner = ""
+		b.head.Incarnation = ""
+	}
+	b.value = encode(b.head)
+	y.open = b
+}
+
+func (s *Shard) applyRoll(b *batch) {
+	if rolled := s.sync.rolled; rolled != nil {
+		b.head.Segments = appendRun(b.head.Segments, rolled.number)
+		b.head.Open = nil
+	}
+}
+
+// dropExpired removes segments from the head whose keys are all past their retention.
+func (s *Shard) dropExpired(b *batch, now time.Time) {
+	for _, c := range s.sync.segments {
+		if !keyGone(c.newest, now) {
+			return
+		}
+		b.head.Segments = removeFirst(b.head.Segments)
+		b.expired = append(b.expired, c)
+	}
+}
+
+// cutPending takes the entries of one batch and marks their records.
+func (s *Shard) cutPending() []entry {
+	size := 0
+	n := 0
+	for n < len(s.pending) && size < maxBatchBytes {
+		size += s.pending[n].size()
+		n++
+	}
+	cut := append([]entry(nil), s.pending[:n]...)
+	s.pending = append([]entry(nil), s.pending[n:]...)
+	for _, e := range cut {
+		rec := s.records.byKey[e.Key]
+		switch {
+		case rec == nil:
+		case e.Kind == entryIntent && rec.state == stateQueued:
+			rec.state = stateCommitting
+		}
+	}
+	return cut
+}
+
+// Done takes the result of the open call.
+func (s *Shard) Done(result Result, now time.Time) []Reply {
+	purpose := s.sync.step
+	s.sync.step = stepNone
+	switch purpose {
+	case stepLook:
+		return s.looked(result, now)
+	case stepLoad:
+		return s.loadedSegments(result, now)
+	case stepResolve, stepVerify:
+		return s.readBack(result, now)
+	case stepWrite:
+		return s.written(result, now)
+	case stepRoll:
+		return s.created(result, now)
+	case stepDelete:
+		s.sync.garbage = s.sync.garbage[1:]
+		return s.contact(result.Err, now)
+	default:
+		return nil
+	}
+}
+
+// contact notes whether the platform answered. After a failure it waits with backoff;
+// a platform that stays away costs the waiting callers a refusal.
+func (s *Shard) contact(err error, now time.Time) []Reply {
+	y := &s.sync
+	if answered(err) {
+		y.failures = 0
+		y.lastContact = now
+		return nil
+	}
+	wait := min(commitInterval<<min(y.failures, 10), maxBackoff)
+	y.failures++
+	var limited *platform.RateLimitError
+	if errors.As(err, &limited) {
+		wait = min(max(wait, limited.RetryAfter), maxRetryAfter)
+	}
+	y.retryAt = now.Add(wait)
+	if platform.IsUnknown(err) && y.failures == 1 {
+		return nil
+	}
+	return s.refuseWaiting(notRun(wait, "the platform is unavailable"))
+}
+
+// answered reports whether the platform processed a call and said so.
+func answered(err error) bool {
+	return err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict) ||
+		errors.Is(err, platform.ErrExists)
+}
+
+func decodeHead(object platform.Object) (head, error) {
+	var h head
+	if err := json.Unmarshal(object.Value, &h); err != nil {
+		return head{}, errkind.Wrap(err, errkind.Corrupt, "restore the object", "decode %s", object.Key)
+	}
+	return h, nil
+}
