--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -1,4 +1,118 @@
-// Command laburnumgw is the daemon. It runs as an entry or as an endpoint process.
+// Command laburnumgw is the daemon. It runs as an entry, which takes requests from
+// callers, or as an endpoint process, which stands beside an endpoint.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"laburnumgw/endpoint"
+	"laburnumgw/entry"
+	"laburnumgw/lib/mtls"
+	"laburnumgw/lib/settings"
+)
+
+// Exit codes of the daemon.
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+// runner is an assembled process.
+type runner interface {
+	Run(ctx context.Context) error
+}
+
+type entryCommand struct {
+	entry.Settings
+}
+
+// Execute runs an entry.
+func (c *entryCommand) Execute([]string) error {
+	if err := check(c.Validate(), &c.Process, mtls.RoleEntry); err != nil {
+		return err
+	}
+	process, err := initializeEntry(&c.Settings)
+	if err != nil {
+		return err
+	}
+	return run(process)
+}
+
+type endpointCommand struct {
+	endpoint.Settings
+}
+
+// Execute runs an endpoint process.
+func (c *endpointCommand) Execute([]string) error {
+	if err := check(c.Validate(), &c.Process, mtls.RoleEndpoint); err != nil {
+		return err
+	}
+	process, err := initializeEndpoint(&c.Settings)
+	if err != nil {
+		return err
+	}
+	return run(process)
+}
+
+// settingsError marks settings that are not valid.
+type settingsError struct{ error }
+
+// check reports the problems of the settings together with those of the certificate.
+func check(problems error, process *settings.Process, role mtls.Role) error {
+	if problems != nil {
+		return settingsError{problems}
+	}
+	keys, err := mtls.LoadKeys(process.Files())
+	if err != nil {
+		return settingsError{err}
+	}
+	var checker settings.Checker
+	checker.Identity(process, role, keys.Identity())
+	if err := checker.Err(); err != nil {
+		return settingsError{err}
+	}
+	return nil
+}
+
+func run(process runner) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return process.Run(ctx)
+}
+
+func main() {
+	os.Exit(execute(os.Args[1:]))
+}
+
+func execute(args []string) int {
+	parser := flags.NewNamedParser("laburnumgw", flags.HelpFlag|flags.PassDoubleDash)
+	add := func(name, short string, command any) {
+		if _, err := parser.AddCommand(name, short, short+".", command); err != nil {
+			panic(err)
+		}
+	}
+	add("entry", "Run the process of an entry VM", &entryCommand{})
+	add("endpoint", "Run the process of an endpoint VM", &endpointCommand{})
+	_, err := parser.ParseArgs(args)
+	if err == nil {
+		return 0
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		fmt.Println(err)
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "laburnumgw:", err)
+	var invalid settingsError
+	if usage != nil || errors.As(err, &invalid) {
+		return exitSettings
+	}
+	return exitFailure
+}
--- /dev/null
+++ b/endpoint/endpoint.go
@@ -0,0 +1,268 @@
+package endpoint
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+	"google.golang.org/grpc"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/admission"
+	"laburnumgw/lib/config"
+	"laburnumgw/lib/configstore"
+	"laburnumgw/lib/configsync"
+	"laburnumgw/lib/configsync/driver"
+	"laburnumgw/lib/journal"
+	"laburnumgw/lib/membership"
+	"laburnumgw/lib/mtls"
+	"laburnumgw/lib/platform"
+	"laburnumgw/lib/rpc"
+	"laburnumgw/lib/swarm"
+	"laburnumgw/lib/telemetry"
+)
+
+const (
+	// stopReportTime lets the last reports and responses leave before the process ends.
+	stopReportTime = 200 * time.Millisecond
+	// readHeaderTimeout bounds how long a reader of weights may take for its headers.
+	readHeaderTimeout = 5 * time.Second
+	// linkBurst lets one piece pass at once.
+	linkBurst = pieceBytes
+)
+
+// Process is a running endpoint process.
+type Process struct {
+	settings *Settings
+	conns    *rpc.Pool
+	gate     *admission.Gate
+	journal  *journal.Journal
+	reporter *reporter
+	configs  *driver.Driver
+	weights  *weightManager
+	serving  *serving
+	zones    *zoneState
+	metrics  *endpointMetrics
+	grpc     *grpc.Server
+	log      *zap.Logger
+	snapshot atomic.Pointer[config.Snapshot]
+	leaving  atomic.Bool
+}
+
+// New assembles an endpoint process.
+func New(s *Settings, keys *mtls.Keys, conns *rpc.Pool, store platform.Store, log *zap.Logger) (*Process, error) {
+	self := membership.Self{VM: s.VM, Zone: s.Zone, Region: s.Region, Address: s.Listen}
+	p := &Process{
+		settings: s, conns: conns, zones: &zoneState{}, metrics: newEndpointMetrics(), log: log,
+		gate: admission.NewGate(admission.Config{Limits: admissionLimits(config.Default().Limits)}),
+	}
+	p.reporter = newReporter(self, s.SeedPeers(), conns, p.load, log)
+	p.configs = driver.New(self, configsync.RoleEndpoint, s.SeedPeers(), conns, nil, p, log)
+	p.reporter.heard = p.heard
+	p.journal = journal.New(journal.Options{
+		Store: store, Self: journal.Identity{VM: s.VM, Incarnation: rand.Text()}, Shards: p.shards,
+	})
+	serve := &server{
+		vm: s.VM, zone: s.Zone, service: s.Service, serviceTimeout: s.ServiceTimeout, gate: p.gate, journal: p.journal,
+		zones: p.zones, metrics: p.metrics, log: log, loadOf: p.pbLoad,
+	}
+	if s.Engine != "" {
+		p.buildEngine(self, serve)
+	} else {
+		serve.backend = newBackend(s.ServiceURL)
+	}
+	p.grpc = newGRPCServer(keys, serve, &peerServer{weights: p.weights}, &node{settings: s, reporter: p.reporter, configs: p.configs})
+	return p, nil
+}
+
+func (p *Process) buildEngine(self membership.Self, serve *server) {
+	s := p.settings
+	share := config.Default().Distribution.LinkShare
+	limits := links{
+		download: rate.NewLimiter(rate.Limit(s.LinkMbit*megabit*share), linkBurst),
+		upload:   rate.NewLimiter(rate.Limit(s.LinkMbit*megabit*share), linkBurst),
+	}
+	t := &transfer{
+		self: swarm.Member{VM: self.VM, Zone: self.Zone, Region: self.Region}, address: s.Listen, home: s.HomeRegion,
+		conns: p.conns, origin: newOriginClient(s.Origin, limits.download), links: limits, metrics: p.metrics, log: p.log,
+	}
+	p.weights = newWeightManager(s, t, p.metrics, p.log)
+	p.serving = newServing(p.weights, newEngineClient(s.Engine), s.WeightsListen, p.gate, p.metrics, p.log)
+	p.serving.onChange = p.reporter.soon
+	serve.weights = p.serving
+	serve.backend = newBackend(s.Engine)
+}
+
+func admissionLimits(l config.Limits) admission.Limits {
+	return admission.Limits{
+		ColdInFlight: l.ColdInFlight, WarmInFlight: l.WarmInFlight, Ramp: l.Ramp,
+		QueueLength: l.QueueLength, QueueWait: l.QueueWait,
+	}
+}
+
+// heard notes the generation that an entry answered a report with.
+func (p *Process) heard(peer membership.Peer, generation uint64) {
+	p.configs.SetMembers(p.reporter.joined(), p.reporter.entries())
+	p.configs.Heard(peer, generation)
+}
+
+// Act implements driver.Observer.
+func (p *Process) Act(bundle *laburnumgwv1.ConfigBundle) error {
+	snapshot, err := configstore.Snapshot(bundle)
+	if err != nil {
+		return fmt.Errorf("parse configuration of generation %d: %w", bundle.GetGeneration(), err)
+	}
+	zone, known := snapshot.Zones[p.settings.Zone]
+	p.zones.out.Store(!known || zone.State == config.ZoneOut)
+	p.snapshot.Store(snapshot)
+	p.gate.Configure(p.admissionConfig(snapshot))
+	if p.weights != nil {
+		share := rate.Limit(p.settings.LinkMbit * megabit * snapshot.Distribution.LinkShare)
+		p.weights.transfer.links.download.SetLimit(share)
+		p.weights.transfer.links.upload.SetLimit(share)
+		p.weights.configure(bundle, snapshot)
+	}
+	if p.settings.Service != "" && !p.zones.out.Load() && !p.leaving.Load() {
+		p.journal.Claim(p.settings.Service)
+	}
+	p.reporter.setGeneration(bundle.GetGeneration())
+	return nil
+}
+
+// Alarm implements driver.Observer.
+func (p *Process) Alarm(configsync.Alarm) {}
+
+// admissionConfig returns the limits of this process's endpoint.
+func (p *Process) admissionConfig(snapshot *config.Snapshot) admission.Config {
+	limits := snapshot.Limits
+	if service, ok := snapshot.Services[p.settings.Service]; ok {
+		limits = service.Limits
+		if service.MaxInFlight > 0 {
+			limits.WarmInFlight = min(limits.WarmInFlight, service.MaxInFlight)
+			limits.ColdInFlight = min(limits.ColdInFlight, service.MaxInFlight)
+		}
+	}
+	for _, name := range p.settings.Models {
+		if model, ok := snapshot.Models[name]; ok {
+			limits = model.Limits
+		}
+	}
+	workspaces := make(map[string]admission.Workspace, len(snapshot.Workspaces))
+	for name, workspace := range snapshot.Workspaces {
+		workspaces[name] = admission.Workspace{Weight: workspace.Weight, MaxInFlight: workspace.MaxInFlight}
+	}
+	return admission.Config{Limits: admissionLimits(limits), Workspaces: workspaces}
+}
+
+func (p *Process) shards(service string) int {
+	snapshot := p.snapshot.Load()
+	if snapshot == nil {
+		return 0
+	}
+	return snapshot.Services[service].Shards
+}
+
+// load describes the endpoint for reports.
+func (p *Process) load() membership.Load {
+	load := membership.Load{Load: p.pbLoad()}
+	if p.settings.Service != "" {
+		load.Services = []string{p.settings.Service}
+		load.Shards = p.ownedShards()
+	}
+	if p.weights != nil {
+		load.Serving = p.serving.served()
+		load.Progress = p.weights.progress()
+		load.Models = p.settings.Models
+		load.WeightsMemory = p.settings.WeightsMemoryMB * megabyte
+	}
+	return load
+}
+
+func (p *Process) ownedShards() map[string]*laburnumgwv1.ShardList {
+	lists := make(map[string]*laburnumgwv1.ShardList)
+	for _, id := range p.journal.Owned() {
+		if lists[id.Service] == nil {
+			lists[id.Service] = &laburnumgwv1.ShardList{}
+		}
+		lists[id.Service].Shards = append(lists[id.Service].Shards, uint32(id.Number))
+	}
+	return lists
+}
+
+func (p *Process) pbLoad() *laburnumgwv1.Load {
+	load := p.gate.Load()
+	return &laburnumgwv1.Load{
+		InFlight: int32(load.InFlight), Queued: int32(load.Queued), Limit: int32(load.Limit), Cold: load.Cold,
+		Leaving: load.Leaving || p.leaving.Load(), ServiceTimeUs: load.ServiceTime.Microseconds(),
+	}
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (p *Process) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", p.settings.Listen)
+	if err != nil {
+		return fmt.Errorf("listen on --listen %s: %w", p.settings.Listen, err)
+	}
+	failed := make(chan error, 3)
+	go func() { failed <- p.grpc.Serve(listener) }()
+	if p.weights != nil {
+		go serveHTTP(p.settings.WeightsListen, "weights-listen", p.weights.handler(), failed)
+	}
+	if p.settings.Metrics != "" {
+		go serveHTTP(p.settings.Metrics, "metrics-listen", telemetry.Handler(p.metrics.set), failed)
+	}
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.configs.Run(running)
+	go p.reporter.run(running)
+	if p.serving != nil {
+		go p.serving.run(running)
+	}
+	p.log.Info("endpoint process started", zap.String("vm", p.settings.VM), zap.String("zone", p.settings.Zone), zap.String("listen", p.settings.Listen))
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	return p.stop()
+}
+
+func serveHTTP(address, flag string, handler http.Handler, failed chan<- error) {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		failed <- fmt.Errorf("listen on --%s %s: %w", flag, address, err)
+	}
+}
+
+// stop tells the entries that the process leaves, finishes what runs, and hands over
+// the journal.
+func (p *Process) stop() error {
+	p.log.Info("endpoint process is leaving")
+	p.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.StopTimeout)
+	defer cancel()
+	p.reporter.leave(ctx)
+	drainErr := p.gate.Drain(ctx)
+	journalErr := p.journal.Close(ctx)
+	time.Sleep(stopReportTime)
+	stopped := make(chan struct{})
+	go func() {
+		p.grpc.GracefulStop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(time.Second):
+		p.grpc.Stop()
+	}
+	p.conns.Close()
+	p.log.Info("endpoint process stopped", zap.Error(drainErr), zap.NamedError("journal_error", journalErr))
+	return errors.Join(drainErr, journalErr)
+}
--- /dev/null
+++ b/endpoint/origin.go
@@ -0,0 +1,97 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/weights"
+)
+
+// defaultRateLimitWait applies when a 429 answer has no usable Retry-After.
+const defaultRateLimitWait = time.Second
+
+// rateLimitedError is returned when the weight store asks to come back later.
+type rateLimitedError struct {
+	retryAfter time.Duration
+}
+
+// Error implements error.
+func (e *rateLimitedError) Error() string {
+	return fmt.Sprintf("weight store is rate limited; retry after %s", e.retryAfter)
+}
+
+// originClient reads chunks from the weight store by byte range.
+type originClient struct {
+	base string
+	http *http.Client
+	link *rate.Limiter
+}
+
+func newOriginClient(base string, link *rate.Limiter) *originClient {
+	return &originClient{base: base, http: &http.Client{}, link: link}
+}
+
+// chunk returns the bytes that the store has at the place of a chunk. They are not
+// verified yet: the store may hold another version by now.
+func (o *originClient) chunk(ctx context.Context, m *weights.Manifest, index int, progress func()) ([]byte, error) {
+	target := fmt.Sprintf("%s/v1/weights/%s/%s", o.base, url.PathEscape(m.Model), url.PathEscape(m.Version))
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, fmt.Errorf("build weight request: %w", err)
+	}
+	start := int64(index) * m.ChunkSize
+	length := m.ChunkLen(index)
+	request.Header.Set("Range", fmt.Sprintf("bytes=%d-%d", start, start+length-1))
+	response, err := o.http.Do(request)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Unavailable, "check the weight store", "weight store does not answer")
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusPartialContent, http.StatusOK:
+	case http.StatusTooManyRequests:
+		return nil, &rateLimitedError{retryAfter: retryAfter(response.Header)}
+	default:
+		return nil, errkind.New(errkind.Unavailable, "check that the version is in the weight store",
+			"weight store answered status %d", response.StatusCode)
+	}
+	return readLimited(ctx, response.Body, length, o.link, progress)
+}
+
+func retryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return defaultRateLimitWait
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// pieceBytes is the unit in which chunks are read and sent.
+const pieceBytes = 256 << 10
+
+var errShort = errors.New("chunk ended early")
+
+// readLimited reads exactly length bytes at the rate of the link's share.
+func readLimited(ctx context.Context, r io.Reader, length int64, link *rate.Limiter, progress func()) ([]byte, error) {
+	data := make([]byte, length)
+	for start := int64(0); start < length; start += pieceBytes {
+		part := data[start:min(length, start+pieceBytes)]
+		if err := link.WaitN(ctx, len(part)); err != nil {
+			return nil, fmt.Errorf("wait for the link: %w", err)
+		}
+		if _, err := io.ReadFull(r, part); err != nil {
+			return nil, fmt.Errorf("%w: %w", errShort, err)
+		}
+		progress()
+	}
+	return data, nil
+}
--- /dev/null
+++ b/endpoint/peer.go
@@ -0,0 +1,81 @@
+package endpoint
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/mtls"
+	"laburnumgw/lib/swarm"
+	"laburnumgw/lib/weights"
+)
+
+// peerServer serves chunks to other endpoint processes.
+type peerServer struct {
+	laburnumgwv1.UnimplementedPeerServer
+	weights *weightManager
+}
+
+// Exchange implements the Peer service.
+func (p *peerServer) Exchange(ctx context.Context, request *laburnumgwv1.ExchangeRequest) (*laburnumgwv1.ExchangeResponse, error) {
+	d, from, err := p.find(ctx, request.GetVersionDigest())
+	if err != nil {
+		return nil, err
+	}
+	bitmap, err := weights.ParseBitmap(request.GetBitmap(), len(d.replica.Manifest().Chunks))
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	d.post(swarm.BitmapReceived{From: from, Bitmap: bitmap})
+	return &laburnumgwv1.ExchangeResponse{Bitmap: d.replica.Bitmap().Bytes()}, nil
+}
+
+// GetChunk implements the Peer service.
+func (p *peerServer) GetChunk(request *laburnumgwv1.GetChunkRequest, stream laburnumgwv1.Peer_GetChunkServer) error {
+	d, from, err := p.find(stream.Context(), request.GetVersionDigest())
+	if err != nil {
+		return err
+	}
+	index := int(request.GetChunk())
+	if index >= len(d.replica.Manifest().Chunks) {
+		return status.Errorf(codes.InvalidArgument, "chunk %d does not exist", index)
+	}
+	done, err := d.requestUpload(stream.Context(), from, index)
+	if err != nil {
+		return err
+	}
+	defer done()
+	data, err := d.replica.Chunk(index)
+	if err != nil {
+		return status.Error(codes.NotFound, err.Error())
+	}
+	link := d.transfer.links.upload
+	for start := 0; start < len(data); start += pieceBytes {
+		piece := data[start:min(len(data), start+pieceBytes)]
+		if err := link.WaitN(stream.Context(), len(piece)); err != nil {
+			return status.FromContextError(err).Err()
+		}
+		if err := stream.Send(&laburnumgwv1.ChunkPiece{Data: piece}); err != nil {
+			return err
+		}
+		d.transfer.metrics.uploadedBytes.Add(len(piece))
+	}
+	return nil
+}
+
+func (p *peerServer) find(ctx context.Context, digest string) (*distribution, string, error) {
+	identity, err := mtls.PeerIdentity(ctx)
+	if err != nil {
+		return nil, "", status.Error(codes.Unauthenticated, err.Error())
+	}
+	if p.weights == nil {
+		return nil, "", status.Error(codes.NotFound, "this endpoint process holds no weights")
+	}
+	d, ok := p.weights.distribution(digest)
+	if !ok {
+		return nil, "", status.Errorf(codes.NotFound, "version %s is not held here", digest)
+	}
+	return d, identity.VM, nil
+}
--- /dev/null
+++ b/endpoint/serve.go
@@ -0,0 +1,291 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/admission"
+	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/journal"
+)
+
+// refusedRetryAfter is when a caller may try again after a refusal that passes soon.
+const refusedRetryAfter = time.Second
+
+// weightsState tells which verified weights the engine serves.
+type weightsState interface {
+	// use returns the version that the engine serves for a model and a function that
+	// ends the use. The engine does not change the version while it is in use.
+	use(model string) (version servedVersion, done func(), ok bool)
+}
+
+// servedVersion is a version that the engine serves.
+type servedVersion struct {
+	digest      string
+	fingerprint string
+}
+
+// server serves the Endpoint service: the only way for work to the endpoint.
+type server struct {
+	laburnumgwv1.UnimplementedEndpointServer
+	vm             string
+	zone           string
+	service        string
+	serviceTimeout time.Duration
+	gate           *admission.Gate
+	journal        *journal.Journal
+	backend        *backend
+	weights        weightsState
+	zones          *zoneState
+	metrics        *endpointMetrics
+	log            *zap.Logger
+	loadOf         func() *laburnumgwv1.Load
+}
+
+// zoneState tells whether the own availability zone is in service.
+type zoneState struct{ out atomic.Bool }
+
+// frames writes the frames of one attempt.
+type frames struct {
+	stream  laburnumgwv1.Endpoint_ServeServer
+	id      string
+	attempt uint32
+	digest  string
+	replay  bool
+	loadOf  func() *laburnumgwv1.Load
+}
+
+func (f *frames) header(status int, contentType string) error {
+	return f.stream.Send(&laburnumgwv1.ServeResponse{
+		RequestId: f.id, Attempt: f.attempt, Load: f.loadOf(),
+		Frame: &laburnumgwv1.ServeResponse_Header{Header: &laburnumgwv1.Header{
+			HttpStatus: int32(status), ContentType: contentType, VersionDigest: f.digest, Replayed: f.replay,
+		}},
+	})
+}
+
+func (f *frames) data(payload []byte) error {
+	return f.stream.Send(&laburnumgwv1.ServeResponse{
+		RequestId: f.id, Attempt: f.attempt, Frame: &laburnumgwv1.ServeResponse_Data{Data: payload},
+	})
+}
+
+func (f *frames) final(r result) error {
+	return f.stream.Send(&laburnumgwv1.ServeResponse{
+		RequestId: f.id, Attempt: f.attempt, Load: f.loadOf(),
+		Frame: &laburnumgwv1.ServeResponse_Final{Final: &laburnumgwv1.Final{
+			Outcome: r.outcome, TotalBytes: r.totalBytes, Checksum: r.checksum, ErrorKind: string(r.kind),
+			Message: r.message, RetryAfterMs: r.retryAfter.Milliseconds(), Tokens: r.tokens,
+		}},
+	})
+}
+
+// Serve implements the Endpoint service.
+func (s *server) Serve(request *laburnumgwv1.ServeRequest, stream laburnumgwv1.Endpoint_ServeServer) error {
+	out := &frames{stream: stream, id: request.GetRequestId(), attempt: request.GetAttempt(), loadOf: s.loadOf}
+	started := time.Now()
+	r := s.run(stream.Context(), request, out)
+	s.metrics.attempt(r.outcome, started)
+	s.log.Info("attempt ended", zap.String("request", out.id), zap.Uint32("attempt", out.attempt),
+		zap.String("workspace", request.GetWorkspace()), zap.Stringer("outcome", r.outcome),
+		zap.String("kind", string(r.kind)), zap.String("message", r.message), zap.Duration("duration", time.Since(started)))
+	return out.final(r)
+}
+
+func (s *server) run(ctx context.Context, request *laburnumgwv1.ServeRequest, out *frames) result {
+	if s.zones.out.Load() {
+		return refusal("availability zone %s is out of service", s.zone)
+	}
+	deadline := time.Now().Add(time.Duration(request.GetDeadlineMs()) * time.Millisecond)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	c := call{
+		requestID: request.GetRequestId(), workspace: request.GetWorkspace(), method: request.GetMethod(), path: request.GetPath(),
+		contentType: request.GetContentType(), body: request.GetBody(), idempotencyKey: request.GetIdempotencyKey(),
+		priority: request.GetPriority(), resumeTokens: request.GetResumeTokens(),
+	}
+	if request.GetModel() != "" {
+		return s.runModel(ctx, request, c, deadline, out)
+	}
+	if s.service == "" || request.GetService() != s.service {
+		return refusal("endpoint %s does not offer service %q", s.vm, request.GetService())
+	}
+	if request.GetIdempotent() {
+		return s.admitted(ctx, request, deadline, func() result { return s.backend.run(ctx, c, out) })
+	}
+	return s.runOnce(ctx, request, c, deadline, out)
+}
+
+func refusal(format string, args ...any) result {
+	return notRun(errkind.New(errkind.NotRun, "repeat the request; another endpoint can take it", format, args...).
+		WithRetryAfter(refusedRetryAfter))
+}
+
+func (s *server) runModel(ctx context.Context, request *laburnumgwv1.ServeRequest, c call, deadline time.Time, out *frames) result {
+	if s.weights == nil {
+		return refusal("endpoint %s serves no models", s.vm)
+	}
+	return s.admitted(ctx, request, deadline, func() result {
+		version, done, ok := s.weights.use(request.GetModel())
+		if !ok {
+			return refusal("model %q is not whole on endpoint %s", request.GetModel(), s.vm)
+		}
+		defer done()
+		if wanted := request.GetVersionDigest(); wanted != "" && wanted != version.digest {
+			return refusal("endpoint %s serves version %s, not %s", s.vm, version.digest, wanted)
+		}
+		c.engine = true
+		c.fingerprint = version.fingerprint
+		out.digest = version.digest
+		return s.backend.run(ctx, c, out)
+	})
+}
+
+// admitted runs a request when the endpoint can take it.
+func (s *server) admitted(ctx context.Context, request *laburnumgwv1.ServeRequest, deadline time.Time, run func() result) result {
+	kind := admission.Idempotent
+	if !request.GetIdempotent() {
+		kind = admission.NonIdempotent
+	}
+	release, err := s.gate.Acquire(ctx, admission.Request{
+		ID: request.GetRequestId(), Workspace: request.GetWorkspace(), Priority: request.GetPriority(), Deadline: deadline, Kind: kind,
+	})
+	if err != nil {
+		return notRun(err)
+	}
+	r := run()
+	release(admissionResult(ctx, r))
+	return r
+}
+
+func admissionResult(ctx context.Context, r result) admission.Result {
+	switch r.outcome {
+	case laburnumgwv1.Outcome_OUTCOME_COMPLETE:
+		return admission.Succeeded
+	case laburnumgwv1.Outcome_OUTCOME_NOT_RUN, laburnumgwv1.Outcome_OUTCOME_IN_PROGRESS:
+		return admission.Abandoned
+	default:
+		if ctx.Err() != nil {
+			return admission.Abandoned
+		}
+		return admission.Failed
+	}
+}
+
+// runOnce runs a non-idempotent request at most once. The run goes on when the
+// caller leaves, because its outcome has to be recorded.
+func (s *server) runOnce(ctx context.Context, request *laburnumgwv1.ServeRequest, c call, deadline time.Time, out *frames) result {
+	return s.admitted(ctx, request, deadline, func() result {
+		if c.idempotencyKey == "" {
+			runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.serviceTimeout)
+			defer cancel()
+			return s.backend.run(runCtx, c, out)
+		}
+		key := journal.Key{Workspace: c.workspace, Service: s.service, IdempotencyKey: c.idempotencyKey}
+		ticket, replay, err := s.journal.Begin(ctx, key, bodyDigest(c))
+		switch {
+		case err != nil:
+			return journalResult(err)
+		case replay != nil:
+			return s.replay(replay, out)
+		}
+		return s.runTicket(ctx, ticket, c, out)
+	})
+}
+
+// bodyDigest covers all that makes two requests with the same key different.
+func bodyDigest(c call) journal.Digest {
+	var whole []byte
+	for _, part := range []string{c.method, c.path} {
+		whole = append(whole, part...)
+		whole = append(whole, 0)
+	}
+	return journal.DigestOf(append(whole, c.body...))
+}
+
+func journalResult(err error) result {
+	r := notRun(err)
+	r.kind = errkind.Of(err)
+	switch r.kind {
+	case errkind.InProgress:
+		r.outcome = laburnumgwv1.Outcome_OUTCOME_IN_PROGRESS
+	case errkind.OutcomeUnknown, errkind.KeyExpired:
+		r.outcome = laburnumgwv1.Outcome_OUTCOME_UNKNOWN
+	case errkind.KeyReused, errkind.KeyMissing, errkind.NotFound:
+		r.outcome = laburnumgwv1.Outcome_OUTCOME_FAILED
+	case errkind.NotRun:
+	default:
+		r.outcome = laburnumgwv1.Outcome_OUTCOME_UNKNOWN
+		r.kind = errkind.OutcomeUnknown
+	}
+	return r
+}
+
+// collected holds a response until it is whole.
+type collected struct {
+	status      int
+	contentType string
+	body        []byte
+}
+
+func (c *collected) header(status int, contentType string) error {
+	c.status = status
+	c.contentType = contentType
+	return nil
+}
+
+func (c *collected) data(payload []byte) error {
+	c.body = append(c.body, payload...)
+	return nil
+}
+
+func (s *server) runTicket(ctx context.Context, ticket *journal.Ticket, c call, out *frames) result {
+	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.serviceTimeout)
+	defer cancel()
+	var answer collected
+	r := s.backend.run(runCtx, c, &answer)
+	switch r.outcome {
+	case laburnumgwv1.Outcome_OUTCOME_COMPLETE:
+		ticket.Complete(journal.Answer{Status: answer.status, ContentType: answer.contentType, Body: answer.body})
+	case laburnumgwv1.Outcome_OUTCOME_NOT_RUN:
+		ticket.NotStarted()
+		return r
+	default:
+		ticket.Unknown()
+		return r
+	}
+	return send(out, answer.status, answer.contentType, answer.body)
+}
+
+// replay sends a recorded answer again.
+func (s *server) replay(recorded *journal.Replay, out *frames) result {
+	s.metrics.replays.Inc()
+	if recorded.Omitted {
+		return unknown("the request ran once and was answered with status %d; its body of %d bytes was too large to record, read the result from the service",
+			recorded.Status, recorded.Size)
+	}
+	out.replay = true
+	return send(out, recorded.Status, recorded.ContentType, recorded.Body)
+}
+
+// errSend marks a response that could not be sent to the entry.
+var errSend = errors.New("entry left before the response was sent")
+
+func send(out sink, status int, contentType string, body []byte) result {
+	if err := out.header(status, contentType); err != nil {
+		return unknown("%v: %v", errSend, err)
+	}
+	sum := &counter{out: out, digest: xxhash.New()}
+	for start := 0; start < len(body); start += dataFrameBytes {
+		if err := sum.data(body[start:min(len(body), start+dataFrameBytes)]); err != nil {
+			return unknown("%v: %v", errSend, err)
+		}
+	}
+	return sum.result(status)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"laburnumgw/lib/mtls"
+	"laburnumgw/lib/platform"
+	"laburnumgw/lib/retry"
+	"laburnumgw/lib/rpc"
+)
+
+// readHeaderTimeout bounds how long a caller may take to send the headers.
+const readHeaderTimeout = 10 * time.Second
+
+// Process is a running entry.
+type Process struct {
+	settings *Settings
+	control  *control
+	frontend *frontend
+	grpc     *grpc.Server
+	conns    *rpc.Pool
+	log      *zap.Logger
+}
+
+// New assembles an entry.
+func New(s *Settings, keys *mtls.Keys, conns *rpc.Pool, store platform.Store, log *zap.Logger) (*Process, error) {
+	metrics := newEntryMetrics()
+	r, err := newRoutes(s, metrics, log)
+	if err != nil {
+		return nil, err
+	}
+	d := newDispatcher(r, conns, metrics, log)
+	c := newControl(s, conns, store, r, d, metrics, log)
+	return &Process{
+		settings: s, control: c, frontend: newFrontend(c, d, metrics, log),
+		grpc: newGRPCServer(keys, c, r), conns: conns, log: log,
+	}, nil
+}
+
+func newDispatcher(r *routes, conns *rpc.Pool, metrics *entryMetrics, log *zap.Logger) *dispatcher {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	budget := retry.NewBudget(retry.BudgetSettings{})
+	return &dispatcher{
+		routes: r, conns: conns, metrics: metrics, log: log,
+		planner: retry.NewPlanner(retry.Settings{}, budget, rng), budget: budget,
+		attempts: make(map[string]map[*runningAttempt]struct{}),
+	}
+}
+
+// Run serves until the context ends, then stops gracefully: it tells the balancer and
+// the other processes, still takes requests for a while, and finishes all of them.
+func (p *Process) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", p.settings.Listen)
+	if err != nil {
+		return fmt.Errorf("listen on --listen %s: %w", p.settings.Listen, err)
+	}
+	server := &http.Server{Addr: p.settings.HTTPListen, Handler: p.frontend.handler(), ReadHeaderTimeout: readHeaderTimeout}
+	failed := make(chan error, 2)
+	go func() { failed <- p.grpc.Serve(listener) }()
+	go func() {
+		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			failed <- fmt.Errorf("listen on --http-listen %s: %w", p.settings.HTTPListen, err)
+		}
+	}()
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.control.run(running)
+	p.log.Info("entry started", zap.String("vm", p.settings.VM), zap.String("zone", p.settings.Zone),
+		zap.String("listen", p.settings.Listen), zap.String("http", p.settings.HTTPListen))
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	return p.stop(server)
+}
+
+func (p *Process) stop(server *http.Server) error {
+	p.log.Info("entry is leaving", zap.Duration("leave_wait", p.settings.LeaveWait))
+	p.frontend.leaving.Store(true)
+	p.control.members.leave()
+	time.Sleep(p.settings.LeaveWait)
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.StopTimeout)
+	defer cancel()
+	err := server.Shutdown(ctx)
+	p.grpc.Stop()
+	p.conns.Close()
+	if err != nil {
+		return fmt.Errorf("requests still run after %s: %w", p.settings.StopTimeout, err)
+	}
+	p.log.Info("entry stopped")
+	return nil
+}
--- /dev/null
+++ b/entry/http.go
@@ -0,0 +1,211 @@
+package entry
+
+import (
+	"crypto/rand"
+	"errors"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/urfave/negroni/v3"
+	"go.uber.org/zap"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/telemetry"
+)
+
+// frontend serves callers over HTTP.
+type frontend struct {
+	control    *control
+	dispatcher *dispatcher
+	metrics    *entryMetrics
+	log        *zap.Logger
+	leaving    atomic.Bool
+}
+
+func newFrontend(c *control, d *dispatcher, metrics *entryMetrics, log *zap.Logger) *frontend {
+	return &frontend{control: c, dispatcher: d, metrics: metrics, log: log}
+}
+
+// handler returns the HTTP handler with its middleware.
+func (f *frontend) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", f.health)
+	mux.Handle("GET /metrics", telemetry.Handler(f.metrics.set))
+	mux.HandleFunc("/", f.serve)
+	stack := negroni.New()
+	recovery := negroni.NewRecovery()
+	recovery.PrintStack = false
+	recovery.Logger = zapPrinter{f.log}
+	stack.Use(recovery)
+	stack.UseHandler(mux)
+	return stack
+}
+
+// zapPrinter writes what negroni prints to the structured log.
+type zapPrinter struct{ log *zap.Logger }
+
+// Println implements negroni.ALogger.
+func (z zapPrinter) Println(v ...any) { z.log.Sugar().Error(v...) }
+
+// Printf implements negroni.ALogger.
+func (z zapPrinter) Printf(format string, v ...any) { z.log.Sugar().Errorf(format, v...) }
+
+// health answers the balancer. A leaving entry fails the check but still serves.
+func (f *frontend) health(w http.ResponseWriter, _ *http.Request) {
+	if f.leaving.Load() || !f.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (f *frontend) ready() bool {
+	return f.control.current.Load() != nil && f.control.configs.Ready()
+}
+
+func (f *frontend) serve(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	id := rand.Text()
+	kind := f.answer(w, r, id, started)
+	f.metrics.answer(kind)
+	f.metrics.duration.UpdateDuration(started)
+}
+
+// answer serves one request and returns the kind of its error, or "".
+func (f *frontend) answer(w http.ResponseWriter, r *http.Request, id string, started time.Time) errkind.Kind {
+	current := f.control.current.Load()
+	if current == nil || !f.ready() {
+		err := errkind.New(errkind.NotRun, "repeat the request on another entry", "this entry has no configuration yet").
+			WithRetryAfter(time.Second)
+		writeError(w, id, err)
+		return err.Kind
+	}
+	parsed, err := parseRequest(r, id, current.snapshot, started)
+	if err != nil {
+		writeError(w, id, err)
+		return errkind.Of(err)
+	}
+	out := &httpResponder{w: w, id: id, limit: maxResponseBytes, started: started, metrics: f.metrics}
+	err = f.dispatcher.run(r.Context(), parsed, current.generation, out)
+	if err == nil {
+		return ""
+	}
+	f.log.Warn("request failed", zap.String("request", id), zap.String("workspace", parsed.workspace),
+		zap.String("kind", string(errkind.Of(err))), zap.Error(err))
+	out.fail(err)
+	return errkind.Of(err)
+}
+
+// maxResponseBytes bounds a response that is held until it is whole.
+const maxResponseBytes = 16 << 20
+
+// httpResponder relays a response to the caller. An event stream is relayed event by
+// event, its last event only after the final frame was checked. Any other response
+// is held until it is whole.
+type httpResponder struct {
+	w       http.ResponseWriter
+	id      string
+	limit   int
+	started time.Time
+	metrics *entryMetrics
+
+	headed    bool
+	streaming bool
+	first     *laburnumgwv1.Header
+	current   *laburnumgwv1.Header
+	held      []byte
+	bytes     int64
+	tokens    int64
+}
+
+var (
+	errVersionChanged = errors.New("resumed stream comes from another version")
+	errNotAStream     = errors.New("resumed response is not an event stream")
+)
+
+const doneEvent = "data: [DONE]"
+
+// header implements responder.
+func (h *httpResponder) header(header *laburnumgwv1.Header) error {
+	stream := strings.HasPrefix(header.GetContentType(), "text/event-stream") && header.GetHttpStatus() == http.StatusOK
+	if h.headed && !stream {
+		return errNotAStream
+	}
+	if h.headed && h.first.GetVersionDigest() != header.GetVersionDigest() {
+		return errVersionChanged
+	}
+	h.streaming = stream
+	h.current = header
+	h.held = nil
+	return nil
+}
+
+// data implements responder.
+func (h *httpResponder) data(payload []byte) error {
+	if h.streaming && !strings.HasPrefix(string(payload), doneEvent) {
+		return h.relay(payload)
+	}
+	if len(h.held)+len(payload) > h.limit {
+		return errkind.New(errkind.TooLarge, "ask for a smaller response", "response exceeds %d bytes", h.limit)
+	}
+	h.held = append(h.held, payload...)
+	return nil
+}
+
+func (h *httpResponder) relay(event []byte) error {
+	if !h.headed {
+		h.writeHeader()
+	}
+	n, err := h.w.Write(event)
+	h.bytes += int64(n)
+	if err != nil {
+		return err
+	}
+	h.tokens++
+	return http.NewResponseController(h.w).Flush()
+}
+
+func (h *httpResponder) writeHeader() {
+	h.headed = true
+	h.first = h.current
+	h.metrics.firstByte.UpdateDuration(h.started)
+	header := h.w.Header()
+	header.Set(headerRequestID, h.id)
+	if contentType := h.current.GetContentType(); contentType != "" {
+		header.Set("Content-Type", contentType)
+	}
+	if digest := h.current.GetVersionDigest(); digest != "" {
+		header.Set("X-Model-Version", digest)
+	}
+	if h.current.GetReplayed() {
+		header.Set("Idempotent-Replayed", "true")
+	}
+	h.w.WriteHeader(int(h.current.GetHttpStatus()))
+}
+
+// relayed implements responder.
+func (h *httpResponder) relayed() (int64, int64) { return h.bytes, h.tokens }
+
+// complete implements responder.
+func (h *httpResponder) complete() error {
+	if !h.headed {
+		h.writeHeader()
+	}
+	_, err := h.w.Write(h.held)
+	if err != nil {
+		return err
+	}
+	return http.NewResponseController(h.w).Flush()
+}
+
+// fail sends the final answer of a request without a complete response.
+func (h *httpResponder) fail(err error) {
+	if h.headed {
+		writeErrorEvent(h.w, h.id, err)
+		return
+	}
+	writeError(h.w, h.id, err)
+}
--- a/entry/members.go
+++ b/entry/members.go
@@ -23,7 +23,7 @@
 	// memberChanged is called for each event in order.
 	memberChanged(event membership.Event)
 	// generationSeen is called when another process names its configuration generation.
-	generationSeen(address string, generation uint64)
+	generationSeen(peer membership.Peer, generation uint64)
 }
 
 // members drives the membership state machine of an entry.
@@ -72,6 +72,9 @@
 	wait := m.machine.Next() - m.clock()
 	m.mu.Unlock()
 	for _, event := range out.Events {
+		if event.Kind == membership.EndpointAlive {
+			m.announce(event.VM)
+		}
 		m.log.Info("membership changed", zap.Stringer("event", event.Kind), zap.String("vm", event.VM),
 			zap.Duration("silent", event.Silent))
 		m.observer.memberChanged(event)
@@ -101,7 +104,17 @@
 	m.machine.GossipResult(m.clock(), send.To.VM, response)
 	m.mu.Unlock()
 	if response != nil {
-		m.observer.generationSeen(send.To.Address, response.GetConfigGeneration())
+		m.observer.generationSeen(send.To, response.GetConfigGeneration())
+	}
+}
+
+// announce hands over an endpoint that may be known from gossip and a probe only.
+func (m *members) announce(vm string) {
+	m.mu.Lock()
+	view, ok := m.machine.Endpoint(vm)
+	m.mu.Unlock()
+	if ok && view.Report != nil {
+		m.observer.endpointReported(view)
 	}
 }
 
@@ -137,11 +150,37 @@
 func (m *members) gossip(request *laburnumgwv1.GossipRequest) *laburnumgwv1.GossipResponse {
 	m.mu.Lock()
 	response := m.machine.Gossip(m.clock(), request)
+	peer, ok := m.entry(request.GetFrom().GetVm())
 	m.mu.Unlock()
-	m.observer.generationSeen(request.GetFrom().GetAddress(), request.GetConfigGeneration())
+	if ok {
+		m.observer.generationSeen(peer, request.GetConfigGeneration())
+	}
 	return response
 }
 
+// entry returns a known entry. The caller holds the lock.
+func (m *members) entry(vm string) (membership.Peer, bool) {
+	for view := range m.machine.Entries {
+		if view.VM == vm {
+			return view.Peer, true
+		}
+	}
+	return membership.Peer{}, false
+}
+
+func (m *members) joined() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.machine.Joined()
+}
+
+// platformVMs applies the platform's lagging list of VMs.
+func (m *members) platformVMs(list []membership.VM) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.machine.Platform(m.clock(), list)
+}
+
 func (m *members) setGeneration(generation uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -185,8 +186,7 @@
 // owner returns the endpoint that is to run a request under its idempotency key.
 // All entries agree on one endpoint when none has claimed the shard yet.
 func (t *routes) owner(r *request) (vm string, known bool) {
-	key := journal.Key{Workspace: r.workspace, Service: r.service, IdempotencyKey: r.idempotencyKey}
-	shard := journal.ShardOf(r.service, key, r.shards)
+	shard := journal.ShardOf(r.service, r.idempotencyKey, r.shards)
 	if owner, ok := t.owners[shardKey{r.service, uint32(shard)}]; ok && t.usable(owner) {
 		return owner, true
 	}
@@ -196,13 +196,12 @@
 			members = append(members, member)
 		}
 	}
-	return rendezvous.Best(journal.ShardName(r.service, shard), members), false
+	return rendezvous.Best(fmt.Sprintf("%s/%d", r.service, shard), members), false
 }
 
 // usable reports whether an endpoint may get new work. The caller holds the lock.
 func (t *routes) usable(vm string) bool {
-	status, ok := t.table.StatusOf(vm)
-	return ok && status.Available
+	return t.table.Available(vm)
 }
 
 func (t *routes) sent(decision routing.Decision, r *request, number uint32) routing.Attempt {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -121,8 +121,7 @@
 	}
 	f := &Fleet{options: options, keys: keys}
 	if err := f.startAll(); err != nil {
-		f.Stop()
-		return nil, err
+		return nil, errors.Join(err, f.Stop())
 	}
 	return f, nil
 }
@@ -158,10 +157,13 @@
 	for i := range listen {
 		listen[i] = next()
 	}
-	f.seeds = listen
 	for i := range listen {
 		zone := f.options.Zones[i%len(f.options.Zones)]
-		name := fmt.Sprintf("entry-%s-%d", zone.Name, i/len(f.options.Zones)+1)
+		f.seeds = append(f.seeds, fmt.Sprintf("%s@%s/%s=%s", entryName(zone, i/len(f.options.Zones)+1), zone.Region, zone.Name, listen[i]))
+	}
+	for i := range listen {
+		zone := f.options.Zones[i%len(f.options.Zones)]
+		name := entryName(zone, i/len(f.options.Zones)+1)
 		p, err := f.NewProcess(name, zone, mtls.RoleEntry, listen[i])
 		if err != nil {
 			return err
@@ -176,6 +178,8 @@
 	return nil
 }
 
+func entryName(zone Zone, number int) string { return fmt.Sprintf("entry-%s-%d", zone.Name, number) }
+
 func (f *Fleet) startModels(next func() string) error {
 	o := f.options
 	for i := range o.Models {
@@ -191,7 +195,7 @@
 			return err
 		}
 		p.args = append(p.args,
-			"--engine="+engine.HTTP, "--model="+o.Model, "--origin="+f.Origin.HTTP, "--weights-listen="+next(),
+			"--engine="+engine.HTTP, "--model="+o.Model, "--origin="+f.Origin.HTTP, "--home-region="+o.Zones[0].Region, "--weights-listen="+next(),
 			fmt.Sprintf("--weights-memory-mb=%d", o.WeightsMemoryMB))
 		if err := p.Start(); err != nil {
 			return err
@@ -325,7 +329,8 @@
 	if err := p.command.Process.Kill(); err != nil {
 		return fmt.Errorf("kill %s: %w", p.Name, err)
 	}
-	<-p.done
+	err := <-p.done
+	p.done <- err
 	return nil
 }
 
--- /dev/null
+++ b/lib/configsync/driver/driver.go
@@ -0,0 +1,252 @@
+// Package driver runs the configsync state machine: it sends its calls to other
+// processes and to the platform and hands the bundle in force to the role.
+package driver
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/configsync"
+	"laburnumgw/lib/membership"
+	"laburnumgw/lib/rpc"
+)
+
+const (
+	// minTick bounds how often the loop runs.
+	minTick = 10 * time.Millisecond
+	// platformTimeout bounds one read of the whole configuration.
+	platformTimeout = 10 * time.Second
+)
+
+// Platform is the part of the platform that propagation needs.
+type Platform interface {
+	// Read returns the accepted configuration. Parts that have names in common with
+	// the bundle already held are not read again.
+	Read(ctx context.Context, have *laburnumgwv1.ConfigBundle) (configsync.ReadResult, error)
+	// Watch waits for a change after a version.
+	Watch(ctx context.Context, after int64) (changed bool, version int64, err error)
+	// WriteBack writes a newer bundle to a platform that shows an older one.
+	WriteBack(ctx context.Context, write configsync.WriteBack) error
+}
+
+// Observer learns of configurations.
+type Observer interface {
+	// Act switches to a bundle. An error keeps the bundle before it.
+	Act(bundle *laburnumgwv1.ConfigBundle) error
+	// Alarm is called for events that operators need to see.
+	Alarm(alarm configsync.Alarm)
+}
+
+// Driver is safe for concurrent use.
+type Driver struct {
+	conns    *rpc.Pool
+	platform Platform
+	observer Observer
+	log      *zap.Logger
+	started  time.Time
+	wake     chan struct{}
+
+	mu        sync.Mutex
+	node      *configsync.Node
+	stopWatch context.CancelFunc
+}
+
+// New returns a driver. Platform is nil for processes that never watch it.
+func New(self membership.Self, role configsync.Role, seeds []configsync.Peer, conns *rpc.Pool, platform Platform, observer Observer, log *zap.Logger) *Driver {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Driver{
+		conns: conns, platform: platform, observer: observer, log: log, started: time.Now(),
+		wake: make(chan struct{}, 1),
+		node: configsync.NewNode(self, role, seeds, 0, rng),
+	}
+}
+
+func (d *Driver) clock() time.Duration { return time.Since(d.started) }
+
+// update runs a change of the state machine and makes the loop look at it.
+func (d *Driver) update(change func(now time.Duration)) {
+	d.mu.Lock()
+	change(d.clock())
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run drives the state machine until the context ends.
+func (d *Driver) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-d.wake:
+		}
+		timer.Reset(d.tick(ctx))
+	}
+}
+
+func (d *Driver) tick(ctx context.Context) time.Duration {
+	d.mu.Lock()
+	out := d.node.Tick(d.clock())
+	wait := d.node.Next() - d.clock()
+	d.mu.Unlock()
+	if out.Act != nil {
+		d.act(out.Act)
+	}
+	for _, alarm := range out.Alarms {
+		d.log.Error("configuration alarm", zap.Stringer("kind", alarm.Kind), zap.String("source", alarm.Source),
+			zap.Uint64("generation", alarm.Generation), zap.Uint64("own_generation", alarm.Own))
+		d.observer.Alarm(alarm)
+	}
+	for _, pull := range out.Pulls {
+		go d.pull(ctx, pull)
+	}
+	for _, push := range out.Pushes {
+		go d.push(ctx, push)
+	}
+	d.platformCalls(ctx, out)
+	return max(minTick, wait)
+}
+
+func (d *Driver) act(bundle *laburnumgwv1.ConfigBundle) {
+	if err := d.observer.Act(bundle); err != nil {
+		d.log.Error("configuration not applied", zap.Uint64("generation", bundle.GetGeneration()), zap.Error(err))
+		return
+	}
+	d.log.Info("configuration in force", zap.Uint64("generation", bundle.GetGeneration()),
+		zap.String("digest", bundle.GetDigest()), zap.Int("placements", len(bundle.GetPlacements())))
+}
+
+func (d *Driver) pull(ctx context.Context, pull configsync.Pull) {
+	ctx, cancel := context.WithTimeout(ctx, configsync.PullTimeout)
+	defer cancel()
+	var bundle *laburnumgwv1.ConfigBundle
+	conn, err := d.conns.Conn(pull.To.Address)
+	if err == nil {
+		bundle, err = laburnumgwv1.NewNodeClient(conn).GetConfig(ctx, pull.Request)
+	}
+	if err != nil {
+		d.log.Debug("configuration pull failed", zap.String("from", pull.To.Address), zap.Error(err))
+		bundle = nil
+	}
+	d.update(func(now time.Duration) { d.node.PullResult(now, pull, bundle) })
+}
+
+func (d *Driver) push(ctx context.Context, push configsync.Push) {
+	ctx, cancel := context.WithTimeout(ctx, configsync.CallTimeout)
+	defer cancel()
+	var response *laburnumgwv1.PushConfigResponse
+	conn, err := d.conns.Conn(push.To.Address)
+	if err == nil {
+		response, err = laburnumgwv1.NewNodeClient(conn).PushConfig(ctx, push.Bundle)
+	}
+	if err != nil {
+		response = nil
+	}
+	d.update(func(now time.Duration) { d.node.PushResult(now, push, response) })
+}
+
+func (d *Driver) platformCalls(ctx context.Context, out configsync.Output) {
+	if out.StopWatch && d.stopWatch != nil {
+		d.stopWatch()
+		d.stopWatch = nil
+	}
+	if d.platform == nil {
+		return
+	}
+	if out.Read {
+		go d.read(ctx)
+	}
+	if out.WriteBack != nil {
+		go d.writeBack(ctx, *out.WriteBack)
+	}
+	if out.Watch != nil {
+		watchCtx, cancel := context.WithCancel(ctx)
+		d.stopWatch = cancel
+		go d.watch(watchCtx, *out.Watch)
+	}
+}
+
+func (d *Driver) read(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	result, err := d.platform.Read(ctx, d.Current())
+	if err != nil {
+		d.log.Warn("platform read failed", zap.Error(err))
+	}
+	d.update(func(now time.Duration) { d.node.ReadResult(now, result, err) })
+}
+
+func (d *Driver) watch(ctx context.Context, watch configsync.Watch) {
+	changed, version, err := d.platform.Watch(ctx, watch.After)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		d.log.Warn("platform watch failed", zap.Error(err))
+	}
+	d.update(func(now time.Duration) { d.node.WatchResult(now, changed, version, err) })
+}
+
+func (d *Driver) writeBack(ctx context.Context, write configsync.WriteBack) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	err := d.platform.WriteBack(ctx, write)
+	d.log.Warn("wrote the newer configuration back to the platform", zap.Uint64("generation", write.Bundle.GetGeneration()), zap.Error(err))
+	d.update(func(now time.Duration) { d.node.WriteBackResult(now, err) })
+}
+
+// Heard notes the generation that another process named.
+func (d *Driver) Heard(peer configsync.Peer, generation uint64) {
+	d.update(func(now time.Duration) { d.node.Heard(now, peer, generation) })
+}
+
+// SetMembers tells which entries are alive.
+func (d *Driver) SetMembers(joined bool, entries []configsync.Peer) {
+	d.update(func(now time.Duration) { d.node.SetMembers(now, joined, entries) })
+}
+
+// Push handles a PushConfig call; from is empty for operators.
+func (d *Driver) Push(from configsync.Peer, bundle *laburnumgwv1.ConfigBundle) *laburnumgwv1.PushConfigResponse {
+	var response *laburnumgwv1.PushConfigResponse
+	d.update(func(now time.Duration) { response = d.node.Push(now, from, bundle) })
+	return response
+}
+
+// Get handles a GetConfig call.
+func (d *Driver) Get(request *laburnumgwv1.GetConfigRequest) *laburnumgwv1.ConfigBundle {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Get(request)
+}
+
+// Ready reports whether the process has a configuration that is as new as its
+// neighbours' and may serve.
+func (d *Driver) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Ready()
+}
+
+// Watcher reports whether this process watches the platform for its zone.
+func (d *Driver) Watcher() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Watcher()
+}
+
+// Current returns the bundle in force, or nil.
+func (d *Driver) Current() *laburnumgwv1.ConfigBundle {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.node.Current()
+}
--- a/lib/membership/endpoint.go
+++ b/lib/membership/endpoint.go
@@ -53,6 +53,10 @@
 	Services []string
 	Progress []*pb.WeightProgress
 	Shards   map[string]*pb.ShardList
+	// Models lists the models that the endpoint may be assigned, and WeightsMemory its
+	// memory for them in bytes.
+	Models        []string
+	WeightsMemory int64
 }
 
 // Endpoint is the membership state machine of an endpoint process.
@@ -291,6 +295,8 @@
 	request.Services = p.load.Services
 	request.Progress = p.load.Progress
 	request.Shards = p.load.Shards
+	request.Models = p.load.Models
+	request.WeightsMemory = p.load.WeightsMemory
 	return ReportSend{To: t.peer, Request: request}
 }
 
--- a/lib/membership/static.go
+++ b/lib/membership/static.go
@@ -14,6 +14,8 @@
 func sameStatic(a, b Load) bool {
 	return maps.Equal(a.Serving, b.Serving) &&
 		slices.Equal(a.Services, b.Services) &&
+		slices.Equal(a.Models, b.Models) &&
+		a.WeightsMemory == b.WeightsMemory &&
 		slices.Equal(a.Load.GetModelVersions(), b.Load.GetModelVersions()) &&
 		slices.EqualFunc(a.Progress, b.Progress, sameProgress) &&
 		maps.EqualFunc(a.Shards, b.Shards, func(x, y *pb.ShardList) bool { return proto.Equal(x, y) })
--- a/lib/retry/plan.go
+++ b/lib/retry/plan.go
@@ -223,3 +223,8 @@
 func (s *State) giveUp(cause string) Next {
 	return Next{Action: Answer, Err: s.finalError(cause)}
 }
+
+// Configure replaces the largest number of attempts and keeps everything else.
+func (p *Planner) Configure(maxAttempts int) {
+	p.settings.MaxAttempts = cmp.Or(maxAttempts, DefaultMaxAttempts)
+}
--- a/lib/settings/settings.go
+++ b/lib/settings/settings.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/membership"
 	"laburnumgw/lib/mtls"
 )
 
@@ -20,7 +21,7 @@
 	Zone     string   `long:"zone" env:"LABURNUMGW_ZONE" description:"availability zone of this VM"`
 	Region   string   `long:"region" env:"LABURNUMGW_REGION" description:"region of the availability zone"`
 	Listen   string   `long:"listen" env:"LABURNUMGW_LISTEN" description:"IP:port for the system's other processes"`
-	Seeds    []string `long:"seed" env:"LABURNUMGW_SEEDS" env-delim:"," description:"IP:port of an entry to join through; repeat for several"`
+	Seeds    []string `long:"seed" env:"LABURNUMGW_SEEDS" env-delim:"," description:"entry to join through, VM@REGION/ZONE=IP:port; repeat for several"`
 	Platform string   `long:"platform" env:"LABURNUMGW_PLATFORM" description:"URL of the platform's object API"`
 	LogLevel string   `long:"log-level" env:"LABURNUMGW_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
 	Metrics  string   `long:"metrics-listen" env:"LABURNUMGW_METRICS_LISTEN" description:"IP:port for metrics; empty for none"`
@@ -34,6 +35,38 @@
 	return mtls.Files{Cert: p.TLSCert, Key: p.TLSKey, CA: p.TLSCA}
 }
 
+// SeedPeers returns the entries to join through, the own process left out. The
+// settings must have passed their checks.
+func (p *Process) SeedPeers() []membership.Peer {
+	var peers []membership.Peer
+	for _, seed := range p.Seeds {
+		peer, err := parseSeed(seed)
+		if err == nil && peer.VM != p.VM {
+			peers = append(peers, peer)
+		}
+	}
+	return peers
+}
+
+func parseSeed(text string) (membership.Peer, error) {
+	name, address, ok := strings.Cut(text, "=")
+	if !ok {
+		return membership.Peer{}, errors.New("has no '='")
+	}
+	vm, place, ok := strings.Cut(name, "@")
+	if !ok {
+		return membership.Peer{}, errors.New("has no '@'")
+	}
+	region, zone, ok := strings.Cut(place, "/")
+	if !ok || vm == "" || region == "" || zone == "" {
+		return membership.Peer{}, errors.New("does not name VM, region and zone")
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return membership.Peer{}, fmt.Errorf("address: %w", err)
+	}
+	return membership.Peer{VM: vm, Region: region, Zone: zone, Address: address}, nil
+}
+
 // Checker collects the problems of settings.
 type Checker struct {
 	problems []error
@@ -100,7 +133,9 @@
 	c.Name("region", p.Region)
 	c.Address("listen", p.Listen)
 	for _, seed := range p.Seeds {
-		c.Address("seed", seed)
+		if _, err := parseSeed(seed); err != nil {
+			c.Addf("seed", "use VM@REGION/ZONE=IP:port such as entry-1@north/a=127.0.0.1:7100", "%q: %v", seed, err)
+		}
 	}
 	if p.Metrics != "" {
 		c.Address("metrics-listen", p.Metrics)
@@ -121,4 +156,3 @@
 
 // Err returns all problems as one error, or nil.
 func (c *Checker) Err() error { return errors.Join(c.problems...) }
-
