Open a new connection for each request to an endpoint

Cause: net/http repeats requests with an Idempotency-Key on reused connections. Ruled out: dropping the header (services may need it) and clearing GetBody (a request without a body is still repeated). Conclusion: a new loopback connection per request removes the repeat.

--- a/endpoint/backend.go
+++ b/endpoint/backend.go
@@ -96,7 +96,7 @@
 // net/http repeats a request with an Idempotency-Key on its own when a reused
 // connection breaks, which could run a non-idempotent request twice.
 func newBackend(base string) *backend {
-	transport := &http.Transport{DisableKeepAlives: false, MaxResponseHeaderBytes: 64 << 10}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: 64 << 10}
 	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &backend{base: base, http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
 }
