Keep models and memory when a compact report arrives

Cause: the merge of a compact report dropped the two values that were added to full reports, so a placement lost its VMs between full reports. Ruled out: the placer; it wrote what membership showed (0, 1, 2 VMs in turn).

--- a/lib/membership/endpoints.go
+++ b/lib/membership/endpoints.go
@@ -129,6 +129,7 @@
 		Load: mergeLoad(old.GetLoad(), request.GetLoad()), ConfigGeneration: request.GetConfigGeneration(),
 		Serving: old.GetServing(), Services: old.GetServices(),
 		Progress: old.GetProgress(), Shards: old.GetShards(),
+		Models: old.GetModels(), WeightsMemory: old.GetWeightsMemory(),
 	}
 }
 
