--- /dev/null
+++ b/lib/journal/history_test.go
@@ -0,0 +1,159 @@
+package journal
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const (
+	histories       = 10_000
+	historyActions  = 300
+	historyKeys     = 4
+	historyVMs      = 3
+	settleSteps     = 4000
+	settleStepWidth = 25 * time.Millisecond
+)
+
+// act performs one random action of a history.
+func (w *world) act() {
+	p := w.processes[w.random.IntN(len(w.processes))]
+	if p.shard.Released() {
+		w.start(p)
+	}
+	switch n := w.random.IntN(1000); {
+	case n < 500:
+		w.step(p)
+	case n < 620:
+		w.call()
+	case n < 720:
+		w.now = w.now.Add(time.Duration(w.random.IntN(200)) * time.Millisecond)
+	case n < 740:
+		w.now = w.now.Add(time.Duration(w.random.IntN(7000)) * time.Millisecond)
+	case n < 820:
+		if a := w.pick(attemptGranted); a != nil {
+			w.run(a)
+		}
+	case n < 880:
+		if a := w.pick(attemptRunning); a != nil {
+			w.finish(a)
+		}
+	case n < 895:
+		if a := w.pick(attemptWaiting); a != nil {
+			w.leave(a)
+		}
+	case n < 910:
+		w.kill(p)
+	case n < 925:
+		p.pausedUntil = w.now.Add(time.Duration(1+w.random.IntN(10)) * time.Second)
+		w.log("%s: paused", p.name)
+	case n < 940:
+		w.outage = w.random.IntN(4) == 0
+		w.faults = []int{0, 0, 10, 40}[w.random.IntN(4)]
+	case n < 943:
+		w.releaseOf(p)
+	case n < 955:
+		w.copies = append(w.copies, w.store.Copy())
+	case n < 985:
+		if len(w.copies) > 0 {
+			w.restore()
+		}
+	default:
+		if len(w.late) > 0 {
+			w.counts["late call"]++
+			apply(w.store, w.late[0])
+			w.late = w.late[1:]
+		}
+	}
+}
+
+func (w *world) releaseOf(p *process) {
+	if w.paused(p) {
+		return
+	}
+	w.log("%s: leaves", p.name)
+	w.counts["release"]++
+	for _, r := range p.shard.Release() {
+		w.reply(p, r)
+	}
+}
+
+// settle ends all faults and requires that every call is decided and that a new key
+// can run, so that safety is not reached by refusing everything.
+func (w *world) settle() {
+	w.faults = 0
+	w.outage = false
+	w.late = nil
+	for _, p := range w.processes {
+		p.pausedUntil = time.Time{}
+	}
+	fresh := &keyModel{name: "fresh"}
+	for i := range settleSteps {
+		w.now = w.now.Add(settleStepWidth)
+		p := w.processes[i%len(w.processes)]
+		for range 3 {
+			w.step(p)
+		}
+		if p.shard.Released() {
+			w.kill(p)
+		}
+		if a := w.pick(attemptGranted); a != nil {
+			w.run(a)
+		}
+		if a := w.pick(attemptRunning); a != nil {
+			w.finish(a)
+		}
+		if fresh.runs > 0 && w.pick(attemptWaiting) == nil {
+			return
+		}
+		if fresh.runs == 0 && i%40 == 0 {
+			w.begin(w.processes[0], fresh, "a")
+		}
+	}
+	w.fail("calls are still waiting or a new key does not run after all faults ended")
+}
+
+func history(seed uint64) *world {
+	w := newWorld(seed, historyVMs, historyKeys)
+	for range historyActions {
+		w.act()
+		if w.failed != "" {
+			return w
+		}
+	}
+	w.settle()
+	return w
+}
+
+// Guards against a key that runs twice, a replay that differs from the first answer,
+// answers crossed between keys, and replies to callers that do not wait, under lost
+// responses, outages, kills, pauses, takeovers, releases and restores.
+func TestRandomHistories(t *testing.T) {
+	Convey("Random fault histories agree with the model", t, func() {
+		counts := map[string]int{}
+		failures := 0
+		for seed := range uint64(histories) {
+			w := history(seed)
+			for name, n := range w.counts {
+				counts[name] += n
+			}
+			if w.failed == "" {
+				continue
+			}
+			failures++
+			if failures <= 3 {
+				fmt.Printf("\nseed %d: %s\n%s\n", seed, w.failed, strings.Join(w.trace, "\n"))
+			}
+		}
+		fmt.Printf("\n%d of %d histories violate the model\n", failures, histories)
+		for _, name := range slices.Sorted(maps.Keys(counts)) {
+			fmt.Printf("%-50s %d\n", name, counts[name])
+		}
+		So(failures, ShouldEqual, 0)
+	})
+}
--- /dev/null
+++ b/lib/journal/world_test.go
@@ -0,0 +1,389 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/platform"
+)
+
+// world is a seeded history of several processes over one platform with faults, and
+// the model that judges it. Each process performs its platform calls in two steps, so
+// that everything else can happen before a call takes effect and before its result
+// arrives.
+type world struct {
+	random    *rand.Rand
+	now       time.Time
+	store     *platform.Memory
+	processes []*process
+	attempts  []*attempt
+	keys      []*keyModel
+	waiters   uint64
+	// late holds calls of killed processes that may still reach the platform.
+	late   []*Op
+	copies []platform.Copy
+	// faults is the percentage of platform calls that fail.
+	faults int
+	outage bool
+	trace  []string
+	failed string
+	counts map[string]int
+}
+
+// keyModel is what the model knows about one key.
+type keyModel struct {
+	name   string
+	runs   int
+	body   string
+	answer string
+}
+
+type process struct {
+	name        string
+	incarnation int
+	shard       *Shard
+	pausedUntil time.Time
+	op          *Op
+	result      *Result
+}
+
+type attemptState string
+
+const (
+	attemptWaiting attemptState = "waiting"
+	attemptGranted attemptState = "granted"
+	attemptRunning attemptState = "running"
+	attemptOver    attemptState = "over"
+)
+
+type attempt struct {
+	waiter  uint64
+	number  uint64
+	process *process
+	shard   *Shard
+	key     *keyModel
+	body    string
+	state   attemptState
+}
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newWorld(seed uint64, processes, keys int) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 7)), now: epoch, store: platform.NewMemory(), counts: map[string]int{},
+	}
+	w.store.Inject = w.inject
+	for i := range processes {
+		p := &process{name: fmt.Sprintf("vm-%d", i)}
+		w.processes = append(w.processes, p)
+		w.start(p)
+	}
+	for i := range keys {
+		w.keys = append(w.keys, &keyModel{name: fmt.Sprintf("key-%d", i)})
+	}
+	return w
+}
+
+func (w *world) start(p *process) {
+	p.incarnation++
+	p.shard = NewShard(Identity{VM: p.name, Incarnation: fmt.Sprint(p.incarnation)}, "booking", 0)
+	p.op = nil
+	p.result = nil
+	p.pausedUntil = time.Time{}
+}
+
+func (w *world) inject(verb, _ string) platform.Fault {
+	if w.outage {
+		return platform.FaultUnavailable
+	}
+	if w.random.IntN(100) >= w.faults {
+		return platform.NoFault
+	}
+	w.counts["platform fault"]++
+	if verb == "get" || verb == "list" {
+		return platform.FaultUnavailable
+	}
+	return []platform.Fault{
+		platform.FaultUnavailable, platform.FaultLostAnswer, platform.FaultLostRequest,
+	}[w.random.IntN(3)]
+}
+
+func (w *world) log(format string, args ...any) {
+	w.trace = append(w.trace, fmt.Sprintf("%8s ", w.now.Sub(epoch))+fmt.Sprintf(format, args...))
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.log(format, args...)
+	if w.failed == "" {
+		w.failed = fmt.Sprintf(format, args...)
+	}
+}
+
+func (w *world) key(k *keyModel) Key { return Key{"shelfwatch", "booking", k.name} }
+
+func (w *world) paused(p *process) bool { return w.now.Before(p.pausedUntil) }
+
+func (w *world) begin(p *process, k *keyModel, body string) *attempt {
+	w.waiters++
+	a := &attempt{waiter: w.waiters, process: p, shard: p.shard, key: k, body: body, state: attemptWaiting}
+	w.attempts = append(w.attempts, a)
+	w.log("%s: call %d begins %s with body %s", p.name, a.waiter, k.name, body)
+	w.reply(p, p.shard.Begin(Call{a.waiter, w.key(k), DigestOf([]byte(body))}, w.now))
+	return a
+}
+
+// reply checks one reply against the model.
+func (w *world) reply(p *process, r Reply) {
+	if r.Kind == Waiting {
+		return
+	}
+	var a *attempt
+	for _, candidate := range w.attempts {
+		if candidate.waiter == r.Waiter {
+			a = candidate
+		}
+	}
+	if a == nil || a.state != attemptWaiting || a.shard != p.shard {
+		w.fail("reply %+v to a call that does not wait", r)
+		return
+	}
+	a.state = attemptOver
+	w.counts[fmt.Sprint("reply ", r.Kind, " ", kindOf(r))]++
+	switch r.Kind {
+	case Granted:
+		a.state = attemptGranted
+		a.number = r.Attempt
+		w.log("%s: call %d granted", p.name, a.waiter)
+	case Replayed:
+		w.log("%s: call %d gets %q", p.name, a.waiter, r.Replay.Body)
+		if a.key.answer == "" || string(r.Replay.Body) != a.key.answer {
+			w.fail("replay %q of %s, first answer %q", r.Replay.Body, a.key.name, a.key.answer)
+		}
+		if a.body != a.key.body {
+			w.fail("replay to body %s, the request that ran had %s", a.body, a.key.body)
+		}
+	default:
+		w.log("%s: call %d refused: %v", p.name, a.waiter, r.Err)
+		if r.Err.Kind == errkind.NotRun && r.Err.RetryAfter <= 0 {
+			w.fail("not run without a time to retry")
+		}
+	}
+}
+
+func kindOf(r Reply) errkind.Kind {
+	if r.Err == nil {
+		return ""
+	}
+	return r.Err.Kind
+}
+
+// step moves one process: it issues, performs or finishes a platform call.
+func (w *world) step(p *process) {
+	switch {
+	case p.op != nil && p.result == nil:
+		w.perform(p)
+	case w.paused(p):
+	case p.result != nil:
+		result := *p.result
+		p.op = nil
+		p.result = nil
+		for _, r := range p.shard.Done(result, w.now) {
+			w.reply(p, r)
+		}
+	default:
+		p.op, _ = p.shard.Next(w.now)
+	}
+}
+
+func (w *world) perform(p *process) {
+	result := apply(w.store, p.op)
+	p.result = &result
+	w.log("%s: op %d on %s version %d: object version %d, %v",
+		p.name, p.op.Kind, p.op.Key, p.op.Version, result.Object.Version, result.Err)
+}
+
+func apply(store platform.Store, op *Op) Result {
+	var r Result
+	ctx := context.Background()
+	switch op.Kind {
+	case OpGet:
+		r.Object, r.Err = store.Get(ctx, op.Key)
+	case OpList:
+		r.Objects, _, r.Err = store.List(ctx, op.Key)
+	case OpCreate:
+		r.Object, r.Err = store.Create(ctx, op.Key, op.Value)
+	case OpUpdate:
+		r.Object, r.Err = store.Update(ctx, op.Key, op.Value, op.Version)
+	case OpDelete:
+		r.Err = store.Delete(ctx, op.Key, op.Version)
+	}
+	return r
+}
+
+// kill ends a process at any point and starts its successor on the same VM.
+func (w *world) kill(p *process) {
+	w.log("%s: killed", p.name)
+	if p.op != nil && p.result == nil && w.random.IntN(2) == 0 {
+		w.late = append(w.late, p.op)
+	}
+	for _, rec := range p.shard.records.byKey {
+		w.counts[fmt.Sprint("killed with a key in state ", rec.state)]++
+	}
+	for _, a := range w.attempts {
+		if a.shard == p.shard {
+			a.state = attemptOver
+		}
+	}
+	w.start(p)
+}
+
+// run starts a granted attempt, or returns it unused.
+func (w *world) run(a *attempt) {
+	if w.random.IntN(4) == 0 {
+		w.log("%s: call %d not started", a.process.name, a.waiter)
+		a.state = attemptOver
+		a.shard.NotStarted(w.key(a.key), a.number, w.now)
+		w.counts["not started"]++
+		return
+	}
+	a.state = attemptRunning
+	a.key.runs++
+	a.key.body = a.body
+	w.counts["run"]++
+	w.log("%s: call %d runs %s", a.process.name, a.waiter, a.key.name)
+	if a.key.runs > 1 {
+		w.fail("%s ran twice", a.key.name)
+	}
+}
+
+func (w *world) finish(a *attempt) {
+	a.state = attemptOver
+	if w.random.IntN(5) == 0 {
+		w.log("%s: call %d lost", a.process.name, a.waiter)
+		a.shard.Unknown(w.key(a.key), a.number)
+		return
+	}
+	a.key.answer = fmt.Sprintf("%s answered to call %d", a.key.name, a.waiter)
+	w.log("%s: call %d completes", a.process.name, a.waiter)
+	a.shard.Complete(w.key(a.key), a.number, Answer{Status: 200, Body: []byte(a.key.answer)}, w.now)
+}
+
+func (w *world) leave(a *attempt) {
+	w.log("%s: call %d leaves", a.process.name, a.waiter)
+	a.state = attemptOver
+	if !a.shard.Leave(a.waiter, w.key(a.key)) {
+		w.fail("call %d waited without a place", a.waiter)
+	}
+}
+
+// restore brings back an older copy while the owner lives. The package's limits
+// exclude some cases: a process that observes the head as the copy shows it, another
+// process that believes that it owns the shard, and calls that are still on their way.
+func (w *world) restore() {
+	from := w.copies[w.random.IntN(len(w.copies))]
+	owner := w.owner()
+	if owner == nil || len(w.late) > 0 || w.paused(owner) || w.outage || w.hidden(from, owner) {
+		return
+	}
+	w.log("platform restored")
+	w.counts["restore"]++
+	w.store.Restore(from)
+	// The owner stays up until it has written its records back.
+	faults := w.faults
+	w.faults = min(faults, 10)
+	for range 400 {
+		w.now = w.now.Add(time.Duration(w.random.IntN(50)) * time.Millisecond)
+		w.step(owner)
+		w.step(owner)
+		w.step(owner)
+		w.step(w.processes[w.random.IntN(len(w.processes))])
+		if w.random.IntN(10) == 0 {
+			w.call()
+		}
+		if w.current(owner) {
+			w.faults = faults
+			return
+		}
+	}
+	w.fail("the owner did not write its records back after a restore")
+}
+
+func (w *world) owner() *process {
+	for _, p := range w.processes {
+		if w.current(p) {
+			return p
+		}
+	}
+	return nil
+}
+
+// current reports whether the platform shows the process's last confirmed write.
+func (w *world) current(p *process) bool {
+	object, ok := w.peek()
+	if !ok || !p.shard.Owned() || p.shard.releasing {
+		return false
+	}
+	h, err := decodeHead(object)
+	return err == nil && h.sameWrite(p.shard.sync.head) && object.Version == p.shard.sync.version
+}
+
+func (w *world) peek() (platform.Object, bool) {
+	inject := w.store.Inject
+	w.store.Inject = nil
+	defer func() { w.store.Inject = inject }()
+	object, err := w.store.Get(context.Background(), "journal/booking/0/head")
+	return object, err == nil
+}
+
+// hidden reports whether another process could mistake the copy for the present.
+func (w *world) hidden(from platform.Copy, owner *process) bool {
+	copied := platform.NewMemory()
+	copied.Restore(from)
+	object, err := copied.Get(context.Background(), "journal/booking/0/head")
+	h, _ := decodeHead(object)
+	for _, p := range w.processes {
+		if p == owner {
+			continue
+		}
+		y := &p.shard.sync
+		if p.shard.Owned() || y.open != nil || y.load != nil || p.op != nil {
+			return true
+		}
+		o := y.observed
+		recent := w.now.Sub(o.last) <= 2*pollInterval
+		if recent && o.exists == (err == nil) && o.head.sameOwner(h) && o.head.Batch <= h.Batch {
+			return true
+		}
+	}
+	return false
+}
+
+// call repeats a random key through a random process.
+func (w *world) call() {
+	p := w.processes[w.random.IntN(len(w.processes))]
+	if w.paused(p) {
+		return
+	}
+	k := w.keys[w.random.IntN(len(w.keys))]
+	body := "a"
+	if w.random.IntN(10) == 0 {
+		body = "b"
+	}
+	w.begin(p, k, body)
+}
+
+func (w *world) pick(state attemptState) *attempt {
+	var found []*attempt
+	for _, a := range w.attempts {
+		if a.state == state && !w.paused(a.process) {
+			found = append(found, a)
+		}
+	}
+	if len(found) == 0 {
+		return nil
+	}
+	return found[w.random.IntN(len(found))]
+}
--- a/lib/platform/memory.go
+++ b/lib/platform/memory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -176,6 +177,31 @@
 	return err
 }
 
+// Copy is the state of a Memory store at one moment.
+type Copy struct {
+	objects map[string]Object
+	version int64
+}
+
+// Copy returns the current state for a later Restore.
+func (m *Memory) Copy() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Copy{objects: maps.Clone(m.objects), version: m.version}
+}
+
+// Restore brings back an older state. Versions go back too, and watches must start
+// again because the events since the copy are gone.
+func (m *Memory) Restore(from Copy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.objects = maps.Clone(from.objects)
+	m.version = from.version
+	m.events = nil
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 func (m *Memory) put(key string, value []byte) Object {
 	m.version++
 	object := Object{Key: key, Value: slices.Clone(value), Version: m.version}
