--- a/lib/journal/history_test.go
+++ b/lib/journal/history_test.go
@@ -18,6 +18,9 @@
 	historyVMs      = 3
 	settleSteps     = 4000
 	settleStepWidth = 25 * time.Millisecond
+	restStep        = 200 * time.Millisecond
+	// firstTakeover is long enough for the first process to take the shard.
+	firstTakeover = 4 * time.Second
 )
 
 // act performs one random action of a history.
@@ -32,9 +35,11 @@
 	case n < 620:
 		w.call()
 	case n < 720:
-		w.now = w.now.Add(time.Duration(w.random.IntN(200)) * time.Millisecond)
+		w.now = w.now.Add(time.Duration(w.random.IntN(100)) * time.Millisecond)
+	case n < 737:
+		w.rest(time.Duration(w.random.IntN(7000)) * time.Millisecond)
 	case n < 740:
-		w.now = w.now.Add(time.Duration(w.random.IntN(7000)) * time.Millisecond)
+		w.now = w.now.Add(time.Duration(w.random.IntN(10_000)) * time.Millisecond)
 	case n < 820:
 		if a := w.pick(attemptGranted); a != nil {
 			w.run(a)
@@ -83,6 +88,18 @@
 	}
 }
 
+// rest lets the processes perform their calls in time for a while.
+func (w *world) rest(duration time.Duration) {
+	for end := w.now.Add(duration); w.now.Before(end); {
+		w.now = w.now.Add(restStep)
+		for _, p := range w.processes {
+			w.step(p)
+			w.step(p)
+			w.step(p)
+		}
+	}
+}
+
 // settle ends all faults and requires that every call is decided and that a new key
 // can run, so that safety is not reached by refusing everything.
 func (w *world) settle() {
@@ -120,6 +137,8 @@
 
 func history(seed uint64) *world {
 	w := newWorld(seed, historyVMs, historyKeys)
+	w.call()
+	w.rest(firstTakeover)
 	for range historyActions {
 		w.act()
 		if w.failed != "" {
--- a/lib/journal/world_test.go
+++ b/lib/journal/world_test.go
@@ -283,7 +283,8 @@
 // exclude some cases: a process that observes the head as the copy shows it, another
 // process that believes that it owns the shard, and calls that are still on their way.
 func (w *world) restore() {
-	from := w.copies[w.random.IntN(len(w.copies))]
+	index := w.random.IntN(len(w.copies))
+	from := w.copies[index]
 	owner := w.owner()
 	if owner == nil || len(w.late) > 0 || w.paused(owner) || w.outage || w.hidden(from, owner) {
 		return
@@ -291,6 +292,9 @@
 	w.log("platform restored")
 	w.counts["restore"]++
 	w.store.Restore(from)
+	// Later copies are not older states of the platform any more: they hold other
+	// objects under the versions that the platform now issues again.
+	w.copies = w.copies[:index+1]
 	// The owner stays up until it has written its records back.
 	faults := w.faults
 	w.faults = min(faults, 10)
