--- /dev/null
+++ b/lib/journal/bounds_test.go
@@ -0,0 +1,231 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/platform"
+)
+
+// single returns a world without faults whose first process owns the shard.
+func single(processes int) *world {
+	w := newWorld(1, processes, 1)
+	w.processes[0].shard.Claim(w.now)
+	w.rest(firstTakeover)
+	return w
+}
+
+// serve begins a key, lets the process work and returns the attempt.
+func (w *world) serve(p *process, name string) *attempt {
+	a := w.begin(p, &keyModel{name: name}, "a")
+	w.rest(restStep)
+	return a
+}
+
+func (w *world) writes() int64 {
+	calls := w.store.Calls()
+	return calls["create"] + calls["update"] + calls["delete"]
+}
+
+// Guards against a number of platform writes that grows with the number of requests.
+func TestWritePace(t *testing.T) {
+	for _, perStep := range []int{1, 10, 100} {
+		Convey(fmt.Sprintf("%d requests each 10 ms for 10 s", perStep), t, func() {
+			w := single(1)
+			p := w.processes[0]
+			before := w.writes()
+			start := w.now
+			for i := range 1000 {
+				w.now = w.now.Add(10 * time.Millisecond)
+				for j := range perStep {
+					w.begin(p, &keyModel{name: fmt.Sprintf("%d-%d", i, j)}, "a")
+				}
+				for range 6 {
+					w.step(p)
+				}
+				for _, a := range w.attempts {
+					if a.state == attemptGranted {
+						a.state = attemptOver
+						p.shard.Complete(w.key(a.key), a.number, Answer{Status: 200}, w.now)
+					}
+				}
+				w.attempts = w.attempts[len(w.attempts)/2:]
+			}
+			writes := w.writes() - before
+			allowed := int64(w.now.Sub(start)/commitInterval) + 1
+			fmt.Printf("\n%d requests: %d writes of one shard in %s, allowed %d\n", 1000*perStep, writes, w.now.Sub(start), allowed)
+			So(w.failed, ShouldEqual, "")
+			So(writes, ShouldBeLessThanOrEqualTo, allowed)
+			So(writes, ShouldBeGreaterThan, allowed/2)
+		})
+	}
+}
+
+// Guards against two processes that take a shard from each other with each request.
+func TestTakeoverWait(t *testing.T) {
+	Convey("Two live processes that get requests for one shard for 60 s", t, func() {
+		w := single(2)
+		before := w.processes[0].shard.sync.head.Epoch
+		for i := range 60 {
+			w.serve(w.processes[i%2], fmt.Sprint(i))
+			w.rest(time.Second - restStep)
+		}
+		object, _ := w.peek()
+		h, err := decodeHead(object)
+		So(err, ShouldBeNil)
+		fmt.Printf("\ntakeovers in 60 s: %d\n", h.Epoch-before)
+		So(h.Epoch-before, ShouldBeGreaterThan, 0)
+		So(h.Epoch-before, ShouldBeLessThanOrEqualTo, 60/5)
+	})
+}
+
+// Guards against a log and a memory that grow with requests that were not run.
+func TestLogOfVoidsIsBounded(t *testing.T) {
+	Convey("One key that is granted and not started 400,000 times", t, func() {
+		w := single(1)
+		p := w.processes[0]
+		for i := range 400_000 / 100 {
+			for j := range 100 {
+				w.begin(p, &keyModel{name: fmt.Sprint(i%7, j)}, "a")
+			}
+			w.rest(restStep)
+			for _, a := range w.attempts {
+				if a.state == attemptGranted {
+					p.shard.NotStarted(w.key(a.key), a.number, w.now)
+				}
+			}
+			w.attempts = nil
+			w.trace = nil
+			w.rest(restStep)
+		}
+		objects, _, err := w.store.List(context.Background(), "journal/")
+		So(err, ShouldBeNil)
+		bytes := 0
+		for _, object := range objects {
+			bytes += len(object.Value)
+		}
+		fmt.Printf("\n%d objects of %d bytes, %d records queued\n", len(objects), bytes, len(p.shard.records.order))
+		So(len(objects), ShouldBeLessThan, 600)
+		So(len(p.shard.records.order), ShouldBeLessThan, 1000)
+		So(w.failed, ShouldEqual, "")
+	})
+}
+
+// Guards against a void that is already part of a batch and lets another owner run a
+// key that runs here, and against a void that needs a write before the key runs again.
+func TestNotStartedThenRepeated(t *testing.T) {
+	Convey("A key that was not started", t, func() {
+		w := single(2)
+		p := w.processes[0]
+		k := &keyModel{name: "k"}
+		first := w.begin(p, k, "a")
+		w.rest(restStep)
+		p.shard.NotStarted(w.key(k), first.number, w.now)
+		first.state = attemptOver
+		Convey("is granted at once while its void is in no batch", func() {
+			writes := w.writes()
+			again := w.begin(p, k, "a")
+			So(again.state, ShouldEqual, attemptGranted)
+			So(w.writes(), ShouldEqual, writes)
+		})
+		Convey("needs a new intent when its void is in a batch", func() {
+			w.now = w.now.Add(commitInterval)
+			w.step(p)
+			So(p.op.Kind, ShouldEqual, OpUpdate)
+			So(w.begin(p, k, "a").state, ShouldEqual, attemptWaiting)
+		})
+		Convey("runs on another owner after the void is written", func() {
+			w.rest(restStep)
+			w.kill(p)
+			for range 40 {
+				if w.serve(w.processes[1], "other").state == attemptGranted {
+					break
+				}
+			}
+			again := w.begin(w.processes[1], k, "a")
+			w.rest(restStep)
+			So(again.state, ShouldEqual, attemptGranted)
+		})
+	})
+}
+
+// Guards against a batch that took effect although its response was lost, and that is
+// then replaced by a different batch with the same number.
+func TestLostResponse(t *testing.T) {
+	Convey("The response to an intent's write is lost, and another call arrives", t, func() {
+		w := single(1)
+		p := w.processes[0]
+		first := w.begin(p, w.keys[0], "a")
+		w.store.Inject = func(string, string) platform.Fault { return platform.FaultLostAnswer }
+		w.step(p)
+		w.step(p)
+		w.store.Inject = w.inject
+		second := w.begin(p, &keyModel{name: "second"}, "a")
+		w.rest(firstTakeover)
+		So(first.state, ShouldEqual, attemptGranted)
+		So(second.state, ShouldEqual, attemptGranted)
+		object, _ := w.peek()
+		h, err := decodeHead(object)
+		So(err, ShouldBeNil)
+		So(h.Open, ShouldHaveLength, 2)
+	})
+}
+
+// Guards against answers and keys that are kept too long or not long enough, and
+// against segments that are never deleted.
+func TestRetention(t *testing.T) {
+	Convey("An answer, a key and their segments", t, func() {
+		w := single(1)
+		p := w.processes[0]
+		k := &keyModel{name: "k"}
+		a := w.begin(p, k, "a")
+		w.rest(restStep)
+		w.run(a)
+		k.answer = "done"
+		a.state = attemptOver
+		body := make([]byte, maxInlineBytes)
+		p.shard.Complete(w.key(k), a.number, Answer{200, "text/plain", body}, w.now)
+		repeat := func() Reply {
+			return p.shard.Begin(Call{w.waiters + 1000, w.key(k), DigestOf([]byte("a"))}, w.now)
+		}
+		for i := range 20 {
+			extra := w.begin(p, &keyModel{name: fmt.Sprint(i)}, "a")
+			w.rest(4 * restStep)
+			So(extra.state, ShouldEqual, attemptGranted)
+			p.shard.Complete(w.key(extra.key), extra.number, Answer{200, "", body}, w.now)
+			w.rest(restStep)
+		}
+		start := w.now
+		So(len(p.shard.sync.segments), ShouldBeGreaterThan, 2)
+		w.now = start.Add(answerRetention - time.Minute)
+		So(repeat().Kind, ShouldEqual, Replayed)
+		w.now = start.Add(answerRetention)
+		So(repeat().Err.Kind, ShouldEqual, errkind.OutcomeUnknown)
+		w.now = start.Add(keyRetention)
+		So(repeat().Err.Kind, ShouldEqual, errkind.OutcomeUnknown)
+		w.now = start.Add(keyRetention + clockSlack + time.Minute)
+		w.serve(p, "new")
+		w.rest(firstTakeover)
+		So(len(p.shard.records.byKey), ShouldEqual, 1)
+		objects, _, err := w.store.List(context.Background(), "journal/booking/0/segment/")
+		So(err, ShouldBeNil)
+		So(len(objects), ShouldBeLessThanOrEqualTo, 1)
+	})
+	Convey("UUIDv7 keys older than the retention or from the future are refused", t, func() {
+		s := NewShard(Identity{}, "booking", 0)
+		begin := func(created time.Time) Reply {
+			millis := created.UnixMilli()
+			id := fmt.Sprintf("%08x-%04x-7abc-8abc-0123456789ab", millis>>16, millis&0xffff)
+			return s.Begin(Call{1, Key{"w", "booking", id}, Digest{}}, epoch)
+		}
+		So(begin(epoch).Kind, ShouldEqual, Waiting)
+		So(begin(epoch.Add(-keyRetention+time.Minute)).Kind, ShouldEqual, Waiting)
+		So(begin(epoch.Add(-keyRetention-time.Minute)).Err.Kind, ShouldEqual, errkind.KeyExpired)
+		So(begin(epoch.Add(clockSlack+time.Minute)).Err.Kind, ShouldEqual, errkind.KeyExpired)
+	})
+}
