Keep a batch unchanged until its outcome is known

Cause: a batch whose response was lost was taken apart and sent again with other entries under the same number, so reading the number back confirmed intents that were never written. Ruled out: comparing the content on reading back; the content would have to be kept unchanged all the same. Conclusion: the batch is repeated as it is.

--- a/lib/journal/ownership.go
+++ b/lib/journal/ownership.go
@@ -129,8 +129,10 @@
 	case answered(result.Err):
 		y.resolve = true
 		return s.contact(result.Err, now)
-	default:
+	case hadNoEffect(result.Err) && !b.unknown:
 		s.thaw(b)
+	default:
+		b.unknown = true
 	}
 	return s.contact(result.Err, now)
 }
--- a/lib/journal/shard.go
+++ b/lib/journal/shard.go
@@ -66,7 +66,9 @@
 	segments []closed
 	orphans  []closed
 	// create is set when the head does not exist.
-	create  bool
+	create bool
+	// unknown is set after a lost response: the write may have taken effect.
+	unknown bool
 	release bool
 	// expired lists the segments that the batch drops from the head.
 	expired []closed
--- a/lib/journal/sync.go
+++ b/lib/journal/sync.go
@@ -321,6 +321,13 @@
 		errors.Is(err, platform.ErrExists)
 }
 
+// hadNoEffect reports whether a write certainly did not take effect.
+func hadNoEffect(err error) bool {
+	var limited *platform.RateLimitError
+	var unavailable *platform.UnavailableError
+	return errors.As(err, &limited) || errors.As(err, &unavailable)
+}
+
 func decodeHead(object platform.Object) (head, error) {
 	var h head
 	if err := json.Unmarshal(object.Value, &h); err != nil {
