Forget an idle key when its void becomes part of a batch

Cause: a key that was not started was granted again under its old intent while its void was being written. After the void, another owner may run the key too. Ruled out: refusing the key until the void is written; a new intent in the next batch orders the log and costs no more writes. Conclusion: an old intent is reused only while its void is in no batch.

--- a/lib/journal/sync.go
+++ b/lib/journal/sync.go
@@ -265,6 +265,8 @@
 		case rec == nil:
 		case e.Kind == entryIntent && rec.state == stateQueued:
 			rec.state = stateCommitting
+		case e.Kind == entryVoid && rec.state == stateIdle:
+			s.records.forget(rec)
 		}
 	}
 	return cut
