Observe a head before taking over its shard

Cause: a process took a shard as soon as it saw a head of another owner, so two zones that cannot reach each other would take it from one another all the time. Ruled out: taking a released or absent head at once; after a restore such a head may belong to a live owner, which needs up to 2 s to notice. It waits 2.5 s.

--- a/lib/journal/journal.go
+++ b/lib/journal/journal.go
@@ -22,6 +22,11 @@
 	verifyInterval = 2 * time.Second
 	// pollInterval is the time between two reads of a head that another process owns.
 	pollInterval = time.Second
+	// takeoverWait is how long a process observes an owned head before it takes over.
+	takeoverWait = 5 * time.Second
+	// vacantWait is how long a process observes a released or absent head. It exceeds
+	// verifyInterval, so an owner whose head was restored writes it back first.
+	vacantWait = 2500 * time.Millisecond
 	// wantedPeriod is how long a process stays interested after a request or claim.
 	wantedPeriod = 10 * time.Second
 	// maxBackoff bounds the time between two attempts on a failing platform.
--- a/lib/journal/ownership.go
+++ b/lib/journal/ownership.go
@@ -61,9 +61,13 @@
 	return !o.exists || o.head.Owner == ""
 }
 
-// eligibleAt returns the time at which the process may take over the shard.
+// eligibleAt returns the time at which the process may take over the shard. A shard
+// is therefore not taken from a live owner more often than every takeoverWait.
 func (s *Shard) eligibleAt() time.Time {
-	return s.sync.observed.since
+	if s.vacant() {
+		return s.sync.observed.since.Add(vacantWait)
+	}
+	return s.sync.observed.since.Add(takeoverWait)
 }
 
 func (s *Shard) eligible(now time.Time) bool { return !now.Before(s.eligibleAt()) }
