Write the records back after the platform was restored

Cause: an owner that read an older head took it for the loss of its shard, and the records written after the copy were gone, so keys ran again. Ruled out: writing back only the open segment; closed segments may be missing too. Reusing old segment numbers; the restored platform may hold other content under them. All records go to new segments, then the head is replaced. Conclusion: the limits that remain are in the package comment: a restore that hides the last second from a takeover, and an owner cut off after a restore.

--- a/lib/journal/journal.go
+++ b/lib/journal/journal.go
@@ -5,6 +5,15 @@
 // Shard is the deterministic state machine of one shard. It takes events and a clock
 // value and returns the platform operations to perform. Journal is the adapter that
 // performs them.
+//
+// Limits. A platform restored from an older copy loses the records that were written
+// after the copy; only the live owner still has them in memory and writes them back.
+// The owner needs verifyInterval and access to the platform to notice a restore.
+// Another process waits longer than that before it takes a shard, but it cannot
+// detect a restore that hides writes of the last second while a takeover is under
+// way, nor one after which the owner is cut off from the platform for longer than
+// that wait. The number of shards of a service must not change within keyRetention,
+// because a key's records stay in the shard that it hashed to.
 package journal
 
 import (
--- a/lib/journal/ownership.go
+++ b/lib/journal/ownership.go
@@ -144,7 +144,7 @@
 // thaw takes back a batch that had no effect.
 func (s *Shard) thaw(b *batch) {
 	s.sync.open = nil
-	if b.loaded != nil {
+	if b.loaded != nil || b.rewrite {
 		return
 	}
 	var back []entry
@@ -176,6 +176,11 @@
 	case b.release:
 		s.status = statusReleased
 		return nil
+	case b.rewrite:
+		y.segments = y.rewritten
+		y.rewritten = nil
+		y.unconfirmed = nil
+		y.rewriting = false
 	default:
 		s.confirmSegments(b)
 	}
@@ -263,8 +268,11 @@
 			b.create = false
 		}
 		return nil
-	default:
+	case !missing && h.Epoch >= y.head.Epoch && !h.sameOwner(y.head):
 		return s.lose(h, now)
+	default:
+		s.restore(h, version, missing)
+		return nil
 	}
 }
 
@@ -293,10 +301,33 @@
 	return replies
 }
 
+// restore prepares to write the records in memory back to a platform that shows an
+// older state. The new segments get numbers that neither state has used.
+func (s *Shard) restore(h head, version int64, missing bool) {
+	y := &s.sync
+	if b := y.open; b != nil {
+		y.head.Batch = b.head.Batch
+		if !b.rewrite {
+			y.unconfirmed = append(y.unconfirmed, b.entries...)
+		}
+	}
+	y.open = nil
+	y.version = version
+	y.headMissing = missing
+	y.head.Batch = max(y.head.Batch, h.Batch)
+	y.head.Next = max(y.head.Next, h.Next)
+	y.rolled = nil
+	y.segments = nil
+	y.garbage = nil
+	y.rewriting = true
+	y.rewrite = s.records.dump()
+	y.rewritten = nil
+}
+
 // created takes the result of creating a segment. A number that exists already was
 // used by an owner whose update of the head failed, or by a write of this process
 // whose response was lost; it is skipped.
-func (s *Shard) created(result Result, now time.Time) []Reply {
+func (s *Shard) created(purpose step, result Result, now time.Time) []Reply {
 	y := &s.sync
 	if errors.Is(result.Err, platform.ErrExists) {
 		y.head.Next++
@@ -305,8 +336,15 @@
 	if result.Err != nil {
 		return s.contact(result.Err, now)
 	}
-	newest := newestOf(y.head.Open)
-	y.rolled = &closed{y.head.Next, result.Object.Key, result.Object.Version, newest}
+	c := closed{number: y.head.Next, key: result.Object.Key, version: result.Object.Version}
 	y.head.Next++
+	if purpose == stepRoll {
+		c.newest = newestOf(y.head.Open)
+		y.rolled = &c
+	} else {
+		c.newest = newestOf(y.rewrite[0])
+		y.rewritten = append(y.rewritten, c)
+		y.rewrite = y.rewrite[1:]
+	}
 	return s.contact(nil, now)
 }
--- a/lib/journal/records.go
+++ b/lib/journal/records.go
@@ -178,3 +178,28 @@
 	}
 	return []entry{{Kind: entryAnswer, Key: rec.key, At: rec.answeredAt, Answer: rec.answer}}
 }
+
+// dump returns the whole content as entries in parts of bounded size. Intents that are
+// in no batch yet are left out: they have not been written.
+func (r *records) dump() [][]entry {
+	var parts [][]entry
+	var part []entry
+	size := 0
+	for _, rec := range r.order {
+		if r.byKey[rec.key] != rec || rec.state == stateQueued {
+			continue
+		}
+		part = append(part, entry{Kind: entryIntent, Key: rec.key, Body: rec.body, At: rec.at})
+		part = append(part, answerEntries(rec)...)
+		size += part[len(part)-1].size()
+		if size >= maxBatchBytes {
+			parts = append(parts, part)
+			part = nil
+			size = 0
+		}
+	}
+	if len(part) > 0 {
+		parts = append(parts, part)
+	}
+	return parts
+}
--- a/lib/journal/shard.go
+++ b/lib/journal/shard.go
@@ -70,6 +70,8 @@
 	// unknown is set after a lost response: the write may have taken effect.
 	unknown bool
 	release bool
+	// rewrite is set when the batch replaces the whole log by rewritten segments.
+	rewrite bool
 	// expired lists the segments that the batch drops from the head.
 	expired []closed
 }
--- a/lib/journal/sync.go
+++ b/lib/journal/sync.go
@@ -53,6 +53,8 @@
 	stepWrite
 	// stepRoll creates a segment of the open records of the head.
 	stepRoll
+	// stepRewrite creates a segment of the records in memory after a restore.
+	stepRewrite
 	stepDelete
 )
 
@@ -86,7 +88,14 @@
 	segments []closed
 	garbage  []closed
 	// rolled is the segment that replaces the open records in the next batch.
-	rolled      *closed
+	rolled *closed
+	// rewrite holds the parts of the log to write back after a restore, and rewritten
+	// the segments that were created from them.
+	rewriting bool
+	rewrite   [][]entry
+	rewritten []closed
+	// unconfirmed holds the entries of batches that a restore replaced.
+	unconfirmed []entry
 	headMissing bool
 }
 
@@ -154,8 +163,8 @@
 
 // uncertain returns the entries that were sent to the platform and are not confirmed.
 func (y *syncState) uncertain() []entry {
-	if y.open == nil {
-		return nil
+	if y.open == nil || y.open.rewrite {
+		return y.unconfirmed
 	}
 	return y.open.entries
 }
@@ -168,7 +177,7 @@
 	if s.status != statusOwned {
 		return false
 	}
-	return s.mustRoll() || y.rolled != nil || len(s.pending) > 0 ||
+	return y.rewriting || s.mustRoll() || y.rolled != nil || len(s.pending) > 0 ||
 		s.mayRelease() || len(y.garbage) > 0
 }
 
@@ -191,10 +200,13 @@
 	switch {
 	case y.open != nil:
 		return s.writeOpen()
-	case s.mustRoll():
+	case len(y.rewrite) > 0:
+		value := encode(segment{Entries: y.rewrite[0]})
+		return s.call(stepRewrite, &Op{Kind: OpCreate, Key: segmentKey(s.prefix, y.head.Next), Value: value})
+	case !y.rewriting && s.mustRoll():
 		value := encode(segment{Entries: y.head.Open})
 		return s.call(stepRoll, &Op{Kind: OpCreate, Key: segmentKey(s.prefix, y.head.Next), Value: value})
-	case y.rolled == nil && len(s.pending) == 0 && len(y.garbage) > 0:
+	case !y.rewriting && y.rolled == nil && len(s.pending) == 0 && len(y.garbage) > 0:
 		next := y.garbage[0]
 		return s.call(stepDelete, &Op{Kind: OpDelete, Key: next.key, Version: next.version})
 	default:
@@ -216,13 +228,22 @@
 // stays the same until its outcome is known, so a repeated write is the same write.
 func (s *Shard) openBatch(now time.Time) {
 	y := &s.sync
-	b := &batch{head: y.head, create: y.headMissing}
+	b := &batch{head: y.head, create: y.headMissing, rewrite: y.rewriting}
 	b.head.Batch++
-	b.entries = s.cutPending()
-	s.applyRoll(b)
-	s.dropExpired(b, now)
-	b.head.Open = append(append([]entry(nil), b.head.Open...), b.entries...)
-	if s.mayRelease() && len(s.pending) == 0 {
+	if b.rewrite {
+		b.entries = y.unconfirmed
+		b.head.Segments = nil
+		b.head.Open = nil
+		for _, c := range y.rewritten {
+			b.head.Segments = appendRun(b.head.Segments, c.number)
+		}
+	} else {
+		b.entries = s.cutPending()
+		s.applyRoll(b)
+		s.dropExpired(b, now)
+		b.head.Open = append(append([]entry(nil), b.head.Open...), b.entries...)
+	}
+	if s.mayRelease() && len(s.pending) == 0 && !b.rewrite {
 		b.release = true
 		b.head.Owner = ""
 		b.head.Incarnation = ""
@@ -285,8 +306,8 @@
 		return s.readBack(result, now)
 	case stepWrite:
 		return s.written(result, now)
-	case stepRoll:
-		return s.created(result, now)
+	case stepRoll, stepRewrite:
+		return s.created(purpose, result, now)
 	case stepDelete:
 		s.sync.garbage = s.sync.garbage[1:]
 		return s.contact(result.Err, now)
