Write each shard at most once per commit interval

Cause: each change caused a write of its own as soon as the one before was done. Ruled out: pacing in the adapter; the state machine knows which calls are writes, and tests of the machine then cover the pace. TestWritePace dropped waiting calls from its list, so their grants looked like replies to nobody; it now drops only calls that are over. The first request of an idle shard is still written at once. Conclusion: segments, deletions and head updates share one pace.

--- a/lib/journal/bounds_test.go
+++ b/lib/journal/bounds_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,7 +55,7 @@
 						p.shard.Complete(w.key(a.key), a.number, Answer{Status: 200}, w.now)
 					}
 				}
-				w.attempts = w.attempts[len(w.attempts)/2:]
+				w.attempts = slices.DeleteFunc(w.attempts, func(a *attempt) bool { return a.state == attemptOver })
 			}
 			writes := w.writes() - before
 			allowed := int64(w.now.Sub(start)/commitInterval) + 1
--- a/lib/journal/ownership.go
+++ b/lib/journal/ownership.go
@@ -295,6 +295,7 @@
 	s.sync = syncState{
 		wantedUntil:  old.wantedUntil,
 		lastContact:  old.lastContact,
+		nextWrite:    old.nextWrite,
 		highestEpoch: old.highestEpoch,
 	}
 	s.observe(h, true, now)
--- a/lib/journal/sync.go
+++ b/lib/journal/sync.go
@@ -82,6 +82,7 @@
 	// wantedUntil is the time until which the process wants to own the shard.
 	wantedUntil time.Time
 	lastContact time.Time
+	nextWrite   time.Time
 	retryAt     time.Time
 	failures    int
 
@@ -113,6 +114,10 @@
 		return s.call(stepResolve, &Op{Kind: OpGet, Key: s.headKey()}), time.Time{}
 	}
 	if s.wantsWrite() {
+		if now.Before(y.nextWrite) {
+			return nil, y.nextWrite
+		}
+		y.nextWrite = now.Add(commitInterval)
 		return s.write(now), time.Time{}
 	}
 	if s.status == statusOwned {
