Rewrite a log of more than 512 segments from memory

Cause: the log of a shard grew by an intent and a void for each request that was not started, for up to 7 days, and a takeover lists all segments at once. Ruled out: deleting single segments early; a segment may hold the only record of a key. Rewriting on each restart of an owner; a long-lived owner needs it too. Conclusion: the rewrite after a restore also serves as compaction.

--- a/lib/journal/journal.go
+++ b/lib/journal/journal.go
@@ -61,8 +61,11 @@
 	maxWaiting = 512
 	// maxRunning bounds the granted requests of one shard.
 	maxRunning = 1024
+	// maxSegments is the number of segments at which the log is rewritten.
+	maxSegments = 512
 	// maxRecords and maxAnswerBytes bound the keys and answers of one shard in memory;
-	// the oldest answers go first.
+	// the oldest answers go first. A rewritten log and maxSegments further segments then
+	// fit into one list response of the platform (64 MB).
 	maxRecords     = 80_000
 	maxAnswerBytes = 4 << 20
 )
--- a/lib/journal/ownership.go
+++ b/lib/journal/ownership.go
@@ -177,6 +177,7 @@
 		s.status = statusReleased
 		return nil
 	case b.rewrite:
+		y.garbage = append(y.garbage, y.segments...)
 		y.segments = y.rewritten
 		y.rewritten = nil
 		y.unconfirmed = nil
@@ -320,9 +321,15 @@
 	y.rolled = nil
 	y.segments = nil
 	y.garbage = nil
-	y.rewriting = true
-	y.rewrite = s.records.dump()
-	y.rewritten = nil
+	s.startRewrite()
+}
+
+// startRewrite replaces the log by the records in memory. It also keeps the log of
+// requests that were not run from growing without bound.
+func (s *Shard) startRewrite() {
+	s.sync.rewriting = true
+	s.sync.rewrite = s.records.dump()
+	s.sync.rewritten = nil
 }
 
 // created takes the result of creating a segment. A number that exists already was
--- a/lib/journal/records.go
+++ b/lib/journal/records.go
@@ -76,6 +76,7 @@
 // prune drops answers and keys beyond their retention or the memory bounds. Dropped
 // answers turn into unknown outcomes, which never cause a second run.
 func (r *records) prune(now time.Time) {
+	r.compact()
 	for len(r.answered) > 0 {
 		rec := r.answered[0]
 		current := r.byKey[rec.key] == rec && rec.answer != nil
@@ -107,6 +108,25 @@
 	}
 }
 
+// compact removes forgotten records from the queues when they outnumber the others.
+func (r *records) compact() {
+	const slack = 64
+	current := func(rec *record) bool { return r.byKey[rec.key] == rec }
+	if len(r.order) > 2*len(r.byKey)+slack {
+		r.order = keep(r.order, current)
+	}
+}
+
+func keep(list []*record, match func(*record) bool) []*record {
+	var kept []*record
+	for _, rec := range list {
+		if match(rec) {
+			kept = append(kept, rec)
+		}
+	}
+	return kept
+}
+
 func (r *records) drop(rec *record) {
 	delete(r.byKey, rec.key)
 	if rec.answer != nil {
--- a/lib/journal/sync.go
+++ b/lib/journal/sync.go
@@ -182,6 +182,9 @@
 	if s.status != statusOwned {
 		return false
 	}
+	if len(y.segments) > maxSegments && y.rolled == nil && !y.rewriting {
+		s.startRewrite()
+	}
 	return y.rewriting || s.mustRoll() || y.rolled != nil || len(s.pending) > 0 ||
 		s.mayRelease() || len(y.garbage) > 0
 }
