Alternate deletions of segments with other writes of a busy shard

Cause: deletions waited for a shard without other writes, so a busy shard never deleted the segments that a rewrite had replaced. Ruled out: deletions outside of the pace; they count against the platform's limits like all writes. A deletion after each roll only; the segments of a rewrite would then stay until the next one.

--- a/lib/journal/sync.go
+++ b/lib/journal/sync.go
@@ -87,7 +87,10 @@
 	failures    int
 
 	segments []closed
-	garbage  []closed
+	// garbage lists the segments to delete. A busy shard alternates between a deletion
+	// and other writes, so segments are deleted at least as fast as they are created.
+	garbage []closed
+	deleted bool
 	// rolled is the segment that replaces the open records in the next batch.
 	rolled *closed
 	// rewrite holds the parts of the log to write back after a restore, and rewritten
@@ -185,8 +188,13 @@
 	if len(y.segments) > maxSegments && y.rolled == nil && !y.rewriting {
 		s.startRewrite()
 	}
-	return y.rewriting || s.mustRoll() || y.rolled != nil || len(s.pending) > 0 ||
-		s.mayRelease() || len(y.garbage) > 0
+	return !s.nothingElse() || len(y.garbage) > 0
+}
+
+// nothingElse reports whether an owner without an open batch has only deletions to do.
+func (s *Shard) nothingElse() bool {
+	y := &s.sync
+	return !y.rewriting && !s.mustRoll() && y.rolled == nil && len(s.pending) == 0 && !s.mayRelease()
 }
 
 func (s *Shard) mustRoll() bool {
@@ -205,18 +213,21 @@
 // write returns the next write of the shard.
 func (s *Shard) write(now time.Time) *Op {
 	y := &s.sync
+	deletes := !y.deleted || s.nothingElse()
+	y.deleted = false
 	switch {
 	case y.open != nil:
 		return s.writeOpen()
+	case len(y.garbage) > 0 && deletes:
+		y.deleted = true
+		next := y.garbage[0]
+		return s.call(stepDelete, &Op{Kind: OpDelete, Key: next.key, Version: next.version})
 	case len(y.rewrite) > 0:
 		value := encode(segment{Entries: y.rewrite[0]})
 		return s.call(stepRewrite, &Op{Kind: OpCreate, Key: segmentKey(s.prefix, y.head.Next), Value: value})
 	case !y.rewriting && s.mustRoll():
 		value := encode(segment{Entries: y.head.Open})
 		return s.call(stepRoll, &Op{Kind: OpCreate, Key: segmentKey(s.prefix, y.head.Next), Value: value})
-	case !y.rewriting && y.rolled == nil && len(s.pending) == 0 && len(y.garbage) > 0:
-		next := y.garbage[0]
-		return s.call(stepDelete, &Op{Kind: OpDelete, Key: next.key, Version: next.version})
 	default:
 		s.openBatch(now)
 		return s.writeOpen()
