Check the linearizability of each key's grants and answers

Cause: the model finds a second run, but not two grants that overlap while neither runs. Ruled out: a specification of NotRun, InProgress and OutcomeUnknown replies; they are allowed in every state, so they would add operations and no check.

--- /dev/null
+++ b/lib/journal/linear_test.go
@@ -0,0 +1,81 @@
+package journal
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// keyState is the sequential specification of one key: one holder of a grant at a
+// time, one run, and one answer.
+type keyState struct {
+	holder uint64
+	ran    bool
+	answer string
+}
+
+type keyOp struct {
+	key    string
+	kind   string
+	waiter uint64
+	answer string
+}
+
+var keySpec = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			key := op.Input.(keyOp).key
+			byKey[key] = append(byKey[key], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byKey {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return keyState{} },
+	Step: func(state, input, _ any) (bool, any) {
+		s, op := state.(keyState), input.(keyOp)
+		switch op.kind {
+		case "granted":
+			ok := s.holder == 0 && !s.ran
+			s.holder = op.waiter
+			return ok, s
+		case "not started":
+			ok := s.holder == op.waiter && !s.ran
+			s.holder = 0
+			return ok, s
+		case "run":
+			ok := s.holder == op.waiter && !s.ran
+			s.ran = true
+			return ok, s
+		case "complete":
+			ok := s.holder == op.waiter && s.ran && s.answer == ""
+			s.answer = op.answer
+			return ok, s
+		default:
+			return s.answer != "" && s.answer == op.answer, s
+		}
+	},
+}
+
+// Guards against grants that overlap although neither runs, and against a replay that
+// precedes its answer: the history of each key must be linearizable.
+func TestLinearizable(t *testing.T) {
+	Convey("Grants, runs, answers and replays of each key are linearizable", t, func() {
+		checked := 0
+		for seed := range uint64(histories / 5) {
+			w := history(1_000_000 + seed)
+			checked += len(w.operations)
+			if !porcupine.CheckOperations(keySpec, w.operations) {
+				Printf("seed %d: %v", 1_000_000+seed, w.operations)
+				So(fmt.Sprint("seed ", 1_000_000+seed), ShouldEqual, "linearizable")
+			}
+		}
+		fmt.Printf("\n%d operations in %d histories are linearizable\n", checked, histories/5)
+		So(checked, ShouldBeGreaterThan, histories)
+	})
+}
--- a/lib/journal/world_test.go
+++ b/lib/journal/world_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/anishathalye/porcupine"
+
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/platform"
 )
@@ -31,6 +33,9 @@
 	trace  []string
 	failed string
 	counts map[string]int
+	// operations is the history for the check of linearizability, timed by ticks.
+	operations []porcupine.Operation
+	ticks      int64
 }
 
 // keyModel is what the model knows about one key.
@@ -67,6 +72,7 @@
 	key     *keyModel
 	body    string
 	state   attemptState
+	called  int64
 }
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -122,13 +128,22 @@
 	}
 }
 
+// record adds an operation that began at a tick and ends now.
+func (w *world) record(a *attempt, kind, answer string, called int64) {
+	w.ticks++
+	w.operations = append(w.operations, porcupine.Operation{
+		ClientId: int(a.waiter), Input: keyOp{a.key.name, kind, a.waiter, answer}, Call: called, Return: w.ticks,
+	})
+}
+
 func (w *world) key(k *keyModel) Key { return Key{"shelfwatch", "booking", k.name} }
 
 func (w *world) paused(p *process) bool { return w.now.Before(p.pausedUntil) }
 
 func (w *world) begin(p *process, k *keyModel, body string) *attempt {
 	w.waiters++
-	a := &attempt{waiter: w.waiters, process: p, shard: p.shard, key: k, body: body, state: attemptWaiting}
+	a := &attempt{waiter: w.waiters, process: p, shard: p.shard, key: k, body: body, state: attemptWaiting, called: w.ticks}
+	w.ticks++
 	w.attempts = append(w.attempts, a)
 	w.log("%s: call %d begins %s with body %s", p.name, a.waiter, k.name, body)
 	w.reply(p, p.shard.Begin(Call{a.waiter, w.key(k), DigestOf([]byte(body))}, w.now))
@@ -156,8 +171,10 @@
 	case Granted:
 		a.state = attemptGranted
 		a.number = r.Attempt
+		w.record(a, "granted", "", a.called)
 		w.log("%s: call %d granted", p.name, a.waiter)
 	case Replayed:
+		w.record(a, "replayed", string(r.Replay.Body), a.called)
 		w.log("%s: call %d gets %q", p.name, a.waiter, r.Replay.Body)
 		if a.key.answer == "" || string(r.Replay.Body) != a.key.answer {
 			w.fail("replay %q of %s, first answer %q", r.Replay.Body, a.key.name, a.key.answer)
@@ -247,12 +264,14 @@
 		a.state = attemptOver
 		a.shard.NotStarted(w.key(a.key), a.number, w.now)
 		w.counts["not started"]++
+		w.record(a, "not started", "", w.ticks)
 		return
 	}
 	a.state = attemptRunning
 	a.key.runs++
 	a.key.body = a.body
 	w.counts["run"]++
+	w.record(a, "run", "", w.ticks)
 	w.log("%s: call %d runs %s", a.process.name, a.waiter, a.key.name)
 	if a.key.runs > 1 {
 		w.fail("%s ran twice", a.key.name)
@@ -268,6 +287,7 @@
 	}
 	a.key.answer = fmt.Sprintf("%s answered to call %d", a.key.name, a.waiter)
 	w.log("%s: call %d completes", a.process.name, a.waiter)
+	w.record(a, "complete", a.key.answer, w.ticks)
 	a.shard.Complete(w.key(a.key), a.number, Answer{Status: 200, Body: []byte(a.key.answer)}, w.now)
 }
 
