--- a/lib/membership/doc.go
+++ b/lib/membership/doc.go
@@ -57,7 +57,7 @@
 //		case <-timer.C:
 //		}
 //		for _, send := range m.Tick(clock()) {
-//			// Call Node.Report at send.To with CallTimeout; deliver to answers.
+//			// Call Node.Report at send.To with ReportTimeout; deliver to answers.
 //		}
 //		if m.Left(clock()) {
 //			// Refuse new work with NOT_RUN and finish running requests.
--- a/lib/membership/endpoint.go
+++ b/lib/membership/endpoint.go
@@ -9,11 +9,16 @@
 )
 
 const (
-	// reportInterval is the shortest interval between two reports to one entry.
-	reportInterval = 500 * time.Millisecond
-	// reportsPerSecond bounds the reports of one endpoint. With 36 entries to report to,
-	// each gets one per 1.2 s, which keeps the entries within their traffic bound.
-	reportsPerSecond = 30
+	// minReportInterval is the shortest interval between two reports to one entry.
+	minReportInterval = 500 * time.Millisecond
+	// maxReportInterval is the longest one. With its jitter and one repetition after
+	// ReportTimeout, a report still arrives within SuspectAfter.
+	maxReportInterval = 1230 * time.Millisecond
+	// reportsPerSecond bounds the reports of one endpoint between the two intervals, so
+	// that entries that many endpoints report to stay within their traffic bound.
+	reportsPerSecond = 24
+	// reportJitter is the largest relative deviation of the interval.
+	reportJitter = 0.05
 	// fullReportEvery is the number of reports to one entry per full report.
 	fullReportEvery = 16
 	// retryDelay separates repeated reports to an entry that did not answer.
@@ -24,6 +29,8 @@
 	failedRetry = 2 * time.Second
 	// failedFor is how long the targets exclude an entry that did not answer.
 	failedFor = 10 * time.Second
+	// maxTargets bounds the table of entries.
+	maxTargets = 1024
 	// seedsPerFallback is the number of seeds asked at a time when no entry answers.
 	seedsPerFallback = 2
 )
@@ -72,7 +79,9 @@
 	load        Load
 	revision    uint64
 	targets     map[string]*target
-	order       []string
+	order       []*target
+	// chosenCount is the number of targets that are reported to.
+	chosenCount int
 	seeds       []Peer
 	dirty       bool
 	revisitAt   time.Duration
@@ -134,8 +143,7 @@
 	if now-p.leaveAt >= LeaveTimeout {
 		return true
 	}
-	for _, vm := range p.order {
-		t := p.targets[vm]
+	for _, t := range p.order {
 		if t.chosen && t.answered && !t.leaveAck {
 			return false
 		}
@@ -146,17 +154,21 @@
 // Entries returns the entries that are reported to and answer.
 func (p *Endpoint) Entries() []Peer {
 	var peers []Peer
-	for _, vm := range p.order {
-		if t := p.targets[vm]; t.chosen && t.answered {
+	for _, t := range p.order {
+		if t.chosen && t.answered {
 			peers = append(peers, t.peer)
 		}
 	}
 	return peers
 }
 
-// Probe answers a probe of an entry.
-func (p *Endpoint) Probe(_ *pb.ReportRequest) *pb.ReportResponse {
-	own := &pb.EntryInfo{Vm: p.self.VM, Incarnation: p.incarnation.Proto(), Leaving: p.leaving, Heartbeat: p.sequence}
+// Probe answers a probe of an entry. The heartbeat is 0 in the answer to an entry that is
+// not reported to, so that it drops the endpoint instead of probing it for ever.
+func (p *Endpoint) Probe(request *pb.ReportRequest) *pb.ReportResponse {
+	own := &pb.EntryInfo{Vm: p.self.VM, Incarnation: p.incarnation.Proto(), Leaving: p.leaving}
+	if t := p.targets[request.GetVm()]; t != nil && t.chosen {
+		own.Heartbeat = p.sequence
+	}
 	return &pb.ReportResponse{ConfigGeneration: p.generation, Entries: []*pb.EntryInfo{own}}
 }
 
@@ -166,8 +178,8 @@
 		return min(p.joinAt, p.nextQuery)
 	}
 	next := min(p.nextQuery, p.revisitAt)
-	for _, vm := range p.order {
-		if t := p.targets[vm]; t.chosen {
+	for _, t := range p.order {
+		if t.chosen {
 			next = min(next, t.dueAt)
 		}
 	}
@@ -191,8 +203,7 @@
 	if p.dirty || now >= p.revisitAt {
 		p.choose(now)
 	}
-	for _, vm := range p.order {
-		t := p.targets[vm]
+	for _, t := range p.order {
 		if t.chosen && now >= t.dueAt {
 			sends = append(sends, p.report(now, t))
 		}
@@ -229,16 +240,15 @@
 	p.revisitAt = now + failedFor
 	zones := make(map[string][]string)
 	failed := make(map[string][]string)
-	for _, vm := range p.order {
-		t := p.targets[vm]
+	for _, t := range p.order {
 		t.chosen = false
 		switch {
 		case t.leaving:
 		case now < t.failedUntil:
-			failed[t.peer.Zone] = append(failed[t.peer.Zone], vm)
+			failed[t.peer.Zone] = append(failed[t.peer.Zone], t.peer.VM)
 			p.revisitAt = min(p.revisitAt, t.failedUntil)
 		default:
-			zones[t.peer.Zone] = append(zones[t.peer.Zone], vm)
+			zones[t.peer.Zone] = append(zones[t.peer.Zone], t.peer.VM)
 		}
 	}
 	for zone, members := range failed {
@@ -247,29 +257,21 @@
 		}
 	}
 	chosen := targets(p.self.VM, p.self.Zone, zones)
+	p.chosenCount = len(chosen)
 	for _, vm := range chosen {
 		t := p.targets[vm]
 		t.chosen = true
 		t.dueAt = max(t.dueAt, now)
 		if t.sequence == 0 {
-			t.dueAt = now + spread(p.rng, p.interval(len(chosen)))
+			t.dueAt = now + spread(p.rng, p.interval())
 		}
 	}
 }
 
 // interval returns the time between two reports to one entry.
-func (p *Endpoint) interval(count int) time.Duration {
-	return max(reportInterval, time.Duration(count)*time.Second/reportsPerSecond)
-}
-
-func (p *Endpoint) chosenCount() int {
-	count := 0
-	for _, vm := range p.order {
-		if p.targets[vm].chosen {
-			count++
-		}
-	}
-	return count
+func (p *Endpoint) interval() time.Duration {
+	spaced := time.Duration(p.chosenCount) * time.Second / reportsPerSecond
+	return min(max(minReportInterval, spaced), maxReportInterval)
 }
 
 // report builds the next report to an entry.
@@ -277,7 +279,7 @@
 	p.sequence++
 	t.sequence = p.sequence
 	t.sent++
-	t.dueAt = now + jittered(p.rng, p.interval(p.chosenCount()))
+	t.dueAt = now + jitteredBy(p.rng, p.interval(), reportJitter)
 	request := &pb.ReportRequest{Vm: p.self.VM, Incarnation: p.incarnation.Proto(), Sequence: p.sequence,
 		Load: p.currentLoad(), ConfigGeneration: p.generation}
 	if t.fullSent == p.revision && t.sent%fullReportEvery != 0 {
@@ -348,8 +350,8 @@
 	if known.Compare(p.incarnation) > 0 {
 		p.incarnation.Counter = known.Counter + 1
 		p.revision++
-		for _, vm := range p.order {
-			p.targets[vm].leaveAck = false
+		for _, t := range p.order {
+			t.leaveAck = false
 		}
 	}
 	if known != p.incarnation {
@@ -361,9 +363,10 @@
 func (p *Endpoint) learn(peer Peer, incarnation Incarnation, leaving bool) *target {
 	t := p.targets[peer.VM]
 	if t == nil {
+		p.evictTarget()
 		t = &target{peer: peer, incarnation: incarnation, leaving: leaving}
 		p.targets[peer.VM] = t
-		p.order = append(p.order, peer.VM)
+		p.order = append(p.order, t)
 		p.dirty = true
 		return t
 	}
@@ -381,6 +384,19 @@
 	return t
 }
 
+// evictTarget keeps the table of entries within its bound.
+func (p *Endpoint) evictTarget() {
+	if len(p.order) < maxTargets {
+		return
+	}
+	i := p.rng.IntN(len(p.order))
+	for p.order[i].chosen {
+		i = (i + 1) % len(p.order)
+	}
+	delete(p.targets, p.order[i].peer.VM)
+	p.order = slices.Delete(p.order, i, i+1)
+}
+
 // reportFailed repeats a report soon, so that single losses do not make the endpoint
 // suspect, and gives up on an entry that does not answer repeatedly.
 func (p *Endpoint) reportFailed(now time.Duration, t *target, send ReportSend) {
--- a/lib/membership/endpoints.go
+++ b/lib/membership/endpoints.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	pb "laburnumgw/api/laburnumgw/v1"
@@ -16,6 +17,9 @@
 	forgetAfter = 10 * time.Minute
 	// maxEndpoints bounds the table of endpoints.
 	maxEndpoints = 4096
+	// maxReporters bounds the endpoints that report to one entry. Rendezvous ranking
+	// gives some entries a quarter more than the mean, which is above the traffic bound.
+	maxReporters = 84
 	// maxProbesPerTick bounds the probes of one tick.
 	maxProbesPerTick = 64
 	// sampleSize bounds the endpoints known only from gossip.
@@ -59,6 +63,10 @@
 		response.Entries = []*pb.EntryInfo{{Vm: request.GetVm()}}
 		return response
 	}
+	if record == nil && e.reporters >= maxReporters {
+		response.Entries = []*pb.EntryInfo{e.refusal()}
+		return response
+	}
 	if restarted {
 		record = e.replaceEndpoint(now, record, request, incarnation)
 	}
@@ -76,6 +84,14 @@
 	return response
 }
 
+// refusal tells an endpoint to report to the entry that ranks next instead. It looks
+// like the news that this entry is leaving.
+func (e *Entry) refusal() *pb.EntryInfo {
+	refusal := e.selfInfo()
+	refusal.Leaving = true
+	return refusal
+}
+
 // answerQuery answers a joining process with the highest incarnation known of it. An
 // entry that has itself just started lists no entries, so that the joins stay spread.
 func (e *Entry) answerQuery(now time.Duration, vm string, record *endpointRecord) []*pb.EntryInfo {
@@ -100,18 +116,24 @@
 	if old == nil && len(e.endpoints) >= maxEndpoints {
 		return nil
 	}
-	record := &endpointRecord{view: EndpointView{
+	fresh := endpointRecord{view: EndpointView{
 		Peer:        Peer{VM: request.GetVm(), Zone: request.GetZone(), Region: request.GetRegion(), Address: request.GetAddress()},
 		Incarnation: incarnation,
 		LastSeen:    now,
 	}}
 	if old == nil {
-		e.endpointOrder = append(e.endpointOrder, request.GetVm())
-	} else if old.view.Incarnation != (Incarnation{}) {
-		e.emit(EndpointNewIncarnation, request.GetVm(), now-old.view.LastSeen)
+		e.addEndpoint(&fresh)
+		return &fresh
 	}
-	e.endpoints[request.GetVm()] = record
-	return record
+	e.emit(EndpointNewIncarnation, request.GetVm(), now-old.view.LastSeen)
+	*old = fresh
+	return old
+}
+
+func (e *Entry) addEndpoint(record *endpointRecord) {
+	e.reporters++
+	e.endpoints[record.view.VM] = record
+	e.endpointOrder = append(e.endpointOrder, record)
 }
 
 // accept merges a report into the record. Earlier merged reports are not changed.
@@ -181,19 +203,19 @@
 		return
 	}
 	incarnation := incarnationOf(info.GetIncarnation())
-	if incarnation.Compare(record.view.Incarnation) < 0 {
+	if incarnation != record.view.Incarnation {
+		// A restarted process reports by itself; its state is not known yet.
 		return
 	}
-	if incarnation != record.view.Incarnation {
-		// The restarted process's own report follows; its state is not known yet.
+	if info.GetHeartbeat() == 0 && !e.needsSample() {
+		e.drop(now, record)
 		return
 	}
 	if e.endpoints[vm] == nil {
 		if len(e.endpoints) >= maxEndpoints {
 			return
 		}
-		e.endpoints[vm] = record
-		e.endpointOrder = append(e.endpointOrder, vm)
+		e.addEndpoint(record)
 	}
 	if info.GetLeaving() && !record.view.Leaving {
 		record.view.Leaving = true
@@ -202,6 +224,17 @@
 	e.endpointSeen(now, record)
 }
 
+// drop forgets a live endpoint that reports to other entries.
+func (e *Entry) drop(now time.Duration, record *endpointRecord) {
+	vm := record.view.VM
+	if e.endpoints[vm] != record || record.view.State != Suspect {
+		return
+	}
+	delete(e.endpoints, vm)
+	e.endpointOrder = slices.DeleteFunc(e.endpointOrder, func(r *endpointRecord) bool { return r == record })
+	e.emit(EndpointDropped, vm, now-record.view.LastSeen)
+}
+
 func findInfo(infos []*pb.EntryInfo, vm string) *pb.EntryInfo {
 	for _, info := range infos {
 		if info.GetVm() == vm {
@@ -215,15 +248,18 @@
 func (e *Entry) checkEndpoints(now time.Duration, out *Output) {
 	paused := e.ticked && now-e.lastTick > pauseGap
 	kept := e.endpointOrder[:0]
-	for _, vm := range e.endpointOrder {
-		record := e.endpoints[vm]
+	e.reporters = 0
+	for _, record := range e.endpointOrder {
 		silent := now - record.view.LastSeen
 		if record.view.State == Dead && silent > forgetAfter {
-			delete(e.endpoints, vm)
+			delete(e.endpoints, record.view.VM)
 			continue
 		}
-		kept = append(kept, vm)
+		kept = append(kept, record)
 		e.checkEndpoint(now, record, paused, out)
+		if record.view.State != Dead {
+			e.reporters++
+		}
 	}
 	e.endpointOrder = kept
 }
@@ -293,7 +329,7 @@
 	}
 	e.nextSample = now + sampleProbeInterval
 	kept := e.sampleOrder[:0]
-	needed := !e.ownZoneAlive()
+	needed := e.needsSample()
 	for _, vm := range e.sampleOrder {
 		record := e.sample[vm]
 		if record == nil {
@@ -307,21 +343,23 @@
 	e.sampleOrder = kept
 }
 
-func (e *Entry) ownZoneAlive() bool {
-	for _, vm := range e.endpointOrder {
-		view := &e.endpoints[vm].view
+// needsSample reports whether no endpoint of the own zone is alive, so that endpoints of
+// other zones that do not report here are needed.
+func (e *Entry) needsSample() bool {
+	for _, record := range e.endpointOrder {
+		view := &record.view
 		if view.Zone == e.self.Zone && view.State == Alive && !view.Leaving {
-			return true
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // Endpoints calls yield for each endpoint that is not only known from gossip, in the
 // order in which they were first seen.
 func (e *Entry) Endpoints(yield func(EndpointView) bool) {
-	for _, vm := range e.endpointOrder {
-		if !yield(e.endpoints[vm].view) {
+	for _, record := range e.endpointOrder {
+		if !yield(record.view) {
 			return
 		}
 	}
--- a/lib/membership/entries.go
+++ b/lib/membership/entries.go
@@ -9,8 +9,8 @@
 
 const (
 	// compactItems and fullItems bound the entries in one gossip message.
-	compactItems = 8
-	fullItems    = 2
+	compactItems = 6
+	fullItems    = 1
 	// relayItems bounds the endpoints in one message to another zone.
 	relayItems = 1
 	// zoneEntrySilence is the silence after which an entry of the own zone is asked
@@ -40,6 +40,7 @@
 	advanced  time.Duration
 	failures  int
 	asked     time.Duration
+	seed      bool
 }
 
 func (e *Entry) addEntry(now time.Duration, peer Peer) *entryRecord {
@@ -48,7 +49,7 @@
 	}
 	record := &entryRecord{view: EntryView{Peer: peer}, advanced: now, asked: neverAsked}
 	e.entries[peer.VM] = record
-	e.entryOrder = append(e.entryOrder, peer.VM)
+	e.entryOrder = append(e.entryOrder, record)
 	return record
 }
 
@@ -132,13 +133,20 @@
 
 // checkEntries marks silent entries as suspect; gossip then asks them directly.
 func (e *Entry) checkEntries(now time.Duration) {
-	for _, vm := range e.entryOrder {
-		record := e.entries[vm]
-		if record.view.State == Alive && now-record.advanced >= e.silenceLimit(record) {
+	kept := e.entryOrder[:0]
+	for _, record := range e.entryOrder {
+		silent := now - record.advanced
+		if record.view.State == Dead && silent > forgetAfter && !record.seed {
+			delete(e.entries, record.view.VM)
+			continue
+		}
+		kept = append(kept, record)
+		if record.view.State == Alive && silent >= e.silenceLimit(record) {
 			record.view.State = Suspect
 			record.failures = 0
 		}
 	}
+	e.entryOrder = kept
 }
 
 // learn takes over the news of one message. The sender itself is heard directly.
@@ -281,7 +289,7 @@
 	}
 	start := e.rng.IntN(len(e.entryOrder))
 	for i := range e.entryOrder {
-		record := e.entries[e.entryOrder[(start+i)%len(e.entryOrder)]]
+		record := e.entryOrder[(start+i)%len(e.entryOrder)]
 		if filter(record) {
 			return record
 		}
@@ -318,7 +326,7 @@
 		}
 	}
 	for range min(fullItems, len(e.entryOrder)) {
-		record := e.entries[e.entryOrder[e.nextFull%len(e.entryOrder)]]
+		record := e.entryOrder[e.nextFull%len(e.entryOrder)]
 		e.nextFull++
 		if record.view.State == Alive && record.view.VM != vm {
 			list = append(list, info(record, true))
@@ -332,7 +340,7 @@
 
 func (e *Entry) nextEntry() *entryRecord {
 	e.nextItem = (e.nextItem + 1) % len(e.entryOrder)
-	return e.entries[e.entryOrder[e.nextItem]]
+	return e.entryOrder[e.nextItem]
 }
 
 // relay returns the next endpoints of the own zone to tell entries of other zones of.
@@ -340,9 +348,9 @@
 	var reports []*pb.ReportRequest
 	for range len(e.endpointOrder) {
 		e.nextRelay = (e.nextRelay + 1) % len(e.endpointOrder)
-		record := e.endpoints[e.endpointOrder[e.nextRelay]]
+		record := e.endpointOrder[e.nextRelay]
 		if record.view.State == Alive && record.full && record.view.Zone == e.self.Zone && !record.view.Leaving {
-			reports = append(reports, record.view.Report)
+			reports = append(reports, relayed(record.view.Report))
 		}
 		if len(reports) >= relayItems {
 			break
@@ -351,6 +359,12 @@
 	return reports
 }
 
+// relayed returns the part of a report that another zone needs to reach the endpoint.
+func relayed(report *pb.ReportRequest) *pb.ReportRequest {
+	return &pb.ReportRequest{Vm: report.GetVm(), Zone: report.GetZone(), Region: report.GetRegion(),
+		Address: report.GetAddress(), Incarnation: report.GetIncarnation(), Sequence: report.GetSequence()}
+}
+
 // listFor returns entries that an endpoint process is to know: many after its first
 // report, then only those that changed.
 func (e *Entry) listFor(record *endpointRecord) []*pb.EntryInfo {
@@ -367,7 +381,7 @@
 	record.listed = e.version + 1 - uint64(len(e.changes)-end)
 	var infos []*pb.EntryInfo
 	for _, vm := range e.changes[start:end] {
-		if known := e.entries[vm]; known.view.State == Alive {
+		if known := e.entries[vm]; known != nil && known.view.State == Alive {
 			infos = append(infos, info(known, true))
 		}
 	}
@@ -376,8 +390,8 @@
 
 // Entries calls yield for each known entry except the own one.
 func (e *Entry) Entries(yield func(EntryView) bool) {
-	for _, vm := range e.entryOrder {
-		if !yield(e.entries[vm].view) {
+	for _, record := range e.entryOrder {
+		if !yield(record.view) {
 			return
 		}
 	}
--- a/lib/membership/entry.go
+++ b/lib/membership/entry.go
@@ -46,14 +46,15 @@
 	events     []Event
 
 	endpoints     map[string]*endpointRecord
-	endpointOrder []string
+	endpointOrder []*endpointRecord
+	reporters     int
 	sample        map[string]*endpointRecord
 	sampleOrder   []string
 	nextRelay     int
 	nextPeers     int
 
 	entries    map[string]*entryRecord
-	entryOrder []string
+	entryOrder []*entryRecord
 	nextItem   int
 	nextFull   int
 	// changes lists the VMs of entries in the order of their last changes; version is
@@ -77,7 +78,9 @@
 		entries:     make(map[string]*entryRecord),
 	}
 	for _, seed := range seeds {
-		e.addEntry(now, seed)
+		if record := e.addEntry(now, seed); record != nil {
+			record.seed = true
+		}
 	}
 	return e
 }
@@ -89,7 +92,12 @@
 
 // jittered returns a duration within intervalJitter of the interval.
 func jittered(rng *rand.Rand, interval time.Duration) time.Duration {
-	return time.Duration(float64(interval) * (1 + intervalJitter*(2*rng.Float64()-1)))
+	return jitteredBy(rng, interval, intervalJitter)
+}
+
+// jitteredBy returns a duration within a relative deviation of the interval.
+func jitteredBy(rng *rand.Rand, interval time.Duration, deviation float64) time.Duration {
+	return time.Duration(float64(interval) * (1 + deviation*(2*rng.Float64()-1)))
 }
 
 func (e *Entry) emit(kind EventKind, vm string, silent time.Duration) {
@@ -174,7 +182,7 @@
 	start := e.rng.IntN(len(e.endpointOrder))
 	var peers []*pb.PeerInfo
 	for i := range e.endpointOrder {
-		view := &e.endpoints[e.endpointOrder[(start+i)%len(e.endpointOrder)]].view
+		view := &e.endpointOrder[(start+i)%len(e.endpointOrder)].view
 		if view.State == Alive && view.Zone == zone && view.VM != vm {
 			peers = append(peers, &pb.PeerInfo{Vm: view.VM, Zone: view.Zone, Region: view.Region, Address: view.Address})
 		}
--- a/lib/membership/targets.go
+++ b/lib/membership/targets.go
@@ -35,9 +35,9 @@
 // far as the own entry knows them.
 func (e *Entry) firstList(record *endpointRecord) []*pb.EntryInfo {
 	zones := map[string][]string{e.self.Zone: {e.self.VM}}
-	for _, vm := range e.entryOrder {
-		if view := &e.entries[vm].view; view.State == Alive && !view.Leaving {
-			zones[view.Zone] = append(zones[view.Zone], vm)
+	for _, record := range e.entryOrder {
+		if view := &record.view; view.State == Alive && !view.Leaving {
+			zones[view.Zone] = append(zones[view.Zone], view.VM)
 		}
 	}
 	chosen := targets(record.view.VM, record.view.Zone, zones)
--- a/lib/membership/types.go
+++ b/lib/membership/types.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// CallTimeout bounds one report, gossip exchange or probe.
+	// CallTimeout bounds one gossip exchange or probe.
 	CallTimeout = 250 * time.Millisecond
+	// ReportTimeout bounds one report.
+	ReportTimeout = 150 * time.Millisecond
 	// JoinSpread is the time over which joins are spread when everything restarts.
 	JoinSpread = 10 * time.Second
 	// SuspectAfter is the silence after which an endpoint is suspect and probed.
@@ -105,6 +107,8 @@
 	EndpointCold
 	// EndpointNewIncarnation reports that an endpoint process restarted.
 	EndpointNewIncarnation
+	// EndpointDropped reports that a live endpoint now reports to other entries.
+	EndpointDropped
 	// EntryAlive reports an entry's first sign of life, or the first after silence.
 	EntryAlive
 	// EntryDead reports that an entry is silent and does not answer.
@@ -116,7 +120,7 @@
 // String returns the kind's name.
 func (k EventKind) String() string {
 	return [...]string{"endpoint alive", "endpoint suspect", "endpoint dead", "endpoint leaving",
-		"endpoint cold", "endpoint new incarnation", "entry alive", "entry dead", "entry leaving"}[k]
+		"endpoint cold", "endpoint new incarnation", "endpoint dropped", "entry alive", "entry dead", "entry leaving"}[k]
 }
 
 // Event is one change of a member's state.
