Bound prefix affinity by affinity_bound of the mean load

Cause: any holder of a prefix got the bonus. A holder now gets it only while one more request keeps it within the bound, relative to its limit. The bound is rounded up to whole requests: at less than one request for each endpoint no choice is within it.

Before: load 2 chosen with a limit of 1.

--- a/lib/retry/plan_test.go
+++ b/lib/retry/plan_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"errors"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -75,7 +76,9 @@
 		So(next.Action, ShouldEqual, retry.Answer)
 		So(next.After, ShouldEqual, 0)
 		So(errkind.Of(next.Err), ShouldEqual, errkind.NotRun)
-		So(next.Err.(*errkind.Error).RetryAfter, ShouldEqual, 7*time.Second)
+		var typed *errkind.Error
+		So(errors.As(next.Err, &typed), ShouldBeTrue)
+		So(typed.RetryAfter, ShouldEqual, 7*time.Second)
 	})
 	Convey("A resumed stream that is refused is resumed again on the same version", t, func() {
 		state := retry.NewState(retry.Request{Idempotent: true, Resumable: true, Deadline: start.Add(time.Minute)})
--- a/lib/routing/query.go
+++ b/lib/routing/query.go
@@ -22,17 +22,20 @@
 	now         time.Time
 	zone        string
 	region      string
+	bound       float64
 	queueLength float64
 	candidates  []candidate
 	counts      FilterCounts
 	poolSize    int
 	detail      []Candidate
 
-	// Means over the candidates that are scored.
-	meanCapacity float64
-	meanTokens   float64
-	meanScore    float64
-	matched      bool
+	// Sums and means over the candidates that are scored.
+	totalLoad     float64
+	totalCapacity float64
+	meanCapacity  float64
+	meanTokens    float64
+	meanScore     float64
+	matched       bool
 }
 
 func (q *query) begin(t *Table, r *Request, p *pool, now time.Time) {
@@ -41,6 +44,7 @@
 	q.now = now
 	q.zone = t.settings.Zone
 	q.region = t.settings.Region
+	q.bound = t.settings.AffinityBound
 	q.queueLength = float64(t.settings.QueueLength)
 	q.candidates = q.candidates[:0]
 	q.counts = FilterCounts{}
--- a/lib/routing/scorers.go
+++ b/lib/routing/scorers.go
@@ -1,5 +1,7 @@
 package routing
 
+import "math"
+
 const (
 	// tokenWeight is the share of the own load that is measured in tokens. Counting
 	// only tokens would follow errors of the estimate.
@@ -10,6 +12,8 @@
 	otherRegionPenalty = 0.5
 	failurePenalty     = 1.0
 	prefixBonus        = 2.0
+	// roundingSlack keeps a floating-point error from rounding up to one more request.
+	roundingSlack = 1e-9
 )
 
 // scorer adds one signal to the score of a candidate; lower is better.
@@ -61,13 +65,16 @@
 
 // summarise computes the sums and means that the scorers use.
 func (q *query) summarise() {
-	var own, tokens, capacity float64
+	var own, tokens, load, capacity float64
 	for i := range q.candidates {
 		c := &q.candidates[i]
 		own += float64(c.endpoint.own)
 		tokens += float64(c.endpoint.ownTokens)
+		load += c.load
 		capacity += c.endpoint.capacity()
 	}
+	q.totalLoad = load
+	q.totalCapacity = capacity
 	q.meanCapacity = capacity / float64(len(q.candidates))
 	q.meanTokens = 0
 	if own > 0 {
@@ -116,7 +123,13 @@
 	return -prefixBonus * c.endpoint.affinity * q.meanScore
 }
 
-// hasAffinity reports whether the endpoint holds a prefix of the prompt.
+// hasAffinity reports whether the endpoint holds a prefix of the prompt and stays
+// within the bound with one more request. The bound is rounded up to whole requests,
+// since below one request for each endpoint no choice is within it.
 func (c *candidate) hasAffinity(q *query) bool {
-	return q.matched && c.endpoint.affinityIn == q.id
+	if !q.matched || c.endpoint.affinityIn != q.id {
+		return false
+	}
+	share := c.endpoint.capacity() / q.totalCapacity
+	return c.load+1 <= math.Ceil(q.bound*(q.totalLoad+1)*share-roundingSlack)
 }
