Add a virtual-time comparison of policies and test the imbalance bound

lib/routing/routetest runs the tables and planners of several entries against fakes of endpoints; cmd/routebench prints the comparison.

--- /dev/null
+++ b/lib/routing/routetest/endpoint.go
@@ -0,0 +1,196 @@
+package routetest
+
+import (
+	"slices"
+	"time"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+)
+
+// Mode is the behaviour of a fake endpoint.
+type Mode uint8
+
+// Modes.
+const (
+	// Serving endpoints run requests.
+	Serving Mode = iota
+	// Failing endpoints report a failure for each request at once and send reports.
+	Failing
+	// Broken endpoints have lost their process: connections break and are refused.
+	Broken
+	// Silent endpoints neither respond nor report, as in a network partition.
+	Silent
+	// Mute endpoints serve, but their reports are lost.
+	Mute
+)
+
+// failureTime is the time in which a failing endpoint responds.
+const failureTime = 2 * time.Millisecond
+
+// rampTime is the time after which a cold endpoint's limit doubles.
+const rampTime = time.Second
+
+// endpoint is a fake: it runs up to limit requests at once and queues the next ones.
+type endpoint struct {
+	sim     *Sim
+	index   int
+	vm      string
+	zone    string
+	mode    Mode
+	counter uint64
+	limit   int
+	cold    bool
+	// calls holds the running requests, then the queued ones.
+	calls    []*call
+	running  int
+	sequence uint64
+}
+
+// call is one attempt on an endpoint.
+type call struct {
+	entry    *entry
+	endpoint *endpoint
+	request  *request
+	started  bool
+	ended    bool
+}
+
+func newEndpoint(s *Sim, i int) *endpoint {
+	return &endpoint{sim: s, index: i, vm: vmName(i), zone: zoneOf(i), counter: 1, limit: s.scenario.Limit}
+}
+
+func (e *endpoint) load() *laburnumgwv1.Load {
+	return &laburnumgwv1.Load{
+		InFlight: int32(e.running),
+		Queued:   int32(len(e.calls) - e.running),
+		Limit:    int32(e.limit),
+		Cold:     e.cold,
+	}
+}
+
+func (e *endpoint) frameLoad() *laburnumgwv1.Load {
+	if e.sim.scenario.NoFrameLoads {
+		return nil
+	}
+	return e.load()
+}
+
+func (e *endpoint) sendReport() {
+	s := e.sim
+	if e.mode != Broken && e.mode != Silent && e.mode != Mute {
+		e.sequence++
+		report := &laburnumgwv1.ReportRequest{
+			Vm: e.vm, Zone: e.zone, Region: "north", Address: e.vm,
+			Incarnation: &laburnumgwv1.Incarnation{Counter: e.counter, Id: 1},
+			Sequence:    e.sequence,
+			Load:        e.load(),
+			Serving:     map[string]string{Model: VersionDigest},
+		}
+		s.after(networkDelay+s.scenario.ReportLag, func() {
+			for _, entry := range s.entries {
+				entry.reportReceived(e, report)
+			}
+		})
+	}
+	if s.ended() {
+		return
+	}
+	// The first reports of the endpoints are spread over the interval.
+	delay := s.scenario.ReportInterval
+	if e.sequence == 1 {
+		delay = time.Duration(s.rng.Int64N(int64(delay)) + 1)
+	}
+	s.after(delay, e.sendReport)
+}
+
+// receive admits, queues or refuses an attempt.
+func (e *endpoint) receive(c *call) {
+	s := e.sim
+	switch e.mode {
+	case Silent:
+		e.calls = append(e.calls, c)
+		return
+	case Broken:
+		s.after(networkDelay, func() { c.entry.ended(c, laburnumgwv1.Outcome_OUTCOME_NOT_RUN, false, nil) })
+		return
+	case Failing:
+		s.after(networkDelay+failureTime, func() {
+			c.entry.ended(c, laburnumgwv1.Outcome_OUTCOME_FAILED, true, e.frameLoad())
+		})
+		return
+	}
+	if len(e.calls) >= e.limit+e.queueLength() {
+		load := e.frameLoad()
+		s.after(networkDelay, func() { c.entry.ended(c, laburnumgwv1.Outcome_OUTCOME_NOT_RUN, true, load) })
+		return
+	}
+	e.calls = append(e.calls, c)
+	e.startNext()
+}
+
+func (e *endpoint) queueLength() int { return e.sim.scenario.Queue }
+
+// startNext starts queued requests while the limit allows it.
+func (e *endpoint) startNext() {
+	s := e.sim
+	for e.running < len(e.calls) && e.running < e.limit {
+		c := e.calls[e.running]
+		c.started = true
+		e.running++
+		s.result.highestRunning(e)
+		load := e.frameLoad()
+		s.after(networkDelay, func() { c.entry.headerReceived(c, load) })
+		service := time.Duration(s.rng.ExpFloat64() * float64(s.scenario.ServiceTime))
+		s.after(service, func() { e.finish(c) })
+	}
+}
+
+func (e *endpoint) finish(c *call) {
+	i := slices.Index(e.calls, c)
+	if i < 0 || e.mode == Silent {
+		return
+	}
+	e.calls = slices.Delete(e.calls, i, i+1)
+	e.running--
+	e.startNext()
+	load := e.frameLoad()
+	e.sim.after(networkDelay, func() {
+		c.entry.ended(c, laburnumgwv1.Outcome_OUTCOME_COMPLETE, true, load)
+	})
+}
+
+func (e *endpoint) setMode(mode Mode) {
+	lost := e.mode == Broken || e.mode == Silent
+	e.mode = mode
+	switch {
+	case mode == Broken:
+		e.dropCalls()
+	case lost && mode == Serving:
+		e.dropCalls()
+		e.counter++
+		e.sequence = 1
+	}
+}
+
+// dropCalls breaks the connections of all requests on the endpoint.
+func (e *endpoint) dropCalls() {
+	for _, c := range e.calls {
+		e.sim.after(networkDelay, func() { c.entry.ended(c, laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, nil) })
+	}
+	e.calls = nil
+	e.running = 0
+}
+
+func (e *endpoint) makeCold(limit int) {
+	e.cold = true
+	e.limit = limit
+	e.sim.after(rampTime, e.ramp)
+}
+
+func (e *endpoint) ramp() {
+	e.limit = min(2*e.limit, e.sim.scenario.Limit)
+	e.cold = e.limit < e.sim.scenario.Limit
+	if e.cold {
+		e.sim.after(rampTime, e.ramp)
+	}
+}
--- /dev/null
+++ b/lib/routing/routetest/result.go
@@ -0,0 +1,167 @@
+package routetest
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"laburnumgw/lib/errkind"
+)
+
+// loadWindow is the time over which an endpoint's load is averaged for the ratio of
+// the highest to the mean load; it equals the lag of the reports.
+const loadWindow = time.Second
+
+// Result holds the figures of a run. Figures about requests and loads leave out the
+// warm-up.
+type Result struct {
+	Scenario Scenario
+	// Ratios of the highest to the mean load over the endpoints: the worst window of
+	// 1 s, and the mean and 99th percentile of the samples taken every 10 ms.
+	WorstWindow float64
+	MeanRatio   float64
+	P99Ratio    float64
+	// Latency of the answered requests.
+	P50, P99 time.Duration
+	Requests int
+	Answered int
+	// IdempotentRequests and IdempotentFailed count idempotent requests, and those
+	// that got no answer.
+	IdempotentRequests int
+	IdempotentFailed   int
+	Errors             map[errkind.Kind]int
+	Retries            int
+	// OverBudget is the highest excess of retries over 10% of the first attempts plus
+	// 3/s, over all windows of 10 s and all entries together; at most 0 is within.
+	OverBudget float64
+	// DrainedPicks counts decisions for a zone that the entry knew to be drained.
+	DrainedPicks int
+	// OverLimit counts requests that ran above an endpoint's limit.
+	OverLimit int
+
+	latencies *hdrhistogram.Histogram
+	ratios    []float64
+	window    []float64
+	windowEnd time.Duration
+	attempts  []attemptTime
+}
+
+type attemptTime struct {
+	at    time.Duration
+	retry bool
+}
+
+func newResult(s Scenario) *Result {
+	return &Result{
+		Scenario:  s,
+		Errors:    map[errkind.Kind]int{},
+		latencies: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3),
+		window:    make([]float64, s.Endpoints),
+		windowEnd: s.Warmup + loadWindow,
+	}
+}
+
+func (r *Result) sample(now time.Duration, loads []float64) {
+	r.ratios = append(r.ratios, ratio(loads))
+	for i, load := range loads {
+		r.window[i] += load
+	}
+	if now+sampleInterval < r.windowEnd {
+		return
+	}
+	r.WorstWindow = max(r.WorstWindow, ratio(r.window))
+	clear(r.window)
+	r.windowEnd += loadWindow
+}
+
+// ratio returns the highest value divided by the mean.
+func ratio(loads []float64) float64 {
+	highest, sum := 0.0, 0.0
+	for _, load := range loads {
+		highest = max(highest, load)
+		sum += load
+	}
+	if sum == 0 {
+		return 1
+	}
+	return highest * float64(len(loads)) / sum
+}
+
+func (r *Result) attemptStarted(now time.Duration, _ int, retry bool) {
+	r.attempts = append(r.attempts, attemptTime{now, retry})
+	if retry {
+		r.Retries++
+	}
+}
+
+func (r *Result) picked(from *entry, target *endpoint) {
+	if from.drained[target.zone] {
+		r.DrainedPicks++
+	}
+}
+
+func (r *Result) highestRunning(e *endpoint) {
+	if e.running > e.limit {
+		r.OverLimit++
+	}
+}
+
+func (r *Result) answered(now time.Duration, request *request, kind errkind.Kind) {
+	if !request.measured {
+		return
+	}
+	r.Requests++
+	if request.routing.Idempotent {
+		r.IdempotentRequests++
+	}
+	if kind == "" {
+		r.Answered++
+		_ = r.latencies.RecordValue((now - request.arrived).Microseconds())
+		return
+	}
+	r.Errors[kind]++
+	if request.routing.Idempotent {
+		r.IdempotentFailed++
+	}
+}
+
+func (r *Result) finish(*Sim) {
+	r.P50 = time.Duration(r.latencies.ValueAtQuantile(50)) * time.Microsecond
+	r.P99 = time.Duration(r.latencies.ValueAtQuantile(99)) * time.Microsecond
+	r.OverBudget = r.overBudget()
+	if len(r.ratios) == 0 {
+		return
+	}
+	sum := 0.0
+	for _, value := range r.ratios {
+		sum += value
+	}
+	r.MeanRatio = sum / float64(len(r.ratios))
+	slices.Sort(r.ratios)
+	r.P99Ratio = r.ratios[len(r.ratios)*99/100]
+}
+
+// overBudget slides a window of 10 s over the attempts.
+func (r *Result) overBudget() float64 {
+	const span = 10 * time.Second
+	worst := -3 * span.Seconds()
+	firsts, retries, end := 0.0, 0.0, 0
+	for _, begin := range r.attempts {
+		for end < len(r.attempts) && r.attempts[end].at < begin.at+span {
+			if r.attempts[end].retry {
+				retries++
+			} else {
+				firsts++
+			}
+			end++
+		}
+		worst = max(worst, retries-0.1*firsts-3*span.Seconds())
+		if begin.retry {
+			retries--
+		} else {
+			firsts--
+		}
+	}
+	return worst
+}
