Correct only the entry's own share of the others' imbalance

Cause of the herding: eight entries see the same imbalance of the others' load and each corrects all of it, so the sum overshoots by a factor of eight. The score now weights the others' load by the entry's share of the total.

--- a/lib/routing/query.go
+++ b/lib/routing/query.go
@@ -31,6 +31,7 @@
 
 	// Sums and means over the candidates that are scored.
 	totalLoad     float64
+	ownShare      float64
 	totalCapacity float64
 	meanCapacity  float64
 	meanTokens    float64
--- a/lib/routing/scorers.go
+++ b/lib/routing/scorers.go
@@ -74,6 +74,10 @@
 		capacity += c.endpoint.capacity()
 	}
 	q.totalLoad = load
+	q.ownShare = 1
+	if load > 0 {
+		q.ownShare = own / load
+	}
 	q.totalCapacity = capacity
 	q.meanCapacity = capacity / float64(len(q.candidates))
 	q.meanTokens = 0
@@ -82,9 +86,13 @@
 	}
 }
 
-// inFlightScore is the estimated load relative to the limit.
+// inFlightScore is the own in-flight load plus the entry's share of the load of the
+// others, relative to the limit. All entries see the same imbalance of the others'
+// load, late; if each corrected all of it, the sum would overshoot.
 func inFlightScore(q *query, c *candidate) float64 {
-	return (c.load + 1) * q.meanCapacity / c.endpoint.capacity()
+	own := float64(c.endpoint.own)
+	others := c.load - own
+	return (own + q.ownShare*others + 1) * q.meanCapacity / c.endpoint.capacity()
 }
 
 // tokenScore corrects the own load for requests that are larger or smaller than the
