Smooth the others' load in the score

Cause: an observation of the others' load is late by up to a second and is taken relative to this entry's own attempts of now, so its error swings with the own load. The score now uses an exponential average with weight 0.25; the filter for room and the affinity bound keep the latest observation.

Ruled out: smoothing the load everywhere; TestFilters then showed an endpoint that became cold and full but still counted as having room.

TestImbalance passes.

--- a/lib/routing/endpoint.go
+++ b/lib/routing/endpoint.go
@@ -9,6 +9,10 @@
 const (
 	// loadStaleness is the age after which a load no longer describes the endpoint.
 	loadStaleness = 3 * time.Second
+	// othersSmoothing is the weight of a new observation of the load that other
+	// entries cause in the score. An observation is late by up to a second and counts this entry's
+	// attempts as of then; following it at once makes the entries oscillate.
+	othersSmoothing = 0.25
 )
 
 // endpoint is the state of one endpoint.
@@ -37,8 +41,10 @@
 	// others estimates the load that other entries cause.
 	others      float64
 	othersKnown bool
-	loadAt      time.Time
-	frameAt     time.Time
+	// othersSmooth averages others over the last observations.
+	othersSmooth float64
+	loadAt       time.Time
+	frameAt      time.Time
 
 	// affinity is the matched share of the request's prefixes in query affinityIn.
 	affinity   float64
@@ -86,17 +92,22 @@
 	e.loadAt = now
 	others := float64(load.GetInFlight() + load.GetQueued() - e.own)
 	others = max(others, 0)
-	e.others = others
+	if !e.othersKnown {
+		e.othersSmooth = others
+	}
 	e.othersKnown = true
+	e.others = others
+	e.othersSmooth += othersSmoothing * (others - e.othersSmooth)
 }
 
-// othersAt returns the load that other entries cause. For a load that is no longer
-// current it is at least the mean of the pool, so that silence attracts no requests.
-func (e *endpoint) othersAt(now time.Time, mean float64) float64 {
+// othersAt returns the load that other entries cause, as last observed and smoothed.
+// When the observation is no longer current, both are at least the mean of the pool,
+// so that silence attracts no requests.
+func (e *endpoint) othersAt(now time.Time, mean float64) (latest, smooth float64) {
 	if e.othersKnown && now.Sub(e.loadAt) < loadStaleness {
-		return e.others
+		return e.others, e.othersSmooth
 	}
-	return max(e.others, mean)
+	return max(e.others, mean), max(e.othersSmooth, mean)
 }
 
 func (e *endpoint) capacity() float64 {
--- a/lib/routing/query.go
+++ b/lib/routing/query.go
@@ -10,6 +10,8 @@
 	digest   string
 	// load estimates the requests on the endpoint.
 	load float64
+	// others is the smoothed load that other entries cause.
+	others float64
 	// score orders the candidates; lower is better.
 	score float64
 }
@@ -59,8 +61,13 @@
 	mean := meanOthers(p)
 	for i := range p.members {
 		m := &p.members[i]
-		load := float64(m.endpoint.own) + m.endpoint.othersAt(now, mean)
-		q.candidates = append(q.candidates, candidate{endpoint: m.endpoint, digest: m.digest, load: load})
+		latest, smooth := m.endpoint.othersAt(now, mean)
+		q.candidates = append(q.candidates, candidate{
+			endpoint: m.endpoint,
+			digest:   m.digest,
+			load:     float64(m.endpoint.own) + latest,
+			others:   smooth,
+		})
 	}
 }
 
--- a/lib/routing/scorers.go
+++ b/lib/routing/scorers.go
@@ -91,8 +91,7 @@
 // load, late; if each corrected all of it, the sum would overshoot.
 func inFlightScore(q *query, c *candidate) float64 {
 	own := float64(c.endpoint.own)
-	others := c.load - own
-	return (own + q.ownShare*others + 1) * q.meanCapacity / c.endpoint.capacity()
+	return (own + q.ownShare*c.others + 1) * q.meanCapacity / c.endpoint.capacity()
 }
 
 // tokenScore corrects the own load for requests that are larger or smaller than the
