Test herding of many entries with few requests each

With few own requests the order of the others' load decides, and it is the same late order for all entries.

--- a/lib/routing/bounds_test.go
+++ b/lib/routing/bounds_test.go
@@ -49,3 +49,23 @@
 		So(violations, ShouldBeEmpty)
 	})
 }
+
+// Guards against herding of many entries that each have few requests in flight: their
+// own counts then distinguish few endpoints, and all see the same late reports.
+func TestManyEntries(t *testing.T) {
+	Convey("The default policy beats every baseline with 49 entries", t, func() {
+		ratios := map[string]float64{}
+		for _, policy := range routing.Policies() {
+			result, err := routetest.Run(routetest.Scenario{
+				Policy: policy, Seed: 1, Entries: 49, Endpoints: 48,
+				ReportLag: time.Second, Duration: 30 * time.Second})
+			So(err, ShouldBeNil)
+			ratios[policy] = result.P99Ratio
+			t.Logf("%-16s worst 1 s %.3f, p99 %.3f, mean %.3f", policy,
+				result.WorstWindow, result.P99Ratio, result.MeanRatio)
+		}
+		for _, policy := range routing.Policies()[1:] {
+			SoMsg(policy, ratios[policy], ShouldBeGreaterThan, ratios[routing.DefaultPolicy])
+		}
+	})
+}
