Draw two of the near-best candidates, weighted by their difference

Cause: with few own requests for each endpoint the late load of the others decides, and all entries take the same best endpoint. The default policy now draws two candidates within half a request of the best score and prefers the better one with a probability that grows with their difference.

TestManyEntries and TestImbalance pass.

--- a/lib/routing/policy.go
+++ b/lib/routing/policy.go
@@ -34,14 +34,52 @@
 		"routing policy %q is unknown", name)
 }
 
-// leastEstimated takes the best score and breaks ties at random.
+// leastEstimated draws two of the candidates whose score is near the best one and
+// prefers the better of them the more they differ.
 type leastEstimated struct{}
 
+// bestMargin is the distance to the best score, in requests, within which candidates
+// are drawn. Always taking the best makes all entries with equal own counts follow the
+// same late reports; a margin of one request gives up accuracy.
+const bestMargin = 0.5
+
 func (leastEstimated) scored() bool { return true }
 
 func (leastEstimated) pick(t *Table, q *query, _ *pool) int {
 	t.score(q)
-	return t.least(q, func(c *candidate) float64 { return c.score })
+	a, b := t.drawTwo(q, q.lowestScore()+bestMargin)
+	advantage := (q.candidates[b].score - q.candidates[a].score) / bestMargin
+	if t.rng.Float64() < (1+advantage)/2 {
+		return a
+	}
+	return b
+}
+
+func (q *query) lowestScore() float64 {
+	lowest := q.candidates[0].score
+	for i := range q.candidates {
+		lowest = min(lowest, q.candidates[i].score)
+	}
+	return lowest
+}
+
+// drawTwo returns two independent draws from the candidates with at most the given
+// score.
+func (t *Table) drawTwo(q *query, highest float64) (a, b int) {
+	near := 0
+	for i := range q.candidates {
+		if q.candidates[i].score > highest {
+			continue
+		}
+		near++
+		if t.rng.IntN(near) == 0 {
+			a = i
+		}
+		if t.rng.IntN(near) == 0 {
+			b = i
+		}
+	}
+	return a, b
 }
 
 // leastReported takes the lowest load of the last reports, without corrections.
