--- a/lib/routing/bounds_test.go
+++ b/lib/routing/bounds_test.go
@@ -69,3 +69,61 @@
 		}
 	})
 }
+
+// Guards against requests that fail, or wait, because a zone leaves and returns while
+// the others have room: by a drain, or by the loss of its processes.
+func TestZoneLeavesAndReturns(t *testing.T) {
+	inZone := func(_ int, zone string) bool { return zone == "b" }
+	changes := map[string][]routetest.Change{
+		"drained": {
+			{At: 20 * time.Second, Do: func(s *routetest.Sim) { s.DrainZone("b", 3*time.Second) }},
+			{At: 50 * time.Second, Do: func(s *routetest.Sim) { s.RestoreZone("b", 3*time.Second) }},
+		},
+		"lost": {
+			{At: 20 * time.Second, Do: func(s *routetest.Sim) { s.SetMode(routetest.Broken, inZone) }},
+			{At: 50 * time.Second, Do: func(s *routetest.Sim) { s.SetMode(routetest.Serving, inZone) }},
+		},
+	}
+	Convey("No idempotent request fails and p99 stays within 1.2 of quiet time", t, func() {
+		scenario := routetest.Scenario{
+			Seed: 1, ReportLag: time.Second, NotIdempotent: 0.1, Warmup: 20 * time.Second, Duration: 60 * time.Second}
+		quiet, err := routetest.Run(scenario)
+		So(err, ShouldBeNil)
+		for name, list := range changes {
+			scenario.Changes = list
+			result, err := routetest.Run(scenario)
+			So(err, ShouldBeNil)
+			t.Logf("%-8s failed %d of %d idempotent, p99 %v (quiet %v), retries %d, errors %v", name,
+				result.IdempotentFailed, result.IdempotentRequests, result.P99, quiet.P99, result.Retries, result.Errors)
+			SoMsg(name, result.IdempotentFailed, ShouldEqual, 0)
+			SoMsg(name, result.DrainedPicks, ShouldEqual, 0)
+			SoMsg(name, result.P99, ShouldBeLessThanOrEqualTo, quiet.P99*12/10)
+			SoMsg(name, result.OverBudget, ShouldBeLessThanOrEqualTo, 0)
+		}
+	})
+}
+
+// Guards against retry storms and against refusals while enough endpoints work: a
+// third of the endpoints fails each request, loses its process, or falls silent.
+func TestThirdOfEndpointsFails(t *testing.T) {
+	third := func(i int, _ string) bool { return i%3 == i/3%3 }
+	modes := map[string]routetest.Mode{
+		"failing": routetest.Failing, "broken": routetest.Broken, "silent": routetest.Silent,
+	}
+	Convey("99% of the idempotent requests are answered within the retry budget", t, func() {
+		for name, mode := range modes {
+			// Only requests that arrive while the endpoints fail are counted.
+			scenario := routetest.Scenario{
+				Seed: 1, ReportLag: time.Second, Warmup: 15 * time.Second, Duration: 45 * time.Second}
+			scenario.Changes = []routetest.Change{
+				{At: 15 * time.Second, Do: func(s *routetest.Sim) { s.SetMode(mode, third) }},
+			}
+			result, err := routetest.Run(scenario)
+			So(err, ShouldBeNil)
+			t.Logf("%-8s failed %d of %d idempotent, retries %d, over budget %.1f, p99 %v, errors %v", name,
+				result.IdempotentFailed, result.IdempotentRequests, result.Retries, result.OverBudget, result.P99, result.Errors)
+			SoMsg(name, result.OverBudget, ShouldBeLessThanOrEqualTo, 0)
+			SoMsg(name, result.IdempotentFailed*100, ShouldBeLessThanOrEqualTo, result.IdempotentRequests)
+		}
+	})
+}
