--- a/lib/routing/bounds_test.go
+++ b/lib/routing/bounds_test.go
@@ -112,7 +112,7 @@
 	}
 	Convey("99% of the idempotent requests are answered within the retry budget", t, func() {
 		for name, mode := range modes {
-			// Only requests that arrive while the endpoints fail are counted.
+			// Only requests that end after the failure begins are counted.
 			scenario := routetest.Scenario{
 				Seed: 1, ReportLag: time.Second, Warmup: 15 * time.Second, Duration: 45 * time.Second}
 			scenario.Changes = []routetest.Change{
--- a/lib/routing/routetest/entry.go
+++ b/lib/routing/routetest/entry.go
@@ -24,12 +24,11 @@
 
 // request is one caller's request.
 type request struct {
-	arrived  time.Duration
-	routing  routing.Request
-	state    *retry.State
-	attempt  routing.Attempt
-	measured bool
-	done     bool
+	arrived time.Duration
+	routing routing.Request
+	state   *retry.State
+	attempt routing.Attempt
+	done    bool
 }
 
 func newEntry(s *Sim, i int) (*entry, error) {
@@ -67,7 +66,7 @@
 func (e *entry) start() {
 	s := e.sim
 	s.requests++
-	r := &request{arrived: s.now, measured: s.now >= s.scenario.Warmup}
+	r := &request{arrived: s.now}
 	r.routing = routing.Request{Model: Model, Idempotent: s.rng.Float64() >= s.scenario.NotIdempotent}
 	if s.zipf != nil {
 		r.routing.Prefixes = []uint64{s.zipf.Uint64()}
--- a/lib/routing/routetest/result.go
+++ b/lib/routing/routetest/result.go
@@ -13,8 +13,8 @@
 // the highest to the mean load; it equals the lag of the reports.
 const loadWindow = time.Second
 
-// Result holds the figures of a run. Figures about requests and loads leave out the
-// warm-up.
+// Result holds the figures of a run. Loads during the warm-up and requests that
+// ended in it are left out.
 type Result struct {
 	Scenario Scenario
 	// Ratios of the highest to the mean load over the endpoints: the worst window of
@@ -108,7 +108,7 @@
 }
 
 func (r *Result) answered(now time.Duration, request *request, kind errkind.Kind) {
-	if !request.measured {
+	if now < r.Scenario.Warmup {
 		return
 	}
 	r.Requests++
