Let broken requests wait for the retry budget

Cause: the loss of a zone breaks many attempts at once. The first attempts that cover their retries in the same 10 s arrive only afterwards, so the budget refused retries that the bound allows. The planner now answers Wait, for at most half of the remaining time and 5 s. Requests that an endpoint refused do not wait: their answer is safe to repeat, and waiting would hold requests during overload.

Ruled out: checking only the window that ends with the retry. It allows the burst but breaks the bound when traffic stops at the same time (TestBudgetOverAnyWindow).

Retries over any 10 s stay within 10% of the first attempts without the 3/s. Both tests pass.

--- a/lib/retry/doc.go
+++ b/lib/retry/doc.go
@@ -14,6 +14,8 @@
 //			return next.Err // nil: the attempt's response is complete
 //		case retry.Retry, retry.Resume:
 //			// Wait next.After; for Resume require next.VersionDigest.
+//		case retry.Wait:
+//			// Wait next.After, then call planner.Again(state, now).
 //		}
 //	}
 package retry
--- a/lib/retry/plan.go
+++ b/lib/retry/plan.go
@@ -14,6 +14,13 @@
 // DefaultRetryAfter is returned with final answers that the caller may repeat.
 const DefaultRetryAfter = time.Second
 
+const (
+	// waitInterval is the mean time between two checks of a waiting request.
+	waitInterval = 50 * time.Millisecond
+	// maxWait bounds the time for which a request waits for the retry budget.
+	maxWait = 5 * time.Second
+)
+
 // Action is what follows an attempt.
 type Action uint8
 
@@ -25,6 +32,9 @@
 	Retry
 	// Resume continues the stream on an endpoint that serves Next.VersionDigest.
 	Resume
+	// Wait asks the caller to wait Next.After and then to call Planner.Again, because
+	// the retry budget has no room yet.
+	Wait
 )
 
 // Request describes what the plan needs to know about a request.
@@ -63,6 +73,10 @@
 	unknown bool
 	// inProgress is set when an earlier attempt with the same key is running.
 	inProgress bool
+	// action waits for the budget until waitUntil when mayWait is set.
+	action     Action
+	mayWait    bool
+	waitUntil  time.Time
 	retryAfter time.Duration
 	lastErr    error
 }
@@ -132,20 +146,48 @@
 	if s.attempts >= p.settings.MaxAttempts {
 		return s.giveUp("the attempts are used up")
 	}
-	after := p.delay(s, action)
+	s.action = action
+	s.mayWait = !a.refused()
+	return p.proceed(s, p.delay(s, action), now)
+}
+
+// Again repeats the decision of a request that waited for the retry budget.
+func (p *Planner) Again(s *State, now time.Time) Next {
+	return p.proceed(s, 0, now)
+}
+
+func (p *Planner) proceed(s *State, after time.Duration, now time.Time) Next {
 	if !now.Add(after).Before(s.request.Deadline) {
 		return s.giveUp("the deadline leaves no time for another attempt")
 	}
 	if !p.budget.TryRetry(now) {
-		return s.giveUp("the retry budget is used up")
+		return p.wait(s, now)
 	}
-	next := Next{Action: action, After: after}
-	if action == Resume {
+	next := Next{Action: s.action, After: after}
+	if s.action == Resume {
 		next.VersionDigest = s.digest
 	}
 	return next
 }
 
+// wait lets a request wait for the budget. When many attempts break at once, the first
+// attempts that cover their retries arrive only afterwards. A request that an endpoint
+// refused does not wait: its answer "not run" is safe to repeat, and waiting would hold
+// requests during overload.
+func (p *Planner) wait(s *State, now time.Time) Next {
+	if !s.mayWait {
+		return s.giveUp("the retry budget is used up")
+	}
+	if s.waitUntil.IsZero() {
+		s.waitUntil = now.Add(min(maxWait, s.request.Deadline.Sub(now)/2))
+	}
+	after := waitInterval/2 + time.Duration(p.rng.Int64N(int64(waitInterval)))
+	if now.Add(after).After(s.waitUntil) {
+		return s.giveUp("the retry budget is used up")
+	}
+	return Next{Action: Wait, After: after}
+}
+
 // delay returns the backoff before the next attempt. The first resumption follows at
 // once, because the caller is waiting for the next token.
 func (p *Planner) delay(s *State, action Action) time.Duration {
@@ -162,6 +204,11 @@
 	return s.giveUp("no endpoint is eligible")
 }
 
+// refused reports whether an endpoint refused the attempt.
+func (a Attempt) refused() bool {
+	return a.Sent && a.Outcome == laburnumgwv1.Outcome_OUTCOME_NOT_RUN
+}
+
 func (a Attempt) outcome() laburnumgwv1.Outcome {
 	if !a.Sent {
 		return laburnumgwv1.Outcome_OUTCOME_NOT_RUN
--- a/lib/retry/plan_test.go
+++ b/lib/retry/plan_test.go
@@ -113,6 +113,10 @@
 				a.VersionDigest = "v1"
 			}
 			next := planner.Next(state, a, now)
+			for next.Action == retry.Wait {
+				now = now.Add(next.After)
+				next = planner.Again(state, now)
+			}
 			if next.Action == retry.Answer {
 				if errkind.Is(next.Err, errkind.NotRun) == ranBefore && next.Err != nil {
 					t.Fatalf("answer %v although an attempt may have run: %v", next.Err, ranBefore)
@@ -136,3 +140,36 @@
 		}
 	})
 }
+
+// Guards against requests that are held for the budget past half of their remaining
+// time, and against ones that do not profit when the budget has room again.
+func TestPlanWaitsForTheBudget(t *testing.T) {
+	broken := retry.Attempt{Sent: true, Outcome: unknown}
+	request := retry.Request{Idempotent: true, Deadline: start.Add(4 * time.Second)}
+	Convey("A broken request waits at most half of its remaining time", t, func() {
+		planner := newPlanner(-1)
+		state := retry.NewState(request)
+		next := planner.Next(state, broken, start)
+		now := start
+		for next.Action == retry.Wait {
+			So(next.After, ShouldBeGreaterThan, 0)
+			now = now.Add(next.After)
+			next = planner.Again(state, now)
+		}
+		So(next.Action, ShouldEqual, retry.Answer)
+		So(errkind.Of(next.Err), ShouldEqual, errkind.OutcomeUnknown)
+		So(now.Sub(start), ShouldBeBetween, 1900*time.Millisecond, 2001*time.Millisecond)
+	})
+	Convey("First attempts that arrive meanwhile allow the retry", t, func() {
+		budget := retry.NewBudget(retry.BudgetSettings{PerSecond: -1})
+		planner := retry.NewPlanner(retry.Settings{}, budget, rand.New(rand.NewPCG(1, 1)))
+		state := retry.NewState(request)
+		So(planner.Next(state, broken, start).Action, ShouldEqual, retry.Wait)
+		for range 10 {
+			budget.FirstAttempt(start.Add(100 * time.Millisecond))
+		}
+		next := planner.Again(state, start.Add(300*time.Millisecond))
+		So(next.Action, ShouldEqual, retry.Retry)
+		So(next.After, ShouldEqual, 0)
+	})
+}
--- a/lib/routing/routetest/entry.go
+++ b/lib/routing/routetest/entry.go
@@ -123,13 +123,24 @@
 	c.ended = true
 	s := e.sim
 	e.table.AttemptFinished(r.attempt, routing.Result{Outcome: outcome, Sent: sent, Load: load}, s.clock())
-	next := e.planner.Next(r.state, retry.Attempt{Outcome: outcome, Sent: sent}, s.clock())
-	if next.Action == retry.Answer {
+	e.follow(r, e.planner.Next(r.state, retry.Attempt{Outcome: outcome, Sent: sent}, s.clock()))
+}
+
+func (e *entry) follow(r *request, next retry.Next) {
+	s := e.sim
+	switch next.Action {
+	case retry.Answer:
 		e.answer(r, next.Err)
-		return
+	case retry.Wait:
+		s.after(next.After, func() {
+			if !r.done {
+				e.follow(r, e.planner.Again(r.state, s.clock()))
+			}
+		})
+	default:
+		s.result.attemptStarted(s.now, e.index, true)
+		s.after(next.After, func() { e.send(r) })
 	}
-	s.result.attemptStarted(s.now, e.index, true)
-	s.after(next.After, func() { e.send(r) })
 }
 
 func (e *entry) answer(r *request, err error) {
