--- a/lib/swarm/fetch.go
+++ b/lib/swarm/fetch.go
@@ -228,18 +228,19 @@
 
 // startPeerFetch chooses a chunk that a usable peer holds, and the peer.
 func (m *Machine) startPeerFetch(now time.Duration) bool {
-	union := make([]uint64, len(m.held.Words()))
-	var usable []*peer
-	for _, p := range m.peers {
+	clear(m.offered)
+	usable := m.usableBuffer[:0]
+	for _, p := range m.known {
 		if !m.usable(now, p) {
 			continue
 		}
 		usable = append(usable, p)
 		for i, word := range p.held.Words() {
-			union[i] |= word
+			m.offered[i] |= word
 		}
 	}
-	chunk := m.pickChunk(union)
+	m.usableBuffer = usable
+	chunk := m.pickChunk(m.offered)
 	if chunk < 0 {
 		return false
 	}
@@ -304,8 +305,8 @@
 		if now-f.started < m.after(duplicateChunkTimes) || m.copies(f.chunk) >= maxCopies {
 			continue
 		}
-		for _, p := range m.peers {
-			if m.usable(now, p) && p.held.Has(f.chunk) {
+		for _, p := range m.known {
+			if p != f.from && m.usable(now, p) && p.held.Has(f.chunk) {
 				m.startFetch(now, f.chunk, p, false)
 				return true
 			}
@@ -319,7 +320,7 @@
 	if m.holders[chunk] == 0 {
 		return false
 	}
-	for _, p := range m.peers {
+	for _, p := range m.known {
 		if p.Region == m.cfg.Self.Region && p.held.Has(chunk) && p.trusted(now) {
 			return true
 		}
--- /dev/null
+++ b/lib/swarm/linkfake/bounds_test.go
@@ -0,0 +1,116 @@
+package linkfake
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// execute runs a scenario and prints its seed and figures.
+func execute(t *testing.T, s Scenario) Result {
+	t.Helper()
+	result := NewRun(s).Execute()
+	t.Logf("%s, seed %d: %s", s.Name, s.Seed, result)
+	return result
+}
+
+// Guards the design's bounds for a burst without faults: the time for 750 VMs, its
+// growth from 100 VMs, the bytes from the origin, and the control traffic.
+func TestPlainBurst(t *testing.T) {
+	t.Parallel()
+	small := execute(t, Plain(smallFleet))
+	large := execute(t, Plain(largeFleet))
+	Convey("A plain burst holds its bounds", t, func() {
+		So(small.Incomplete, ShouldEqual, 0)
+		So(large.Incomplete, ShouldEqual, 0)
+		So(large.Last, ShouldBeLessThanOrEqualTo, 1.25)
+		So(large.Last/small.Last, ShouldBeLessThanOrEqualTo, 1.2)
+		So(small.OriginCopies, ShouldBeLessThanOrEqualTo, 1.1)
+		So(large.OriginCopies, ShouldBeLessThanOrEqualTo, 1.1)
+		So(large.ControlMean, ShouldBeLessThanOrEqualTo, 29000)
+		So(large.ControlPeak, ShouldBeLessThanOrEqualTo, 29000)
+	})
+}
+
+// Guards the bound with half of each link reserved for live requests.
+func TestHalfLink(t *testing.T) {
+	t.Parallel()
+	result := execute(t, HalfLink(largeFleet))
+	Convey("Half of the link takes at most twice the time", t, func() {
+		So(result.Incomplete, ShouldEqual, 0)
+		So(result.Last, ShouldBeLessThanOrEqualTo, 2.5)
+		So(result.OriginCopies, ShouldBeLessThanOrEqualTo, 1.1)
+	})
+}
+
+// Guards against a narrow inter-region link that carries a chunk more than once, or
+// that the far region waits for longer than its bytes need.
+func TestNarrowRegionLink(t *testing.T) {
+	t.Parallel()
+	result := execute(t, TwoRegions(largeFleet/2, largeFleet/2))
+	Convey("The far region is bound by the link only", t, func() {
+		So(result.Incomplete, ShouldEqual, 0)
+		So(result.ByRegion["a"], ShouldBeLessThanOrEqualTo, 1.25)
+		So(result.ByRegion["b"], ShouldBeLessThanOrEqualTo, 1.25/narrowLink)
+		So(result.LinkCopies["b"], ShouldBeLessThanOrEqualTo, 1.1)
+		So(result.OriginCopies, ShouldBeLessThanOrEqualTo, 1.1)
+	})
+}
+
+// Guards against dead, stalled and corrupt peers that hold up the others or send them
+// back to the origin.
+func TestMixedFaults(t *testing.T) {
+	t.Parallel()
+	result := execute(t, Mixed(largeFleet))
+	Convey("Survivors complete in time", t, func() {
+		So(result.Incomplete, ShouldEqual, 0)
+		So(result.Corrupt, ShouldBeGreaterThan, 0)
+		So(result.Last, ShouldBeLessThanOrEqualTo, 1.6)
+		So(result.OriginCopies, ShouldBeLessThanOrEqualTo, 1.5)
+	})
+}
+
+// Guards against a partitioned zone that stops, draws more than one copy by itself,
+// or slows the other zones down.
+func TestZonePartition(t *testing.T) {
+	t.Parallel()
+	for _, at := range []float64{0.1, 0.3, 0.6} {
+		result := execute(t, ZonePartition(largeFleet, at, at+0.4))
+		others := result.OriginCopies - result.ZoneOriginCopies["a-z1"]
+		Convey("Only the partitioned zone draws more", t, func() {
+			So(result.Incomplete, ShouldEqual, 0)
+			So(result.OriginCopies, ShouldBeLessThanOrEqualTo, 1.1+1)
+			So(others, ShouldBeLessThanOrEqualTo, 1.1)
+			So(result.ByZone["a-z0"], ShouldBeLessThanOrEqualTo, 1.25)
+			So(result.ByZone["a-z2"], ShouldBeLessThanOrEqualTo, 1.25)
+			So(result.ByZone["a-z1"], ShouldBeLessThanOrEqualTo, 1.6)
+		})
+	}
+}
+
+// Guards against single faults that the table does not list on their own. They are
+// held to the table's bounds for mixed faults, from the end of the store's outage and
+// by the time the store's link needs for one copy.
+func TestOtherFaults(t *testing.T) {
+	t.Parallel()
+	const fleet = 200
+	for _, c := range []struct {
+		scenario Scenario
+		last     float64
+	}{
+		{StaggeredStart(fleet), 1.6},
+		{Dishonest(fleet), 1.6},
+		{LateJoiners(smallFleet, fleet, 0.5), 1.6},
+		{StoreDown(fleet, 0.1, 0.6), 0.6 + 1.6},
+		{StoreSlow(fleet, 0.2), 1.6 * 2.5},
+		{RateLimited(fleet), 1.6},
+		{SlowPeers(fleet), 1.6},
+	} {
+		result := execute(t, c.scenario)
+		Convey("Bounds hold with "+c.scenario.Name, t, func() {
+			So(result.Incomplete, ShouldEqual, 0)
+			So(result.Last, ShouldBeLessThanOrEqualTo, c.last)
+			So(result.OriginCopies, ShouldBeLessThanOrEqualTo, 1.5)
+		})
+	}
+}
--- /dev/null
+++ b/lib/swarm/linkfake/links.go
@@ -0,0 +1,182 @@
+// Package linkfake runs swarm machines over links with rates in virtual time. It
+// models the up and down link of each VM, the weight store's link, and the links
+// between regions, but no packets: the transfers on a link share its rate equally,
+// and a transfer runs at the smallest of its shares. What one transfer leaves unused
+// on a link is not given to others, so that times are upper estimates.
+package linkfake
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// never is later than the end of every run.
+const never = time.Duration(1<<63 - 1)
+
+// timer is a function that runs at a point in virtual time.
+type timer struct {
+	at       time.Duration
+	sequence uint64
+	run      func()
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int { return len(h) }
+func (h timerHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].sequence < h[j].sequence
+}
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
+
+// Pop implements heap.Interface.
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	item := (*h)[last]
+	(*h)[last] = timer{}
+	*h = (*h)[:last]
+	return item
+}
+
+// clock runs timers in order of time; timers of the same time run in order of creation.
+type clock struct {
+	now      time.Duration
+	sequence uint64
+	timers   timerHeap
+}
+
+func (c *clock) after(d time.Duration, run func()) {
+	c.sequence++
+	heap.Push(&c.timers, timer{at: c.now + d, sequence: c.sequence, run: run})
+}
+
+// step runs the next timer and reports whether there was one.
+func (c *clock) step() bool {
+	if len(c.timers) == 0 {
+		return false
+	}
+	next := heap.Pop(&c.timers).(timer)
+	c.now = next.at
+	next.run()
+	return true
+}
+
+// link is a shared capacity in chunks per second.
+type link struct {
+	rate  float64
+	flows []*flow
+	// carried is the number of chunks that have crossed the link, partial ones included.
+	carried float64
+}
+
+// flow is one transfer of a chunk.
+type flow struct {
+	links   []*link
+	left    float64
+	rate    float64
+	settled time.Duration
+	frozen  bool
+	ended   bool
+	version int
+	done    func()
+}
+
+// start begins a transfer of one chunk; done runs when it is complete.
+func (c *clock) start(links []*link, done func()) *flow {
+	f := &flow{links: links, left: 1, settled: c.now, done: done}
+	for _, l := range links {
+		l.flows = append(l.flows, f)
+	}
+	c.update(links)
+	return f
+}
+
+// stop ends a transfer before it is complete.
+func (c *clock) stop(f *flow) {
+	if f.ended {
+		return
+	}
+	c.settle(f)
+	f.ended = true
+	f.version++
+	for _, l := range f.links {
+		l.flows = slices.DeleteFunc(l.flows, func(other *flow) bool { return other == f })
+	}
+	c.update(f.links)
+}
+
+// freeze halts or resumes a transfer without ending it.
+func (c *clock) freeze(f *flow, frozen bool) {
+	f.frozen = frozen
+	c.reschedule(f)
+}
+
+// setRate changes the rate of a link.
+func (c *clock) setRate(l *link, rate float64) {
+	l.rate = rate
+	c.update([]*link{l})
+}
+
+// update computes the rates of all transfers on some links.
+func (c *clock) update(links []*link) {
+	for _, l := range links {
+		for _, f := range l.flows {
+			c.reschedule(f)
+		}
+	}
+}
+
+// settle accounts for the bytes moved since the last change of rate.
+func (c *clock) settle(f *flow) {
+	moved := min(f.left, f.rate*(c.now-f.settled).Seconds())
+	f.settled = c.now
+	f.left -= moved
+	for _, l := range f.links {
+		l.carried += moved
+	}
+}
+
+func (c *clock) reschedule(f *flow) {
+	if f.ended {
+		return
+	}
+	rate := f.share()
+	if rate == f.rate {
+		return
+	}
+	c.settle(f)
+	f.rate = rate
+	f.version++
+	if rate <= 0 {
+		return
+	}
+	version := f.version
+	left := time.Duration(f.left / rate * float64(time.Second))
+	c.after(left+1, func() {
+		if f.version == version {
+			c.finish(f)
+		}
+	})
+}
+
+func (f *flow) share() float64 {
+	if f.frozen {
+		return 0
+	}
+	rate := f.links[0].rate / float64(len(f.links[0].flows))
+	for _, l := range f.links[1:] {
+		rate = min(rate, l.rate/float64(len(l.flows)))
+	}
+	return rate
+}
+
+func (c *clock) finish(f *flow) {
+	c.stop(f)
+	f.done()
+}
--- /dev/null
+++ b/lib/swarm/linkfake/result.go
@@ -0,0 +1,115 @@
+package linkfake
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Result holds the figures of a run.
+type Result struct {
+	// Last is the time until the last VM was complete, in V, from its own start when
+	// it joined later.
+	Last float64
+	// Median is the same for the middle VM.
+	Median float64
+	// ByRegion and ByZone hold the last completion per region and zone.
+	ByRegion map[string]float64
+	ByZone   map[string]float64
+	// Incomplete counts live VMs without the whole version.
+	Incomplete int
+	// OriginCopies is the number of copies drawn from the store.
+	OriginCopies float64
+	// ZoneOriginCopies is the same per zone.
+	ZoneOriginCopies map[string]float64
+	// LinkCopies is the number of copies over each region's link, both directions.
+	LinkCopies map[string]float64
+	// ControlMean is the highest mean control traffic of a VM in bytes per second,
+	// sent and received.
+	ControlMean float64
+	// ControlPeak is the highest control traffic of a VM within one second.
+	ControlPeak float64
+	// Refused is the number of refused requests for chunks per chunk received.
+	Refused float64
+	// Corrupt is the number of corrupt chunks received.
+	Corrupt        int
+	OriginRequests int
+	OriginRefused  int
+}
+
+func (r *Run) result() Result {
+	chunks := float64(r.Scenario.Chunks)
+	for _, l := range append([]*link{r.origin}, r.regionLinks()...) {
+		for _, f := range l.flows {
+			r.settle(f)
+		}
+	}
+	result := Result{
+		ByRegion:         make(map[string]float64),
+		ByZone:           make(map[string]float64),
+		ZoneOriginCopies: make(map[string]float64),
+		LinkCopies:       make(map[string]float64),
+		OriginCopies:     r.origin.carried / chunks,
+		OriginRequests:   r.OriginRequests,
+		OriginRefused:    r.OriginRefused,
+	}
+	for zone, carried := range r.zoneOrigin {
+		result.ZoneOriginCopies[zone] = carried / chunks
+	}
+	for name, l := range r.toRegion {
+		result.LinkCopies[name] = (l.carried + r.fromRegion[name].carried) / chunks
+	}
+	var times []float64
+	var transfers, wasted int
+	for _, v := range r.VMs {
+		transfers += v.PeerTransfers
+		wasted += v.Wasted
+		result.Corrupt += v.Corrupt
+		seconds := (min(v.Done, r.now) - v.started).Seconds()
+		if seconds > 0 {
+			result.ControlMean = max(result.ControlMean, float64(v.control)/seconds)
+		}
+		result.ControlPeak = max(result.ControlPeak, float64(v.peakBytes))
+		if v.Dead || v.Excluded {
+			continue
+		}
+		if v.Done == never {
+			result.Incomplete++
+			continue
+		}
+		t := float64(v.Done-v.started) / float64(copyTime)
+		times = append(times, t)
+		result.ByRegion[v.Region] = max(result.ByRegion[v.Region], t)
+		result.ByZone[v.Zone] = max(result.ByZone[v.Zone], t)
+	}
+	slices.Sort(times)
+	if len(times) > 0 {
+		result.Last = times[len(times)-1]
+		result.Median = times[len(times)/2]
+	}
+	if transfers > 0 {
+		result.Refused = float64(wasted) / float64(transfers)
+	}
+	return result
+}
+
+func (r *Run) regionLinks() []*link {
+	var links []*link
+	for _, region := range r.Scenario.Regions {
+		if l := r.toRegion[region.Name]; l != nil {
+			links = append(links, l, r.fromRegion[region.Name])
+		}
+	}
+	return links
+}
+
+// Now returns the virtual time of the run.
+func (r *Run) Now() time.Duration { return r.now }
+
+// String summarises the figures.
+func (r Result) String() string {
+	return fmt.Sprintf("last %.3f V, median %.3f V, incomplete %d, origin %.3f copies, "+
+		"links %.3v copies, control %.1f KB/s mean, %.1f KB in the peak second, %.2f refused per chunk, %d corrupt",
+		r.Last, r.Median, r.Incomplete, r.OriginCopies, r.LinkCopies,
+		r.ControlMean/1000, r.ControlPeak/1000, r.Refused, r.Corrupt)
+}
--- /dev/null
+++ b/lib/swarm/linkfake/run.go
@@ -0,0 +1,231 @@
+package linkfake
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"laburnumgw/lib/swarm"
+	"laburnumgw/lib/weights"
+)
+
+const (
+	// copyTime is V: the time in which a VM's whole link carries one copy.
+	copyTime = 60 * time.Second
+	// originCopies is the number of copies that the store's whole link carries per V.
+	originCopies = 2
+	// originConcurrency is the number of transfers that the store runs at once.
+	originConcurrency = 64
+	// zoneLatency and regionLatency are one-way delays of messages.
+	zoneLatency   = 1 * time.Millisecond
+	regionLatency = 2 * time.Millisecond
+	// detectDelay is the time until live VMs learn of dead and unreachable ones.
+	detectDelay = 3 * time.Second
+)
+
+// Region is a number of VMs behind one inter-region link.
+type Region struct {
+	Name  string
+	VMs   int
+	Zones int
+	// LinkCopies is the number of copies per V that the link to and from the region
+	// carries in each direction. It is not used for the first region, the home.
+	LinkCopies float64
+}
+
+// Fault changes a run at a point in time, in units of V.
+type Fault struct {
+	At float64
+	Do func(r *Run)
+}
+
+// Scenario describes a run. Zero fields take defaults.
+type Scenario struct {
+	Name    string
+	Seed    uint64
+	Policy  swarm.Policy
+	Chunks  int
+	Regions []Region
+	// LinkShare is the part of every link that distribution may use.
+	LinkShare float64
+	Limits    swarm.Limits
+	// StartSpread is the time, in V, over which VMs start, at random.
+	StartSpread float64
+	// Corrupt is the probability that a transfer arrives corrupted.
+	Corrupt float64
+	Faults  []Fault
+	// Deadline ends a run that does not complete, in V.
+	Deadline float64
+}
+
+// Run is a scenario in progress.
+type Run struct {
+	clock
+	Scenario Scenario
+	VMs      []*VM
+	Rand     *rand.Rand
+
+	byName    map[string]*VM
+	origin    *link
+	waiting   []*transfer
+	originNow int
+	// originGate decides on each request to the store before it runs.
+	originGate func() (swarm.Result, time.Duration)
+	toRegion   map[string]*link
+	fromRegion map[string]*link
+	plans      map[string]*swarm.Plan
+	chunkTime  time.Duration
+	digest     weights.Digest
+
+	OriginRequests int
+	OriginRefused  int
+	// zoneOrigin counts the chunks that each zone drew from the store.
+	zoneOrigin map[string]float64
+}
+
+// NewRun prepares a scenario. All VMs start at time zero unless it says otherwise.
+func NewRun(s Scenario) *Run {
+	s.Chunks = cmp.Or(s.Chunks, 256)
+	s.LinkShare = cmp.Or(s.LinkShare, 1)
+	s.Deadline = cmp.Or(s.Deadline, 12)
+	s.Policy = cmp.Or(s.Policy, swarm.PolicySwarm)
+	r := &Run{
+		Scenario:   s,
+		Rand:       rand.New(rand.NewPCG(s.Seed, 0)),
+		byName:     make(map[string]*VM),
+		toRegion:   make(map[string]*link),
+		fromRegion: make(map[string]*link),
+		plans:      make(map[string]*swarm.Plan),
+		zoneOrigin: make(map[string]float64),
+		digest:     weights.Sum(fmt.Appendf(nil, "%s/%d", s.Name, s.Seed)),
+		chunkTime:  time.Duration(float64(copyTime) / float64(s.Chunks) / s.LinkShare),
+	}
+	r.origin = &link{rate: originCopies * r.vmRate()}
+	for _, region := range s.Regions {
+		r.addRegion(region)
+	}
+	for _, fault := range s.Faults {
+		r.after(time.Duration(fault.At*float64(copyTime)), func() { fault.Do(r) })
+	}
+	return r
+}
+
+// vmRate returns the permitted rate of a VM's link in chunks per second.
+func (r *Run) vmRate() float64 {
+	return float64(r.Scenario.Chunks) / copyTime.Seconds() * r.Scenario.LinkShare
+}
+
+func (r *Run) addRegion(region Region) {
+	if region.LinkCopies > 0 {
+		r.toRegion[region.Name] = &link{rate: region.LinkCopies * r.vmRate()}
+		r.fromRegion[region.Name] = &link{rate: region.LinkCopies * r.vmRate()}
+	}
+	for i := range region.VMs {
+		r.AddVM(swarm.Member{
+			VM:     fmt.Sprintf("%s-%03d", region.Name, i),
+			Zone:   fmt.Sprintf("%s-z%d", region.Name, i%max(1, region.Zones)),
+			Region: region.Name,
+		}, region.LinkCopies)
+	}
+}
+
+// AddVM adds a VM that starts now, or within the scenario's start spread.
+func (r *Run) AddVM(member swarm.Member, linkCopies float64) *VM {
+	v := &VM{
+		Member:   member,
+		run:      r,
+		up:       &link{rate: r.vmRate()},
+		down:     &link{rate: r.vmRate()},
+		uploads:  make(map[swarm.UploadID]*transfer),
+		incoming: make(map[swarm.FetchID]*transfer),
+		Done:     never,
+		started:  r.now,
+	}
+	interval := r.chunkTime / originCopies
+	if linkCopies > 0 {
+		interval = max(interval, time.Duration(float64(r.chunkTime)/linkCopies))
+	}
+	v.config = swarm.Config{
+		Self:           member,
+		Digest:         r.digest,
+		Chunks:         r.Scenario.Chunks,
+		HomeRegion:     r.Scenario.Regions[0].Name,
+		Policy:         r.Scenario.Policy,
+		ChunkTime:      r.chunkTime,
+		SourceInterval: interval,
+		Limits:         r.Scenario.Limits,
+		Planner:        r.plan,
+	}
+	r.VMs = append(r.VMs, v)
+	r.byName[member.VM] = v
+	var delay time.Duration
+	if spread := int64(r.Scenario.StartSpread * float64(copyTime)); spread > 0 {
+		delay = time.Duration(r.Rand.Int64N(spread))
+	}
+	number := uint64(len(r.VMs))
+	r.after(delay, func() { v.start(number) })
+	return v
+}
+
+// plan shares one plan between all VMs that see the same members.
+func (r *Run) plan(members []swarm.Member) *swarm.Plan {
+	key := weights.Sum(fmt.Appendf(nil, "%v", members)).String()
+	if r.plans[key] == nil {
+		r.plans[key] = swarm.NewPlan(r.digest, r.Scenario.Chunks, r.Scenario.Regions[0].Name, members)
+	}
+	return r.plans[key]
+}
+
+// members returns the live VMs that a VM can reach.
+func (r *Run) members(of *VM) []swarm.Member {
+	var members []swarm.Member
+	for _, v := range r.VMs {
+		if !v.Dead && v.side == of.side {
+			members = append(members, v.Member)
+		}
+	}
+	return members
+}
+
+// AnnounceMembers sends the present members to all VMs after the detection delay.
+func (r *Run) AnnounceMembers() {
+	r.after(detectDelay, func() {
+		bySide := make(map[int][]swarm.Member)
+		for _, v := range r.VMs {
+			if v.Dead {
+				continue
+			}
+			if bySide[v.side] == nil {
+				bySide[v.side] = r.members(v)
+				r.plans = map[string]*swarm.Plan{}
+			}
+			v.step(swarm.MembersChanged{Members: bySide[v.side]})
+		}
+	})
+}
+
+// Execute runs until every live VM is complete or the deadline passes.
+func (r *Run) Execute() Result {
+	deadline := time.Duration(r.Scenario.Deadline * float64(copyTime))
+	for r.now < deadline && !r.finished() && r.step() {
+		continue
+	}
+	return r.result()
+}
+
+func (r *Run) finished() bool {
+	return r.now > 0 && !slices.ContainsFunc(r.VMs, func(v *VM) bool {
+		return !v.Dead && !v.Excluded && v.Done == never
+	}) && r.now >= r.lastFault()
+}
+
+// lastFault keeps a run going until all its faults have happened.
+func (r *Run) lastFault() time.Duration {
+	var last float64
+	for _, fault := range r.Scenario.Faults {
+		last = max(last, fault.At)
+	}
+	return time.Duration(last * float64(copyTime))
+}
--- /dev/null
+++ b/lib/swarm/linkfake/transfer.go
@@ -0,0 +1,198 @@
+package linkfake
+
+import (
+	"slices"
+	"time"
+
+	"laburnumgw/lib/swarm"
+)
+
+// requestOrigin asks the store for a chunk.
+func (r *Run) requestOrigin(t *transfer) {
+	if t.ended {
+		return
+	}
+	r.OriginRequests++
+	if r.originGate != nil {
+		result, retryAfter := r.originGate()
+		if result != swarm.ResultOK {
+			r.OriginRefused++
+			t.to.finish(t, result, retryAfter)
+			return
+		}
+	}
+	r.waiting = append(r.waiting, t)
+	r.fillOrigin()
+}
+
+func (r *Run) fillOrigin() {
+	for r.originNow < originConcurrency && len(r.waiting) > 0 {
+		t := r.waiting[0]
+		r.waiting = r.waiting[1:]
+		if !t.ended {
+			r.originNow++
+			r.beginTransfer(t)
+		}
+	}
+}
+
+// beginTransfer starts to move the bytes of an accepted request.
+func (r *Run) beginTransfer(t *transfer) {
+	t.flow = r.start(r.path(t), func() { r.complete(t) })
+	if t.from != nil && t.from.side != t.to.side {
+		r.freeze(t.flow, true)
+	}
+	r.reportProgress(t, 1)
+}
+
+// path returns the links that a transfer crosses.
+func (r *Run) path(t *transfer) []*link {
+	if t.from == nil {
+		return []*link{r.origin, t.to.down}
+	}
+	links := []*link{t.from.up, t.to.down}
+	if t.from.Region != t.to.Region {
+		for _, l := range []*link{r.fromRegion[t.from.Region], r.toRegion[t.to.Region]} {
+			if l != nil {
+				links = append(links, l)
+			}
+		}
+	}
+	return links
+}
+
+// reportProgress tells the requester at intervals that bytes have arrived.
+func (r *Run) reportProgress(t *transfer, left float64) {
+	const intervalChunkTimes = 2
+	delay := intervalChunkTimes * r.chunkTime
+	if left == 1 {
+		delay = 2 * zoneLatency
+	}
+	r.after(delay, func() {
+		if t.ended || t.flow.ended {
+			return
+		}
+		r.settle(t.flow)
+		if t.flow.left < left {
+			t.to.step(swarm.ChunkProgress{ID: t.fetch})
+		}
+		if !t.ended {
+			r.reportProgress(t, min(t.flow.left, 0.999))
+		}
+	})
+}
+
+// complete ends a transfer whose bytes have all arrived.
+func (r *Run) complete(t *transfer) {
+	r.release(t)
+	result := swarm.ResultOK
+	corrupter := t.from != nil && t.from.Corrupter
+	if corrupter || (r.Scenario.Corrupt > 0 && r.Rand.Float64() < r.Scenario.Corrupt) {
+		result = swarm.ResultCorrupt
+		t.to.Corrupt++
+	}
+	if t.from != nil {
+		t.to.PeerTransfers++
+	}
+	r.after(zoneLatency, func() { t.to.finish(t, result, 0) })
+}
+
+// release frees the sender's side of a transfer that has begun.
+func (r *Run) release(t *transfer) {
+	if t.toEnd {
+		return
+	}
+	t.toEnd = true
+	if t.from == nil {
+		r.zoneOrigin[t.to.Zone] += 1 - t.flow.left
+		r.originNow--
+		r.fillOrigin()
+		return
+	}
+	delete(t.from.uploads, t.id)
+	t.from.step(swarm.UploadFinished{ID: t.id})
+}
+
+// endTransfer ends a transfer that its requester has cancelled.
+func (r *Run) endTransfer(t *transfer) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	delete(t.to.incoming, t.fetch)
+	if t.flow != nil {
+		r.stop(t.flow)
+	}
+	if t.from == nil {
+		if t.flow != nil {
+			r.release(t)
+		}
+		return
+	}
+	t.to.send(t.from, 0, func() { r.release(t) })
+}
+
+// Kill ends a VM without notice. Its peers see their transfers stall until they learn
+// of its death.
+func (r *Run) Kill(v *VM) {
+	v.Dead = true
+	r.setRate(v.up, 0)
+	r.setRate(v.down, 0)
+	r.after(detectDelay, func() {
+		for _, t := range v.sortedIncoming() {
+			r.stopDead(t)
+		}
+	})
+}
+
+// stopDead frees the sender's slot of a transfer to a dead VM.
+func (r *Run) stopDead(t *transfer) {
+	t.ended = true
+	if t.flow == nil {
+		if t.from != nil {
+			r.release(t)
+		}
+		return
+	}
+	r.stop(t.flow)
+	r.release(t)
+}
+
+func (v *VM) sortedIncoming() []*transfer {
+	var list []*transfer
+	for _, t := range v.incoming {
+		list = append(list, t)
+	}
+	slices.SortFunc(list, func(a, b *transfer) int { return int(a.fetch) - int(b.fetch) })
+	return list
+}
+
+// SetUp changes the rate of a VM's up link, as a part of the permitted rate.
+func (r *Run) SetUp(v *VM, part float64) { r.setRate(v.up, part*r.vmRate()) }
+
+// SetDown changes the rate of a VM's down link, as a part of the permitted rate.
+func (r *Run) SetDown(v *VM, part float64) { r.setRate(v.down, part*r.vmRate()) }
+
+// SetOrigin changes the rate of the store's link, as a part of the permitted rate.
+func (r *Run) SetOrigin(part float64) { r.setRate(r.origin, part*originCopies*r.vmRate()) }
+
+// SetOriginGate sets the decision on requests to the store; nil accepts all.
+func (r *Run) SetOriginGate(gate func() (swarm.Result, time.Duration)) { r.originGate = gate }
+
+// Partition moves the VMs of a zone to another side; VMs of different sides cannot
+// reach each other. The store remains reachable from both.
+func (r *Run) Partition(zone string, side int) {
+	for _, v := range r.VMs {
+		if v.Zone == zone {
+			v.side = side
+		}
+	}
+	for _, v := range r.VMs {
+		for _, t := range v.sortedIncoming() {
+			if t.flow != nil && t.from != nil {
+				r.freeze(t.flow, t.from.side != v.side)
+			}
+		}
+	}
+	r.AnnounceMembers()
+}
--- /dev/null
+++ b/lib/swarm/linkfake/vm.go
@@ -0,0 +1,229 @@
+package linkfake
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"laburnumgw/lib/swarm"
+	"laburnumgw/lib/weights"
+)
+
+// Sizes of control messages in bytes. The overhead covers gRPC framing and headers,
+// TLS records, and TCP and IP headers with acknowledgements.
+const (
+	messageOverhead = 150
+	// identityBytes is the text of a version digest with its tag, and the sender's
+	// name, zone and region.
+	identityBytes = 66 + 40
+	// chunkRequestBytes is a version digest and a chunk number.
+	chunkRequestBytes = 66 + 6
+)
+
+// VM is a machine of a run with its swarm machine and its links.
+type VM struct {
+	swarm.Member
+	run     *Run
+	config  swarm.Config
+	machine *swarm.Machine
+	up      *link
+	down    *link
+
+	uploads  map[swarm.UploadID]*transfer
+	incoming map[swarm.FetchID]*transfer
+
+	// Dead VMs neither send nor receive.
+	Dead bool
+	// Liar VMs claim to hold every chunk.
+	Liar bool
+	// Corrupter VMs send only corrupt chunks.
+	Corrupter bool
+	// Excluded VMs do not count in the result.
+	Excluded bool
+	// Done is the time at which the VM had the complete version.
+	Done    time.Duration
+	started time.Duration
+	// side separates VMs that cannot reach each other.
+	side int
+	// picked is set once Pick has returned the VM.
+	picked bool
+
+	control       int64
+	window        time.Duration
+	windowBytes   int64
+	peakBytes     int64
+	Corrupt       int
+	PeerTransfers int
+	// Wasted counts refused requests for chunks.
+	Wasted int
+}
+
+// transfer is a request for a chunk by one VM.
+type transfer struct {
+	id    swarm.UploadID
+	fetch swarm.FetchID
+	chunk int
+	to    *VM
+	from  *VM
+	flow  *flow
+	ended bool
+	toEnd bool
+}
+
+func (v *VM) start(number uint64) {
+	if v.Dead {
+		return
+	}
+	rng := rand.New(rand.NewPCG(v.run.Scenario.Seed, number))
+	machine, err := swarm.New(v.config, rng, v.run.now)
+	if err != nil {
+		panic(err)
+	}
+	v.machine = machine
+	v.step(swarm.MembersChanged{Members: v.run.members(v)})
+	offset := time.Duration(v.run.Rand.Int64N(int64(machine.TickInterval())))
+	v.run.after(offset, v.tick)
+}
+
+func (v *VM) tick() {
+	if v.Dead {
+		return
+	}
+	v.step(swarm.Tick{})
+	v.run.after(v.machine.TickInterval(), v.tick)
+}
+
+// step passes an event to the machine and performs its actions.
+func (v *VM) step(event swarm.Event) {
+	if v.Dead || v.machine == nil {
+		return
+	}
+	for _, action := range v.machine.Step(v.run.now, event) {
+		v.perform(action)
+	}
+}
+
+func (v *VM) perform(action swarm.Action) {
+	switch a := action.(type) {
+	case swarm.FetchChunk:
+		v.fetch(a)
+	case swarm.CancelFetch:
+		if t := v.incoming[a.ID]; t != nil {
+			v.run.endTransfer(t)
+		}
+	case swarm.SendBitmap:
+		v.exchange(a)
+	case swarm.AcceptUpload:
+		if t := v.uploads[a.ID]; t != nil {
+			v.run.beginTransfer(t)
+		}
+	case swarm.RefuseUpload:
+		v.refuse(a)
+	case swarm.Completed:
+		v.Done = v.run.now
+	}
+}
+
+// held returns the bitmap that the VM shows to others.
+func (v *VM) held() weights.Bitmap {
+	held := v.machine.Held()
+	if v.Liar {
+		for i := range held.Len() {
+			held.Set(i)
+		}
+	}
+	return held
+}
+
+func (v *VM) countControl(bytes int) {
+	v.control += int64(bytes)
+	if second := v.run.now.Truncate(time.Second); second != v.window {
+		v.window = second
+		v.windowBytes = 0
+	}
+	v.windowBytes += int64(bytes)
+	v.peakBytes = max(v.peakBytes, v.windowBytes)
+}
+
+// send delivers a control message unless the VMs cannot reach each other.
+func (v *VM) send(to *VM, bytes int, deliver func()) {
+	v.countControl(bytes)
+	latency := zoneLatency
+	if v.Region != to.Region {
+		latency = regionLatency
+	}
+	v.run.after(latency, func() {
+		if v.side != to.side || to.Dead || to.machine == nil {
+			return
+		}
+		to.countControl(bytes)
+		deliver()
+	})
+}
+
+func (v *VM) exchange(a swarm.SendBitmap) {
+	to := v.run.byName[a.To]
+	if to == nil {
+		return
+	}
+	bitmap := a.Bitmap
+	if v.Liar {
+		bitmap = v.held()
+	}
+	size := messageOverhead + len(bitmap.Bytes())
+	v.send(to, size+identityBytes, func() {
+		response := to.held()
+		to.step(swarm.BitmapReceived{From: v.VM, Bitmap: bitmap})
+		to.send(v, size, func() {
+			v.step(swarm.BitmapReceived{From: to.VM, Bitmap: response})
+		})
+	})
+}
+
+func (v *VM) fetch(a swarm.FetchChunk) {
+	r := v.run
+	r.sequence++
+	t := &transfer{id: swarm.UploadID(r.sequence), fetch: a.ID, chunk: a.Chunk, to: v}
+	v.incoming[a.ID] = t
+	if a.From == swarm.Origin {
+		r.after(zoneLatency, func() { r.requestOrigin(t) })
+		return
+	}
+	from := r.byName[a.From]
+	v.send(from, messageOverhead+chunkRequestBytes, func() {
+		if t.ended {
+			return
+		}
+		t.from = from
+		from.uploads[t.id] = t
+		from.step(swarm.UploadRequested{ID: t.id, From: v.VM, Chunk: a.Chunk})
+	})
+}
+
+// refuse ends a waiting request, or an upload that runs.
+func (v *VM) refuse(a swarm.RefuseUpload) {
+	t := v.uploads[a.ID]
+	if t == nil {
+		return
+	}
+	delete(v.uploads, a.ID)
+	result := swarm.ResultRefused
+	switch {
+	case t.flow != nil:
+		v.run.stop(t.flow)
+		result = swarm.ResultFailed
+	case !a.Held:
+		result = swarm.ResultNotHeld
+	}
+	t.to.Wasted++
+	v.send(t.to, messageOverhead, func() { t.to.finish(t, result, 0) })
+}
+
+// finish reports the result of a fetch to the requester.
+func (v *VM) finish(t *transfer, result swarm.Result, retryAfter time.Duration) {
+	if t.ended {
+		return
+	}
+	t.ended = true
+	delete(v.incoming, t.fetch)
+	v.step(swarm.ChunkDone{ID: t.fetch, Result: result, RetryAfter: retryAfter})
+}
--- a/lib/swarm/machine.go
+++ b/lib/swarm/machine.go
@@ -22,7 +22,9 @@
 	peers     []*peer
 	byVM      map[string]*peer
 	neighbors []*peer
-	parent    *peer
+	// known lists the peers that hold at least one chunk.
+	known  []*peer
+	parent *peer
 
 	fetches   []*fetch
 	requested weights.Bitmap
@@ -42,6 +44,10 @@
 	completed bool
 	withdrawn bool
 	actions   []Action
+
+	// offered and usableBuffer are buffers of startPeerFetch.
+	offered      []uint64
+	usableBuffer []*peer
 }
 
 // New returns a Machine that starts at now. It knows no members until MembersChanged.
@@ -57,6 +63,7 @@
 		holders:   make([]int32, cfg.Chunks),
 		byVM:      make(map[string]*peer),
 		requested: weights.NewBitmap(cfg.Chunks),
+		offered:   make([]uint64, len(weights.NewBitmap(cfg.Chunks).Words())),
 		tokens:    float64(cfg.Limits.ExchangeBurst),
 		tokensAt:  now,
 		started:   now,
--- a/lib/swarm/peer.go
+++ b/lib/swarm/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 
 	"laburnumgw/lib/weights"
@@ -58,8 +59,15 @@
 			m.holders[i*64+bits.TrailingZeros64(lost)]--
 		}
 	}
+	wasKnown := p.count > 0
 	p.held = held
 	p.count = held.Count()
+	switch known := p.count > 0; {
+	case known && !wasKnown:
+		m.known = append(m.known, p)
+	case !known && wasKnown:
+		m.known = slices.DeleteFunc(m.known, func(other *peer) bool { return other == p })
+	}
 }
 
 // recordFault avoids a peer for a period that doubles with each fault.
--- a/lib/swarm/source.go
+++ b/lib/swarm/source.go
@@ -149,7 +149,7 @@
 // fetch it there whether they hold it.
 func (m *Machine) fetchFromHome(now time.Duration, d *duty) {
 	var holders []*peer
-	for _, p := range m.peers {
+	for _, p := range m.known {
 		if p.Region == m.plan.Home() && p.held.Has(d.chunk) && p.trusted(now) && now >= p.busyUntil {
 			holders = append(holders, p)
 		}
