--- a/lib/swarm/config.go
+++ b/lib/swarm/config.go
@@ -27,7 +27,8 @@
 type Limits struct {
 	// UploadSlots is the number of concurrent uploads.
 	UploadSlots int
-	// UploadQueue is the number of upload requests that wait for a slot.
+	// UploadQueue is the number of upload requests that wait for a slot; a negative
+	// number means none.
 	UploadQueue int
 	// Downloads is the number of fetches from peers that run or wait.
 	Downloads int
@@ -65,9 +66,10 @@
 		{&l.ExchangesPerSecond, &defaults.ExchangesPerSecond},
 		{&l.ExchangeBurst, &defaults.ExchangeBurst},
 	} {
-		if *field.value <= 0 {
+		if *field.value == 0 {
 			*field.value = *field.fallback
 		}
+		*field.value = max(0, *field.value)
 	}
 }
 
--- a/lib/swarm/fetch.go
+++ b/lib/swarm/fetch.go
@@ -113,8 +113,24 @@
 	} else {
 		m.handlePeerResult(now, f, e)
 	}
-	if e.Result == ResultOK {
-		m.gain(now, f)
+	if e.Result != ResultOK {
+		return
+	}
+	m.gain(now, f)
+	if f.from != nil && m.cfg.Policy == PolicySwarm {
+		m.continueWith(now, f.from)
+	}
+}
+
+// continueWith requests the next chunk from the peer that has just sent one, since
+// its upload slot is free now. Pairs that stay together keep both links busy and save
+// the refused requests of a search for free slots.
+func (m *Machine) continueWith(now time.Duration, p *peer) {
+	if !m.usable(now, p) || m.peerFetches() >= m.downloadLimit() {
+		return
+	}
+	if chunk := m.pickChunk(p.held.Words()); chunk >= 0 {
+		m.startFetch(now, chunk, p, false)
 	}
 }
 
