Grant or refuse upload slots at once, and balance slots with downloads

Cause: a waiting request occupies one of the requester's downloads while the slot it waits for is taken from a pair of VMs that would use it again at once. Conclusion: TestHalfLink, TestNarrowRegionLink and TestZonePartition pass. The peak of control traffic, slow peers and the slow store remain.

--- a/lib/swarm/config.go
+++ b/lib/swarm/config.go
@@ -27,10 +27,9 @@
 type Limits struct {
 	// UploadSlots is the number of concurrent uploads.
 	UploadSlots int
-	// UploadQueue is the number of upload requests that wait for a slot; a negative
-	// number means none.
-	UploadQueue int
-	// Downloads is the number of fetches from peers that run or wait.
+	// Downloads is the number of concurrent fetches from peers. It equals UploadSlots
+	// by default: with more, receivers request slots that cannot exist; with fewer,
+	// slots stay free.
 	Downloads int
 	// SourceFetches is the number of concurrent fetches from the region's source.
 	SourceFetches int
@@ -45,8 +44,7 @@
 // DefaultLimits returns the limits used for zero fields.
 func DefaultLimits() Limits {
 	return Limits{
-		UploadSlots:        2,
-		UploadQueue:        4,
+		UploadSlots:        3,
 		Downloads:          3,
 		SourceFetches:      1,
 		Neighbors:          12,
@@ -59,17 +57,15 @@
 	defaults := DefaultLimits()
 	for _, field := range []struct{ value, fallback *int }{
 		{&l.UploadSlots, &defaults.UploadSlots},
-		{&l.UploadQueue, &defaults.UploadQueue},
 		{&l.Downloads, &defaults.Downloads},
 		{&l.SourceFetches, &defaults.SourceFetches},
 		{&l.Neighbors, &defaults.Neighbors},
 		{&l.ExchangesPerSecond, &defaults.ExchangesPerSecond},
 		{&l.ExchangeBurst, &defaults.ExchangeBurst},
 	} {
-		if *field.value == 0 {
+		if *field.value <= 0 {
 			*field.value = *field.fallback
 		}
-		*field.value = max(0, *field.value)
 	}
 }
 
--- a/lib/swarm/doc.go
+++ b/lib/swarm/doc.go
@@ -27,7 +27,7 @@
 //				// Call Exchange; send BitmapReceived with the response, or
 //				// BitmapFailed.
 //			case swarm.AcceptUpload:
-//				// Let the waiting GetChunk handler send Replica.Chunk, then send
+//				// Let the GetChunk handler send Replica.Chunk, then send
 //				// UploadFinished.
 //			case swarm.RefuseUpload:
 //				// End that handler with ResourceExhausted when a.Held, else NotFound.
--- a/lib/swarm/fetch.go
+++ b/lib/swarm/fetch.go
@@ -7,9 +7,8 @@
 )
 
 const (
-	// waitChunkTimes bounds the wait for the first byte. A peer that works needs up to
-	// 8 chunk times for the uploads that wait before this one.
-	waitChunkTimes = 12
+	// waitChunkTimes bounds the wait for a peer's first byte.
+	waitChunkTimes = 6
 	// idleChunkTimes bounds the time without progress of a fetch that has begun.
 	idleChunkTimes = 6
 	// sourceWaitChunkTimes bounds the wait for the first byte of the weight store,
--- a/lib/swarm/machine.go
+++ b/lib/swarm/machine.go
@@ -35,7 +35,6 @@
 	sourceFailures int
 
 	uploads []*upload
-	waiting []*upload
 
 	tokens   float64
 	tokensAt time.Duration
@@ -125,7 +124,7 @@
 	case UploadRequested:
 		m.handleUpload(now, e)
 	case UploadFinished:
-		m.handleUploadFinished(now, e.ID)
+		m.handleUploadFinished(e.ID)
 	case Tick:
 		m.expireFetches(now)
 		m.expireUploads(now)
--- a/lib/swarm/message.go
+++ b/lib/swarm/message.go
@@ -69,15 +69,15 @@
 	RetryAfter time.Duration
 }
 
-// UploadRequested asks for a chunk. The adapter waits for AcceptUpload or
-// RefuseUpload, and sends UploadFinished when the requester gives up before.
+// UploadRequested asks for a chunk. It is answered at once with AcceptUpload or
+// RefuseUpload.
 type UploadRequested struct {
 	ID    UploadID
 	From  string
 	Chunk int
 }
 
-// UploadFinished ends an accepted or waiting upload, successful or not.
+// UploadFinished ends an accepted upload, successful or not.
 type UploadFinished struct{ ID UploadID }
 
 // Tick lets timers run. The adapter sends it every Machine.TickInterval.
@@ -119,7 +119,7 @@
 // AcceptUpload starts an upload.
 type AcceptUpload struct{ ID UploadID }
 
-// RefuseUpload ends an upload that waits or runs. Held is false when this VM does
+// RefuseUpload refuses a request or ends an upload that runs. Held is false when this VM does
 // not hold the chunk.
 type RefuseUpload struct {
 	ID   UploadID
--- a/lib/swarm/upload.go
+++ b/lib/swarm/upload.go
@@ -11,80 +11,37 @@
 type upload struct {
 	id      UploadID
 	from    string
-	chunk   int
 	started time.Duration
 }
 
-// handleUpload grants a slot, queues the request, or refuses it.
+// handleUpload grants a slot or refuses the request. Requests do not wait for a slot:
+// a request that waits occupies one of the requester's few downloads, and it would get
+// the slot that the present pair of VMs is about to use again.
 func (m *Machine) handleUpload(now time.Duration, e UploadRequested) {
 	if !m.held.Has(e.Chunk) {
 		m.emit(RefuseUpload{ID: e.ID})
 		return
 	}
-	u := &upload{id: e.ID, from: e.From, chunk: e.Chunk}
-	if len(m.uploads) < m.cfg.Limits.UploadSlots {
-		m.accept(now, u)
+	if len(m.uploads) >= m.uploadLimit(e.From) {
+		m.emit(RefuseUpload{ID: e.ID, Held: true})
 		return
 	}
-	m.waiting = append(m.waiting, u)
-	if len(m.waiting) <= m.cfg.Limits.UploadQueue {
-		return
-	}
-	last := m.pickWaiting(func(a, b int) bool { return a > b })
-	m.emit(RefuseUpload{ID: m.waiting[last].id, Held: true})
-	m.waiting = slices.Delete(m.waiting, last, last+1)
-}
-
-func (m *Machine) accept(now time.Duration, u *upload) {
-	u.started = now
-	m.uploads = append(m.uploads, u)
-	m.emit(AcceptUpload{ID: u.id})
-}
-
-// pickWaiting returns the index of the waiting upload whose priority is before all
-// others; among equals, the one that came first.
-func (m *Machine) pickWaiting(before func(a, b int) bool) int {
-	best, bestPriority := 0, 0
-	for i, u := range m.waiting {
-		priority := m.uploadPriority(u)
-		if i == 0 || before(priority, bestPriority) {
-			best, bestPriority = i, priority
-		}
-	}
-	return best
+	m.uploads = append(m.uploads, &upload{id: e.ID, from: e.From, started: now})
+	m.emit(AcceptUpload{ID: e.ID})
 }
 
-// uploadPriority is lower for uploads that come first: those to the gateway of
-// another region, then those to the peer that holds the fewest chunks, so that no VM
-// is left behind.
-func (m *Machine) uploadPriority(u *upload) int {
-	p := m.byVM[u.from]
-	switch {
-	case p == nil:
-		return m.cfg.Chunks
-	case m.cfg.Policy == PolicyRandomPiece:
-		return 0
-	case p.Region != m.cfg.Self.Region:
-		return -1
-	default:
-		return p.count
+// uploadLimit grants one more slot to other regions, since a whole region waits for
+// the chunk that its gateway fetches.
+func (m *Machine) uploadLimit(from string) int {
+	limit := m.cfg.Limits.UploadSlots
+	if p := m.byVM[from]; p != nil && p.Region != m.cfg.Self.Region {
+		limit++
 	}
+	return limit
 }
 
-func (m *Machine) handleUploadFinished(now time.Duration, id UploadID) {
-	same := func(u *upload) bool { return u.id == id }
-	m.uploads = slices.DeleteFunc(m.uploads, same)
-	m.waiting = slices.DeleteFunc(m.waiting, same)
-	m.fillUploads(now)
-}
-
-func (m *Machine) fillUploads(now time.Duration) {
-	for len(m.uploads) < m.cfg.Limits.UploadSlots && len(m.waiting) > 0 {
-		next := m.pickWaiting(func(a, b int) bool { return a < b })
-		u := m.waiting[next]
-		m.waiting = slices.Delete(m.waiting, next, next+1)
-		m.accept(now, u)
-	}
+func (m *Machine) handleUploadFinished(id UploadID) {
+	m.uploads = slices.DeleteFunc(m.uploads, func(u *upload) bool { return u.id == id })
 }
 
 // expireUploads frees slots whose transfer never ends, for example because the
@@ -98,18 +55,15 @@
 		m.emit(RefuseUpload{ID: u.id, Held: true})
 		return true
 	})
-	m.fillUploads(now)
 }
 
 // dropUploads ends the uploads to a VM, or to all VMs when vm is empty.
 func (m *Machine) dropUploads(vm string) {
-	drop := func(u *upload) bool {
+	m.uploads = slices.DeleteFunc(m.uploads, func(u *upload) bool {
 		if vm != "" && u.from != vm {
 			return false
 		}
 		m.emit(RefuseUpload{ID: u.id, Held: true})
 		return true
-	}
-	m.uploads = slices.DeleteFunc(m.uploads, drop)
-	m.waiting = slices.DeleteFunc(m.waiting, drop)
+	})
 }
