Reserve a freed slot for a refused peer that is far behind

Cause: with 8 instead of 16 exchanges per second and pauses that double after refusals, control traffic falls, but a VM that found no slot when the pairs formed stays behind until the others are complete.

--- a/lib/swarm/config.go
+++ b/lib/swarm/config.go
@@ -48,8 +48,8 @@
 		Downloads:          3,
 		SourceFetches:      1,
 		Neighbors:          12,
-		ExchangesPerSecond: 16,
-		ExchangeBurst:      16,
+		ExchangesPerSecond: 8,
+		ExchangeBurst:      4,
 	}
 }
 
--- a/lib/swarm/fetch.go
+++ b/lib/swarm/fetch.go
@@ -17,6 +17,10 @@
 	// duplicateChunkTimes is the age at which one of the last chunks is requested from
 	// a second peer.
 	duplicateChunkTimes = 3
+	// maxBusyDoublings bounds the pause after a refusal, which doubles from one chunk
+	// time. At the start of a burst many VMs want the few chunks of the same peer, and
+	// with a constant pause their requests exceed the limit of control traffic.
+	maxBusyDoublings = 2
 	// maxCopies is the number of concurrent fetches of one chunk.
 	maxCopies = 2
 )
@@ -138,6 +142,7 @@
 	switch e.Result {
 	case ResultOK:
 		p.faults = 0
+		p.refusals = 0
 	case ResultCorrupt:
 		m.recordLie(now, p)
 	case ResultNotHeld:
@@ -148,7 +153,9 @@
 	case ResultFailed:
 		m.recordFault(now, p)
 	case ResultRefused:
-		p.busyUntil = now + m.jitter(m.cfg.ChunkTime)
+		pause := m.cfg.ChunkTime << min(p.refusals, maxBusyDoublings)
+		p.refusals++
+		p.busyUntil = now + m.jitter(pause)
 	case ResultRateLimited:
 		p.busyUntil = now + max(e.RetryAfter, m.cfg.ChunkTime)
 	}
--- a/lib/swarm/gossip.go
+++ b/lib/swarm/gossip.go
@@ -20,6 +20,7 @@
 	m.setHeld(p, e.Bitmap.Clone())
 	m.recordExchange(now, p)
 	p.inbound = true
+	p.busyUntil = now
 	m.addNeighbor(p)
 }
 
--- a/lib/swarm/machine.go
+++ b/lib/swarm/machine.go
@@ -35,6 +35,9 @@
 	sourceFailures int
 
 	uploads []*upload
+	// reservedFor is the peer that gets the next free slot until reservedUntil.
+	reservedFor   string
+	reservedUntil time.Duration
 
 	tokens   float64
 	tokensAt time.Duration
@@ -124,7 +127,7 @@
 	case UploadRequested:
 		m.handleUpload(now, e)
 	case UploadFinished:
-		m.handleUploadFinished(e.ID)
+		m.handleUploadFinished(now, e.ID)
 	case Tick:
 		m.expireFetches(now)
 		m.expireUploads(now)
--- a/lib/swarm/peer.go
+++ b/lib/swarm/peer.go
@@ -35,6 +35,11 @@
 	lies       int
 	avoidUntil time.Duration
 	busyUntil  time.Duration
+	// refusals counts requests refused for want of a slot since the last success.
+	refusals int
+	// refused is set when this VM refused the peer a slot at refusedAt.
+	refused   bool
+	refusedAt time.Duration
 	// told is the number of own chunks in the last bitmap sent to the peer.
 	told         int
 	exchanged    bool
--- a/lib/swarm/upload.go
+++ b/lib/swarm/upload.go
@@ -5,8 +5,15 @@
 	"time"
 )
 
-// uploadTimeoutChunkTimes frees the slot of an upload whose requester is gone.
-const uploadTimeoutChunkTimes = 64
+const (
+	// uploadTimeoutChunkTimes frees the slot of an upload whose requester is gone.
+	uploadTimeoutChunkTimes = 64
+	// reserveMarginPart is the part of all chunks by which a peer must be behind
+	// another to get its slot.
+	reserveMarginPart = 32
+	// refusedChunkTimes is the time for which a refused peer counts as waiting.
+	refusedChunkTimes = 6
+)
 
 type upload struct {
 	id      UploadID
@@ -22,10 +29,17 @@
 		m.emit(RefuseUpload{ID: e.ID})
 		return
 	}
-	if len(m.uploads) >= m.uploadLimit(e.From) {
+	if len(m.uploads) >= m.uploadLimit(e.From) || m.yields(now, e.From) {
+		if p := m.byVM[e.From]; p != nil {
+			p.refusedAt = now
+			p.refused = true
+		}
 		m.emit(RefuseUpload{ID: e.ID, Held: true})
 		return
 	}
+	if e.From == m.reservedFor {
+		m.reservedFor = ""
+	}
 	m.uploads = append(m.uploads, &upload{id: e.ID, from: e.From, started: now})
 	m.emit(AcceptUpload{ID: e.ID})
 }
@@ -40,8 +54,49 @@
 	return limit
 }
 
-func (m *Machine) handleUploadFinished(id UploadID) {
-	m.uploads = slices.DeleteFunc(m.uploads, func(u *upload) bool { return u.id == id })
+func (m *Machine) handleUploadFinished(now time.Duration, id UploadID) {
+	at := slices.IndexFunc(m.uploads, func(u *upload) bool { return u.id == id })
+	if at < 0 {
+		return
+	}
+	from := m.byVM[m.uploads[at].from]
+	m.uploads = slices.Delete(m.uploads, at, at+1)
+	if from != nil && m.cfg.Policy == PolicySwarm {
+		m.reserve(now, from)
+	}
+}
+
+// reserve keeps the slot that a peer has just used for the peer that was refused
+// lately and holds far fewer chunks, and tells it so with a bitmap. Without it, a VM
+// that found no free slots when the pairs formed stays behind until the others are
+// complete.
+func (m *Machine) reserve(now time.Duration, from *peer) {
+	if m.reservedFor != "" && now < m.reservedUntil {
+		return
+	}
+	margin := max(1, m.cfg.Chunks/reserveMarginPart)
+	needy := from
+	for _, p := range m.neighbors {
+		recent := p.refused && now-p.refusedAt < m.after(refusedChunkTimes)
+		if recent && p.count+margin < from.count && p.count < needy.count {
+			needy = p
+		}
+	}
+	if needy == from {
+		return
+	}
+	needy.refused = false
+	m.reservedFor = needy.VM
+	m.reservedUntil = now + m.cfg.ChunkTime
+	m.exchange(now, needy)
+}
+
+// yields reports whether a free slot is reserved for another peer.
+func (m *Machine) yields(now time.Duration, from string) bool {
+	if m.reservedFor == "" || m.reservedFor == from || now >= m.reservedUntil {
+		return false
+	}
+	return len(m.uploads) >= m.uploadLimit(from)-1
 }
 
 // expireUploads frees slots whose transfer never ends, for example because the
