--- a/lib/configsync/driver/driver.go
+++ b/lib/configsync/driver/driver.go
@@ -127,7 +127,7 @@
 }
 
 func (d *Driver) pull(ctx context.Context, pull configsync.Pull) {
-	ctx, cancel := context.WithTimeout(ctx, configsync.PullTimeout)
+	ctx, cancel := context.WithTimeout(ctx, pull.Timeout)
 	defer cancel()
 	var bundle *laburnumgwv1.ConfigBundle
 	conn, err := d.conns.Conn(pull.To.Address)
--- a/lib/journal/ownership.go
+++ b/lib/journal/ownership.go
@@ -30,7 +30,7 @@
 		}
 	}
 	s.observe(h, exists, now)
-	if s.eligible(now) {
+	if s.mayTake(now) {
 		s.sync.load = &load{h, result.Object.Version, exists}
 		return nil
 	}
@@ -72,6 +72,14 @@
 
 func (s *Shard) eligible(now time.Time) bool { return !now.Before(s.eligibleAt()) }
 
+// mayTake reports whether the process may take over the observed shard now. A shard
+// with an owner is taken only for a caller that waits: entries send requests to another
+// process only when the owner is not usable, while an idle live owner also leaves its
+// head unchanged.
+func (s *Shard) mayTake(now time.Time) bool {
+	return s.eligible(now) && (s.vacant() || len(s.arrivals) > 0)
+}
+
 // notEligible returns the refusal of a shard that another process owns, or nil when
 // the head must be read first or the shard is about to be taken.
 func (s *Shard) notEligible(now time.Time) *errkind.Error {
