Reclaim the shards of an earlier process of the own VM without a caller

Cause: after a restart of a booking VM its shards stayed without an owner until a caller had been refused for 5 s. Ruled out (tried and taken back): treating such a shard as vacant, with a wait of 2.5 s; TestLinearizable failed, because a restored platform can show that head while the live owner has not written back yet. Conclusion: the wait of 5 s stays; only the need for a caller is dropped.

--- a/lib/journal/ownership.go
+++ b/lib/journal/ownership.go
@@ -75,9 +75,11 @@
 // mayTake reports whether the process may take over the observed shard now. A shard
 // with an owner is taken only for a caller that waits: entries send requests to another
 // process only when the owner is not usable, while an idle live owner also leaves its
-// head unchanged.
+// head unchanged. The shard of an earlier process of the own VM needs no caller: a VM
+// runs one endpoint process.
 func (s *Shard) mayTake(now time.Time) bool {
-	return s.eligible(now) && (s.vacant() || len(s.arrivals) > 0)
+	free := s.vacant() || s.sync.observed.head.Owner == s.self.VM
+	return s.eligible(now) && (free || len(s.arrivals) > 0)
 }
 
 // notEligible returns the refusal of a shard that another process owns, or nil when
