Merge files in place

Ruled out: the YAML parser; it takes 0.3 s of the time. Conclusion: the accumulated tree owns its maps and is changed in place.

--- a/lib/config/fuzz_test.go
+++ b/lib/config/fuzz_test.go
@@ -111,3 +111,17 @@
 		t.Fatalf("a snapshot differs from itself: %v", changes)
 	}
 }
+
+// Measures the largest folder: 10,000 files of 100 bytes.
+func BenchmarkParseLargestFolder(b *testing.B) {
+	var list []File
+	for i := range MaxFiles {
+		content := fmt.Sprintf("workspaces:\n  w%d:\n    weight: 2\n    priority: 1\n# %040d\n", i, i)
+		list = append(list, File{Name: fmt.Sprintf("%05d.yaml", i), Content: []byte(content)})
+	}
+	for b.Loop() {
+		if _, err := Parse(list); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/lib/config/tree.go
+++ b/lib/config/tree.go
@@ -28,8 +28,8 @@
 	return [...]string{"null", "map", "list", "string", "integer", "number", "boolean"}[k]
 }
 
-// node is a YAML value with its place. Merged trees share nodes, so a node is not
-// modified after it was parsed.
+// node is a YAML value with its place. Merged trees share scalars and lists with
+// the files' trees, so these are not modified after they were parsed.
 type node struct {
 	kind   kind
 	origin Origin
@@ -255,41 +255,37 @@
 	return path + "." + key
 }
 
-// merge returns the tree of an earlier file changed by a later one: maps are merged
-// by key, any other value replaces the earlier one, and null removes it.
-func merge(earlier, later *node) *node {
-	if earlier == nil || later == nil {
-		if later == nil {
-			return earlier
-		}
-		return withoutNull(later)
-	}
-	if earlier.kind != kindMap || later.kind != kindMap {
-		return withoutNull(later)
+// merge changes an accumulated tree by a later file's tree and returns it: maps are
+// merged by key, any other value replaces the earlier one, and null removes it. It
+// modifies the maps of the accumulated tree, which copyWithoutNull made, so that the
+// time to merge many files is linear in their content.
+func merge(accumulated, later *node) *node {
+	if later == nil {
+		return accumulated
 	}
-	merged := &node{kind: kindMap, origin: later.origin, fields: make(map[string]*node, len(earlier.fields))}
-	for key, value := range earlier.fields {
-		merged.fields[key] = value
+	if accumulated == nil || accumulated.kind != kindMap || later.kind != kindMap {
+		return copyWithoutNull(later)
 	}
+	accumulated.origin = later.origin
 	for key, value := range later.fields {
 		if value.kind == kindNull {
-			delete(merged.fields, key)
+			delete(accumulated.fields, key)
 			continue
 		}
-		merged.fields[key] = merge(merged.fields[key], value)
+		accumulated.fields[key] = merge(accumulated.fields[key], value)
 	}
-	return merged
+	return accumulated
 }
 
-// withoutNull drops the nulls of a value that replaces another one.
-func withoutNull(n *node) *node {
+// copyWithoutNull copies the maps of a value and drops their nulls.
+func copyWithoutNull(n *node) *node {
 	if n.kind != kindMap {
 		return n
 	}
 	kept := &node{kind: kindMap, origin: n.origin, fields: make(map[string]*node, len(n.fields))}
 	for key, value := range n.fields {
 		if value.kind != kindNull {
-			kept.fields[key] = withoutNull(value)
+			kept.fields[key] = copyWithoutNull(value)
 		}
 	}
 	return kept
