Add the configuration store with a test of racing operators

Cause: accepted configurations had no store; lost responses and races must lose no edit. Ruled out: one object per generation; finding the newest one takes a list call. Conclusion: comparing only the head's own apply id is not enough: a later apply replaces it, and an unchanged head is no conflict.

--- /dev/null
+++ b/lib/configstore/apply.go
@@ -0,0 +1,129 @@
+package configstore
+
+import (
+	"context"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+
+	"laburnumgw/lib/config"
+	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/platform"
+)
+
+// Change is a complete set of files that replaces the accepted one.
+type Change struct {
+	Files []config.File
+	// Base is the generation from which the files were edited; 0 for the first.
+	Base     uint64
+	Operator string
+	// ApplyID identifies the change when its response is lost. An empty one is
+	// replaced by a random id.
+	ApplyID string
+}
+
+// Applied is the result of an apply.
+type Applied struct {
+	// Generation is the one that the change created. Later ones may exist already.
+	Generation uint64 `json:"generation"`
+	// Unchanged is set when the files equal those of the base, which adds no generation.
+	Unchanged bool   `json:"unchanged"`
+	ApplyID   string `json:"apply_id"`
+}
+
+// Apply checks the files and makes them the generation after base.
+func Apply(ctx context.Context, store platform.Store, files []config.File, base uint64, operator string) (Applied, error) {
+	return NewClient(store).Apply(ctx, Change{Files: files, Base: base, Operator: operator})
+}
+
+// Apply checks a change and makes it the generation after its base. It fails with a
+// *config.InvalidError, with a *ConflictError when the accepted generation is not the
+// base, and with the kind OutcomeUnknown when it cannot find out whether the change
+// was accepted.
+func (c *Client) Apply(ctx context.Context, change Change) (Applied, error) {
+	snapshot, err := config.Parse(change.Files)
+	if err != nil {
+		return Applied{}, err
+	}
+	change.Files = slices.Clone(change.Files)
+	config.SortFiles(change.Files)
+	if change.ApplyID == "" {
+		change.ApplyID = NewApplyID()
+	}
+	head, version, err := c.readHead(ctx)
+	if err != nil {
+		return Applied{}, err
+	}
+	if err := checkBase(head, change.Base); err != nil {
+		return Applied{}, err
+	}
+	if head.Generation > 0 && head.equalFiles(change.Files) {
+		return Applied{Generation: head.Generation, Unchanged: true, ApplyID: head.ApplyID}, nil
+	}
+	if err := c.checkVersions(ctx, snapshot); err != nil {
+		return Applied{}, err
+	}
+	next := head.next(head.Generation+1, change.Files, change.ApplyID, change.Operator)
+	if _, err := encodeHead(next); err != nil {
+		return Applied{}, err
+	}
+	if err := c.createFiles(ctx, head, change.Files); err != nil {
+		return Applied{}, err
+	}
+	return c.commit(ctx, next, version)
+}
+
+func checkBase(head Head, base uint64) error {
+	if base == head.Generation {
+		return nil
+	}
+	if base > head.Generation {
+		return errkind.New(errkind.Stale, "wait until a watcher has written the newer generation back, then apply again",
+			"the platform holds generation %d, older than the base %d; it was restored from an older copy", head.Generation, base)
+	}
+	return conflictSince(head, base)
+}
+
+// createFiles stores the contents that the head does not list.
+func (c *Client) createFiles(ctx context.Context, head Head, files []config.File) error {
+	known := make(map[string]bool, len(head.Files))
+	for _, file := range head.Files {
+		known[file.Digest] = true
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(c.Parallel)
+	for _, file := range files {
+		digest := Digest(file.Content)
+		if known[digest] {
+			continue
+		}
+		known[digest] = true
+		group.Go(func() error { return c.ensure(ctx, fileKey(digest), file.Content) })
+	}
+	return group.Wait()
+}
+
+// commit writes the head conditionally. When the response is lost it reads the head
+// and compares the apply id.
+func (c *Client) commit(ctx context.Context, next Head, version int64) (Applied, error) {
+	applied := Applied{Generation: next.Generation, ApplyID: next.ApplyID}
+	for a := c.attempts(); ; {
+		err := c.writeHead(ctx, next, version)
+		if err == nil {
+			return applied, nil
+		}
+		if isLostRace(err) || platform.IsUnknown(err) {
+			head, _, readErr := c.readHead(ctx)
+			if readErr != nil {
+				return Applied{}, readErr
+			}
+			if head.ApplyID == next.ApplyID {
+				return applied, nil
+			}
+			return Applied{}, conflictSince(head, next.Parent)
+		}
+		if err := a.again(ctx, err); err != nil {
+			return Applied{}, err
+		}
+	}
+}
--- /dev/null
+++ b/lib/configstore/history_test.go
@@ -0,0 +1,259 @@
+package configstore
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"laburnumgw/lib/config"
+	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/platform"
+)
+
+var historySeed = flag.Uint64("history.seed", 0, "run one history of this seed instead of all")
+
+const histories = 2500
+
+// scheduler runs one operator at a time and chooses the next one at each platform
+// call, so that a seed gives the same history every time.
+type scheduler struct {
+	rng    *rand.Rand
+	parked chan bool
+	resume []chan struct{}
+}
+
+func (s *scheduler) run(operators []func(platform.Store), store platform.Store) {
+	var live []int
+	for i, operator := range operators {
+		s.resume = append(s.resume, make(chan struct{}))
+		live = append(live, i)
+		go func() {
+			<-s.resume[i]
+			operator(&turnStore{Store: store, s: s, id: i})
+			s.parked <- false
+		}()
+	}
+	for len(live) > 0 {
+		pick := s.rng.IntN(len(live))
+		s.resume[live[pick]] <- struct{}{}
+		if !<-s.parked {
+			live = slices.Delete(live, pick, pick+1)
+		}
+	}
+}
+
+// turnStore waits for its operator's turn before each call.
+type turnStore struct {
+	platform.Store
+	s  *scheduler
+	id int
+}
+
+func (t *turnStore) turn() {
+	t.s.parked <- true
+	<-t.s.resume[t.id]
+}
+
+func (t *turnStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	t.turn()
+	return t.Store.Get(ctx, key)
+}
+
+func (t *turnStore) List(ctx context.Context, prefix string) ([]platform.Object, int64, error) {
+	t.turn()
+	return t.Store.List(ctx, prefix)
+}
+
+func (t *turnStore) Create(ctx context.Context, key string, value []byte) (platform.Object, error) {
+	t.turn()
+	return t.Store.Create(ctx, key, value)
+}
+
+func (t *turnStore) Update(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+	t.turn()
+	return t.Store.Update(ctx, key, value, version)
+}
+
+// faults injects faults of reads and writes with a seeded probability.
+func faults(rng *rand.Rand, probability float64) func(verb, key string) platform.Fault {
+	return func(verb, _ string) platform.Fault {
+		if rng.Float64() >= probability {
+			return platform.NoFault
+		}
+		if verb == "get" || verb == "list" {
+			return platform.FaultUnavailable
+		}
+		return []platform.Fault{platform.FaultUnavailable, platform.FaultLostAnswer, platform.FaultLostRequest}[rng.IntN(3)]
+	}
+}
+
+func noWait(context.Context, time.Duration) error { return nil }
+
+func testClient(store platform.Store) *Client {
+	c := NewClient(store)
+	c.Wait = noWait
+	c.Parallel = 1
+	return c
+}
+
+// outcome is what an operator was told about one edit.
+type outcome struct {
+	id, token  string
+	generation uint64
+	err        error
+}
+
+// editor applies edits to random files and reads the configuration before each.
+type editor struct {
+	rng      *rand.Rand
+	name     string
+	outcomes []outcome
+}
+
+func (e *editor) run(store platform.Store, edits int) {
+	ctx := context.Background()
+	c := testClient(store)
+	for n := range edits {
+		bundle, err := c.Read(ctx, nil)
+		if err != nil && !errkind.Is(err, errkind.NotFound) {
+			continue
+		}
+		change := Change{Operator: e.name, ApplyID: fmt.Sprintf("%s-%d", e.name, n)}
+		if bundle != nil {
+			change.Base = bundle.Generation
+			change.Files = slices.Clone(bundle.Files)
+		}
+		token := fmt.Sprintf("w-%s-%d", e.name, n)
+		change.Files = addWorkspace(change.Files, fmt.Sprintf("%d.yaml", e.rng.IntN(3)), token)
+		applied, err := c.Apply(ctx, change)
+		e.outcomes = append(e.outcomes, outcome{id: change.ApplyID, token: token, generation: applied.Generation, err: err})
+	}
+}
+
+func addWorkspace(files []config.File, name, workspace string) []config.File {
+	line := fmt.Sprintf("  %s: {}\n", workspace)
+	for i, file := range files {
+		if file.Name == name {
+			files[i].Content = []byte(string(file.Content) + line)
+			return files
+		}
+	}
+	return append(files, config.File{Name: name, Content: []byte("workspaces:\n" + line)})
+}
+
+// acceptedHeads returns every head that the store held, from its events.
+func acceptedHeads(store *platform.Memory) ([]Head, error) {
+	store.Inject = nil
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	events, _, err := store.Watch(ctx, []string{HeadKey}, 0)
+	if err != nil {
+		return nil, err
+	}
+	var heads []Head
+	for _, event := range events {
+		head, err := decodeHead(event.Object.Value)
+		if err != nil {
+			return nil, err
+		}
+		heads = append(heads, head)
+	}
+	return heads, nil
+}
+
+func runHistory(seed uint64) error {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	store := platform.NewMemory()
+	store.Inject = faults(rng, 0.4*rng.Float64())
+	editors := make([]*editor, 2+rng.IntN(4))
+	var operators []func(platform.Store)
+	for i := range editors {
+		editors[i] = &editor{rng: rng, name: fmt.Sprintf("op%d", i)}
+		edits := 1 + rng.IntN(4)
+		operators = append(operators, func(store platform.Store) { editors[i].run(store, edits) })
+	}
+	s := &scheduler{rng: rng, parked: make(chan bool)}
+	s.run(operators, store)
+	heads, err := acceptedHeads(store)
+	if err != nil {
+		return err
+	}
+	for i, head := range heads {
+		if head.Generation != uint64(i+1) || head.Parent != uint64(i) {
+			return fmt.Errorf("generation %d with parent %d follows %d", head.Generation, head.Parent, i)
+		}
+	}
+	return checkOutcomes(store, heads, editors)
+}
+
+// checkOutcomes compares what the operators were told with what was accepted.
+func checkOutcomes(store platform.Store, heads []Head, editors []*editor) error {
+	accepted := make(map[string]uint64)
+	for _, head := range heads {
+		if earlier, ok := accepted[head.ApplyID]; ok {
+			return fmt.Errorf("%s was accepted as %d and %d", head.ApplyID, earlier, head.Generation)
+		}
+		accepted[head.ApplyID] = head.Generation
+	}
+	final := ""
+	if len(heads) > 0 {
+		bundle, err := testClient(store).Read(context.Background(), nil)
+		if err != nil {
+			return err
+		}
+		for _, file := range bundle.Files {
+			final += string(file.Content)
+		}
+	}
+	for _, editor := range editors {
+		for _, o := range editor.outcomes {
+			generation, ok := accepted[o.id]
+			var conflict *ConflictError
+			switch {
+			case ok && o.err == nil && generation != o.generation:
+				return fmt.Errorf("%s was told generation %d, accepted as %d", o.id, o.generation, generation)
+			case ok && o.err != nil && !errkind.Is(o.err, errkind.OutcomeUnknown):
+				return fmt.Errorf("%s was accepted as %d, its operator was told: %w", o.id, generation, o.err)
+			case !ok && o.err == nil:
+				return fmt.Errorf("%s was not accepted, its operator was told that it was", o.id)
+			case o.err != nil && !errors.As(o.err, &conflict):
+				return fmt.Errorf("%s: untyped or unresolved error: %w", o.id, o.err)
+			case conflict != nil && conflict.Generation <= conflict.Base:
+				return fmt.Errorf("%s: conflict without a later generation: %w", o.id, o.err)
+			}
+			if ok != strings.Contains(final, o.token+":") {
+				return fmt.Errorf("%s: accepted %v, in the final files %v", o.id, ok, !ok)
+			}
+		}
+	}
+	return nil
+}
+
+// Guards against accepted edits that are lost, edits that are reported with another
+// outcome than they had, and forked generations, when operators race and responses
+// are lost. Every outcome must be resolved: no history is long enough to exceed the
+// recent applies in the head.
+func TestRacingOperators(t *testing.T) {
+	if *historySeed != 0 {
+		if err := runHistory(*historySeed); err != nil {
+			t.Fatalf("seed %d: %v", *historySeed, err)
+		}
+		return
+	}
+	failed := 0
+	for seed := uint64(1); seed <= histories; seed++ {
+		if err := runHistory(seed); err != nil {
+			failed++
+			if failed <= 3 {
+				t.Errorf("seed %d: %v", seed, err)
+			}
+		}
+	}
+	t.Logf("%d of %d histories failed", failed, histories)
+}
--- /dev/null
+++ b/lib/configstore/writeback.go
@@ -0,0 +1,77 @@
+package configstore
+
+import (
+	"context"
+	"fmt"
+
+	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/platform"
+)
+
+const (
+	// writeBackOperator is the operator of a head that WriteBack wrote.
+	writeBackOperator = "write-back"
+	// writeBackIDBytes is the part of the bundle's digest in the apply id.
+	writeBackIDBytes = 16
+)
+
+// WrittenBack is the result of a write-back.
+type WrittenBack struct {
+	// Written is false when the platform held the same or a higher generation.
+	Written bool
+	// Replaced is the older head that was replaced, or the newer one that was kept.
+	// Edits that were accepted on the older copy are lost; the alarm must name them.
+	Replaced Head
+}
+
+// WriteBack stores the bundle of a process on a platform that was restored from an
+// older copy.
+func WriteBack(ctx context.Context, store platform.Store, bundle *Bundle) (WrittenBack, error) {
+	return NewClient(store).WriteBack(ctx, bundle)
+}
+
+// WriteBack stores a bundle's files, model versions and head when the platform holds
+// a lower generation. The update is conditional, so of several processes one succeeds
+// and the others find the same generation. The head keeps the bundle's generation.
+func (c *Client) WriteBack(ctx context.Context, bundle *Bundle) (WrittenBack, error) {
+	for a := c.attempts(); ; {
+		head, version, err := c.readHead(ctx)
+		if err != nil {
+			return WrittenBack{}, err
+		}
+		if head.Generation >= bundle.Generation {
+			return WrittenBack{Replaced: head}, nil
+		}
+		if err := c.writeBackContent(ctx, head, bundle); err != nil {
+			return WrittenBack{}, err
+		}
+		id := fmt.Sprintf("%s-%d-%s", writeBackOperator, bundle.Generation, bundle.Digest[:writeBackIDBytes])
+		next := head.next(bundle.Generation, bundle.Files, id, writeBackOperator)
+		err = c.writeHead(ctx, next, version)
+		if err == nil {
+			return WrittenBack{Written: true, Replaced: head}, nil
+		}
+		if isLostRace(err) {
+			err = &platform.UnavailableError{Err: err}
+		}
+		if err := a.again(ctx, err); err != nil {
+			return WrittenBack{}, errkind.Wrap(err, errkind.Unavailable, "try again when the platform responds", "write back generation %d", bundle.Generation)
+		}
+	}
+}
+
+func (c *Client) writeBackContent(ctx context.Context, head Head, bundle *Bundle) error {
+	if err := c.createFiles(ctx, head, bundle.Files); err != nil {
+		return err
+	}
+	for _, m := range bundle.Models {
+		err := c.PublishModel(ctx, m, writeBackOperator)
+		if errkind.Is(err, errkind.Conflict) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
