Resolve lost responses by the recent apply ids

Cause: an operator whose response was lost was told of a conflict although the edit was accepted, when another operator applied on top; a lost request was reported as a conflict without any other change. Ruled out: a longer wait before reading the head; any number of applies can follow.

--- a/lib/configstore/apply.go
+++ b/lib/configstore/apply.go
@@ -78,12 +78,16 @@
 		return nil
 	}
 	if base > head.Generation {
-		return errkind.New(errkind.Stale, "wait until a watcher has written the newer generation back, then apply again",
-			"the platform holds generation %d, older than the base %d; it was restored from an older copy", head.Generation, base)
+		return errRestored(head, base)
 	}
 	return conflictSince(head, base)
 }
 
+func errRestored(head Head, expected uint64) error {
+	return errkind.New(errkind.Stale, "wait until a watcher has written the newer generation back, then apply again",
+		"the platform holds generation %d, older than %d; it was restored from an older copy", head.Generation, expected)
+}
+
 // createFiles stores the contents that the head does not list.
 func (c *Client) createFiles(ctx context.Context, head Head, files []config.File) error {
 	known := make(map[string]bool, len(head.Files))
@@ -103,27 +107,60 @@
 	return group.Wait()
 }
 
-// commit writes the head conditionally. When the response is lost it reads the head
-// and compares the apply id.
+// commit writes the head conditionally. After a lost response it repeats the same
+// update, which takes effect at most once. When the head is no longer the base, the
+// apply ids in the head tell whether an earlier attempt was accepted, also when other
+// operators have applied since.
 func (c *Client) commit(ctx context.Context, next Head, version int64) (Applied, error) {
 	applied := Applied{Generation: next.Generation, ApplyID: next.ApplyID}
+	unknown := false
 	for a := c.attempts(); ; {
 		err := c.writeHead(ctx, next, version)
 		if err == nil {
 			return applied, nil
 		}
-		if isLostRace(err) || platform.IsUnknown(err) {
-			head, _, readErr := c.readHead(ctx)
-			if readErr != nil {
-				return Applied{}, readErr
-			}
-			if head.ApplyID == next.ApplyID {
-				return applied, nil
-			}
-			return Applied{}, conflictSince(head, next.Parent)
+		if isLostRace(err) {
+			return c.resolve(ctx, next, applied)
 		}
+		unknown = unknown || platform.IsUnknown(err)
 		if err := a.again(ctx, err); err != nil {
-			return Applied{}, err
+			return c.giveUp(ctx, next, applied, unknown, err)
 		}
 	}
 }
+
+// resolve decides the outcome of an update that found another head than its base.
+func (c *Client) resolve(ctx context.Context, next Head, applied Applied) (Applied, error) {
+	head, _, err := c.readHead(ctx)
+	if err != nil {
+		return Applied{}, errOutcomeUnknown(next, err)
+	}
+	accepted, found := head.acceptedAs(next.Generation)
+	switch {
+	case accepted == next.ApplyID:
+		return applied, nil
+	case found:
+		return Applied{}, conflictSince(head, next.Parent)
+	case head.Generation < next.Generation:
+		return Applied{}, errRestored(head, next.Generation)
+	default:
+		return Applied{}, errOutcomeUnknown(next, nil)
+	}
+}
+
+// giveUp decides the outcome of an update whose attempts are used up.
+func (c *Client) giveUp(ctx context.Context, next Head, applied Applied, unknown bool, cause error) (Applied, error) {
+	if !unknown {
+		return Applied{}, errkind.Wrap(cause, errkind.Unavailable, "apply again when the platform responds", "generation %d was not written", next.Generation)
+	}
+	head, _, err := c.readHead(ctx)
+	if err != nil || head.Generation < next.Generation {
+		return Applied{}, errOutcomeUnknown(next, cause)
+	}
+	return c.resolve(ctx, next, applied)
+}
+
+func errOutcomeUnknown(next Head, cause error) error {
+	return errkind.Wrap(cause, errkind.OutcomeUnknown, "read the accepted configuration and apply again if it lacks the change",
+		"it is unknown whether generation %d with apply id %s was accepted", next.Generation, next.ApplyID)
+}
--- a/lib/configstore/head.go
+++ b/lib/configstore/head.go
@@ -148,6 +148,16 @@
 	return h.Files[i], true
 }
 
+// acceptedAs returns the apply id of a generation and whether the head still has it.
+func (h Head) acceptedAs(generation uint64) (string, bool) {
+	for _, accepted := range h.Recent {
+		if accepted.Generation == generation {
+			return accepted.ApplyID, true
+		}
+	}
+	return "", false
+}
+
 // next returns the head that follows h with the given files.
 func (h Head) next(generation uint64, files []config.File, applyID, operator string) Head {
 	next := Head{
