Change model versions in waves

Cause: all replicas of a zone switched at once. Ruled out, each by a failing run of TestRandomFleets: counting only replicas of the new version as not serving (a wave started while a replica at the old one was still loading); releasing memory when the assignment shrinks (a new replica was placed while the larger version was still loaded); assigning the new version to a VM that still serves the old one because its assignment was lost. Conclusion: at most a third of a zone's replicas, and at least one, switch at a time; zones with fewer than 3 replicas switch one after the other. The memory check now counts the version that is still loaded, which is stricter.

--- a/lib/placement/placement.go
+++ b/lib/placement/placement.go
@@ -127,7 +127,7 @@
 	Replicas int
 	// Updated is the number of replicas assigned to the target version.
 	Updated int
-	// Pending is the number of those that do not serve it yet.
+	// Pending is the number of replicas that do not serve their assigned version yet.
 	Pending   int
 	WaveLimit int
 	Wave      int
--- a/lib/placement/placement_test.go
+++ b/lib/placement/placement_test.go
@@ -92,9 +92,9 @@
 			}
 			v := views[key]
 			v.replicas[a.VM] = a.Digest
-			switch serving := e.Serving[plan.Model]; {
-			case serving == a.Digest:
-			case serving == "":
+			switch e.Serving[plan.Model] {
+			case a.Digest:
+			case "":
 				v.waiting++
 			default:
 				v.switching[a.VM] = true
@@ -108,7 +108,8 @@
 func (w *world) checkWaves(before, after []Plan) error {
 	old, now := w.view(before), w.view(after)
 	started := make(map[string]int)
-	for key, v := range now {
+	for _, key := range slices.Sorted(maps.Keys(now)) {
+		v := now[key]
 		fresh := maps.Clone(v.switching)
 		if old[key] != nil {
 			maps.DeleteFunc(fresh, func(vm string, _ bool) bool { return old[key].switching[vm] })
@@ -118,7 +119,7 @@
 			return fmt.Errorf("%s: %d of %d replicas switch, the limit is %d", key, len(v.switching), len(v.replicas), limit)
 		}
 		if len(fresh) > 0 && (len(fresh) < len(v.switching) || v.waiting > 0) {
-			return fmt.Errorf("%s: a wave starts before the previous one serves", key)
+			return fmt.Errorf("%s: a wave starts before the previous one serves: %v, fresh %v, %d start", key, v, fresh, v.waiting)
 		}
 		if len(v.replicas) < 3 && len(v.switching) > 0 {
 			model := key[:len(key)-2]
@@ -139,7 +140,7 @@
 	}
 	for _, plan := range w.last.Plans {
 		for _, a := range plan.Assignments {
-			mb := sizes[a.Digest]
+			mb := max(sizes[a.Digest], sizes[w.endpoint(a.VM).Serving[plan.Model]])
 			if fixed := w.in.Config.Models[plan.Model].MemoryMB; fixed > 0 {
 				mb = fixed
 			}
--- a/lib/placement/planner.go
+++ b/lib/placement/planner.go
@@ -32,6 +32,8 @@
 	replicas []*replica
 	// placed is the number of replicas that the decision added.
 	placed int
+	// wave is the number of the wave that the decision starts, or 0.
+	wave int
 }
 
 // planner holds the state of one decision.
@@ -118,7 +120,8 @@
 	return true
 }
 
-// keep takes over previous assignments, so that a VM that joins moves no replica.
+// keep takes over previous assignments, so that a VM that joins moves no replica. A
+// VM that still serves another version needs the larger memory of the two.
 func (p *planner) keep() {
 	for _, g := range p.groups {
 		assigned := make(map[string]Assignment)
@@ -127,63 +130,103 @@
 		}
 		for _, e := range g.ranked {
 			a, ok := assigned[e.VM]
-			if !ok || len(g.replicas) >= g.desired || !p.reserve(e.VM, p.memory(g, a.Digest)) {
+			if !ok || len(g.replicas) >= g.desired {
 				continue
 			}
-			g.replicas = append(g.replicas, &replica{vm: e.VM, digest: a.Digest, wave: a.Wave, serving: e.Serving[g.model]})
+			r := &replica{vm: e.VM, digest: a.Digest, wave: a.Wave, serving: e.Serving[g.model]}
+			if g.target.Digest != "" && r.idle(g.target.Digest) && p.need(g, r, g.target.Digest) <= p.need(g, r, r.digest) {
+				r.digest = g.target.Digest
+			}
+			if p.reserve(e.VM, p.need(g, r, r.digest)) {
+				g.replicas = append(g.replicas, r)
+			}
 		}
 	}
 }
 
+// need returns the memory of a replica while it changes to a version.
+func (p *planner) need(g *group, r *replica, digest string) int {
+	mb := p.memory(g, digest)
+	if r.serving == "" {
+		return mb
+	}
+	return max(mb, p.memory(g, r.serving))
+}
+
+// idle reports whether the target version can be assigned without a loss of capacity:
+// the replica serves it already, serves nothing, or is switching to another version.
+func (r *replica) idle(target string) bool {
+	return r.serving == "" || r.serving == target || r.serving != r.digest
+}
+
 // reserveGrowth reserves the memory that a larger target version needs, before new
 // replicas can take it.
 func (p *planner) reserveGrowth() {
 	for _, g := range p.groups {
 		for _, r := range g.replicas {
-			growth := p.memory(g, g.target.Digest) - p.memory(g, r.digest)
+			growth := p.need(g, r, g.target.Digest) - p.need(g, r, r.digest)
 			r.fits = g.target.Digest != "" && p.reserve(r.vm, max(0, growth))
+			if r.fits && r.idle(g.target.Digest) {
+				r.digest = g.target.Digest
+			}
 		}
 	}
 }
 
-// fill places missing replicas. VMs that hold the version already come first, then
-// the others in rendezvous order.
+// fill places missing replicas on the VMs that need the least to serve them, and
+// then in rendezvous order. A VM that serves another version, because its assignment
+// was removed or lost, keeps it until its wave.
 func (p *planner) fill() {
 	for _, g := range p.groups {
 		if g.target.Digest == "" {
 			continue
 		}
 		candidates := slices.Clone(g.ranked)
-		slices.SortStableFunc(candidates, func(a, b *Endpoint) int { return holding(a, g.target.Digest) - holding(b, g.target.Digest) })
+		slices.SortStableFunc(candidates, func(a, b *Endpoint) int { return g.distance(a) - g.distance(b) })
 		for _, e := range candidates {
 			if len(g.replicas) >= g.desired {
 				break
 			}
-			if g.has(e.VM) || !p.reserve(e.VM, p.memory(g, g.target.Digest)) {
+			if g.has(e.VM) {
 				continue
 			}
-			g.replicas = append(g.replicas, &replica{vm: e.VM, digest: g.target.Digest, serving: e.Serving[g.model], fits: true})
+			r := &replica{vm: e.VM, digest: g.target.Digest, serving: e.Serving[g.model], fits: true}
+			if !p.reserve(e.VM, p.need(g, r, g.target.Digest)) {
+				continue
+			}
+			if r.serving != "" {
+				r.digest = r.serving
+			}
+			g.replicas = append(g.replicas, r)
 			g.placed++
 		}
 	}
 }
 
-func holding(e *Endpoint, digest string) int {
-	if slices.Contains(e.Holds, digest) {
+// distance orders VMs by what they lack to serve the target version.
+func (g *group) distance(e *Endpoint) int {
+	switch {
+	case e.Serving[g.model] == g.target.Digest:
 		return 0
+	case slices.Contains(e.Holds, g.target.Digest):
+		return 1
+	case e.Serving[g.model] != "":
+		return 2
+	default:
+		return 3
 	}
-	return 1
 }
 
 func (g *group) has(vm string) bool {
 	return slices.ContainsFunc(g.replicas, func(r *replica) bool { return r.vm == vm })
 }
 
-// pending returns the number of replicas assigned to the target that do not serve it.
+// pending returns the number of replicas that do not serve their assigned version,
+// whether they switch, start, or keep an old version that they have yet to load.
 func (g *group) pending() int {
 	n := 0
 	for _, r := range g.replicas {
-		if r.digest == g.target.Digest && r.serving != r.digest {
+		if r.serving != r.digest {
 			n++
 		}
 	}
