--- a/lib/config/origin.go
+++ b/lib/config/origin.go
@@ -84,7 +84,7 @@
 	for path := range b.values {
 		paths[path] = struct{}{}
 	}
-	var changes []Change
+	changes := []Change{}
 	for _, path := range slices.Sorted(maps.Keys(paths)) {
 		before, inA := a.values[path]
 		after, inB := b.values[path]
--- a/lib/configstore/read.go
+++ b/lib/configstore/read.go
@@ -38,7 +38,7 @@
 			return nil, err
 		}
 		if version == 0 {
-			return nil, errkind.New(errkind.NotFound, "apply a configuration first", "the platform holds no configuration")
+			return nil, errNoConfiguration()
 		}
 		bundle, readErr := c.readBundle(ctx, head, previous)
 		_, after, err := c.readHead(ctx)
@@ -52,6 +52,24 @@
 	return nil, errkind.New(errkind.Unavailable, "try again", "the configuration changed during each of %d reads", maxReadRounds)
 }
 
+// ReadFiles returns the accepted generation and its files. File contents never change,
+// so a head that changes during the read does no harm.
+func (c *Client) ReadFiles(ctx context.Context) (uint64, []config.File, error) {
+	head, version, err := c.readHead(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	if version == 0 {
+		return 0, nil, errNoConfiguration()
+	}
+	files, err := c.readFiles(ctx, head, nil)
+	return head.Generation, files, err
+}
+
+func errNoConfiguration() error {
+	return errkind.New(errkind.NotFound, "apply a configuration first", "the platform holds no configuration")
+}
+
 func (c *Client) readBundle(ctx context.Context, head Head, previous *Bundle) (*Bundle, error) {
 	files, err := c.readFiles(ctx, head, previous)
 	if err != nil {
