Remove unused file contents, first try

Ruled out: listing by digest prefix; the total still grows. Conclusion: removal must not touch contents that a later apply relies on.

--- a/lib/configstore/apply.go
+++ b/lib/configstore/apply.go
@@ -70,7 +70,11 @@
 	if err := c.createFiles(ctx, head, change.Files); err != nil {
 		return Applied{}, err
 	}
-	return c.commit(ctx, next, version)
+	applied, err := c.commit(ctx, next, version)
+	if err == nil && applied.Generation%c.SweepEvery == 0 {
+		_ = c.sweep(ctx)
+	}
+	return applied, err
 }
 
 func checkBase(head Head, base uint64) error {
--- a/lib/configstore/client.go
+++ b/lib/configstore/client.go
@@ -31,11 +31,13 @@
 	Wait func(ctx context.Context, d time.Duration) error
 	// Parallel is the number of concurrent calls for file objects.
 	Parallel int
+	// SweepEvery is the number of generations between removals of unused contents.
+	SweepEvery uint64
 }
 
 // NewClient returns a client for a platform.
 func NewClient(store platform.Store) *Client {
-	return &Client{store: store, Wait: wait, Parallel: defaultParallel}
+	return &Client{store: store, Wait: wait, Parallel: defaultParallel, SweepEvery: sweepEvery}
 }
 
 func wait(ctx context.Context, d time.Duration) error {
--- a/lib/configstore/history_test.go
+++ b/lib/configstore/history_test.go
@@ -99,6 +99,7 @@
 	c := NewClient(store)
 	c.Wait = noWait
 	c.Parallel = 1
+	c.SweepEvery = 2
 	return c
 }
 
@@ -122,6 +123,7 @@
 	for n := range edits {
 		bundle, err := c.Read(ctx, nil)
 		if err != nil && !errkind.Is(err, errkind.NotFound) {
+			e.outcomes = append(e.outcomes, outcome{id: "read", err: err})
 			continue
 		}
 		change := Change{Operator: e.name, ApplyID: fmt.Sprintf("%s-%d", e.name, n)}
@@ -131,11 +133,18 @@
 		}
 		token := fmt.Sprintf("w-%s-%d", e.name, n)
 		change.Files = addWorkspace(change.Files, fmt.Sprintf("%d.yaml", e.rng.IntN(3)), token)
+		change.Files = setFile(change.Files, "toggle.yaml", fmt.Sprintf("limits: {queue_length: %d}", e.rng.IntN(3)))
 		applied, err := c.Apply(ctx, change)
 		e.outcomes = append(e.outcomes, outcome{id: change.ApplyID, token: token, generation: applied.Generation, err: err})
 	}
 }
 
+// setFile replaces a file, so that contents that became unused return.
+func setFile(files []config.File, name, content string) []config.File {
+	files = slices.DeleteFunc(files, func(f config.File) bool { return f.Name == name })
+	return append(files, config.File{Name: name, Content: []byte(content)})
+}
+
 func addWorkspace(files []config.File, name, workspace string) []config.File {
 	line := fmt.Sprintf("  %s: {}\n", workspace)
 	for i, file := range files {
@@ -147,6 +156,11 @@
 	return append(files, config.File{Name: name, Content: []byte("workspaces:\n" + line)})
 }
 
+func (t *turnStore) Delete(ctx context.Context, key string, version int64) error {
+	t.turn()
+	return t.Store.Delete(ctx, key, version)
+}
+
 // acceptedHeads returns every head that the store held, from its events.
 func acceptedHeads(store *platform.Memory) ([]Head, error) {
 	store.Inject = nil
