Announce a new lease holder's fencing number to all endpoints before it acts

Cause: an endpoint that has not seen the new number accepts a command of an earlier holder that was paused between its check and its command. Conclusion: holders use Announcer; Step no longer returns lost races as errors.

--- a/lib/lease/adapter.go
+++ b/lib/lease/adapter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"laburnumgw/lib/platform"
@@ -18,7 +19,8 @@
 	Clock func() time.Duration
 }
 
-// Step makes the call that is due, if any, and gives its outcome to the holder.
+// Step makes the call that is due, if any, and gives its outcome to the holder. It
+// returns only errors that operators need to see: lost races are part of the protocol.
 func (a Adapter) Step(ctx context.Context, h *Holder) error {
 	call := h.Tick(a.Clock())
 	if call.Kind == CallNone {
@@ -26,6 +28,11 @@
 	}
 	object, err := a.run(ctx, call)
 	h.Result(a.Clock(), object, err)
+	for _, expected := range []error{platform.ErrNotFound, platform.ErrExists, platform.ErrConflict} {
+		if errors.Is(err, expected) {
+			return nil
+		}
+	}
 	return err
 }
 
--- a/lib/lease/doc.go
+++ b/lib/lease/doc.go
@@ -11,14 +11,18 @@
 // # Driving loop
 //
 //	holder := lease.NewHolder("placement", lease.Identity{VM: vm, Counter: c, ID: id}, 10*time.Second, clock(), rng)
+//	announcer := lease.NewAnnouncer()
 //	adapter := lease.Adapter{Store: store, Clock: clock}
 //	for ctx.Err() == nil {
 //		if err := adapter.Step(ctx, holder); err != nil {
 //			// Log the platform's error; the holder has scheduled a retry.
 //		}
 //		if fencing, ok := holder.Valid(clock()); ok {
-//			// Issue commands that carry the duty and the fencing number. Check Valid
-//			// again before each one.
+//			for _, vm := range announcer.Pending(fencing, liveEndpoints) {
+//				// Send the number to vm; call announcer.Acknowledged when it answers.
+//			}
+//			// When none is pending, issue commands that carry the duty and the fencing
+//			// number. Check Valid again before each one.
 //		}
 //		// Wait until holder.Next().
 //	}
