--- /dev/null
+++ b/lib/configsync/history_test.go
@@ -0,0 +1,209 @@
+package configsync_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	pb "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/configsync/controlsim"
+)
+
+const (
+	historyCount  = 10_000
+	historyLength = 14 * time.Second
+)
+
+// faultHistory is one random history of a small fleet and the check of its rule: a
+// process never acts on an older generation than it has acted on, and a process that
+// starts never acts on an older one than the live entries of its zone that it could
+// reach all the time acted on when it started.
+type faultHistory struct {
+	sim    *controlsim.Sim
+	rng    *rand.Rand
+	old    *pb.ConfigBundle
+	acted  map[*controlsim.Node]uint64
+	floor  map[*controlsim.Node]map[*controlsim.Node]uint64
+	faults []string
+	broken []string
+}
+
+func newHistory(seed uint64) *faultHistory {
+	zones := []controlsim.Zone{
+		{Name: "a", Region: "n", Entries: 3, Endpoints: 1, Seeds: 1},
+		{Name: "b", Region: "n", Entries: 2, Endpoints: 1, Seeds: 1},
+	}
+	h := &faultHistory{
+		sim:   controlsim.New(controlsim.Options{Zones: zones, Loss: 0.05, Seed: seed, FileCount: 3, FileBytes: 40}),
+		rng:   rand.New(rand.NewPCG(seed, 3)),
+		acted: make(map[*controlsim.Node]uint64),
+		floor: make(map[*controlsim.Node]map[*controlsim.Node]uint64),
+	}
+	h.sim.OnAct = h.check
+	h.sim.Platform.LostAnswers = 0.2
+	h.sim.Platform.StaleReads = 0.1
+	return h
+}
+
+func (h *faultHistory) fail(format string, args ...any) {
+	h.broken = append(h.broken, fmt.Sprintf("%s: ", h.sim.Now())+fmt.Sprintf(format, args...))
+}
+
+func (h *faultHistory) check(at *controlsim.Node, generation uint64) {
+	if generation < h.acted[at] {
+		h.fail("%s went from %d to %d", at.Self.VM, h.acted[at], generation)
+	}
+	if h.acted[at] == 0 {
+		for neighbour, floor := range h.floor[at] {
+			if generation < floor {
+				h.fail("%s started with %d, its neighbour %s had %d", at.Self.VM, generation, neighbour.Self.VM, floor)
+			}
+		}
+	}
+	h.acted[at] = generation
+}
+
+// start starts a process and notes what its zone acts on.
+func (h *faultHistory) start(node *controlsim.Node) {
+	if node.Up {
+		return
+	}
+	h.acted[node] = 0
+	h.floor[node] = make(map[*controlsim.Node]uint64)
+	for _, other := range h.sim.Nodes {
+		if other.Entry && other.Up && !other.Paused && other.Self.Zone == node.Self.Zone {
+			h.floor[node][other] = h.acted[other]
+		}
+	}
+	node.Start()
+}
+
+// gone takes a process out of the floors of those that are starting.
+func (h *faultHistory) gone(node *controlsim.Node) {
+	for _, floor := range h.floor {
+		delete(floor, node)
+	}
+}
+
+func (h *faultHistory) kill(node *controlsim.Node) {
+	h.gone(node)
+	node.Kill()
+}
+
+func (h *faultHistory) randomNode() *controlsim.Node {
+	return h.sim.Nodes[h.rng.IntN(len(h.sim.Nodes))]
+}
+
+// fault injects one random fault.
+func (h *faultHistory) fault() {
+	s := h.sim
+	node := h.randomNode()
+	kind := h.rng.IntN(14)
+	h.faults = append(h.faults, fmt.Sprintf("%s:%d:%s", s.Now(), kind, node.Self.VM))
+	switch kind {
+	case 0, 1, 2:
+		s.Platform.Apply(1)
+	case 3:
+		h.kill(node)
+	case 4, 5:
+		for _, other := range s.Nodes {
+			h.start(other)
+		}
+	case 6:
+		s.Cut("a", "b", h.rng.IntN(2) == 0)
+	case 7:
+		s.Cut(node.Self.Zone, controlsim.PlatformZone, true)
+	case 8:
+		s.HealAll()
+	case 9:
+		h.gone(node)
+		node.Pause()
+		s.At(s.Now()+time.Duration(h.rng.Int64N(int64(8*time.Second))), node.Resume)
+	case 10:
+		s.Platform.SetDown(!s.Platform.Down)
+	case 11:
+		h.restore()
+	case 12:
+		h.restart(node.Self.Zone)
+	case 13:
+		if node.Entry && node.Up {
+			s.OperatorPush(node)
+		}
+	}
+}
+
+// restore puts an older copy in place of the platform's state, or takes the copy.
+func (h *faultHistory) restore() {
+	if h.old == nil {
+		h.old = h.sim.Platform.Bundle
+		return
+	}
+	h.sim.Platform.Restore(h.old)
+	h.old = nil
+}
+
+// restart restarts a zone, or everything.
+func (h *faultHistory) restart(zone string) {
+	all := h.rng.IntN(3) == 0
+	var nodes []*controlsim.Node
+	for _, node := range h.sim.Nodes {
+		if all || node.Self.Zone == zone {
+			h.kill(node)
+			nodes = append(nodes, node)
+		}
+	}
+	for _, node := range nodes {
+		h.start(node)
+	}
+}
+
+func (h *faultHistory) run() {
+	h.sim.Platform.Apply(0)
+	for _, node := range h.sim.Nodes {
+		h.start(node)
+	}
+	h.sim.Run(time.Duration(h.rng.Int64N(int64(6 * time.Second))))
+	for h.sim.Now() < historyLength {
+		h.fault()
+		h.sim.Run(time.Duration(h.rng.Int64N(int64(1500 * time.Millisecond))))
+	}
+}
+
+// Guards against a process that acts on an older configuration than it or its zone has
+// acted on, under kills, partitions, pauses, platform outages, lost answers, stale reads,
+// restored copies and restarts of a zone or of everything.
+func TestNeverOlder(t *testing.T) {
+	Convey("No process acts on an older generation in random fault histories", t, func() {
+		var mu sync.Mutex
+		var wait sync.WaitGroup
+		var failed []uint64
+		acts := 0
+		workers := uint64(min(2, runtime.GOMAXPROCS(0)))
+		for worker := range workers {
+			wait.Go(func() {
+				for seed := worker; seed < historyCount; seed += workers {
+					h := newHistory(seed)
+					h.run()
+					mu.Lock()
+					acts += len(h.acted)
+					if len(h.broken) > 0 {
+						failed = append(failed, seed)
+						if len(failed) <= 3 {
+							t.Logf("seed %d: %v after %v", seed, h.broken, h.faults)
+						}
+					}
+					mu.Unlock()
+				}
+			})
+		}
+		wait.Wait()
+		t.Logf("seeds 0 to %d: %d processes acted, %d histories failed", historyCount-1, acts, len(failed))
+		So(failed, ShouldBeEmpty)
+		So(acts, ShouldBeGreaterThan, historyCount)
+	})
+}
