--- a/lib/retry/budget.go
+++ b/lib/retry/budget.go
@@ -27,7 +27,8 @@
 	Ratio float64
 	// PerSecond is the number of retries allowed in addition; zero for
 	// DefaultPerSecond, negative for none. It is meant for one process; to bound the
-	// sum over all entries, divide it by their number.
+	// sum over all entries, divide it by their number. Below 0.1 no retry is allowed,
+	// because a window of 10 s may begin with the retry and hold no first attempt.
 	PerSecond float64
 }
 
--- a/lib/retry/plan_test.go
+++ b/lib/retry/plan_test.go
@@ -161,7 +161,8 @@
 		So(now.Sub(start), ShouldBeBetween, 1900*time.Millisecond, 2001*time.Millisecond)
 	})
 	Convey("First attempts that arrive meanwhile allow the retry", t, func() {
-		budget := retry.NewBudget(retry.BudgetSettings{PerSecond: -1})
+		budget := retry.NewBudget(retry.BudgetSettings{PerSecond: 0.1})
+		So(budget.TryRetry(start), ShouldBeTrue)
 		planner := retry.NewPlanner(retry.Settings{}, budget, rand.New(rand.NewPCG(1, 1)))
 		state := retry.NewState(request)
 		So(planner.Next(state, broken, start).Action, ShouldEqual, retry.Wait)
