Run the fault tests with five seeds

TestZoneLeavesAndReturns fails (seed 3, zone lost): 1 of 14,445 idempotent requests gets no answer. It waited for the retry budget for 5 s while requests that came later took the room, because waiting requests check at random times.

--- a/lib/routing/bounds_test.go
+++ b/lib/routing/bounds_test.go
@@ -85,20 +85,23 @@
 		},
 	}
 	Convey("No idempotent request fails and p99 stays within 1.2 of quiet time", t, func() {
-		scenario := routetest.Scenario{
-			Seed: 1, ReportLag: time.Second, NotIdempotent: 0.1, Warmup: 20 * time.Second, Duration: 60 * time.Second}
-		quiet, err := routetest.Run(scenario)
-		So(err, ShouldBeNil)
-		for name, list := range changes {
-			scenario.Changes = list
-			result, err := routetest.Run(scenario)
+		for seed := range uint64(5) {
+			scenario := routetest.Scenario{
+				Seed: seed, ReportLag: time.Second, NotIdempotent: 0.1, Warmup: 20 * time.Second, Duration: 60 * time.Second}
+			quiet, err := routetest.Run(scenario)
 			So(err, ShouldBeNil)
-			t.Logf("%-8s failed %d of %d idempotent, p99 %v (quiet %v), retries %d, errors %v", name,
-				result.IdempotentFailed, result.IdempotentRequests, result.P99, quiet.P99, result.Retries, result.Errors)
-			SoMsg(name, result.IdempotentFailed, ShouldEqual, 0)
-			SoMsg(name, result.DrainedPicks, ShouldEqual, 0)
-			SoMsg(name, result.P99, ShouldBeLessThanOrEqualTo, quiet.P99*12/10)
-			SoMsg(name, result.OverBudget, ShouldBeLessThanOrEqualTo, 0)
+			for name, list := range changes {
+				scenario.Changes = list
+				result, err := routetest.Run(scenario)
+				So(err, ShouldBeNil)
+				line := fmt.Sprintf("seed %d, %-8s failed %d of %d idempotent, p99 %v (quiet %v), retries %d, errors %v", seed, name,
+					result.IdempotentFailed, result.IdempotentRequests, result.P99, quiet.P99, result.Retries, result.Errors)
+				t.Log(line)
+				SoMsg(line, result.IdempotentFailed, ShouldEqual, 0)
+				SoMsg(line, result.DrainedPicks, ShouldEqual, 0)
+				SoMsg(line, result.P99, ShouldBeLessThanOrEqualTo, quiet.P99*12/10)
+				SoMsg(line, result.OverBudget, ShouldBeLessThanOrEqualTo, 0)
+			}
 		}
 	})
 }
@@ -111,19 +114,22 @@
 		"failing": routetest.Failing, "broken": routetest.Broken, "silent": routetest.Silent,
 	}
 	Convey("99% of the idempotent requests are answered within the retry budget", t, func() {
-		for name, mode := range modes {
-			// Only requests that end after the failure begins are counted.
-			scenario := routetest.Scenario{
-				Seed: 1, ReportLag: time.Second, Warmup: 15 * time.Second, Duration: 45 * time.Second}
-			scenario.Changes = []routetest.Change{
-				{At: 15 * time.Second, Do: func(s *routetest.Sim) { s.SetMode(mode, third) }},
+		for seed := range uint64(5) {
+			for name, mode := range modes {
+				// Only requests that end after the failure begins are counted.
+				scenario := routetest.Scenario{
+					Seed: seed, ReportLag: time.Second, Warmup: 15 * time.Second, Duration: 45 * time.Second}
+				scenario.Changes = []routetest.Change{
+					{At: 15 * time.Second, Do: func(s *routetest.Sim) { s.SetMode(mode, third) }},
+				}
+				result, err := routetest.Run(scenario)
+				So(err, ShouldBeNil)
+				line := fmt.Sprintf("seed %d, %-8s failed %d of %d idempotent, retries %d, over budget %.1f, p99 %v, errors %v", seed, name,
+					result.IdempotentFailed, result.IdempotentRequests, result.Retries, result.OverBudget, result.P99, result.Errors)
+				t.Log(line)
+				SoMsg(line, result.OverBudget, ShouldBeLessThanOrEqualTo, 0)
+				SoMsg(line, result.IdempotentFailed*100, ShouldBeLessThanOrEqualTo, result.IdempotentRequests)
 			}
-			result, err := routetest.Run(scenario)
-			So(err, ShouldBeNil)
-			t.Logf("%-8s failed %d of %d idempotent, retries %d, over budget %.1f, p99 %v, errors %v", name,
-				result.IdempotentFailed, result.IdempotentRequests, result.Retries, result.OverBudget, result.P99, result.Errors)
-			SoMsg(name, result.OverBudget, ShouldBeLessThanOrEqualTo, 0)
-			SoMsg(name, result.IdempotentFailed*100, ShouldBeLessThanOrEqualTo, result.IdempotentRequests)
 		}
 	})
 }
