--- a/lib/routing/ejection.go
+++ b/lib/routing/ejection.go
@@ -30,12 +30,10 @@
 	neutral verdict = iota
 	success
 	failure
-	// unreachable endpoints could not be sent an attempt.
-	unreachable
 )
 
 // classify judges an outcome. A refusal is the normal answer of a full endpoint, and
-// a cancelled attempt says nothing. An attempt that could not be sent ejects at once.
+// a cancelled attempt says nothing; an attempt that could not be sent is a failure.
 func classify(r Result) verdict {
 	switch r.Outcome {
 	case laburnumgwv1.Outcome_OUTCOME_COMPLETE, laburnumgwv1.Outcome_OUTCOME_IN_PROGRESS:
@@ -44,7 +42,7 @@
 		return failure
 	case laburnumgwv1.Outcome_OUTCOME_NOT_RUN:
 		if !r.Sent {
-			return unreachable
+			return failure
 		}
 	}
 	return neutral
@@ -76,9 +74,6 @@
 		return
 	}
 	h.consecutive++
-	if v == unreachable {
-		h.consecutive = max(h.consecutive, consecutiveFailures)
-	}
 	h.failures++
 	h.lastFailure = now
 }
