Serve requests that wait for the retry budget in order

Cause: waiting requests checked the budget at random times, so later ones and new retries took the room. A request now takes it only when the budget also covers every request that has waited longer. The wait is bounded by the window of the budget instead of 5 s: after it, the burst no longer counts.

--- a/lib/retry/budget.go
+++ b/lib/retry/budget.go
@@ -66,9 +66,12 @@
 }
 
 // TryRetry counts a retry and returns true when the budget allows it.
-func (b *Budget) TryRetry(now time.Time) bool {
+func (b *Budget) TryRetry(now time.Time) bool { return b.tryRetry(0, now) }
+
+// tryRetry leaves room for the given number of requests that are ahead.
+func (b *Budget) tryRetry(ahead int, now time.Time) bool {
 	current := b.current(now)
-	if !b.allows() {
+	if !b.allows(ahead) {
 		return false
 	}
 	current.retries++
@@ -78,9 +81,9 @@
 // allows checks every window that ends now, because the first attempts that earned a
 // retry must lie in the same 10 s as the retry. A window may start within a slot, so
 // the first attempts of its oldest slot do not count.
-func (b *Budget) allows() bool {
+func (b *Budget) allows(ahead int) bool {
 	allowance := b.settings.PerSecond * budgetWindow.Seconds()
-	firsts, retries := 0.0, 1.0
+	firsts, retries := 0.0, float64(ahead+1)
 	for age := range slotCount {
 		s := b.slot(b.latest - age)
 		retries += s.retries
--- a/lib/retry/plan.go
+++ b/lib/retry/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
@@ -17,8 +18,9 @@
 const (
 	// waitInterval is the mean time between two checks of a waiting request.
 	waitInterval = 50 * time.Millisecond
-	// maxWait bounds the time for which a request waits for the retry budget.
-	maxWait = 5 * time.Second
+	// maxWait bounds the time for which a request waits for the retry budget. After a
+	// whole window, the burst that used it up no longer counts.
+	maxWait = budgetWindow
 )
 
 // Action is what follows an attempt.
@@ -122,6 +124,8 @@
 	settings Settings
 	budget   *Budget
 	rng      *rand.Rand
+	// waiting holds the requests that wait for the budget, the oldest first.
+	waiting []*State
 }
 
 // NewPlanner returns a planner that draws on the given budget.
@@ -158,11 +162,13 @@
 
 func (p *Planner) proceed(s *State, after time.Duration, now time.Time) Next {
 	if !now.Add(after).Before(s.request.Deadline) {
+		p.leave(s)
 		return s.giveUp("the deadline leaves no time for another attempt")
 	}
-	if !p.budget.TryRetry(now) {
+	if !p.budget.tryRetry(p.ahead(s, now), now) {
 		return p.wait(s, now)
 	}
+	p.leave(s)
 	next := Next{Action: s.action, After: after}
 	if s.action == Resume {
 		next.VersionDigest = s.digest
@@ -183,11 +189,37 @@
 	}
 	after := waitInterval/2 + time.Duration(p.rng.Int64N(int64(waitInterval)))
 	if now.Add(after).After(s.waitUntil) {
+		p.leave(s)
 		return s.giveUp("the retry budget is used up")
 	}
+	if !slices.Contains(p.waiting, s) {
+		p.waiting = append(p.waiting, s)
+	}
 	return Next{Action: Wait, After: after}
 }
 
+// ahead returns the number of requests that have waited longer. Requests whose wait is
+// over, and which were abandoned meanwhile, no longer count.
+func (p *Planner) ahead(s *State, now time.Time) int {
+	p.waiting = slices.DeleteFunc(p.waiting, func(other *State) bool {
+		return other != s && now.After(other.waitUntil)
+	})
+	if i := slices.Index(p.waiting, s); i >= 0 {
+		return i
+	}
+	return len(p.waiting)
+}
+
+// leave removes a request from those that wait.
+func (p *Planner) leave(s *State) {
+	if i := slices.Index(p.waiting, s); i >= 0 {
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+	}
+}
+
+// Abandon tells the planner that the caller of a waiting request has gone.
+func (p *Planner) Abandon(s *State) { p.leave(s) }
+
 // delay returns the backoff before the next attempt. The first resumption follows at
 // once, because the caller is waiting for the next token.
 func (p *Planner) delay(s *State, action Action) time.Duration {
