--- a/lib/routing/bounds_test.go
+++ b/lib/routing/bounds_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/routing"
 	"laburnumgw/lib/routing/routetest"
 )
@@ -133,3 +134,46 @@
 		}
 	})
 }
+
+// Guards against endpoints whose reports stop: they must neither attract requests with
+// an old low load nor lose all of them while others are full.
+func TestReportsStop(t *testing.T) {
+	Convey("Endpoints without reports keep within the bound and cause no failure", t, func() {
+		for _, frames := range []bool{true, false} {
+			scenario := routetest.Scenario{Seed: 1, ReportLag: time.Second, NoFrameLoads: !frames}
+			scenario.Changes = []routetest.Change{{At: 20 * time.Second, Do: func(s *routetest.Sim) {
+				s.SetMode(routetest.Mute, func(i int, _ string) bool { return i%8 == 0 })
+			}}}
+			result, err := routetest.Run(scenario)
+			So(err, ShouldBeNil)
+			t.Logf("frame loads %v: failed %d, worst 1 s %.3f, p99 %v, refused %d", frames,
+				result.IdempotentFailed, result.WorstWindow, result.P99, result.Errors[errkind.NotRun])
+			So(result.IdempotentFailed, ShouldEqual, 0)
+			So(result.WorstWindow, ShouldBeLessThanOrEqualTo, 1.3)
+		}
+	})
+}
+
+// Guards against a cold endpoint that gets the share of a warm one: its requests would
+// be refused or wait in its queue while others have room.
+func TestEndpointColdAgain(t *testing.T) {
+	Convey("The share of cold endpoints follows their limit", t, func() {
+		scenario := routetest.Scenario{Seed: 1, ReportLag: time.Second, Load: 24}
+		quiet, err := routetest.Run(scenario)
+		So(err, ShouldBeNil)
+		for i := range 8 {
+			at := 15*time.Second + time.Duration(i)*5*time.Second
+			scenario.Changes = append(scenario.Changes, routetest.Change{At: at, Do: func(s *routetest.Sim) {
+				s.MakeCold(i, 2)
+			}})
+		}
+		result, err := routetest.Run(scenario)
+		So(err, ShouldBeNil)
+		t.Logf("failed %d, refused %d, above limit %d, retries %d, queued %d, p99 %v (quiet %v)", result.IdempotentFailed,
+			result.Errors[errkind.NotRun], result.OverLimit, result.Retries, result.QueuedCold, result.P99, quiet.P99)
+		So(result.IdempotentFailed, ShouldEqual, 0)
+		So(result.OverLimit, ShouldEqual, 0)
+		So(result.P99, ShouldBeLessThanOrEqualTo, quiet.P99*12/10)
+		So(result.QueuedCold*100, ShouldBeLessThanOrEqualTo, result.Requests)
+	})
+}
--- a/lib/routing/routetest/endpoint.go
+++ b/lib/routing/routetest/endpoint.go
@@ -20,7 +20,8 @@
 	Broken
 	// Silent endpoints neither respond nor report, as in a network partition.
 	Silent
-	// Mute endpoints serve, but their reports are lost.
+	// Mute endpoints serve and answer probes, which keeps them alive, but their reports
+	// are lost.
 	Mute
 )
 
@@ -125,6 +126,9 @@
 		return
 	}
 	e.calls = append(e.calls, c)
+	if e.cold && len(e.calls) > e.limit {
+		s.result.QueuedCold++
+	}
 	e.startNext()
 }
 
--- a/lib/routing/routetest/entry.go
+++ b/lib/routing/routetest/entry.go
@@ -164,16 +164,16 @@
 	}
 }
 
-// checkMembership marks endpoints without reports as suspect, then as dead. A mute
-// endpoint answers probes and stays suspect.
+// checkMembership marks endpoints without reports as suspect, then as dead.
 func (e *entry) checkMembership() {
 	for i, target := range e.sim.endpoints {
 		silence := e.sim.now - e.lastReport[i]
 		state := routing.Alive
 		switch {
-		case silence > deadAfter && target.mode != Mute:
+		case target.mode == Mute:
+		case silence > deadAfter:
 			state = routing.Dead
-		case silence > suspectAfter && e.lastReport[i] > 0:
+		case silence > suspectAfter:
 			state = routing.Suspect
 		}
 		if state == e.liveness[i] || e.lastReport[i] == 0 {
--- a/lib/routing/routetest/result.go
+++ b/lib/routing/routetest/result.go
@@ -39,6 +39,8 @@
 	DrainedPicks int
 	// OverLimit counts requests that ran above an endpoint's limit.
 	OverLimit int
+	// QueuedCold counts attempts that a cold endpoint had to queue.
+	QueuedCold int
 
 	latencies *hdrhistogram.Histogram
 	ratios    []float64
