Test the imbalance bound with popular prompt prefixes

Each of the eight entries fills the holders up to the bound as it estimates their load, which is late. routebench prints cache hits and the share of attempts within the entry's zone.

--- a/cmd/routebench/main.go
+++ b/cmd/routebench/main.go
@@ -40,7 +40,7 @@
 
 func run(opts options) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "policy\tworst 1 s\tp99 ratio\tmean ratio\tp50\tp99\trefused\tfailed\tretries\t")
+	fmt.Fprintln(w, "policy\tworst 1 s\tp99 ratio\tmean ratio\tp50\tp99\trefused\tfailed\tretries\tcache hits\tsame zone\t")
 	for _, policy := range routing.Policies() {
 		result, err := routetest.Run(routetest.Scenario{
 			Policy:       policy,
@@ -58,10 +58,13 @@
 			return err
 		}
 		refused := result.Errors[errkind.NotRun]
-		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.3f\t%v\t%v\t%d\t%d\t%d\t\n", policy,
+		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.3f\t%v\t%v\t%d\t%d\t%d\t%.0f%%\t%.0f%%\t\n", policy,
 			result.WorstWindow, result.P99Ratio, result.MeanRatio,
 			result.P50.Round(time.Millisecond), result.P99.Round(time.Millisecond),
-			refused, result.Requests-result.Answered-refused, result.Retries)
+			refused, result.Requests-result.Answered-refused, result.Retries,
+			percent(result.CacheHits, result.Attempts), percent(result.SameZone, result.Attempts))
 	}
 	return w.Flush()
 }
+
+func percent(part, whole int) float64 { return 100 * float64(part) / float64(max(whole, 1)) }
--- a/lib/routing/bounds_test.go
+++ b/lib/routing/bounds_test.go
@@ -24,6 +24,7 @@
 		{"24 endpoints, no frame loads", routetest.Scenario{Endpoints: 24, NoFrameLoads: true}},
 		{"15 endpoints", routetest.Scenario{Endpoints: 15}},
 		{"96 endpoints", routetest.Scenario{Endpoints: 96}},
+		{"24 endpoints, 200 prefixes", routetest.Scenario{Endpoints: 24, Prefixes: 200}},
 	}
 	Convey("The default policy holds the bound and beats every baseline", t, func() {
 		var violations []string
--- a/lib/routing/routetest/endpoint.go
+++ b/lib/routing/routetest/endpoint.go
@@ -28,6 +28,9 @@
 // failureTime is the time in which a failing endpoint responds.
 const failureTime = 2 * time.Millisecond
 
+// cachedPrefixes is the number of prefixes that an endpoint caches.
+const cachedPrefixes = 32
+
 // rampTime is the time after which a cold endpoint's limit doubles.
 const rampTime = time.Second
 
@@ -43,6 +46,7 @@
 	cold    bool
 	// calls holds the running requests, then the queued ones.
 	calls    []*call
+	cached   []uint64
 	running  int
 	sequence uint64
 }
@@ -104,6 +108,18 @@
 	s.after(delay, e.sendReport)
 }
 
+// lookUp reports whether a prefix is cached, and caches it as the latest one.
+func (e *endpoint) lookUp(prefix uint64) bool {
+	i := slices.Index(e.cached, prefix)
+	if i >= 0 {
+		e.cached = slices.Delete(e.cached, i, i+1)
+	} else if len(e.cached) == cachedPrefixes {
+		e.cached = slices.Delete(e.cached, 0, 1)
+	}
+	e.cached = append(e.cached, prefix)
+	return i >= 0
+}
+
 // receive admits, queues or refuses an attempt.
 func (e *endpoint) receive(c *call) {
 	s := e.sim
@@ -125,6 +141,11 @@
 		s.after(networkDelay, func() { c.entry.ended(c, laburnumgwv1.Outcome_OUTCOME_NOT_RUN, true, load) })
 		return
 	}
+	for _, prefix := range c.request.routing.Prefixes {
+		if e.lookUp(prefix) {
+			s.result.CacheHits++
+		}
+	}
 	e.calls = append(e.calls, c)
 	if e.cold && len(e.calls) > e.limit {
 		s.result.QueuedCold++
--- a/lib/routing/routetest/result.go
+++ b/lib/routing/routetest/result.go
@@ -35,6 +35,11 @@
 	// OverBudget is the highest excess of retries over 10% of the first attempts plus
 	// 3/s, over all windows of 10 s and all entries together; at most 0 is within.
 	OverBudget float64
+	// CacheHits counts attempts whose prefix was in the endpoint's cache, and
+	// SameZone those sent within the entry's zone.
+	Attempts  int
+	CacheHits int
+	SameZone  int
 	// DrainedPicks counts decisions for a zone that the entry knew to be drained.
 	DrainedPicks int
 	// OverLimit counts requests that ran above an endpoint's limit.
@@ -98,6 +103,10 @@
 }
 
 func (r *Result) picked(from *entry, target *endpoint) {
+	r.Attempts++
+	if zoneOf(from.index) == target.zone {
+		r.SameZone++
+	}
 	if from.drained[target.zone] {
 		r.DrainedPicks++
 	}
