Limit the advantage of cached prefixes to affinity_bound

Cause: a holder was chosen whatever its score while it stayed within the bound of the mean, so each entry filled the holders to 1.2 of the mean and the usual spread came on top. A holder may now exceed the best alternative by affinity_bound - 1 of the mean, and the entry's own part of its load must be within the bound too.

TestImbalance passes. A higher affinity_bound trades balance for hits.

--- a/lib/routing/query.go
+++ b/lib/routing/query.go
@@ -20,6 +20,8 @@
 	capacity float64
 	// weight is the mean capacity divided by capacity.
 	weight float64
+	// work is the score of the load alone.
+	work float64
 	// score orders the candidates; lower is better.
 	score float64
 }
--- a/lib/routing/scorers.go
+++ b/lib/routing/scorers.go
@@ -11,7 +11,6 @@
 	otherZonePenalty   = 0.05
 	otherRegionPenalty = 0.5
 	failurePenalty     = 1.0
-	prefixBonus        = 2.0
 	// roundingSlack keeps a floating-point error from rounding up to one more request.
 	roundingSlack = 1e-9
 )
@@ -33,7 +32,9 @@
 	}
 	sum := 0.0
 	for i := range q.candidates {
-		sum += q.candidates[i].score
+		c := &q.candidates[i]
+		c.work = c.score
+		sum += c.score
 	}
 	q.meanScore = sum / float64(len(q.candidates))
 	for _, add := range signalScorers {
@@ -118,7 +119,8 @@
 	}
 }
 
-// scorePrefix prefers endpoints that hold the prompt's prefix in their cache.
+// scorePrefix prefers endpoints that hold the prompt's prefix in their cache, as long as
+// they exceed the best alternative by less than the bound allows.
 func scorePrefix(q *query) {
 	if !q.matched {
 		return
@@ -126,16 +128,18 @@
 	for i := range q.candidates {
 		c := &q.candidates[i]
 		if c.hasAffinity(q) {
-			c.score -= prefixBonus * c.endpoint.affinity * q.meanScore
+			c.score -= (q.bound - 1) * c.endpoint.affinity * q.meanScore
 		}
 	}
 }
 
 // hasAffinity reports whether the endpoint holds a prefix of the prompt and stays
 // within the bound with one more request. The bound is rounded up to whole requests,
-// since below one request for each endpoint no choice is within it.
+// since below one request for each endpoint no choice is within it. The estimated load
+// is late and the same for all entries, so the entry's own part of the load must be
+// within the bound as well.
 func (c *candidate) hasAffinity(q *query) bool {
-	if !q.matched || c.endpoint.affinityIn != q.id {
+	if !q.matched || c.endpoint.affinityIn != q.id || c.work > q.bound*q.meanScore {
 		return false
 	}
 	share := c.capacity / q.totalCapacity
