--- a/lib/routing/policy.go
+++ b/lib/routing/policy.go
@@ -35,7 +35,8 @@
 }
 
 // leastEstimated draws two of the candidates whose score is near the best one and
-// prefers the better of them the more they differ.
+// prefers the better of them the more they differ. It takes the best one directly when
+// that holds the prompt's prefix, because few endpoints do and herding is bounded.
 type leastEstimated struct{}
 
 // bestMargin is the distance to the best score, in requests, within which candidates
@@ -47,7 +48,11 @@
 
 func (leastEstimated) pick(t *Table, q *query, _ *pool) int {
 	t.score(q)
-	q.collectNear()
+	best := q.best()
+	if q.candidates[best].hasAffinity(q) {
+		return best
+	}
+	q.collectNear(q.candidates[best].score + bestMargin)
 	a := q.near[t.rng.IntN(len(q.near))]
 	b := q.near[t.rng.IntN(len(q.near))]
 	advantage := (q.candidates[b].score - q.candidates[a].score) / bestMargin
@@ -57,15 +62,19 @@
 	return b
 }
 
-// collectNear lists the candidates within the margin of the best score.
-func (q *query) collectNear() {
-	highest := q.candidates[0].score
+// best returns the index of the lowest score.
+func (q *query) best() int {
+	best := 0
 	for i := range q.candidates {
-		if score := q.candidates[i].score; score < highest {
-			highest = score
+		if q.candidates[i].score < q.candidates[best].score {
+			best = i
 		}
 	}
-	highest += bestMargin
+	return best
+}
+
+// collectNear lists the candidates with at most the given score.
+func (q *query) collectNear(highest float64) {
 	q.near = q.near[:0]
 	for i := range q.candidates {
 		if q.candidates[i].score <= highest {
