--- a/lib/routing/endpoint.go
+++ b/lib/routing/endpoint.go
@@ -39,7 +39,9 @@
 	triedIn    uint64
 	affinityIn uint64
 	affinity   float64
-	health     health
+	// vmHash is the hash of the VM's name, for the rendezvous of prefixes.
+	vmHash uint64
+	health health
 
 	vm          string
 	address     string
