--- a/lib/routing/endpoint.go
+++ b/lib/routing/endpoint.go
@@ -39,9 +39,7 @@
 	triedIn    uint64
 	affinityIn uint64
 	affinity   float64
-	// vmHash is the hash of the VM's name, for the rendezvous of prefixes.
-	vmHash uint64
-	health health
+	health     health
 
 	vm          string
 	address     string
--- a/lib/routing/prefix.go
+++ b/lib/routing/prefix.go
@@ -123,33 +123,5 @@
 			matched = true
 		}
 	}
-	if !matched && len(prefixes) > 0 {
-		q.markHome(prefixes[0])
-		matched = true
-	}
 	return matched
 }
-
-// markHome marks the endpoint with the highest rendezvous weight for a prefix that no
-// endpoint is known to hold, so that entries agree without exchanging messages.
-func (q *query) markHome(hash uint64) {
-	home := q.candidates[0].endpoint
-	highest := uint64(0)
-	for i := range q.candidates {
-		e := q.candidates[i].endpoint
-		if weight := mix(hash ^ e.vmHash); weight > highest {
-			home, highest = e, weight
-		}
-	}
-	home.affinityIn = q.id
-	home.affinity = 1
-}
-
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/lib/routing/table.go
+++ b/lib/routing/table.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/errkind"
 )
@@ -149,7 +147,6 @@
 	e := &t.slab[0]
 	t.slab = t.slab[1:]
 	e.vm = vm
-	e.vmHash = xxhash.Sum64String(vm)
 	e.incarnation = incarnation
 	t.endpoints[vm] = e
 	return e
