--- a/lib/routing/bounds_test.go
+++ b/lib/routing/bounds_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/routing"
 	"laburnumgw/lib/routing/routetest"
 )
@@ -23,6 +24,7 @@
 		{"24 endpoints, no frame loads", routetest.Scenario{Endpoints: 24, NoFrameLoads: true}},
 		{"15 endpoints", routetest.Scenario{Endpoints: 15}},
 		{"96 endpoints", routetest.Scenario{Endpoints: 96}},
+		{"24 endpoints, 200 prefixes", routetest.Scenario{Endpoints: 24, Prefixes: 200}},
 	}
 	Convey("The default policy holds the bound and beats every baseline", t, func() {
 		var violations []string
@@ -85,20 +87,23 @@
 		},
 	}
 	Convey("No idempotent request fails and p99 stays within 1.2 of quiet time", t, func() {
-		scenario := routetest.Scenario{
-			Seed: 1, ReportLag: time.Second, NotIdempotent: 0.1, Warmup: 20 * time.Second, Duration: 60 * time.Second}
-		quiet, err := routetest.Run(scenario)
-		So(err, ShouldBeNil)
-		for name, list := range changes {
-			scenario.Changes = list
-			result, err := routetest.Run(scenario)
+		for seed := range uint64(5) {
+			scenario := routetest.Scenario{
+				Seed: seed, ReportLag: time.Second, NotIdempotent: 0.1, Warmup: 20 * time.Second, Duration: 60 * time.Second}
+			quiet, err := routetest.Run(scenario)
 			So(err, ShouldBeNil)
-			t.Logf("%-8s failed %d of %d idempotent, p99 %v (quiet %v), retries %d, errors %v", name,
-				result.IdempotentFailed, result.IdempotentRequests, result.P99, quiet.P99, result.Retries, result.Errors)
-			SoMsg(name, result.IdempotentFailed, ShouldEqual, 0)
-			SoMsg(name, result.DrainedPicks, ShouldEqual, 0)
-			SoMsg(name, result.P99, ShouldBeLessThanOrEqualTo, quiet.P99*12/10)
-			SoMsg(name, result.OverBudget, ShouldBeLessThanOrEqualTo, 0)
+			for name, list := range changes {
+				scenario.Changes = list
+				result, err := routetest.Run(scenario)
+				So(err, ShouldBeNil)
+				line := fmt.Sprintf("seed %d, %-8s failed %d of %d idempotent, p99 %v (quiet %v), retries %d, errors %v", seed, name,
+					result.IdempotentFailed, result.IdempotentRequests, result.P99, quiet.P99, result.Retries, result.Errors)
+				t.Log(line)
+				SoMsg(line, result.IdempotentFailed, ShouldEqual, 0)
+				SoMsg(line, result.DrainedPicks, ShouldEqual, 0)
+				SoMsg(line, result.P99, ShouldBeLessThanOrEqualTo, quiet.P99*12/10)
+				SoMsg(line, result.OverBudget, ShouldBeLessThanOrEqualTo, 0)
+			}
 		}
 	})
 }
@@ -111,19 +116,65 @@
 		"failing": routetest.Failing, "broken": routetest.Broken, "silent": routetest.Silent,
 	}
 	Convey("99% of the idempotent requests are answered within the retry budget", t, func() {
-		for name, mode := range modes {
-			// Only requests that end after the failure begins are counted.
-			scenario := routetest.Scenario{
-				Seed: 1, ReportLag: time.Second, Warmup: 15 * time.Second, Duration: 45 * time.Second}
-			scenario.Changes = []routetest.Change{
-				{At: 15 * time.Second, Do: func(s *routetest.Sim) { s.SetMode(mode, third) }},
+		for seed := range uint64(5) {
+			for name, mode := range modes {
+				// Only requests that end after the failure begins are counted.
+				scenario := routetest.Scenario{
+					Seed: seed, ReportLag: time.Second, Warmup: 15 * time.Second, Duration: 45 * time.Second}
+				scenario.Changes = []routetest.Change{
+					{At: 15 * time.Second, Do: func(s *routetest.Sim) { s.SetMode(mode, third) }},
+				}
+				result, err := routetest.Run(scenario)
+				So(err, ShouldBeNil)
+				line := fmt.Sprintf("seed %d, %-8s failed %d of %d idempotent, retries %d, over budget %.1f, p99 %v, errors %v", seed, name,
+					result.IdempotentFailed, result.IdempotentRequests, result.Retries, result.OverBudget, result.P99, result.Errors)
+				t.Log(line)
+				SoMsg(line, result.OverBudget, ShouldBeLessThanOrEqualTo, 0)
+				SoMsg(line, result.IdempotentFailed*100, ShouldBeLessThanOrEqualTo, result.IdempotentRequests)
 			}
+		}
+	})
+}
+
+// Guards against endpoints whose reports stop: they must neither attract requests with
+// an old low load nor lose all of them while others are full.
+func TestReportsStop(t *testing.T) {
+	Convey("Endpoints without reports keep within the bound and cause no failure", t, func() {
+		for _, frames := range []bool{true, false} {
+			scenario := routetest.Scenario{Seed: 1, ReportLag: time.Second, NoFrameLoads: !frames}
+			scenario.Changes = []routetest.Change{{At: 20 * time.Second, Do: func(s *routetest.Sim) {
+				s.SetMode(routetest.Mute, func(i int, _ string) bool { return i%8 == 0 })
+			}}}
 			result, err := routetest.Run(scenario)
 			So(err, ShouldBeNil)
-			t.Logf("%-8s failed %d of %d idempotent, retries %d, over budget %.1f, p99 %v, errors %v", name,
-				result.IdempotentFailed, result.IdempotentRequests, result.Retries, result.OverBudget, result.P99, result.Errors)
-			SoMsg(name, result.OverBudget, ShouldBeLessThanOrEqualTo, 0)
-			SoMsg(name, result.IdempotentFailed*100, ShouldBeLessThanOrEqualTo, result.IdempotentRequests)
+			t.Logf("frame loads %v: failed %d, worst 1 s %.3f, p99 %v, refused %d", frames,
+				result.IdempotentFailed, result.WorstWindow, result.P99, result.Errors[errkind.NotRun])
+			So(result.IdempotentFailed, ShouldEqual, 0)
+			So(result.WorstWindow, ShouldBeLessThanOrEqualTo, 1.3)
 		}
 	})
 }
+
+// Guards against a cold endpoint that gets the share of a warm one: its requests would
+// be refused or wait in its queue while others have room.
+func TestEndpointColdAgain(t *testing.T) {
+	Convey("The share of cold endpoints follows their limit", t, func() {
+		scenario := routetest.Scenario{Seed: 1, ReportLag: time.Second, Load: 24}
+		quiet, err := routetest.Run(scenario)
+		So(err, ShouldBeNil)
+		for i := range 8 {
+			at := 15*time.Second + time.Duration(i)*5*time.Second
+			scenario.Changes = append(scenario.Changes, routetest.Change{At: at, Do: func(s *routetest.Sim) {
+				s.MakeCold(i, 2)
+			}})
+		}
+		result, err := routetest.Run(scenario)
+		So(err, ShouldBeNil)
+		t.Logf("failed %d, refused %d, above limit %d, retries %d, queued %d, p99 %v (quiet %v)", result.IdempotentFailed,
+			result.Errors[errkind.NotRun], result.OverLimit, result.Retries, result.QueuedCold, result.P99, quiet.P99)
+		So(result.IdempotentFailed, ShouldEqual, 0)
+		So(result.OverLimit, ShouldEqual, 0)
+		So(result.P99, ShouldBeLessThanOrEqualTo, quiet.P99*12/10)
+		So(result.QueuedCold*100, ShouldBeLessThanOrEqualTo, result.Requests)
+	})
+}
