Request chunks of slow peers elsewhere, and chunks that have not spread again

Cause: transfers from peers whose link is slow filled the downloads of their receivers, and chunks whose fetcher is slow never reached the others. The age of a chunk must not be counted from the schedule, since after an outage all chunks are late and none has spread yet.

--- a/lib/swarm/fetch.go
+++ b/lib/swarm/fetch.go
@@ -14,13 +14,16 @@
 	// sourceWaitChunkTimes bounds the wait for the first byte of the weight store,
 	// whose link may be shared by many fetches.
 	sourceWaitChunkTimes = 32
+	// slowChunkTimes is the age at which a fetch from a peer counts as slow. A peer whose
+	// link is a quarter of what ChunkTime assumes needs 12 chunk times per upload slot.
+	slowChunkTimes = 16
 	// duplicateChunkTimes is the age at which one of the last chunks is requested from
 	// a second peer.
 	duplicateChunkTimes = 3
 	// busyChunkTimes is the pause after a refusal, which a bitmap from the peer ends. At
 	// the start of a burst many VMs want the few chunks of the same peer, and with
 	// shorter pauses their requests exceed the limit of control traffic.
-	busyChunkTimes = 4
+	busyChunkTimes = 8
 	// maxBusyDoublings bounds the pause, which doubles with each refusal.
 	maxBusyDoublings = 1
 	// maxCopies is the number of concurrent fetches of one chunk.
@@ -39,6 +42,9 @@
 	// progress is the time of the last bytes; it is started before the first ones.
 	progress time.Duration
 	moving   bool
+	// slow fetches continue, but the chunk may be requested elsewhere, and they do not
+	// count as downloads.
+	slow bool
 }
 
 func (m *Machine) startFetch(now time.Duration, chunk int, from *peer, source bool) {
@@ -144,6 +150,7 @@
 	switch e.Result {
 	case ResultOK:
 		p.faults = 0
+		p.slow = f.slow
 		p.refusals = 0
 	case ResultCorrupt:
 		m.recordLie(now, p)
@@ -197,6 +204,7 @@
 			limit = m.after(waitChunkTimes)
 		}
 		if now-f.progress < limit {
+			m.markSlow(now, f)
 			continue
 		}
 		m.cancel(f)
@@ -208,6 +216,14 @@
 	}
 }
 
+// markSlow records that a peer sends too slowly to wait for it alone.
+func (m *Machine) markSlow(now time.Duration, f *fetch) {
+	if f.from != nil && !f.slow && now-f.started >= m.after(slowChunkTimes) {
+		f.slow = true
+		f.from.slow = true
+	}
+}
+
 // downloadLimit leaves most of the link to a fetch from the region's source, since
 // the whole region waits for that chunk.
 func (m *Machine) downloadLimit() int {
@@ -223,7 +239,7 @@
 func (m *Machine) peerFetches() int {
 	count := 0
 	for _, f := range m.fetches {
-		if !f.source {
+		if !f.source && !f.slow {
 			count++
 		}
 	}
@@ -236,7 +252,7 @@
 		return
 	}
 	for m.peerFetches() < m.downloadLimit() {
-		if !m.startPeerFetch(now) && !m.startDuplicate(now) {
+		if !m.startDuplicate(now) && !m.startPeerFetch(now, false) && !m.startPeerFetch(now, true) {
 			return
 		}
 	}
@@ -250,12 +266,13 @@
 	return p.Region == m.cfg.Self.Region && p.count > 0 && p.pending == 0 && now >= p.busyUntil && p.trusted(now)
 }
 
-// startPeerFetch chooses a chunk that a usable peer holds, and the peer.
-func (m *Machine) startPeerFetch(now time.Duration) bool {
+// startPeerFetch chooses a chunk that a usable peer holds, and the peer. It considers
+// either the slow peers or the others.
+func (m *Machine) startPeerFetch(now time.Duration, slow bool) bool {
 	clear(m.offered)
 	usable := m.usableBuffer[:0]
 	for _, p := range m.known {
-		if !m.usable(now, p) {
+		if p.slow != slow || !m.usable(now, p) {
 			continue
 		}
 		usable = append(usable, p)
@@ -319,18 +336,20 @@
 	return best
 }
 
-// startDuplicate requests one of the last chunks from a second peer when every
-// missing chunk is requested and the first peer is slow.
+// startDuplicate requests a chunk from a second peer when the first is slow. One of
+// the last chunks is requested again sooner, since nothing else is left to fetch.
 func (m *Machine) startDuplicate(now time.Duration) bool {
-	if m.cfg.Chunks-m.count != m.requested.Count() || m.cfg.Policy == PolicyFixedTree {
+	if m.cfg.Policy == PolicyFixedTree {
 		return false
 	}
+	last := m.cfg.Chunks-m.count == m.requested.Count()
 	for _, f := range m.fetches {
-		if now-f.started < m.after(duplicateChunkTimes) || m.copies(f.chunk) >= maxCopies {
+		late := f.slow || (last && now-f.started >= m.after(duplicateChunkTimes))
+		if !late || m.copies(f.chunk) >= maxCopies {
 			continue
 		}
 		for _, p := range m.known {
-			if p != f.from && m.usable(now, p) && p.held.Has(f.chunk) {
+			if p != f.from && !p.slow && m.usable(now, p) && p.held.Has(f.chunk) {
 				m.startFetch(now, f.chunk, p, false)
 				return true
 			}
@@ -339,13 +358,23 @@
 	return false
 }
 
-// trustedHolder reports whether a peer of the region offers a chunk.
+// claimed reports whether a chunk is requested from someone who is not slow.
+func (m *Machine) claimed(chunk int) bool {
+	for _, f := range m.fetches {
+		if f.chunk == chunk && !f.slow {
+			return true
+		}
+	}
+	return false
+}
+
+// trustedHolder reports whether a peer of the region that is not slow offers a chunk.
 func (m *Machine) trustedHolder(now time.Duration, chunk int) bool {
 	if m.holders[chunk] == 0 {
 		return false
 	}
 	for _, p := range m.known {
-		if p.Region == m.cfg.Self.Region && p.held.Has(chunk) && p.trusted(now) {
+		if p.Region == m.cfg.Self.Region && p.held.Has(chunk) && !p.slow && p.trusted(now) {
 			return true
 		}
 	}
--- a/lib/swarm/linkfake/transfer.go
+++ b/lib/swarm/linkfake/transfer.go
@@ -75,6 +75,9 @@
 		r.settle(t.flow)
 		if t.flow.left < left {
 			t.to.step(swarm.ChunkProgress{ID: t.fetch})
+			if t.from != nil && left < 1 {
+				t.from.step(swarm.UploadProgress{ID: t.id})
+			}
 		}
 		if !t.ended {
 			r.reportProgress(t, min(t.flow.left, 0.999))
--- a/lib/swarm/machine.go
+++ b/lib/swarm/machine.go
@@ -126,6 +126,8 @@
 		m.handleDone(now, e)
 	case UploadRequested:
 		m.handleUpload(now, e)
+	case UploadProgress:
+		m.handleUploadProgress(now, e.ID)
 	case UploadFinished:
 		m.handleUploadFinished(now, e.ID)
 	case Tick:
--- a/lib/swarm/message.go
+++ b/lib/swarm/message.go
@@ -77,6 +77,10 @@
 	Chunk int
 }
 
+// UploadProgress reports that bytes of an upload have been sent. The adapter may
+// omit those that follow within a second.
+type UploadProgress struct{ ID UploadID }
+
 // UploadFinished ends an accepted upload, successful or not.
 type UploadFinished struct{ ID UploadID }
 
@@ -92,6 +96,7 @@
 func (ChunkProgress) isEvent()   {}
 func (ChunkDone) isEvent()       {}
 func (UploadRequested) isEvent() {}
+func (UploadProgress) isEvent()  {}
 func (UploadFinished) isEvent()  {}
 func (Tick) isEvent()            {}
 func (Withdrawn) isEvent()       {}
--- a/lib/swarm/peer.go
+++ b/lib/swarm/peer.go
@@ -34,7 +34,10 @@
 	// lies counts corrupt chunks and chunks that were named but not held.
 	lies       int
 	avoidUntil time.Duration
-	busyUntil  time.Duration
+	// slow is set while the last transfer took far too long. Chunks of slow peers are
+	// requested only when nobody else offers them.
+	slow      bool
+	busyUntil time.Duration
 	// refusals counts requests refused for want of a slot since the last success.
 	refusals int
 	// refused is set when this VM refused the peer a slot at refusedAt.
--- a/lib/swarm/source.go
+++ b/lib/swarm/source.go
@@ -17,6 +17,12 @@
 	takeoverEvidence = 16
 	// blindTakeoverChunkTimes replaces the evidence when it never comes.
 	blindTakeoverChunkTimes = 192
+	// starvedChunkTimes is the further delay after which a chunk that a peer offers may
+	// be fetched again, if it has not spread like the others.
+	starvedChunkTimes = 48
+	// starvedRatio is how many times more peers hold the average chunk than one that
+	// has not spread. Without faults, a chunk at that age is as common as the others.
+	starvedRatio = 4
 	// probeChunkTimes is the time given to a fetcher of lower rank to show its bitmap.
 	probeChunkTimes = 4
 	// sourceBackoffChunkTimes is the first pause after a failure of the source.
@@ -76,7 +82,7 @@
 		if m.sourceFetches() >= m.cfg.Limits.SourceFetches {
 			return
 		}
-		if m.held.Has(d.chunk) || m.requested.Has(d.chunk) || !m.due(now, d) {
+		if m.held.Has(d.chunk) || m.claimed(d.chunk) || !m.due(now, d) {
 			continue
 		}
 		if m.home() || m.baseline() {
@@ -99,9 +105,12 @@
 	}
 	at := m.started + time.Duration(d.chunk)*m.cfg.SourceInterval
 	at += time.Duration(d.rank) * m.after(takeoverChunkTimes)
-	if now < at || m.trustedHolder(now, d.chunk) {
+	if now < at {
 		return false
 	}
+	if m.trustedHolder(now, d.chunk) {
+		return d.rank > 0 && now >= at+m.after(starvedChunkTimes) && m.starved(d.chunk)
+	}
 	seen, later := m.seen(d.chunk)
 	if d.rank == 0 {
 		return d.chunk <= seen+sourceWindow
@@ -128,6 +137,19 @@
 	return total, later
 }
 
+// starved reports whether far fewer peers hold a chunk than hold the average one. Its
+// holders then send too slowly, or refuse because slow transfers occupy their slots.
+func (m *Machine) starved(chunk int) bool {
+	var total, seen int32
+	for _, holders := range m.holders {
+		if holders > 0 {
+			total += holders
+			seen++
+		}
+	}
+	return total >= starvedRatio*m.holders[chunk]*seen
+}
+
 // probeFetchers asks the fetchers of lower rank for their bitmaps, since a chunk that
 // one of them holds may not have reached a neighbour yet. It reports whether they had
 // time to answer.
--- a/lib/swarm/upload.go
+++ b/lib/swarm/upload.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// uploadTimeoutChunkTimes frees the slot of an upload whose requester is gone.
-	uploadTimeoutChunkTimes = 64
+	// uploadIdleChunkTimes frees the slot of an upload without progress, for example
+	// because the requester was cut off without closing its connection.
+	uploadIdleChunkTimes = 16
 	// reserveMarginPart is the part of all chunks by which a peer must be behind
 	// another to get its slot.
 	reserveMarginPart = 32
@@ -16,9 +17,9 @@
 )
 
 type upload struct {
-	id      UploadID
-	from    string
-	started time.Duration
+	id       UploadID
+	from     string
+	progress time.Duration
 }
 
 // handleUpload grants a slot or refuses the request. Requests do not wait for a slot:
@@ -40,7 +41,7 @@
 	if e.From == m.reservedFor {
 		m.reservedFor = ""
 	}
-	m.uploads = append(m.uploads, &upload{id: e.ID, from: e.From, started: now})
+	m.uploads = append(m.uploads, &upload{id: e.ID, from: e.From, progress: now})
 	m.emit(AcceptUpload{ID: e.ID})
 }
 
@@ -120,12 +121,20 @@
 	return len(m.uploads) >= m.uploadLimit(from)-1
 }
 
-// expireUploads frees slots whose transfer never ends, for example because the
-// requester was cut off without closing its connection.
+func (m *Machine) handleUploadProgress(now time.Duration, id UploadID) {
+	for _, u := range m.uploads {
+		if u.id == id {
+			u.progress = now
+		}
+	}
+}
+
+// expireUploads ends uploads without progress. Uploads that are only slow continue;
+// the requester decides on them.
 func (m *Machine) expireUploads(now time.Duration) {
-	limit := uploadTimeoutChunkTimes * m.cfg.ChunkTime
+	limit := m.after(uploadIdleChunkTimes)
 	m.uploads = slices.DeleteFunc(m.uploads, func(u *upload) bool {
-		if now-u.started < limit {
+		if now-u.progress < limit {
 			return false
 		}
 		m.emit(RefuseUpload{ID: u.id, Held: true})
