Count the age of a chunk from its first offer

Cause: after an outage or partition all chunks are late against the schedule and none has spread yet, so ranks 1 to 3 fetched each chunk again at once. Ruled out: nothing further.

--- a/lib/swarm/source.go
+++ b/lib/swarm/source.go
@@ -38,6 +38,9 @@
 	probed bool
 	// probedAt is the time of the last question to other fetchers.
 	probedAt time.Duration
+	// offered is set once a peer has offered the chunk, at offeredAt.
+	offered   bool
+	offeredAt time.Duration
 }
 
 func (m *Machine) home() bool { return m.plan.Home() == m.cfg.Self.Region }
@@ -109,7 +112,7 @@
 		return false
 	}
 	if m.trustedHolder(now, d.chunk) {
-		return d.rank > 0 && now >= at+m.after(starvedChunkTimes) && m.starved(d.chunk)
+		return d.rank > 0 && m.starved(now, d)
 	}
 	seen, later := m.seen(d.chunk)
 	if d.rank == 0 {
@@ -137,9 +140,17 @@
 	return total, later
 }
 
-// starved reports whether far fewer peers hold a chunk than hold the average one. Its
-// holders then send too slowly, or refuse because slow transfers occupy their slots.
-func (m *Machine) starved(chunk int) bool {
+// starved reports whether a chunk has been offered for long but far fewer peers hold it
+// than hold the average one. Its holders then send too slowly, or refuse because slow
+// transfers occupy their slots.
+func (m *Machine) starved(now time.Duration, d *duty) bool {
+	if !d.offered {
+		d.offered = true
+		d.offeredAt = now
+	}
+	if now < d.offeredAt+m.after(starvedChunkTimes) {
+		return false
+	}
 	var total, seen int32
 	for _, holders := range m.holders {
 		if holders > 0 {
@@ -147,7 +158,7 @@
 			seen++
 		}
 	}
-	return total >= starvedRatio*m.holders[chunk]*seen
+	return total >= starvedRatio*m.holders[d.chunk]*seen
 }
 
 // probeFetchers asks the fetchers of lower rank for their bitmaps, since a chunk that
