Take over a chunk only after 48 later ones have appeared

Cause: with a slow store up to 64 fetches share its link and finish out of order, so 16 later chunks were no evidence of a dead fetcher.

--- a/lib/swarm/source.go
+++ b/lib/swarm/source.go
@@ -14,7 +14,10 @@
 	// takeoverEvidence is the number of later chunks that must have appeared before the
 	// next in rank concludes that a fetcher failed. Without it, a slow source would be
 	// asked for each chunk by every rank.
-	takeoverEvidence = 16
+	takeoverEvidence = 48
+	// takeoverTail is the number of unseen chunks that counts as evidence as well, since
+	// the last chunks have no later ones.
+	takeoverTail = 8
 	// blindTakeoverChunkTimes replaces the evidence when it never comes.
 	blindTakeoverChunkTimes = 192
 	// starvedChunkTimes is the further delay after which a chunk that a peer offers may
@@ -118,7 +121,7 @@
 	if d.rank == 0 {
 		return d.chunk <= seen+sourceWindow
 	}
-	evidence := later >= takeoverEvidence || seen >= m.cfg.Chunks-takeoverEvidence
+	evidence := later >= takeoverEvidence || seen >= m.cfg.Chunks-takeoverTail
 	if !evidence && now < at+m.after(blindTakeoverChunkTimes)<<d.rank {
 		return false
 	}
