--- a/lib/swarm/source.go
+++ b/lib/swarm/source.go
@@ -14,9 +14,18 @@
 	// takeoverEvidence is the number of later chunks that must have appeared before the
 	// next in rank concludes that a fetcher failed. Without it, a slow source would be
 	// asked for each chunk by every rank.
-	takeoverEvidence = 16
+	takeoverEvidence = 48
+	// takeoverTail is the number of unseen chunks that counts as evidence as well, since
+	// the last chunks have no later ones.
+	takeoverTail = 8
 	// blindTakeoverChunkTimes replaces the evidence when it never comes.
 	blindTakeoverChunkTimes = 192
+	// starvedChunkTimes is the further delay after which a chunk that a peer offers may
+	// be fetched again, if it has not spread like the others.
+	starvedChunkTimes = 48
+	// starvedRatio is how many times more peers hold the average chunk than one that
+	// has not spread. Without faults, a chunk at that age is as common as the others.
+	starvedRatio = 4
 	// probeChunkTimes is the time given to a fetcher of lower rank to show its bitmap.
 	probeChunkTimes = 4
 	// sourceBackoffChunkTimes is the first pause after a failure of the source.
@@ -32,6 +41,9 @@
 	probed bool
 	// probedAt is the time of the last question to other fetchers.
 	probedAt time.Duration
+	// offered is set once a peer has offered the chunk, at offeredAt.
+	offered   bool
+	offeredAt time.Duration
 }
 
 func (m *Machine) home() bool { return m.plan.Home() == m.cfg.Self.Region }
@@ -76,7 +88,7 @@
 		if m.sourceFetches() >= m.cfg.Limits.SourceFetches {
 			return
 		}
-		if m.held.Has(d.chunk) || m.requested.Has(d.chunk) || !m.due(now, d) {
+		if m.held.Has(d.chunk) || m.claimed(d.chunk) || !m.due(now, d) {
 			continue
 		}
 		if m.home() || m.baseline() {
@@ -99,14 +111,17 @@
 	}
 	at := m.started + time.Duration(d.chunk)*m.cfg.SourceInterval
 	at += time.Duration(d.rank) * m.after(takeoverChunkTimes)
-	if now < at || m.trustedHolder(now, d.chunk) {
+	if now < at {
 		return false
 	}
+	if m.trustedHolder(now, d.chunk) {
+		return d.rank > 0 && m.starved(now, d)
+	}
 	seen, later := m.seen(d.chunk)
 	if d.rank == 0 {
 		return d.chunk <= seen+sourceWindow
 	}
-	evidence := later >= takeoverEvidence || seen >= m.cfg.Chunks-takeoverEvidence
+	evidence := later >= takeoverEvidence || seen >= m.cfg.Chunks-takeoverTail
 	if !evidence && now < at+m.after(blindTakeoverChunkTimes)<<d.rank {
 		return false
 	}
@@ -128,6 +143,27 @@
 	return total, later
 }
 
+// starved reports whether a chunk has been offered for long but far fewer peers hold it
+// than hold the average one. Its holders then send too slowly, or refuse because slow
+// transfers occupy their slots.
+func (m *Machine) starved(now time.Duration, d *duty) bool {
+	if !d.offered {
+		d.offered = true
+		d.offeredAt = now
+	}
+	if now < d.offeredAt+m.after(starvedChunkTimes) {
+		return false
+	}
+	var total, seen int32
+	for _, holders := range m.holders {
+		if holders > 0 {
+			total += holders
+			seen++
+		}
+	}
+	return total >= starvedRatio*m.holders[d.chunk]*seen
+}
+
 // probeFetchers asks the fetchers of lower rank for their bitmaps, since a chunk that
 // one of them holds may not have reached a neighbour yet. It reports whether they had
 // time to answer.
