Charge an idle endpoint for the request itself only, not for its limit

Cause: the score multiplied load plus one by the relative limit, so an idle cold endpoint looked four times as loaded as an idle warm one. Ruled out: membership and zone state; the zone's endpoints were eligible. Conclusion: cold endpoints of the own zone warm up with their own callers.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 # Runs the main job: distributes a model, serves a chat and a booking, and stops.
 demo: build
-	bin/laburnumstandin demo
+	bin/laburnumdemo
 
 # Runs all tests.
 test: build
--- a/ctl/keys.go
+++ b/ctl/keys.go
@@ -6,23 +6,35 @@
 	"path/filepath"
 	"time"
 
+	"github.com/jessevdk/go-flags"
+
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/mtls"
 )
 
-// KeysCommand groups the commands for the keys of processes and operators.
-type KeysCommand struct {
-	Init  KeysInitCommand  `command:"init" description:"Create a certificate authority"`
-	Issue KeysIssueCommand `command:"issue" description:"Issue the certificate of a process or an operator"`
+// addKeys adds the commands for the keys of processes and operators.
+func addKeys(parser *flags.Parser, session *Session) error {
+	command, err := parser.AddCommand("keys", "Issue the keys of processes and operators",
+		"Creates a certificate authority and issues certificates that prove roles.", &struct{}{})
+	if err != nil {
+		return err
+	}
+	_, err = command.AddCommand("init", "Create a certificate authority", "Writes ca.crt and ca.key into a directory.", &keysInit{session: session})
+	if err != nil {
+		return err
+	}
+	_, err = command.AddCommand("issue", "Issue a certificate",
+		"Issues the certificate of a process or an operator. Running processes read replaced files without a restart.", &keysIssue{session: session})
+	return err
 }
 
-// KeysInitCommand creates an authority.
-type KeysInitCommand struct {
-	Dir string `long:"dir" required:"true" description:"directory for ca.crt and ca.key"`
+type keysInit struct {
+	session *Session
+	Dir     string `long:"dir" required:"true" description:"directory for ca.crt and ca.key"`
 }
 
 // Execute creates the authority unless the directory holds one.
-func (c *KeysInitCommand) Execute([]string) error {
+func (c *keysInit) Execute([]string) error {
 	path := filepath.Join(c.Dir, mtls.AuthorityKeyFile)
 	if _, err := os.Stat(path); err == nil {
 		return errkind.New(errkind.Conflict, "use another directory, or remove the files if no process uses them", "%s exists", path)
@@ -34,28 +46,31 @@
 	if err := authority.Save(c.Dir); err != nil {
 		return err
 	}
-	fmt.Println("authority written to", c.Dir)
-	return nil
+	return c.session.Output().Print(struct {
+		Dir string `json:"dir"`
+	}{c.Dir}, Table{Summary: "authority written to " + c.Dir})
 }
 
-// KeysIssueCommand issues a certificate. Issuing it again under the same name rotates
-// the key; running processes read the new files without a restart.
-type KeysIssueCommand struct {
+type keysIssue struct {
+	session  *Session
 	Dir      string        `long:"dir" required:"true" description:"directory that holds the authority"`
 	Out      string        `long:"out" description:"directory for the certificate and the key; the authority's by default"`
-	Role     string        `long:"role" required:"true" choice:"entry" choice:"endpoint" choice:"operator" description:"role to prove"`
+	Role     string        `long:"role" required:"true" description:"role to prove: entry, endpoint or operator"`
 	Zone     string        `long:"zone" required:"true" description:"availability zone of the VM; any name for operators"`
 	VM       string        `long:"vm" required:"true" description:"name of the VM or the operator"`
 	Lifetime time.Duration `long:"lifetime" default:"2160h" description:"validity of the certificate"`
 }
 
 // Execute issues the certificate.
-func (c *KeysIssueCommand) Execute([]string) error {
+func (c *keysIssue) Execute([]string) error {
+	identity, err := mtls.ParseIdentity(mtls.Identity{Role: mtls.Role(c.Role), Zone: c.Zone, VM: c.VM}.URI())
+	if err != nil {
+		return &usageError{text: err.Error()}
+	}
 	authority, err := mtls.LoadAuthority(c.Dir)
 	if err != nil {
 		return err
 	}
-	identity := mtls.Identity{Role: mtls.Role(c.Role), Zone: c.Zone, VM: c.VM}
 	pair, err := authority.Issue(identity, time.Now(), c.Lifetime)
 	if err != nil {
 		return err
@@ -67,6 +82,8 @@
 	if err := pair.Save(out, c.VM); err != nil {
 		return err
 	}
-	fmt.Printf("%s.crt and %s.key written to %s for %s\n", c.VM, c.VM, out, identity)
-	return nil
+	return c.session.Output().Print(struct {
+		Identity string `json:"identity"`
+		Dir      string `json:"dir"`
+	}{identity.String(), out}, Table{Summary: fmt.Sprintf("%s.crt and %s.key written to %s for %s", c.VM, c.VM, out, identity)})
 }
--- a/entry/control.go
+++ b/entry/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,11 +50,14 @@
 	return c
 }
 
+// run returns when the context has ended and the placement lease is released.
 func (c *control) run(ctx context.Context) {
-	go c.configs.Run(ctx)
-	go c.placer.run(ctx)
-	go c.shareMembersRegularly(ctx)
-	c.members.run(ctx)
+	var loops sync.WaitGroup
+	loops.Go(func() { c.configs.Run(ctx) })
+	loops.Go(func() { c.placer.run(ctx) })
+	loops.Go(func() { c.shareMembersRegularly(ctx) })
+	loops.Go(func() { c.members.run(ctx) })
+	loops.Wait()
 }
 
 // Act implements driver.Observer.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -73,7 +73,11 @@
 	}()
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go p.control.run(running)
+	done := make(chan struct{})
+	go func() {
+		p.control.run(running)
+		close(done)
+	}()
 	p.log.Info("entry started", zap.String("vm", p.settings.VM), zap.String("zone", p.settings.Zone),
 		zap.String("listen", p.settings.Listen), zap.String("http", p.settings.HTTPListen))
 	select {
@@ -81,7 +85,12 @@
 		return err
 	case <-ctx.Done():
 	}
-	return p.stop(server)
+	err = p.stop(server)
+	cancel()
+	<-done
+	p.conns.Close()
+	p.log.Info("entry stopped", zap.Error(err))
+	return err
 }
 
 func (p *Process) stop(server *http.Server) error {
@@ -93,10 +102,8 @@
 	defer cancel()
 	err := server.Shutdown(ctx)
 	p.grpc.Stop()
-	p.conns.Close()
 	if err != nil {
 		return fmt.Errorf("requests still run after %s: %w", p.settings.StopTimeout, err)
 	}
-	p.log.Info("entry stopped")
 	return nil
 }
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -2,94 +2,269 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/configstore"
+	"laburnumgw/lib/lease"
 	"laburnumgw/lib/membership"
+	"laburnumgw/lib/placement"
 	"laburnumgw/lib/platform"
 	"laburnumgw/lib/rendezvous"
 )
 
-// placementInterval separates two looks at the placements.
-const placementInterval = time.Second
+const (
+	// placementDuty names the lease of the process that places models.
+	placementDuty = "placement"
+	// placementLease is the duration of the lease.
+	placementLease = 10 * time.Second
+	// placementInterval separates two decisions.
+	placementInterval = time.Second
+	// placementCandidates is the number of entries that try to hold the lease. It
+	// bounds the calls to the platform whatever the number of entries.
+	placementCandidates = 3
+	// replicaGrace is how long a silent VM keeps its replicas, because moving one
+	// costs a transfer of its weights and most restarts are shorter.
+	replicaGrace = 30 * time.Second
+	// leaseStepTimeout bounds the wait between two steps of the lease.
+	leaseStepTimeout = time.Second
+)
 
-// placer writes the placements of all models. One entry does so for all zones.
+// placer places models while this entry holds the lease.
 type placer struct {
 	control *control
 	store   *configstore.Client
+	adapter lease.Adapter
+	holder  *lease.Holder
+	started time.Time
 	log     *zap.Logger
+	// written holds the newest placements that this process has written, because the
+	// configuration in force shows them a moment later.
+	written map[string]*laburnumgwv1.Placement
+	logged  map[string]string
 }
 
 func newPlacer(c *control, store platform.Store, log *zap.Logger) *placer {
-	return &placer{control: c, store: configstore.NewClient(store), log: log}
+	p := &placer{
+		control: c, store: configstore.NewClient(store), started: time.Now(), log: log,
+		written: make(map[string]*laburnumgwv1.Placement), logged: make(map[string]string),
+	}
+	p.adapter = lease.Adapter{Store: store, Clock: p.clock}
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	incarnation := c.members.incarnation()
+	identity := lease.Identity{VM: c.self.VM, Counter: incarnation.Counter, ID: incarnation.ID}
+	p.holder = lease.NewHolder(placementDuty, identity, placementLease, 0, rng)
+	return p
 }
 
+func (p *placer) clock() time.Duration { return time.Since(p.started) }
+
+// run places models until the context ends, then releases the lease.
 func (p *placer) run(ctx context.Context) {
-	ticker := time.NewTicker(placementInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+	next := p.clock()
+	for ctx.Err() == nil {
+		if p.candidate() {
+			p.step(ctx)
 		}
-		if current := p.control.current.Load(); current != nil && p.elected() {
-			p.place(ctx, current)
+		if _, valid := p.holder.Valid(p.clock()); valid && p.clock() >= next {
+			p.place(ctx)
+			next = p.clock() + placementInterval
 		}
+		wait := min(max(p.holder.Next()-p.clock(), minTick), placementInterval)
+		if !sleep(ctx, wait) {
+			break
+		}
+	}
+	p.release()
+}
+
+func (p *placer) step(ctx context.Context) {
+	if err := p.adapter.Step(ctx, p.holder); err != nil {
+		p.log.Warn("placement lease call failed", zap.Error(err))
+	}
+}
+
+func (p *placer) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaseStepTimeout)
+	defer cancel()
+	if err := p.adapter.Release(ctx, p.holder); err != nil {
+		p.log.Warn("placement lease not released; another entry takes it after its duration", zap.Error(err))
 	}
 }
 
-func (p *placer) elected() bool {
+// candidate reports whether this entry tries to hold the lease: a present holder, or
+// one of the highest-ranking live entries.
+func (p *placer) candidate() bool {
+	if _, valid := p.holder.Valid(p.clock()); valid {
+		return true
+	}
+	if !p.control.members.joined() || p.control.current.Load() == nil {
+		return false
+	}
 	names := []string{p.control.self.VM}
 	for _, peer := range p.control.liveEntries() {
 		names = append(names, peer.VM)
 	}
-	return rendezvous.Best("placement", names) == p.control.self.VM
+	return slices.Contains(rendezvous.Top(placementDuty, names, placementCandidates), p.control.self.VM)
 }
 
-func (p *placer) place(ctx context.Context, current *inForce) {
-	for name, model := range current.snapshot.Models {
-		digest := ""
-		for _, version := range current.bundle.GetModels() {
-			if version.GetModel() == name && version.GetVersion() == model.Version {
-				digest = version.GetManifestDigest()
-			}
+// place decides and writes the placements that changed.
+func (p *placer) place(ctx context.Context) {
+	current := p.control.current.Load()
+	fencing, valid := p.holder.Valid(p.clock())
+	if current == nil || !valid {
+		return
+	}
+	views := p.control.members.endpoints()
+	previous := p.previous(current)
+	decision, err := placement.Decide(placement.Input{
+		Config: current.snapshot, Versions: versions(current.bundle), Endpoints: p.endpoints(views),
+		Previous: plans(previous), Fencing: fencing,
+	})
+	if err != nil {
+		p.log.Warn("placement not decided", zap.Error(err))
+		return
+	}
+	p.logDecision(decision)
+	for _, plan := range decision.Plans {
+		message := withAddresses(plan.Proto(), views, previous[plan.Model])
+		switch {
+		case slices.Contains(decision.Changed, plan.Model):
+			p.write(ctx, message)
+		case moved(message, previous[plan.Model]):
+			message.Generation++
+			p.write(ctx, message)
+		}
+	}
+}
+
+// moved reports whether a VM serves chunks at another address than before.
+func moved(message, previous *laburnumgwv1.Placement) bool {
+	return !slices.EqualFunc(message.GetAssignments(), previous.GetAssignments(), func(a, b *laburnumgwv1.Assignment) bool {
+		return a.GetAddress() == b.GetAddress()
+	})
+}
+
+// previous returns the newest placements by model, own writes included.
+func (p *placer) previous(current *inForce) map[string]*laburnumgwv1.Placement {
+	newest := make(map[string]*laburnumgwv1.Placement)
+	for _, known := range current.bundle.GetPlacements() {
+		newest[known.GetModel()] = known
+	}
+	for model, own := range p.written {
+		if known, ok := newest[model]; ok && !newer(own, known) {
+			continue
 		}
-		if digest == "" {
+		newest[model] = own
+	}
+	return newest
+}
+
+func newer(a, b *laburnumgwv1.Placement) bool {
+	if a.GetFencing() != b.GetFencing() {
+		return a.GetFencing() > b.GetFencing()
+	}
+	return a.GetGeneration() > b.GetGeneration()
+}
+
+func plans(placements map[string]*laburnumgwv1.Placement) []placement.Plan {
+	list := make([]placement.Plan, 0, len(placements))
+	for _, message := range placements {
+		list = append(list, placement.FromProto(message))
+	}
+	return list
+}
+
+func versions(bundle *laburnumgwv1.ConfigBundle) []placement.Version {
+	list := make([]placement.Version, 0, len(bundle.GetModels()))
+	for _, m := range bundle.GetModels() {
+		list = append(list, placement.VersionOf(m))
+	}
+	return list
+}
+
+// endpoints describes the model endpoints to the decision.
+func (p *placer) endpoints(views []membership.EndpointView) []placement.Endpoint {
+	now := p.control.members.clock()
+	var list []placement.Endpoint
+	for _, view := range views {
+		report := view.Report
+		if report == nil || len(report.GetModels()) == 0 {
 			continue
 		}
-		var assignments []*laburnumgwv1.Assignment
-		for _, view := range p.control.members.endpoints() {
-			if view.Report == nil || view.State != membership.Alive || !slices.Contains(view.Report.GetModels(), name) {
-				continue
-			}
-			assignments = append(assignments, &laburnumgwv1.Assignment{
-				Vm: view.VM, Zone: view.Zone, Region: view.Region, Address: view.Address, VersionDigest: digest,
-			})
+		list = append(list, placement.Endpoint{
+			VM: view.VM, Zone: view.Zone, Models: report.GetModels(), MemoryMB: int(report.GetWeightsMemory() >> 20),
+			Serving: report.GetServing(), Holds: held(report), Alive: now-view.LastSeen < replicaGrace,
+		})
+	}
+	return list
+}
+
+func held(report *laburnumgwv1.ReportRequest) []string {
+	var digests []string
+	for _, progress := range report.GetProgress() {
+		if progress.GetChunksTotal() > 0 && progress.GetChunksHave() == progress.GetChunksTotal() {
+			digests = append(digests, progress.GetVersionDigest())
 		}
-		slices.SortFunc(assignments, func(a, b *laburnumgwv1.Assignment) int { return strings.Compare(a.GetVm(), b.GetVm()) })
-		p.write(ctx, current, name, assignments)
 	}
+	return digests
+}
+
+// withAddresses adds where each VM serves chunks. A VM that is silent keeps the
+// address of the previous placement.
+func withAddresses(message *laburnumgwv1.Placement, views []membership.EndpointView, previous *laburnumgwv1.Placement) *laburnumgwv1.Placement {
+	known := make(map[string]membership.Peer, len(views))
+	for _, a := range previous.GetAssignments() {
+		known[a.GetVm()] = membership.Peer{VM: a.GetVm(), Zone: a.GetZone(), Region: a.GetRegion(), Address: a.GetAddress()}
+	}
+	for _, view := range views {
+		known[view.VM] = view.Peer
+	}
+	for _, a := range message.GetAssignments() {
+		peer := known[a.GetVm()]
+		a.Zone = peer.Zone
+		a.Region = peer.Region
+		a.Address = peer.Address
+	}
+	return message
 }
 
-func (p *placer) write(ctx context.Context, current *inForce, model string, assignments []*laburnumgwv1.Assignment) {
-	var generation uint64
-	for _, placement := range current.bundle.GetPlacements() {
-		if placement.GetModel() != model {
+func (p *placer) write(ctx context.Context, message *laburnumgwv1.Placement) {
+	if _, valid := p.holder.Valid(p.clock()); !valid {
+		return
+	}
+	err := p.store.WritePlacement(ctx, message)
+	p.log.Info("placement written", zap.String("model", message.GetModel()), zap.Int("vms", len(message.GetAssignments())),
+		zap.Uint64("fencing", message.GetFencing()), zap.Uint64("generation", message.GetGeneration()), zap.Error(err))
+	if err == nil {
+		p.written[message.GetModel()] = message
+	}
+}
+
+// logDecision logs an explanation when it differs from the last one of its model and
+// availability zone.
+func (p *placer) logDecision(decision placement.Decision) {
+	for _, e := range decision.Explanations {
+		key := e.Model + "/" + e.Zone
+		text := e.String()
+		if p.logged[key] == text {
 			continue
 		}
-		generation = placement.GetGeneration()
-		if slices.EqualFunc(placement.GetAssignments(), assignments, func(a, b *laburnumgwv1.Assignment) bool {
-			return a.GetVm() == b.GetVm() && a.GetVersionDigest() == b.GetVersionDigest() && a.GetAddress() == b.GetAddress()
-		}) {
-			return
+		p.logged[key] = text
+		p.log.Info("placement decided", zap.String("model", e.Model), zap.String("zone", e.Zone), zap.String("explanation", text))
+	}
+	for _, u := range decision.Unmet {
+		key := "unmet/" + u.Model + "/" + u.Zone
+		text := string(u.Reason)
+		if p.logged[key] == text {
+			continue
 		}
+		p.logged[key] = text
+		p.log.Warn("replicas missing", zap.String("model", u.Model), zap.String("zone", u.Zone), zap.Int("missing", u.Missing),
+			zap.String("reason", text), zap.String("remedy", u.Remedy()))
 	}
-	err := p.store.WritePlacement(ctx, &laburnumgwv1.Placement{Model: model, Fencing: 1, Generation: generation + 1, Assignments: assignments})
-	p.log.Info("placement written", zap.String("model", model), zap.Int("vms", len(assignments)), zap.Error(err))
 }
--- a/lib/membership/targets.go
+++ b/lib/membership/targets.go
@@ -14,6 +14,9 @@
 	zoneTargets = 20
 	// remoteTargets is the number of entries of each other zone that it reports to.
 	remoteTargets = 2
+	// allTargets is the number of entries up to which an endpoint reports to all of them.
+	// Each entry then knows every endpoint, which the placement of models relies on.
+	allTargets = 16
 )
 
 // targets returns the entries that an endpoint reports to: the highest-ranking ones of
@@ -24,15 +27,27 @@
 		zones = append(zones, name)
 	}
 	slices.Sort(zones)
+	remote := remoteTargets
+	if total := countEntries(entries); total <= allTargets {
+		remote = total
+	}
 	chosen := rendezvous.Top(vm, entries[zone], zoneTargets)
 	for _, name := range zones {
 		if name != zone {
-			chosen = append(chosen, rendezvous.Top(vm, entries[name], remoteTargets)...)
+			chosen = append(chosen, rendezvous.Top(vm, entries[name], remote)...)
 		}
 	}
 	return chosen
 }
 
+func countEntries(entries map[string][]string) int {
+	total := 0
+	for _, members := range entries {
+		total += len(members)
+	}
+	return total
+}
+
 // firstList returns the entries that a process that has just joined is to report to, as
 // far as the own entry knows them.
 func (e *Entry) firstList(record *endpointRecord) []*pb.EntryInfo {
--- a/lib/routing/scorers.go
+++ b/lib/routing/scorers.go
@@ -9,7 +9,7 @@
 	// Penalties and bonuses are multiples of the mean score, so that they mean the
 	// same at any load.
 	otherZonePenalty   = 0.05
-	otherRegionPenalty = 0.5
+	otherRegionPenalty = 1
 	failurePenalty     = 1.0
 	// roundingSlack keeps a floating-point error from rounding up to one more request.
 	roundingSlack = 1e-9
@@ -73,7 +73,7 @@
 	for i := range q.candidates {
 		c := &q.candidates[i]
 		c.weight = q.meanCapacity / c.capacity
-		c.score = (c.own + q.ownShare*c.others + 1) * c.weight
+		c.score = (c.own+q.ownShare*c.others)*c.weight + 1
 	}
 }
 
