Prefer the entry's zone, then its region, beyond the picker's margin

Cause: the penalty of another zone, 0.05 of the mean score, vanished in the draw among near-best candidates; 35% of the attempts stayed in the zone, as at random. The penalty is now 0.25 of the mean score (1.0 for another region), and at least 0.75 requests.

All tests of lib/routing pass.

--- a/lib/routing/scorers.go
+++ b/lib/routing/scorers.go
@@ -8,8 +8,11 @@
 	tokenWeight = 0.25
 	// Penalties and bonuses are multiples of the mean score, so that they mean the
 	// same at any load.
-	otherZonePenalty   = 0.05
-	otherRegionPenalty = 0.5
+	otherZonePenalty   = 0.25
+	otherRegionPenalty = 1.0
+	// minDistancePenalty exceeds the picker's margin, so that idle endpoints are chosen
+	// by distance. At the margin itself, distance and late loads mix.
+	minDistancePenalty = 1.5 * bestMargin
 	failurePenalty     = 1.0
 	// roundingSlack keeps a floating-point error from rounding up to one more request.
 	roundingSlack = 1e-9
@@ -110,8 +113,8 @@
 func scoreDistance(q *query) {
 	penalty := [...]float64{
 		sameZone:    0,
-		sameRegion:  otherZonePenalty * q.meanScore,
-		otherRegion: otherRegionPenalty * q.meanScore,
+		sameRegion:  max(otherZonePenalty*q.meanScore, minDistancePenalty),
+		otherRegion: max(otherRegionPenalty*q.meanScore, 2*minDistancePenalty),
 	}
 	for i := range q.candidates {
 		c := &q.candidates[i]
