Withdraw older versions and share slots between models in the coordinator

Cause: the machine of an old version kept fetching after a newer one started. Ruled out: letting the adapter withdraw it, which leaves a moment in which both run.

--- a/lib/swarm/coordinator.go
+++ b/lib/swarm/coordinator.go
@@ -1,6 +1,7 @@
 package swarm
 
 import (
+	"slices"
 	"time"
 
 	"laburnumgw/lib/weights"
@@ -12,10 +13,12 @@
 	Action Action
 }
 
-// Coordinator runs the machines of the versions that one VM receives or serves. It is
-// not safe for concurrent use.
+// Coordinator runs the machines of the versions that one VM receives or serves, and
+// shares the VM's link slots between them. It is not safe for concurrent use.
 type Coordinator struct {
-	entries []*entry
+	limits      Limits
+	maxParallel int
+	entries     []*entry
 }
 
 type entry struct {
@@ -24,25 +27,96 @@
 }
 
 // NewCoordinator returns a coordinator that shares the slots of limits between models
-// and receives at most maxParallel of them at a time.
-func NewCoordinator(_ Limits, _ int) *Coordinator { return &Coordinator{} }
+// and receives at most maxParallel of them at a time, in the order of their start.
+func NewCoordinator(limits Limits, maxParallel int) *Coordinator {
+	limits.setDefaults()
+	return &Coordinator{limits: limits, maxParallel: max(1, maxParallel)}
+}
 
-// Add starts a version.
-func (c *Coordinator) Add(_ time.Duration, model string, machine *Machine) []VersionAction {
+// Add starts a version and withdraws every other version of the same model.
+func (c *Coordinator) Add(now time.Duration, model string, machine *Machine) []VersionAction {
+	var actions []VersionAction
+	for _, e := range slices.Clone(c.entries) {
+		if e.model == model || e.machine.Digest() == machine.Digest() {
+			actions = append(actions, c.Remove(now, e.machine.Digest())...)
+		}
+	}
 	c.entries = append(c.entries, &entry{model: model, machine: machine})
-	return nil
+	c.share(now)
+	return actions
+}
+
+// Remove withdraws a version.
+func (c *Coordinator) Remove(now time.Duration, digest weights.Digest) []VersionAction {
+	at := c.index(digest)
+	if at < 0 {
+		return nil
+	}
+	actions := c.run(now, c.entries[at].machine, Withdrawn{})
+	c.entries = slices.Delete(c.entries, at, at+1)
+	c.share(now)
+	return actions
 }
 
-// Step passes an event to the machine of a version.
+// Step passes an event to the machine of a version. A request for a version that is
+// not held is refused; other events for it are ignored.
 func (c *Coordinator) Step(now time.Duration, digest weights.Digest, event Event) []VersionAction {
+	at := c.index(digest)
+	if at < 0 {
+		if e, ok := event.(UploadRequested); ok {
+			return []VersionAction{{Digest: digest, Action: RefuseUpload{ID: e.ID}}}
+		}
+		return nil
+	}
+	return c.run(now, c.entries[at].machine, event)
+}
+
+// Tick lets the timers of all versions run. The adapter calls it at the shortest
+// TickInterval of its machines.
+func (c *Coordinator) Tick(now time.Duration) []VersionAction {
 	var actions []VersionAction
 	for _, e := range c.entries {
-		if e.machine.Digest() != digest {
-			continue
-		}
-		for _, action := range e.machine.Step(now, event) {
-			actions = append(actions, VersionAction{Digest: digest, Action: action})
+		actions = append(actions, c.run(now, e.machine, Tick{})...)
+	}
+	return actions
+}
+
+func (c *Coordinator) index(digest weights.Digest) int {
+	return slices.IndexFunc(c.entries, func(e *entry) bool { return e.machine.Digest() == digest })
+}
+
+func (c *Coordinator) run(now time.Duration, machine *Machine, event Event) []VersionAction {
+	machine.otherUploads = 0
+	for _, e := range c.entries {
+		if e.machine != machine {
+			machine.otherUploads += len(e.machine.uploads)
 		}
 	}
+	complete := machine.Complete()
+	var actions []VersionAction
+	for _, action := range machine.Step(now, event) {
+		actions = append(actions, VersionAction{Digest: machine.Digest(), Action: action})
+	}
+	if machine.Complete() != complete {
+		c.share(now)
+	}
 	return actions
 }
+
+// share divides the downloads between the incomplete versions that came first; the
+// others wait and only serve what they hold.
+func (c *Coordinator) share(now time.Duration) {
+	var active []*Machine
+	for _, e := range c.entries {
+		if !e.machine.Complete() && len(active) < c.maxParallel {
+			active = append(active, e.machine)
+		}
+	}
+	for _, e := range c.entries {
+		share := 0
+		if at := slices.Index(active, e.machine); at >= 0 {
+			share = max(1, (c.limits.Downloads+len(active)-1-at)/len(active))
+		}
+		e.machine.setDownloads(now, share)
+	}
+}
--- a/lib/swarm/fetch.go
+++ b/lib/swarm/fetch.go
@@ -137,7 +137,7 @@
 // its upload slot is free now. Pairs that stay together keep both links busy and save
 // the refused requests of a search for free slots.
 func (m *Machine) continueWith(now time.Duration, p *peer) {
-	if !m.usable(now, p) || m.peerFetches() >= m.downloadLimit() {
+	if m.paused || !m.usable(now, p) || m.peerFetches() >= m.downloadLimit() {
 		return
 	}
 	if chunk := m.pickChunk(p.held.Words()); chunk >= 0 {
@@ -248,7 +248,7 @@
 
 // fillFetches starts fetches from peers up to the limit.
 func (m *Machine) fillFetches(now time.Duration) {
-	if m.Complete() || m.cfg.Policy == PolicyOriginOnly {
+	if m.Complete() || m.paused || m.cfg.Policy == PolicyOriginOnly {
 		return
 	}
 	for m.peerFetches() < m.downloadLimit() {
--- a/lib/swarm/machine.go
+++ b/lib/swarm/machine.go
@@ -39,6 +39,11 @@
 	reservedFor   string
 	reservedUntil time.Duration
 
+	// paused is set while a coordinator gives the version no downloads.
+	paused bool
+	// otherUploads is the number of uploads of other versions on the same link.
+	otherUploads int
+
 	tokens   float64
 	tokensAt time.Duration
 
@@ -148,6 +153,16 @@
 	}
 }
 
+// setDownloads changes the number of concurrent downloads; 0 pauses the version. The
+// schedule of the region's source starts again when it resumes.
+func (m *Machine) setDownloads(now time.Duration, downloads int) {
+	if m.paused && downloads > 0 {
+		m.started = now
+	}
+	m.paused = downloads == 0
+	m.cfg.Limits.Downloads = downloads
+}
+
 // withdraw cancels everything that concerns the version.
 func (m *Machine) withdraw() {
 	for _, f := range slices.Clone(m.fetches) {
--- a/lib/swarm/source.go
+++ b/lib/swarm/source.go
@@ -81,7 +81,7 @@
 
 // runSource starts the fetches from the region's source that are due.
 func (m *Machine) runSource(now time.Duration) {
-	if m.Complete() || now < m.sourceUntil {
+	if m.Complete() || m.paused || now < m.sourceUntil {
 		return
 	}
 	for _, d := range m.duties {
--- a/lib/swarm/upload.go
+++ b/lib/swarm/upload.go
@@ -47,8 +47,9 @@
 
 // uploadLimit grants one more slot to other regions, since a whole region waits for
 // the chunk that its gateway fetches.
+// Uploads of other versions take slots, but each version keeps at least one.
 func (m *Machine) uploadLimit(from string) int {
-	limit := m.cfg.Limits.UploadSlots
+	limit := max(1, m.cfg.Limits.UploadSlots-m.otherUploads)
 	if p := m.byVM[from]; p != nil && p.Region != m.cfg.Self.Region {
 		limit++
 	}
