--- a/lib/swarm/config.go
+++ b/lib/swarm/config.go
@@ -1,6 +1,7 @@
 package swarm
 
 import (
+	"slices"
 	"time"
 
 	"laburnumgw/lib/errkind"
@@ -23,6 +24,11 @@
 	PolicyRandomPiece Policy = "random-piece"
 )
 
+// Policies returns all policies, the chosen one first.
+func Policies() []Policy {
+	return []Policy{PolicySwarm, PolicyOriginOnly, PolicyFixedTree, PolicyRandomPiece}
+}
+
 // Limits bound what a Machine does at the same time. Zero fields take the defaults.
 type Limits struct {
 	// UploadSlots is the number of concurrent uploads.
@@ -106,15 +112,19 @@
 		return errkind.New(errkind.Invalid, "pass the bitmap of the same version",
 			"bitmap of %d chunks for a version of %d", c.Held.Len(), c.Chunks)
 	}
-	switch c.Policy {
-	case "":
+	if c.Policy == "" {
 		c.Policy = PolicySwarm
-	case PolicySwarm, PolicyOriginOnly, PolicyFixedTree, PolicyRandomPiece:
-	default:
+	}
+	if !slices.Contains(Policies(), c.Policy) {
 		return errkind.New(errkind.Invalid, "use swarm, origin-only, fixed-tree or random-piece",
 			"unknown distribution policy %q", c.Policy)
 	}
 	c.Limits.setDefaults()
+	if c.Policy == PolicyFixedTree {
+		// A parent serves each child one chunk at a time.
+		c.Limits.UploadSlots = treeArity
+		c.Limits.Downloads = 1
+	}
 	if c.Planner == nil {
 		digest, chunks, home := c.Digest, c.Chunks, c.HomeRegion
 		c.Planner = func(members []Member) *Plan { return NewPlan(digest, chunks, home, members) }
--- a/lib/swarm/plan.go
+++ b/lib/swarm/plan.go
@@ -13,6 +13,9 @@
 // region's source, the first alone unless it fails.
 const fetcherRanks = 4
 
+// treeArity is the number of children of a VM in the fixed tree.
+const treeArity = 2
+
 // Plan is the assignment of chunks to VMs that follows from a list of members. Every
 // VM that knows the same members computes the same plan. It is never changed.
 type Plan struct {
@@ -98,16 +101,15 @@
 
 // treeLinks returns the parent and the children of a VM in the fixed tree.
 func (p *Plan) treeLinks(vm string) (parent string, children []string) {
-	const arity = 2
 	index := slices.Index(p.tree, vm)
 	if index < 0 {
 		return "", nil
 	}
 	if index > 0 {
-		parent = p.tree[(index-1)/arity]
+		parent = p.tree[(index-1)/treeArity]
 	}
-	first := arity*index + 1
-	for i := first; i < first+arity && i < len(p.tree); i++ {
+	first := treeArity*index + 1
+	for i := first; i < first+treeArity && i < len(p.tree); i++ {
 		children = append(children, p.tree[i])
 	}
 	return parent, children
