Wait for news of neighbours before a joining process serves

Cause: a restarting process served as soon as its seeds had answered, although neighbours that are not seeds acted on a newer generation. Ruled out: asking more seeds only, since the seed of the zone may be restarting too. Conclusion: the wait is 0.5 s after an entry of the zone has answered, otherwise 3 s.

--- a/lib/configsync/history_test.go
+++ b/lib/configsync/history_test.go
@@ -31,6 +31,7 @@
 	floor  map[*controlsim.Node]map[*controlsim.Node]uint64
 	faults []string
 	broken []string
+	acts   int
 }
 
 func newHistory(seed uint64) *faultHistory {
@@ -66,6 +67,7 @@
 		}
 	}
 	h.acted[at] = generation
+	h.acts++
 }
 
 // start starts a process and notes what its zone acts on.
@@ -190,7 +192,7 @@
 					h := newHistory(seed)
 					h.run()
 					mu.Lock()
-					acts += len(h.acted)
+					acts += h.acts
 					if len(h.broken) > 0 {
 						failed = append(failed, seed)
 						if len(failed) <= 3 {
@@ -202,7 +204,7 @@
 			})
 		}
 		wait.Wait()
-		t.Logf("seeds 0 to %d: %d processes acted, %d histories failed", historyCount-1, acts, len(failed))
+		t.Logf("seeds 0 to %d: %d switches of generation, %d histories failed", historyCount-1, acts, len(failed))
 		So(failed, ShouldBeEmpty)
 		So(acts, ShouldBeGreaterThan, historyCount)
 	})
--- a/lib/configsync/join.go
+++ b/lib/configsync/join.go
@@ -19,7 +19,12 @@
 	joinAgain = 2 * time.Second
 	// joinAgainPeers bounds the queries of such a round.
 	joinAgainPeers = 4
-	never          = time.Duration(math.MaxInt64)
+	// neighbourWait is how long a process that takes part in membership waits for news of
+	// neighbours. It is long when no entry of the zone has a configuration, because those
+	// that were asked may be restarting while others, not known yet, are not.
+	neighbourWait     = 500 * time.Millisecond
+	neighbourWaitLong = 3 * time.Second
+	never             = time.Duration(math.MaxInt64)
 )
 
 // joinState is the progress of a process that does not serve yet.
@@ -32,6 +37,12 @@
 	asks    []*ask
 	byVM    map[string]*ask
 	againAt time.Duration
+	// local is set when an entry of the own zone has a configuration.
+	local bool
+	// memberAt is when the process was first seen to take part in membership.
+	memberAt time.Duration
+	// waited is set when the wait for news of neighbours is over.
+	waited bool
 }
 
 // ask is the query to one process.
@@ -49,7 +60,13 @@
 	if j.done {
 		return never
 	}
-	next := j.againAt
+	next := never
+	if !j.sourced {
+		next = j.againAt
+	}
+	if j.memberAt != never && !j.waited {
+		next = min(next, j.memberAt+j.wait())
+	}
 	for _, a := range j.asks {
 		if !a.settled() && !a.waiting {
 			next = min(next, a.at)
@@ -58,9 +75,17 @@
 	return next
 }
 
+// wait returns how long to wait for news of neighbours.
+func (j *joinState) wait() time.Duration {
+	if j.local {
+		return neighbourWait
+	}
+	return neighbourWaitLong
+}
+
 // startJoin starts to ask all seeds and neighbours.
 func (n *Node) startJoin(now time.Duration, best *pb.ConfigBundle) {
-	n.join = joinState{best: best, byVM: make(map[string]*ask), againAt: now + jittered(n.rng, joinAgain)}
+	n.join = joinState{best: best, byVM: make(map[string]*ask), memberAt: never, againAt: now + jittered(n.rng, joinAgain)}
 	for _, seed := range n.seeds {
 		n.addAsk(now, seed)
 	}
@@ -90,6 +115,9 @@
 			n.out.Pulls = append(n.out.Pulls, query(a.peer))
 		}
 	}
+	if n.joined && n.join.memberAt == never {
+		n.join.memberAt = now
+	}
 	if now >= n.join.againAt && !n.join.sourced {
 		n.askAgain(now)
 	}
@@ -109,10 +137,14 @@
 	}
 }
 
-// finishJoin ends the phase when all asked processes have answered or are unreachable,
-// and the highest generation heard of is at hand. A process that returns from a pause
+// finishJoin ends the phase when neighbours had time to become known, all asked
+// processes have answered or are unreachable, and the highest generation heard of is at hand. A process that returns from a pause
 // and reaches no one continues with what it has.
 func (n *Node) finishJoin(now time.Duration) {
+	n.join.waited = n.join.memberAt != never && now >= n.join.memberAt+n.join.wait()
+	if !n.join.waited {
+		return
+	}
 	for _, a := range n.join.asks {
 		if !a.settled() {
 			return
@@ -147,5 +179,6 @@
 	a.failures = 0
 	if answer.GetGeneration() > 0 {
 		n.join.sourced = true
+		n.join.local = n.join.local || a.peer.Zone == n.self.Zone
 	}
 }
--- a/lib/membership/entries.go
+++ b/lib/membership/entries.go
@@ -39,6 +39,8 @@
 	maxListed = 4
 	// remoteListEvery is the number of reports per answer that lists another zone.
 	remoteListEvery = 32
+	// maxListedJoin bounds the entries in the answer to a joining entry.
+	maxListedJoin = 16
 	// maxListedFirst bounds the entries in the answer to the first report of a process.
 	maxListedFirst = 40
 )
@@ -71,7 +73,7 @@
 	response := &pb.GossipResponse{ConfigGeneration: e.generation, From: e.selfInfo()}
 	record := e.entries[from.GetVm()]
 	if incarnationOf(from.GetIncarnation()).Counter == 0 {
-		response.Entries = e.answerJoin(now, from.GetVm(), record)
+		response.Entries = e.answerJoin(now, from, record)
 		return response
 	}
 	e.learn(now, from, request.GetEntries(), request.GetEndpoints())
@@ -82,18 +84,26 @@
 	return response
 }
 
-// answerJoin tells a joining entry its highest known incarnation. Entries that have
-// themselves just started list nothing else, so that the joins stay spread.
-func (e *Entry) answerJoin(now time.Duration, vm string, record *entryRecord) []*pb.EntryInfo {
+// answerJoin tells a joining entry its highest known incarnation and its zone's entries.
+// Entries that have themselves just started list nothing else, so that the joins stay
+// spread.
+func (e *Entry) answerJoin(now time.Duration, from *pb.EntryInfo, record *entryRecord) []*pb.EntryInfo {
 	var infos []*pb.EntryInfo
 	if record != nil && record.view.Incarnation.Counter > 0 {
 		infos = append(infos, info(record, false))
 	}
-	if e.settled(now) {
-		others, _ := e.items(now, vm, "")
-		infos = append(infos, others...)
+	if !e.settled(now) {
+		return infos
 	}
-	return infos
+	listed := 0
+	for _, other := range e.entryOrder {
+		alive := other.view.State == Alive && !other.view.Leaving && other != record
+		if alive && other.view.Zone == from.GetZone() && listed < maxListedJoin {
+			infos = append(infos, info(other, true))
+			listed++
+		}
+	}
+	return append(infos, e.selfInfo())
 }
 
 // GossipResult handles the answer to a gossip request; nil means that the call failed.
