Remove only contents older than the head

Cause: the first try removed contents that another operator's head was about to list. Ruled out: a grace period; clocks of operators' machines differ, and a paused apply outlasts any period.

--- a/lib/configstore/apply.go
+++ b/lib/configstore/apply.go
@@ -106,7 +106,7 @@
 			continue
 		}
 		known[digest] = true
-		group.Go(func() error { return c.ensure(ctx, fileKey(digest), file.Content) })
+		group.Go(func() error { return c.ensureFile(ctx, digest, file.Content) })
 	}
 	return group.Wait()
 }
--- a/lib/configstore/client.go
+++ b/lib/configstore/client.go
@@ -95,30 +95,43 @@
 	return errors.As(err, &unavailable) || errors.As(err, &limited) || platform.IsUnknown(err)
 }
 
-// get reads an object and repeats temporary failures.
-func (c *Client) get(ctx context.Context, key string) (platform.Object, error) {
+// retry repeats a call while it fails temporarily.
+func (c *Client) retry(ctx context.Context, call func() error) error {
 	for a := c.attempts(); ; {
-		object, err := c.store.Get(ctx, key)
-		if err == nil || errors.Is(err, platform.ErrNotFound) {
-			return object, err
+		err := call()
+		if err == nil {
+			return nil
 		}
 		if err := a.again(ctx, err); err != nil {
-			return platform.Object{}, readError(err, key)
+			return err
 		}
 	}
 }
 
+// get reads an object and repeats temporary failures.
+func (c *Client) get(ctx context.Context, key string) (platform.Object, error) {
+	var object platform.Object
+	err := c.retry(ctx, func() (err error) {
+		object, err = c.store.Get(ctx, key)
+		return err
+	})
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		err = readError(err, key)
+	}
+	return object, err
+}
+
 // list reads the objects below a prefix and repeats temporary failures.
 func (c *Client) list(ctx context.Context, prefix string) ([]platform.Object, error) {
-	for a := c.attempts(); ; {
-		objects, _, err := c.store.List(ctx, prefix)
-		if err == nil {
-			return objects, nil
-		}
-		if err := a.again(ctx, err); err != nil {
-			return nil, readError(err, prefix)
-		}
+	var objects []platform.Object
+	err := c.retry(ctx, func() (err error) {
+		objects, _, err = c.store.List(ctx, prefix)
+		return err
+	})
+	if err != nil {
+		return nil, readError(err, prefix)
 	}
+	return objects, nil
 }
 
 func readError(err error, key string) error {
@@ -128,20 +141,17 @@
 // ensure creates an object with a value that never changes. A lost response needs no
 // read: repeating the create finds the object.
 func (c *Client) ensure(ctx context.Context, key string, value []byte) error {
-	for a := c.attempts(); ; {
+	err := c.retry(ctx, func() error {
 		_, err := c.store.Create(ctx, key, value)
-		if err == nil {
-			return nil
-		}
-		if errors.Is(err, platform.ErrExists) {
-			return c.checkSame(ctx, key, value)
-		}
-		if errkind.Is(err, errkind.TooLarge) {
-			return err
-		}
-		if err := a.again(ctx, err); err != nil {
-			return errkind.Wrap(err, errkind.Unavailable, "try again when the platform responds", "create %s", key)
-		}
+		return err
+	})
+	switch {
+	case errors.Is(err, platform.ErrExists):
+		return c.checkSame(ctx, key, value)
+	case err != nil && !errkind.Is(err, errkind.TooLarge):
+		return errkind.Wrap(err, errkind.Unavailable, "try again when the platform responds", "create %s", key)
+	default:
+		return err
 	}
 }
 
