Test both ways to read the accepted files

Cause: ReadFiles does not look at the head again, and contents can now be removed. Conclusion: ReadFiles has to start again like Read.

--- a/lib/configstore/history_test.go
+++ b/lib/configstore/history_test.go
@@ -121,16 +121,12 @@
 	ctx := context.Background()
 	c := testClient(store)
 	for n := range edits {
-		bundle, err := c.Read(ctx, nil)
+		base, files, err := e.read(ctx, c)
 		if err != nil && !errkind.Is(err, errkind.NotFound) {
 			e.outcomes = append(e.outcomes, outcome{id: "read", err: err})
 			continue
 		}
-		change := Change{Operator: e.name, ApplyID: fmt.Sprintf("%s-%d", e.name, n)}
-		if bundle != nil {
-			change.Base = bundle.Generation
-			change.Files = slices.Clone(bundle.Files)
-		}
+		change := Change{Operator: e.name, ApplyID: fmt.Sprintf("%s-%d", e.name, n), Base: base, Files: slices.Clone(files)}
 		token := fmt.Sprintf("w-%s-%d", e.name, n)
 		change.Files = addWorkspace(change.Files, fmt.Sprintf("%d.yaml", e.rng.IntN(3)), token)
 		change.Files = setFile(change.Files, "toggle.yaml", fmt.Sprintf("limits: {queue_length: %d}", e.rng.IntN(3)))
@@ -139,6 +135,18 @@
 	}
 }
 
+// read uses one of the two ways to read the accepted files.
+func (e *editor) read(ctx context.Context, c *Client) (uint64, []config.File, error) {
+	if e.rng.IntN(2) == 0 {
+		return c.ReadFiles(ctx)
+	}
+	bundle, err := c.Read(ctx, nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	return bundle.Generation, bundle.Files, nil
+}
+
 // setFile replaces a file, so that contents that became unused return.
 func setFile(files []config.File, name, content string) []config.File {
 	files = slices.DeleteFunc(files, func(f config.File) bool { return f.Name == name })
--- a/lib/configstore/store_test.go
+++ b/lib/configstore/store_test.go
@@ -61,6 +61,16 @@
 		_, err = Apply(ctx, store, []config.File{yamlFile("a.yaml", "x: 1")}, 2, "anna")
 		So(errkind.Of(err), ShouldEqual, errkind.Invalid)
 	})
+	Convey("Contents that no file uses any more are removed", t, func() {
+		store := platform.NewMemory()
+		for base := range uint64(4 * sweepEvery) {
+			_, err := Apply(ctx, store, []config.File{yamlFile("a.yaml", fmt.Sprintf("limits: {queue_length: %d}", base))}, base, "anna")
+			So(err, ShouldBeNil)
+		}
+		contents, _, err := store.List(ctx, filePrefix)
+		So(err, ShouldBeNil)
+		So(len(contents), ShouldBeLessThanOrEqualTo, sweepEvery)
+	})
 	Convey("The head of 10,000 files of 100 bytes fits into one object", t, func() {
 		store := platform.NewMemory()
 		var files []config.File
