Repeat an overtaken read of the files

Cause: ReadFiles reported a missing content when a later apply had removed it. Ruled out: keeping contents for some generations; a slow read outlasts any number. Conclusion: both reads compare the head before and after.

--- a/lib/configstore/read.go
+++ b/lib/configstore/read.go
@@ -32,38 +32,48 @@
 // a bundle belong together. Contents that the previous bundle holds are not fetched
 // again; it may be nil. It fails with the kind NotFound when nothing was applied yet.
 func (c *Client) Read(ctx context.Context, previous *Bundle) (*Bundle, error) {
+	var bundle *Bundle
+	err := c.consistently(ctx, func(head Head) (err error) {
+		bundle, err = c.readBundle(ctx, head, previous)
+		return err
+	})
+	return bundle, err
+}
+
+// ReadFiles returns the accepted generation and its files.
+func (c *Client) ReadFiles(ctx context.Context) (uint64, []config.File, error) {
+	var generation uint64
+	var files []config.File
+	err := c.consistently(ctx, func(head Head) (err error) {
+		generation = head.Generation
+		files, err = c.readFiles(ctx, head, nil)
+		return err
+	})
+	return generation, files, err
+}
+
+// consistently repeats a read until the head is the same before and after it. A later
+// apply may remove contents that the earlier head lists, so an error of an overtaken
+// read means nothing.
+func (c *Client) consistently(ctx context.Context, read func(Head) error) error {
 	for range maxReadRounds {
 		head, version, err := c.readHead(ctx)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		if version == 0 {
-			return nil, errNoConfiguration()
+			return errNoConfiguration()
 		}
-		bundle, readErr := c.readBundle(ctx, head, previous)
+		readErr := read(head)
 		_, after, err := c.readHead(ctx)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		if after == version {
-			return bundle, readErr
+			return readErr
 		}
 	}
-	return nil, errkind.New(errkind.Unavailable, "try again", "the configuration changed during each of %d reads", maxReadRounds)
-}
-
-// ReadFiles returns the accepted generation and its files. File contents never change,
-// so a head that changes during the read does no harm.
-func (c *Client) ReadFiles(ctx context.Context) (uint64, []config.File, error) {
-	head, version, err := c.readHead(ctx)
-	if err != nil {
-		return 0, nil, err
-	}
-	if version == 0 {
-		return 0, nil, errNoConfiguration()
-	}
-	files, err := c.readFiles(ctx, head, nil)
-	return head.Generation, files, err
+	return errkind.New(errkind.Unavailable, "try again", "the configuration changed during each of %d reads", maxReadRounds)
 }
 
 func errNoConfiguration() error {
