Check that a segment exists after the head names it

Cause: a restore between the creation of a segment and the update of the head removes the segment, and the conditional update succeeds all the same when the head had not changed since the copy. Ruled out: updating the head before the segment is created; an owner that dies in between leaves a head that names nothing. Checking before the update only; the restore can come after the check. Conclusion: a missing segment is treated like a restore, and all records are written back.

--- a/lib/journal/ownership.go
+++ b/lib/journal/ownership.go
@@ -179,6 +179,7 @@
 	case b.rewrite:
 		y.garbage = append(y.garbage, y.segments...)
 		y.segments = y.rewritten
+		y.unchecked = y.rewritten
 		y.rewritten = nil
 		y.unconfirmed = nil
 		y.rewriting = false
@@ -192,6 +193,7 @@
 	y := &s.sync
 	if y.rolled != nil {
 		y.segments = append(y.segments, *y.rolled)
+		y.unchecked = append(y.unchecked, *y.rolled)
 		y.rolled = nil
 	}
 	y.segments = y.segments[len(b.expired):]
@@ -321,9 +323,27 @@
 	y.rolled = nil
 	y.segments = nil
 	y.garbage = nil
+	y.unchecked = nil
 	s.startRewrite()
 }
 
+// checked takes a segment that the head names. When it is missing, the platform was
+// restored between the creation of the segment and the update of the head.
+func (s *Shard) checked(result Result, now time.Time) []Reply {
+	y := &s.sync
+	missing := errors.Is(result.Err, platform.ErrNotFound)
+	if result.Err != nil && !missing {
+		return s.contact(result.Err, now)
+	}
+	s.contact(nil, now)
+	if missing || result.Object.Version != y.unchecked[0].version {
+		s.restore(y.head, y.version, false)
+		return nil
+	}
+	y.unchecked = y.unchecked[1:]
+	return nil
+}
+
 // startRewrite replaces the log by the records in memory. It also keeps the log of
 // requests that were not run from growing without bound.
 func (s *Shard) startRewrite() {
--- a/lib/journal/sync.go
+++ b/lib/journal/sync.go
@@ -56,6 +56,8 @@
 	// stepRewrite creates a segment of the records in memory after a restore.
 	stepRewrite
 	stepDelete
+	// stepCheck reads a segment that the head has just begun to name.
+	stepCheck
 )
 
 // observation is what a process has seen of a head that it does not own.
@@ -98,6 +100,9 @@
 	rewriting bool
 	rewrite   [][]entry
 	rewritten []closed
+	// unchecked lists segments that were created before the head named them. A restore
+	// between the two writes can remove them without changing the head.
+	unchecked []closed
 	// unconfirmed holds the entries of batches that a restore replaced.
 	unconfirmed []entry
 	headMissing bool
@@ -116,6 +121,9 @@
 	if y.resolve {
 		return s.call(stepResolve, &Op{Kind: OpGet, Key: s.headKey()}), time.Time{}
 	}
+	if len(y.unchecked) > 0 && y.open == nil {
+		return s.call(stepCheck, &Op{Kind: OpGet, Key: y.unchecked[0].key}), time.Time{}
+	}
 	if s.wantsWrite() {
 		if now.Before(y.nextWrite) {
 			return nil, y.nextWrite
@@ -327,6 +335,8 @@
 		return s.written(result, now)
 	case stepRoll, stepRewrite:
 		return s.created(purpose, result, now)
+	case stepCheck:
+		return s.checked(result, now)
 	case stepDelete:
 		s.sync.garbage = s.sync.garbage[1:]
 		return s.contact(result.Err, now)
