Let entry and endpoint process agree on a zone change without refusals

Cause: an endpoint process refused requests at once when it learnt that its zone was out, and until it learnt that the zone was back, while entries still or already sent to it. Retries went to the same zone and used up the budget. Ruled out: the routing filters; the entries acted on the generation they had.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -120,7 +120,7 @@
 		return fmt.Errorf("parse configuration of generation %d: %w", bundle.GetGeneration(), err)
 	}
 	zone, known := snapshot.Zones[p.settings.Zone]
-	p.zones.out.Store(!known || zone.State == config.ZoneOut)
+	p.zones.set(!known || zone.State == config.ZoneOut, bundle.GetGeneration(), time.Now())
 	p.snapshot.Store(snapshot)
 	p.gate.Configure(p.admissionConfig(snapshot))
 	if p.weights != nil {
@@ -129,7 +129,7 @@
 		p.weights.transfer.links.upload.SetLimit(share)
 		p.weights.configure(bundle, snapshot)
 	}
-	if p.settings.Service != "" && !p.zones.out.Load() && !p.leaving.Load() {
+	if p.settings.Service != "" && !p.zones.isOut() && !p.leaving.Load() {
 		p.journal.Claim(p.settings.Service)
 	}
 	p.reporter.setGeneration(bundle.GetGeneration())
--- a/endpoint/serve.go
+++ b/endpoint/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -48,9 +47,6 @@
 	loadOf         func() *laburnumgwv1.Load
 }
 
-// zoneState tells whether the own availability zone is in service.
-type zoneState struct{ out atomic.Bool }
-
 // frames writes the frames of one attempt.
 type frames struct {
 	stream  laburnumgwv1.Endpoint_ServeServer
@@ -99,7 +95,7 @@
 }
 
 func (s *server) run(ctx context.Context, request *laburnumgwv1.ServeRequest, out *frames) result {
-	if s.zones.out.Load() {
+	if s.zones.refuses(request.GetConfigGeneration(), time.Now()) {
 		return refusal("availability zone %s is out of service", s.zone)
 	}
 	deadline := time.Now().Add(time.Duration(request.GetDeadlineMs()) * time.Millisecond)
