--- a/cmd/laburnumdemo/main.go
+++ b/cmd/laburnumdemo/main.go
@@ -89,7 +89,11 @@
 		return err
 	}
 	if o.Keep {
-		d.say("running; entries listen on %s and so on. Interrupt to stop.", d.Entries[0].HTTP)
+		d.say("running. The first entry takes requests on %s. For laburnumctl:", d.Entries[0].HTTP)
+		for _, variable := range d.CtlEnvironment() {
+			fmt.Fprintln(out, "export "+variable)
+		}
+		d.say("interrupt to stop")
 		<-ctx.Done()
 	}
 	return nil
--- a/cmd/laburnumdemo/zone.go
+++ b/cmd/laburnumdemo/zone.go
@@ -29,11 +29,7 @@
 	recordCtx, stopRecording := context.WithTimeout(ctx, time.Minute)
 	defer stopRecording()
 	go func() {
-		args := []string{"record", "--file", run, "--interval", "500ms", "--duration", "14s"}
-		for _, entry := range d.Entries {
-			args = append(args, "--metrics", entry.HTTP+"/metrics")
-		}
-		recording <- d.Ctl(recordCtx, d.out, args...)
+		recording <- d.Ctl(recordCtx, d.out, "record", "--file", run, "--interval", "500ms", "--duration", "14s")
 	}()
 	load := d.startLoad(ctx)
 	if err := d.ctl(ctx, "zone", "out", "c"); err != nil {
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -216,7 +216,7 @@
 		go serveHTTP(p.settings.WeightsListen, "weights-listen", p.weights.handler(), failed)
 	}
 	if p.settings.Metrics != "" {
-		go serveHTTP(p.settings.Metrics, "metrics-listen", telemetry.Handler(p.metrics.set), failed)
+		go func() { failed <- telemetry.Serve(p.settings.Metrics, p.metrics.set) }()
 	}
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"laburnumgw/lib/platform"
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/rpc"
+	"laburnumgw/lib/telemetry"
 )
 
 // readHeaderTimeout bounds how long a caller may take to send the headers.
@@ -64,13 +65,20 @@
 		return fmt.Errorf("listen on --listen %s: %w", p.settings.Listen, err)
 	}
 	server := &http.Server{Addr: p.settings.HTTPListen, Handler: p.frontend.handler(), ReadHeaderTimeout: readHeaderTimeout}
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	go func() { failed <- p.grpc.Serve(listener) }()
 	go func() {
 		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 			failed <- fmt.Errorf("listen on --http-listen %s: %w", p.settings.HTTPListen, err)
 		}
 	}()
+	if p.settings.Metrics != "" {
+		go func() {
+			if err := telemetry.Serve(p.settings.Metrics, p.frontend.metrics.set); err != nil {
+				failed <- err
+			}
+		}()
+	}
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	done := make(chan struct{})
--- a/entry/http.go
+++ b/entry/http.go
@@ -13,7 +13,6 @@
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/errkind"
-	"laburnumgw/lib/telemetry"
 )
 
 // frontend serves callers over HTTP.
@@ -33,7 +32,6 @@
 func (f *frontend) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", f.health)
-	mux.Handle("GET /metrics", telemetry.Handler(f.metrics.set))
 	mux.HandleFunc("/", f.serve)
 	stack := negroni.New()
 	recovery := negroni.NewRecovery()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -59,6 +59,7 @@
 	Zone    string
 	Address string
 	HTTP    string
+	Metrics string
 	args    []string
 	bin     string
 	log     string
@@ -128,7 +129,7 @@
 
 func (f *Fleet) startAll() error {
 	o := f.options
-	free, err := addresses(2 + 2*o.Entries + 3*o.Models + 2*o.Services)
+	free, err := addresses(2 + 3*o.Entries + 3*o.Models + 2*o.Services)
 	if err != nil {
 		return err
 	}
@@ -169,7 +170,9 @@
 			return err
 		}
 		p.HTTP = "http://" + next()
-		p.args = append(p.args, "--http-listen="+strings.TrimPrefix(p.HTTP, "http://"))
+		metrics := next()
+		p.Metrics = "http://" + metrics + "/metrics"
+		p.args = append(p.args, "--http-listen="+strings.TrimPrefix(p.HTTP, "http://"), "--metrics-listen="+metrics)
 		if err := p.Start(); err != nil {
 			return err
 		}
@@ -274,29 +277,41 @@
 	}
 }
 
+// operator is the name of the fleet's operator.
+const operator = "operator"
+
+// CtlEnvironment returns the environment variables that let laburnumctl reach the fleet.
+func (f *Fleet) CtlEnvironment() []string {
+	var metrics []string
+	for _, entry := range f.Entries {
+		metrics = append(metrics, entry.Metrics)
+	}
+	return []string{
+		"LABURNUMCTL_PLATFORM=" + f.Platform.HTTP,
+		"LABURNUMCTL_ORIGIN=" + f.Origin.HTTP,
+		"LABURNUMCTL_ENTRY=" + f.Entries[0].Address,
+		"LABURNUMCTL_METRICS=" + strings.Join(metrics, ","),
+		"LABURNUMCTL_TLS_CERT=" + filepath.Join(f.options.Dir, operator+".crt"),
+		"LABURNUMCTL_TLS_KEY=" + filepath.Join(f.options.Dir, operator+".key"),
+		"LABURNUMCTL_TLS_CA=" + filepath.Join(f.options.Dir, mtls.AuthorityCertFile),
+	}
+}
+
 // Ctl runs laburnumctl as an operator and returns its output.
 func (f *Fleet) Ctl(ctx context.Context, out io.Writer, args ...string) error {
-	const name = "operator"
-	if _, err := os.Stat(filepath.Join(f.options.Dir, name+".crt")); err != nil {
-		pair, err := f.keys.Issue(mtls.Identity{Role: mtls.RoleOperator, Zone: "operators", VM: name}, time.Now(), keyLifetime)
+	if _, err := os.Stat(filepath.Join(f.options.Dir, operator+".crt")); err != nil {
+		pair, err := f.keys.Issue(mtls.Identity{Role: mtls.RoleOperator, Zone: "operators", VM: operator}, time.Now(), keyLifetime)
 		if err != nil {
 			return err
 		}
-		if err := pair.Save(f.options.Dir, name); err != nil {
+		if err := pair.Save(f.options.Dir, operator); err != nil {
 			return err
 		}
 	}
 	command := exec.CommandContext(ctx, filepath.Join(f.options.Bin, "laburnumctl"), args...)
 	command.Stdout = out
 	command.Stderr = out
-	command.Env = append(os.Environ(),
-		"LABURNUMCTL_PLATFORM="+f.Platform.HTTP,
-		"LABURNUMCTL_ORIGIN="+f.Origin.HTTP,
-		"LABURNUMCTL_ENTRY="+f.Entries[0].Address,
-		"LABURNUMCTL_TLS_CERT="+filepath.Join(f.options.Dir, name+".crt"),
-		"LABURNUMCTL_TLS_KEY="+filepath.Join(f.options.Dir, name+".key"),
-		"LABURNUMCTL_TLS_CA="+filepath.Join(f.options.Dir, mtls.AuthorityCertFile),
-	)
+	command.Env = append(os.Environ(), f.CtlEnvironment()...)
 	if err := command.Run(); err != nil {
 		return fmt.Errorf("laburnumctl %s: %w", strings.Join(args, " "), err)
 	}
--- a/lib/telemetry/telemetry.go
+++ b/lib/telemetry/telemetry.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
@@ -36,3 +37,18 @@
 		metrics.WriteProcessMetrics(w)
 	})
 }
+
+// readHeaderTimeout bounds how long a reader of metrics may take for its headers.
+const readHeaderTimeout = 5 * time.Second
+
+// Serve serves the metrics of a set at /metrics on an address. It returns only with an
+// error.
+func Serve(address string, set *metrics.Set) error {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", Handler(set))
+	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	if err := server.ListenAndServe(); err != nil {
+		return fmt.Errorf("listen on --metrics-listen %s: %w", address, err)
+	}
+	return nil
+}
