Create the scheduler's channels before its goroutines

Cause: the race detector reports the test scheduler's list of channels, which grew while operators read it. Ruled out: a race in the store; only the test scheduler is named.

--- a/lib/configstore/history_test.go
+++ b/lib/configstore/history_test.go
@@ -30,8 +30,10 @@
 
 func (s *scheduler) run(operators []func(platform.Store), store platform.Store) {
 	var live []int
-	for i, operator := range operators {
+	for range operators {
 		s.resume = append(s.resume, make(chan struct{}))
+	}
+	for i, operator := range operators {
 		live = append(live, i)
 		go func() {
 			<-s.resume[i]
