State that a zone out of service keeps its replicas

Cause: the package page did not say what happens to such a zone. Ruled out: moving its replicas; a returning zone would start cold. Conclusion: documentation only.

--- a/lib/placement/placement.go
+++ b/lib/placement/placement.go
@@ -1,6 +1,7 @@
 // Package placement decides which VM is to hold which model version. The decision is
 // a pure function of the configuration, the known endpoints and the previous
-// placement; a change of version proceeds in waves.
+// placement; a change of version proceeds in waves. A zone that is out of service
+// keeps its replicas, so that it serves as soon as it returns.
 package placement
 
 import (
