Run the imbalance test with four seeds

TestImbalance fails with seed 4: p99 of the samples 1.310 for 24 endpoints without frame loads and 1.304 for 15 endpoints; the bound is 1.3.

--- a/lib/routing/bounds_test.go
+++ b/lib/routing/bounds_test.go
@@ -26,26 +26,30 @@
 		{"96 endpoints", routetest.Scenario{Endpoints: 96}},
 		{"24 endpoints, 200 prefixes", routetest.Scenario{Endpoints: 24, Prefixes: 200}},
 	}
+	var violations []string
+	measure := func(name string, scenario routetest.Scenario, seed uint64, policy string) *routetest.Result {
+		scenario.ReportLag = time.Second
+		scenario.Seed = seed
+		scenario.Policy = policy
+		result, err := routetest.Run(scenario)
+		So(err, ShouldBeNil)
+		line := fmt.Sprintf("%-30s seed %d %-16s worst 1 s %.3f, p99 %.3f, mean %.3f", name, seed,
+			policy, result.WorstWindow, result.P99Ratio, result.MeanRatio)
+		t.Log(line)
+		if policy == routing.DefaultPolicy && (result.WorstWindow > 1.3 || result.P99Ratio > 1.3) {
+			violations = append(violations, line)
+		}
+		return result
+	}
 	Convey("The default policy holds the bound and beats every baseline", t, func() {
-		var violations []string
 		for _, scenario := range scenarios {
-			scenario.ReportLag = time.Second
-			scenario.Seed = 1
-			best := 0.0
-			for i, policy := range routing.Policies() {
-				scenario.Policy = policy
-				result, err := routetest.Run(scenario.Scenario)
-				So(err, ShouldBeNil)
-				line := fmt.Sprintf("%-30s %-16s worst 1 s %.3f, p99 %.3f, mean %.3f", scenario.name,
-					policy, result.WorstWindow, result.P99Ratio, result.MeanRatio)
-				t.Log(line)
-				if i == 0 {
-					best = result.P99Ratio
-				}
-				held := result.WorstWindow <= 1.3 && result.P99Ratio <= 1.3
-				if i == 0 && !held || i > 0 && result.P99Ratio <= best {
-					violations = append(violations, line)
-				}
+			best := measure(scenario.name, scenario.Scenario, 1, routing.DefaultPolicy)
+			for _, policy := range routing.Policies()[1:] {
+				result := measure(scenario.name, scenario.Scenario, 1, policy)
+				SoMsg(scenario.name+", "+policy, result.P99Ratio, ShouldBeGreaterThan, best.P99Ratio)
+			}
+			for seed := uint64(2); seed <= 4; seed++ {
+				measure(scenario.name, scenario.Scenario, seed, routing.DefaultPolicy)
 			}
 		}
 		So(violations, ShouldBeEmpty)
