--- a/lib/routing/bounds_test.go
+++ b/lib/routing/bounds_test.go
@@ -106,7 +106,7 @@
 				SoMsg(line, result.IdempotentFailed, ShouldEqual, 0)
 				SoMsg(line, result.DrainedPicks, ShouldEqual, 0)
 				SoMsg(line, result.P99, ShouldBeLessThanOrEqualTo, quiet.P99*12/10)
-				SoMsg(line, result.OverBudget, ShouldBeLessThanOrEqualTo, 0)
+				SoMsg(line, result.BudgetUse, ShouldBeLessThanOrEqualTo, 1)
 			}
 		}
 	})
@@ -130,10 +130,10 @@
 				}
 				result, err := routetest.Run(scenario)
 				So(err, ShouldBeNil)
-				line := fmt.Sprintf("seed %d, %-8s failed %d of %d idempotent, retries %d, over budget %.1f, p99 %v, errors %v", seed, name,
-					result.IdempotentFailed, result.IdempotentRequests, result.Retries, result.OverBudget, result.P99, result.Errors)
+				line := fmt.Sprintf("seed %d, %-8s failed %d of %d idempotent, retries %d, budget use %.2f, p99 %v, errors %v", seed, name,
+					result.IdempotentFailed, result.IdempotentRequests, result.Retries, result.BudgetUse, result.P99, result.Errors)
 				t.Log(line)
-				SoMsg(line, result.OverBudget, ShouldBeLessThanOrEqualTo, 0)
+				SoMsg(line, result.BudgetUse, ShouldBeLessThanOrEqualTo, 1)
 				SoMsg(line, result.IdempotentFailed*100, ShouldBeLessThanOrEqualTo, result.IdempotentRequests)
 			}
 		}
--- a/lib/routing/routetest/result.go
+++ b/lib/routing/routetest/result.go
@@ -32,9 +32,9 @@
 	IdempotentFailed   int
 	Errors             map[errkind.Kind]int
 	Retries            int
-	// OverBudget is the highest excess of retries over 10% of the first attempts plus
-	// 3/s, over all windows of 10 s and all entries together; at most 0 is within.
-	OverBudget float64
+	// BudgetUse is the highest ratio of retries to 10% of the first attempts plus 3/s,
+	// over all windows of 10 s and all entries together; the bound is 1.
+	BudgetUse float64
 	// CacheHits counts attempts whose prefix was in the endpoint's cache, and
 	// SameZone those sent within the entry's zone.
 	Attempts  int
@@ -140,7 +140,7 @@
 func (r *Result) finish(*Sim) {
 	r.P50 = time.Duration(r.latencies.ValueAtQuantile(50)) * time.Microsecond
 	r.P99 = time.Duration(r.latencies.ValueAtQuantile(99)) * time.Microsecond
-	r.OverBudget = r.overBudget()
+	r.BudgetUse = r.budgetUse()
 	if len(r.ratios) == 0 {
 		return
 	}
@@ -153,11 +153,10 @@
 	r.P99Ratio = r.ratios[len(r.ratios)*99/100]
 }
 
-// overBudget slides a window of 10 s over the attempts.
-func (r *Result) overBudget() float64 {
+// budgetUse slides a window of 10 s over the attempts.
+func (r *Result) budgetUse() float64 {
 	const span = 10 * time.Second
-	worst := -3 * span.Seconds()
-	firsts, retries, end := 0.0, 0.0, 0
+	worst, firsts, retries, end := 0.0, 0.0, 0.0, 0
 	for _, begin := range r.attempts {
 		for end < len(r.attempts) && r.attempts[end].at < begin.at+span {
 			if r.attempts[end].retry {
@@ -167,7 +166,7 @@
 			}
 			end++
 		}
-		worst = max(worst, retries-0.1*firsts-3*span.Seconds())
+		worst = max(worst, retries/(0.1*firsts+3*span.Seconds()))
 		if begin.retry {
 			retries--
 		} else {
