--- a/lib/routing/query.go
+++ b/lib/routing/query.go
@@ -5,11 +5,9 @@
 	"time"
 )
 
-// candidate is one endpoint during a decision.
+// candidate is one endpoint during a decision. It fills one cache line.
 type candidate struct {
 	endpoint *endpoint
-	// member is the index in the pool.
-	member int
 	// own counts this entry's running attempts.
 	own float64
 	// load estimates the requests on the endpoint.
@@ -106,7 +104,6 @@
 		c := &q.candidates[n]
 		n++
 		c.endpoint = e
-		c.member = i
 		c.own = float64(e.own)
 		c.load = c.own + e.others
 		c.others = e.othersSmooth
@@ -225,7 +222,7 @@
 		VM:            c.endpoint.vm,
 		Address:       c.endpoint.address,
 		Zone:          c.endpoint.zone,
-		VersionDigest: q.members[c.member].digest,
+		VersionDigest: q.digest(c.endpoint),
 		Reason:        reason,
 		Policy:        t.settings.Policy,
 		Score:         c.score,
@@ -239,6 +236,16 @@
 	return d
 }
 
+// digest returns the version digest that an endpoint serves.
+func (q *query) digest(e *endpoint) string {
+	for i := range q.members {
+		if q.members[i].endpoint == e {
+			return q.members[i].digest
+		}
+	}
+	return ""
+}
+
 func (q *query) details() []Candidate {
 	for i := range q.candidates {
 		c := &q.candidates[i]
