Void the whole bitmap of a peer that lacks a chunk, and add floors for small chunks

Cause: a restarted peer refused chunk after chunk that its old bitmap names, and chunks of a few milliseconds made ticks and retries too frequent. Ruled out: nothing.

--- a/lib/swarm/fetch.go
+++ b/lib/swarm/fetch.go
@@ -4,6 +4,8 @@
 	"math/bits"
 	"slices"
 	"time"
+
+	"laburnumgw/lib/weights"
 )
 
 const (
@@ -155,14 +157,14 @@
 	case ResultCorrupt:
 		m.recordLie(now, p)
 	case ResultNotHeld:
-		held := p.held.Clone()
-		held.Clear(f.chunk)
-		m.setHeld(p, held)
+		// The peer may have restarted without its chunks, so its whole bitmap is void.
+		m.setHeld(p, weights.NewBitmap(m.cfg.Chunks))
+		p.exchanged = false
 		m.recordLie(now, p)
 	case ResultFailed:
 		m.recordFault(now, p)
 	case ResultRefused:
-		pause := busyChunkTimes * m.cfg.ChunkTime << min(p.refusals, maxBusyDoublings)
+		pause := m.after(busyChunkTimes) << min(p.refusals, maxBusyDoublings)
 		p.refusals++
 		p.busyUntil = now + m.jitter(pause)
 	case ResultRateLimited:
--- a/lib/swarm/machine.go
+++ b/lib/swarm/machine.go
@@ -83,7 +83,10 @@
 }
 
 // TickInterval returns the time between Tick events.
-func (m *Machine) TickInterval() time.Duration { return m.cfg.ChunkTime / 2 }
+func (m *Machine) TickInterval() time.Duration {
+	const shortest, longest = 50 * time.Millisecond, time.Second
+	return min(longest, max(shortest, m.cfg.ChunkTime/2))
+}
 
 // Digest returns the digest of the version.
 func (m *Machine) Digest() weights.Digest { return m.cfg.Digest }
--- /dev/null
+++ b/lib/swarm/machine_test.go
@@ -0,0 +1,139 @@
+package swarm_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"laburnumgw/lib/swarm"
+	"laburnumgw/lib/weights"
+)
+
+const (
+	testChunks    = 40
+	testChunkTime = time.Second
+)
+
+func newMachine(name string, held int) *swarm.Machine {
+	bitmap := weights.NewBitmap(testChunks)
+	for chunk := range held {
+		bitmap.Set(chunk)
+	}
+	machine, err := swarm.New(swarm.Config{
+		Self: swarm.Member{VM: "self", Zone: "z", Region: "a"}, Digest: weights.Sum([]byte(name)),
+		Chunks: testChunks, Held: bitmap, HomeRegion: "a", ChunkTime: testChunkTime, SourceInterval: time.Hour,
+	}, rand.New(rand.NewPCG(1, 1)), 0)
+	if err != nil {
+		panic(err)
+	}
+	return machine
+}
+
+func full() weights.Bitmap {
+	bitmap := weights.NewBitmap(testChunks)
+	for chunk := range testChunks {
+		bitmap.Set(chunk)
+	}
+	return bitmap
+}
+
+// peers returns members named peer-0 and up in the region of newMachine.
+func peers(count int) swarm.MembersChanged {
+	e := swarm.MembersChanged{Members: []swarm.Member{{VM: "self", Zone: "z", Region: "a"}}}
+	for i := range count {
+		e.Members = append(e.Members, swarm.Member{VM: fmt.Sprintf("peer-%d", i), Zone: "z", Region: "a"})
+	}
+	return e
+}
+
+func fetches(actions []swarm.Action) []swarm.FetchChunk {
+	var found []swarm.FetchChunk
+	for _, action := range actions {
+		if f, ok := action.(swarm.FetchChunk); ok {
+			found = append(found, f)
+		}
+	}
+	return found
+}
+
+// Guards against a last chunk that waits for one slow peer while another holds it.
+func TestLastChunkIsRequestedTwice(t *testing.T) {
+	Convey("The last chunk is requested from a second peer, and the loser is cancelled", t, func() {
+		m := newMachine("v", testChunks-1)
+		m.Step(0, peers(2))
+		first := fetches(m.Step(0, swarm.BitmapReceived{From: "peer-0", Bitmap: full()}))
+		So(first, ShouldHaveLength, 1)
+		So(fetches(m.Step(0, swarm.BitmapReceived{From: "peer-1", Bitmap: full()})), ShouldBeEmpty)
+		m.Step(2*testChunkTime, swarm.ChunkProgress{ID: first[0].ID})
+		second := fetches(m.Step(4*testChunkTime, swarm.Tick{}))
+		So(second, ShouldHaveLength, 1)
+		So(second[0].From, ShouldEqual, "peer-1")
+		actions := m.Step(5*testChunkTime, swarm.ChunkDone{ID: second[0].ID})
+		So(actions, ShouldContain, swarm.CancelFetch{ID: first[0].ID})
+		So(actions, ShouldContain, swarm.Completed{})
+	})
+}
+
+// Guards against a peer that keeps naming chunks that it does not hold and is asked
+// again and again.
+func TestLyingPeerIsAvoided(t *testing.T) {
+	Convey("A peer that lies three times is not asked again", t, func() {
+		m := newMachine("v", 0)
+		m.Step(0, peers(1))
+		var now time.Duration
+		asked := 0
+		for range 1000 {
+			now += testChunkTime
+			for _, f := range fetches(m.Step(now, swarm.BitmapReceived{From: "peer-0", Bitmap: full()})) {
+				if f.From == "peer-0" {
+					asked++
+					m.Step(now, swarm.ChunkDone{ID: f.ID, Result: swarm.ResultNotHeld})
+				}
+			}
+		}
+		So(asked, ShouldEqual, 3)
+	})
+}
+
+// Guards against several models that each use the whole link of a VM.
+func TestCoordinatorSharesSlots(t *testing.T) {
+	Convey("Three models share the slots of one VM", t, func() {
+		limits := swarm.DefaultLimits()
+		c := swarm.NewCoordinator(limits, 2)
+		open := make(map[string]int)
+		names := []string{"x", "y", "z"}
+		accepted := 0
+		for _, name := range names {
+			c.Add(0, name, newMachine(name, 1))
+		}
+		for i, name := range names {
+			digest := weights.Sum([]byte(name))
+			c.Step(0, digest, peers(5))
+			for p := range 5 {
+				from := fmt.Sprintf("peer-%d", p)
+				for _, a := range c.Step(0, digest, swarm.BitmapReceived{From: from, Bitmap: full()}) {
+					if _, ok := a.Action.(swarm.FetchChunk); ok {
+						open[name]++
+					}
+				}
+				id := swarm.UploadID(10*i + p)
+				for _, a := range c.Step(0, digest, swarm.UploadRequested{ID: id, From: from, Chunk: 0}) {
+					if _, ok := a.Action.(swarm.AcceptUpload); ok {
+						accepted++
+					}
+				}
+			}
+		}
+		So(open["x"]+open["y"], ShouldEqual, limits.Downloads)
+		So(open["z"], ShouldEqual, 0)
+		// The first model took all slots; each of the others keeps one.
+		So(accepted, ShouldEqual, limits.UploadSlots+2)
+		actions := c.Remove(0, weights.Sum([]byte("x")))
+		So(len(actions), ShouldEqual, open["x"]+limits.UploadSlots)
+		resumed := c.Step(testChunkTime, weights.Sum([]byte("z")), swarm.Tick{})
+		So(resumed, ShouldNotBeEmpty)
+	})
+}
