--- a/lib/swarm/linkfake/bounds_test.go
+++ b/lib/swarm/linkfake/bounds_test.go
@@ -32,6 +32,34 @@
 	})
 }
 
+// Guards against delays that fit one number of chunks only: with shorter chunks, a
+// chunk spreads in more chunk times, since bitmaps are not exchanged more often.
+func TestMoreChunks(t *testing.T) {
+	t.Parallel()
+	scenario := Plain(smallFleet)
+	scenario.Chunks = 1024
+	result := execute(t, scenario)
+	Convey("1,024 chunks hold the bounds as 256 do", t, func() {
+		So(result.Incomplete, ShouldEqual, 0)
+		So(result.Last, ShouldBeLessThanOrEqualTo, 1.25)
+		So(result.OriginCopies, ShouldBeLessThanOrEqualTo, 1.1)
+	})
+}
+
+// Guards against regions that do not complete after they were cut off from each other
+// while VMs die, or that disturb the home region.
+func TestRegionCut(t *testing.T) {
+	t.Parallel()
+	result := execute(t, RegionCut(smallFleet, smallFleet, 0.5, 1))
+	Convey("Both regions complete", t, func() {
+		So(result.Incomplete, ShouldEqual, 0)
+		So(result.ByRegion["a"], ShouldBeLessThanOrEqualTo, 1.6)
+		So(result.ByRegion["b"], ShouldBeLessThanOrEqualTo, 1.25/narrowLink+0.5)
+		So(result.OriginCopies, ShouldBeLessThanOrEqualTo, 1.5)
+		So(result.LinkCopies["b"], ShouldBeLessThanOrEqualTo, 1.1)
+	})
+}
+
 // Guards the bound with half of each link reserved for live requests.
 func TestHalfLink(t *testing.T) {
 	t.Parallel()
--- a/lib/swarm/linkfake/scenarios.go
+++ b/lib/swarm/linkfake/scenarios.go
@@ -38,6 +38,25 @@
 	}}
 }
 
+// RegionCut is TwoRegions with the regions cut off from each other for a time, in V, and
+// with 5% of the VMs dying and 1% of the chunks corrupt.
+func RegionCut(home, other int, from, to float64) Scenario {
+	s := TwoRegions(home, other)
+	s.Name = "region-cut"
+	s.Corrupt = 0.01
+	s.Faults = []Fault{
+		{At: 0.2, Do: func(r *Run) {
+			for _, v := range r.Pick((home + other) * 5 / 100) {
+				r.Kill(v)
+			}
+			r.AnnounceMembers()
+		}},
+		{At: from, Do: func(r *Run) { r.Partition("b", 1) }},
+		{At: to, Do: func(r *Run) { r.Partition("b", 0) }},
+	}
+	return s
+}
+
 // StaggeredStart is Plain with VMs that start within 10 s.
 func StaggeredStart(vms int) Scenario {
 	return Scenario{Name: "staggered-start", Seed: Seed, Regions: zoned(vms), StartSpread: 1.0 / 6}
@@ -172,6 +191,7 @@
 		Plain(largeFleet),
 		HalfLink(largeFleet),
 		TwoRegions(largeFleet/2, largeFleet/2),
+		RegionCut(largeFleet/2, largeFleet/2, 0.5, 1),
 		StaggeredStart(largeFleet),
 		Mixed(largeFleet),
 		ZonePartition(largeFleet, 0.3, 0.7),
--- a/lib/swarm/linkfake/transfer.go
+++ b/lib/swarm/linkfake/transfer.go
@@ -182,11 +182,11 @@
 // SetOriginGate sets the decision on requests to the store; nil accepts all.
 func (r *Run) SetOriginGate(gate func() (swarm.Result, time.Duration)) { r.originGate = gate }
 
-// Partition moves the VMs of a zone to another side; VMs of different sides cannot
-// reach each other. The store remains reachable from both.
-func (r *Run) Partition(zone string, side int) {
+// Partition moves the VMs of a zone or region to another side; VMs of different sides
+// cannot reach each other. The store remains reachable from both.
+func (r *Run) Partition(name string, side int) {
 	for _, v := range r.VMs {
-		if v.Zone == zone {
+		if v.Zone == name || v.Region == name {
 			v.side = side
 		}
 	}
