--- a/lib/configsync/controlsim/node.go
+++ b/lib/configsync/controlsim/node.go
@@ -262,10 +262,10 @@
 		timeout = membership.CallTimeout
 	}
 	var response *pb.ReportResponse
-	n.sim.send(&call{kind: kind, from: n, to: to, size: proto.Size(send.Request), timeout: timeout,
+	n.sim.send(&call{kind: kind, from: n, to: to, size: n.sim.size(send.Request), timeout: timeout,
 		handle: func() int {
 			response = to.handleReport(n, send.Request)
-			return proto.Size(response)
+			return n.sim.size(response)
 		},
 		done: func(ok bool) {
 			if !ok {
@@ -288,11 +288,11 @@
 func (n *Node) gossip(send membership.GossipSend) {
 	to := n.sim.byVM[send.To.VM]
 	var response *pb.GossipResponse
-	n.sim.send(&call{kind: "gossip", from: n, to: to, size: proto.Size(send.Request), timeout: membership.CallTimeout,
+	n.sim.send(&call{kind: "gossip", from: n, to: to, size: n.sim.size(send.Request), timeout: membership.CallTimeout,
 		handle: func() int {
 			response = to.Member.Gossip(to.clock(), send.Request)
 			to.heard(membership.Peer(n.Self), send.Request.GetConfigGeneration())
-			return proto.Size(response)
+			return n.sim.size(response)
 		},
 		done: func(ok bool) {
 			if !ok {
@@ -303,6 +303,14 @@
 		}})
 }
 
+// size returns the wire size of a message, or 0 when traffic is not measured.
+func (s *Sim) size(message proto.Message) int {
+	if s.Options.NoTraffic {
+		return 0
+	}
+	return proto.Size(message)
+}
+
 // heard passes a generation to the propagation when it is news.
 func (n *Node) heard(from membership.Peer, generation uint64) {
 	if n.Sync == nil || generation == 0 {
--- a/lib/configsync/controlsim/sim.go
+++ b/lib/configsync/controlsim/sim.go
@@ -31,6 +31,8 @@
 	ChunkCount int
 	// NoConfig leaves configuration propagation out.
 	NoConfig bool
+	// NoTraffic leaves the sizes of messages out, which makes long runs faster.
+	NoTraffic bool
 }
 
 // Fleet returns the zones of a fleet of 7 zones in 2 regions.
--- a/lib/membership/endpoints.go
+++ b/lib/membership/endpoints.go
@@ -46,7 +46,8 @@
 }
 
 // Report handles a report of an endpoint and returns the answer. Reports with a lower
-// incarnation, or with a sequence number that is not higher, change nothing.
+// incarnation, or with a sequence number that is not higher, change nothing. The request
+// must not be used afterwards.
 func (e *Entry) Report(now time.Duration, request *pb.ReportRequest) *pb.ReportResponse {
 	response := &pb.ReportResponse{ConfigGeneration: e.generation}
 	incarnation := incarnationOf(request.GetIncarnation())
@@ -146,24 +147,18 @@
 		return
 	}
 	old := r.view.Report
+	if load := request.GetLoad(); load != nil {
+		load.ModelVersions = old.GetLoad().GetModelVersions()
+	}
 	r.view.Report = &pb.ReportRequest{
 		Vm: old.GetVm(), Zone: r.view.Zone, Region: r.view.Region, Address: r.view.Address,
 		Incarnation: request.GetIncarnation(), Sequence: request.GetSequence(),
-		Load: mergeLoad(old.GetLoad(), request.GetLoad()), ConfigGeneration: request.GetConfigGeneration(),
+		Load: request.GetLoad(), ConfigGeneration: request.GetConfigGeneration(),
 		Serving: old.GetServing(), Services: old.GetServices(),
 		Progress: old.GetProgress(), Shards: old.GetShards(),
 	}
 }
 
-// mergeLoad returns the newer load with the model versions of the last full report.
-func mergeLoad(old, newer *pb.Load) *pb.Load {
-	return &pb.Load{
-		InFlight: newer.GetInFlight(), Queued: newer.GetQueued(), Limit: newer.GetLimit(),
-		Cold: newer.GetCold(), Leaving: newer.GetLeaving(),
-		ServiceTimeUs: newer.GetServiceTimeUs(), ModelVersions: old.GetModelVersions(),
-	}
-}
-
 func (e *Entry) endpointSeen(now time.Duration, record *endpointRecord) {
 	silent := now - record.view.LastSeen
 	if record.view.State != Alive {
--- a/lib/membership/entry.go
+++ b/lib/membership/entry.go
@@ -18,8 +18,10 @@
 	joinJitter = 500 * time.Millisecond
 	// intervalJitter is the largest relative deviation of an interval.
 	intervalJitter = 0.1
-	// checkInterval separates the checks for silent members.
+	// checkInterval separates the checks for silent endpoints.
 	checkInterval = 100 * time.Millisecond
+	// entryCheckInterval is the same for entries, whose limits are longer.
+	entryCheckInterval = 500 * time.Millisecond
 	// chunkPeersEvery is the number of reports per answer that names chunk peers.
 	chunkPeersEvery = 64
 	// maxChunkPeers bounds the chunk peers in one answer.
@@ -39,11 +41,13 @@
 	running    bool
 	nextGossip time.Duration
 	nextSample time.Duration
-	lastTick   time.Duration
-	ticked     bool
-	generation uint64
-	rng        *rand.Rand
-	events     []Event
+	// nextEntryCheck is the time of the next check for silent entries.
+	nextEntryCheck time.Duration
+	lastTick       time.Duration
+	ticked         bool
+	generation     uint64
+	rng            *rand.Rand
+	events         []Event
 
 	endpoints     map[string]*endpointRecord
 	endpointOrder []*endpointRecord
@@ -137,7 +141,10 @@
 	var out Output
 	e.checkEndpoints(now, &out)
 	e.probeSample(now, &out)
-	e.checkEntries(now)
+	if now >= e.nextEntryCheck {
+		e.nextEntryCheck = now + entryCheckInterval
+		e.checkEntries(now)
+	}
 	if !e.joined && now >= e.joinAt {
 		e.joined = true
 		e.nextGossip = now
--- a/lib/membership/hour_test.go
+++ b/lib/membership/hour_test.go
@@ -23,7 +23,7 @@
 			zones = append(zones, controlsim.Zone{Name: fmt.Sprintf("zone-%d", i+1), Region: "south", Entries: 2, Seeds: 2})
 		}
 		const seed = 5
-		s := controlsim.New(controlsim.Options{Zones: zones, Loss: 0.05, Seed: seed, NoConfig: true})
+		s := controlsim.New(controlsim.Options{Zones: zones, Loss: 0.05, Seed: seed, NoConfig: true, NoTraffic: true})
 		counts := make(map[membership.EventKind]int)
 		s.OnMember = func(_ *controlsim.Node, event membership.Event) { counts[event.Kind]++ }
 		s.StartAll()
