--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -73,7 +73,7 @@
 		ended := d.attempt(ctx, r, decision, number, generation, out)
 		next := d.next(state, ended)
 		if next.Action == retry.Answer {
-			return next.Err
+			return finalError(next, ended)
 		}
 		d.metrics.retries.Inc()
 		d.log.Info("retry", zap.String("request", r.id), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
@@ -86,6 +86,17 @@
 	}
 }
 
+// finalError returns the error to answer. What the journal says about a key is the
+// caller's answer as it is; its kind tells more than that the attempt failed.
+func finalError(next retry.Next, ended retry.Attempt) error {
+	switch errkind.Of(ended.Err) {
+	case errkind.KeyReused, errkind.KeyExpired, errkind.KeyMissing:
+		return ended.Err
+	default:
+		return next.Err
+	}
+}
+
 func (d *dispatcher) next(state *retry.State, ended retry.Attempt) retry.Next {
 	d.mu.Lock()
 	defer d.mu.Unlock()
