--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -64,7 +64,7 @@
 	})
 	w := &world{Fleet: f, t: t, store: platform.NewClient(f.Platform.HTTP)}
 	w.publish("v1", 7)
-	w.apply("in", "v1")
+	w.apply("", "v1")
 	w.awaitServing("v1")
 	return w
 }
@@ -114,11 +114,19 @@
 	}
 }
 
-// apply puts a configuration in force in which zone c has the given state.
-func (w *world) apply(zoneC, version string) {
+// apply puts a configuration in force in which one zone is out, or none.
+func (w *world) apply(out, version string) {
 	w.t.Helper()
+	zones := "zones:\n"
+	for _, zone := range []struct{ name, region string }{{"a", "north"}, {"b", "north"}, {"c", "south"}} {
+		state := "in"
+		if zone.name == out {
+			state = "out"
+		}
+		zones += fmt.Sprintf("  %s: {region: %s, state: %s}\n", zone.name, zone.region, state)
+	}
 	files := []config.File{
-		{Name: "10-zones.yaml", Content: []byte(fmt.Sprintf("zones:\n  a: {region: north}\n  b: {region: north}\n  c: {region: south, state: %s}\n", zoneC))},
+		{Name: "10-zones.yaml", Content: []byte(zones)},
 		{Name: "20-models.yaml", Content: []byte("models:\n  rota: {version: " + version + ", all: true}\n")},
 		{Name: "30-services.yaml", Content: []byte("services:\n  bookings: {path: /bookings}\n")},
 		{Name: "40-limits.yaml", Content: []byte("limits: {cold_in_flight: 4, warm_in_flight: 32, ramp: 1s}\n")},
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -132,6 +132,39 @@
 	})
 }
 
+// Guards against bookings that wait for a zone that operators have taken out, and
+// against a second run when another zone takes over.
+func TestBookingsMoveWhenAZoneGoesOut(t *testing.T) {
+	w := startWorld(t, 3, 3, 3, time.Millisecond)
+	Convey("Shards of the zone are taken over and keys stay answered", t, func() {
+		var keys []string
+		for i := range 8 {
+			key := fmt.Sprintf("moved-%d", i)
+			keys = append(keys, key)
+			w.book(key, "friday")
+		}
+		owner := w.ownerOf(keys[0])
+		So(owner, ShouldNotBeNil)
+		w.apply(owner.Zone, "v1")
+		started := time.Now()
+		for _, key := range keys {
+			w.book(key, "friday")
+			w.book(key+"-later", "friday")
+		}
+		t.Logf("all shards answered %s after the change was accepted", time.Since(started).Round(100*time.Millisecond))
+		w.apply("", "v1")
+		for _, key := range keys {
+			w.book(key, "friday")
+		}
+		for key, n := range w.runs() {
+			if n != 1 {
+				t.Errorf("%s ran %d times", key, n)
+			}
+		}
+		So(w.runs(), ShouldHaveLength, 2*len(keys)+1)
+	})
+}
+
 // book repeats a booking until it is accepted. Refusals must say that it did not run:
 // after the death of a shard's owner they are expected for some seconds.
 func (w *world) book(key, shift string) fleet.Answer {
