Revert the hand-over of shards at a zone change, keep its test

Conclusion: processes that watched the shard while callers asked take it after about 3 s; the test that no booking runs twice meanwhile stays.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -43,7 +43,7 @@
 	settings *Settings
 	conns    *rpc.Pool
 	gate     *admission.Gate
-	journals *journals
+	journal  *journal.Journal
 	reporter *reporter
 	configs  *driver.Driver
 	weights  *weightManager
@@ -66,13 +66,11 @@
 	p.reporter = newReporter(self, s.SeedPeers(), conns, p.load, log)
 	p.configs = driver.New(self, configsync.RoleEndpoint, s.SeedPeers(), conns, nil, p, log)
 	p.reporter.heard = p.heard
-	p.journals = newJournals(func() *journal.Journal {
-		return journal.New(journal.Options{
-			Store: store, Self: journal.Identity{VM: s.VM, Incarnation: rand.Text()}, Shards: p.shards,
-		})
-	}, log)
+	p.journal = journal.New(journal.Options{
+		Store: store, Self: journal.Identity{VM: s.VM, Incarnation: rand.Text()}, Shards: p.shards,
+	})
 	serve := &server{
-		vm: s.VM, zone: s.Zone, service: s.Service, serviceTimeout: s.ServiceTimeout, gate: p.gate, journals: p.journals,
+		vm: s.VM, zone: s.Zone, service: s.Service, serviceTimeout: s.ServiceTimeout, gate: p.gate, journal: p.journal,
 		zones: p.zones, metrics: p.metrics, log: log, loadOf: p.pbLoad,
 	}
 	if s.Engine != "" {
@@ -122,7 +120,6 @@
 		return fmt.Errorf("parse configuration of generation %d: %w", bundle.GetGeneration(), err)
 	}
 	zone, known := snapshot.Zones[p.settings.Zone]
-	wasOut := p.zones.isOut()
 	p.zones.set(!known || zone.State == config.ZoneOut, bundle.GetGeneration(), time.Now())
 	p.snapshot.Store(snapshot)
 	p.gate.Configure(p.admissionConfig(snapshot))
@@ -132,30 +129,13 @@
 		p.weights.transfer.links.upload.SetLimit(share)
 		p.weights.configure(bundle, snapshot)
 	}
-	if p.settings.Service != "" {
-		p.shareShards(wasOut)
+	if p.settings.Service != "" && !p.zones.isOut() && !p.leaving.Load() {
+		p.journal.Claim(p.settings.Service)
 	}
 	p.reporter.setGeneration(bundle.GetGeneration())
 	return nil
 }
 
-// shareShards claims free shards while the zone is in service and hands over the own
-// ones after it went out.
-func (p *Process) shareShards(wasOut bool) {
-	switch out := p.zones.isOut(); {
-	case p.leaving.Load():
-	case !out:
-		p.journals.get().Claim(p.settings.Service)
-	case !wasOut:
-		time.AfterFunc(drainGrace, func() {
-			if p.zones.isOut() {
-				p.journals.handOver()
-				p.reporter.soon()
-			}
-		})
-	}
-}
-
 // Alarm implements driver.Observer.
 func (p *Process) Alarm(configsync.Alarm) {}
 
@@ -207,7 +187,7 @@
 
 func (p *Process) ownedShards() map[string]*laburnumgwv1.ShardList {
 	lists := make(map[string]*laburnumgwv1.ShardList)
-	for _, id := range p.journals.get().Owned() {
+	for _, id := range p.journal.Owned() {
 		if lists[id.Service] == nil {
 			lists[id.Service] = &laburnumgwv1.ShardList{}
 		}
@@ -270,7 +250,7 @@
 	defer cancel()
 	p.reporter.leave(ctx)
 	drainErr := p.gate.Drain(ctx)
-	journalErr := p.journals.get().Close(ctx)
+	journalErr := p.journal.Close(ctx)
 	time.Sleep(stopReportTime)
 	stopped := make(chan struct{})
 	go func() {
--- a/endpoint/serve.go
+++ b/endpoint/serve.go
@@ -38,7 +38,7 @@
 	service        string
 	serviceTimeout time.Duration
 	gate           *admission.Gate
-	journals       *journals
+	journal        *journal.Journal
 	backend        *backend
 	weights        weightsState
 	zones          *zoneState
@@ -184,7 +184,7 @@
 			return s.backend.run(runCtx, c, out)
 		}
 		key := journal.Key{Workspace: c.workspace, Service: s.service, IdempotencyKey: c.idempotencyKey}
-		ticket, replay, err := s.journals.get().Begin(ctx, key, bodyDigest(c))
+		ticket, replay, err := s.journal.Begin(ctx, key, bodyDigest(c))
 		switch {
 		case err != nil:
 			return journalResult(err)
