Compute the load score in two passes

The tokens correct the own load before the in-flight scorer relates the sum to the limit, which saves a division and a pass.

--- a/lib/routing/query.go
+++ b/lib/routing/query.go
@@ -16,8 +16,6 @@
 	others float64
 	// capacity is the endpoint's limit.
 	capacity float64
-	// weight is the mean capacity divided by capacity.
-	weight float64
 	// work is the score of the load alone.
 	work float64
 	// score orders the candidates; lower is better.
--- a/lib/routing/scorers.go
+++ b/lib/routing/scorers.go
@@ -21,26 +21,15 @@
 // scorer adds one signal to the scores of all candidates; lower is better.
 type scorer func(*query)
 
-// loadScorers run first; the mean of their sum is the unit of signalScorers.
-var loadScorers = []scorer{scoreInFlight, scoreTokens}
-
-var signalScorers = []scorer{scoreFailures, scoreDistance, scorePrefix}
+// scorers run in this order: the first two measure the load, and the mean load score is
+// the unit of the others.
+var scorers = []scorer{scoreTokens, scoreInFlight, scoreFailures, scoreDistance, scorePrefix}
 
 // score fills the scores of all candidates.
 func (t *Table) score(q *query) {
 	q.summarise()
 	q.matched = t.prefixes.match(q)
-	for _, add := range loadScorers {
-		add(q)
-	}
-	sum := 0.0
-	for i := range q.candidates {
-		c := &q.candidates[i]
-		c.work = c.score
-		sum += c.score
-	}
-	q.meanScore = sum / float64(len(q.candidates))
-	for _, add := range signalScorers {
+	for _, add := range scorers {
 		add(q)
 	}
 }
@@ -70,14 +59,18 @@
 }
 
 // scoreInFlight adds the own in-flight load plus the entry's share of the load of the
-// others, relative to the limit. All entries see the same imbalance of the others'
+// others, and relates the sum to the limit. All entries see the same imbalance of the others'
 // load, late; if each corrected all of it, the sum would overshoot.
 func scoreInFlight(q *query) {
+	sum := 0.0
 	for i := range q.candidates {
 		c := &q.candidates[i]
-		c.weight = q.meanCapacity / c.capacity
-		c.score = (c.own + q.ownShare*c.others + 1) * c.weight
+		c.score += c.own + q.ownShare*c.others + 1
+		c.score *= q.meanCapacity / c.capacity
+		c.work = c.score
+		sum += c.score
 	}
+	q.meanScore = sum / float64(len(q.candidates))
 }
 
 // scoreTokens corrects the own load for requests that are larger or smaller than the
@@ -89,8 +82,7 @@
 	perToken := tokenWeight / q.meanTokens
 	for i := range q.candidates {
 		c := &q.candidates[i]
-		excess := perToken*float64(c.endpoint.ownTokens) - tokenWeight*c.own
-		c.score += excess * c.weight
+		c.score += perToken*float64(c.endpoint.ownTokens) - tokenWeight*c.own
 	}
 }
 
