Test restarts, probes of suspects and a limit of zero

Three cases fail: broken attempts of an earlier incarnation eject the restarted endpoint and their loads apply to it; a suspect endpoint that is ejected is probed although others are left; an endpoint that reports a limit of zero gets requests.

--- a/lib/routing/pick_test.go
+++ b/lib/routing/pick_test.go
@@ -61,6 +61,17 @@
 			table.ReportReceived(full, start)
 		},
 	}
+	Convey("An endpoint that reports a limit of zero accepts nothing", t, func() {
+		table := newTable(1)
+		closed := report(0, "a", 1)
+		closed.Load.Limit = 0
+		table.ReportReceived(closed, start)
+		_, err := table.Pick(&routing.Request{Model: "chat"}, start)
+		So(errkind.Of(err), ShouldEqual, errkind.NotRun)
+		var cause *routing.NoEndpointError
+		So(errors.As(err, &cause), ShouldBeTrue)
+		So(cause.Count(routing.FilterNoRoom), ShouldEqual, 1)
+	})
 	Convey("Each filter refuses and is named in the error", t, func() {
 		for filter, change := range changes {
 			table := newTable(1)
--- a/lib/routing/state_test.go
+++ b/lib/routing/state_test.go
@@ -72,6 +72,48 @@
 		}
 		So(chosen, ShouldEqual, 5*4*50)
 	})
+	Convey("Attempts of an earlier incarnation do not count against the new one", t, func() {
+		table := newTable(1)
+		for i := range 4 {
+			table.ReportReceived(report(i, "a", 1), start)
+		}
+		request := routing.Request{Model: "chat"}
+		var attempts []routing.Attempt
+		for range 8 {
+			attempts = append(attempts, table.AttemptSent(routing.Decision{VM: "vm-0"}, &request, start))
+		}
+		restarted := report(0, "a", 1)
+		restarted.Incarnation.Counter = 2
+		table.ReportReceived(restarted, start)
+		old := &laburnumgwv1.Load{Limit: 1, Leaving: true}
+		for _, attempt := range attempts {
+			table.AttemptFinished(attempt, routing.Result{
+				Outcome: laburnumgwv1.Outcome_OUTCOME_UNKNOWN, Sent: true, Load: old}, start)
+		}
+		status := table.Status()[0]
+		So(status.Ejected, ShouldBeFalse)
+		So(status.Leaving, ShouldBeFalse)
+		So(status.Limit, ShouldEqual, 16)
+		So(status.Own, ShouldEqual, 0)
+	})
+	Convey("A suspect endpoint is not probed while others are left", t, func() {
+		table := newTable(1)
+		for i := range 4 {
+			table.ReportReceived(report(i, "a", 1), start)
+		}
+		request := routing.Request{Attempt: 1, Model: "chat", Idempotent: true}
+		for range 3 {
+			attempt := table.AttemptSent(routing.Decision{VM: "vm-0"}, &request, start)
+			table.AttemptFinished(attempt, routing.Result{}, start)
+			attempt = table.AttemptSent(routing.Decision{VM: "vm-0"}, &request, start)
+			table.AttemptFinished(attempt, routing.Result{Outcome: laburnumgwv1.Outcome_OUTCOME_NOT_RUN}, start)
+		}
+		So(table.Status()[0].Ejected, ShouldBeTrue)
+		table.SetLiveness("vm-0", routing.Suspect)
+		decision, err := table.Pick(&request, start.Add(time.Minute))
+		So(err, ShouldBeNil)
+		So(decision.VM, ShouldNotEqual, "vm-0")
+	})
 	Convey("A frame that says leaving counts, until the endpoint restarts", t, func() {
 		table := newTable(1)
 		table.ReportReceived(report(0, "a", 1), start)
