Ignore attempts of earlier incarnations, suspects in probes and closed endpoints

Causes: an attempt did not remember the incarnation it was sent to; the probe did not look at membership; a limit of zero was taken for an unknown limit. After: all tests of lib/routing pass.

--- a/lib/routing/endpoint.go
+++ b/lib/routing/endpoint.go
@@ -119,9 +119,8 @@
 	return e.othersKnown && now-e.loadAt < loadStaleness
 }
 
+// capacity returns the limit, and one for an endpoint that accepts nothing, so that
+// ratios to it stay finite.
 func (e *endpoint) capacity() float64 {
-	if e.limit <= 0 {
-		return defaultLimit
-	}
-	return float64(e.limit)
+	return float64(max(e.limit, 1))
 }
--- a/lib/routing/filters.go
+++ b/lib/routing/filters.go
@@ -62,8 +62,12 @@
 }
 
 // hasRoom counts the queue of a warm endpoint as room. A cold endpoint's limit grows
-// slowly, so its queue would hold requests past their deadlines.
+// slowly, so its queue would hold requests past their deadlines. An endpoint with a
+// limit of zero accepts nothing.
 func hasRoom(q *query, e *endpoint, c *candidate) bool {
+	if e.limit <= 0 {
+		return false
+	}
 	room := c.capacity
 	if !e.cold {
 		room += q.queueLength
--- a/lib/routing/query.go
+++ b/lib/routing/query.go
@@ -205,7 +205,8 @@
 		return -1
 	}
 	for i := range q.candidates {
-		if q.candidates[i].endpoint.health.probeDue(q.request.Idempotent, q.now) {
+		e := q.candidates[i].endpoint
+		if e.liveness == Alive && e.health.probeDue(q.request.Idempotent, q.now) {
 			return i
 		}
 	}
--- a/lib/routing/recent.go
+++ b/lib/routing/recent.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"errors"
+
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 )
 
@@ -36,9 +38,15 @@
 // Add records a decision and drops the oldest one when the ring is full.
 func (r *Recent) Add(d Decision) { r.add(d, "") }
 
-// AddRefusal records that Pick found no endpoint.
+// AddRefusal records that Pick found no endpoint, with the candidates if the request
+// asked for details.
 func (r *Recent) AddRefusal(requestID string, attempt uint32, err error) {
-	r.add(Decision{RequestID: requestID, Attempt: attempt}, err.Error())
+	d := Decision{RequestID: requestID, Attempt: attempt}
+	var cause *NoEndpointError
+	if errors.As(err, &cause) {
+		d.Candidates = cause.Candidates
+	}
+	r.add(d, err.Error())
 }
 
 func (r *Recent) add(d Decision, outcome string) {
--- a/lib/routing/request.go
+++ b/lib/routing/request.go
@@ -98,7 +98,9 @@
 // Attempt identifies an attempt between AttemptSent and AttemptFinished.
 type Attempt struct {
 	endpoint *endpoint
-	tokens   int64
-	probe    bool
-	sent     time.Time
+	// incarnation is that of the endpoint when the attempt was sent.
+	incarnation Incarnation
+	tokens      int64
+	probe       bool
+	sent        time.Time
 }
--- a/lib/routing/table.go
+++ b/lib/routing/table.go
@@ -16,8 +16,6 @@
 	DefaultAffinityBound = 1.2
 	DefaultQueueLength   = 64
 	DefaultRetryAfter    = time.Second
-	// defaultLimit is assumed for an endpoint that has not reported a limit.
-	defaultLimit = 1
 	// slabLength is the number of endpoints allocated together.
 	slabLength = 64
 )
@@ -256,7 +254,7 @@
 	if e == nil {
 		return Attempt{}
 	}
-	a := Attempt{endpoint: e, tokens: r.Tokens, sent: now}
+	a := Attempt{endpoint: e, incarnation: e.incarnation, tokens: r.Tokens, sent: now}
 	e.own++
 	e.ownTokens += r.Tokens
 	if e.health.ejected {
@@ -269,7 +267,7 @@
 
 // LoadReceived applies the load carried by a response frame of a running attempt.
 func (t *Table) LoadReceived(a Attempt, load *laburnumgwv1.Load, now time.Time) {
-	if a.endpoint == nil || load == nil {
+	if a.endpoint == nil || load == nil || a.incarnation != a.endpoint.incarnation {
 		return
 	}
 	t.frameReceived(a.endpoint, load, now)
@@ -284,7 +282,8 @@
 }
 
 // AttemptFinished records the end of an attempt. It must be called once for each
-// AttemptSent; the outcome is OUTCOME_UNSPECIFIED when the caller cancelled.
+// AttemptSent; the outcome is OUTCOME_UNSPECIFIED when the caller cancelled. The outcome
+// of an attempt to an earlier incarnation says nothing about the endpoint.
 func (t *Table) AttemptFinished(a Attempt, result Result, now time.Time) {
 	e := a.endpoint
 	if e == nil {
@@ -292,6 +291,9 @@
 	}
 	e.own--
 	e.ownTokens -= a.tokens
+	if a.incarnation != e.incarnation {
+		return
+	}
 	if result.Load != nil {
 		t.frameReceived(e, result.Load, now)
 	}
