--- a/lib/routing/pick_test.go
+++ b/lib/routing/pick_test.go
@@ -124,6 +124,37 @@
 	})
 }
 
+// Guards against a detailed decision that leaves out endpoints or their filters.
+func TestDetail(t *testing.T) {
+	Convey("Every endpoint of the pool is listed once, in decisions and refusals", t, func() {
+		table := newTable(1)
+		for i := range 6 {
+			table.ReportReceived(report(i, "a", 1), start)
+		}
+		table.SetLiveness("vm-0", routing.Dead)
+		table.SetLiveness("vm-1", routing.Suspect)
+		request := routing.Request{ID: "r1", Model: "chat", Detail: true, Tried: []string{"vm-2"}}
+		decision, err := table.Pick(&request, start)
+		So(err, ShouldBeNil)
+		filters := map[string]routing.Filter{}
+		for _, candidate := range decision.Candidates {
+			filters[candidate.VM] = candidate.FilteredBy
+		}
+		So(len(decision.Candidates), ShouldEqual, 6)
+		So(filters, ShouldResemble, map[string]routing.Filter{
+			"vm-0": routing.FilterDead, "vm-1": routing.FilterSuspect, "vm-2": routing.FilterTried,
+			"vm-3": "", "vm-4": "", "vm-5": ""})
+		request.VersionDigest = "v2"
+		_, err = table.Pick(&request, start)
+		recent := routing.NewRecent(2)
+		recent.AddRefusal("r1", 1, err)
+		list := recent.Explain("r1")
+		So(len(list), ShouldEqual, 1)
+		So(len(list[0].GetCandidates()), ShouldEqual, 6)
+		So(list[0].GetOutcome(), ShouldContainSubstring, "5 other_version")
+	})
+}
+
 // Guards against an explain command that shows another request's decisions or loses
 // the latest ones.
 func TestRecent(t *testing.T) {
