--- a/lib/routing/endpoint.go
+++ b/lib/routing/endpoint.go
@@ -9,9 +9,10 @@
 const (
 	// loadStaleness is the age after which a load no longer describes the endpoint.
 	loadStaleness = 3 * time.Second
-	// othersSmoothing is the weight of a new observation of the load that other
-	// entries cause in the score. An observation is late by up to a second and counts this entry's
-	// attempts as of then; following it at once makes the entries oscillate.
+	// othersSmoothing is the weight of a new observation in the average of the load
+	// that other entries cause. An observation is late by up to a second and counts
+	// this entry's attempts as of then; following it at once makes the entries
+	// oscillate.
 	othersSmoothing = 0.25
 )
 
