--- a/lib/routing/ejection.go
+++ b/lib/routing/ejection.go
@@ -50,14 +50,13 @@
 
 // health counts the outcomes of an endpoint's attempts and holds its ejection.
 type health struct {
-	// ejected and consecutive come first, because every decision reads them.
-	ejected     bool
-	consecutive int32
+	consecutive int
 	attempts    float64
 	failures    float64
 	windowFrom  time.Time
 	lastFailure time.Time
 
+	ejected   bool
 	ejectedAt time.Time
 	interval  time.Duration
 	nextProbe time.Time
--- a/lib/routing/endpoint.go
+++ b/lib/routing/endpoint.go
@@ -35,12 +35,12 @@
 	othersSmooth float64
 	// loadAt is the table's time of the last observation.
 	loadAt time.Duration
-	health health
 	// triedIn and affinityIn are the queries in which the endpoint was marked as
 	// tried, and in which affinity is the matched share of the request's prefixes.
 	triedIn    uint64
 	affinityIn uint64
 	affinity   float64
+	health     health
 
 	vm          string
 	address     string
