--- /dev/null
+++ b/e2e/rollout_test.go
@@ -0,0 +1,82 @@
+package e2e
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"laburnumgw/fleet"
+)
+
+// Guards against answers from mixed or partial weights and against cut-off streams
+// while a version is replaced and rolled back under load, and against a burst that
+// draws more than its share from the origin.
+func TestRolloutUnderLoad(t *testing.T) {
+	w := startWorld(t, 3, 6, 1, 5*time.Millisecond)
+	Convey("A new version replaces the old one and is rolled back while streams run", t, func() {
+		first := w.sha
+		w.publish("v2", 11)
+		second := w.sha
+		So(second, ShouldNotEqual, first)
+		served := w.originBytes()
+		load := w.startLoad(first, second)
+		w.apply("", "v2")
+		w.awaitServing("v2")
+		drawn := w.originBytes() - served
+		w.sha = first
+		w.apply("", "v1")
+		w.awaitServing("v1")
+		total, bad := load()
+		t.Logf("%d streams, origin served %.2f copies of the new version", total, float64(drawn)/float64(len(content(11))))
+		So(bad, ShouldBeEmpty)
+		So(total, ShouldBeGreaterThan, 20)
+		So(float64(drawn), ShouldBeLessThanOrEqualTo, 1.1*float64(len(content(11))))
+	})
+}
+
+func (w *world) originBytes() int64 {
+	w.t.Helper()
+	var served struct {
+		Bytes int64 `json:"bytes"`
+	}
+	if err := fleet.JSON(w.context(), w.Origin.HTTP+"/admin/served", &served); err != nil {
+		w.t.Fatal(err)
+	}
+	return served.Bytes
+}
+
+// startLoad streams chats until the returned function is called, which returns their
+// number and a description of each answer that is not whole and from one version.
+func (w *world) startLoad(versions ...string) func() (int64, []string) {
+	var stop atomic.Bool
+	var total atomic.Int64
+	var mu sync.Mutex
+	var bad []string
+	var wait sync.WaitGroup
+	for caller := range 4 {
+		wait.Go(func() {
+			for i := 0; !stop.Load(); i++ {
+				answer, err := fleet.Chat(w.context(), w.Entries[(caller+i)%len(w.Entries)], model, fmt.Sprintf("%d/%d", caller, i), 20)
+				total.Add(1)
+				known := false
+				for _, version := range versions {
+					known = known || answer.Fingerprints[version]
+				}
+				if err != nil || !answer.Done || len(answer.Fingerprints) != 1 || !known {
+					mu.Lock()
+					bad = append(bad, fmt.Sprintf("caller %d chat %d: status %d kind %q fingerprints %v error %v", caller, i, answer.Status, answer.Kind, answer.Fingerprints, err))
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	return func() (int64, []string) {
+		stop.Store(true)
+		wait.Wait()
+		return total.Load(), bad
+	}
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -78,8 +78,9 @@
 		d.metrics.retries.Inc()
 		d.log.Info("retry", zap.String("request", r.id), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
 			zap.Stringer("outcome", ended.Outcome), zap.Bool("resume", next.Action == retry.Resume), zap.Error(ended.Err))
-		if !sleep(ctx, next.After) {
-			return state.NoEndpoint(ctx.Err()).Err
+		next = d.await(ctx, state, next)
+		if next.Action == retry.Answer {
+			return next.Err
 		}
 		tried = append(tried, decision.VM)
 		digest = next.VersionDigest
@@ -103,6 +104,25 @@
 	return d.planner.Next(state, ended, time.Now())
 }
 
+// await waits as the plan says, and in turn for the retry budget, until the next
+// attempt may be sent or the request is given up.
+func (d *dispatcher) await(ctx context.Context, state *retry.State, next retry.Next) retry.Next {
+	for {
+		if !sleep(ctx, next.After) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.planner.Abandon(state)
+			return state.NoEndpoint(context.Cause(ctx))
+		}
+		if next.Action != retry.Wait {
+			return next
+		}
+		d.mu.Lock()
+		next = d.planner.Again(state, time.Now())
+		d.mu.Unlock()
+	}
+}
+
 func sleep(ctx context.Context, wait time.Duration) bool {
 	if wait <= 0 {
 		return ctx.Err() == nil
--- a/lib/routing/endpoint.go
+++ b/lib/routing/endpoint.go
@@ -9,9 +9,10 @@
 const (
 	// loadStaleness is the age after which a load no longer describes the endpoint.
 	loadStaleness = 3 * time.Second
-	// othersSmoothing is the weight of a new observation of the load that other
-	// entries cause in the score. An observation is late by up to a second and counts this entry's
-	// attempts as of then; following it at once makes the entries oscillate.
+	// othersSmoothing is the weight of a new observation in the average of the load
+	// that other entries cause. An observation is late by up to a second and counts
+	// this entry's attempts as of then; following it at once makes the entries
+	// oscillate.
 	othersSmoothing = 0.25
 )
 
@@ -119,9 +120,8 @@
 	return e.othersKnown && now-e.loadAt < loadStaleness
 }
 
+// capacity returns the limit, and one for an endpoint that accepts nothing, so that
+// ratios to it stay finite.
 func (e *endpoint) capacity() float64 {
-	if e.limit <= 0 {
-		return defaultLimit
-	}
-	return float64(e.limit)
+	return float64(max(e.limit, 1))
 }
--- a/lib/routing/query.go
+++ b/lib/routing/query.go
@@ -16,8 +16,6 @@
 	others float64
 	// capacity is the endpoint's limit.
 	capacity float64
-	// weight is the mean capacity divided by capacity.
-	weight float64
 	// work is the score of the load alone.
 	work float64
 	// score orders the candidates; lower is better.
@@ -207,7 +205,8 @@
 		return -1
 	}
 	for i := range q.candidates {
-		if q.candidates[i].endpoint.health.probeDue(q.request.Idempotent, q.now) {
+		e := q.candidates[i].endpoint
+		if e.liveness == Alive && e.health.probeDue(q.request.Idempotent, q.now) {
 			return i
 		}
 	}
