Give up on an entry by time, not by the number of failed reports

Cause: calls that fail at once used up eight repetitions in 180 ms, so that a leaving endpoint process counted an entry as gone that had answered a moment before. Ruled out: a longer delay after each failure from the start, which would let a single loss make the endpoint suspect. Figures: TestEndpointLife fails before and passes after.

--- a/lib/membership/endpoint.go
+++ b/lib/membership/endpoint.go
@@ -21,10 +21,12 @@
 	reportJitter = 0.05
 	// fullReportEvery is the number of reports to one entry per full report.
 	fullReportEvery = 64
-	// retryDelay separates repeated reports to an entry that did not answer.
-	retryDelay = 20 * time.Millisecond
-	// fastRetries is the number of repeated reports before the entry counts as failed.
-	fastRetries = 8
+	// retryDelay is added for each failure to the time between repeated reports to an
+	// entry that does not answer, up to maxRetryDelay.
+	retryDelay    = 20 * time.Millisecond
+	maxRetryDelay = 200 * time.Millisecond
+	// giveUpAfter is the time of failures after which the entry counts as failed.
+	giveUpAfter = 1600 * time.Millisecond
 	// failedRetry separates reports to an entry that does not answer.
 	failedRetry = 2 * time.Second
 	// failedFor is how long the targets exclude an entry that did not answer.
@@ -47,6 +49,8 @@
 	sent        uint64
 	dueAt       time.Duration
 	failures    int
+	// failingSince is the time of the first of the consecutive failures.
+	failingSince time.Duration
 	// failedUntil and refusedUntil exclude the entry from the targets until then.
 	failedUntil  time.Duration
 	refusedUntil time.Duration
@@ -141,8 +145,8 @@
 	}
 }
 
-// Left reports whether each entry that is reported to has acknowledged the leaving state
-// or has not answered for LeaveTimeout.
+// Left reports whether each entry that answered lately has acknowledged the leaving
+// state, or LeaveTimeout has passed, after which silent entries take the endpoint for dead.
 func (p *Endpoint) Left(now time.Duration) bool {
 	if !p.leaving {
 		return false
@@ -151,7 +155,7 @@
 		return true
 	}
 	for _, t := range p.reported {
-		if t.answered && !t.leaveAck {
+		if t.answered && p.leaveAt-t.lastAck < LeaveTimeout && !t.leaveAck {
 			return false
 		}
 	}
@@ -418,8 +422,11 @@
 		return
 	}
 	t.failures++
-	if t.failures <= fastRetries {
-		t.dueAt = now + jittered(p.rng, retryDelay)
+	if t.failures == 1 {
+		t.failingSince = now
+	}
+	if now-t.failingSince < giveUpAfter || p.leaving {
+		t.dueAt = now + jittered(p.rng, min(time.Duration(t.failures)*retryDelay, maxRetryDelay))
 		return
 	}
 	t.dueAt = now + jittered(p.rng, failedRetry)
