Refer to unchanged files by short digests and bound the traffic of changes

Cause: a configuration change was not part of the traffic bound. Each answer to a pull repeated the full digests of 40 files and 15 models that the caller has. Ruled out: leaving unchanged files out of the answer, since the receiver could not tell them from removed files.

--- a/lib/configsync/bounds_test.go
+++ b/lib/configsync/bounds_test.go
@@ -16,6 +16,7 @@
 	idleCalls     = 30
 	restartCalls  = 200
 	trafficBound  = 29_000
+	changesPerDay = 1300
 	deadBound     = 3 * time.Second
 	killed        = 5
 	boundSeed     = 11
@@ -54,6 +55,13 @@
 	So(entry.Max, ShouldBeLessThanOrEqualTo, trafficBound)
 	So(endpoint.Max, ShouldBeLessThanOrEqualTo, trafficBound)
 
+	s.Platform.Apply(1)
+	changeEntry, changeEndpoint := s.MeasureTraffic(measurePeriod)
+	t.Logf("at %d changes a day: entries max %.0f, endpoint processes max %.0f; peak second of a change %d", changesPerDay,
+		atDailyRate(entry, changeEntry), atDailyRate(endpoint, changeEndpoint), changeEntry.PeakSecond)
+	So(atDailyRate(entry, changeEntry), ShouldBeLessThanOrEqualTo, trafficBound)
+	So(atDailyRate(endpoint, changeEndpoint), ShouldBeLessThanOrEqualTo, trafficBound)
+
 	for range 3 {
 		times, missing := s.MeasureSpread(1, spreadBound)
 		t.Logf("spread: p50 %s p99 %s max %s, missing %d", controlsim.Percentile(times, 0.5),
@@ -65,6 +73,17 @@
 	So(falseDeaths, ShouldEqual, 0)
 }
 
+// atDailyRate returns the traffic of the busiest process when changes come at the daily
+// rate, from a measured period without and one with a change.
+func atDailyRate(idle, change controlsim.Traffic) float64 {
+	share := float64(changesPerDay) * measurePeriod.Hours() / 24
+	busiest := 0.0
+	for i, rate := range idle.ByNode {
+		busiest = max(busiest, rate+share*max(0, change.ByNode[i]-rate))
+	}
+	return busiest
+}
+
 // checkDeath kills endpoints and requires that no entry would send to them after the
 // bound, counted from the kill, which is not before the last sign of life.
 func checkDeath(t *testing.T, s *controlsim.Sim) {
--- a/lib/configsync/controlsim/measure.go
+++ b/lib/configsync/controlsim/measure.go
@@ -16,6 +16,8 @@
 	PeakSecond int64
 	// ByKind is the mean of the sum by kind of call.
 	ByKind map[string]float64
+	// ByNode is the sum of each process, in the order of Sim.Nodes.
+	ByNode []float64
 }
 
 // MeasureTraffic runs for a period and returns the traffic of entries and endpoints.
@@ -38,6 +40,7 @@
 		sent := float64(node.SentBytes) / period.Seconds()
 		received := float64(node.ReceivedBytes) / period.Seconds()
 		t.Mean += sent + received
+		t.ByNode = append(t.ByNode, sent+received)
 		t.Max = max(t.Max, sent+received)
 		t.MaxSent = max(t.MaxSent, sent)
 		t.MaxReceived = max(t.MaxReceived, received)
--- a/lib/configsync/delta.go
+++ b/lib/configsync/delta.go
@@ -7,6 +7,15 @@
 	pb "laburnumgw/api/laburnumgw/v1"
 )
 
+// referenceLength is the number of characters of a digest that refer to a file or
+// manifest that the receiver has. A reference carries no content.
+const referenceLength = 16
+
+// reference returns the part of a digest that refers to what it names.
+func reference(digest string) string {
+	return digest[:min(referenceLength, len(digest))]
+}
+
 // historyLength is the number of generations for which deltas can be made.
 const historyLength = 16
 
@@ -27,7 +36,7 @@
 		past.files[file.GetDigest()] = true
 	}
 	for _, model := range bundle.GetModels() {
-		past.manifests[model.GetManifestDigest()] = true
+		past.manifests[model.GetModel()+"/"+model.GetManifestDigest()] = true
 	}
 	h.versions = append(h.versions, past)
 	if len(h.versions) > historyLength {
@@ -54,48 +63,44 @@
 	short := summary(bundle)
 	for _, file := range bundle.GetFiles() {
 		if past.files[file.GetDigest()] {
-			file = &pb.ConfigFile{Name: file.GetName(), Digest: file.GetDigest()}
+			file = &pb.ConfigFile{Name: file.GetName(), Digest: reference(file.GetDigest())}
 		}
 		short.Files = append(short.Files, file)
 	}
 	for _, model := range bundle.GetModels() {
-		if past.manifests[model.GetManifestDigest()] {
-			model = withoutChunks(model)
+		if past.manifests[model.GetModel()+"/"+model.GetManifestDigest()] {
+			model = &pb.ModelVersion{Model: model.GetModel(), ManifestDigest: reference(model.GetManifestDigest())}
 		}
 		short.Models = append(short.Models, model)
 	}
 	return short
 }
 
-func withoutChunks(model *pb.ModelVersion) *pb.ModelVersion {
-	return &pb.ModelVersion{Model: model.GetModel(), Version: model.GetVersion(), ManifestDigest: model.GetManifestDigest(),
-		Size: model.GetSize(), ChunkSize: model.GetChunkSize()}
-}
-
 // fillIn completes a delta from the own bundle. It fails when a part is missing.
 // The placements of the delta have no assignments and are left out.
 func fillIn(own, short *pb.ConfigBundle) (*pb.ConfigBundle, bool) {
 	files := make(map[string]*pb.ConfigFile)
 	for _, file := range own.GetFiles() {
-		files[file.GetDigest()] = file
+		files[reference(file.GetDigest())] = file
 	}
 	models := make(map[string]*pb.ModelVersion)
 	for _, model := range own.GetModels() {
-		models[model.GetManifestDigest()] = model
+		models[model.GetModel()+"/"+reference(model.GetManifestDigest())] = model
 	}
 	full := &pb.ConfigBundle{Generation: short.GetGeneration(), Digest: short.GetDigest()}
 	for _, file := range short.GetFiles() {
-		known := files[file.GetDigest()]
-		if len(file.GetContent()) == 0 && known != nil {
-			file = &pb.ConfigFile{Name: file.GetName(), Digest: file.GetDigest(), Content: known.GetContent()}
-		} else if len(file.GetContent()) == 0 {
-			return nil, false
+		if len(file.GetContent()) == 0 && len(file.GetDigest()) <= referenceLength {
+			known := files[file.GetDigest()]
+			if known == nil {
+				return nil, false
+			}
+			file = &pb.ConfigFile{Name: file.GetName(), Digest: known.GetDigest(), Content: known.GetContent()}
 		}
 		full.Files = append(full.Files, file)
 	}
 	for _, model := range short.GetModels() {
-		if len(model.GetChunkDigests()) == 0 && model.GetSize() > 0 {
-			model = models[model.GetManifestDigest()]
+		if len(model.GetManifestDigest()) <= referenceLength {
+			model = models[model.GetModel()+"/"+model.GetManifestDigest()]
 		}
 		if model == nil {
 			return nil, false
--- a/lib/configsync/doc.go
+++ b/lib/configsync/doc.go
@@ -14,9 +14,9 @@
 // A PushConfig without files is a notice: the receiver pulls the bundle from the sender.
 // A PushConfig with files is an operator's push. GetConfig with the highest possible
 // have_generation is a query: the answer holds only generation, digest and the
-// placements without assignments. A GetConfig answer to a lower generation omits the
-// content of files, and the chunk digests of models, that the caller has in that
-// generation; the answer to an equal generation holds the complete placements.
+// placements without assignments. A GetConfig answer to a lower generation refers to the
+// files and models that the caller has in that generation by the first 16 characters of
+// their digests; the answer to an equal generation holds the complete placements.
 //
 // # Driving loop
 //
