Answer reports of a leaving entry with its leaving state

Cause: endpoint processes learnt that an entry stops only from other entries, and an endpoint whose targets had changed waited for its next timer. Ruled out: refusing the reports of a leaving entry, which still has running requests.

--- a/lib/configsync/doc.go
+++ b/lib/configsync/doc.go
@@ -54,8 +54,13 @@
 //		timer.Reset(max(0, n.Next()-clock()))
 //	}
 //
+// An endpoint process passes Endpoint.Joined and Endpoint.Entries of its membership to
+// SetMembers once a second, and has no reads, watches or write-backs to run.
+//
 // A read gets config/head together with the version to watch from, creates the bundle
-// from the files it names, and reuses files by digest. A write-back creates the files
+// from the files it names. It reuses files by digest, gets up to four missing files one by
+// one, and lists config/ once when more are missing, so that a restart of everything
+// stays within the platform's call rate. A write-back creates the files
 // that are missing and then updates config/head conditionally on WriteBack.HeadVersion;
 // version 0 means that the head does not exist and is to be created.
 package configsync
--- a/lib/membership/doc.go
+++ b/lib/membership/doc.go
@@ -14,8 +14,11 @@
 // sender knows of the receiver, and an EntryInfo without an incarnation asks for a full
 // report. An incarnation counter of 0 marks the query of a process that is joining.
 // A probe is a Report call from an entry to an endpoint process; the answer contains
-// the EntryInfo of the answering process. Gossip items without a zone are compact and
-// update only entries that the receiver already knows.
+// the EntryInfo of the answering process, with heartbeat 0 when the process does not
+// report to the prober. An answer to a report in which the answering entry describes
+// itself as leaving asks the endpoint to report to the next entry instead: the entry
+// stops, or as many endpoints report to it as its traffic bound allows. Gossip items
+// without a zone are compact and update only entries that the receiver already knows.
 //
 // # Driving loop of an entry
 //
--- a/lib/membership/endpoint.go
+++ b/lib/membership/endpoint.go
@@ -192,6 +192,9 @@
 	if !p.leaving {
 		next = min(next, p.revisitAt)
 	}
+	if !p.leaving && p.dirty {
+		return 0
+	}
 	for _, t := range p.reported {
 		next = min(next, t.dueAt)
 	}
--- a/lib/membership/endpoints.go
+++ b/lib/membership/endpoints.go
@@ -81,6 +81,10 @@
 	if !record.full {
 		response.Entries = append(response.Entries, &pb.EntryInfo{Vm: request.GetVm()})
 	}
+	if e.leaving {
+		response.Entries = append(response.Entries, e.refusal())
+		return response
+	}
 	response.Entries = append(response.Entries, e.listFor(record)...)
 	response.Peers = e.chunkPeers(record.view.Zone, record.view.VM)
 	return response
