Scale source delays with the number of chunks and with exchange rounds

Cause: a chunk spreads no faster than the bitmaps that name it, and these are limited per second; at 1,024 chunks the next in rank took over before the chunk could be seen. Ruled out: more exchanges per second, which exceed the limit of control traffic.

--- a/lib/swarm/source.go
+++ b/lib/swarm/source.go
@@ -6,23 +6,29 @@
 )
 
 const (
-	// sourceWindow is the number of chunks that may be outstanding at the region's
+	// sourceWindowPart is the part of all chunks that may be outstanding at the region's
 	// source. It bounds concurrent fetches when the source is slower than planned.
-	sourceWindow = 64
+	sourceWindowPart = 1.0 / 4
 	// takeoverChunkTimes is the delay after which the next in rank may fetch a chunk.
 	takeoverChunkTimes = 24
-	// takeoverEvidence is the number of later chunks that must have appeared before the
-	// next in rank concludes that a fetcher failed. Without it, a slow source would be
-	// asked for each chunk by every rank.
-	takeoverEvidence = 48
-	// takeoverTail is the number of unseen chunks that counts as evidence as well, since
-	// the last chunks have no later ones.
-	takeoverTail = 8
+	// takeoverRounds is the shortest such delay in rounds of exchanges, since a chunk
+	// spreads no faster than the bitmaps that name it.
+	takeoverRounds = 3
+	// takeoverEvidencePart is the part of all chunks that must have appeared after a
+	// chunk before the next in rank concludes that its fetcher failed. Without it, a
+	// slow source would be asked for each chunk by every rank. A smaller part than 3/16
+	// is no evidence, since the chunks of a slow source arrive out of order.
+	takeoverEvidencePart = 3.0 / 16
+	// takeoverTailPart is the part of unseen chunks that counts as evidence as well,
+	// since the last chunks have no later ones.
+	takeoverTailPart = 1.0 / 32
 	// blindTakeoverChunkTimes replaces the evidence when it never comes.
 	blindTakeoverChunkTimes = 192
 	// starvedChunkTimes is the further delay after which a chunk that a peer offers may
 	// be fetched again, if it has not spread like the others.
 	starvedChunkTimes = 48
+	// starvedRounds is the shortest such delay in rounds of exchanges.
+	starvedRounds = 6
 	// starvedRatio is how many times more peers hold the average chunk than one that
 	// has not spread. Without faults, a chunk at that age is as common as the others.
 	starvedRatio = 4
@@ -110,7 +116,7 @@
 		return true
 	}
 	at := m.started + time.Duration(d.chunk)*m.cfg.SourceInterval
-	at += time.Duration(d.rank) * m.after(takeoverChunkTimes)
+	at += time.Duration(d.rank) * max(m.after(takeoverChunkTimes), m.rounds(takeoverRounds))
 	if now < at {
 		return false
 	}
@@ -119,15 +125,28 @@
 	}
 	seen, later := m.seen(d.chunk)
 	if d.rank == 0 {
-		return d.chunk <= seen+sourceWindow
+		return d.chunk <= seen+m.part(sourceWindowPart)
 	}
-	evidence := later >= takeoverEvidence || seen >= m.cfg.Chunks-takeoverTail
+	evidence := later >= m.part(takeoverEvidencePart) || seen >= m.cfg.Chunks-m.part(takeoverTailPart)
 	if !evidence && now < at+m.after(blindTakeoverChunkTimes)<<d.rank {
 		return false
 	}
 	return m.probeFetchers(now, d)
 }
 
+// part returns a part of all chunks, but at least a few.
+func (m *Machine) part(part float64) int {
+	const least = 4
+	return max(least, int(part*float64(m.cfg.Chunks)))
+}
+
+// rounds returns the time in which a VM exchanges bitmaps with each peer that it
+// selected a number of times.
+func (m *Machine) rounds(count int) time.Duration {
+	round := time.Second * time.Duration(m.cfg.Limits.Neighbors) / time.Duration(m.cfg.Limits.ExchangesPerSecond)
+	return time.Duration(count) * round
+}
+
 // seen returns the number of chunks that have reached this VM or its peers, and how
 // many of them come after a chunk.
 func (m *Machine) seen(chunk int) (total, later int) {
@@ -151,7 +170,7 @@
 		d.offered = true
 		d.offeredAt = now
 	}
-	if now < d.offeredAt+m.after(starvedChunkTimes) {
+	if now < d.offeredAt+max(m.after(starvedChunkTimes), m.rounds(starvedRounds)) {
 		return false
 	}
 	var total, seen int32
