Let a minority of a region take only its part of the source

Cause: a partitioned zone drew chunks as fast as all others together, so that each side got half of the store's link and the other zones became slower. Ruled out: slowing both sides in proportion, since the majority then leaves a third of the link unused.

--- a/lib/swarm/machine.go
+++ b/lib/swarm/machine.go
@@ -31,6 +31,9 @@
 	lastFetch FetchID
 	duties    []*duty
 
+	// mostLocal is the largest number of members of the region so far.
+	mostLocal int
+
 	sourceUntil    time.Duration
 	sourceFailures int
 
--- a/lib/swarm/source.go
+++ b/lib/swarm/source.go
@@ -34,6 +34,9 @@
 	starvedRatio = 4
 	// probeChunkTimes is the time given to a fetcher of lower rank to show its bitmap.
 	probeChunkTimes = 4
+	// maxSlowdown bounds the pause between chunks of a minority, so that the few VMs that
+	// survive a large failure still complete.
+	maxSlowdown = 4
 	// sourceBackoffChunkTimes is the first pause after a failure of the source.
 	sourceBackoffChunkTimes = 4
 	// maxSourceDoublings bounds that pause.
@@ -115,7 +118,7 @@
 	if m.baseline() {
 		return true
 	}
-	at := m.started + time.Duration(d.chunk)*m.cfg.SourceInterval
+	at := m.started + time.Duration(d.chunk)*m.sourceInterval()
 	at += time.Duration(d.rank) * max(m.after(takeoverChunkTimes), m.rounds(takeoverRounds))
 	if now < at {
 		return false
@@ -134,6 +137,18 @@
 	return m.probeFetchers(now, d)
 }
 
+// sourceInterval returns the time between chunks at the region's source. A minority of
+// the region's VMs, for example a partitioned zone, takes only its part of the source,
+// so that it does not slow the others down.
+func (m *Machine) sourceInterval() time.Duration {
+	local := len(m.plan.local[m.cfg.Self.Region])
+	if local == 0 || 2*local >= m.mostLocal {
+		return m.cfg.SourceInterval
+	}
+	part := min(float64(m.mostLocal)/float64(local), maxSlowdown)
+	return time.Duration(part * float64(m.cfg.SourceInterval))
+}
+
 // part returns a part of all chunks, but at least a few.
 func (m *Machine) part(part float64) int {
 	const least = 4
