Limit the requests that look for a free upload slot

Cause: a refused VM tried all its peers within milliseconds; after a zone is cut off or when many VMs join, all do so at the same time. Ruled out: longer pauses per peer, which do not bound the sum over peers.

--- a/lib/swarm/fetch.go
+++ b/lib/swarm/fetch.go
@@ -28,6 +28,11 @@
 	busyChunkTimes = 8
 	// maxBusyDoublings bounds the pause, which doubles with each refusal.
 	maxBusyDoublings = 1
+	// searchesPerChunkTime limits requests to peers other than those that have just sent
+	// a chunk.
+	searchesPerChunkTime = 2
+	// searchBurst is the number of such requests at once.
+	searchBurst = 4
 	// maxCopies is the number of concurrent fetches of one chunk.
 	maxCopies = 2
 )
@@ -253,13 +258,25 @@
 	if m.Complete() || m.paused || m.cfg.Policy == PolicyOriginOnly {
 		return
 	}
-	for m.peerFetches() < m.downloadLimit() {
+	m.refillSearches(now)
+	for m.searches >= 1 && m.peerFetches() < m.downloadLimit() {
+		m.searches--
 		if !m.startDuplicate(now) && !m.startPeerFetch(now, false) && !m.startPeerFetch(now, true) {
+			m.searches++
 			return
 		}
 	}
 }
 
+// refillSearches limits the requests that look for a free slot. Without a limit, VMs
+// that are refused try all their peers within milliseconds.
+func (m *Machine) refillSearches(now time.Duration) {
+	elapsed := now - m.searchesAt
+	m.searchesAt = now
+	m.searches += searchesPerChunkTime * float64(elapsed) / float64(m.cfg.ChunkTime)
+	m.searches = min(m.searches, searchBurst)
+}
+
 // usable reports whether a chunk may be requested from a peer of the region now.
 func (m *Machine) usable(now time.Duration, p *peer) bool {
 	if m.cfg.Policy == PolicyFixedTree {
--- a/lib/swarm/machine.go
+++ b/lib/swarm/machine.go
@@ -47,6 +47,9 @@
 	// otherUploads is the number of uploads of other versions on the same link.
 	otherUploads int
 
+	searches   float64
+	searchesAt time.Duration
+
 	tokens   float64
 	tokensAt time.Duration
 
@@ -66,17 +69,19 @@
 		return nil, err
 	}
 	m := &Machine{
-		cfg:       cfg,
-		rng:       rng,
-		plan:      cfg.Planner(nil),
-		held:      weights.NewBitmap(cfg.Chunks),
-		holders:   make([]int32, cfg.Chunks),
-		byVM:      make(map[string]*peer),
-		requested: weights.NewBitmap(cfg.Chunks),
-		offered:   make([]uint64, len(weights.NewBitmap(cfg.Chunks).Words())),
-		tokens:    float64(cfg.Limits.ExchangeBurst),
-		tokensAt:  now,
-		started:   now,
+		cfg:        cfg,
+		rng:        rng,
+		plan:       cfg.Planner(nil),
+		held:       weights.NewBitmap(cfg.Chunks),
+		holders:    make([]int32, cfg.Chunks),
+		byVM:       make(map[string]*peer),
+		requested:  weights.NewBitmap(cfg.Chunks),
+		offered:    make([]uint64, len(weights.NewBitmap(cfg.Chunks).Words())),
+		tokens:     float64(cfg.Limits.ExchangeBurst),
+		tokensAt:   now,
+		searches:   searchBurst,
+		searchesAt: now,
+		started:    now,
 	}
 	if cfg.Held.Len() > 0 {
 		m.held = cfg.Held.Clone()
