--- a/lib/swarm/config.go
+++ b/lib/swarm/config.go
@@ -53,7 +53,7 @@
 		UploadSlots:        3,
 		Downloads:          3,
 		SourceFetches:      1,
-		Neighbors:          10,
+		Neighbors:          12,
 		ExchangesPerSecond: 6,
 		ExchangeBurst:      2,
 	}
