Share the platform calls of the adapter with the histories

Cause: tests repeated the adapter's switch over platform calls and a heap. Conclusion: no change of behaviour.

--- a/lib/admission/simulation_test.go
+++ b/lib/admission/simulation_test.go
@@ -1,9 +1,9 @@
 package admission
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -12,10 +12,11 @@
 type simulation struct {
 	controller *Controller
 	now        time.Time
-	ends       endHeap
-	offers     map[string]offer
-	admitted   map[string]int
-	refused    map[string]int
+	// ends holds the ends of the running requests in order.
+	ends     []end
+	offers   map[string]offer
+	admitted map[string]int
+	refused  map[string]int
 	// useful counts the requests that finished before their deadlines.
 	useful        map[string]int
 	aboveLimit    int
@@ -35,19 +36,6 @@
 	id string
 }
 
-type endHeap []end
-
-func (h endHeap) Len() int           { return len(h) }
-func (h endHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
-func (h endHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *endHeap) Push(x any)        { *h = append(*h, x.(end)) }
-func (h *endHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func newSimulation(config Config) *simulation {
@@ -72,7 +60,9 @@
 		switch decision.Verdict {
 		case Admitted:
 			s.admitted[o.request.Workspace]++
-			heap.Push(&s.ends, end{s.now.Add(o.service), decision.ID})
+			e := end{s.now.Add(o.service), decision.ID}
+			index, _ := slices.BinarySearchFunc(s.ends, e, func(a, b end) int { return a.at.Compare(b.at) })
+			s.ends = slices.Insert(s.ends, index, e)
 			load := s.controller.Load()
 			if load.InFlight > load.Limit {
 				s.aboveLimit++
@@ -96,7 +86,9 @@
 			if s.ends[0].at.After(until) {
 				break
 			}
-			s.finish(heap.Pop(&s.ends).(end))
+			e := s.ends[0]
+			s.ends = s.ends[1:]
+			s.finish(e)
 			continue
 		}
 		if !expires || at.After(until) {
--- a/lib/journal/adapter.go
+++ b/lib/journal/adapter.go
@@ -289,7 +289,7 @@
 		case op == nil:
 			w.sleep(wake)
 		default:
-			result := w.perform(*op)
+			result := perform(w.journal.ctx, w.journal.options.Store, *op)
 			w.mu.Lock()
 			w.deliver(w.shard.Done(result, w.journal.options.Now()))
 			w.mu.Unlock()
@@ -312,9 +312,8 @@
 	}
 }
 
-func (w *worker) perform(op Op) Result {
-	store := w.journal.options.Store
-	ctx := w.journal.ctx
+// perform makes one platform call.
+func perform(ctx context.Context, store platform.Store, op Op) Result {
 	var result Result
 	switch op.Kind {
 	case OpGet:
--- a/lib/journal/history_test.go
+++ b/lib/journal/history_test.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"slices"
@@ -71,7 +72,7 @@
 	default:
 		if len(w.late) > 0 {
 			w.counts["late call"]++
-			apply(w.store, w.late[0])
+			perform(context.Background(), w.store, *w.late[0])
 			w.late = w.late[1:]
 		}
 	}
--- a/lib/journal/linear_test.go
+++ b/lib/journal/linear_test.go
@@ -39,25 +39,22 @@
 	Init: func() any { return keyState{} },
 	Step: func(state, input, _ any) (bool, any) {
 		s, op := state.(keyState), input.(keyOp)
+		next := s
 		switch op.kind {
 		case "granted":
-			ok := s.holder == 0 && !s.ran
-			s.holder = op.waiter
-			return ok, s
+			next.holder = op.waiter
+			return s.holder == 0 && !s.ran, next
 		case "not started":
-			ok := s.holder == op.waiter && !s.ran
-			s.holder = 0
-			return ok, s
+			next.holder = 0
+			return s.holder == op.waiter && !s.ran, next
 		case "run":
-			ok := s.holder == op.waiter && !s.ran
-			s.ran = true
-			return ok, s
+			next.ran = true
+			return s.holder == op.waiter && !s.ran, next
 		case "complete":
-			ok := s.holder == op.waiter && s.ran && s.answer == ""
-			s.answer = op.answer
-			return ok, s
+			next.answer = op.answer
+			return s.holder == op.waiter && s.ran && s.answer == "", next
 		default:
-			return s.answer != "" && s.answer == op.answer, s
+			return s.answer != "" && s.answer == op.answer, next
 		}
 	},
 }
--- a/lib/journal/world_test.go
+++ b/lib/journal/world_test.go
@@ -166,13 +166,13 @@
 	if r.Kind == Waiting {
 		return
 	}
-	var a *attempt
-	for _, candidate := range w.attempts {
-		if candidate.waiter == r.Waiter {
-			a = candidate
-		}
+	index := slices.IndexFunc(w.attempts, func(a *attempt) bool { return a.waiter == r.Waiter })
+	if index < 0 {
+		w.fail("reply %+v to an unknown call", r)
+		return
 	}
-	if a == nil || a.state != attemptWaiting || a.shard != p.shard {
+	a := w.attempts[index]
+	if a.state != attemptWaiting || a.shard != p.shard {
 		w.fail("reply %+v to a call that does not wait", r)
 		return
 	}
@@ -227,30 +227,12 @@
 }
 
 func (w *world) perform(p *process) {
-	result := apply(w.store, p.op)
+	result := perform(context.Background(), w.store, *p.op)
 	p.result = &result
 	w.log("%s: op %d on %s version %d: object version %d, %v",
 		p.name, p.op.Kind, p.op.Key, p.op.Version, result.Object.Version, result.Err)
 }
 
-func apply(store platform.Store, op *Op) Result {
-	var r Result
-	ctx := context.Background()
-	switch op.Kind {
-	case OpGet:
-		r.Object, r.Err = store.Get(ctx, op.Key)
-	case OpList:
-		r.Objects, _, r.Err = store.List(ctx, op.Key)
-	case OpCreate:
-		r.Object, r.Err = store.Create(ctx, op.Key, op.Value)
-	case OpUpdate:
-		r.Object, r.Err = store.Update(ctx, op.Key, op.Value, op.Version)
-	case OpDelete:
-		r.Err = store.Delete(ctx, op.Key, op.Version)
-	}
-	return r
-}
-
 // kill ends a process at any point and starts its successor on the same VM.
 func (w *world) kill(p *process) {
 	w.log("%s: killed", p.name)
