Test fair shares of workspaces with different service times

Cause: the test used one service time for both workspaces, so it could not tell a share of starts from a share of the endpoint's slots. Ruled out: a share of starts as the definition; ten-second requests of one workspace would then crowd out short ones of another with the same weight.

--- a/lib/admission/bounds_test.go
+++ b/lib/admission/bounds_test.go
@@ -97,21 +97,24 @@
 }
 
 // Guards against a workspace that loses requests because another one overloads the
-// endpoint, with equal and with different weights.
+// endpoint, with equal and different weights and service times. A share is a part of
+// the endpoint's slots over time.
 func TestFairShare(t *testing.T) {
-	for _, weight := range []int{1, 3} {
-		Convey(fmt.Sprintf("One workspace at 90%% of its share, weight %d, the other at 10 times its own", weight), t, func() {
+	for _, c := range []struct {
+		weight        int
+		inside, above time.Duration
+	}{{1, second / 10, second / 10}, {3, second / 10, second / 10}, {1, second / 10, second}, {1, second, second / 10}} {
+		Convey(fmt.Sprintf("One workspace at 90%% of its share, the other at 10 times its own: %+v", c), t, func() {
 			limits := testLimits
 			limits.ColdInFlight = limits.WarmInFlight
-			s := newSimulation(Config{Limits: limits, Workspaces: map[string]Workspace{"inside": {Weight: weight}}})
-			capacity := 160.0
-			share := capacity * float64(weight) / float64(weight+1)
+			s := newSimulation(Config{Limits: limits, Workspaces: map[string]Workspace{"inside": {Weight: c.weight}}})
+			share := float64(limits.WarmInFlight*c.weight) / float64(c.weight+1)
+			rest := float64(limits.WarmInFlight) - share
 			s.run(5, 60*second,
-				arrivals{"inside", 0.9 * share, 2 * second, second / 10},
-				arrivals{"above", 10 * (capacity - share), 2 * second, second / 10})
-			offered := s.admitted["inside"] + s.refused["inside"]
-			admitted := float64(s.admitted["inside"]) / float64(offered)
-			printf("weight %d: admitted inside the share %.2f%%, above it %d", weight, admitted*100, s.admitted["above"])
+				arrivals{"inside", 0.9 * share / c.inside.Seconds(), 20 * c.inside, c.inside},
+				arrivals{"above", 10 * rest / c.above.Seconds(), 20 * c.above, c.above})
+			admitted := float64(s.admitted["inside"]) / float64(s.admitted["inside"]+s.refused["inside"])
+			printf("%+v: admitted inside the share %.2f%%, above it %d", c, admitted*100, s.admitted["above"])
 			So(admitted, ShouldBeGreaterThanOrEqualTo, 0.99)
 			So(s.admitted["above"], ShouldBeGreaterThan, 0)
 		})
