Charge the round robin with the mean service time of a workspace

Cause: each request cost the same, so a workspace with long requests got more slot time than its weight allows. Ruled out: charging at the end of a request; a workspace of unknown cost would start many long requests first.

--- a/lib/admission/queue.go
+++ b/lib/admission/queue.go
@@ -49,8 +49,11 @@
 	name     string
 	entries  []*queued
 	inFlight int
-	deficit  int
-	settings Workspace
+	// deficit is the unused service time of past visits, in nanoseconds.
+	deficit float64
+	// serviceTime is the moving average of the workspace's service times.
+	serviceTime time.Duration
+	settings    Workspace
 }
 
 func (l *lane) weight() int { return min(max(1, l.settings.Weight), maxWeight) }
@@ -60,8 +63,10 @@
 }
 
 // fairQueue holds the waiting requests and serves workspaces by deficit round robin.
-// Each request costs the highest weight of the competing workspaces, and a visit adds
-// the workspace's own weight, so a large weight does not cause long bursts.
+// A request costs the mean service time of its workspace, so the shares are parts of
+// the endpoint's slots over time and not of the number of requests. A visit adds the
+// workspace's weight times a quantum that lets one workspace start one request in each
+// round, so a large weight does not cause long bursts.
 type fairQueue struct {
 	settings map[string]Workspace
 	lanes    map[string]*lane
@@ -69,6 +74,9 @@
 	ring     []*lane
 	length   int
 	sequence uint64
+	// serviceTime is the moving average over all workspaces. It stands in for a
+	// workspace whose own average is not known.
+	serviceTime time.Duration
 }
 
 func newFairQueue() fairQueue { return fairQueue{lanes: make(map[string]*lane)} }
@@ -167,11 +175,34 @@
 	return true
 }
 
+// observe adds the service time of a successful request.
+func (f *fairQueue) observe(workspace string, latency time.Duration) {
+	f.serviceTime = average(f.serviceTime, latency)
+	l := f.lane(workspace)
+	l.serviceTime = average(l.serviceTime, latency)
+}
+
+// average returns the moving average with a new sample.
+func average(mean, sample time.Duration) time.Duration {
+	if mean == 0 {
+		return sample
+	}
+	return mean + (sample-mean)>>serviceTimeShift
+}
+
+// cost returns what a request of the workspace is charged, in nanoseconds.
+func (f *fairQueue) cost(l *lane) float64 {
+	if l.serviceTime > 0 {
+		return float64(l.serviceTime)
+	}
+	return float64(max(f.serviceTime, time.Nanosecond))
+}
+
 // pop removes the next request by deficit round robin, or returns nil when no
 // workspace with queued requests may start one.
 func (f *fairQueue) pop() *queued {
-	cost := f.cost()
-	if cost == 0 {
+	quantum := f.quantum()
+	if quantum == 0 {
 		return nil
 	}
 	for {
@@ -180,7 +211,9 @@
 		if !l.belowMax() {
 			continue
 		}
-		l.deficit = min(l.deficit+l.weight(), 2*cost)
+		cost := f.cost(l)
+		credit := quantum * float64(l.weight())
+		l.deficit = min(l.deficit+credit, cost+credit)
 		if l.deficit >= cost {
 			l.deficit -= cost
 			return f.take(l, 0)
@@ -188,34 +221,40 @@
 	}
 }
 
-// cost returns the highest weight of the workspaces that may start a request.
-func (f *fairQueue) cost() int {
-	cost := 0
+// quantum returns the lowest cost per weight of the workspaces that may start a
+// request, or zero when there are none.
+func (f *fairQueue) quantum() float64 {
+	quantum := 0.0
 	for _, l := range f.ring {
-		if l.belowMax() {
-			cost = max(cost, l.weight())
+		if !l.belowMax() {
+			continue
+		}
+		if q := f.cost(l) / float64(l.weight()); quantum == 0 || q < quantum {
+			quantum = q
 		}
 	}
-	return cost
+	return quantum
 }
 
 // ahead estimates how many requests start before a new one: those of its own
 // workspace that precede it, and for each turn of the own workspace the others' turns.
 func (f *fairQueue) ahead(entry *queued) int {
-	own := f.settings[entry.request.Workspace]
-	weight := (&lane{settings: own}).weight()
+	own, ok := f.lanes[entry.request.Workspace]
+	if !ok {
+		own = &lane{settings: f.settings[entry.request.Workspace]}
+	}
 	before := 0
-	if l, ok := f.lanes[entry.request.Workspace]; ok {
-		for _, other := range l.entries {
-			if other.before(&queued{request: entry.request, sequence: f.sequence + 1}) < 0 {
-				before++
-			}
+	for _, other := range own.entries {
+		if other.before(&queued{request: entry.request, sequence: f.sequence + 1}) < 0 {
+			before++
 		}
 	}
 	ahead := before
+	used := float64(before+1) * f.cost(own) / float64(own.weight())
 	for _, l := range f.ring {
-		if l.name != entry.request.Workspace {
-			ahead += min(len(l.entries), (before+1)*l.weight()/weight+1)
+		if l != own {
+			turns := used * float64(l.weight()) / f.cost(l)
+			ahead += int(min(float64(len(l.entries)), turns+1))
 		}
 	}
 	return ahead
