Serve workspaces within their share of the slots first

Cause: while the service time of a workspace is unknown, its long requests could take the slots that another workspace's share covers. Ruled out: keeping slots free for workspaces that might need them; it wastes capacity whenever they do not.

--- a/lib/admission/admission.go
+++ b/lib/admission/admission.go
@@ -280,7 +280,7 @@
 func (c *Controller) startNext() []Decision {
 	var decisions []Decision
 	for c.hasSlot() {
-		entry := c.queue.pop()
+		entry := c.queue.pop(c.ramp.limit)
 		if entry == nil {
 			return decisions
 		}
--- a/lib/admission/queue.go
+++ b/lib/admission/queue.go
@@ -198,17 +198,23 @@
 	return float64(max(f.serviceTime, time.Nanosecond))
 }
 
-// pop removes the next request by deficit round robin, or returns nil when no
-// workspace with queued requests may start one.
-func (f *fairQueue) pop() *queued {
-	quantum := f.quantum()
+// pop removes the next request, or returns nil when no workspace with queued requests
+// may start one. Workspaces whose running requests are within their share of the limit
+// come before those above it; deficit round robin decides among equals.
+func (f *fairQueue) pop(limit int) *queued {
+	may := f.withinShare(limit)
+	quantum := f.quantum(may)
+	if quantum == 0 {
+		may = (*lane).belowMax
+		quantum = f.quantum(may)
+	}
 	if quantum == 0 {
 		return nil
 	}
 	for {
 		l := f.ring[0]
 		f.ring = append(f.ring[1:], l)
-		if !l.belowMax() {
+		if !may(l) {
 			continue
 		}
 		cost := f.cost(l)
@@ -221,12 +227,22 @@
 	}
 }
 
+// withinShare returns whether a workspace may start a request and stays within its
+// share of the limit among the workspaces with queued or running requests.
+func (f *fairQueue) withinShare(limit int) func(*lane) bool {
+	total := 0
+	for _, l := range f.lanes {
+		total += l.weight()
+	}
+	return func(l *lane) bool { return l.belowMax() && (l.inFlight+1)*total <= limit*l.weight() }
+}
+
 // quantum returns the lowest cost per weight of the workspaces that may start a
 // request, or zero when there are none.
-func (f *fairQueue) quantum() float64 {
+func (f *fairQueue) quantum(may func(*lane) bool) float64 {
 	quantum := 0.0
 	for _, l := range f.ring {
-		if !l.belowMax() {
+		if !may(l) {
 			continue
 		}
 		if q := f.cost(l) / float64(l.weight()); quantum == 0 || q < quantum {
