Charge each request the same again in the round robin

Cause: with workspaces inside their share of the slots served first, the charge by service time has no measured effect any more. Ruled out: keeping it for workspaces that are both above their share; no stated bound covers them, and it needs an average per workspace.

--- a/lib/admission/admission.go
+++ b/lib/admission/admission.go
@@ -133,11 +133,12 @@
 // Controller is the authority on what one endpoint runs. It is not safe for
 // concurrent use.
 type Controller struct {
-	config   Config
-	inFlight map[string]running
-	queue    fairQueue
-	ramp     ramp
-	leaving  bool
+	config      Config
+	inFlight    map[string]running
+	queue       fairQueue
+	ramp        ramp
+	leaving     bool
+	serviceTime time.Duration
 }
 
 // New returns the controller of an endpoint that has just started and is cold.
@@ -192,10 +193,10 @@
 		return nil
 	}
 	delete(c.inFlight, id)
+	c.queue.finished(run.workspace)
 	if result == Succeeded {
-		c.queue.observe(run.workspace, latency)
+		c.observeServiceTime(latency)
 	}
-	c.queue.finished(run.workspace)
 	c.ramp.finish(result, latency, now)
 	return c.Tick(now)
 }
@@ -261,7 +262,7 @@
 		Limit:       c.ramp.limit,
 		Cold:        c.ramp.cold(),
 		Leaving:     c.leaving,
-		ServiceTime: c.queue.serviceTime,
+		ServiceTime: c.serviceTime,
 	}
 }
 
@@ -339,18 +340,26 @@
 
 // hopeless removes and returns the queued requests that would miss their deadlines.
 func (c *Controller) hopeless(now time.Time) []*queued {
-	if len(c.inFlight) == 0 || c.queue.serviceTime == 0 {
+	if len(c.inFlight) == 0 || c.serviceTime == 0 {
 		return nil
 	}
 	return c.queue.removeWhere(func(entry *queued) bool {
 		deadline := entry.request.Deadline
-		return !deadline.IsZero() && now.Add(c.queue.serviceTime).After(deadline)
+		return !deadline.IsZero() && now.Add(c.serviceTime).After(deadline)
 	})
 }
 
 // drainTime estimates how long the endpoint takes to start n queued requests.
 func (c *Controller) drainTime(n int) time.Duration {
-	return c.queue.serviceTime * time.Duration(n) / time.Duration(max(1, c.ramp.limit))
+	return c.serviceTime * time.Duration(n) / time.Duration(max(1, c.ramp.limit))
+}
+
+func (c *Controller) observeServiceTime(latency time.Duration) {
+	if c.serviceTime == 0 {
+		c.serviceTime = latency
+		return
+	}
+	c.serviceTime += (latency - c.serviceTime) >> serviceTimeShift
 }
 
 func (c *Controller) refuse(request Request, reason string) Decision {
--- a/lib/admission/queue.go
+++ b/lib/admission/queue.go
@@ -49,11 +49,8 @@
 	name     string
 	entries  []*queued
 	inFlight int
-	// deficit is the unused service time of past visits, in nanoseconds.
-	deficit float64
-	// serviceTime is the moving average of the workspace's service times.
-	serviceTime time.Duration
-	settings    Workspace
+	deficit  int
+	settings Workspace
 }
 
 func (l *lane) weight() int { return min(max(1, l.settings.Weight), maxWeight) }
@@ -63,10 +60,8 @@
 }
 
 // fairQueue holds the waiting requests and serves workspaces by deficit round robin.
-// A request costs the mean service time of its workspace, so the shares are parts of
-// the endpoint's slots over time and not of the number of requests. A visit adds the
-// workspace's weight times a quantum that lets one workspace start one request in each
-// round, so a large weight does not cause long bursts.
+// Each request costs the highest weight of the competing workspaces, and a visit adds
+// the workspace's own weight, so a large weight does not cause long bursts.
 type fairQueue struct {
 	settings map[string]Workspace
 	lanes    map[string]*lane
@@ -74,9 +69,6 @@
 	ring     []*lane
 	length   int
 	sequence uint64
-	// serviceTime is the moving average over all workspaces. It stands in for a
-	// workspace whose own average is not known.
-	serviceTime time.Duration
 }
 
 func newFairQueue() fairQueue { return fairQueue{lanes: make(map[string]*lane)} }
@@ -175,40 +167,17 @@
 	return true
 }
 
-// observe adds the service time of a successful request.
-func (f *fairQueue) observe(workspace string, latency time.Duration) {
-	f.serviceTime = average(f.serviceTime, latency)
-	l := f.lane(workspace)
-	l.serviceTime = average(l.serviceTime, latency)
-}
-
-// average returns the moving average with a new sample.
-func average(mean, sample time.Duration) time.Duration {
-	if mean == 0 {
-		return sample
-	}
-	return mean + (sample-mean)>>serviceTimeShift
-}
-
-// cost returns what a request of the workspace is charged, in nanoseconds.
-func (f *fairQueue) cost(l *lane) float64 {
-	if l.serviceTime > 0 {
-		return float64(l.serviceTime)
-	}
-	return float64(max(f.serviceTime, time.Nanosecond))
-}
-
 // pop removes the next request, or returns nil when no workspace with queued requests
 // may start one. Workspaces whose running requests are within their share of the limit
 // come before those above it; deficit round robin decides among equals.
 func (f *fairQueue) pop(limit int) *queued {
 	may := f.withinShare(limit)
-	quantum := f.quantum(may)
-	if quantum == 0 {
+	cost := f.cost(may)
+	if cost == 0 {
 		may = (*lane).belowMax
-		quantum = f.quantum(may)
+		cost = f.cost(may)
 	}
-	if quantum == 0 {
+	if cost == 0 {
 		return nil
 	}
 	for {
@@ -217,9 +186,7 @@
 		if !may(l) {
 			continue
 		}
-		cost := f.cost(l)
-		credit := quantum * float64(l.weight())
-		l.deficit = min(l.deficit+credit, cost+credit)
+		l.deficit = min(l.deficit+l.weight(), 2*cost)
 		if l.deficit >= cost {
 			l.deficit -= cost
 			return f.take(l, 0)
@@ -237,19 +204,16 @@
 	return func(l *lane) bool { return l.belowMax() && (l.inFlight+1)*total <= limit*l.weight() }
 }
 
-// quantum returns the lowest cost per weight of the workspaces that may start a
-// request, or zero when there are none.
-func (f *fairQueue) quantum(may func(*lane) bool) float64 {
-	quantum := 0.0
+// cost returns the highest weight of the workspaces that may start a request, or zero
+// when there are none.
+func (f *fairQueue) cost(may func(*lane) bool) int {
+	cost := 0
 	for _, l := range f.ring {
-		if !may(l) {
-			continue
-		}
-		if q := f.cost(l) / float64(l.weight()); quantum == 0 || q < quantum {
-			quantum = q
+		if may(l) {
+			cost = max(cost, l.weight())
 		}
 	}
-	return quantum
+	return cost
 }
 
 // ahead estimates how many requests start before a new one: those of its own
@@ -266,11 +230,9 @@
 		}
 	}
 	ahead := before
-	used := float64(before+1) * f.cost(own) / float64(own.weight())
 	for _, l := range f.ring {
 		if l != own {
-			turns := used * float64(l.weight()) / f.cost(l)
-			ahead += int(min(float64(len(l.entries)), turns+1))
+			ahead += min(len(l.entries), (before+1)*l.weight()/own.weight()+1)
 		}
 	}
 	return ahead
