--- a/lib/admission/model_test.go
+++ b/lib/admission/model_test.go
@@ -82,6 +82,9 @@
 
 func (m *model) admit(request Request) {
 	for _, other := range m.waiting {
+		if !m.within(request.Workspace) && m.within(other.Workspace) {
+			m.t.Fatalf("%v above its share started before %v within its share", request, other)
+		}
 		if other.Workspace == request.Workspace && preferred(other, request) {
 			m.t.Fatalf("%v started before %v of the same workspace", request, other)
 		}
@@ -101,6 +104,19 @@
 	m.running[request.ID] = request
 }
 
+// within reports whether the workspace may start a request inside its share of the limit.
+func (m *model) within(workspace string) bool {
+	total := 0
+	for _, name := range []string{"a", "b", "c"} {
+		if count(m.waiting, name)+count(m.running, name) > 0 || name == workspace {
+			total += m.weight(name)
+		}
+	}
+	n := m.inFlight(workspace)
+	limit := m.config.Workspaces[workspace].MaxInFlight
+	return (limit == 0 || n < limit) && (n+1)*total <= m.c.Load().Limit*m.weight(workspace)
+}
+
 // preferred reports whether a must start before b. Equal ones start in any order.
 func preferred(a, b Request) bool {
 	if a.Priority != b.Priority {
