--- a/lib/journal/bounds_test.go
+++ b/lib/journal/bounds_test.go
@@ -28,6 +28,17 @@
 	return a
 }
 
+// endGranted ends all granted attempts and forgets those that are over.
+func (w *world) endGranted(end func(*attempt)) {
+	for _, a := range w.attempts {
+		if a.state == attemptGranted {
+			end(a)
+			a.state = attemptOver
+		}
+	}
+	w.attempts = slices.DeleteFunc(w.attempts, func(a *attempt) bool { return a.state == attemptOver })
+}
+
 func (w *world) writes() int64 {
 	calls := w.store.Calls()
 	return calls["create"] + calls["update"] + calls["delete"]
@@ -49,13 +60,9 @@
 				for range 6 {
 					w.step(p)
 				}
-				for _, a := range w.attempts {
-					if a.state == attemptGranted {
-						a.state = attemptOver
-						p.shard.Complete(w.key(a.key), a.number, Answer{Status: 200}, w.now)
-					}
-				}
-				w.attempts = slices.DeleteFunc(w.attempts, func(a *attempt) bool { return a.state == attemptOver })
+				w.endGranted(func(a *attempt) {
+					p.shard.Complete(w.key(a.key), a.number, Answer{Status: 200}, w.now)
+				})
 			}
 			writes := w.writes() - before
 			allowed := int64(w.now.Sub(start)/commitInterval) + 1
@@ -95,13 +102,7 @@
 				w.begin(p, &keyModel{name: fmt.Sprint(i%7, j)}, "a")
 			}
 			w.rest(restStep)
-			for _, a := range w.attempts {
-				if a.state == attemptGranted {
-					p.shard.NotStarted(w.key(a.key), a.number, w.now)
-					a.state = attemptOver
-				}
-			}
-			w.attempts = slices.DeleteFunc(w.attempts, func(a *attempt) bool { return a.state == attemptOver })
+			w.endGranted(func(a *attempt) { p.shard.NotStarted(w.key(a.key), a.number, w.now) })
 			w.trace = nil
 			w.rest(restStep)
 		}
@@ -199,7 +200,7 @@
 		w.kill(w.processes[0])
 		w.take(w.processes[1])
 		w.begin(w.processes[1], k, "a")
-		So(w.counts["reply 2 "], ShouldEqual, 2)
+		So(w.counts["reply replayed"], ShouldEqual, 2)
 		So(w.failed, ShouldEqual, "")
 	})
 }
--- a/lib/journal/history_test.go
+++ b/lib/journal/history_test.go
@@ -42,17 +42,11 @@
 	case n < 740:
 		w.now = w.now.Add(time.Duration(w.random.IntN(10_000)) * time.Millisecond)
 	case n < 820:
-		if a := w.pick(attemptGranted); a != nil {
-			w.run(a)
-		}
+		w.any(attemptGranted, w.run)
 	case n < 880:
-		if a := w.pick(attemptRunning); a != nil {
-			w.finish(a)
-		}
+		w.any(attemptRunning, w.finish)
 	case n < 895:
-		if a := w.pick(attemptWaiting); a != nil {
-			w.leave(a)
-		}
+		w.any(attemptWaiting, w.leave)
 	case n < 910:
 		w.kill(p)
 	case n < 925:
@@ -120,13 +114,9 @@
 		if p.shard.Released() {
 			w.kill(p)
 		}
-		if a := w.pick(attemptGranted); a != nil {
-			w.run(a)
-		}
-		if a := w.pick(attemptRunning); a != nil {
-			w.finish(a)
-		}
-		if fresh.runs > 0 && w.pick(attemptWaiting) == nil {
+		w.any(attemptGranted, w.run)
+		w.any(attemptRunning, w.finish)
+		if fresh.runs > 0 && !w.any(attemptWaiting, func(*attempt) {}) {
 			return
 		}
 		if fresh.runs == 0 && i%40 == 0 {
--- a/lib/journal/world_test.go
+++ b/lib/journal/world_test.go
@@ -177,14 +177,15 @@
 		return
 	}
 	a.state = attemptOver
-	w.counts[fmt.Sprint("reply ", r.Kind, " ", kindOf(r))]++
 	switch r.Kind {
 	case Granted:
+		w.counts["reply granted"]++
 		a.state = attemptGranted
 		a.number = r.Attempt
 		w.record(a, "granted", "", a.called)
 		w.log("%s: call %d granted", p.name, a.waiter)
 	case Replayed:
+		w.counts["reply replayed"]++
 		w.record(a, "replayed", string(r.Replay.Body), a.called)
 		w.log("%s: call %d gets %q", p.name, a.waiter, r.Replay.Body)
 		if a.key.answer == "" || string(r.Replay.Body) != a.key.answer {
@@ -194,6 +195,7 @@
 			w.fail("replay to body %s, the request that ran had %s", a.body, a.key.body)
 		}
 	default:
+		w.counts["reply "+string(r.Err.Kind)]++
 		w.log("%s: call %d refused: %v", p.name, a.waiter, r.Err)
 		if r.Err.Kind == errkind.NotRun && r.Err.RetryAfter <= 0 {
 			w.fail("not run without a time to retry")
@@ -201,13 +203,6 @@
 	}
 }
 
-func kindOf(r Reply) errkind.Kind {
-	if r.Err == nil {
-		return ""
-	}
-	return r.Err.Kind
-}
-
 // step moves one process: it issues, performs or finishes a platform call.
 func (w *world) step(p *process) {
 	switch {
@@ -406,7 +401,8 @@
 	w.begin(p, k, body)
 }
 
-func (w *world) pick(state attemptState) *attempt {
+// any applies an action to a random attempt of a state in a process that is not paused.
+func (w *world) any(state attemptState, action func(*attempt)) bool {
 	var found []*attempt
 	for _, a := range w.attempts {
 		if a.state == state && !w.paused(a.process) {
@@ -414,7 +410,8 @@
 		}
 	}
 	if len(found) == 0 {
-		return nil
+		return false
 	}
-	return found[w.random.IntN(len(found))]
+	action(found[w.random.IntN(len(found))])
+	return true
 }
