--- a/lib/admission/queue.go
+++ b/lib/admission/queue.go
@@ -167,17 +167,23 @@
 	return true
 }
 
-// pop removes the next request by deficit round robin, or returns nil when no
-// workspace with queued requests may start one.
-func (f *fairQueue) pop() *queued {
-	cost := f.cost()
+// pop removes the next request, or returns nil when no workspace with queued requests
+// may start one. Workspaces whose running requests are within their share of the limit
+// come before those above it; deficit round robin decides among equals.
+func (f *fairQueue) pop(limit int) *queued {
+	may := f.withinShare(limit)
+	cost := f.cost(may)
+	if cost == 0 {
+		may = (*lane).belowMax
+		cost = f.cost(may)
+	}
 	if cost == 0 {
 		return nil
 	}
 	for {
 		l := f.ring[0]
 		f.ring = append(f.ring[1:], l)
-		if !l.belowMax() {
+		if !may(l) {
 			continue
 		}
 		l.deficit = min(l.deficit+l.weight(), 2*cost)
@@ -188,11 +194,22 @@
 	}
 }
 
-// cost returns the highest weight of the workspaces that may start a request.
-func (f *fairQueue) cost() int {
+// withinShare returns whether a workspace may start a request and stays within its
+// share of the limit among the workspaces with queued or running requests.
+func (f *fairQueue) withinShare(limit int) func(*lane) bool {
+	total := 0
+	for _, l := range f.lanes {
+		total += l.weight()
+	}
+	return func(l *lane) bool { return l.belowMax() && (l.inFlight+1)*total <= limit*l.weight() }
+}
+
+// cost returns the highest weight of the workspaces that may start a request, or zero
+// when there are none.
+func (f *fairQueue) cost(may func(*lane) bool) int {
 	cost := 0
 	for _, l := range f.ring {
-		if l.belowMax() {
+		if may(l) {
 			cost = max(cost, l.weight())
 		}
 	}
@@ -202,20 +219,20 @@
 // ahead estimates how many requests start before a new one: those of its own
 // workspace that precede it, and for each turn of the own workspace the others' turns.
 func (f *fairQueue) ahead(entry *queued) int {
-	own := f.settings[entry.request.Workspace]
-	weight := (&lane{settings: own}).weight()
+	own, ok := f.lanes[entry.request.Workspace]
+	if !ok {
+		own = &lane{settings: f.settings[entry.request.Workspace]}
+	}
 	before := 0
-	if l, ok := f.lanes[entry.request.Workspace]; ok {
-		for _, other := range l.entries {
-			if other.before(&queued{request: entry.request, sequence: f.sequence + 1}) < 0 {
-				before++
-			}
+	for _, other := range own.entries {
+		if other.before(&queued{request: entry.request, sequence: f.sequence + 1}) < 0 {
+			before++
 		}
 	}
 	ahead := before
 	for _, l := range f.ring {
-		if l.name != entry.request.Workspace {
-			ahead += min(len(l.entries), (before+1)*l.weight()/weight+1)
+		if l != own {
+			ahead += min(len(l.entries), (before+1)*l.weight()/own.weight()+1)
 		}
 	}
 	return ahead
--- a/lib/journal/world_test.go
+++ b/lib/journal/world_test.go
@@ -166,25 +166,26 @@
 	if r.Kind == Waiting {
 		return
 	}
-	var a *attempt
-	for _, candidate := range w.attempts {
-		if candidate.waiter == r.Waiter {
-			a = candidate
-		}
+	index := slices.IndexFunc(w.attempts, func(a *attempt) bool { return a.waiter == r.Waiter })
+	if index < 0 {
+		w.fail("reply %+v to an unknown call", r)
+		return
 	}
-	if a == nil || a.state != attemptWaiting || a.shard != p.shard {
+	a := w.attempts[index]
+	if a.state != attemptWaiting || a.shard != p.shard {
 		w.fail("reply %+v to a call that does not wait", r)
 		return
 	}
 	a.state = attemptOver
-	w.counts[fmt.Sprint("reply ", r.Kind, " ", kindOf(r))]++
 	switch r.Kind {
 	case Granted:
+		w.counts["reply granted"]++
 		a.state = attemptGranted
 		a.number = r.Attempt
 		w.record(a, "granted", "", a.called)
 		w.log("%s: call %d granted", p.name, a.waiter)
 	case Replayed:
+		w.counts["reply replayed"]++
 		w.record(a, "replayed", string(r.Replay.Body), a.called)
 		w.log("%s: call %d gets %q", p.name, a.waiter, r.Replay.Body)
 		if a.key.answer == "" || string(r.Replay.Body) != a.key.answer {
@@ -194,6 +195,7 @@
 			w.fail("replay to body %s, the request that ran had %s", a.body, a.key.body)
 		}
 	default:
+		w.counts["reply "+string(r.Err.Kind)]++
 		w.log("%s: call %d refused: %v", p.name, a.waiter, r.Err)
 		if r.Err.Kind == errkind.NotRun && r.Err.RetryAfter <= 0 {
 			w.fail("not run without a time to retry")
@@ -201,13 +203,6 @@
 	}
 }
 
-func kindOf(r Reply) errkind.Kind {
-	if r.Err == nil {
-		return ""
-	}
-	return r.Err.Kind
-}
-
 // step moves one process: it issues, performs or finishes a platform call.
 func (w *world) step(p *process) {
 	switch {
@@ -227,30 +222,12 @@
 }
 
 func (w *world) perform(p *process) {
-	result := apply(w.store, p.op)
+	result := perform(context.Background(), w.store, *p.op)
 	p.result = &result
 	w.log("%s: op %d on %s version %d: object version %d, %v",
 		p.name, p.op.Kind, p.op.Key, p.op.Version, result.Object.Version, result.Err)
 }
 
-func apply(store platform.Store, op *Op) Result {
-	var r Result
-	ctx := context.Background()
-	switch op.Kind {
-	case OpGet:
-		r.Object, r.Err = store.Get(ctx, op.Key)
-	case OpList:
-		r.Objects, _, r.Err = store.List(ctx, op.Key)
-	case OpCreate:
-		r.Object, r.Err = store.Create(ctx, op.Key, op.Value)
-	case OpUpdate:
-		r.Object, r.Err = store.Update(ctx, op.Key, op.Value, op.Version)
-	case OpDelete:
-		r.Err = store.Delete(ctx, op.Key, op.Version)
-	}
-	return r
-}
-
 // kill ends a process at any point and starts its successor on the same VM.
 func (w *world) kill(p *process) {
 	w.log("%s: killed", p.name)
@@ -424,7 +401,8 @@
 	w.begin(p, k, body)
 }
 
-func (w *world) pick(state attemptState) *attempt {
+// any applies an action to a random attempt of a state in a process that is not paused.
+func (w *world) any(state attemptState, action func(*attempt)) bool {
 	var found []*attempt
 	for _, a := range w.attempts {
 		if a.state == state && !w.paused(a.process) {
@@ -432,7 +410,8 @@
 		}
 	}
 	if len(found) == 0 {
-		return nil
+		return false
 	}
-	return found[w.random.IntN(len(found))]
+	action(found[w.random.IntN(len(found))])
+	return true
 }
