--- a/lib/configsync/scenario_test.go
+++ b/lib/configsync/scenario_test.go
@@ -131,3 +131,38 @@
 		So(behind(s, generation, "a", "b", "c"), ShouldEqual, 0)
 	})
 }
+
+// Guards against placements that change between configuration generations and do not
+// reach all processes, or that go back.
+func TestPlacements(t *testing.T) {
+	Convey("The newest placement reaches every process and never goes back", t, func() {
+		s := smallFleet(26)
+		place := func(fencing, generation uint64) {
+			assignments := []*pb.Assignment{{Vm: "10.0.1.0", VersionDigest: "d"}}
+			s.Platform.Place(&pb.Placement{Model: "model-0", Fencing: fencing, Generation: generation, Assignments: assignments})
+		}
+		missing := func(entries bool, fencing, generation uint64) int {
+			count := 0
+			for _, node := range s.Nodes {
+				held := node.Sync.Current().GetPlacements()
+				ok := len(held) == 1 && held[0].GetFencing() == fencing && held[0].GetGeneration() == generation && len(held[0].GetAssignments()) == 1
+				if !ok && node.Entry == entries {
+					count++
+				}
+			}
+			return count
+		}
+		place(1, 1)
+		s.Run(spreadBound)
+		So(missing(true, 1, 1), ShouldEqual, 0)
+		s.Run(time.Minute)
+		So(missing(false, 1, 1), ShouldEqual, 0)
+		place(2, 1)
+		s.Run(time.Minute)
+		place(1, 9)
+		s.Platform.Apply(1)
+		s.Run(time.Minute)
+		So(missing(true, 2, 1), ShouldEqual, 0)
+		So(missing(false, 2, 1), ShouldEqual, 0)
+	})
+}
