Take an entry for dead after eight failed exchanges

Cause: at 5% loss, four exchanges with a silent entry of the own zone failed in a row once in a virtual hour. Ruled out: longer silence before the exchanges, which delays every detection.

--- a/lib/membership/entries.go
+++ b/lib/membership/entries.go
@@ -25,10 +25,9 @@
 	// remoteEntrySilence is the same for entries of other zones, which are many and are
 	// heard of seldom. A failed exchange makes them suspect at once instead.
 	remoteEntrySilence = 10 * time.Minute
-	// zoneFailures and remoteFailures are the numbers of consecutive failed exchanges after
-	// which a suspect entry is dead. Silence precedes the exchanges only in the own zone.
-	zoneFailures   = 4
-	remoteFailures = 8
+	// entryFailures is the number of consecutive failed exchanges after which a suspect
+	// entry is dead. Four gave a false death within an hour at 5% loss.
+	entryFailures = 8
 	// deadEntryRetry separates attempts to reach an entry that is dead.
 	deadEntryRetry = 10 * time.Second
 	// maxEntries bounds the table of entries.
@@ -148,14 +147,10 @@
 		return
 	}
 	record.failures++
-	limit := zoneFailures
-	if record.view.Zone != e.self.Zone {
-		limit = remoteFailures
-		if record.view.State == Alive {
-			record.view.State = Suspect
-		}
+	if record.view.Zone != e.self.Zone && record.view.State == Alive {
+		record.view.State = Suspect
 	}
-	if record.view.State == Suspect && record.failures >= limit {
+	if record.view.State == Suspect && record.failures >= entryFailures {
 		record.view.State = Dead
 		e.changed(vm)
 		e.emit(EntryDead, vm, now-record.advanced)
