Ask the fetchers of the home region in turn

Cause: a gateway asked only the first trusted fetcher, which never answers while its link is stalled. Ruled out: asking all of them at once, four times the messages.

--- a/lib/swarm/doc.go
+++ b/lib/swarm/doc.go
@@ -37,6 +37,10 @@
 //		}
 //	}
 //
+// A VM that receives or serves several versions drives a Coordinator in the same way.
+// It withdraws an older version when a newer one of the same model starts, and shares
+// the VM's slots between models.
+//
 // The handler of Exchange sends BitmapReceived and answers with Machine.Held. The
 // clock is any monotonic duration that is the same for all calls.
 package swarm
--- a/lib/swarm/machine.go
+++ b/lib/swarm/machine.go
@@ -129,7 +129,7 @@
 func (m *Machine) handle(now time.Duration, event Event) {
 	switch e := event.(type) {
 	case MembersChanged:
-		m.handleMembers(now, e.Members)
+		m.handleMembers(e.Members)
 	case BitmapReceived:
 		m.handleBitmap(now, e)
 	case BitmapFailed:
--- a/lib/swarm/peer.go
+++ b/lib/swarm/peer.go
@@ -95,7 +95,7 @@
 }
 
 // handleMembers adds and removes peers and computes the plan for the new members.
-func (m *Machine) handleMembers(now time.Duration, members []Member) {
+func (m *Machine) handleMembers(members []Member) {
 	m.plan = m.cfg.Planner(members)
 	m.mostLocal = max(m.mostLocal, len(m.plan.local[m.cfg.Self.Region]))
 	kept := m.peers[:0]
@@ -118,7 +118,7 @@
 		}
 	}
 	m.selectNeighbors()
-	m.assignDuties(now)
+	m.assignDuties()
 }
 
 func (m *Machine) dropPeer(p *peer) {
--- a/lib/swarm/source.go
+++ b/lib/swarm/source.go
@@ -48,6 +48,8 @@
 	chunk  int
 	rank   int
 	probed bool
+	// asked counts the questions to fetchers of the home region.
+	asked int
 	// probedAt is the time of the last question to other fetchers.
 	probedAt time.Duration
 	// offered is set once a peer has offered the chunk, at offeredAt.
@@ -58,7 +60,7 @@
 func (m *Machine) home() bool { return m.plan.Home() == m.cfg.Self.Region }
 
 // assignDuties lists the chunks that this VM fetches from the region's source.
-func (m *Machine) assignDuties(_ time.Duration) {
+func (m *Machine) assignDuties() {
 	m.duties = nil
 	for chunk := range m.cfg.Chunks {
 		rank := -1
@@ -232,8 +234,12 @@
 		return
 	}
 	d.probedAt = now
-	for _, vm := range m.plan.Fetchers(m.plan.Home(), d.chunk) {
-		if p := m.byVM[vm]; p != nil && p.trusted(now) {
+	// The fetchers are asked in turn, since one that is stalled does not answer.
+	fetchers := m.plan.Fetchers(m.plan.Home(), d.chunk)
+	for range fetchers {
+		p := m.byVM[fetchers[d.asked%len(fetchers)]]
+		d.asked++
+		if p != nil && p.trusted(now) {
 			m.exchange(now, p)
 			return
 		}
