--- a/lib/swarm/linkfake/scenarios.go
+++ b/lib/swarm/linkfake/scenarios.go
@@ -68,10 +68,11 @@
 func Mixed(vms int) Scenario {
 	const bursts = 8
 	s := Scenario{Name: "mixed-faults", Seed: Seed, Regions: zoned(vms), Corrupt: 0.01}
+	dying := (vms*5 + 99) / 100
 	for i := range bursts {
 		at := 0.15 + 0.1*float64(i)
 		s.Faults = append(s.Faults, Fault{At: at, Do: func(r *Run) {
-			for _, v := range r.Pick(vms * 5 / 100 / bursts) {
+			for _, v := range r.Pick(dying*(i+1)/bursts - dying*i/bursts) {
 				r.Kill(v)
 			}
 			r.AnnounceMembers()
