--- a/lib/journal/journal.go
+++ b/lib/journal/journal.go
@@ -12,8 +12,11 @@
 // Another process waits longer than that before it takes a shard, but it cannot
 // detect a restore that hides writes of the last second while a takeover is under
 // way, nor one after which the owner is cut off from the platform for longer than
-// that wait. The number of shards of a service must not change within keyRetention,
-// because a key's records stay in the shard that it hashed to.
+// that wait. When the owner dies before it has written its records back, the head may
+// name a segment that is missing; the shard then refuses all new keys, because running
+// them could repeat requests of the lost segment. The number of shards of a service
+// must not change within keyRetention, because a key's records stay in the shard that
+// it hashed to.
 package journal
 
 import (
