Measure the control and data cost of real processes

Cause: docs/design.md limits what control may use on a node, and the figures known so far come from the decision code in virtual time. Nothing showed what real processes need.

cmd/capacitybench starts real processes, plays their peers and fits slopes. rpc.Pool.UseDialer lets it count bytes below TLS; fleet.Process.AddArgs adds seeds that the fleet does not start.

Ruled out: measuring after a warm-up of 3 s to 6 s. Joins are spread over 10 s, so a trial saw 203 instead of 400 reports/s from 200 endpoint processes. Eight concurrent streams, too: they exceed the cold limit of one engine, and most of them are refused with not_run, as intended.

--- /dev/null
+++ b/cmd/capacitybench/main.go
@@ -0,0 +1,140 @@
+// Command capacitybench measures the processor time, memory and bytes that real
+// laburnumgw processes need, and fits slopes to them. Its figures depend on the
+// machine and belong into docs/CAPACITY.md, not into checks.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"laburnumgw/fleet"
+)
+
+type options struct {
+	Bin     string        `long:"bin" default:"bin" description:"directory of the programs"`
+	Parts   []string      `long:"part" description:"baseline, entry, peers, endpoint, requests, streams or apply; repeat for several, all when missing"`
+	Warm    time.Duration `long:"warm" default:"10s" description:"warm-up before each measurement"`
+	Period  time.Duration `long:"period" default:"20s" description:"length of the measurement of an entry"`
+	Short   time.Duration `long:"short" default:"10s" description:"length of the other measurements"`
+	Timeout time.Duration `long:"timeout" default:"6m" description:"time after which the bench gives up"`
+}
+
+// bench runs the parts in one working directory.
+type bench struct {
+	options
+	out io.Writer
+	dir string
+}
+
+const (
+	model   = "rota"
+	service = "bookings"
+)
+
+var zones = []fleet.Zone{{Name: "a", Region: "north"}, {Name: "b", Region: "north"}, {Name: "c", Region: "south"}}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
+	defer cancel()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "capacitybench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, o options) error {
+	dir, err := os.MkdirTemp("", "capacitybench-")
+	if err != nil {
+		return fmt.Errorf("create working directory: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	b := &bench{options: o, out: os.Stdout, dir: dir}
+	parts := []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"baseline", b.baseline}, {"entry", b.entryCost}, {"peers", b.peerCost}, {"endpoint", b.endpointCost},
+		{"requests", b.requestCost}, {"streams", b.streamCost}, {"apply", b.applyTime},
+	}
+	for _, part := range parts {
+		if len(o.Parts) > 0 && !slices.Contains(o.Parts, part.name) {
+			continue
+		}
+		started := time.Now()
+		if err := part.run(ctx); err != nil {
+			return fmt.Errorf("part %s: %w", part.name, err)
+		}
+		fmt.Fprintf(b.out, "  run time %s\n\n", time.Since(started).Round(time.Second))
+	}
+	return nil
+}
+
+// start starts a fleet and waits until its platform answers.
+func (b *bench) start(ctx context.Context, name string, o fleet.Options) (*fleet.Fleet, error) {
+	o.Bin = b.Bin
+	o.Dir = filepath.Join(b.dir, name)
+	o.Zones = zones
+	o.Model = model
+	o.Service = service
+	o.OriginBytes = 500e6
+	o.WeightsMemoryMB = 64
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		return nil, fmt.Errorf("create folder: %w", err)
+	}
+	f, err := fleet.Start(o)
+	if err != nil {
+		return nil, err
+	}
+	var calls map[string]int64
+	return f, fleet.Until(ctx, "platform answers", func() bool {
+		return fleet.JSON(ctx, f.Platform.HTTP+"/admin/calls", &calls) == nil
+	})
+}
+
+// configure writes a configuration folder and applies it.
+func (b *bench) configure(ctx context.Context, f *fleet.Fleet, name string, weight int, models bool) error {
+	dir := filepath.Join(b.dir, name, "config")
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return fmt.Errorf("create folder: %w", err)
+	}
+	files := map[string]string{
+		"10-zones.yaml":      "zones:\n  a: {region: north}\n  b: {region: north}\n  c: {region: south}\n",
+		"20-workspaces.yaml": fmt.Sprintf("workspaces:\n  demo: {weight: %d}\n", weight),
+		"40-services.yaml":   "services:\n  bookings: {path: /bookings, idempotent: [GET]}\n",
+		"50-limits.yaml":     "limits: {cold_in_flight: 4, warm_in_flight: 32, ramp: 1s}\n",
+	}
+	if models {
+		files["30-models.yaml"] = "models:\n  rota: {version: v1, all: true}\n"
+	}
+	for file, content := range files {
+		if err := os.WriteFile(filepath.Join(dir, file), []byte(content), 0o600); err != nil {
+			return fmt.Errorf("write configuration: %w", err)
+		}
+	}
+	return f.Ctl(ctx, io.Discard, "config", "apply", dir)
+}
+
+// sleep waits unless the context ends first.
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
--- /dev/null
+++ b/cmd/capacitybench/play.go
@@ -0,0 +1,307 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/configsync/driver"
+	"laburnumgw/lib/membership"
+	"laburnumgw/lib/mtls"
+	"laburnumgw/lib/rpc"
+)
+
+const (
+	keyLifetime = time.Hour
+	minTick     = 10 * time.Millisecond
+)
+
+// stage holds the processes that the bench plays.
+type stage struct {
+	dir       string
+	authority *mtls.Authority
+	meter     *meter
+	// source is the configuration that played entries hand out.
+	source *driver.Driver
+	// colleagues are the played entries by VM; they gossip without a connection, so
+	// that only the measured process's traffic counts.
+	mu         sync.Mutex
+	colleagues map[string]*playedEntry
+	stops      []func()
+}
+
+func newStage(dir string) (*stage, error) {
+	authority, err := mtls.LoadAuthority(dir)
+	if err != nil {
+		return nil, err
+	}
+	return &stage{dir: dir, authority: authority, meter: new(meter), colleagues: make(map[string]*playedEntry)}, nil
+}
+
+func (s *stage) close() {
+	for _, stop := range s.stops {
+		stop()
+	}
+}
+
+// identity issues a certificate and opens a listener for a played process.
+func (s *stage) identity(role mtls.Role, vm, zone string) (*mtls.Keys, net.Listener, error) {
+	pair, err := s.authority.Issue(mtls.Identity{Role: role, Zone: zone, VM: vm}, time.Now(), keyLifetime)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := pair.Save(s.dir, vm); err != nil {
+		return nil, nil, err
+	}
+	path := filepath.Join(s.dir, vm)
+	keys, err := mtls.LoadKeys(mtls.Files{Cert: path + ".crt", Key: path + ".key", CA: filepath.Join(s.dir, mtls.AuthorityCertFile)})
+	if err != nil {
+		return nil, nil, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, fmt.Errorf("listen: %w", err)
+	}
+	return keys, &meteredListener{Listener: listener, meter: s.meter}, nil
+}
+
+// serve runs the Node service of a played process until the stage closes.
+func (s *stage) serve(ctx context.Context, keys *mtls.Keys, listener net.Listener, node laburnumgwv1.NodeServer, peers mtls.Role) (*rpc.Pool, context.Context) {
+	policy := mtls.Policy{}
+	for _, method := range []string{
+		laburnumgwv1.Node_Report_FullMethodName, laburnumgwv1.Node_Gossip_FullMethodName,
+		laburnumgwv1.Node_GetConfig_FullMethodName, laburnumgwv1.Node_PushConfig_FullMethodName,
+	} {
+		policy[method] = []mtls.Role{mtls.RoleEntry, mtls.RoleEndpoint}
+	}
+	server := grpc.NewServer(rpc.ServerOptions(keys, policy)...)
+	laburnumgwv1.RegisterNodeServer(server, node)
+	go func() { _ = server.Serve(listener) }()
+	pool := rpc.NewPool(keys, peers)
+	pool.UseDialer(s.meter.dial)
+	ctx, cancel := context.WithCancel(ctx)
+	s.stops = append(s.stops, func() {
+		cancel()
+		pool.Close()
+		server.Stop()
+	})
+	return pool, ctx
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// playedEndpoint reports as an endpoint process of a plain service does.
+type playedEndpoint struct {
+	laburnumgwv1.UnimplementedNodeServer
+	stage   *stage
+	pool    *rpc.Pool
+	started time.Time
+
+	mu      sync.Mutex
+	machine *membership.Endpoint
+}
+
+func (s *stage) playEndpoint(ctx context.Context, vm string, seeds []membership.Peer) error {
+	zone := zones[0]
+	keys, listener, err := s.identity(mtls.RoleEndpoint, vm, zone.Name)
+	if err != nil {
+		return err
+	}
+	self := membership.Self{VM: vm, Zone: zone.Name, Region: zone.Region, Address: listener.Addr().String()}
+	p := &playedEndpoint{stage: s, started: time.Now(), machine: membership.NewEndpoint(self, seeds, 0, newRand())}
+	p.machine.SetConfigGeneration(1)
+	pool, ctx := s.serve(ctx, keys, listener, p, mtls.RoleEntry)
+	p.pool = pool
+	go loop(ctx, p.tick)
+	return nil
+}
+
+// loop calls tick until the context ends; tick returns the time to the next call.
+func loop(ctx context.Context, tick func(context.Context) time.Duration) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		timer.Reset(max(minTick, tick(ctx)))
+	}
+}
+
+func (p *playedEndpoint) tick(ctx context.Context) time.Duration {
+	now := time.Since(p.started)
+	p.mu.Lock()
+	p.machine.SetLoad(membership.Load{
+		Load:     &laburnumgwv1.Load{InFlight: rand.Int32N(16), Limit: 64, ServiceTimeUs: 5000 + rand.Int64N(1000)},
+		Services: []string{service},
+	})
+	sends := p.machine.Tick(now)
+	wait := p.machine.Next() - now
+	p.mu.Unlock()
+	for _, send := range sends {
+		go p.send(ctx, send)
+	}
+	return wait
+}
+
+func (p *playedEndpoint) send(ctx context.Context, send membership.ReportSend) {
+	ctx, cancel := context.WithTimeout(ctx, membership.CallTimeout)
+	defer cancel()
+	var response *laburnumgwv1.ReportResponse
+	conn, err := p.pool.Conn(send.To.Address)
+	if err == nil {
+		response, err = laburnumgwv1.NewNodeClient(conn).Report(ctx, send.Request)
+	}
+	if err != nil {
+		response = nil
+	} else {
+		p.stage.meter.calls.Add(1)
+	}
+	p.mu.Lock()
+	p.machine.Ack(time.Since(p.started), send, response)
+	p.mu.Unlock()
+}
+
+// Report answers a probe.
+func (p *playedEndpoint) Report(_ context.Context, request *laburnumgwv1.ReportRequest) (*laburnumgwv1.ReportResponse, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.machine.Probe(request), nil
+}
+
+// playedEntry runs the membership of an entry.
+type playedEntry struct {
+	laburnumgwv1.UnimplementedNodeServer
+	stage   *stage
+	self    membership.Self
+	pool    *rpc.Pool
+	started time.Time
+
+	mu      sync.Mutex
+	machine *membership.Entry
+}
+
+func (s *stage) playEntry(ctx context.Context, vm, zone, region string, seeds []membership.Peer) (membership.Peer, error) {
+	keys, listener, err := s.identity(mtls.RoleEntry, vm, zone)
+	if err != nil {
+		return membership.Peer{}, err
+	}
+	self := membership.Self{VM: vm, Zone: zone, Region: region, Address: listener.Addr().String()}
+	p := &playedEntry{stage: s, self: self, started: time.Now(), machine: membership.NewEntry(self, seeds, 0, newRand())}
+	p.machine.SetConfigGeneration(1)
+	pool, ctx := s.serve(ctx, keys, listener, p, mtls.RoleEntry)
+	p.pool = pool
+	s.mu.Lock()
+	s.colleagues[vm] = p
+	s.mu.Unlock()
+	go loop(ctx, p.tick)
+	return membership.Peer(self), nil
+}
+
+func (p *playedEntry) clock() time.Duration { return time.Since(p.started) }
+
+func (p *playedEntry) tick(ctx context.Context) time.Duration {
+	p.mu.Lock()
+	out := p.machine.Tick(p.clock())
+	wait := p.machine.Next() - p.clock()
+	p.mu.Unlock()
+	for _, send := range out.Gossip {
+		go p.gossip(ctx, send)
+	}
+	for _, send := range out.Probes {
+		go p.probe(ctx, send)
+	}
+	return wait
+}
+
+func (p *playedEntry) gossip(ctx context.Context, send membership.GossipSend) {
+	p.stage.mu.Lock()
+	colleague := p.stage.colleagues[send.To.VM]
+	p.stage.mu.Unlock()
+	var response *laburnumgwv1.GossipResponse
+	if colleague != nil {
+		response, _ = colleague.Gossip(ctx, send.Request)
+	} else {
+		response = p.gossipRemote(ctx, send)
+	}
+	p.mu.Lock()
+	p.machine.GossipResult(p.clock(), send.To.VM, response)
+	p.mu.Unlock()
+}
+
+func (p *playedEntry) gossipRemote(ctx context.Context, send membership.GossipSend) *laburnumgwv1.GossipResponse {
+	ctx, cancel := context.WithTimeout(ctx, membership.CallTimeout)
+	defer cancel()
+	conn, err := p.pool.Conn(send.To.Address)
+	if err != nil {
+		return nil
+	}
+	response, err := laburnumgwv1.NewNodeClient(conn).Gossip(ctx, send.Request)
+	if err != nil {
+		return nil
+	}
+	p.stage.meter.calls.Add(1)
+	return response
+}
+
+func (p *playedEntry) probe(ctx context.Context, send membership.ReportSend) {
+	ctx, cancel := context.WithTimeout(ctx, membership.CallTimeout)
+	defer cancel()
+	var response *laburnumgwv1.ReportResponse
+	// The pool accepts entries only. A probe to the measured endpoint process fails,
+	// which matters only when its reports fail too.
+	conn, err := p.pool.Conn(send.To.Address)
+	if err == nil {
+		response, err = laburnumgwv1.NewNodeClient(conn).Report(ctx, send.Request)
+	}
+	if err != nil {
+		response = nil
+	}
+	p.mu.Lock()
+	p.machine.ProbeResult(p.clock(), send.To.VM, response)
+	p.mu.Unlock()
+}
+
+// Report implements the Node service.
+func (p *playedEntry) Report(_ context.Context, request *laburnumgwv1.ReportRequest) (*laburnumgwv1.ReportResponse, error) {
+	p.stage.meter.calls.Add(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.machine.Report(p.clock(), request), nil
+}
+
+// Gossip implements the Node service.
+func (p *playedEntry) Gossip(_ context.Context, request *laburnumgwv1.GossipRequest) (*laburnumgwv1.GossipResponse, error) {
+	if p.stage.real(request.GetFrom().GetVm()) {
+		p.stage.meter.calls.Add(1)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.machine.Gossip(p.clock(), request), nil
+}
+
+// real reports whether a VM is not played.
+func (s *stage) real(vm string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.colleagues[vm] == nil
+}
+
+// GetConfig implements the Node service.
+func (p *playedEntry) GetConfig(_ context.Context, request *laburnumgwv1.GetConfigRequest) (*laburnumgwv1.ConfigBundle, error) {
+	return p.stage.source.Get(request), nil
+}
+
+// PushConfig implements the Node service.
+func (p *playedEntry) PushConfig(context.Context, *laburnumgwv1.ConfigBundle) (*laburnumgwv1.PushConfigResponse, error) {
+	return &laburnumgwv1.PushConfigResponse{ConfigGeneration: p.stage.source.Current().GetGeneration()}, nil
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -365,6 +365,9 @@
 	}
 }
 
+// AddArgs adds arguments of a process that has not started.
+func (p *Process) AddArgs(args ...string) { p.args = append(p.args, args...) }
+
 // PID returns the process id.
 func (p *Process) PID() int { return p.command.Process.Pid }
 
--- a/lib/rpc/rpc.go
+++ b/lib/rpc/rpc.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,7 @@
 type Pool struct {
 	keys  *mtls.Keys
 	roles []mtls.Role
+	extra []grpc.DialOption
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
@@ -42,6 +44,12 @@
 	return &Pool{keys: keys, roles: roles, conns: make(map[string]*grpc.ClientConn)}
 }
 
+// UseDialer makes later connections through a dialer, so that a bench can count their
+// bytes. It must be called before the first call of Conn.
+func (p *Pool) UseDialer(dial func(ctx context.Context, address string) (net.Conn, error)) {
+	p.extra = []grpc.DialOption{grpc.WithContextDialer(dial)}
+}
+
 // Conn returns the connection to an address. It connects on the first call.
 func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
@@ -49,7 +57,7 @@
 	if conn, ok := p.conns[address]; ok {
 		return conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
+	options := append([]grpc.DialOption{
 		grpc.WithTransportCredentials(p.keys.ClientCredentials(p.roles...)),
 		grpc.WithStatsHandler(sentHandler{}),
 		grpc.WithDisableServiceConfig(),
@@ -59,7 +67,8 @@
 			MinConnectTimeout: connectTimeout,
 		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
-	)
+	}, p.extra...)
+	conn, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
 	}
