Count the platform calls of idle fleets

Ruled out: a poll by each endpoint process. 1, 4 and 12 endpoint processes of one service with four shards all give 2.3 calls/s (2.0 reads, 0.3 lease updates) beside the waiting watch, which the stand-in counts once when it starts.

Conclusion: idle calls follow the number of shards (0.5/s each), not the number of VMs.

--- a/cmd/capacitybench/main.go
+++ b/cmd/capacitybench/main.go
@@ -21,7 +21,7 @@
 
 type options struct {
 	Bin     string        `long:"bin" default:"bin" description:"directory of the programs"`
-	Parts   []string      `long:"part" description:"baseline, entry, peers, endpoint, requests, streams or apply; repeat for several, all when missing"`
+	Parts   []string      `long:"part" description:"baseline, entry, peers, endpoint, requests, streams, idle or apply; repeat for several, all when missing"`
 	Warm    time.Duration `long:"warm" default:"10s" description:"warm-up before each measurement"`
 	Period  time.Duration `long:"period" default:"20s" description:"length of the measurement of an entry"`
 	Short   time.Duration `long:"short" default:"10s" description:"length of the other measurements"`
@@ -69,7 +69,7 @@
 		run  func(context.Context) error
 	}{
 		{"baseline", b.baseline}, {"entry", b.entryCost}, {"peers", b.peerCost}, {"endpoint", b.endpointCost},
-		{"requests", b.requestCost}, {"streams", b.streamCost}, {"apply", b.applyTime},
+		{"requests", b.requestCost}, {"streams", b.streamCost}, {"idle", b.idleCalls}, {"apply", b.applyTime},
 	}
 	for _, part := range parts {
 		if len(o.Parts) > 0 && !slices.Contains(o.Parts, part.name) {
