Fit the cost of an entry below its limit of reporters

Cause: a run with 10, 50, 100 and 200 endpoint processes gave 20, 100, 163 and 203 reports/s. An entry accepts the reports of 77 endpoint processes (maxReporters in lib/membership), and the others only ask to join, so the line through all sizes mixed two kinds of calls.

Ruled out: a warm-up that is too short; 10 s covers the spread of joins, and the rate at 200 was the same after 3 s and 10 s.

Conclusion: the fit uses 10, 50 and 75; 100 and 200 are printed as the limit's effect.

--- a/cmd/capacitybench/measure.go
+++ b/cmd/capacitybench/measure.go
@@ -183,20 +183,24 @@
 
 const sampleHeader = "%12s %9s %9s %9s %10s %10s %10s\n"
 
-// table prints samples and the lines through them by size and by calls per second.
-func (b *bench) table(unit string, sizes []float64, samples []sample) {
+// table prints samples and the lines through the first of them, by size and by calls
+// per second.
+func (b *bench) table(unit string, sizes []float64, samples []sample, fitted int) {
 	fmt.Fprintf(b.out, sampleHeader, unit, "% core", "RSS MB", "heap MB", "sent B/s", "recv B/s", "calls/s")
 	columns := make([][]float64, 5)
 	var calls []float64
 	for i, s := range samples {
 		values := []float64{100 * s.cores, s.rss, s.heap, s.sent, s.received}
 		fmt.Fprintf(b.out, "%12.0f %9.2f %9.1f %9.1f %10.0f %10.0f %10.1f\n", sizes[i], values[0], values[1], values[2], values[3], values[4], s.calls)
+		if i >= fitted {
+			continue
+		}
 		for column, value := range values {
 			columns[column] = append(columns[column], value)
 		}
 		calls = append(calls, s.calls)
 	}
-	b.line("per "+unit, sizes, columns)
+	b.line("per "+unit, sizes[:fitted], columns)
 	b.line("per call/s", calls, columns)
 }
 
