--- a/cmd/capacitybench/apply.go
+++ b/cmd/capacitybench/apply.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"laburnumgw/fleet"
@@ -36,6 +38,19 @@
 	if _, err := awaitGeneration(ctx, processes, 1); err != nil {
 		return err
 	}
+	if err := sleep(ctx, b.Warm); err != nil {
+		return err
+	}
+	idle, err := callRate(ctx, f, b.Short)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(b.out, "  idle: %.1f platform calls/s, waiting watches left out\n", total(idle))
+	before, err := platformCalls(ctx, f)
+	if err != nil {
+		return err
+	}
+	changesStarted := time.Now()
 	for i := range applies {
 		if err := sleep(ctx, time.Second); err != nil {
 			return err
@@ -52,6 +67,19 @@
 		fmt.Fprintf(b.out, "  in force everywhere %s after the command started (%s after it returned; the command took %s)\n",
 			last.Sub(started).Round(time.Millisecond), last.Sub(returned).Round(time.Millisecond), returned.Sub(started).Round(time.Millisecond))
 	}
+	after, err := platformCalls(ctx, f)
+	if err != nil {
+		return err
+	}
+	seconds := time.Since(changesStarted).Seconds()
+	for kind := range after {
+		after[kind] = (after[kind] - before[kind] - idle[kind]*seconds) / applies
+	}
+	fmt.Fprintf(b.out, "  %.1f platform calls for each apply, idle calls taken off:", total(after))
+	for _, kind := range slices.Sorted(maps.Keys(after)) {
+		fmt.Fprintf(b.out, " %s %.1f", kind, after[kind])
+	}
+	fmt.Fprintln(b.out)
 	return nil
 }
 
--- a/cmd/capacitybench/idle.go
+++ b/cmd/capacitybench/idle.go
@@ -30,13 +30,11 @@
 	var totals []float64
 	for i, size := range sizes {
 		fmt.Fprintf(b.out, "%12.0f", size)
-		total := 0.0
 		for _, kind := range slices.Sorted(maps.Keys(counts[i])) {
 			fmt.Fprintf(b.out, "  %s %.1f", kind, counts[i][kind])
-			total += counts[i][kind]
 		}
-		fmt.Fprintf(b.out, "  total %.1f\n", total)
-		totals = append(totals, total)
+		fmt.Fprintf(b.out, "  total %.1f\n", total(counts[i]))
+		totals = append(totals, total(counts[i]))
 	}
 	slope, intercept := fit(sizes, totals)
 	fmt.Fprintf(b.out, "  %.2f calls/s per endpoint process, intercept %.2f\n", slope, intercept)
@@ -62,12 +60,17 @@
 	if err := sleep(ctx, b.Warm); err != nil {
 		return nil, err
 	}
+	return callRate(ctx, f, b.Short)
+}
+
+// callRate returns the platform calls per second by kind.
+func callRate(ctx context.Context, f *fleet.Fleet, period time.Duration) (map[string]float64, error) {
 	before, err := platformCalls(ctx, f)
 	if err != nil {
 		return nil, err
 	}
 	started := time.Now()
-	if err := sleep(ctx, b.Short); err != nil {
+	if err := sleep(ctx, period); err != nil {
 		return nil, err
 	}
 	after, err := platformCalls(ctx, f)
@@ -77,6 +80,14 @@
 	return after, err
 }
 
+func total(calls map[string]float64) float64 {
+	sum := 0.0
+	for _, count := range calls {
+		sum += count
+	}
+	return sum
+}
+
 func platformCalls(ctx context.Context, f *fleet.Fleet) (map[string]float64, error) {
 	calls := make(map[string]float64)
 	err := fleet.JSON(ctx, f.Platform.HTTP+"/admin/calls", &calls)
--- a/cmd/capacitybench/main.go
+++ b/cmd/capacitybench/main.go
@@ -25,6 +25,7 @@
 	Warm    time.Duration `long:"warm" default:"10s" description:"warm-up before each measurement"`
 	Period  time.Duration `long:"period" default:"20s" description:"length of the measurement of an entry"`
 	Short   time.Duration `long:"short" default:"10s" description:"length of the other measurements"`
+	Level   string        `long:"log-level" default:"info" description:"log level of the measured processes"`
 	Timeout time.Duration `long:"timeout" default:"6m" description:"time after which the bench gives up"`
 }
 
@@ -89,6 +90,7 @@
 	o.Bin = b.Bin
 	o.Dir = filepath.Join(b.dir, name)
 	o.Zones = zones
+	o.LogLevel = b.Level
 	o.Model = model
 	o.Service = service
 	o.OriginBytes = 500e6
