Run the light parts of capacitybench at once

The parts peers, endpoint and idle measure processes that use few percent of a core.

Ruled out: shorter warm-ups, because joins are spread over 10 s.

--- a/cmd/capacitybench/data.go
+++ b/cmd/capacitybench/data.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -145,11 +146,12 @@
 		return err
 	}
 	defer response.Body.Close()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
 		return fmt.Errorf("read response: %w", err)
 	}
 	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("%w %d", errStatus, response.StatusCode)
+		return fmt.Errorf("%w %d: %s", errStatus, response.StatusCode, bytes.TrimSpace(body))
 	}
 	return nil
 }
--- a/cmd/capacitybench/main.go
+++ b/cmd/capacitybench/main.go
@@ -4,13 +4,16 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -65,24 +68,54 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	b := &bench{options: o, out: os.Stdout, dir: dir}
-	parts := []struct {
-		name string
-		run  func(context.Context) error
-	}{
-		{"baseline", b.baseline}, {"entry", b.entryCost}, {"peers", b.peerCost}, {"endpoint", b.endpointCost},
-		{"requests", b.requestCost}, {"streams", b.streamCost}, {"idle", b.idleCalls}, {"apply", b.applyTime},
+	// Parts of one group run at the same time. They use little processor time.
+	groups := [][]part{
+		{{"baseline", (*bench).baseline}},
+		{{"entry", (*bench).entryCost}},
+		{{"peers", (*bench).peerCost}, {"endpoint", (*bench).endpointCost}, {"idle", (*bench).idleCalls}},
+		{{"requests", (*bench).requestCost}},
+		{{"streams", (*bench).streamCost}},
+		{{"apply", (*bench).applyTime}},
 	}
-	for _, part := range parts {
-		if len(o.Parts) > 0 && !slices.Contains(o.Parts, part.name) {
+	for _, group := range groups {
+		if err := b.group(ctx, group); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// part is one measurement.
+type part struct {
+	name string
+	run  func(*bench, context.Context) error
+}
+
+// group runs the wanted parts of a group at once and prints them in order.
+func (b *bench) group(ctx context.Context, parts []part) error {
+	failures := make([]error, len(parts))
+	outputs := make([]bytes.Buffer, len(parts))
+	var wait sync.WaitGroup
+	for i, p := range parts {
+		if len(b.Parts) > 0 && !slices.Contains(b.Parts, p.name) {
 			continue
 		}
-		started := time.Now()
-		if err := part.run(ctx); err != nil {
-			return fmt.Errorf("part %s: %w", part.name, err)
+		own := &bench{options: b.options, out: &outputs[i], dir: b.dir}
+		wait.Go(func() {
+			started := time.Now()
+			if err := p.run(own, ctx); err != nil {
+				failures[i] = fmt.Errorf("part %s: %w", p.name, err)
+			}
+			fmt.Fprintf(own.out, "  run time %s\n\n", time.Since(started).Round(time.Second))
+		})
+	}
+	wait.Wait()
+	for i := range outputs {
+		if _, err := outputs[i].WriteTo(b.out); err != nil {
+			return fmt.Errorf("print results: %w", err)
 		}
-		fmt.Fprintf(b.out, "  run time %s\n\n", time.Since(started).Round(time.Second))
 	}
-	return nil
+	return errors.Join(failures...)
 }
 
 // start starts a fleet and waits until its platform answers.
