Let endpoints return to an entry that left and came back

Cause: an endpoint process took the answer of a leaving entry for the refusal of a full one and stayed away for 5 minutes. Conclusion: a refusal has no incarnation; an entry that leaves is tried again after 15 s.

--- a/lib/membership/endpoint.go
+++ b/lib/membership/endpoint.go
@@ -29,6 +29,9 @@
 	giveUpAfter = 1600 * time.Millisecond
 	// failedRetry separates reports to an entry that does not answer.
 	failedRetry = 2 * time.Second
+	// leavingFor is how long the targets exclude an entry that leaves. The news of its
+	// restart reaches endpoints of its zone through the zone's other entries only.
+	leavingFor = 15 * time.Second
 	// failedFor is how long the targets exclude an entry that did not answer.
 	failedFor = 10 * time.Second
 	// refusedFor is how long the targets exclude an entry that has enough endpoints.
@@ -44,11 +47,13 @@
 	peer        Peer
 	incarnation Incarnation
 	leaving     bool
-	chosen      bool
-	sequence    uint64
-	sent        uint64
-	dueAt       time.Duration
-	failures    int
+	// leavingUntil is when the entry is tried again although it was leaving.
+	leavingUntil time.Duration
+	chosen       bool
+	sequence     uint64
+	sent         uint64
+	dueAt        time.Duration
+	failures     int
 	// failingSince is the time of the first of the consecutive failures.
 	failingSince time.Duration
 	// failedUntil and refusedUntil exclude the entry from the targets until then.
@@ -241,7 +246,7 @@
 	var sends []ReportSend
 	for i := range min(seedsPerFallback, len(p.seeds)) {
 		seed := p.seeds[(start+i)%len(p.seeds)]
-		t := p.learn(seed, Incarnation{}, false)
+		t := p.learn(now, seed, Incarnation{}, false)
 		if p.joined {
 			sends = append(sends, p.report(now, t))
 			continue
@@ -262,7 +267,9 @@
 	for _, t := range p.order {
 		t.chosen = false
 		switch {
-		case t.leaving || now < t.refusedUntil:
+		case t.leaving && now < t.leavingUntil:
+			p.revisitAt = min(p.revisitAt, t.leavingUntil)
+		case now < t.refusedUntil:
 		case now < t.failedUntil:
 			failed[t.peer.Zone] = append(failed[t.peer.Zone], t.peer.VM)
 			p.revisitAt = min(p.revisitAt, t.failedUntil)
@@ -364,11 +371,10 @@
 		p.joinAt = min(p.joinAt, now+spread(p.rng, joinJitter))
 	}
 	if item.GetVm() == t.peer.VM && item.GetLeaving() {
-		t.refusedUntil = now + jittered(p.rng, refusedFor)
-		p.dirty = true
+		p.refused(now, t, item)
 		return
 	}
-	p.learn(peerOf(item), incarnationOf(item.GetIncarnation()), item.GetLeaving())
+	p.learn(now, peerOf(item), incarnationOf(item.GetIncarnation()), item.GetLeaving())
 }
 
 // noteOwn raises the own incarnation above any that an entry knows of this VM. An entry
@@ -387,11 +393,23 @@
 	}
 }
 
-func (p *Endpoint) learn(peer Peer, incarnation Incarnation, leaving bool) *target {
+// refused excludes an entry that asked not to be reported to: for long when it has
+// enough endpoints, for a restart when it leaves.
+func (p *Endpoint) refused(now time.Duration, t *target, item *pb.EntryInfo) {
+	p.dirty = true
+	if item.GetIncarnation() == nil {
+		t.refusedUntil = now + jittered(p.rng, refusedFor)
+		return
+	}
+	t.leaving = true
+	t.leavingUntil = now + leavingFor
+}
+
+func (p *Endpoint) learn(now time.Duration, peer Peer, incarnation Incarnation, leaving bool) *target {
 	t := p.targets[peer.VM]
 	if t == nil {
 		p.evictTarget()
-		t = &target{peer: peer, incarnation: incarnation, leaving: leaving}
+		t = &target{peer: peer, incarnation: incarnation, leaving: leaving, leavingUntil: now + leavingFor}
 		p.targets[peer.VM] = t
 		p.order = append(p.order, t)
 		p.dirty = true
@@ -400,6 +418,9 @@
 	if incarnation.Compare(t.incarnation) < 0 {
 		return t
 	}
+	if leaving {
+		t.leavingUntil = now + leavingFor
+	}
 	if incarnation != t.incarnation || leaving != t.leaving {
 		t.peer = peer
 		t.incarnation = incarnation
--- a/lib/membership/endpoints.go
+++ b/lib/membership/endpoints.go
@@ -90,11 +90,15 @@
 	return response
 }
 
-// refusal tells an endpoint to report to the entry that ranks next instead. It looks
-// like the news that this entry is leaving.
+// refusal tells an endpoint to report to the entry that ranks next instead. It is the
+// news that this entry is leaving; without an incarnation it means that the entry has
+// enough endpoints and stays.
 func (e *Entry) refusal() *pb.EntryInfo {
 	refusal := e.selfInfo()
 	refusal.Leaving = true
+	if !e.leaving {
+		refusal.Incarnation = nil
+	}
 	return refusal
 }
 
--- a/lib/membership/entries.go
+++ b/lib/membership/entries.go
@@ -459,7 +459,7 @@
 func (e *Entry) remoteFor(endpoint *endpointRecord) []*pb.EntryInfo {
 	e.nextRemote = (e.nextRemote + 1) % len(e.entryOrder)
 	zone := e.entryOrder[e.nextRemote].view.Zone
-	if zone == endpoint.view.Zone || zone == e.self.Zone {
+	if zone == e.self.Zone {
 		return nil
 	}
 	var members []string
