--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -158,7 +158,7 @@
 		err = cause
 	}
 	ended := exchange.ended(final, err, sent.Load())
-	d.routes.finished(tracked, decision, r, number, ended, final)
+	d.routes.finished(tracked, decision, r, number, ended)
 	d.metrics.attempt(ended.Outcome)
 	return ended
 }
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -89,6 +90,11 @@
 	defer t.mu.Unlock()
 	t.table.ReportReceived(view.Report, time.Now())
 	vm := view.VM
+	for key, owner := range t.owners {
+		if owner == vm && !slices.Contains(view.Report.GetShards()[key.service].GetShards(), key.shard) {
+			delete(t.owners, key)
+		}
+	}
 	for service, list := range view.Report.GetShards() {
 		for _, shard := range list.GetShards() {
 			t.owners[shardKey{service, shard}] = vm
@@ -216,10 +222,15 @@
 	t.table.LoadReceived(a, load, time.Now())
 }
 
-// finished records the end of an attempt and logs it.
-func (t *routes) finished(a routing.Attempt, decision routing.Decision, r *request, number uint32, ended retry.Attempt, _ *laburnumgwv1.Final) {
+// finished records the end of an attempt and logs it. An endpoint that completed a
+// request under its key owns the key's shard, which its next report will say.
+func (t *routes) finished(a routing.Attempt, decision routing.Decision, r *request, number uint32, ended retry.Attempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if r.shards > 0 && ended.Outcome == laburnumgwv1.Outcome_OUTCOME_COMPLETE {
+		shard := journal.ShardOf(r.service, r.idempotencyKey, r.shards)
+		t.owners[shardKey{r.service, uint32(shard)}] = decision.VM
+	}
 	t.table.AttemptFinished(a, routing.Result{Outcome: ended.Outcome, Sent: ended.Sent}, time.Now())
 	t.recent.SetOutcome(r.id, number, ended.Outcome.String())
 	t.log.Info("attempt ended", zap.String("request", r.id), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -13,7 +13,7 @@
 	LeaveWait   time.Duration `long:"leave-wait" env:"LABURNUMGW_LEAVE_WAIT" default:"3s" description:"time in which a stopping entry still takes requests, so that the balancer can notice"`
 	StopTimeout time.Duration `long:"stop-timeout" env:"LABURNUMGW_STOP_TIMEOUT" default:"10m" description:"longest time that a stopping entry waits for running requests"`
 	Recent      int           `long:"recent-decisions" env:"LABURNUMGW_RECENT_DECISIONS" default:"10000" description:"routing decisions kept for laburnumctl explain"`
-	DetailEvery int           `long:"detail-every" env:"LABURNUMGW_DETAIL_EVERY" default:"1" description:"log the candidates of every n-th routing decision"`
+	DetailEvery int           `long:"detail-every" env:"LABURNUMGW_DETAIL_EVERY" default:"100" description:"log the candidates of every n-th routing decision"`
 }
 
 // maxRecent bounds the memory of recent decisions to a few tens of megabytes.
