--- a/endpoint/serve.go
+++ b/endpoint/serve.go
@@ -45,6 +45,8 @@
 	metrics        *endpointMetrics
 	log            *zap.Logger
 	loadOf         func() *laburnumgwv1.Load
+	// ready reports whether the process has a configuration to act on.
+	ready func() bool
 }
 
 // frames writes the frames of one attempt.
