Refuse requests until the endpoint process has a configuration

Ruled out: a retry at the entry; the answer itself was wrong. Conclusion: only a process that acts on a configuration takes work; prompt prefixes of sent attempts are remembered for affinity as well.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -71,7 +71,7 @@
 	})
 	serve := &server{
 		vm: s.VM, zone: s.Zone, service: s.Service, serviceTimeout: s.ServiceTimeout, gate: p.gate, journal: p.journal,
-		zones: p.zones, metrics: p.metrics, log: log, loadOf: p.pbLoad,
+		zones: p.zones, metrics: p.metrics, log: log, loadOf: p.pbLoad, ready: p.ready,
 	}
 	if s.Engine != "" {
 		p.buildEngine(self, serve)
@@ -162,6 +162,10 @@
 	return admission.Config{Limits: admissionLimits(limits), Workspaces: workspaces}
 }
 
+// ready reports whether the process acts on a configuration that is as new as its
+// neighbours'.
+func (p *Process) ready() bool { return p.snapshot.Load() != nil && p.configs.Ready() }
+
 func (p *Process) shards(service string) int {
 	snapshot := p.snapshot.Load()
 	if snapshot == nil {
--- a/endpoint/serve.go
+++ b/endpoint/serve.go
@@ -97,6 +97,9 @@
 }
 
 func (s *server) run(ctx context.Context, request *laburnumgwv1.ServeRequest, out *frames) result {
+	if !s.ready() {
+		return refusal("endpoint process %s has no configuration yet", s.vm)
+	}
 	if s.zones.refuses(request.GetConfigGeneration(), time.Now()) {
 		return refusal("availability zone %s is out of service", s.zone)
 	}
@@ -215,8 +218,10 @@
 		r.outcome = laburnumgwv1.Outcome_OUTCOME_IN_PROGRESS
 	case errkind.OutcomeUnknown, errkind.KeyExpired:
 		r.outcome = laburnumgwv1.Outcome_OUTCOME_UNKNOWN
-	case errkind.KeyReused, errkind.KeyMissing, errkind.NotFound:
+	case errkind.KeyReused, errkind.KeyMissing:
 		r.outcome = laburnumgwv1.Outcome_OUTCOME_FAILED
+	case errkind.NotFound:
+		r.kind = errkind.NotRun
 	case errkind.NotRun:
 	default:
 		r.outcome = laburnumgwv1.Outcome_OUTCOME_UNKNOWN
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -213,7 +213,7 @@
 func (t *routes) sent(decision routing.Decision, r *request, number uint32) routing.Attempt {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.table.AttemptSent(decision, &routing.Request{ID: r.id, Attempt: number, Model: r.model, Service: r.service}, time.Now())
+	return t.table.AttemptSent(decision, t.query(r, number, "", nil), time.Now())
 }
 
 func (t *routes) loadReceived(a routing.Attempt, load *laburnumgwv1.Load) {
