--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -23,13 +23,13 @@
 const (
 	model   = "rota"
 	service = "bookings"
-	// patience bounds every wait. It is far above what the system needs, so that a busy
+	// waitLimit bounds every wait. It is far above what the system needs, so that a busy
 	// machine does not change the verdict.
-	patience = 90 * time.Second
+	waitLimit = 90 * time.Second
 )
 
-// world is a running fleet with a model and a configuration.
-type world struct {
+// system is a running fleet with a model and a configuration.
+type system struct {
 	*fleet.Fleet
 	t     *testing.T
 	store *platform.Client
@@ -47,7 +47,7 @@
 	return bin
 }
 
-func startWorld(t *testing.T, entries, models, services int, tokenDelay time.Duration) *world {
+func startSystem(t *testing.T, entries, models, services int, tokenDelay time.Duration) *system {
 	t.Helper()
 	f, err := fleet.Start(fleet.Options{
 		Bin: buildPrograms(t), Dir: t.TempDir(), Zones: []fleet.Zone{{Name: "a", Region: "north"}, {Name: "b", Region: "north"}, {Name: "c", Region: "south"}},
@@ -62,20 +62,20 @@
 			t.Logf("stop: %v", err)
 		}
 	})
-	w := &world{Fleet: f, t: t, store: platform.NewClient(f.Platform.HTTP)}
+	w := &system{Fleet: f, t: t, store: platform.NewClient(f.Platform.HTTP)}
 	w.publish("v1", 7)
 	w.apply("", "v1")
 	w.awaitServing("v1")
 	return w
 }
 
-func (w *world) context() context.Context {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+func (w *system) context() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	w.t.Cleanup(cancel)
 	return ctx
 }
 
-func (w *world) until(what string, condition func() bool) {
+func (w *system) until(what string, condition func() bool) {
 	w.t.Helper()
 	if err := fleet.Until(w.context(), what, condition); err != nil {
 		w.t.Fatal(err)
@@ -90,7 +90,7 @@
 	return data
 }
 
-func (w *world) publish(version string, seed int) {
+func (w *system) publish(version string, seed int) {
 	w.t.Helper()
 	w.until("platform answers", func() bool { _, _, err := w.store.List(w.context(), "models/"); return err == nil })
 	data := content(seed)
@@ -115,7 +115,7 @@
 }
 
 // apply puts a configuration in force in which one zone is out, or none.
-func (w *world) apply(out, version string) {
+func (w *system) apply(out, version string) {
 	w.t.Helper()
 	zones := "zones:\n"
 	for _, zone := range []struct{ name, region string }{{"a", "north"}, {"b", "north"}, {"c", "south"}} {
@@ -139,7 +139,7 @@
 }
 
 // awaitServing waits until every entry answers from the last published weights.
-func (w *world) awaitServing(version string) {
+func (w *system) awaitServing(version string) {
 	w.t.Helper()
 	w.until("all engines hold "+version, func() bool {
 		for _, engine := range w.Engines {
@@ -167,7 +167,7 @@
 }
 
 // runs returns how often each idempotency key was run, over all services.
-func (w *world) runs() map[string]int {
+func (w *system) runs() map[string]int {
 	w.t.Helper()
 	total := make(map[string]int)
 	for _, backend := range w.Backends {
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -14,7 +14,7 @@
 )
 
 // streams starts long chats at each entry and returns a function that collects them.
-func (w *world) streams(perEntry, tokens int, entries []*fleet.Process) func() []fleet.Answer {
+func (w *system) streams(perEntry, tokens int, entries []*fleet.Process) func() []fleet.Answer {
 	var mu sync.Mutex
 	var answers []fleet.Answer
 	var wait sync.WaitGroup
@@ -50,7 +50,7 @@
 // Guards against planned stops that cut off a stream, and against kills, freezes and
 // platform outages that lose answers or run a booking twice.
 func TestFaultsOfProcesses(t *testing.T) {
-	w := startWorld(t, 3, 6, 3, 20*time.Millisecond)
+	w := startSystem(t, 3, 6, 3, 20*time.Millisecond)
 
 	Convey("A planned stop of an endpoint process cuts off no stream", t, func() {
 		collect := w.streams(4, 100, w.Entries)
@@ -135,7 +135,7 @@
 // Guards against bookings that wait for a zone that operators have taken out, and
 // against a second run when another zone takes over.
 func TestBookingsMoveWhenAZoneGoesOut(t *testing.T) {
-	w := startWorld(t, 3, 3, 3, time.Millisecond)
+	w := startSystem(t, 3, 3, 3, time.Millisecond)
 	Convey("Shards of the zone are taken over and keys stay answered", t, func() {
 		var keys []string
 		for i := range 8 {
@@ -167,7 +167,7 @@
 
 // book repeats a booking until it is accepted. Refusals must say that it did not run:
 // after the death of a shard's owner they are expected for some seconds.
-func (w *world) book(key, shift string) fleet.Answer {
+func (w *system) book(key, shift string) fleet.Answer {
 	w.t.Helper()
 	var answer fleet.Answer
 	w.until("booking "+key, func() bool {
@@ -182,7 +182,7 @@
 }
 
 // inFlight returns the requests that run on all engines.
-func (w *world) inFlight() int {
+func (w *system) inFlight() int {
 	total := 0
 	for _, engine := range w.Engines {
 		var status struct {
@@ -196,7 +196,7 @@
 }
 
 // ownerOf returns the endpoint process beside the service that ran a key.
-func (w *world) ownerOf(key string) *fleet.Process {
+func (w *system) ownerOf(key string) *fleet.Process {
 	for i, backend := range w.Backends {
 		var runs map[string]int
 		if err := fleet.JSON(w.context(), backend.HTTP+"/admin/runs", &runs); err == nil && runs[key] > 0 {
@@ -206,7 +206,7 @@
 	return nil
 }
 
-func (w *world) platformDown(down bool) {
+func (w *system) platformDown(down bool) {
 	response, err := http.Post(fmt.Sprintf("%s/admin/down?value=%t", w.Platform.HTTP, down), "", nil)
 	if err != nil {
 		w.t.Fatal(err)
--- a/e2e/rollout_test.go
+++ b/e2e/rollout_test.go
@@ -16,7 +16,7 @@
 // while a version is replaced and rolled back under load, and against a burst that
 // draws more than its share from the origin.
 func TestRolloutUnderLoad(t *testing.T) {
-	w := startWorld(t, 3, 6, 1, 5*time.Millisecond)
+	w := startSystem(t, 3, 6, 1, 5*time.Millisecond)
 	Convey("A new version replaces the old one and is rolled back while streams run", t, func() {
 		first := w.sha
 		w.publish("v2", 11)
@@ -38,7 +38,7 @@
 	})
 }
 
-func (w *world) originBytes() int64 {
+func (w *system) originBytes() int64 {
 	w.t.Helper()
 	var served struct {
 		Bytes int64 `json:"bytes"`
@@ -51,7 +51,7 @@
 
 // startLoad streams chats until the returned function is called, which returns their
 // number and a description of each answer that is not whole and from one version.
-func (w *world) startLoad(versions ...string) func() (int64, []string) {
+func (w *system) startLoad(versions ...string) func() (int64, []string) {
 	var stop atomic.Bool
 	var total atomic.Int64
 	var mu sync.Mutex
--- a/e2e/session_test.go
+++ b/e2e/session_test.go
@@ -18,7 +18,7 @@
 
 // session records what an operator and a caller see.
 type session struct {
-	*world
+	*system
 	text bytes.Buffer
 }
 
@@ -48,8 +48,8 @@
 
 // Guards against changes of what operators and callers see in a whole session.
 func TestSession(t *testing.T) {
-	w := startWorld(t, 3, 3, 1, time.Millisecond)
-	s := &session{world: w}
+	w := startSystem(t, 3, 3, 1, time.Millisecond)
+	s := &session{system: w}
 	dir := t.TempDir()
 	write := func(name, content string) string {
 		path := filepath.Join(dir, name)
