Let distribution give way while requests wait

Cause: the design promised that a transfer halves its share when requests suffer, and that origin_share counts; the endpoint process did neither. Ruled out: latency as the signal; the queue of the admission is exact.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -125,9 +125,7 @@
 	p.snapshot.Store(snapshot)
 	p.gate.Configure(p.admissionConfig(snapshot))
 	if p.weights != nil {
-		share := rate.Limit(p.settings.LinkMbit * megabit * snapshot.Distribution.LinkShare)
-		p.weights.transfer.links.download.SetLimit(share)
-		p.weights.transfer.links.upload.SetLimit(share)
+		p.pace()
 		p.weights.configure(bundle, snapshot)
 	}
 	if p.settings.Service != "" && !p.zones.isOut() && !p.leaving.Load() {
@@ -229,6 +227,7 @@
 	go p.reporter.run(running)
 	if p.serving != nil {
 		go p.serving.run(running)
+		go p.paceTransfers(running)
 	}
 	p.log.Info("endpoint process started", zap.String("vm", p.settings.VM), zap.String("zone", p.settings.Zone), zap.String("listen", p.settings.Listen))
 	select {
--- a/endpoint/weights.go
+++ b/endpoint/weights.go
@@ -154,7 +154,7 @@
 		w.log.Error("version cannot be held", zap.String("model", target.version.GetModel()), zap.String("version", digest), zap.Error(err))
 		return
 	}
-	d, err := newDistribution(w.transfer, replica, w.originMbit, swarm.Limits{UploadSlots: limits.UploadSlots})
+	d, err := newDistribution(w.transfer, replica, w.originMbit*limits.OriginShare, swarm.Limits{UploadSlots: limits.UploadSlots})
 	if err != nil {
 		w.log.Error("distribution not started", zap.String("version", digest), zap.Error(err))
 		return
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -30,8 +30,8 @@
 	// replicaGrace is how long a silent VM keeps its replicas, because moving one
 	// costs a transfer of its weights and most restarts are shorter.
 	replicaGrace = 30 * time.Second
-	// leaseStepTimeout bounds the wait between two steps of the lease.
-	leaseStepTimeout = time.Second
+	// releaseTimeout bounds the release of the lease when the entry stops.
+	releaseTimeout = time.Second
 )
 
 // placer places models while this entry holds the lease.
@@ -89,7 +89,7 @@
 }
 
 func (p *placer) release() {
-	ctx, cancel := context.WithTimeout(context.Background(), leaseStepTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	if err := p.adapter.Release(ctx, p.holder); err != nil {
 		p.log.Warn("placement lease not released; another entry takes it after its duration", zap.Error(err))
