Share the loop that ticks a state machine

Cause: the same timer loop stood in the membership, report and configuration adapters. Ruled out: a shared adapter for the calls as well; their results differ. Conclusion: lib/loop has the wake-up and the shortest wait in one place.

--- a/endpoint/reporter.go
+++ b/endpoint/reporter.go
@@ -9,16 +9,13 @@
 	"go.uber.org/zap"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/loop"
 	"laburnumgw/lib/membership"
 	"laburnumgw/lib/rpc"
 )
 
-const (
-	// minTick bounds how often the report loop runs.
-	minTick = 10 * time.Millisecond
-	// leavePoll separates the checks whether entries know that the process leaves.
-	leavePoll = 50 * time.Millisecond
-)
+// leavePoll separates the checks whether entries know that the process leaves.
+const leavePoll = 50 * time.Millisecond
 
 // reporter drives the membership state machine of an endpoint process.
 type reporter struct {
@@ -47,17 +44,7 @@
 
 // run sends reports until the context ends.
 func (r *reporter) run(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		case <-r.wake:
-		}
-		timer.Reset(r.tick(ctx))
-	}
+	loop.Run(ctx, r.wake, func() time.Duration { return r.tick(ctx) })
 }
 
 func (r *reporter) tick(ctx context.Context) time.Duration {
@@ -70,7 +57,7 @@
 	for _, send := range sends {
 		go r.send(ctx, send)
 	}
-	return max(minTick, wait)
+	return wait
 }
 
 func (r *reporter) send(ctx context.Context, send membership.ReportSend) {
--- a/entry/members.go
+++ b/entry/members.go
@@ -9,13 +9,11 @@
 	"go.uber.org/zap"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/loop"
 	"laburnumgw/lib/membership"
 	"laburnumgw/lib/rpc"
 )
 
-// minTick bounds how often the membership loop runs.
-const minTick = 10 * time.Millisecond
-
 // memberObserver learns what membership finds out.
 type memberObserver interface {
 	// endpointReported is called for each report with the merged values.
@@ -54,16 +52,7 @@
 
 // run ticks the state machine until the context ends.
 func (m *members) run(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
-		timer.Reset(m.tick(ctx))
-	}
+	loop.Run(ctx, nil, func() time.Duration { return m.tick(ctx) })
 }
 
 func (m *members) tick(ctx context.Context) time.Duration {
@@ -85,7 +74,7 @@
 	for _, send := range out.Probes {
 		go m.sendProbe(ctx, send)
 	}
-	return max(minTick, wait)
+	return wait
 }
 
 func (m *members) sendGossip(ctx context.Context, send membership.GossipSend) {
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -30,6 +30,8 @@
 	// replicaGrace is how long a silent VM keeps its replicas, because moving one
 	// costs a transfer of its weights and most restarts are shorter.
 	replicaGrace = 30 * time.Second
+	// minLeaseWait bounds how often the lease is looked at.
+	minLeaseWait = 10 * time.Millisecond
 	// releaseTimeout bounds the release of the lease when the entry stops.
 	releaseTimeout = time.Second
 )
@@ -74,7 +76,7 @@
 			p.place(ctx)
 			next = p.clock() + placementInterval
 		}
-		wait := min(max(p.holder.Next()-p.clock(), minTick), placementInterval)
+		wait := min(max(p.holder.Next()-p.clock(), minLeaseWait), placementInterval)
 		if !sleep(ctx, wait) {
 			break
 		}
--- a/lib/configsync/driver/driver.go
+++ b/lib/configsync/driver/driver.go
@@ -12,16 +12,13 @@
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/configsync"
+	"laburnumgw/lib/loop"
 	"laburnumgw/lib/membership"
 	"laburnumgw/lib/rpc"
 )
 
-const (
-	// minTick bounds how often the loop runs.
-	minTick = 10 * time.Millisecond
-	// platformTimeout bounds one read of the whole configuration.
-	platformTimeout = 10 * time.Second
-)
+// platformTimeout bounds one read of the whole configuration.
+const platformTimeout = 10 * time.Second
 
 // Platform is the part of the platform that propagation needs.
 type Platform interface {
@@ -81,17 +78,7 @@
 
 // Run drives the state machine until the context ends.
 func (d *Driver) Run(ctx context.Context) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		case <-d.wake:
-		}
-		timer.Reset(d.tick(ctx))
-	}
+	loop.Run(ctx, d.wake, func() time.Duration { return d.tick(ctx) })
 }
 
 func (d *Driver) tick(ctx context.Context) time.Duration {
@@ -114,7 +101,7 @@
 		go d.push(ctx, push)
 	}
 	d.platformCalls(ctx, out)
-	return max(minTick, wait)
+	return wait
 }
 
 func (d *Driver) act(bundle *laburnumgwv1.ConfigBundle) {
