Move the transfer of chunks into lib/transfer

The process beside a worker on the users' platform moves chunks by the same state machine and over the same calls as the endpoint process.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
@@ -27,6 +26,7 @@
 	"laburnumgw/lib/rpc"
 	"laburnumgw/lib/swarm"
 	"laburnumgw/lib/telemetry"
+	"laburnumgw/lib/transfer"
 )
 
 const (
@@ -34,8 +34,6 @@
 	stopReportTime = 200 * time.Millisecond
 	// readHeaderTimeout bounds how long a reader of weights may take for its headers.
 	readHeaderTimeout = 5 * time.Second
-	// linkBurst lets one piece pass at once.
-	linkBurst = pieceBytes
 )
 
 // Process is a running endpoint process.
@@ -78,20 +76,17 @@
 	} else {
 		serve.backend = newBackend(s.ServiceURL)
 	}
-	p.grpc = newGRPCServer(keys, serve, &peerServer{weights: p.weights}, &node{settings: s, reporter: p.reporter, configs: p.configs})
+	p.grpc = newGRPCServer(keys, serve, p.peerServer(), &node{settings: s, reporter: p.reporter, configs: p.configs})
 	return p, nil
 }
 
 func (p *Process) buildEngine(self membership.Self, serve *server) {
 	s := p.settings
 	share := config.Default().Distribution.LinkShare
-	limits := links{
-		download: rate.NewLimiter(rate.Limit(s.LinkMbit*megabit*share), linkBurst),
-		upload:   rate.NewLimiter(rate.Limit(s.LinkMbit*megabit*share), linkBurst),
-	}
-	t := &transfer{
-		self: swarm.Member{VM: self.VM, Zone: self.Zone, Region: self.Region}, address: s.Listen, home: s.HomeRegion,
-		conns: p.conns, origin: newOriginClient(s.Origin, limits.download), links: limits, metrics: p.metrics, log: p.log,
+	limits := transfer.NewLinks(s.LinkMbit * megabit * share)
+	t := &transfer.Transfer{
+		Self: swarm.Member{VM: self.VM, Zone: self.Zone, Region: self.Region}, Address: s.Listen, Home: s.HomeRegion,
+		Conns: p.conns, Origin: newOriginClient(s.Origin, limits.Download), Links: limits, Metrics: p.metrics.transfer, Log: p.log,
 	}
 	p.weights = newWeightManager(s, t, p.metrics, p.log)
 	p.serving = newServing(p.weights, newEngineClient(s.Engine), s.WeightsListen, p.gate, p.metrics, p.log)
@@ -100,6 +95,26 @@
 	serve.backend = newBackend(s.Engine)
 }
 
+// peerServer serves the chunks that this process holds to VMs that prove their name.
+func (p *Process) peerServer() *transfer.Server {
+	server := &transfer.Server{Metrics: p.metrics.transfer, Identify: callerVM}
+	server.Find = func(digest string) (*transfer.Distribution, bool) {
+		if p.weights == nil {
+			return nil, false
+		}
+		return p.weights.distribution(digest)
+	}
+	return server
+}
+
+func callerVM(ctx context.Context) (string, error) {
+	identity, err := mtls.PeerIdentity(ctx)
+	if err != nil {
+		return "", fmt.Errorf("certificate of the caller: %w", err)
+	}
+	return identity.VM, nil
+}
+
 func admissionLimits(l config.Limits) admission.Limits {
 	return admission.Limits{
 		ColdInFlight: l.ColdInFlight, WarmInFlight: l.WarmInFlight, Ramp: l.Ramp,
--- a/endpoint/metrics.go
+++ b/endpoint/metrics.go
@@ -7,16 +7,14 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/transfer"
 )
 
 // endpointMetrics are the metrics of an endpoint process. docs/operations.md lists them.
 type endpointMetrics struct {
 	set           *metrics.Set
+	transfer      *transfer.Metrics
 	replays       *metrics.Counter
-	originBytes   *metrics.Counter
-	peerBytes     *metrics.Counter
-	uploadedBytes *metrics.Counter
-	corruptChunks *metrics.Counter
 	staleCommands *metrics.Counter
 	coldStarts    *metrics.Counter
 }
@@ -25,11 +23,8 @@
 	set := metrics.NewSet()
 	return &endpointMetrics{
 		set:           set,
+		transfer:      transfer.NewMetrics(set),
 		replays:       set.NewCounter("laburnumgw_endpoint_replays_total"),
-		originBytes:   set.NewCounter("laburnumgw_weights_origin_bytes_total"),
-		peerBytes:     set.NewCounter("laburnumgw_weights_peer_bytes_total"),
-		uploadedBytes: set.NewCounter("laburnumgw_weights_uploaded_bytes_total"),
-		corruptChunks: set.NewCounter("laburnumgw_weights_corrupt_chunks_total"),
 		staleCommands: set.NewCounter("laburnumgw_engine_stale_commands_total"),
 		coldStarts:    set.NewCounter("laburnumgw_engine_cold_total"),
 	}
--- a/endpoint/node.go
+++ b/endpoint/node.go
@@ -9,6 +9,7 @@
 	"laburnumgw/lib/configsync/driver"
 	"laburnumgw/lib/mtls"
 	"laburnumgw/lib/rpc"
+	"laburnumgw/lib/transfer"
 )
 
 // nodePolicy lists who may call an endpoint process.
@@ -29,7 +30,7 @@
 	configs  *driver.Driver
 }
 
-func newGRPCServer(keys *mtls.Keys, s *server, peers *peerServer, n *node) *grpc.Server {
+func newGRPCServer(keys *mtls.Keys, s *server, peers *transfer.Server, n *node) *grpc.Server {
 	out := grpc.NewServer(rpc.ServerOptions(keys, nodePolicy)...)
 	laburnumgwv1.RegisterEndpointServer(out, s)
 	laburnumgwv1.RegisterPeerServer(out, peers)
--- a/endpoint/origin.go
+++ b/endpoint/origin.go
@@ -13,22 +13,13 @@
 	"golang.org/x/time/rate"
 
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/transfer"
 	"laburnumgw/lib/weights"
 )
 
 // defaultRateLimitWait applies when a 429 answer has no usable Retry-After.
 const defaultRateLimitWait = time.Second
 
-// rateLimitedError is returned when the weight store asks to come back later.
-type rateLimitedError struct {
-	retryAfter time.Duration
-}
-
-// Error implements error.
-func (e *rateLimitedError) Error() string {
-	return fmt.Sprintf("weight store is rate limited; retry after %s", e.retryAfter)
-}
-
 // originClient reads chunks from the weight store by byte range.
 type originClient struct {
 	base string
@@ -40,9 +31,9 @@
 	return &originClient{base: base, http: &http.Client{}, link: link}
 }
 
-// chunk returns the bytes that the store has at the place of a chunk. They are not
-// verified yet: the store may hold another version by now.
-func (o *originClient) chunk(ctx context.Context, m *weights.Manifest, index int, progress func()) ([]byte, error) {
+// Chunk implements transfer.Origin: it returns the bytes that the store has at the
+// place of a chunk.
+func (o *originClient) Chunk(ctx context.Context, m *weights.Manifest, index int, progress func()) ([]byte, error) {
 	target := fmt.Sprintf("%s/v1/weights/%s/%s", o.base, url.PathEscape(m.Model), url.PathEscape(m.Version))
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
@@ -59,7 +50,7 @@
 	switch response.StatusCode {
 	case http.StatusPartialContent, http.StatusOK:
 	case http.StatusTooManyRequests:
-		return nil, &rateLimitedError{retryAfter: retryAfter(response.Header)}
+		return nil, &transfer.RateLimitedError{RetryAfter: retryAfter(response.Header)}
 	default:
 		return nil, errkind.New(errkind.Unavailable, "check that the version is in the weight store",
 			"weight store answered status %d", response.StatusCode)
@@ -75,16 +66,13 @@
 	return time.Duration(seconds) * time.Second
 }
 
-// pieceBytes is the unit in which chunks are read and sent.
-const pieceBytes = 256 << 10
-
 var errShort = errors.New("chunk ended early")
 
 // readLimited reads exactly length bytes at the rate of the link's share.
 func readLimited(ctx context.Context, r io.Reader, length int64, link *rate.Limiter, progress func()) ([]byte, error) {
 	data := make([]byte, length)
-	for start := int64(0); start < length; start += pieceBytes {
-		part := data[start:min(length, start+pieceBytes)]
+	for start := int64(0); start < length; start += transfer.PieceBytes {
+		part := data[start:min(length, start+transfer.PieceBytes)]
 		if err := link.WaitN(ctx, len(part)); err != nil {
 			return nil, fmt.Errorf("wait for the link: %w", err)
 		}
--- a/endpoint/pace.go
+++ b/endpoint/pace.go
@@ -31,7 +31,7 @@
 		return
 	}
 	limit := transferRate(p.settings.LinkMbit, snapshot.Distribution.LinkShare, p.gate.Load().Queued > 0)
-	p.weights.transfer.links.set(limit)
+	p.weights.transfer.Links.Set(limit)
 }
 
 // paceTransfers lets distribution give way while requests wait, until the context ends.
@@ -47,12 +47,3 @@
 		}
 	}
 }
-
-// set changes the rate in both directions when it differs.
-func (l links) set(limit rate.Limit) {
-	for _, limiter := range []*rate.Limiter{l.download, l.upload} {
-		if limiter.Limit() != limit {
-			limiter.SetLimit(limit)
-		}
-	}
-}
--- a/endpoint/pace_test.go
+++ b/endpoint/pace_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"golang.org/x/time/rate"
+
+	"laburnumgw/lib/transfer"
 )
 
 // Guards against a distribution that keeps its whole share while requests wait.
@@ -14,9 +16,9 @@
 		So(transferRate(1000, 0.5, true), ShouldEqual, rate.Limit(31_250_000))
 	})
 	Convey("Both directions follow", t, func() {
-		l := links{download: rate.NewLimiter(1, 1), upload: rate.NewLimiter(1, 1)}
-		l.set(5)
-		So(l.download.Limit(), ShouldEqual, rate.Limit(5))
-		So(l.upload.Limit(), ShouldEqual, rate.Limit(5))
+		l := transfer.NewLinks(1)
+		l.Set(5)
+		So(l.Download.Limit(), ShouldEqual, rate.Limit(5))
+		So(l.Upload.Limit(), ShouldEqual, rate.Limit(5))
 	})
 }
--- a/endpoint/weights.go
+++ b/endpoint/weights.go
@@ -16,6 +16,7 @@
 	"laburnumgw/lib/config"
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/swarm"
+	"laburnumgw/lib/transfer"
 	"laburnumgw/lib/weights"
 )
 
@@ -34,13 +35,13 @@
 	vm         string
 	models     []string
 	store      *weights.Store
-	transfer   *transfer
+	transfer   *transfer.Transfer
 	originMbit float64
 	log        *zap.Logger
 	metrics    *endpointMetrics
 
 	mu            sync.Mutex
-	distributions map[string]*distribution
+	distributions map[string]*transfer.Distribution
 	assignments   map[string]assignment
 	fences        map[string]uint64
 	// hashes holds the SHA-256 of each version as it was handed to the engine.
@@ -48,11 +49,11 @@
 	changed chan struct{}
 }
 
-func newWeightManager(s *Settings, t *transfer, metrics *endpointMetrics, log *zap.Logger) *weightManager {
+func newWeightManager(s *Settings, t *transfer.Transfer, metrics *endpointMetrics, log *zap.Logger) *weightManager {
 	return &weightManager{
 		vm: s.VM, models: s.Models, store: weights.NewStore(s.WeightsMemoryMB * megabyte), transfer: t,
 		originMbit: s.OriginMbit, log: log, metrics: metrics,
-		distributions: make(map[string]*distribution), assignments: make(map[string]assignment),
+		distributions: make(map[string]*transfer.Distribution), assignments: make(map[string]assignment),
 		fences: make(map[string]uint64), hashes: make(map[string]string), changed: make(chan struct{}, 1),
 	}
 }
@@ -146,7 +147,7 @@
 // holds the lock.
 func (w *weightManager) ensure(digest string, target wanted, limits config.Distribution) {
 	if d, ok := w.distributions[digest]; ok {
-		d.setMembers(target.members)
+		d.SetMembers(target.members)
 		return
 	}
 	replica, err := w.reserve(target.version)
@@ -154,7 +155,7 @@
 		w.log.Error("version cannot be held", zap.String("model", target.version.GetModel()), zap.String("version", digest), zap.Error(err))
 		return
 	}
-	d, err := newDistribution(w.transfer, replica, w.originMbit*limits.OriginShare, swarm.Limits{UploadSlots: limits.UploadSlots})
+	d, err := transfer.New(w.transfer, replica, w.originMbit*megabit*limits.OriginShare, swarm.Limits{UploadSlots: limits.UploadSlots})
 	if err != nil {
 		w.log.Error("distribution not started", zap.String("version", digest), zap.Error(err))
 		return
@@ -162,9 +163,9 @@
 	w.distributions[digest] = d
 	w.log.Info("distribution started", zap.String("model", target.version.GetModel()), zap.String("version", digest),
 		zap.Int64("bytes", target.version.GetSize()), zap.Int("members", len(target.members)))
-	go d.run()
+	go d.Run()
 	go w.awaitWhole(digest, d)
-	d.setMembers(target.members)
+	d.SetMembers(target.members)
 }
 
 // reserve sets memory aside. When it does not suffice, other versions of the model
@@ -179,36 +180,37 @@
 		return replica, err
 	}
 	for digest, d := range w.distributions {
-		if d.replica.Manifest().Model == manifest.Model {
+		if d.Replica().Manifest().Model == manifest.Model {
 			w.drop(digest, d)
 		}
 	}
 	return w.store.Reserve(manifest)
 }
 
-func (w *weightManager) drop(digest string, d *distribution) {
-	d.stop()
+func (w *weightManager) drop(digest string, d *transfer.Distribution) {
+	d.Stop()
 	delete(w.distributions, digest)
 	delete(w.hashes, digest)
-	w.store.Remove(d.replica.Digest())
+	w.store.Remove(d.Replica().Digest())
 	w.log.Info("version dropped", zap.String("version", digest))
 }
 
-func (w *weightManager) awaitWhole(digest string, d *distribution) {
+func (w *weightManager) awaitWhole(digest string, d *transfer.Distribution) {
 	select {
-	case <-d.ctx.Done():
+	case <-d.Stopped():
 		return
-	case <-d.whole:
+	case <-d.Whole():
 	}
-	w.log.Info("version is whole", zap.String("version", digest), zap.Duration("duration", d.sinceStart()),
-		zap.Int64("origin_bytes", d.originBytes.Load()), zap.Int64("peer_bytes", d.peerBytes.Load()))
+	origin, peers := d.Received()
+	w.log.Info("version is whole", zap.String("version", digest), zap.Duration("duration", d.SinceStart()),
+		zap.Int64("origin_bytes", origin), zap.Int64("peer_bytes", peers))
 	select {
 	case w.changed <- struct{}{}:
 	default:
 	}
 }
 
-func (w *weightManager) distribution(digest string) (*distribution, bool) {
+func (w *weightManager) distribution(digest string) (*transfer.Distribution, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	d, ok := w.distributions[digest]
@@ -221,7 +223,7 @@
 	defer w.mu.Unlock()
 	list := make(map[string]assignment)
 	for model, a := range w.assignments {
-		if d, ok := w.distributions[a.digest]; ok && d.replica.Complete() {
+		if d, ok := w.distributions[a.digest]; ok && d.Replica().Complete() {
 			list[model] = a
 		}
 	}
@@ -241,7 +243,7 @@
 	defer w.mu.Unlock()
 	var list []*laburnumgwv1.WeightProgress
 	for _, d := range w.distributions {
-		list = append(list, d.progress())
+		list = append(list, d.Progress())
 	}
 	return list
 }
@@ -260,13 +262,13 @@
 		http.Error(out, "version is not held here", http.StatusNotFound)
 		return
 	}
-	reader, err := d.replica.Open()
+	reader, err := d.Replica().Open()
 	if err != nil {
 		http.Error(out, err.Error(), http.StatusConflict)
 		return
 	}
 	defer reader.Close()
-	out.Header().Set("Content-Length", strconv.FormatInt(d.replica.Manifest().Size, 10))
+	out.Header().Set("Content-Length", strconv.FormatInt(d.Replica().Manifest().Size, 10))
 	hash := sha256.New()
 	if _, err := io.Copy(io.MultiWriter(out, hash), reader); err != nil {
 		w.log.Warn("engine stopped reading weights", zap.String("version", digest), zap.Error(err))
--- a/lib/rpc/rpc.go
+++ b/lib/rpc/rpc.go
@@ -11,6 +11,8 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/stats"
 
 	"laburnumgw/lib/mtls"
@@ -49,6 +51,20 @@
 	return &Pool{keys: keys, roles: roles, conns: make(map[string]*grpc.ClientConn)}
 }
 
+// NewPlainPool returns a pool without certificates, for networks in which the platform
+// decides who can connect.
+func NewPlainPool() *Pool {
+	return &Pool{conns: make(map[string]*grpc.ClientConn)}
+}
+
+// credentials returns how a connection proves its identity.
+func (p *Pool) credentials() credentials.TransportCredentials {
+	if p.keys == nil {
+		return insecure.NewCredentials()
+	}
+	return p.keys.ClientCredentials(p.roles...)
+}
+
 // UseDialer makes later connections through a dialer, so that a bench can count their
 // bytes. It must be called before the first call of Conn.
 func (p *Pool) UseDialer(dial func(ctx context.Context, address string) (net.Conn, error)) {
@@ -63,7 +79,7 @@
 		return conn, nil
 	}
 	options := append([]grpc.DialOption{
-		grpc.WithTransportCredentials(p.keys.ClientCredentials(p.roles...)),
+		grpc.WithTransportCredentials(p.credentials()),
 		grpc.WithStatsHandler(sentHandler{}),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithInitialWindowSize(streamWindow),
--- a/endpoint/distribution.go
+++ b/lib/transfer/distribution.go
@@ -1,4 +1,6 @@
-package endpoint
+// Package transfer moves the chunks of model versions between VMs. It drives the swarm
+// state machine of each version and performs its actions over gRPC.
+package transfer
 
 import (
 	"context"
@@ -10,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 	"google.golang.org/grpc/codes"
@@ -27,30 +30,86 @@
 	eventBacklog = 1024
 	// exchangeTimeout bounds one exchange of bitmaps.
 	exchangeTimeout = 2 * time.Second
+	// PieceBytes is the unit in which chunks are read and sent.
+	PieceBytes = 256 << 10
+	// linkBurst lets one piece pass at once.
+	linkBurst = PieceBytes
 )
 
-// links limits the transfer of weights to its share of this VM's link.
-type links struct {
-	download *rate.Limiter
-	upload   *rate.Limiter
+// Links limits the transfer of weights to its share of this VM's link.
+type Links struct {
+	Download *rate.Limiter
+	Upload   *rate.Limiter
 }
 
-// transfer is what the distributions of all versions on a VM share.
-type transfer struct {
-	self    swarm.Member
-	address string
-	home    string
-	conns   *rpc.Pool
-	origin  *originClient
-	links   links
-	metrics *endpointMetrics
-	log     *zap.Logger
+// NewLinks returns the limits of a link share in bytes per second.
+func NewLinks(bytesPerSecond float64) Links {
+	return Links{
+		Download: rate.NewLimiter(rate.Limit(bytesPerSecond), linkBurst),
+		Upload:   rate.NewLimiter(rate.Limit(bytesPerSecond), linkBurst),
+	}
+}
+
+// Set changes the rate in both directions when it differs.
+func (l Links) Set(limit rate.Limit) {
+	for _, limiter := range []*rate.Limiter{l.Download, l.Upload} {
+		if limiter.Limit() != limit {
+			limiter.SetLimit(limit)
+		}
+	}
+}
+
+// Origin reads chunks from the weight store. The bytes are not verified yet: the store
+// may hold another version by now, or send wrong bytes.
+type Origin interface {
+	Chunk(ctx context.Context, m *weights.Manifest, index int, progress func()) ([]byte, error)
+}
+
+// RateLimitedError is returned when the weight store asks to come back later.
+type RateLimitedError struct {
+	RetryAfter time.Duration
 }
 
-// distribution fetches one version and serves its chunks to other VMs. It runs until
+// Error implements error.
+func (e *RateLimitedError) Error() string {
+	return fmt.Sprintf("weight store is rate limited; retry after %s", e.RetryAfter)
+}
+
+// Metrics count the bytes of transfers.
+type Metrics struct {
+	OriginBytes   *metrics.Counter
+	PeerBytes     *metrics.Counter
+	UploadedBytes *metrics.Counter
+	CorruptChunks *metrics.Counter
+}
+
+// NewMetrics registers the counters in a set.
+func NewMetrics(set *metrics.Set) *Metrics {
+	return &Metrics{
+		OriginBytes:   set.NewCounter("laburnumgw_weights_origin_bytes_total"),
+		PeerBytes:     set.NewCounter("laburnumgw_weights_peer_bytes_total"),
+		UploadedBytes: set.NewCounter("laburnumgw_weights_uploaded_bytes_total"),
+		CorruptChunks: set.NewCounter("laburnumgw_weights_corrupt_chunks_total"),
+	}
+}
+
+// Transfer is what the distributions of all versions on a VM share.
+type Transfer struct {
+	Self    swarm.Member
+	Address string
+	// Home is the region of the weight store.
+	Home    string
+	Conns   *rpc.Pool
+	Origin  Origin
+	Links   Links
+	Metrics *Metrics
+	Log     *zap.Logger
+}
+
+// Distribution fetches one version and serves its chunks to other VMs. It runs until
 // the version is no longer wanted.
-type distribution struct {
-	transfer *transfer
+type Distribution struct {
+	transfer *Transfer
 	replica  *weights.Replica
 	machine  *swarm.Machine
 	started  time.Time
@@ -71,9 +130,9 @@
 }
 
 // timing derives the state machine's times from the link rates.
-func (t *transfer) timing(manifest *weights.Manifest, originMbit float64) (chunkTime, sourceInterval time.Duration) {
-	chunkTime = bytesTime(manifest.ChunkSize, float64(t.links.download.Limit()))
-	sourceInterval = bytesTime(manifest.ChunkSize, originMbit*megabit)
+func (t *Transfer) timing(manifest *weights.Manifest, originRate float64) (chunkTime, sourceInterval time.Duration) {
+	chunkTime = bytesTime(manifest.ChunkSize, float64(t.Links.Download.Limit()))
+	sourceInterval = bytesTime(manifest.ChunkSize, originRate)
 	return max(chunkTime, time.Millisecond), sourceInterval
 }
 
@@ -81,18 +140,20 @@
 	return time.Duration(float64(bytes) / rate * float64(time.Second))
 }
 
-func newDistribution(t *transfer, replica *weights.Replica, originMbit float64, limits swarm.Limits) (*distribution, error) {
-	chunkTime, interval := t.timing(replica.Manifest(), originMbit)
+// New returns a distribution that fetches a replica from the members that SetMembers
+// names. The rate of the weight store is in bytes per second.
+func New(t *Transfer, replica *weights.Replica, originRate float64, limits swarm.Limits) (*Distribution, error) {
+	chunkTime, interval := t.timing(replica.Manifest(), originRate)
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	machine, err := swarm.New(swarm.Config{
-		Self: t.self, Digest: replica.Digest(), Chunks: len(replica.Manifest().Chunks), Held: replica.Bitmap(),
-		HomeRegion: t.home, ChunkTime: chunkTime, SourceInterval: interval, Limits: limits,
+		Self: t.Self, Digest: replica.Digest(), Chunks: len(replica.Manifest().Chunks), Held: replica.Bitmap(),
+		HomeRegion: t.Home, ChunkTime: chunkTime, SourceInterval: interval, Limits: limits,
 	}, rng, 0)
 	if err != nil {
 		return nil, fmt.Errorf("start distribution: %w", err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	return &distribution{
+	return &Distribution{
 		transfer: t, replica: replica, machine: machine, started: time.Now(),
 		events: make(chan swarm.Event, eventBacklog), ctx: ctx, cancel: cancel, whole: make(chan struct{}),
 		addresses: make(map[string]string), uploads: make(map[swarm.UploadID]chan error),
@@ -100,8 +161,8 @@
 	}, nil
 }
 
-// run drives the state machine until the distribution is stopped.
-func (d *distribution) run() {
+// Run drives the state machine until the distribution is stopped.
+func (d *Distribution) Run() {
 	ticker := time.NewTicker(max(d.machine.TickInterval(), time.Millisecond))
 	defer ticker.Stop()
 	for {
@@ -119,18 +180,19 @@
 	}
 }
 
-func (d *distribution) stop() { d.cancel() }
+// Stop ends the distribution.
+func (d *Distribution) Stop() { d.cancel() }
 
 // post hands an event to the state machine.
-func (d *distribution) post(event swarm.Event) {
+func (d *Distribution) post(event swarm.Event) {
 	select {
 	case d.events <- event:
 	case <-d.ctx.Done():
 	}
 }
 
-// setMembers names the VMs that hold or receive the version.
-func (d *distribution) setMembers(assignments []*laburnumgwv1.Assignment) {
+// SetMembers names the VMs that hold or receive the version.
+func (d *Distribution) SetMembers(assignments []*laburnumgwv1.Assignment) {
 	members := make([]swarm.Member, 0, len(assignments))
 	d.mu.Lock()
 	clear(d.addresses)
@@ -142,7 +204,7 @@
 	d.post(swarm.MembersChanged{Members: members})
 }
 
-func (d *distribution) perform(action swarm.Action) {
+func (d *Distribution) perform(action swarm.Action) {
 	switch a := action.(type) {
 	case swarm.FetchChunk:
 		ctx, cancel := context.WithCancel(d.ctx)
@@ -163,7 +225,7 @@
 	}
 }
 
-func (d *distribution) endFetch(id swarm.FetchID) {
+func (d *Distribution) endFetch(id swarm.FetchID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if cancel, ok := d.fetches[id]; ok {
@@ -172,12 +234,12 @@
 	}
 }
 
-func (d *distribution) fetch(ctx context.Context, f swarm.FetchChunk) {
+func (d *Distribution) fetch(ctx context.Context, f swarm.FetchChunk) {
 	progress := func() { d.post(swarm.ChunkProgress{ID: f.ID}) }
 	var data []byte
 	var err error
 	if f.From == swarm.Origin {
-		data, err = d.transfer.origin.chunk(ctx, d.replica.Manifest(), f.Chunk, progress)
+		data, err = d.transfer.Origin.Chunk(ctx, d.replica.Manifest(), f.Chunk, progress)
 	} else {
 		data, err = d.fetchFromPeer(ctx, f, progress)
 	}
@@ -194,21 +256,21 @@
 	d.post(done)
 }
 
-func (d *distribution) count(f swarm.FetchChunk, result swarm.Result, n int) {
+func (d *Distribution) count(f swarm.FetchChunk, result swarm.Result, n int) {
 	switch {
 	case result == swarm.ResultCorrupt:
-		d.transfer.metrics.corruptChunks.Inc()
-		d.transfer.log.Warn("corrupt chunk", zap.Stringer("version", d.replica.Digest()), zap.Int("chunk", f.Chunk), zap.String("from", sourceName(f.From)))
+		d.transfer.Metrics.CorruptChunks.Inc()
+		d.transfer.Log.Warn("corrupt chunk", zap.Stringer("version", d.replica.Digest()), zap.Int("chunk", f.Chunk), zap.String("from", sourceName(f.From)))
 	case result != swarm.ResultOK:
 		return
 	}
 	if f.From == swarm.Origin {
 		d.originBytes.Add(int64(n))
-		d.transfer.metrics.originBytes.Add(n)
+		d.transfer.Metrics.OriginBytes.Add(n)
 		return
 	}
 	d.peerBytes.Add(int64(n))
-	d.transfer.metrics.peerBytes.Add(n)
+	d.transfer.Metrics.PeerBytes.Add(n)
 }
 
 func sourceName(from string) string {
@@ -220,7 +282,7 @@
 
 func fetchResult(id swarm.FetchID, err error) swarm.ChunkDone {
 	done := swarm.ChunkDone{ID: id, Result: swarm.ResultFailed}
-	var limited *rateLimitedError
+	var limited *RateLimitedError
 	switch {
 	case err == nil:
 		done.Result = swarm.ResultOK
@@ -228,7 +290,7 @@
 		done.Result = swarm.ResultCorrupt
 	case errors.As(err, &limited):
 		done.Result = swarm.ResultRateLimited
-		done.RetryAfter = limited.retryAfter
+		done.RetryAfter = limited.RetryAfter
 	case status.Code(err) == codes.ResourceExhausted:
 		done.Result = swarm.ResultRefused
 	case status.Code(err) == codes.NotFound:
@@ -237,21 +299,21 @@
 	return done
 }
 
-func (d *distribution) peer(vm string) (laburnumgwv1.PeerClient, error) {
+func (d *Distribution) peer(vm string) (laburnumgwv1.PeerClient, error) {
 	d.mu.Lock()
 	address := d.addresses[vm]
 	d.mu.Unlock()
 	if address == "" {
 		return nil, errkind.New(errkind.NotFound, "wait for the next placement", "address of VM %q is not known", vm)
 	}
-	conn, err := d.transfer.conns.Conn(address)
+	conn, err := d.transfer.Conns.Conn(address)
 	if err != nil {
 		return nil, err
 	}
 	return laburnumgwv1.NewPeerClient(conn), nil
 }
 
-func (d *distribution) fetchFromPeer(ctx context.Context, f swarm.FetchChunk, progress func()) ([]byte, error) {
+func (d *Distribution) fetchFromPeer(ctx context.Context, f swarm.FetchChunk, progress func()) ([]byte, error) {
 	client, err := d.peer(f.From)
 	if err != nil {
 		return nil, err
@@ -275,7 +337,7 @@
 		if int64(len(data)+len(piece.GetData())) > length {
 			return nil, errkind.New(errkind.Corrupt, "ask another VM", "chunk %d from %s is too long", f.Chunk, f.From)
 		}
-		if err := d.transfer.links.download.WaitN(ctx, len(piece.GetData())); err != nil {
+		if err := d.transfer.Links.Download.WaitN(ctx, len(piece.GetData())); err != nil {
 			return nil, fmt.Errorf("wait for the link: %w", err)
 		}
 		data = append(data, piece.GetData()...)
@@ -283,7 +345,7 @@
 	}
 }
 
-func (d *distribution) exchange(send swarm.SendBitmap) {
+func (d *Distribution) exchange(send swarm.SendBitmap) {
 	ctx, cancel := context.WithTimeout(d.ctx, exchangeTimeout)
 	defer cancel()
 	bitmap, err := d.callExchange(ctx, send)
@@ -294,15 +356,15 @@
 	d.post(swarm.BitmapReceived{From: send.To, Bitmap: bitmap})
 }
 
-func (d *distribution) callExchange(ctx context.Context, send swarm.SendBitmap) (weights.Bitmap, error) {
+func (d *Distribution) callExchange(ctx context.Context, send swarm.SendBitmap) (weights.Bitmap, error) {
 	client, err := d.peer(send.To)
 	if err != nil {
 		return weights.Bitmap{}, err
 	}
-	self := d.transfer.self
+	self := d.transfer.Self
 	response, err := client.Exchange(ctx, &laburnumgwv1.ExchangeRequest{
 		VersionDigest: d.replica.Digest().String(), Bitmap: send.Bitmap.Bytes(),
-		From: &laburnumgwv1.PeerInfo{Vm: self.VM, Zone: self.Zone, Region: self.Region, Address: d.transfer.address},
+		From: &laburnumgwv1.PeerInfo{Vm: self.VM, Zone: self.Zone, Region: self.Region, Address: d.transfer.Address},
 	})
 	if err != nil {
 		return weights.Bitmap{}, err
@@ -318,7 +380,7 @@
 }
 
 // requestUpload waits until the state machine admits an upload.
-func (d *distribution) requestUpload(ctx context.Context, from string, chunk int) (done func(), err error) {
+func (d *Distribution) requestUpload(ctx context.Context, from string, chunk int) (done func(), err error) {
 	wait := make(chan error, 1)
 	d.mu.Lock()
 	d.nextID++
@@ -347,7 +409,7 @@
 	}
 }
 
-func (d *distribution) answerUpload(id swarm.UploadID, err error) {
+func (d *Distribution) answerUpload(id swarm.UploadID, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if wait, ok := d.uploads[id]; ok {
@@ -358,7 +420,7 @@
 	}
 }
 
-func (d *distribution) refuseUploads() {
+func (d *Distribution) refuseUploads() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, wait := range d.uploads {
@@ -369,8 +431,8 @@
 	}
 }
 
-// progress describes the distribution for reports.
-func (d *distribution) progress() *laburnumgwv1.WeightProgress {
+// Progress describes the distribution for reports.
+func (d *Distribution) Progress() *laburnumgwv1.WeightProgress {
 	manifest := d.replica.Manifest()
 	return &laburnumgwv1.WeightProgress{
 		Model: manifest.Model, VersionDigest: d.replica.Digest().String(),
@@ -379,4 +441,19 @@
 	}
 }
 
-func (d *distribution) sinceStart() time.Duration { return time.Since(d.started) }
+// SinceStart returns the age of the distribution.
+func (d *Distribution) SinceStart() time.Duration { return time.Since(d.started) }
+
+// Replica returns the chunks that the distribution has fetched.
+func (d *Distribution) Replica() *weights.Replica { return d.replica }
+
+// Whole is closed when every chunk is held and verified.
+func (d *Distribution) Whole() <-chan struct{} { return d.whole }
+
+// Stopped is closed when the distribution was stopped.
+func (d *Distribution) Stopped() <-chan struct{} { return d.ctx.Done() }
+
+// Received returns the bytes that arrived from the weight store and from other VMs.
+func (d *Distribution) Received() (origin, peers int64) {
+	return d.originBytes.Load(), d.peerBytes.Load()
+}
--- a/endpoint/peer.go
+++ b/lib/transfer/server.go
@@ -1,4 +1,4 @@
-package endpoint
+package transfer
 
 import (
 	"context"
@@ -7,19 +7,22 @@
 	"google.golang.org/grpc/status"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
-	"laburnumgw/lib/mtls"
 	"laburnumgw/lib/swarm"
 	"laburnumgw/lib/weights"
 )
 
-// peerServer serves chunks to other endpoint processes.
-type peerServer struct {
+// Server serves chunks to other endpoint processes.
+type Server struct {
 	laburnumgwv1.UnimplementedPeerServer
-	weights *weightManager
+	// Find returns the distribution of a version.
+	Find func(digest string) (*Distribution, bool)
+	// Identify names the VM that calls.
+	Identify func(ctx context.Context) (vm string, err error)
+	Metrics  *Metrics
 }
 
 // Exchange implements the Peer service.
-func (p *peerServer) Exchange(ctx context.Context, request *laburnumgwv1.ExchangeRequest) (*laburnumgwv1.ExchangeResponse, error) {
+func (p *Server) Exchange(ctx context.Context, request *laburnumgwv1.ExchangeRequest) (*laburnumgwv1.ExchangeResponse, error) {
 	d, from, err := p.find(ctx, request.GetVersionDigest())
 	if err != nil {
 		return nil, err
@@ -33,7 +36,7 @@
 }
 
 // GetChunk implements the Peer service.
-func (p *peerServer) GetChunk(request *laburnumgwv1.GetChunkRequest, stream laburnumgwv1.Peer_GetChunkServer) error {
+func (p *Server) GetChunk(request *laburnumgwv1.GetChunkRequest, stream laburnumgwv1.Peer_GetChunkServer) error {
 	d, from, err := p.find(stream.Context(), request.GetVersionDigest())
 	if err != nil {
 		return err
@@ -51,31 +54,28 @@
 	if err != nil {
 		return status.Error(codes.NotFound, err.Error())
 	}
-	link := d.transfer.links.upload
-	for start := 0; start < len(data); start += pieceBytes {
-		piece := data[start:min(len(data), start+pieceBytes)]
+	link := d.transfer.Links.Upload
+	for start := 0; start < len(data); start += PieceBytes {
+		piece := data[start:min(len(data), start+PieceBytes)]
 		if err := link.WaitN(stream.Context(), len(piece)); err != nil {
 			return status.FromContextError(err).Err()
 		}
 		if err := stream.Send(&laburnumgwv1.ChunkPiece{Data: piece}); err != nil {
 			return err
 		}
-		d.transfer.metrics.uploadedBytes.Add(len(piece))
+		p.Metrics.UploadedBytes.Add(len(piece))
 	}
 	return nil
 }
 
-func (p *peerServer) find(ctx context.Context, digest string) (*distribution, string, error) {
-	identity, err := mtls.PeerIdentity(ctx)
+func (p *Server) find(ctx context.Context, digest string) (*Distribution, string, error) {
+	vm, err := p.Identify(ctx)
 	if err != nil {
 		return nil, "", status.Error(codes.Unauthenticated, err.Error())
 	}
-	if p.weights == nil {
-		return nil, "", status.Error(codes.NotFound, "this endpoint process holds no weights")
-	}
-	d, ok := p.weights.distribution(digest)
+	d, ok := p.Find(digest)
 	if !ok {
 		return nil, "", status.Errorf(codes.NotFound, "version %s is not held here", digest)
 	}
-	return d, identity.VM, nil
+	return d, vm, nil
 }
--- a/lib/weights/digest.go
+++ b/lib/weights/digest.go
@@ -4,6 +4,7 @@
 package weights
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 
 	"lukechampine.com/blake3"
@@ -14,10 +15,27 @@
 // DigestSize is the length of a digest in bytes.
 const DigestSize = 32
 
-// Digest is a BLAKE3 digest. Its text form is lower-case hexadecimal.
+// Digest is a BLAKE3 digest, or that of a manifest's Hash. Its text form is lower-case hexadecimal.
 type Digest [DigestSize]byte
 
+// Hash names the function of a manifest's chunk digests.
+type Hash string
+
+// Hashes of chunk digests. An origin that publishes its own digests chooses the function.
+const (
+	BLAKE3 Hash = ""
+	SHA256 Hash = "sha256"
+)
+
 // Sum returns the digest of data.
+func (h Hash) Sum(data []byte) Digest {
+	if h == SHA256 {
+		return sha256.Sum256(data)
+	}
+	return Sum(data)
+}
+
+// Sum returns the BLAKE3 digest of data.
 func Sum(data []byte) Digest { return blake3.Sum256(data) }
 
 // ParseDigest reads the text form of a digest.
--- a/lib/weights/manifest.go
+++ b/lib/weights/manifest.go
@@ -33,6 +33,8 @@
 	Size      int64    `json:"size"`
 	ChunkSize int64    `json:"chunk_size"`
 	Chunks    []Digest `json:"chunks"`
+	// Hash is the function of the chunk digests; empty for BLAKE3.
+	Hash Hash `json:"hash,omitempty"`
 }
 
 // Validate checks that names, sizes and the number of chunks agree.
@@ -47,6 +49,9 @@
 		return errkind.New(errkind.Invalid, "use a chunk size between 1 byte and 64 MB",
 			"chunk size of %d bytes", m.ChunkSize)
 	}
+	if m.Hash != BLAKE3 && m.Hash != SHA256 {
+		return errkind.New(errkind.Invalid, "use BLAKE3 or SHA-256", "unknown hash %q", m.Hash)
+	}
 	if m.Size <= 0 {
 		return errkind.New(errkind.Invalid, manifestRemedy, "size of %d bytes", m.Size)
 	}
@@ -77,6 +82,9 @@
 		writeInt(hasher, int64(len(text)))
 		_, _ = io.WriteString(hasher, text)
 	}
+	if m.Hash != BLAKE3 {
+		_, _ = io.WriteString(hasher, string(m.Hash))
+	}
 	writeInt(hasher, m.Size)
 	writeInt(hasher, m.ChunkSize)
 	writeInt(hasher, int64(len(m.Chunks)))
@@ -106,7 +114,7 @@
 		return errkind.New(errkind.BadRequest, "request a chunk of the manifest",
 			"chunk %d of %d", index, len(m.Chunks))
 	}
-	if int64(len(data)) != m.ChunkLen(index) || Sum(data) != m.Chunks[index] {
+	if int64(len(data)) != m.ChunkLen(index) || m.Hash.Sum(data) != m.Chunks[index] {
 		return errkind.New(errkind.Corrupt, "fetch the chunk from another source",
 			"chunk %d of %s %s does not match its digest", index, m.Model, m.Version)
 	}
