--- a/entry/control.go
+++ b/entry/control.go
@@ -148,8 +148,5 @@
 // configure sets the retry limits. The limits hold for all entries together, so each
 // entry takes its part of the fixed rate.
 func (d *dispatcher) configure(retries config.Retries, entries int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.budget.Configure(retry.BudgetSettings{Ratio: retries.Ratio, PerSecond: retries.PerSecond / float64(entries)})
-	d.planner.Configure(retries.MaxAttempts)
+	d.loop.Configure(retries.MaxAttempts, retry.BudgetSettings{Ratio: retries.Ratio, PerSecond: retries.PerSecond / float64(entries)})
 }
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/dispatch"
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/routing"
@@ -44,9 +45,9 @@
 	metrics *entryMetrics
 	log     *zap.Logger
 
-	mu      sync.Mutex
-	planner *retry.Planner
-	budget  *retry.Budget
+	loop *dispatch.Loop
+
+	mu sync.Mutex
 	// attempts holds the cancel functions of running attempts by VM.
 	attempts map[string]map[*runningAttempt]struct{}
 }
@@ -59,81 +60,47 @@
 func (d *dispatcher) run(ctx context.Context, r *request, generation uint64, out responder) error {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	state := retry.NewState(retry.Request{Idempotent: r.idempotent, Resumable: r.model != "", Deadline: r.deadline})
-	d.mu.Lock()
-	d.budget.FirstAttempt(time.Now())
-	d.mu.Unlock()
-	var tried []string
-	digest := ""
-	for number := uint32(1); ; number++ {
-		decision, err := d.routes.pick(r, number, digest, tried)
-		if err != nil {
-			return state.NoEndpoint(err).Err
-		}
-		ended := d.attempt(ctx, r, decision, number, generation, out)
-		next := d.next(state, ended)
-		if next.Action == retry.Answer {
-			return finalError(next, ended)
-		}
-		d.metrics.retries.Inc()
-		d.log.Info("retry", zap.String("request", r.id), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
-			zap.Stringer("outcome", ended.Outcome), zap.Bool("resume", next.Action == retry.Resume), zap.Error(ended.Err))
-		next = d.await(ctx, state, next)
-		if next.Action == retry.Answer {
-			return next.Err
-		}
-		tried = append(tried, decision.VM)
-		digest = next.VersionDigest
-	}
+	wanted := retry.Request{Idempotent: r.idempotent, Resumable: r.model != "", Deadline: r.deadline}
+	ended, err := d.loop.Run(ctx, wanted, &dispatched{dispatcher: d, request: r, generation: generation, out: out})
+	return finalError(err, ended)
 }
 
-// finalError returns the error to answer. What the journal says about a key is the
-// caller's answer as it is; its kind tells more than that the attempt failed.
-func finalError(next retry.Next, ended retry.Attempt) error {
-	switch errkind.Of(ended.Err) {
-	case errkind.KeyReused, errkind.KeyExpired, errkind.KeyMissing:
-		return ended.Err
-	default:
-		return next.Err
-	}
+// dispatched is one request in the loop of attempts.
+type dispatched struct {
+	*dispatcher
+	request    *request
+	generation uint64
+	out        responder
 }
 
-func (d *dispatcher) next(state *retry.State, ended retry.Attempt) retry.Next {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.planner.Next(state, ended, time.Now())
+// Pick implements dispatch.Target.
+func (t *dispatched) Pick(number uint32, digest string, tried []string) (routing.Decision, error) {
+	return t.routes.pick(t.request, number, digest, tried)
 }
 
-// await waits as the plan says, and in turn for the retry budget, until the next
-// attempt may be sent or the request is given up.
-func (d *dispatcher) await(ctx context.Context, state *retry.State, next retry.Next) retry.Next {
-	for {
-		if !sleep(ctx, next.After) {
-			d.mu.Lock()
-			defer d.mu.Unlock()
-			d.planner.Abandon(state)
-			return state.NoEndpoint(context.Cause(ctx))
-		}
-		if next.Action != retry.Wait {
-			return next
-		}
-		d.mu.Lock()
-		next = d.planner.Again(state, time.Now())
-		d.mu.Unlock()
-	}
+// Attempt implements dispatch.Target.
+func (t *dispatched) Attempt(ctx context.Context, decision routing.Decision, number uint32) retry.Attempt {
+	return t.attempt(ctx, t.request, decision, number, t.generation, t.out)
+}
+
+// Retrying implements dispatch.Target.
+func (t *dispatched) Retrying(decision routing.Decision, number uint32, ended retry.Attempt, next retry.Next) {
+	t.metrics.retries.Inc()
+	t.log.Info("retry", zap.String("request", t.request.id), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
+		zap.Stringer("outcome", ended.Outcome), zap.Bool("resume", next.Action == retry.Resume), zap.Error(ended.Err))
 }
 
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
+// finalError returns the error to answer. What the journal says about a key is the
+// caller's answer as it is; its kind tells more than that the attempt failed.
+func finalError(err error, ended retry.Attempt) error {
+	if err == nil {
+		return nil
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
+	switch errkind.Of(ended.Err) {
+	case errkind.KeyReused, errkind.KeyExpired, errkind.KeyMissing:
+		return ended.Err
+	default:
+		return err
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"laburnumgw/lib/dispatch"
 	"laburnumgw/lib/mtls"
 	"laburnumgw/lib/platform"
 	"laburnumgw/lib/retry"
@@ -52,7 +53,7 @@
 	budget := retry.NewBudget(retry.BudgetSettings{})
 	return &dispatcher{
 		routes: r, conns: conns, metrics: metrics, log: log,
-		planner: retry.NewPlanner(retry.Settings{}, budget, rng), budget: budget,
+		loop: dispatch.NewLoop(retry.NewPlanner(retry.Settings{}, budget, rng), budget),
 		attempts: make(map[string]map[*runningAttempt]struct{}),
 	}
 }
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -10,6 +10,7 @@
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/configstore"
+	"laburnumgw/lib/dispatch"
 	"laburnumgw/lib/lease"
 	"laburnumgw/lib/membership"
 	"laburnumgw/lib/placement"
@@ -77,7 +78,7 @@
 			next = p.clock() + placementInterval
 		}
 		wait := min(max(p.holder.Next()-p.clock(), minLeaseWait), placementInterval)
-		if !sleep(ctx, wait) {
+		if !dispatch.Sleep(ctx, wait) {
 			break
 		}
 	}
--- /dev/null
+++ b/lib/catalog/worker.go
@@ -0,0 +1,48 @@
+package catalog
+
+import "time"
+
+// Weights are the layers that a worker has loaded.
+type Weights struct {
+	Model   string
+	Version int
+	// From and To bound the layers; To is exclusive. Both are zero without layers.
+	From int
+	To   int
+}
+
+// Whole reports whether all layers of a model are loaded.
+func (w Weights) Whole(layers int) bool {
+	return w.Version > 0 && w.From == 0 && w.To >= layers && w.To > 0
+}
+
+// Worker is a worker of the platform's list.
+type Worker struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	// Leaving is set while the worker drains.
+	Leaving bool
+	// Cold is how much longer the worker stays cold.
+	Cold time.Duration
+	// Born is the start of the worker in milliseconds since 1970. A worker that starts
+	// again under its ID has another one.
+	Born    int64
+	Weights Weights
+}
+
+// Report is what a worker says of its load.
+type Report struct {
+	Born    int64
+	Weights Weights
+	// Busy is set while an order is in progress.
+	Busy bool
+	// Sequence counts the orders that the worker has accepted since its start.
+	Sequence int
+	Queued   int
+	Running  int
+	// Pace is over 1 when the worker is slower than its engine's figures.
+	Pace float64
+}
--- /dev/null
+++ b/lib/dispatch/dispatch.go
@@ -0,0 +1,113 @@
+// Package dispatch runs the attempts of a request: it asks for an endpoint, sends the
+// attempt and follows the retry plan until there is a final answer.
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"laburnumgw/lib/retry"
+	"laburnumgw/lib/routing"
+)
+
+// Target is one request as the loop sees it.
+type Target interface {
+	// Pick chooses an endpoint for an attempt. The digest is the version that must
+	// answer, empty for any; tried names the VMs of earlier attempts.
+	Pick(number uint32, digest string, tried []string) (routing.Decision, error)
+	// Attempt sends the request and relays the answer.
+	Attempt(ctx context.Context, decision routing.Decision, number uint32) retry.Attempt
+	// Retrying is told of each decision to send the request again.
+	Retrying(decision routing.Decision, number uint32, ended retry.Attempt, next retry.Next)
+}
+
+// Loop shares a retry planner and its budget between requests.
+type Loop struct {
+	mu      sync.Mutex
+	planner *retry.Planner
+	budget  *retry.Budget
+}
+
+// NewLoop returns a loop that draws on a budget.
+func NewLoop(planner *retry.Planner, budget *retry.Budget) *Loop {
+	return &Loop{planner: planner, budget: budget}
+}
+
+// Configure replaces the settings of the planner and of its budget.
+func (l *Loop) Configure(maxAttempts int, budget retry.BudgetSettings) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.planner.Configure(maxAttempts)
+	l.budget.Configure(budget)
+}
+
+// Run serves one request. It returns the last attempt and the error to answer, nil when
+// the answer is complete.
+func (l *Loop) Run(ctx context.Context, request retry.Request, target Target) (retry.Attempt, error) {
+	state := retry.NewState(request)
+	l.mu.Lock()
+	l.budget.FirstAttempt(time.Now())
+	l.mu.Unlock()
+	var tried []string
+	var ended retry.Attempt
+	digest := ""
+	for number := uint32(1); ; number++ {
+		decision, err := target.Pick(number, digest, tried)
+		if err != nil {
+			return ended, state.NoEndpoint(err).Err
+		}
+		ended = target.Attempt(ctx, decision, number)
+		next := l.next(state, ended)
+		if next.Action == retry.Answer {
+			return ended, next.Err
+		}
+		target.Retrying(decision, number, ended, next)
+		next = l.await(ctx, state, next)
+		if next.Action == retry.Answer {
+			return ended, next.Err
+		}
+		tried = append(tried, decision.VM)
+		digest = next.VersionDigest
+	}
+}
+
+func (l *Loop) next(state *retry.State, ended retry.Attempt) retry.Next {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.planner.Next(state, ended, time.Now())
+}
+
+// await waits as the plan says, and in turn for the retry budget, until the next
+// attempt may be sent or the request is given up.
+func (l *Loop) await(ctx context.Context, state *retry.State, next retry.Next) retry.Next {
+	for {
+		if !Sleep(ctx, next.After) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.planner.Abandon(state)
+			return state.NoEndpoint(context.Cause(ctx))
+		}
+		if next.Action != retry.Wait {
+			return next
+		}
+		l.mu.Lock()
+		next = l.planner.Again(state, time.Now())
+		l.mu.Unlock()
+	}
+}
+
+// Sleep waits and reports whether the context is still in force.
+func Sleep(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/lib/mirror/driver.go
@@ -0,0 +1,319 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"go.uber.org/zap"
+)
+
+const (
+	// watchWait is how long one watch waits for a change. Each watch is one priced call;
+	// keep-alives of the connection find a silent store earlier.
+	watchWait = 25 * time.Second
+	// pullWait is how long a neighbour waits for a change.
+	pullWait = 20 * time.Second
+	// turnAfter is how long the store may fail before neighbours are asked, and the
+	// other way round.
+	turnAfter = 400 * time.Millisecond
+	// Calls that failed are repeated after firstRetry, doubling up to lastRetry.
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 500 * time.Millisecond
+	// tickInterval is the resolution of grace times.
+	tickInterval = 200 * time.Millisecond
+)
+
+// Store reads kinds of objects from the platform.
+type Store interface {
+	List(ctx context.Context, kind string) ([]Object, int64, error)
+	Watch(ctx context.Context, kind string, after int64, wait time.Duration) ([]Event, int64, error)
+}
+
+// State is what a neighbour knows of a kind.
+type State struct {
+	Kind     string
+	Revision int64
+	Objects  []Object
+}
+
+// Neighbours asks one of the neighbours for kinds that it knows in a newer revision.
+// It fails when none is known or none answers.
+type Neighbours interface {
+	Pull(ctx context.Context, known map[string]int64, wait time.Duration) ([]State, error)
+}
+
+// Source names who is asked first.
+type Source uint8
+
+// Sources.
+const (
+	StoreFirst Source = iota
+	// NeighboursFirst asks the store only until neighbours answer. It keeps the calls
+	// of the store independent of the number of workers.
+	NeighboursFirst
+)
+
+// Config configures a Driver.
+type Config struct {
+	// Kinds lists the kinds; those with true lapse while the store is down.
+	Kinds      map[string]bool
+	Store      Store
+	Neighbours Neighbours
+	First      Source
+	// Changed is called in order for each change. It must not block.
+	Changed func(kind string, changes []Change)
+	Log     *zap.Logger
+}
+
+// Driver keeps the mirrors of several kinds up to date.
+type Driver struct {
+	config Config
+
+	mu    sync.Mutex
+	kinds map[string]*Kind
+	// moved is closed and replaced at each new revision, for those who wait for one.
+	moved chan struct{}
+	// pulledAt is the time of the last answer of a neighbour, pulling is set while the
+	// neighbours answer.
+	pulling bool
+}
+
+// NewDriver returns a driver that runs with Run.
+func NewDriver(config Config) *Driver {
+	d := &Driver{config: config, kinds: make(map[string]*Kind), moved: make(chan struct{})}
+	for name, lapses := range config.Kinds {
+		d.kinds[name] = NewKind(lapses)
+	}
+	return d
+}
+
+// Run mirrors until the context ends.
+func (d *Driver) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	for name := range d.kinds {
+		running.Go(func() { d.follow(ctx, name) })
+	}
+	running.Go(func() { d.pull(ctx) })
+	running.Go(func() { d.tick(ctx) })
+	running.Wait()
+}
+
+// Known reports whether every kind was read once.
+func (d *Driver) Known() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, kind := range d.kinds {
+		if !kind.Known() {
+			return false
+		}
+	}
+	return true
+}
+
+// Newer returns the kinds that are known in a newer revision, waiting for one.
+func (d *Driver) Newer(ctx context.Context, known map[string]int64, wait time.Duration) []State {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		states, moved := d.newer(known)
+		if len(states) > 0 {
+			return states
+		}
+		select {
+		case <-moved:
+		case <-timer.C:
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (d *Driver) newer(known map[string]int64) ([]State, <-chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var states []State
+	for name, kind := range d.kinds {
+		revision, asked := known[name]
+		if asked && kind.Known() && kind.Revision() > revision {
+			states = append(states, State{Kind: name, Revision: kind.Revision(), Objects: kind.Objects()})
+		}
+	}
+	return states, d.moved
+}
+
+// follow mirrors one kind from the store.
+func (d *Driver) follow(ctx context.Context, name string) {
+	kind := d.kinds[name]
+	pause := &backoff.ExponentialBackOff{InitialInterval: firstRetry, MaxInterval: lastRetry, Multiplier: 2, RandomizationFactor: 0.3}
+	pause.Reset()
+	listed := false
+	for ctx.Err() == nil {
+		if d.idle(kind) {
+			listed = false
+			sleep(ctx, turnAfter)
+			continue
+		}
+		err := d.ask(ctx, name, kind, listed)
+		switch {
+		case err == nil:
+			listed = true
+			pause.Reset()
+			continue
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, ErrHistoryLost):
+			listed = false
+			d.config.Log.Warn("history of the store is lost; listing again", zap.String("kind", name))
+			continue
+		}
+		d.failed(name, kind, err)
+		sleep(ctx, pause.NextBackOff())
+	}
+}
+
+// idle reports whether the neighbours make the store's calls needless.
+func (d *Driver) idle(kind *Kind) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.config.First == NeighboursFirst && d.pulling && kind.Known()
+}
+
+func (d *Driver) ask(ctx context.Context, name string, kind *Kind, listed bool) error {
+	if !listed {
+		objects, revision, err := d.config.Store.List(ctx, name)
+		if err != nil {
+			return err
+		}
+		d.apply(name, kind, func(now time.Time) []Change { return kind.Listed(objects, revision, now) })
+		return nil
+	}
+	d.mu.Lock()
+	after := kind.Revision()
+	d.mu.Unlock()
+	events, revision, err := d.config.Store.Watch(ctx, name, after, watchWait)
+	if err != nil {
+		return err
+	}
+	d.apply(name, kind, func(now time.Time) []Change { return kind.Watched(events, revision, now) })
+	return nil
+}
+
+func (d *Driver) apply(name string, kind *Kind, change func(time.Time) []Change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	outage := kind.Failing(now)
+	before, known := kind.Revision(), kind.Known()
+	changes := change(now)
+	if outage > 0 {
+		d.config.Log.Info("source of the mirror regained", zap.String("kind", name), zap.Duration("outage", outage),
+			zap.Int64("revision", kind.Revision()))
+	}
+	if kind.Revision() != before || known != kind.Known() {
+		close(d.moved)
+		d.moved = make(chan struct{})
+	}
+	if len(changes) > 0 || !known {
+		d.config.Changed(name, changes)
+	}
+}
+
+func (d *Driver) failed(name string, kind *Kind, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	if kind.Failing(now) == 0 {
+		d.config.Log.Warn("store does not answer; the mirrored state stays in force", zap.String("kind", name),
+			zap.Int64("revision", kind.Revision()), zap.Error(err))
+	}
+	kind.Failed(now)
+}
+
+// pull mirrors from neighbours when the store is out of reach, or always when they are
+// to be asked first.
+func (d *Driver) pull(ctx context.Context) {
+	if d.config.Neighbours == nil {
+		return
+	}
+	for ctx.Err() == nil {
+		if !d.wantsNeighbours() {
+			sleep(ctx, turnAfter/2)
+			continue
+		}
+		states, err := d.config.Neighbours.Pull(ctx, d.revisions(), pullWait)
+		d.mu.Lock()
+		if d.pulling != (err == nil) {
+			d.config.Log.Info("neighbours mirror the store", zap.Bool("answering", err == nil), zap.Error(err))
+		}
+		d.pulling = err == nil
+		d.mu.Unlock()
+		if err != nil {
+			sleep(ctx, firstRetry+rand.N(firstRetry))
+			continue
+		}
+		for _, state := range states {
+			if kind := d.kinds[state.Kind]; kind != nil {
+				d.apply(state.Kind, kind, func(now time.Time) []Change { return kind.Listed(state.Objects, state.Revision, now) })
+			}
+		}
+	}
+}
+
+func (d *Driver) wantsNeighbours() bool {
+	if d.config.First == NeighboursFirst {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, kind := range d.kinds {
+		if kind.Failing(now) >= turnAfter {
+			return true
+		}
+	}
+	d.pulling = false
+	return false
+}
+
+func (d *Driver) revisions() map[string]int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := make(map[string]int64, len(d.kinds))
+	for name, kind := range d.kinds {
+		known[name] = kind.Revision()
+		if !kind.Known() {
+			known[name] = -1
+		}
+	}
+	return known
+}
+
+// tick ends grace times.
+func (d *Driver) tick(ctx context.Context) {
+	for sleep(ctx, tickInterval) {
+		now := time.Now()
+		d.mu.Lock()
+		for name, kind := range d.kinds {
+			if changes := kind.Tick(now); len(changes) > 0 {
+				d.config.Changed(name, changes)
+			}
+		}
+		d.mu.Unlock()
+	}
+}
+
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/lib/mirror/mirror.go
@@ -0,0 +1,200 @@
+// Package mirror keeps copies of the kinds of objects in the platform's store. What a
+// process has acted on never goes back to an older revision, whichever source it hears
+// from: the store itself, or a neighbour that the store still serves.
+//
+// Kind is a state machine without I/O. Driver feeds it from the store and, while the
+// store is out of reach, from neighbours.
+package mirror
+
+import (
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// lapseOutage is the shortest outage in which entries may lapse: a worker's entry
+	// lives for three report intervals of 1.2 s.
+	lapseOutage = 2 * time.Second
+	// lapseGrace is how long lapsed entries are kept after an outage. The platform
+	// states that entries of live workers are back within about two seconds.
+	lapseGrace = 2200 * time.Millisecond
+)
+
+// ErrHistoryLost is returned by a watch whose revision is too old.
+var ErrHistoryLost = errors.New("the store no longer has the history after this revision")
+
+// Object is one object of a kind.
+type Object struct {
+	Name string `json:"name"`
+	// Revision is that of the object's last change.
+	Revision int64           `json:"revision"`
+	Value    json.RawMessage `json:"value"`
+}
+
+// Event is one change that a watch reports.
+type Event struct {
+	Object  Object
+	Deleted bool
+}
+
+// Change is a change of the mirrored state. Deleted objects keep their last value.
+type Change struct {
+	Object  Object
+	Deleted bool
+}
+
+// Kind mirrors the objects of one kind. It is not safe for concurrent use.
+type Kind struct {
+	// lapses is set for kinds whose objects disappear by themselves while the store is
+	// down.
+	lapses   bool
+	known    bool
+	revision int64
+	objects  map[string]Object
+	// held are objects that were deleted during or just after an outage.
+	held map[string]Object
+	// failedAt is the start of the outage that is going on.
+	failedAt  time.Time
+	failing   bool
+	graceEnds time.Time
+}
+
+// NewKind returns an empty mirror.
+func NewKind(lapses bool) *Kind {
+	return &Kind{lapses: lapses, objects: make(map[string]Object), held: make(map[string]Object)}
+}
+
+// Known reports whether the kind was listed once.
+func (k *Kind) Known() bool { return k.known }
+
+// Revision returns the revision up to which changes are known.
+func (k *Kind) Revision() int64 { return k.revision }
+
+// Objects returns the objects in the order of their names, held ones included.
+func (k *Kind) Objects() []Object {
+	all := maps.Clone(k.objects)
+	for name, object := range k.held {
+		all[name] = object
+	}
+	return slices.SortedFunc(maps.Values(all), func(a, b Object) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// Get returns an object.
+func (k *Kind) Get(name string) (Object, bool) {
+	if object, ok := k.objects[name]; ok {
+		return object, true
+	}
+	object, ok := k.held[name]
+	return object, ok
+}
+
+// Failed notes that no source answered.
+func (k *Kind) Failed(now time.Time) {
+	if !k.failing {
+		k.failing = true
+		k.failedAt = now
+	}
+}
+
+// Failing returns how long no source has answered.
+func (k *Kind) Failing(now time.Time) time.Duration {
+	if !k.failing {
+		return 0
+	}
+	return now.Sub(k.failedAt)
+}
+
+// answered ends an outage. After a long one, deletions are believed only when the grace
+// time is over.
+func (k *Kind) answered(now time.Time) {
+	if k.failing && k.lapses && now.Sub(k.failedAt) >= lapseOutage {
+		k.graceEnds = now.Add(lapseGrace)
+	}
+	k.failing = false
+}
+
+// Listed applies the full list of a revision. A list that is older than what is known
+// is ignored.
+func (k *Kind) Listed(objects []Object, revision int64, now time.Time) []Change {
+	k.answered(now)
+	if k.known && revision < k.revision {
+		return nil
+	}
+	k.known = true
+	k.revision = revision
+	var changes []Change
+	present := make(map[string]bool, len(objects))
+	for _, object := range objects {
+		present[object.Name] = true
+		changes = k.set(changes, object)
+	}
+	for _, name := range slices.Sorted(maps.Keys(k.objects)) {
+		if !present[name] {
+			changes = k.remove(changes, name, now)
+		}
+	}
+	return changes
+}
+
+// Watched applies the events up to a revision.
+func (k *Kind) Watched(events []Event, revision int64, now time.Time) []Change {
+	k.answered(now)
+	if revision < k.revision {
+		return nil
+	}
+	k.revision = revision
+	var changes []Change
+	for _, event := range events {
+		if event.Deleted {
+			changes = k.remove(changes, event.Object.Name, now)
+			continue
+		}
+		changes = k.set(changes, event.Object)
+	}
+	return changes
+}
+
+// Tick ends the grace time of held objects.
+func (k *Kind) Tick(now time.Time) []Change {
+	if len(k.held) == 0 || now.Before(k.graceEnds) {
+		return nil
+	}
+	var changes []Change
+	for _, name := range slices.Sorted(maps.Keys(k.held)) {
+		changes = append(changes, Change{Object: k.held[name], Deleted: true})
+	}
+	clear(k.held)
+	return changes
+}
+
+// set stores an object unless a newer revision of it is known.
+func (k *Kind) set(changes []Change, object Object) []Change {
+	old, ok := k.objects[object.Name]
+	if ok && old.Revision >= object.Revision {
+		return changes
+	}
+	held, wasHeld := k.held[object.Name]
+	delete(k.held, object.Name)
+	k.objects[object.Name] = object
+	if wasHeld && string(held.Value) == string(object.Value) {
+		return changes
+	}
+	return append(changes, Change{Object: object})
+}
+
+func (k *Kind) remove(changes []Change, name string, now time.Time) []Change {
+	object, ok := k.objects[name]
+	if !ok {
+		return changes
+	}
+	delete(k.objects, name)
+	if now.Before(k.graceEnds) {
+		k.held[name] = object
+		return changes
+	}
+	return append(changes, Change{Object: object, Deleted: true})
+}
--- a/lib/retry/answer.go
+++ b/lib/retry/answer.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"cmp"
 	"errors"
 	"time"
 
@@ -39,5 +40,5 @@
 	if errors.As(s.lastErr, &typed) {
 		delay = max(delay, typed.RetryAfter)
 	}
-	return max(delay, DefaultRetryAfter)
+	return max(delay, cmp.Or(s.request.RetryAfter, DefaultRetryAfter))
 }
--- a/lib/retry/plan.go
+++ b/lib/retry/plan.go
@@ -45,6 +45,12 @@
 	// Resumable streams can continue after the tokens already relayed.
 	Resumable bool
 	Deadline  time.Time
+	// MaxAttempts bounds the attempts of this request, the first one included; zero
+	// for the planner's.
+	MaxAttempts int
+	// RetryAfter is the least time that a final answer tells the caller to wait; zero
+	// for DefaultRetryAfter.
+	RetryAfter time.Duration
 }
 
 // Attempt is the end of one attempt.
@@ -147,7 +153,7 @@
 	if action == Answer {
 		return s.giveUp(cause)
 	}
-	if s.attempts >= p.settings.MaxAttempts {
+	if s.attempts >= cmp.Or(s.request.MaxAttempts, p.settings.MaxAttempts) {
 		return s.giveUp("the attempts are used up")
 	}
 	s.action = action
--- /dev/null
+++ b/lib/workerconn/pool.go
@@ -0,0 +1,276 @@
+// Package workerconn sends HTTP/1.1 requests to workers on connections whose every send
+// is known to the caller. The client of net/http repeats a request by itself when a kept
+// connection fails, which a request that must run at most once does not permit.
+package workerconn
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// bufferBytes is the size of a connection's read buffer.
+	bufferBytes = 4 << 10
+	// maxIdle bounds the idle connections to one worker.
+	maxIdle = 24
+	// idleMargin is taken off the time that a worker keeps an idle connection.
+	idleMargin = 300 * time.Millisecond
+	// unknownKeepAlive is how long an idle connection is used when the worker does not
+	// say how long it keeps it.
+	unknownKeepAlive = 500 * time.Millisecond
+	// maxForeign bounds the answers to other requests that are read before the own one.
+	maxForeign = 3
+)
+
+// ErrForeign is returned when a connection delivers only answers to other requests.
+var ErrForeign = errors.New("connection delivers answers to other requests")
+
+// Request is one request on the wire.
+type Request struct {
+	Method string
+	// Target is the path with its query, exactly as the caller sent it.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Identity tells whether an answer belongs to the request that was sent. Fresh is set
+// on a connection that has carried no other request.
+type Identity func(answer *http.Response, fresh bool) bool
+
+// Pool keeps idle connections by address.
+type Pool struct {
+	dialer net.Dialer
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// opened counts the connections that were opened.
+	opened int64
+}
+
+// NewPool returns a pool that opens connections within a timeout and probes silent ones.
+func NewPool(connectTimeout time.Duration, keepAlive net.KeepAliveConfig) *Pool {
+	return &Pool{
+		dialer: net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive},
+		idle:   make(map[string][]*conn),
+	}
+}
+
+// Opened returns the number of connections that were opened.
+func (p *Pool) Opened() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	used   bool
+	// keepAlive is how long the worker keeps the connection idle.
+	keepAlive time.Duration
+	idleSince time.Time
+}
+
+// Response is an answer whose body is read from its connection.
+type Response struct {
+	*http.Response
+	pool    *Pool
+	address string
+	conn    *conn
+	stop    func() bool
+	closed  bool
+}
+
+// Send sends a request and reads the head of its answer. Sent is false while no byte of
+// the request has left, so that the request cannot have run. Ending the context closes
+// the connection. The caller ends the response with Finish or Abort.
+func (p *Pool) Send(ctx context.Context, address string, r *Request, own Identity) (response *Response, sent bool, err error) {
+	c, err := p.take(ctx, address)
+	if err != nil {
+		return nil, false, err
+	}
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	fail := func(sent bool, err error) (*Response, bool, error) {
+		stop()
+		c.Close()
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		return nil, sent, err
+	}
+	n, err := c.Write(r.encode())
+	if err != nil {
+		return fail(n > 0, fmt.Errorf("send request: %w", err))
+	}
+	answer, err := c.readAnswer(r, own)
+	if err != nil {
+		return fail(true, fmt.Errorf("read answer: %w", err))
+	}
+	return &Response{Response: answer, pool: p, address: address, conn: c, stop: stop}, true, nil
+}
+
+// encode returns the bytes of a request.
+func (r *Request) encode() []byte {
+	var b bytes.Buffer
+	b.Grow(len(r.Body) + 1024)
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	// Writing to a buffer does not fail.
+	_ = r.Header.Write(&b)
+	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	return b.Bytes()
+}
+
+// readAnswer reads the head of the own answer. An answer to another request, which may
+// arrive late on a kept connection, is dropped.
+func (c *conn) readAnswer(r *Request, own Identity) (*http.Response, error) {
+	fresh := !c.used
+	c.used = true
+	for range maxForeign {
+		answer, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return nil, err
+		}
+		if answer.StatusCode >= 100 && answer.StatusCode < 200 {
+			continue
+		}
+		if own(answer, fresh) {
+			return answer, nil
+		}
+		c.keepAlive = -1
+		if _, err := bufio.NewReader(answer.Body).WriteTo(discard{}); err != nil {
+			return nil, err
+		}
+	}
+	return nil, ErrForeign
+}
+
+type discard struct{}
+
+// Write implements io.Writer.
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// take returns an idle connection that still seems open, or a new one.
+func (p *Pool) take(ctx context.Context, address string) (*conn, error) {
+	now := time.Now()
+	p.mu.Lock()
+	for len(p.idle[address]) > 0 {
+		list := p.idle[address]
+		c := list[len(list)-1]
+		p.idle[address] = list[:len(list)-1]
+		if now.Sub(c.idleSince) < c.keepAlive && c.quiet() {
+			p.mu.Unlock()
+			return c, nil
+		}
+		c.Close()
+	}
+	delete(p.idle, address)
+	p.opened++
+	p.mu.Unlock()
+	opened, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to worker: %w", err)
+	}
+	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, bufferBytes)}, nil
+}
+
+// quiet reports whether an idle connection is open and has nothing to read. Bytes that
+// arrive on an idle connection belong to no request.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	source, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	var one [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Finish ends a response whose body was read to its end. The connection is kept when
+// nothing speaks against it; keepAlive is what the worker says, or zero.
+func (r *Response) Finish(keepAlive time.Duration) {
+	if r.closed {
+		return
+	}
+	r.closed = true
+	if !r.stop() || r.Close || r.conn.keepAlive < 0 || r.conn.reader.Buffered() > 0 || !r.framed() {
+		r.conn.Close()
+		return
+	}
+	r.conn.keepAlive = unknownKeepAlive
+	if keepAlive > 0 {
+		r.conn.keepAlive = max(keepAlive-idleMargin, idleMargin)
+	}
+	r.conn.idleSince = time.Now()
+	r.pool.put(r.address, r.conn)
+}
+
+// framed reports whether the end of the body was marked, so that another answer may
+// follow on the connection.
+func (r *Response) framed() bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+}
+
+// Abort ends a response and closes its connection, which stops the worker.
+func (r *Response) Abort() {
+	if r.closed {
+		return
+	}
+	r.closed = true
+	r.stop()
+	r.conn.Close()
+}
+
+func (p *Pool) put(address string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[address]) >= maxIdle {
+		c.Close()
+		return
+	}
+	p.idle[address] = append(p.idle[address], c)
+}
+
+// Forget closes the idle connections to an address, when its worker is gone.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.Close()
+	}
+}
