--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -16,6 +16,7 @@
 	"laburnumgw/entry"
 	"laburnumgw/lib/mtls"
 	"laburnumgw/lib/settings"
+	"laburnumgw/platform"
 )
 
 // Exit codes of the daemon.
@@ -61,6 +62,46 @@
 	return run(process)
 }
 
+// hostedOptions are the settings of a process on the users' platform that do not come
+// from the platform's settings file.
+type hostedOptions struct {
+	LogLevel string `long:"log-level" env:"LABURNUMGW_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
+}
+
+type hostedEntryCommand struct {
+	hostedOptions
+}
+
+// Execute runs an entry on the users' platform.
+func (c *hostedEntryCommand) Execute([]string) error {
+	return runHosted(&c.hostedOptions, func(s *platform.Settings, o *hostedOptions) (runner, error) {
+		return initializeHostedEntry(s, o)
+	})
+}
+
+type hostedEndpointCommand struct {
+	hostedOptions
+}
+
+// Execute runs an endpoint process on the users' platform.
+func (c *hostedEndpointCommand) Execute([]string) error {
+	return runHosted(&c.hostedOptions, func(s *platform.Settings, o *hostedOptions) (runner, error) {
+		return initializeHostedEndpoint(s, o)
+	})
+}
+
+func runHosted(options *hostedOptions, initialize func(*platform.Settings, *hostedOptions) (runner, error)) error {
+	s, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return settingsError{err}
+	}
+	process, err := initialize(s, options)
+	if err != nil {
+		return err
+	}
+	return run(process)
+}
+
 // settingsError marks settings that are not valid.
 type settingsError struct{ error }
 
@@ -100,6 +141,8 @@
 	}
 	add("entry", "Run the process of an entry VM", &entryCommand{})
 	add("endpoint", "Run the process of an endpoint VM", &endpointCommand{})
+	add("hosted-entry", "Run the process of an entry VM on the users' platform", &hostedEntryCommand{})
+	add("hosted-endpoint", "Run the process beside a model worker on the users' platform", &hostedEndpointCommand{})
 	_, err := parser.ParseArgs(args)
 	if err == nil {
 		return 0
--- a/cmd/laburnumgw/providers.go
+++ b/cmd/laburnumgw/providers.go
@@ -1,6 +1,11 @@
 package main
 
 import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
 	"go.uber.org/zap"
 
 	"laburnumgw/endpoint"
@@ -10,6 +15,7 @@
 	"laburnumgw/lib/rpc"
 	"laburnumgw/lib/settings"
 	"laburnumgw/lib/telemetry"
+	hosted "laburnumgw/platform"
 )
 
 func entryProcess(s *entry.Settings) *settings.Process { return &s.Process }
@@ -32,3 +38,30 @@
 func provideStore(p *settings.Process) platform.Store {
 	return platform.NewClient(p.Platform)
 }
+
+func provideHostedLogger(o *hostedOptions) (*zap.Logger, error) {
+	return telemetry.NewBufferedLogger(o.LogLevel)
+}
+
+// hostedConnectTimeout bounds the opening of a connection between processes on the
+// users' platform, whose round trips take a few milliseconds.
+const hostedConnectTimeout = 800 * time.Millisecond
+
+// provideHostedPool returns connections to other processes on the users' platform. They
+// are probed while they are silent, since one may stay silent without being reset.
+func provideHostedPool() *rpc.Pool {
+	pool := rpc.NewPlainPool()
+	dialer := &net.Dialer{Timeout: hostedConnectTimeout, KeepAliveConfig: hosted.KeepAlive()}
+	pool.UseDialer(func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, fmt.Errorf("connect to %s: %w", address, err)
+		}
+		return conn, nil
+	})
+	return pool
+}
+
+func provideHostedStore(s *hosted.Settings) *hosted.Store {
+	return hosted.NewStore(s.Store)
+}
--- a/cmd/laburnumgw/wire_gen.go
+++ b/cmd/laburnumgw/wire_gen.go
@@ -8,7 +8,10 @@
 
 import (
 	"laburnumgw/endpoint"
+	hosted2 "laburnumgw/endpoint/hosted"
 	"laburnumgw/entry"
+	"laburnumgw/entry/hosted"
+	"laburnumgw/platform"
 )
 
 // Injectors from wire.go:
@@ -50,3 +53,31 @@
 	}
 	return process2, nil
 }
+
+func initializeHostedEntry(s *platform.Settings, o *hostedOptions) (*hosted.Process, error) {
+	store := provideHostedStore(s)
+	pool := provideHostedPool()
+	logger, err := provideHostedLogger(o)
+	if err != nil {
+		return nil, err
+	}
+	process, err := hosted.New(s, store, pool, logger)
+	if err != nil {
+		return nil, err
+	}
+	return process, nil
+}
+
+func initializeHostedEndpoint(s *platform.Settings, o *hostedOptions) (*hosted2.Process, error) {
+	store := provideHostedStore(s)
+	pool := provideHostedPool()
+	logger, err := provideHostedLogger(o)
+	if err != nil {
+		return nil, err
+	}
+	process, err := hosted2.New(s, store, pool, logger)
+	if err != nil {
+		return nil, err
+	}
+	return process, nil
+}
--- /dev/null
+++ b/endpoint/hosted/process.go
@@ -0,0 +1,302 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/mirror"
+	"laburnumgw/lib/mirror/rpcmirror"
+	"laburnumgw/lib/rollout"
+	"laburnumgw/lib/rpc"
+	"laburnumgw/lib/telemetry"
+	"laburnumgw/platform"
+)
+
+const (
+	// reportInterval separates two looks at the worker, and two reports to the entries
+	// of the own availability zone.
+	reportInterval = 150 * time.Millisecond
+	// farReports is the number of reports of which one goes to the other zones, since
+	// bytes between zones are dear.
+	farReports = 3
+	// orderTimeout bounds the handing over of one version.
+	orderTimeout = 5 * time.Second
+	// retryInterval separates two tries to open a version.
+	retryInterval = 300 * time.Millisecond
+	// readHeaderTimeout bounds how long a reader of metrics may take for its headers.
+	readHeaderTimeout = 5 * time.Second
+)
+
+// Process is a running endpoint process.
+type Process struct {
+	settings *platform.Settings
+	view     *view
+	mirror   *mirror.Driver
+	worker   *platform.Worker
+	library  *library
+	grpc     *grpc.Server
+	conns    *rpc.Pool
+	metrics  *metrics.Set
+	orders   *metrics.Counter
+	log      *zap.Logger
+	changes  rollout.Settings
+
+	report   catalog.Report
+	reported bool
+	// switching is set from just before an order until the worker serves its version.
+	switching bool
+	sequence  uint64
+	logged    rollout.Reason
+	openAfter time.Time
+	// opening delivers the version that is being opened; nil while none is.
+	opening chan openResult
+	target  rollout.Target
+	opened  *version
+	socket  net.PacketConn
+}
+
+// New assembles an endpoint process.
+func New(settings *platform.Settings, store *platform.Store, conns *rpc.Pool, log *zap.Logger) (*Process, error) {
+	if err := settings.CheckEndpoint(); err != nil {
+		return nil, err
+	}
+	v := newView(settings, log)
+	set := metrics.NewSet()
+	worker := platform.NewWorker(settings.Worker)
+	p := &Process{
+		settings: settings, view: v, worker: worker, conns: conns, log: log, metrics: set,
+		orders: set.NewCounter("laburnumgw_worker_orders_total"), changes: rollout.DefaultSettings(settings.Bounds.VersionApply),
+		library: newLibrary(v, worker, conns, set, log), grpc: grpc.NewServer(),
+	}
+	p.mirror = mirror.NewDriver(mirror.Config{
+		Kinds: map[string]bool{
+			platform.KindConfig: false, platform.KindWorkers: true, platform.KindVersions: false, platform.KindEntries: false,
+		},
+		Store: store, Neighbours: rpcmirror.NewClient(conns, v.neighbours), First: mirror.NeighboursFirst, Changed: v.changed, Log: log,
+	})
+	laburnumgwv1.RegisterPeerServer(p.grpc, p.library.server())
+	return p, nil
+}
+
+// Run works until the context ends.
+func (p *Process) Run(ctx context.Context) error {
+	address := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort))
+	config := net.ListenConfig{KeepAliveConfig: platform.KeepAlive()}
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	socket, err := net.ListenPacket("udp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	p.socket = socket
+	failed := make(chan error, 2)
+	go func() { failed <- p.grpc.Serve(listener) }()
+	go func() { failed <- p.serveMetrics() }()
+	go p.mirror.Run(ctx)
+	done := make(chan struct{})
+	go func() {
+		p.watch(ctx)
+		close(done)
+	}()
+	p.log.Info("endpoint process started", zap.String("vm", p.settings.VM), zap.String("zone", p.settings.Zone), zap.String("worker", p.settings.Worker))
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	<-done
+	p.grpc.Stop()
+	p.conns.Close()
+	p.log.Info("endpoint process stopped")
+	_ = p.log.Sync() // standard output may not support it
+	return nil
+}
+
+func (p *Process) serveMetrics() error {
+	address := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.LastPort))
+	server := &http.Server{Addr: address, Handler: telemetry.Handler(p.metrics), ReadHeaderTimeout: readHeaderTimeout}
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve metrics on %s: %w", address, err)
+	}
+	return nil
+}
+
+// watch looks at the worker and at what is known until the context ends.
+func (p *Process) watch(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.view.wake:
+			p.library.membersChanged()
+		case <-ticker.C:
+			p.look(ctx)
+		case result := <-p.opening:
+			p.finishOpen(result)
+		case <-p.whole():
+			p.look(ctx)
+		}
+		p.decide(ctx)
+	}
+}
+
+// whole is closed when the target is complete. It is nil when that was noticed before.
+func (p *Process) whole() <-chan struct{} {
+	if p.opened == nil || p.target.Held {
+		return nil
+	}
+	return p.opened.distribution.Whole()
+}
+
+// look reads the worker's state and reports it to the entries.
+func (p *Process) look(ctx context.Context) {
+	report, err := p.worker.Report(ctx)
+	if err != nil {
+		if p.reported {
+			p.log.Warn("worker does not report", zap.Error(err))
+		}
+		p.reported = false
+		return
+	}
+	if !p.reported || report.Born != p.report.Born || report.Weights != p.report.Weights || report.Busy != p.report.Busy {
+		p.log.Info("worker state", zap.Int64("born", report.Born), zap.Int("version", report.Weights.Version),
+			zap.Int("layers_to", report.Weights.To), zap.Bool("busy", report.Busy), zap.Int("sequence", report.Sequence))
+	}
+	p.reported = true
+	p.report = report
+	p.sendReport()
+}
+
+// sendReport tells the entries the worker's state. A datagram that is lost is replaced
+// by the next one.
+func (p *Process) sendReport() {
+	p.sequence++
+	data, err := proto.Marshal(&laburnumgwv1.WorkerReport{
+		Address: p.settings.Worker, Born: p.report.Born, Model: p.report.Weights.Model, Version: int32(p.report.Weights.Version),
+		LayersFrom: int32(p.report.Weights.From), LayersTo: int32(p.report.Weights.To), Busy: p.report.Busy || p.switching,
+		Queued: int32(p.report.Queued), Running: int32(p.report.Running), Sequence: p.sequence,
+	})
+	if err != nil {
+		p.log.Error("report not encoded", zap.Error(err))
+		return
+	}
+	near, far := p.view.entryAddresses()
+	if p.sequence%farReports == 0 || p.switching {
+		near = append(near, far...)
+	}
+	for _, entry := range near {
+		address, err := net.ResolveUDPAddr("udp", entry)
+		if err != nil {
+			continue
+		}
+		if _, err := p.socket.WriteTo(data, address); err != nil {
+			p.log.Debug("report not sent", zap.String("entry", entry), zap.Error(err))
+		}
+	}
+}
+
+// decide opens the target version and orders the worker to load it in its turn.
+func (p *Process) decide(ctx context.Context) {
+	service := p.view.service()
+	if service == nil || !p.reported {
+		return
+	}
+	model := service.Engine.Model
+	p.open(ctx, model)
+	weights := p.report.Weights
+	worker := rollout.Worker{Version: weights.Version, Whole: weights.Whole(service.Engine.Layers), Busy: p.report.Busy}
+	if worker.Whole && worker.Version >= p.target.Version {
+		p.switching = false
+	}
+	decision := rollout.Decide(p.changes, worker, p.target, p.settings.IP, p.view.zone(), time.Now())
+	if decision.Reason != p.logged {
+		p.logged = decision.Reason
+		p.log.Info("change of weights decided", zap.Bool("load", decision.Load), zap.String("reason", string(decision.Reason)),
+			zap.Int("target", p.target.Version), zap.Int("version", worker.Version), zap.Duration("wait", decision.Wait))
+	}
+	if decision.Load {
+		p.load(ctx, model)
+	}
+}
+
+// openResult is a version that was opened, or why it could not be.
+type openResult struct {
+	version *version
+	named   named
+	err     error
+}
+
+// open starts the distribution of the version to serve. It reads the origin and the
+// worker, which may take long, beside the reports.
+func (p *Process) open(ctx context.Context, model string) {
+	wanted := p.view.named(model)
+	if p.opened != nil && p.opened.number >= wanted.version {
+		p.target.Held = p.opened.distribution.Replica().Complete()
+		return
+	}
+	if p.opening != nil || time.Now().Before(p.openAfter) {
+		return
+	}
+	opening := make(chan openResult, 1)
+	p.opening = opening
+	go func() {
+		opened, err := p.library.open(ctx, model, wanted.version)
+		opening <- openResult{opened, wanted, err}
+	}()
+}
+
+// finishOpen takes over a version that was opened.
+func (p *Process) finishOpen(result openResult) {
+	p.opening = nil
+	if result.err != nil {
+		p.log.Warn("version cannot be fetched yet", zap.Int("version", result.named.version), zap.Error(result.err))
+		p.openAfter = time.Now().Add(retryInterval)
+		return
+	}
+	since := result.named.since
+	if since.IsZero() {
+		since = time.Now()
+	}
+	p.opened = result.version
+	p.target = rollout.Target{
+		Version: result.version.number, Named: since, Held: result.version.distribution.Replica().Complete(),
+	}
+}
+
+// load hands the target over and orders the worker to load it.
+func (p *Process) load(ctx context.Context, model string) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	started := time.Now()
+	if err := p.library.stage(ctx, p.opened); err != nil {
+		p.log.Warn("weights not handed over", zap.Int("version", p.opened.number), zap.Error(err))
+		return
+	}
+	p.switching = true
+	p.sendReport()
+	result, err := p.worker.LoadStaged(ctx, model, p.opened.number, p.report.Sequence)
+	p.orders.Inc()
+	p.log.Info("worker ordered to load", zap.Int("version", p.opened.number), zap.Int("sequence", p.report.Sequence),
+		zap.Stringer("result", result), zap.Duration("staged_in", time.Since(started)),
+		zap.Duration("since_named", time.Since(p.target.Named)), zap.Error(err))
+	if result == platform.OrderRefused {
+		p.switching = false
+	}
+	p.look(ctx)
+}
--- /dev/null
+++ b/endpoint/hosted/view.go
@@ -0,0 +1,189 @@
+package hosted
+
+import (
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/mirror"
+	"laburnumgw/platform"
+)
+
+// view is what the process believes of the deployment.
+type view struct {
+	settings *platform.Settings
+	log      *zap.Logger
+	// wake is signalled at each change.
+	wake chan struct{}
+
+	mu       sync.Mutex
+	snapshot *catalog.Snapshot
+	workers  map[string]catalog.Worker
+	entries  map[string]platform.Entry
+	versions map[string]named
+}
+
+// named is the newest named version of a model.
+type named struct {
+	version int
+	since   time.Time
+}
+
+func newView(settings *platform.Settings, log *zap.Logger) *view {
+	return &view{
+		settings: settings, log: log, wake: make(chan struct{}, 1), workers: make(map[string]catalog.Worker),
+		entries: make(map[string]platform.Entry), versions: make(map[string]named),
+	}
+}
+
+// changed applies changes of the mirrored store.
+func (v *view) changed(kind string, changes []mirror.Change) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, change := range changes {
+		v.apply(kind, change)
+	}
+	select {
+	case v.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (v *view) apply(kind string, change mirror.Change) {
+	name, value := change.Object.Name, change.Object.Value
+	switch kind {
+	case platform.KindConfig:
+		if !platform.IsConfig(name) || change.Deleted {
+			return
+		}
+		snapshot, err := platform.DecodeConfig(value)
+		if err != nil {
+			v.log.Error("configuration ignored; the one in force stays", zap.Int64("revision", change.Object.Revision), zap.Error(err))
+			return
+		}
+		v.snapshot = snapshot
+	case platform.KindWorkers:
+		worker, err := platform.DecodeWorker(name, value)
+		if change.Deleted || err != nil {
+			delete(v.workers, name)
+			return
+		}
+		v.workers[name] = worker
+	case platform.KindVersions:
+		model, version, err := platform.DecodeVersion(name, value)
+		if change.Deleted || err != nil || v.versions[model].version >= version {
+			return
+		}
+		v.versions[model] = named{version, time.Now()}
+		v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision))
+	case platform.KindEntries:
+		entry, err := platform.DecodeEntry(name, value)
+		if change.Deleted || err != nil {
+			delete(v.entries, name)
+			return
+		}
+		v.entries[name] = entry
+	}
+}
+
+// service returns the service of the worker with its engine, or nil while it is unknown.
+func (v *view) service() *catalog.Service {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.snapshot == nil {
+		return nil
+	}
+	service := v.snapshot.Service(v.settings.Service)
+	if service == nil || service.Engine == nil {
+		return nil
+	}
+	return service
+}
+
+// origin returns the origin of weights, or nil while it is unknown.
+func (v *view) origin() *catalog.Origin {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.snapshot == nil {
+		return nil
+	}
+	return v.snapshot.Origin()
+}
+
+func (v *view) named(model string) named {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.versions[model]
+}
+
+// assignments returns the VMs that hold or receive the weights, this one included. A VM
+// is named by its address, since a worker changes its id when it starts again.
+func (v *view) assignments() []*laburnumgwv1.Assignment {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	list := []*laburnumgwv1.Assignment{v.assignment(v.settings.IP, v.settings.Zone)}
+	for _, id := range slices.Sorted(maps.Keys(v.workers)) {
+		worker := v.workers[id]
+		ip := hostOf(worker.Address)
+		if worker.Service == v.settings.Service && ip != v.settings.IP {
+			list = append(list, v.assignment(ip, worker.Zone))
+		}
+	}
+	return list
+}
+
+func (v *view) assignment(ip, zone string) *laburnumgwv1.Assignment {
+	return &laburnumgwv1.Assignment{
+		Vm: ip, Zone: zone, Region: v.settings.Zones[zone], Address: net.JoinHostPort(ip, strconv.Itoa(v.settings.FirstPort)),
+	}
+}
+
+// zone returns the VMs of this availability zone that serve the model.
+func (v *view) zone() []string {
+	var vms []string
+	for _, a := range v.assignments() {
+		if a.GetZone() == v.settings.Zone {
+			vms = append(vms, a.GetVm())
+		}
+	}
+	return vms
+}
+
+// entryAddresses returns the entries, those of this availability zone first.
+func (v *view) entryAddresses() (near, far []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(v.entries)) {
+		entry := v.entries[name]
+		if entry.Zone == v.settings.Zone {
+			near = append(near, entry.Address)
+		} else {
+			far = append(far, entry.Address)
+		}
+	}
+	return near, far
+}
+
+// neighbours returns the entries to mirror from.
+func (v *view) neighbours() []string {
+	near, far := v.entryAddresses()
+	if len(near) > 0 {
+		return near
+	}
+	return far
+}
+
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
--- /dev/null
+++ b/endpoint/hosted/weights.go
@@ -0,0 +1,233 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"google.golang.org/grpc/peer"
+
+	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/rpc"
+	"laburnumgw/lib/swarm"
+	"laburnumgw/lib/transfer"
+	"laburnumgw/lib/weights"
+	"laburnumgw/platform"
+)
+
+const (
+	// weightsMemory bounds the chunks that are kept, in bytes: two versions and the one
+	// that is being replaced.
+	weightsMemory = 48 << 20
+	// linkShare is the part of the VM's link that weights may use. Requests go straight
+	// to the worker over the same link and need little of it.
+	linkShare = 0.95
+	// originShare is the part of the origin's link that the schedule counts on.
+	originShare = 0.95
+	megabit     = 125_000
+	// keptVersions is the number of versions that are served to other VMs.
+	keptVersions = 2
+	// manifestReads is how often a manifest is read until two of them agree.
+	manifestReads = 4
+)
+
+// library holds the versions that this VM has or fetches.
+type library struct {
+	view     *view
+	worker   *platform.Worker
+	origin   *platform.Origin
+	store    *weights.Store
+	transfer *transfer.Transfer
+	log      *zap.Logger
+
+	mu sync.Mutex
+	// versions are in ascending order.
+	versions []*version
+}
+
+// version is one version with its distribution.
+type version struct {
+	number       int
+	distribution *transfer.Distribution
+}
+
+func newLibrary(v *view, worker *platform.Worker, conns *rpc.Pool, set *metrics.Set, log *zap.Logger) *library {
+	origin := platform.NewOrigin(func() string {
+		if origin := v.origin(); origin != nil {
+			return origin.Address
+		}
+		return ""
+	})
+	settings := v.settings
+	return &library{
+		view: v, worker: worker, origin: origin, store: weights.NewStore(weightsMemory), log: log,
+		transfer: &transfer.Transfer{
+			Self:    swarm.Member{VM: settings.IP, Zone: settings.Zone, Region: settings.Region},
+			Address: v.assignment(settings.IP, settings.Zone).GetAddress(), Conns: conns, Origin: origin,
+			Links: transfer.NewLinks(settings.LinkMbit * megabit * linkShare), Metrics: transfer.NewMetrics(set), Log: log,
+		},
+	}
+}
+
+// server serves the chunks to other processes.
+func (l *library) server() *transfer.Server {
+	return &transfer.Server{Find: l.find, Identify: callerIP, Metrics: l.transfer.Metrics}
+}
+
+// callerIP names the VM of a caller. The platform decides who can connect.
+func callerIP(ctx context.Context) (string, error) {
+	caller, ok := peer.FromContext(ctx)
+	if !ok {
+		return "", errkind.New(errkind.Denied, "call over TCP", "caller has no address")
+	}
+	host, _, err := net.SplitHostPort(caller.Addr.String())
+	if err != nil {
+		return "", fmt.Errorf("address of the caller: %w", err)
+	}
+	return host, nil
+}
+
+func (l *library) find(digest string) (*transfer.Distribution, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, v := range l.versions {
+		if v.distribution.Replica().Digest().String() == digest {
+			return v.distribution, true
+		}
+	}
+	return nil, false
+}
+
+func (l *library) get(number int) *version {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, v := range l.versions {
+		if v.number == number {
+			return v
+		}
+	}
+	return nil
+}
+
+// open starts the distribution of a version, or of the newest one for number 0. Chunks
+// that the worker still holds are taken from there.
+func (l *library) open(ctx context.Context, model string, number int) (*version, error) {
+	manifest, number, err := l.manifest(ctx, model, number)
+	if err != nil {
+		return nil, err
+	}
+	if known := l.get(number); known != nil {
+		return known, nil
+	}
+	origin := l.view.origin()
+	if origin == nil {
+		return nil, errkind.New(errkind.Unavailable, "wait for a configuration that names the origin", "origin of weights is not known")
+	}
+	replica, err := l.store.Reserve(manifest)
+	if err != nil {
+		return nil, err
+	}
+	l.restore(ctx, replica)
+	l.transfer.Home = l.view.settings.Zones[origin.Zone]
+	distribution, err := transfer.New(l.transfer, replica, origin.LinkMbit*megabit*originShare, swarm.Limits{})
+	if err != nil {
+		return nil, err
+	}
+	opened := &version{number: number, distribution: distribution}
+	l.add(opened)
+	l.log.Info("distribution started", zap.String("model", model), zap.Int("version", number),
+		zap.Int("chunks", len(manifest.Chunks)), zap.Int("held", replica.Bitmap().Count()))
+	go distribution.Run()
+	distribution.SetMembers(l.view.assignments())
+	return opened, nil
+}
+
+// add keeps a version and drops the oldest beyond those that are kept.
+func (l *library) add(opened *version) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.versions = append(l.versions, opened)
+	slices.SortFunc(l.versions, func(a, b *version) int { return a.number - b.number })
+	for len(l.versions) > keptVersions {
+		oldest := l.versions[0]
+		oldest.distribution.Stop()
+		l.store.Remove(oldest.distribution.Replica().Digest())
+		l.versions = l.versions[1:]
+		l.log.Info("version dropped", zap.Int("version", oldest.number))
+	}
+}
+
+// manifest reads a manifest until two reads agree, because the origin may spoil one.
+func (l *library) manifest(ctx context.Context, model string, number int) (*weights.Manifest, int, error) {
+	seen := make(map[weights.Digest]bool)
+	var last error
+	for range manifestReads {
+		manifest, read, err := l.origin.Manifest(ctx, model, number)
+		if err != nil {
+			last = err
+			continue
+		}
+		digest := manifest.Digest()
+		if seen[digest] {
+			return manifest, read, nil
+		}
+		seen[digest] = true
+	}
+	if last == nil {
+		last = errkind.New(errkind.Corrupt, "check the origin of weights", "no two manifests agree")
+	}
+	return nil, 0, fmt.Errorf("manifest of %s version %d: %w", model, number, last)
+}
+
+// restore takes the chunks that lie at the worker and match the manifest.
+func (l *library) restore(ctx context.Context, replica *weights.Replica) {
+	manifest := replica.Manifest()
+	for chunk := range manifest.Chunks {
+		data, err := l.worker.Staged(ctx, manifest.Model, chunk, manifest.ChunkLen(chunk))
+		if err != nil {
+			if !errkind.Is(err, errkind.NotFound) {
+				l.log.Warn("staged chunk cannot be read", zap.Int("chunk", chunk), zap.Error(err))
+				return
+			}
+			continue
+		}
+		// A chunk of another version or a spoilt one is fetched instead.
+		if err := replica.Put(chunk, data); err != nil && !errkind.Is(err, errkind.Corrupt) {
+			l.log.Warn("staged chunk cannot be kept", zap.Int("chunk", chunk), zap.Error(err))
+		}
+	}
+}
+
+// membersChanged tells the distributions who takes part.
+func (l *library) membersChanged() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	members := l.view.assignments()
+	for _, v := range l.versions {
+		v.distribution.SetMembers(members)
+	}
+}
+
+// stage puts every chunk of a version at the worker. All are written just before the
+// order, since those that lie there may have turned bad and the worker checks none.
+func (l *library) stage(ctx context.Context, v *version) error {
+	replica := v.distribution.Replica()
+	manifest := replica.Manifest()
+	for chunk := range manifest.Chunks {
+		data, err := replica.Chunk(chunk)
+		if err != nil {
+			return err
+		}
+		if err := manifest.Verify(chunk, data); err != nil {
+			return err
+		}
+		if err := l.worker.Stage(ctx, manifest.Model, chunk, data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,7 +53,7 @@
 	budget := retry.NewBudget(retry.BudgetSettings{})
 	return &dispatcher{
 		routes: r, conns: conns, metrics: metrics, log: log,
-		loop: dispatch.NewLoop(retry.NewPlanner(retry.Settings{}, budget, rng), budget),
+		loop:     dispatch.NewLoop(retry.NewPlanner(retry.Settings{}, budget, rng), budget),
 		attempts: make(map[string]map[*runningAttempt]struct{}),
 	}
 }
--- /dev/null
+++ b/entry/hosted/call.go
@@ -0,0 +1,267 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/retry"
+	"laburnumgw/lib/routing"
+	"laburnumgw/lib/workerconn"
+	"laburnumgw/platform"
+)
+
+const (
+	// maxHeldBytes bounds an answer that is held until it is whole.
+	maxHeldBytes = 16 << 20
+	// plainPatience is how long a worker of a plain service may take for the head of its
+	// answer before a request that may be repeated is sent to another one. It covers the
+	// longest work of 220 ms twice.
+	plainPatience = 500 * time.Millisecond
+	// streamPatience is the same for the head and each event of a stream. Callers give a
+	// stream up after 2.4 s.
+	streamPatience = 1500 * time.Millisecond
+)
+
+var (
+	// errNotSealed marks a success that does not carry the worker's proof.
+	errNotSealed = errors.New("answer carries no proof of the worker")
+	// errRefused marks an answer that states that the request was not run.
+	errRefused = errors.New("worker did not run the request")
+	// errWorkerFailed marks a failure of the worker's own.
+	errWorkerFailed = errors.New("worker answered with a failure")
+	// errCut marks an answer that ended before it was whole.
+	errCut = errors.New("answer was cut off")
+)
+
+// call is one request of a caller.
+type call struct {
+	*frontend
+	w           http.ResponseWriter
+	r           *http.Request
+	started     time.Time
+	in          platform.Call
+	snapshot    *catalog.Snapshot
+	route       *catalog.Route
+	workspace   *catalog.Workspace
+	regions     []string
+	serviceName string
+	service     *service
+	forwarded   http.Header
+	body        []byte
+	deadline    time.Time
+	attempts    uint32
+
+	// headed is set once the head of the answer was sent to the caller.
+	headed bool
+	// broken is set when the answer cannot be completed.
+	broken bool
+	// relayed counts the bytes of the body that were sent, and lastEvent is the id of
+	// the last event among them.
+	relayed   int64
+	lastEvent string
+	// failure is the last failure of a worker, answered when nothing better follows.
+	failure *heldAnswer
+}
+
+// heldAnswer is a whole answer that was not sent yet.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (c *call) workspaceName() string {
+	if c.workspace == nil {
+		return ""
+	}
+	return c.workspace.Name
+}
+
+// tokens estimates the work of a request in tokens of the answer.
+func (c *call) tokens() int64 {
+	return int64(c.in.ExpectedTokens + c.in.PromptTokens/10)
+}
+
+func (c *call) query(number uint32, digest string, tried []string) *routing.Request {
+	query := &routing.Request{
+		ID: c.in.ID, Attempt: number, VersionDigest: digest, Idempotent: c.route.Repeatable(), Tried: tried, Regions: c.regions,
+	}
+	if c.service.config.Engine != nil {
+		query.Model = c.serviceName
+		query.Tokens = c.tokens()
+	} else {
+		query.Service = c.serviceName
+	}
+	return query
+}
+
+// Pick implements dispatch.Target.
+func (c *call) Pick(number uint32, digest string, tried []string) (routing.Decision, error) {
+	c.view.mu.Lock()
+	defer c.view.mu.Unlock()
+	decision, err := c.service.table.Pick(c.query(number, digest, tried), time.Now())
+	if err != nil {
+		c.log.Warn("no endpoint chosen", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.Error(err))
+		return decision, err
+	}
+	c.log.Info("endpoint chosen", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
+		zap.String("zone", decision.Zone), zap.String("reason", string(decision.Reason)), zap.String("weights", decision.VersionDigest),
+		zap.Float64("load", decision.Load), zap.Int("eligible", decision.Eligible), zap.Int("pool", decision.Pool))
+	return decision, nil
+}
+
+// Retrying implements dispatch.Target.
+func (c *call) Retrying(decision routing.Decision, number uint32, ended retry.Attempt, next retry.Next) {
+	c.metrics.retries.Inc()
+	if next.Action == retry.Resume {
+		c.metrics.resumed.Inc()
+	}
+	c.log.Info("retry", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
+		zap.Stringer("outcome", ended.Outcome), zap.Bool("resume", next.Action == retry.Resume), zap.Error(ended.Err))
+}
+
+// Attempt implements dispatch.Target.
+func (c *call) Attempt(ctx context.Context, decision routing.Decision, number uint32) retry.Attempt {
+	started := time.Now()
+	c.attempts = number
+	c.view.mu.Lock()
+	tracked := c.service.table.AttemptSent(decision, c.query(number, "", nil), started)
+	c.view.mu.Unlock()
+	ended, load := c.exchange(ctx, decision)
+	result := routing.Result{Outcome: ended.Outcome, Sent: ended.Sent, Load: load}
+	if ctx.Err() != nil {
+		// The caller left or its time is over, which says nothing about the endpoint.
+		result.Outcome = laburnumgwv1.Outcome_OUTCOME_UNSPECIFIED
+		result.Sent = true
+	}
+	c.view.mu.Lock()
+	c.service.table.AttemptFinished(tracked, result, time.Now())
+	c.view.mu.Unlock()
+	c.metrics.attempts.UpdateDuration(started)
+	c.log.Info("attempt ended", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
+		zap.Stringer("outcome", ended.Outcome), zap.Bool("sent", ended.Sent), zap.Int64("relayed", ended.RelayedBytes),
+		zap.Duration("duration", time.Since(started)), zap.Error(ended.Err))
+	return ended
+}
+
+// exchange sends the request to one worker and relays its answer.
+func (c *call) exchange(ctx context.Context, decision routing.Decision) (retry.Attempt, *laburnumgwv1.Load) {
+	request := &workerconn.Request{
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, AnswerWithin: c.patience(),
+		Header: platform.WorkerHeader(c.forwarded, c.forward(decision)),
+	}
+	response, sent, err := c.conns.Send(ctx, decision.Address, request, c.owns)
+	if err != nil {
+		return c.ended(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, sent, "", err), nil
+	}
+	defer response.Abort()
+	answer := platform.ParseAnswer(response.StatusCode, response.Header)
+	load := loadOf(answer.Load)
+	version := ""
+	if answer.WeightVersion > 0 {
+		version = strconv.Itoa(answer.WeightVersion)
+	}
+	switch {
+	case answer.NotRun:
+		if _, err := io.Copy(io.Discard, response.Body); err == nil {
+			response.Finish(answer.KeepAlive)
+		}
+		return c.ended(laburnumgwv1.Outcome_OUTCOME_NOT_RUN, true, "", errRefused), load
+	case !answer.Sealed:
+		return c.ended(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", errNotSealed), load
+	case c.route.Kind == catalog.Stream && response.StatusCode == http.StatusOK:
+		err = c.relayStream(response, answer)
+	default:
+		return c.relayWhole(response, answer), load
+	}
+	if err != nil {
+		return c.ended(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, version, err), load
+	}
+	return c.ended(laburnumgwv1.Outcome_OUTCOME_COMPLETE, true, version, nil), load
+}
+
+func (c *call) ended(outcome laburnumgwv1.Outcome, sent bool, version string, err error) retry.Attempt {
+	return retry.Attempt{Outcome: outcome, Sent: sent, RelayedBytes: c.relayed, VersionDigest: version, Err: err}
+}
+
+// forward returns what is added to a request for a worker. A stream that was broken off
+// is resumed after the last event that reached the caller, on the same weights.
+func (c *call) forward(decision routing.Decision) platform.Forward {
+	f := platform.Forward{Worker: decision.VM, Workspace: c.workspaceName(), Deadline: time.Until(c.deadline)}
+	if c.relayed > 0 {
+		f.LastEventID = c.lastEvent
+		// A version of the table is always a number.
+		f.WeightVersion, _ = strconv.Atoi(decision.VersionDigest)
+	}
+	return f
+}
+
+// patience returns how long a worker may be silent; zero when nobody else may be asked.
+func (c *call) patience() time.Duration {
+	switch {
+	case !c.route.Repeatable():
+		return 0
+	case c.route.Kind == catalog.Stream:
+		return streamPatience
+	default:
+		return plainPatience
+	}
+}
+
+// owns reports whether an answer belongs to this request. A statement without an id that
+// a request was not run is believed only on a connection that carried no other request.
+func (c *call) owns(response *http.Response, fresh bool) bool {
+	answer := platform.ParseAnswer(response.StatusCode, response.Header)
+	if answer.RequestID != "" {
+		return answer.RequestID == c.in.ID
+	}
+	return fresh && (answer.NotRun || c.in.ID == "")
+}
+
+func loadOf(load *platform.Load) *laburnumgwv1.Load {
+	if load == nil {
+		return nil
+	}
+	return &laburnumgwv1.Load{InFlight: int32(load.Running), Queued: int32(load.Queued), Limit: int32(load.Slots)}
+}
+
+// finish sends the final answer of a request that is not complete. It returns the reason
+// for the log.
+func (c *call) finish(ctx context.Context, ended retry.Attempt, err error) string {
+	cause := context.Cause(ctx)
+	switch {
+	case err == nil:
+		return "complete"
+	case cause != nil && !errors.Is(cause, errTimeout):
+		c.broken = true
+		return "caller_left"
+	case c.headed:
+		c.broken = true
+		return "stream_cut"
+	case c.failure != nil && !errkind.Is(err, errkind.NotRun):
+		if err := c.send(c.failure); err != nil {
+			c.broken = true
+		}
+		return "worker_failed"
+	case errkind.Is(err, errkind.NotRun):
+		c.refuse(c.w, c, err)
+		return "not_run"
+	case errors.Is(cause, errTimeout):
+		c.refuse(c.w, c, errkind.Wrap(err, errkind.DeadlineExceeded, "allow more time", "no answer in time"))
+		return "timeout"
+	}
+	c.refuse(c.w, c, err)
+	if ended.Err != nil && errors.Is(ended.Err, errNotSealed) {
+		return "not_sealed"
+	}
+	return "outcome_unknown"
+}
--- /dev/null
+++ b/entry/hosted/frontend.go
@@ -0,0 +1,228 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/urfave/negroni/v3"
+	"go.uber.org/zap"
+
+	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/retry"
+	"laburnumgw/lib/workerconn"
+	"laburnumgw/platform"
+)
+
+const (
+	// defaultDeadline applies when neither the caller nor the route bounds the time.
+	defaultDeadline = 30 * time.Second
+	// defaultBodyBytes bounds a body when the configuration does not.
+	defaultBodyBytes = 4 << 20
+	// finalRetryAfter is the least time that a refused caller is told to wait.
+	finalRetryAfter = 250 * time.Millisecond
+	// retryAfterJitter spreads the return of refused callers, as a part of the time.
+	retryAfterJitter = 0.5
+)
+
+var (
+	// errCallerLeft ends an exchange whose caller closed the connection.
+	errCallerLeft = errors.New("the caller left")
+	// errTimeout ends an exchange at the route's timeout or the caller's deadline.
+	errTimeout = errors.New("the time for the request is over")
+)
+
+// frontend serves callers over HTTP.
+type frontend struct {
+	view    *view
+	conns   *workerconn.Pool
+	metrics *entryMetrics
+	log     *zap.Logger
+	leaving atomic.Bool
+}
+
+// handler returns the HTTP handler with its middleware. Paths reach the workers exactly
+// as they were sent, so no multiplexer cleans them.
+func (f *frontend) handler() http.Handler {
+	stack := negroni.New()
+	stack.UseFunc(f.closeWhenLeaving)
+	stack.UseHandlerFunc(f.serve)
+	return stack
+}
+
+// readiness answers the platform, which sends connections only to ready entries.
+func (f *frontend) readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != platform.ReadinessPath {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		if f.leaving.Load() || !f.view.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// closeWhenLeaving asks callers to leave a connection that will not be served on. A
+// chunked body ends the connection as well: the server drops a Content-Length beside the
+// chunks without telling, so bytes behind the body may be a smuggled request.
+func (f *frontend) closeWhenLeaving(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	if f.leaving.Load() || len(r.TransferEncoding) > 0 {
+		w.Header().Set("Connection", "close")
+	}
+	next(w, r)
+}
+
+// serve handles one request.
+func (f *frontend) serve(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	c, err := f.accept(w, r, started)
+	if err != nil {
+		reason := string(errkind.Of(err))
+		f.refuse(w, c, err)
+		f.metrics.answered(reason, started)
+		f.log.Info("request refused", zap.String("request", c.in.ID), zap.String("host", r.Host), zap.String("reason", reason), zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errTimeout)
+	defer cancel()
+	ended, err := c.service.loop.Run(ctx, retry.Request{
+		Idempotent: c.route.Repeatable(), Resumable: c.route.Resumable, Deadline: c.deadline,
+		MaxAttempts: max(1, c.route.Attempts), RetryAfter: finalRetryAfter,
+	}, c)
+	reason := c.finish(ctx, ended, err)
+	f.metrics.answered(reason, started)
+	f.log.Info("request ended", zap.String("request", c.in.ID), zap.String("route", c.route.Name), zap.String("service", c.serviceName),
+		zap.String("workspace", c.workspaceName()), zap.Int64("config", c.snapshot.Version), zap.String("reason", reason),
+		zap.Uint32("attempts", c.attempts), zap.Duration("duration", time.Since(started)), zap.Error(err))
+	if c.broken {
+		// The connection is cut so that the part sent does not look complete.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// accept checks a request against the configuration and reads its body.
+func (f *frontend) accept(w http.ResponseWriter, r *http.Request, started time.Time) (*call, error) {
+	c := &call{frontend: f, w: w, r: r, started: started}
+	in, err := platform.ParseCall(r.Header)
+	c.in = in
+	if err != nil {
+		return c, err
+	}
+	snapshot := f.view.snapshot.Load()
+	if snapshot == nil {
+		return c, errkind.New(errkind.NotRun, "repeat the request on another entry", "this entry has no configuration yet").
+			WithRetryAfter(finalRetryAfter)
+	}
+	c.snapshot = snapshot
+	c.route = snapshot.Match(r.Host, r.URL.EscapedPath())
+	if c.route == nil {
+		return c, errkind.New(errkind.NotFound, "use a configured route", "no route matches")
+	}
+	workspace, known := snapshot.Workspace(in.Key)
+	if !known && !c.route.Public {
+		return c, errkind.New(errkind.Denied, "send a valid key", "the key is not known")
+	}
+	c.workspace = workspace
+	c.regions = catalog.Homes(c.route, workspace)
+	c.deadline = started.Add(deadline(in.Deadline, c.route.Timeout))
+	c.serviceName = c.route.Choose(f.view.random())
+	c.service = f.view.service(c.serviceName)
+	if c.service == nil {
+		return c, errkind.New(errkind.NotRun, "repeat the request", "service %q is not known here", c.serviceName).
+			WithRetryAfter(finalRetryAfter)
+	}
+	c.forwarded = platform.EndToEnd(r.Header)
+	if _, ok := c.forwarded["User-Agent"]; !ok {
+		c.forwarded["User-Agent"] = nil
+	}
+	return c, c.readBody(snapshot.Limits)
+}
+
+// deadline returns the time that a request has: the caller's or the route's, whichever
+// is shorter.
+func deadline(caller, route time.Duration) time.Duration {
+	switch {
+	case caller <= 0 && route <= 0:
+		return defaultDeadline
+	case caller <= 0:
+		return route
+	case route <= 0:
+		return caller
+	}
+	return min(caller, route)
+}
+
+func (c *call) readBody(limits catalog.Limits) error {
+	limit := limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if c.r.ContentLength > limit {
+		return errkind.New(errkind.TooLarge, "send a smaller body", "body of %d bytes exceeds %d", c.r.ContentLength, limit)
+	}
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	if err := http.NewResponseController(c.w).SetReadDeadline(c.deadline); err != nil {
+		return fmt.Errorf("bound the time to read the body: %w", err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return errkind.New(errkind.TooLarge, "send a smaller body", "body exceeds %d bytes", limit)
+	}
+	if err != nil {
+		return errkind.Wrap(err, errkind.BadRequest, "send the whole body", "body cannot be read")
+	}
+	c.body = body
+	// The server watches for the caller's leaving from here on, without a deadline.
+	if err := http.NewResponseController(c.w).SetReadDeadline(time.Time{}); err != nil {
+		return fmt.Errorf("clear the time to read the body: %w", err)
+	}
+	return nil
+}
+
+// statusOf maps error kinds to the statuses of own answers.
+var statusOf = map[errkind.Kind]int{
+	errkind.NotRun:           http.StatusServiceUnavailable,
+	errkind.BadRequest:       http.StatusBadRequest,
+	errkind.NotFound:         http.StatusNotFound,
+	errkind.Denied:           http.StatusUnauthorized,
+	errkind.TooLarge:         http.StatusRequestEntityTooLarge,
+	errkind.DeadlineExceeded: http.StatusGatewayTimeout,
+}
+
+// refuse sends an answer of the entry's own.
+func (f *frontend) refuse(w http.ResponseWriter, c *call, err error) {
+	status, ok := statusOf[errkind.Of(err)]
+	if !ok {
+		status = http.StatusBadGateway
+	}
+	header := w.Header()
+	platform.SetRequestID(header, c.in.ID)
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	var typed *errkind.Error
+	if status == http.StatusServiceUnavailable && errors.As(err, &typed) {
+		after := max(typed.RetryAfter, finalRetryAfter)
+		platform.SetRetryAfter(header, after+time.Duration(f.view.random()*retryAfterJitter*float64(after)))
+	}
+	w.WriteHeader(status)
+	if _, err := io.WriteString(w, err.Error()+"\n"); err != nil {
+		f.log.Debug("answer not delivered", zap.String("request", c.in.ID), zap.Error(err))
+	}
+}
+
+// random returns a number in [0, 1).
+func (v *view) random() float64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.rng.Float64()
+}
--- /dev/null
+++ b/entry/hosted/process.go
@@ -0,0 +1,204 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/dispatch"
+	"laburnumgw/lib/mirror"
+	"laburnumgw/lib/mirror/rpcmirror"
+	"laburnumgw/lib/rpc"
+	"laburnumgw/lib/telemetry"
+	"laburnumgw/lib/workerconn"
+	"laburnumgw/platform"
+)
+
+const (
+	// readHeaderTimeout bounds how long a caller may take to send the headers.
+	readHeaderTimeout = 5 * time.Second
+	// idleTimeout exceeds the time for which callers reuse an idle connection.
+	idleTimeout = 90 * time.Second
+	// maxHeaderBytes exceeds what callers may send by the configuration.
+	maxHeaderBytes = 64 << 10
+	// connectTimeout bounds the opening of a connection to a worker. Round trips take at
+	// most 4 ms, and a lost packet is repeated after some hundred ms.
+	connectTimeout = 500 * time.Millisecond
+	// leaveWait is the time in which the platform notices that an entry is leaving: it
+	// asks every second and takes an entry out after two misses.
+	leaveWait = 2500 * time.Millisecond
+	// stopMargin is kept of the grace time for the end of the process.
+	stopMargin = 500 * time.Millisecond
+	// registerInterval separates two tries to write this entry to the store.
+	registerInterval = 500 * time.Millisecond
+)
+
+// Process is a running entry.
+type Process struct {
+	settings *platform.Settings
+	view     *view
+	front    *frontend
+	mirror   *mirror.Driver
+	store    *platform.Store
+	grpc     *grpc.Server
+	conns    *rpc.Pool
+	log      *zap.Logger
+}
+
+// New assembles an entry.
+func New(settings *platform.Settings, store *platform.Store, conns *rpc.Pool, log *zap.Logger) (*Process, error) {
+	if err := settings.CheckEntry(); err != nil {
+		return nil, err
+	}
+	metrics := newEntryMetrics()
+	v := newView(settings, metrics, log)
+	p := &Process{
+		settings: settings, view: v, store: store, conns: conns, log: log,
+		front: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), metrics: metrics, log: log},
+	}
+	p.mirror = mirror.NewDriver(mirror.Config{
+		Kinds: map[string]bool{
+			platform.KindConfig: false, platform.KindWorkers: true, platform.KindEvacuations: false,
+			platform.KindVersions: false, platform.KindEntries: false,
+		},
+		Store: store, Neighbours: rpcmirror.NewClient(conns, v.peers), First: mirror.StoreFirst, Changed: v.changed, Log: log,
+	})
+	p.grpc = grpc.NewServer()
+	laburnumgwv1.RegisterMirrorServer(p.grpc, &rpcmirror.Server{Driver: p.mirror})
+	return p, nil
+}
+
+// internal returns the address for the system's own processes at an offset of the ports.
+func (p *Process) internal(offset int) string {
+	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort+offset))
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (p *Process) Run(ctx context.Context) error {
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failed := make(chan error, 5)
+	server, err := p.listen(running, failed)
+	if err != nil {
+		return err
+	}
+	go p.mirror.Run(running)
+	go p.register(running)
+	go p.reload(running)
+	p.log.Info("entry started", zap.String("vm", p.settings.VM), zap.String("zone", p.settings.Zone), zap.String("frontend", p.settings.Frontend))
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	return p.stop(server)
+}
+
+// listen opens all listeners.
+func (p *Process) listen(ctx context.Context, failed chan<- error) (*http.Server, error) {
+	config := net.ListenConfig{KeepAliveConfig: platform.KeepAlive()}
+	serve := func(address string, server *http.Server) error {
+		listener, err := config.Listen(ctx, "tcp", address)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", address, err)
+		}
+		go func() {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+				failed <- fmt.Errorf("serve on %s: %w", address, err)
+			}
+		}()
+		return nil
+	}
+	server := &http.Server{
+		Handler: p.front.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: zap.NewStdLog(p.log),
+	}
+	if err := serve(p.settings.Frontend, server); err != nil {
+		return nil, err
+	}
+	if err := serve(p.settings.Readiness, &http.Server{Handler: p.front.readiness(), ReadHeaderTimeout: readHeaderTimeout}); err != nil {
+		return nil, err
+	}
+	metrics := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.LastPort))
+	if err := serve(metrics, &http.Server{Handler: telemetry.Handler(p.front.metrics.set), ReadHeaderTimeout: readHeaderTimeout}); err != nil {
+		return nil, err
+	}
+	internal, err := config.Listen(ctx, "tcp", p.internal(0))
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", p.internal(0), err)
+	}
+	go func() { failed <- p.grpc.Serve(internal) }()
+	reports, err := net.ListenPacket("udp", p.internal(0))
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", p.internal(0), err)
+	}
+	go p.readReports(reports)
+	return server, nil
+}
+
+// register writes this entry to the store, so that other processes find it.
+func (p *Process) register(ctx context.Context) {
+	for {
+		err := p.store.Put(ctx, platform.KindEntries, p.settings.VM, platform.Entry{Zone: p.settings.Zone, Address: p.internal(0)})
+		if err == nil {
+			p.log.Info("entry registered")
+			return
+		}
+		p.log.Warn("entry not registered; other processes do not find it yet", zap.Error(err))
+		if !dispatch.Sleep(ctx, registerInterval) {
+			return
+		}
+	}
+}
+
+// reload reads the settings file again at each SIGHUP and reports what is wrong with it.
+// A process keeps its name and its addresses until it starts again.
+func (p *Process) reload(ctx context.Context) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		next, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+		if err != nil {
+			p.log.Error("settings not reloaded; the ones in force stay", zap.Error(err))
+			continue
+		}
+		p.view.reconfigure(next)
+		p.log.Info("settings reloaded")
+	}
+}
+
+// stop tells the platform and the callers, still serves for a while, and finishes what
+// runs.
+func (p *Process) stop(server *http.Server) error {
+	p.log.Info("entry is leaving", zap.Duration("leave_wait", leaveWait))
+	p.front.leaving.Store(true)
+	time.Sleep(leaveWait)
+	ctx, cancel := context.WithTimeout(context.Background(), max(p.settings.Bounds.Grace-leaveWait-stopMargin, stopMargin))
+	defer cancel()
+	err := server.Shutdown(ctx)
+	p.grpc.Stop()
+	p.conns.Close()
+	p.log.Info("entry stopped", zap.Error(err))
+	_ = p.log.Sync() // standard output may not support it
+	if err != nil {
+		return fmt.Errorf("requests still ran at the end of the grace time: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/hosted/relay.go
@@ -0,0 +1,185 @@
+package hosted
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/retry"
+	"laburnumgw/lib/workerconn"
+	"laburnumgw/platform"
+)
+
+const (
+	// streamBufferBytes is the size of a read from a stream; an event has about 65 bytes.
+	streamBufferBytes = 2 << 10
+	// maxEventBytes bounds one event.
+	maxEventBytes = 1 << 20
+)
+
+var streamBuffers = sync.Pool{New: func() any { return new([streamBufferBytes]byte) }}
+
+// relayWhole holds an answer until it is whole, then decides whether it is the caller's.
+func (c *call) relayWhole(response *workerconn.Response, answer platform.Answer) retry.Attempt {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxHeldBytes+1))
+	if err == nil && len(body) > maxHeldBytes {
+		err = fmt.Errorf("answer exceeds %d bytes", maxHeldBytes)
+	}
+	if err != nil {
+		return c.ended(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", fmt.Errorf("%w: %w", errCut, err))
+	}
+	response.Finish(answer.KeepAlive)
+	held := &heldAnswer{status: response.StatusCode, header: response.Header, body: body}
+	switch {
+	case promisesNotRun(held.status):
+		// The worker ran the request, whatever the status tells callers.
+		return c.ended(laburnumgwv1.Outcome_OUTCOME_FAILED, true, "", errWorkerFailed)
+	case held.status >= http.StatusInternalServerError && c.route.Repeatable():
+		c.failure = held
+		return c.ended(laburnumgwv1.Outcome_OUTCOME_FAILED, true, "", errWorkerFailed)
+	case c.headed:
+		return c.ended(laburnumgwv1.Outcome_OUTCOME_FAILED, true, "", errWorkerFailed)
+	}
+	if err := c.send(held); err != nil {
+		return c.ended(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", err)
+	}
+	return c.ended(laburnumgwv1.Outcome_OUTCOME_COMPLETE, true, "", nil)
+}
+
+// promisesNotRun reports whether callers take a status as "not run".
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// send writes a whole answer to the caller.
+func (c *call) send(held *heldAnswer) error {
+	c.head(held.status, held.header)
+	if c.r.Method != http.MethodHead {
+		c.w.Header().Set("Content-Length", strconv.Itoa(len(held.body)))
+	}
+	c.w.WriteHeader(held.status)
+	c.metrics.firstByte.UpdateDuration(c.started)
+	if _, err := c.w.Write(held.body); err != nil {
+		return fmt.Errorf("answer the caller: %w", err)
+	}
+	return nil
+}
+
+// head copies the headers of a worker's answer.
+func (c *call) head(status int, header http.Header) {
+	c.headed = true
+	out := c.w.Header()
+	for name, values := range platform.EndToEnd(header) {
+		if name != "Content-Length" {
+			out[name] = values
+		}
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		// An empty list keeps the server from guessing one.
+		out["Content-Type"] = nil
+	}
+	if _, ok := header["Date"]; !ok {
+		out["Date"] = nil
+	}
+}
+
+// relayStream passes the whole events of a stream on as they arrive. It returns nil when
+// the stream is complete.
+func (c *call) relayStream(response *workerconn.Response, answer platform.Answer) error {
+	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
+	defer streamBuffers.Put(buffer)
+	var pending []byte
+	for {
+		response.Within(c.patience())
+		n, err := response.Body.Read(buffer[:])
+		pending = append(pending, buffer[:n]...)
+		if errors.Is(err, io.EOF) {
+			if err := c.relay(response, pending); err != nil {
+				return err
+			}
+			response.Finish(answer.KeepAlive)
+			return c.endStream(response)
+		}
+		if whole := lastEventEnd(pending); whole > 0 {
+			if err := c.relay(response, pending[:whole]); err != nil {
+				return err
+			}
+			pending = append(pending[:0], pending[whole:]...)
+		}
+		if err != nil {
+			return fmt.Errorf("%w: %w", errCut, err)
+		}
+		if len(pending) > maxEventBytes {
+			return fmt.Errorf("%w: event exceeds %d bytes", errCut, maxEventBytes)
+		}
+	}
+}
+
+// lastEventEnd returns the end of the last whole event.
+func lastEventEnd(data []byte) int {
+	at := bytes.LastIndex(data, []byte("\n\n"))
+	if crlf := bytes.LastIndex(data, []byte("\r\n\r\n")); crlf > at {
+		return crlf + 4
+	}
+	if at < 0 {
+		return 0
+	}
+	return at + 2
+}
+
+// relay sends events to the caller.
+func (c *call) relay(response *workerconn.Response, events []byte) error {
+	if len(events) == 0 {
+		return nil
+	}
+	if !c.headed {
+		c.head(response.StatusCode, response.Header)
+		c.w.WriteHeader(response.StatusCode)
+		c.metrics.firstByte.UpdateDuration(c.started)
+	}
+	if _, err := c.w.Write(events); err != nil {
+		return fmt.Errorf("%w: %w", errCallerLeft, err)
+	}
+	c.relayed += int64(len(events))
+	if id := lastEventID(events); id != "" {
+		c.lastEvent = id
+	}
+	if err := http.NewResponseController(c.w).Flush(); err != nil {
+		return fmt.Errorf("%w: %w", errCallerLeft, err)
+	}
+	return nil
+}
+
+// endStream sends the head of a stream without events.
+func (c *call) endStream(response *workerconn.Response) error {
+	if !c.headed {
+		c.head(response.StatusCode, response.Header)
+		c.w.WriteHeader(response.StatusCode)
+	}
+	return nil
+}
+
+// lastEventID returns the id of the last event that names one.
+func lastEventID(events []byte) string {
+	for len(events) > 0 {
+		at := bytes.LastIndexByte(events[:len(events)-1], '\n')
+		line := bytes.TrimRight(events[at+1:], "\r\n")
+		if name, value, ok := bytes.Cut(line, []byte(":")); ok && string(name) == "id" {
+			return string(bytes.TrimPrefix(value, []byte(" ")))
+		}
+		if at < 0 {
+			break
+		}
+		events = events[:at+1]
+	}
+	return ""
+}
--- /dev/null
+++ b/entry/hosted/reports.go
@@ -0,0 +1,54 @@
+package hosted
+
+import (
+	"net"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/catalog"
+	"laburnumgw/platform"
+)
+
+// maxReportBytes bounds the datagram of a report.
+const maxReportBytes = 1 << 10
+
+// readReports applies the reports of the processes beside workers.
+func (p *Process) readReports(socket net.PacketConn) {
+	buffer := make([]byte, maxReportBytes)
+	var report laburnumgwv1.WorkerReport
+	for {
+		n, _, err := socket.ReadFrom(buffer)
+		if err != nil {
+			p.log.Error("reports of workers are no longer received", zap.Error(err))
+			return
+		}
+		if err := proto.Unmarshal(buffer[:n], &report); err != nil {
+			p.log.Warn("report ignored", zap.Error(err))
+			continue
+		}
+		p.view.reported(report.GetAddress(), report.GetSequence(), catalog.Report{
+			Born: report.GetBorn(), Busy: report.GetBusy(), Queued: int(report.GetQueued()), Running: int(report.GetRunning()),
+			Weights: catalog.Weights{
+				Model: report.GetModel(), Version: int(report.GetVersion()),
+				From: int(report.GetLayersFrom()), To: int(report.GetLayersTo()),
+			},
+		})
+	}
+}
+
+// reconfigure takes over what may change while the process runs.
+func (v *view) reconfigure(next *platform.Settings) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	changed := *v.settings
+	changed.Bounds = next.Bounds
+	changed.Zones = next.Zones
+	v.settings = &changed
+	for _, state := range v.services {
+		v.configureService(state.config)
+		state.table.SetZones(v.zones())
+	}
+	v.feedAll()
+}
--- /dev/null
+++ b/entry/hosted/view.go
@@ -0,0 +1,382 @@
+package hosted
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/dispatch"
+	"laburnumgw/lib/mirror"
+	"laburnumgw/lib/retry"
+	"laburnumgw/lib/routing"
+	"laburnumgw/platform"
+)
+
+const (
+	// engineQueue is the number of requests beyond its slots that an engine may hold.
+	// One slot frees every 70 ms, so that a longer queue misses the objective.
+	engineQueue = 3
+	// plainQueue is the same for a plain service, whose requests take 30 to 60 ms.
+	plainQueue = 6
+	// refusalRetryAfter is when a refused caller may come back.
+	refusalRetryAfter = 300 * time.Millisecond
+	// versionMargin is how long before the bound older weights get no more requests: a
+	// request may wait that long at its worker before it begins.
+	versionMargin = 1200 * time.Millisecond
+	// reportStaleness is the age after which a worker's report is no longer believed.
+	reportStaleness = 2 * time.Second
+	// reportReorder is how long a datagram may be overtaken by a later one. After it, a
+	// lower number means that the sender has started again.
+	reportReorder = time.Second
+	// minEntries is assumed while the entries of the deployment are not known.
+	minEntries = 4
+	// budgetReserve is the part of the shared limits that is used, because clocks and
+	// windows of the entries differ.
+	budgetReserve = 0.8
+)
+
+// view is what an entry believes of the deployment. It feeds the routing tables.
+type view struct {
+	settings *platform.Settings
+	log      *zap.Logger
+	metrics  *entryMetrics
+	snapshot atomic.Pointer[catalog.Snapshot]
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	services map[string]*service
+	workers  map[string]*worker
+	entries  map[string]platform.Entry
+	out      map[string]bool
+	versions map[string][]namedVersion
+	sequence uint64
+}
+
+// service is the state of one service.
+type service struct {
+	config *catalog.Service
+	table  *routing.Table
+	loop   *dispatch.Loop
+}
+
+// worker is a worker of the list with its last report.
+type worker struct {
+	catalog.Worker
+	report     catalog.Report
+	reportedAt time.Time
+	// reportSequence orders the reports of one start of the worker.
+	reportSequence uint64
+}
+
+// namedVersion is a version of weights with the time at which this process learnt it.
+type namedVersion struct {
+	version int
+	since   time.Time
+}
+
+func newView(settings *platform.Settings, metrics *entryMetrics, log *zap.Logger) *view {
+	return &view{
+		settings: settings, log: log, metrics: metrics, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		services: make(map[string]*service), workers: make(map[string]*worker), entries: make(map[string]platform.Entry),
+		out: make(map[string]bool), versions: make(map[string][]namedVersion),
+	}
+}
+
+// changed applies changes of the mirrored store.
+func (v *view) changed(kind string, changes []mirror.Change) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, change := range changes {
+		switch kind {
+		case platform.KindConfig:
+			v.configChanged(change)
+		case platform.KindWorkers:
+			v.workerChanged(change)
+		case platform.KindEvacuations:
+			v.evacuationChanged(change)
+		case platform.KindVersions:
+			v.versionChanged(change)
+		case platform.KindEntries:
+			v.entryChanged(change)
+		}
+	}
+}
+
+func (v *view) configChanged(change mirror.Change) {
+	if !platform.IsConfig(change.Object.Name) || change.Deleted {
+		return
+	}
+	next, err := platform.DecodeConfig(change.Object.Value)
+	if err != nil {
+		v.log.Error("configuration ignored; the one in force stays", zap.Int64("revision", change.Object.Revision), zap.Error(err))
+		return
+	}
+	if current := v.snapshot.Load(); current != nil && next.Version < current.Version {
+		v.log.Error("older configuration ignored", zap.Int64("version", next.Version), zap.Int64("in_force", current.Version))
+		return
+	}
+	for _, config := range next.Services() {
+		if config.Origin == nil {
+			v.configureService(config)
+		}
+	}
+	v.snapshot.Store(next)
+	v.log.Info("configuration in force", zap.Int64("version", next.Version), zap.Int64("revision", change.Object.Revision))
+	v.feedAll()
+}
+
+// configureService creates the state of a service or updates it. The caller holds the
+// lock.
+func (v *view) configureService(config *catalog.Service) {
+	state := v.services[config.Name]
+	if state == nil {
+		budget := retry.NewBudget(v.budget())
+		table, err := routing.New(v.routingSettings(config), v.rng)
+		if err != nil {
+			v.log.Error("service cannot be routed", zap.String("service", config.Name), zap.Error(err))
+			return
+		}
+		state = &service{table: table, loop: dispatch.NewLoop(retry.NewPlanner(retry.Settings{}, budget, v.rng), budget)}
+		v.services[config.Name] = state
+		state.table.SetZones(v.zones())
+	}
+	state.config = config
+	if err := state.table.Configure(v.routingSettings(config)); err != nil {
+		v.log.Error("service keeps its routing settings", zap.String("service", config.Name), zap.Error(err))
+	}
+	state.loop.Configure(0, v.budget())
+}
+
+// entryCount returns the number of entries that share the limits of the deployment.
+func (v *view) entryCount() float64 { return float64(max(len(v.entries), minEntries)) }
+
+// budget returns this entry's share of the retry budget.
+func (v *view) budget() retry.BudgetSettings {
+	bounds := v.settings.Bounds
+	window := max(bounds.RetryWindow.Seconds(), 1)
+	return retry.BudgetSettings{
+		Ratio:     max(budgetReserve*bounds.RetryRatio, 0.001),
+		PerSecond: budgetReserve * bounds.RetrySlack / window / v.entryCount(),
+	}
+}
+
+func (v *view) routingSettings(config *catalog.Service) routing.Settings {
+	settings := routing.Settings{
+		Zone: v.settings.Zone, Region: v.settings.Region, QueueLength: plainQueue, RetryAfter: refusalRetryAfter,
+	}
+	if config.Engine != nil {
+		settings.QueueLength = engineQueue
+	}
+	if config.ColdPerSecond > 0 {
+		bounds := v.settings.Bounds
+		share := (config.ColdPerSecond*bounds.ColdOverage + bounds.ColdSlack) / v.entryCount()
+		settings.ArrivalsPerSecond = max(1, int(share))
+	}
+	return settings
+}
+
+func (v *view) workerChanged(change mirror.Change) {
+	id := change.Object.Name
+	known := v.workers[id]
+	decoded, err := platform.DecodeWorker(id, change.Object.Value)
+	if change.Deleted || err != nil {
+		if err != nil {
+			v.log.Warn("worker entry ignored", zap.String("vm", id), zap.Error(err))
+		}
+		if known != nil {
+			v.removeWorker(known, change.Object.Revision)
+		}
+		return
+	}
+	if known != nil && known.Service != decoded.Service {
+		v.removeWorker(known, change.Object.Revision)
+		known = nil
+	}
+	isNew := known == nil
+	if isNew {
+		known = &worker{}
+		v.workers[id] = known
+	}
+	wasLeaving, wasVersion := known.Leaving, known.Weights.Version
+	known.Worker = decoded
+	if isNew || wasLeaving != decoded.Leaving || wasVersion != decoded.Weights.Version {
+		v.log.Info("worker changed", zap.String("vm", id), zap.String("service", decoded.Service), zap.String("zone", decoded.Zone),
+			zap.Bool("leaving", decoded.Leaving), zap.Int("weights", decoded.Weights.Version), zap.Int64("revision", change.Object.Revision))
+	}
+	v.feed(known)
+}
+
+func (v *view) removeWorker(known *worker, revision int64) {
+	delete(v.workers, known.ID)
+	if state := v.services[known.Service]; state != nil {
+		state.table.Remove(known.ID)
+	}
+	v.log.Info("worker is gone", zap.String("vm", known.ID), zap.String("service", known.Service), zap.Int64("revision", revision))
+}
+
+func (v *view) evacuationChanged(change mirror.Change) {
+	v.out[change.Object.Name] = !change.Deleted
+	zones := v.zones()
+	for _, state := range v.services {
+		state.table.SetZones(zones)
+	}
+	v.log.Info("availability zone changed", zap.String("zone", change.Object.Name), zap.Bool("out", !change.Deleted),
+		zap.Int64("revision", change.Object.Revision))
+}
+
+func (v *view) zones() []routing.Zone {
+	zones := make([]routing.Zone, 0, len(v.settings.Zones))
+	for _, name := range slices.Sorted(maps.Keys(v.settings.Zones)) {
+		zones = append(zones, routing.Zone{Name: name, Region: v.settings.Zones[name], Out: v.out[name]})
+	}
+	return zones
+}
+
+func (v *view) versionChanged(change mirror.Change) {
+	if change.Deleted {
+		return
+	}
+	model, version, err := platform.DecodeVersion(change.Object.Name, change.Object.Value)
+	if err != nil {
+		v.log.Warn("version ignored", zap.Error(err))
+		return
+	}
+	list := v.versions[model]
+	if len(list) > 0 && list[len(list)-1].version >= version {
+		return
+	}
+	v.versions[model] = append(list, namedVersion{version, time.Now()})
+	v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision))
+	time.AfterFunc(v.settings.Bounds.VersionApply-versionMargin, func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.log.Info("older weights get no more requests", zap.String("model", model), zap.Int("version", version))
+		v.feedAll()
+	})
+}
+
+// required returns the oldest version of a model that may get requests.
+func (v *view) required(model string, now time.Time) int {
+	required := 0
+	for _, named := range v.versions[model] {
+		if now.Sub(named.since) >= v.settings.Bounds.VersionApply-versionMargin {
+			required = named.version
+		}
+	}
+	return required
+}
+
+func (v *view) entryChanged(change mirror.Change) {
+	if change.Deleted {
+		delete(v.entries, change.Object.Name)
+		return
+	}
+	entry, err := platform.DecodeEntry(change.Object.Name, change.Object.Value)
+	if err != nil {
+		v.log.Warn("entry ignored", zap.String("entry", change.Object.Name), zap.Error(err))
+		return
+	}
+	v.entries[change.Object.Name] = entry
+	for _, state := range v.services {
+		v.configureService(state.config)
+	}
+}
+
+func (v *view) feedAll() {
+	for _, id := range slices.Sorted(maps.Keys(v.workers)) {
+		v.feed(v.workers[id])
+	}
+}
+
+// feed tells the routing table what is known of a worker. The caller holds the lock.
+func (v *view) feed(w *worker) {
+	state := v.services[w.Service]
+	if state == nil {
+		return
+	}
+	v.sequence++
+	now := time.Now()
+	report := &laburnumgwv1.ReportRequest{
+		Vm: w.ID, Zone: w.Zone, Region: v.settings.Zones[w.Zone], Address: w.Address,
+		Incarnation: &laburnumgwv1.Incarnation{Counter: uint64(max(w.Born, 0))}, Sequence: v.sequence,
+		Load: &laburnumgwv1.Load{Limit: int32(w.Slots)},
+	}
+	if state.config.Engine == nil {
+		report.Services = []string{w.Service}
+	} else {
+		v.describeEngine(w, state.config.Engine, report, now)
+	}
+	state.table.ReportReceived(report, now)
+	if w.Leaving {
+		state.table.SetLeaving(w.ID, routing.Incarnation{Counter: report.GetIncarnation().GetCounter()})
+	}
+}
+
+func (v *view) describeEngine(w *worker, engine *catalog.Engine, report *laburnumgwv1.ReportRequest, now time.Time) {
+	weights := w.Weights
+	if w.report.Born == w.Born && now.Sub(w.reportedAt) < reportStaleness {
+		weights = w.report.Weights
+		report.Load.InFlight = int32(w.report.Running)
+		report.Load.Queued = int32(w.report.Queued)
+		if w.report.Busy {
+			report.Load.Limit = 0
+		}
+	}
+	if weights.Whole(engine.Layers) && weights.Version >= v.required(engine.Model, now) {
+		report.Serving = map[string]string{w.Service: strconv.Itoa(weights.Version)}
+	}
+}
+
+// reported applies the report of the process beside a worker.
+func (v *view) reported(address string, sequence uint64, report catalog.Report) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, w := range v.workers {
+		late := report.Born == w.report.Born && sequence <= w.reportSequence && time.Since(w.reportedAt) < reportReorder
+		if w.Address != address || late {
+			continue
+		}
+		w.reportSequence = sequence
+		w.report = report
+		w.reportedAt = time.Now()
+		v.feed(w)
+	}
+}
+
+// ready reports whether the entry knows enough to serve.
+func (v *view) ready() bool {
+	if v.snapshot.Load() == nil {
+		return false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.workers) > 0
+}
+
+// peers returns the addresses of the other entries.
+func (v *view) peers() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var addresses []string
+	for name, entry := range v.entries {
+		if name != v.settings.VM {
+			addresses = append(addresses, entry.Address)
+		}
+	}
+	return addresses
+}
+
+// service returns the state of a service, or nil.
+func (v *view) service(name string) *service {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.services[name]
+}
--- /dev/null
+++ b/lib/routing/arrivals.go
@@ -0,0 +1,44 @@
+package routing
+
+import "time"
+
+const (
+	// arrivalSlot is the resolution at which arrivals are counted.
+	arrivalSlot = 100 * time.Millisecond
+	// arrivalSlots cover one second and the part of a slot at its start.
+	arrivalSlots = int64(time.Second/arrivalSlot) + 1
+)
+
+// arrivalWindow counts the requests sent to one endpoint in the last second.
+type arrivalWindow struct {
+	counts [arrivalSlots]int32
+	latest int64
+}
+
+func (w *arrivalWindow) add(now time.Duration) {
+	w.advance(now)
+	w.counts[w.latest%arrivalSlots]++
+}
+
+func (w *arrivalWindow) count(now time.Duration) int {
+	w.advance(now)
+	sum := int32(0)
+	for _, n := range w.counts {
+		sum += n
+	}
+	return int(sum)
+}
+
+// advance clears the slots that left the window. A time before the latest one counts as
+// the latest.
+func (w *arrivalWindow) advance(now time.Duration) {
+	slot := int64(now / arrivalSlot)
+	if slot-w.latest >= arrivalSlots {
+		w.counts = [arrivalSlots]int32{}
+		w.latest = slot
+	}
+	for w.latest < slot {
+		w.latest++
+		w.counts[w.latest%arrivalSlots] = 0
+	}
+}
--- a/lib/routing/endpoint.go
+++ b/lib/routing/endpoint.go
@@ -53,6 +53,7 @@
 	adapters []string
 	pools    []*pool
 	prefixes prefixLog
+	arrivals arrivalWindow
 }
 
 // distance is the network distance of an endpoint from the entry.
--- a/lib/routing/filters.go
+++ b/lib/routing/filters.go
@@ -17,6 +17,8 @@
 	FilterTried    Filter = "already_tried"
 	FilterNoRoom   Filter = "no_room"
 	FilterSuspect  Filter = "suspect"
+	FilterRegion   Filter = "other_region"
+	FilterArrivals Filter = "arrivals_used_up"
 )
 
 // filter removes candidates.
@@ -42,6 +44,10 @@
 	ejectedFilter = filter{FilterEjected, notEjected}
 	triedFilter   = filter{FilterTried, notTried}
 	roomFilter    = filter{FilterNoRoom, hasRoom}
+	// regionFilter leaves the regions that may run the request.
+	regionFilter = filter{FilterRegion, inRegion}
+	// arrivalFilter holds this entry's share of what a cold endpoint bears in a second.
+	arrivalFilter = filter{FilterArrivals, hasArrivals}
 	// suspectFilter applies while at least one endpoint is not suspect.
 	suspectFilter = filter{FilterSuspect, notSuspect}
 )
@@ -53,6 +59,14 @@
 func notSuspect(_ *query, e *endpoint, _ *candidate) bool    { return e.liveness != Suspect }
 func notTried(q *query, e *endpoint, _ *candidate) bool      { return e.triedIn != q.id }
 
+func inRegion(q *query, e *endpoint, _ *candidate) bool {
+	return slices.Contains(q.request.Regions, e.region)
+}
+
+func hasArrivals(q *query, e *endpoint, _ *candidate) bool {
+	return e.arrivals.count(q.elapsed) < q.arrivals
+}
+
 func hasAdapter(q *query, e *endpoint, _ *candidate) bool {
 	return slices.Contains(e.adapters, q.request.Adapter)
 }
--- a/lib/routing/pick.go
+++ b/lib/routing/pick.go
@@ -12,6 +12,12 @@
 	q := &t.query
 	p := t.pools[poolKey{model: r.Model, service: r.Service}]
 	q.begin(t, r, p, now)
+	if r.Regions != nil {
+		q.apply(&regionFilter)
+	}
+	if q.arrivals > 0 {
+		q.apply(&arrivalFilter)
+	}
 	if r.Adapter != "" {
 		q.apply(&adapterFilter)
 	}
--- a/lib/routing/query.go
+++ b/lib/routing/query.go
@@ -25,10 +25,13 @@
 // query holds the state of one decision. The table reuses it, so that a decision
 // allocates nothing.
 type query struct {
-	id          uint64
-	request     *Request
-	now         time.Time
-	bound       float64
+	id      uint64
+	request *Request
+	now     time.Time
+	elapsed time.Duration
+	bound   float64
+	// arrivals is the limit of requests to one endpoint in a second; zero for none.
+	arrivals    int
 	queueLength float64
 	members     []member
 	candidates  []candidate
@@ -59,7 +62,9 @@
 	q.id++
 	q.request = r
 	q.now = now
+	q.elapsed = t.elapsed(now)
 	q.bound = t.settings.AffinityBound
+	q.arrivals = t.settings.ArrivalsPerSecond
 	q.queueLength = float64(t.settings.QueueLength)
 	q.members = nil
 	q.candidates = q.candidates[:0]
@@ -73,7 +78,7 @@
 	if p == nil {
 		return
 	}
-	q.addMembers(p.members, t.elapsed(now))
+	q.addMembers(p.members, q.elapsed)
 }
 
 func (q *query) addMembers(members []member, now time.Duration) {
--- a/lib/routing/request.go
+++ b/lib/routing/request.go
@@ -31,6 +31,8 @@
 	PreferredVM string
 	// OwnerOnly refuses the request when PreferredVM cannot take it.
 	OwnerOnly bool
+	// Regions are the only ones that may run the request; nil for any.
+	Regions []string
 	// Detail records every candidate in the decision, which allocates.
 	Detail bool
 }
--- a/lib/routing/table.go
+++ b/lib/routing/table.go
@@ -33,6 +33,10 @@
 	// QueueLength is the length of the queue of a warm endpoint; zero for
 	// DefaultQueueLength.
 	QueueLength int
+	// ArrivalsPerSecond bounds the requests that this entry sends to one endpoint in any
+	// second; zero for no bound. It is this entry's share of what an endpoint bears while
+	// it is cold, and always holds, because an endpoint may turn cold without notice.
+	ArrivalsPerSecond int
 	// RetryAfter is returned with refusals; zero for DefaultRetryAfter.
 	RetryAfter time.Duration
 }
@@ -257,6 +261,9 @@
 	a := Attempt{endpoint: e, incarnation: e.incarnation, tokens: r.Tokens, sent: now}
 	e.own++
 	e.ownTokens += r.Tokens
+	if t.settings.ArrivalsPerSecond > 0 {
+		e.arrivals.add(t.elapsed(now))
+	}
 	if e.health.ejected {
 		a.probe = true
 		e.health.probeSent(now)
--- a/lib/telemetry/telemetry.go
+++ b/lib/telemetry/telemetry.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,6 +30,28 @@
 	return logger, nil
 }
 
+const (
+	// bufferBytes bounds the log lines that wait to be written; a process writes about
+	// 30 kB a second at its peak.
+	bufferBytes = 256 << 10
+	// flushInterval is the longest time that a line waits.
+	flushInterval = 200 * time.Millisecond
+)
+
+// NewBufferedLogger returns a JSON logger that writes to standard output in batches, so
+// that a request does not wait for a write.
+func NewBufferedLogger(level string) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("log level %q is not one of debug, info, warn, error: %w", level, err)
+	}
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	config.EncodeDuration = zapcore.MillisDurationEncoder
+	sink := &zapcore.BufferedWriteSyncer{WS: zapcore.Lock(os.Stdout), Size: bufferBytes, FlushInterval: flushInterval}
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, parsed)), nil
+}
+
 // Handler serves the metrics of a set and of the process in the Prometheus text format.
 func Handler(set *metrics.Set) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -42,6 +42,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// AnswerWithin bounds the wait for the head of the answer; zero for no bound.
+	AnswerWithin time.Duration
 }
 
 // Identity tells whether an answer belongs to the request that was sent. Fresh is set
@@ -113,6 +115,7 @@
 	if err != nil {
 		return fail(n > 0, fmt.Errorf("send request: %w", err))
 	}
+	c.within(r.AnswerWithin)
 	answer, err := c.readAnswer(r, own)
 	if err != nil {
 		return fail(true, fmt.Errorf("read answer: %w", err))
@@ -219,6 +222,19 @@
 	return err == nil && quiet
 }
 
+// within bounds the time until the next bytes arrive; zero for no bound.
+func (c *conn) within(wait time.Duration) {
+	deadline := time.Time{}
+	if wait > 0 {
+		deadline = time.Now().Add(wait)
+	}
+	// It fails only on a closed connection, which the next read reports.
+	_ = c.SetReadDeadline(deadline)
+}
+
+// Within bounds the time until the next bytes of the body arrive; zero for no bound.
+func (r *Response) Within(wait time.Duration) { r.conn.within(wait) }
+
 // Finish ends a response whose body was read to its end. The connection is kept when
 // nothing speaks against it; keepAlive is what the worker says, or zero.
 func (r *Response) Finish(keepAlive time.Duration) {
@@ -235,6 +251,7 @@
 		r.conn.keepAlive = max(keepAlive-idleMargin, idleMargin)
 	}
 	r.conn.idleSince = time.Now()
+	r.conn.within(0)
 	r.pool.put(r.address, r.conn)
 }
 
