Notice deaf watches and the end of an outage

Ruled out: lost watches (no 410 before 6.2 s), and neighbours with older state (their revisions were the newest).

An entry now compares the store's revision with what its watches delivered each second, and lists after each failure. The property test found that a list before the first one could go back; the driver never did that.

TestDeafWatchIsNoticed and TestEndOfAnOutageIsNoticedAtOnce fail on the driver before this change.

--- a/endpoint/hosted/weights.go
+++ b/endpoint/hosted/weights.go
@@ -25,7 +25,10 @@
 	weightsMemory = 48 << 20
 	// linkShare is the part of the VM's link that weights may use. Requests go straight
 	// to the worker over the same link and need little of it.
-	linkShare = 0.95
+	linkShare = 0.85
+	// pieceBytes takes 5 ms on a link of 9.4 Mbit/s. Events of streams wait behind the
+	// pieces that are being sent, and are late after 120 ms.
+	pieceBytes = 6 << 10
 	// originShare is the part of the origin's link that the schedule counts on.
 	originShare = 0.95
 	megabit     = 125_000
@@ -35,6 +38,10 @@
 	manifestReads = 4
 )
 
+// swarmLimits suit models of a few dozen chunks: bitmaps are exchanged as often as chunks
+// arrive, because a transfer takes no more than some seconds.
+var swarmLimits = swarm.Limits{UploadSlots: 2, Downloads: 2, ExchangesPerSecond: 15, ExchangeBurst: 4}
+
 // library holds the versions that this VM has or fetches.
 type library struct {
 	view     *view
@@ -68,7 +75,7 @@
 		transfer: &transfer.Transfer{
 			Self:    swarm.Member{VM: settings.IP, Zone: settings.Zone, Region: settings.Region},
 			Address: v.assignment(settings.IP, settings.Zone).GetAddress(), Conns: conns, Origin: origin,
-			Links: transfer.NewLinks(settings.LinkMbit * megabit * linkShare), Metrics: transfer.NewMetrics(set), Log: log,
+			Links: transfer.NewPacedLinks(settings.LinkMbit*megabit*linkShare, pieceBytes), Metrics: transfer.NewMetrics(set), Log: log,
 		},
 	}
 }
@@ -133,7 +140,7 @@
 	}
 	l.restore(ctx, replica)
 	l.transfer.Home = l.view.settings.Zones[origin.Zone]
-	distribution, err := transfer.New(l.transfer, replica, origin.LinkMbit*megabit*originShare, swarm.Limits{})
+	distribution, err := transfer.New(l.transfer, replica, origin.LinkMbit*megabit*originShare, swarmLimits)
 	if err != nil {
 		return nil, err
 	}
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -23,6 +23,12 @@
 	// Calls that failed are repeated after firstRetry, doubling up to lastRetry.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond
+	// probeInterval separates two looks at the revision of the store. A watch may be deaf
+	// while changes are made, and the bounds of leaving workers and of configurations
+	// are 2 s.
+	probeInterval = time.Second
+	// probeGrace is how long a watch may take to deliver what a probe has seen.
+	probeGrace = 250 * time.Millisecond
 	// tickInterval is the resolution of grace times.
 	tickInterval = 200 * time.Millisecond
 )
@@ -31,6 +37,8 @@
 type Store interface {
 	List(ctx context.Context, kind string) ([]Object, int64, error)
 	Watch(ctx context.Context, kind string, after int64, wait time.Duration) ([]Event, int64, error)
+	// Revision returns the revision of the newest change of any kind.
+	Revision(ctx context.Context) (int64, error)
 }
 
 // State is what a neighbour knows of a kind.
@@ -77,14 +85,15 @@
 	kinds map[string]*Kind
 	// moved is closed and replaced at each new revision, for those who wait for one.
 	moved chan struct{}
-	// pulledAt is the time of the last answer of a neighbour, pulling is set while the
-	// neighbours answer.
+	// pulling is set while the neighbours answer.
 	pulling bool
+	// cancels ends the call of the store that runs for a kind.
+	cancels map[string]context.CancelFunc
 }
 
 // NewDriver returns a driver that runs with Run.
 func NewDriver(config Config) *Driver {
-	d := &Driver{config: config, kinds: make(map[string]*Kind), moved: make(chan struct{})}
+	d := &Driver{config: config, kinds: make(map[string]*Kind), moved: make(chan struct{}), cancels: make(map[string]context.CancelFunc)}
 	for name, lapses := range config.Kinds {
 		d.kinds[name] = NewKind(lapses)
 	}
@@ -98,6 +107,7 @@
 		running.Go(func() { d.follow(ctx, name) })
 	}
 	running.Go(func() { d.pull(ctx) })
+	running.Go(func() { d.probe(ctx) })
 	running.Go(func() { d.tick(ctx) })
 	running.Wait()
 }
@@ -158,7 +168,13 @@
 			sleep(ctx, turnAfter)
 			continue
 		}
-		err := d.ask(ctx, name, kind, listed)
+		calling, cancel := context.WithCancel(ctx)
+		d.mu.Lock()
+		d.cancels[name] = cancel
+		d.mu.Unlock()
+		err := d.ask(calling, name, kind, listed)
+		refreshed := calling.Err() != nil
+		cancel()
 		switch {
 		case err == nil:
 			listed = true
@@ -166,16 +182,64 @@
 			continue
 		case ctx.Err() != nil:
 			return
+		case refreshed:
+			listed = false
+			continue
 		case errors.Is(err, ErrHistoryLost):
 			listed = false
 			d.config.Log.Warn("history of the store is lost; listing again", zap.String("kind", name))
 			continue
 		}
+		// A list is answered at once, so that the end of an outage is noticed, while a
+		// watch waits for the next change.
+		listed = false
 		d.failed(name, kind, err)
 		sleep(ctx, pause.NextBackOff())
 	}
 }
 
+// probe compares the revision of the store with what the watches have delivered.
+func (d *Driver) probe(ctx context.Context) {
+	for sleep(ctx, probeInterval) {
+		d.mu.Lock()
+		idle := d.config.First == NeighboursFirst && d.pulling
+		d.mu.Unlock()
+		if idle {
+			continue
+		}
+		revision, err := d.config.Store.Revision(ctx)
+		if err == nil && d.upTo(revision) {
+			continue
+		}
+		if err == nil && (!sleep(ctx, probeGrace) || d.upTo(revision)) {
+			continue
+		}
+		d.refresh(revision, err)
+	}
+}
+
+// upTo reports whether some kind is known up to a revision.
+func (d *Driver) upTo(revision int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, kind := range d.kinds {
+		if kind.Revision() >= revision {
+			return true
+		}
+	}
+	return false
+}
+
+// refresh lists all kinds again.
+func (d *Driver) refresh(revision int64, err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.config.Log.Warn("watches are behind the store; listing again", zap.Int64("revision", revision), zap.Error(err))
+	for _, cancel := range d.cancels {
+		cancel()
+	}
+}
+
 // idle reports whether the neighbours make the store's calls needless.
 func (d *Driver) idle(kind *Kind) bool {
 	d.mu.Lock()
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -121,7 +121,7 @@
 // is ignored.
 func (k *Kind) Listed(objects []Object, revision int64, now time.Time) []Change {
 	k.answered(now)
-	if k.known && revision < k.revision {
+	if revision < k.revision {
 		return nil
 	}
 	k.known = true
--- /dev/null
+++ b/lib/mirror/mirror_test.go
@@ -0,0 +1,304 @@
+package mirror
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func object(name string, revision int64) Object {
+	return Object{Name: name, Revision: revision, Value: json.RawMessage(`{}`)}
+}
+
+// fakeStore is a store whose watches can be made deaf and that can be out of reach.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision int64
+	objects  map[string]map[string]Object
+	deaf     bool
+	down     bool
+	calls    int
+	changed  chan struct{}
+}
+
+var errDown = errors.New("store is down")
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{revision: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{})}
+}
+
+func (f *fakeStore) put(kind, name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	if f.objects[kind] == nil {
+		f.objects[kind] = make(map[string]Object)
+	}
+	f.objects[kind][name] = object(name, f.revision)
+	f.notify()
+}
+
+func (f *fakeStore) remove(kind, name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	delete(f.objects[kind], name)
+	f.notify()
+}
+
+func (f *fakeStore) notify() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeStore) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+	f.notify()
+}
+
+func (f *fakeStore) List(_ context.Context, kind string) ([]Object, int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if f.down {
+		return nil, 0, errDown
+	}
+	var list []Object
+	for _, o := range f.objects[kind] {
+		list = append(list, o)
+	}
+	return list, f.revision, nil
+}
+
+func (f *fakeStore) Revision(context.Context) (int64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if f.down {
+		return 0, errDown
+	}
+	return f.revision, nil
+}
+
+func (f *fakeStore) Watch(ctx context.Context, kind string, after int64, wait time.Duration) ([]Event, int64, error) {
+	f.mu.Lock()
+	f.calls++
+	f.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	seen := make(map[string]bool)
+	f.mu.Lock()
+	for name := range f.objects[kind] {
+		seen[name] = true
+	}
+	f.mu.Unlock()
+	for {
+		f.mu.Lock()
+		down, deaf, changed := f.down, f.deaf, f.changed
+		var events []Event
+		for name, o := range f.objects[kind] {
+			if o.Revision > after {
+				events = append(events, Event{Object: o})
+			}
+			delete(seen, name)
+		}
+		for name := range seen {
+			events = append(events, Event{Object: object(name, f.revision), Deleted: true})
+		}
+		revision := f.revision
+		f.mu.Unlock()
+		if down {
+			return nil, 0, errDown
+		}
+		if len(events) > 0 && !deaf {
+			return events, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, after, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// followed runs a driver on a fake store and records the changes with their times.
+type followed struct {
+	mu      sync.Mutex
+	changes []Change
+	at      []time.Duration
+	began   time.Time
+}
+
+func follow(ctx context.Context, store *fakeStore, kinds map[string]bool) *followed {
+	f := &followed{began: time.Now()}
+	driver := NewDriver(Config{Kinds: kinds, Store: store, Log: zap.NewNop(), Changed: func(_ string, changes []Change) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, change := range changes {
+			f.changes = append(f.changes, change)
+			f.at = append(f.at, time.Since(f.began))
+		}
+	}})
+	go driver.Run(ctx)
+	return f
+}
+
+// when returns the time at which a change of an object was seen, or -1.
+func (f *followed) when(name string, deleted bool) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, change := range f.changes {
+		if change.Object.Name == name && change.Deleted == deleted {
+			return f.at[i]
+		}
+	}
+	return -1
+}
+
+// bound is the time in which a leaving worker must be known.
+const bound = 2 * time.Second
+
+// Guards against watches that hear nothing while changes are made: entries kept an old
+// configuration for 4 s.
+func TestDeafWatchIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("workers", "a")
+		seen := follow(t.Context(), store, map[string]bool{"workers": true, "config": false})
+		time.Sleep(3 * time.Second)
+		store.set(func() { store.deaf = true })
+		store.put("workers", "b")
+		time.Sleep(bound)
+		if at := seen.when("b", false); at < 0 || at > 3*time.Second+bound {
+			t.Fatalf("change seen at %v, made at 3s", at)
+		}
+	})
+}
+
+// Guards against taking the wait of a watch for an outage: a worker that left 3 s after
+// the store was back was kept for the grace time of lapsed entries.
+func TestEndOfAnOutageIsNoticedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("workers", "a")
+		seen := follow(t.Context(), store, map[string]bool{"workers": true})
+		time.Sleep(time.Second)
+		store.set(func() { store.down = true })
+		time.Sleep(5 * time.Second)
+		store.set(func() { store.down = false })
+		time.Sleep(4 * time.Second)
+		store.remove("workers", "a")
+		time.Sleep(bound)
+		if at := seen.when("a", true); at < 0 || at > 10*time.Second+bound {
+			t.Fatalf("removal seen at %v, made at 10s", at)
+		}
+	})
+}
+
+// Guards against calls that grow while nothing happens: a quiet minute of one entry may
+// cost its probes and little more.
+func TestQuietCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("workers", "a")
+		follow(t.Context(), store, map[string]bool{"workers": true, "config": false})
+		time.Sleep(10 * time.Second)
+		store.mu.Lock()
+		before := store.calls
+		store.mu.Unlock()
+		time.Sleep(time.Minute)
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		if calls := store.calls - before; calls > 70 {
+			t.Fatalf("%d calls in a quiet minute", calls)
+		}
+	})
+}
+
+// Guards against dropping every worker after an outage in which their entries lapsed,
+// and against keeping one that does not come back.
+func TestLapsedEntriesAreKeptForTheGraceTime(t *testing.T) {
+	Convey("Given a list before an outage", t, func() {
+		kind := NewKind(true)
+		kind.Listed([]Object{object("a", 1), object("b", 2)}, 2, start)
+		kind.Failed(start.Add(time.Second))
+		back := start.Add(10 * time.Second)
+
+		Convey("entries that are missing afterwards stay until the grace time is over", func() {
+			So(kind.Listed(nil, 9, back), ShouldBeEmpty)
+			So(kind.Objects(), ShouldHaveLength, 2)
+			changes := kind.Watched([]Event{{Object: object("a", 10)}}, 10, back.Add(time.Second))
+			So(changes, ShouldBeEmpty)
+			So(kind.Tick(back.Add(2*time.Second)), ShouldBeEmpty)
+			changes = kind.Tick(back.Add(lapseGrace))
+			So(changes, ShouldHaveLength, 1)
+			So(changes[0].Object.Name, ShouldEqual, "b")
+			So(changes[0].Deleted, ShouldBeTrue)
+		})
+		Convey("a short outage cannot lapse entries, so a missing one is gone", func() {
+			kind := NewKind(true)
+			kind.Listed([]Object{object("a", 1)}, 1, start)
+			kind.Failed(start)
+			So(kind.Listed(nil, 2, start.Add(lapseOutage/2)), ShouldHaveLength, 1)
+		})
+		Convey("kinds that do not lapse have no grace time", func() {
+			kind := NewKind(false)
+			kind.Listed([]Object{object("a", 1)}, 1, start)
+			kind.Failed(start)
+			So(kind.Listed(nil, 2, start.Add(time.Minute)), ShouldHaveLength, 1)
+		})
+	})
+}
+
+// Guards against going back to an older state that a neighbour still believes.
+func TestStateNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kind := NewKind(rapid.Bool().Draw(t, "lapses"))
+		newest := make(map[string]int64)
+		known := int64(0)
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			revision := int64(rapid.IntRange(1, 60).Draw(t, "revision"))
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+			var changes []Change
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0:
+				changes = kind.Listed([]Object{object(name, revision)}, revision, now)
+			case 1:
+				changes = kind.Watched([]Event{{Object: object(name, revision), Deleted: rapid.Bool().Draw(t, "deleted")}}, revision, now)
+			case 2:
+				kind.Failed(now)
+			default:
+				changes = kind.Tick(now)
+			}
+			if kind.Revision() < known {
+				t.Fatalf("revision went from %d to %d", known, kind.Revision())
+			}
+			known = kind.Revision()
+			for _, change := range changes {
+				if change.Deleted {
+					continue
+				}
+				if change.Object.Revision < newest[change.Object.Name] {
+					t.Fatalf("%s went from revision %d to %d", change.Object.Name, newest[change.Object.Name], change.Object.Revision)
+				}
+				newest[change.Object.Name] = change.Object.Revision
+			}
+		}
+	})
+}
--- a/lib/swarm/linkfake/result.go
+++ b/lib/swarm/linkfake/result.go
@@ -77,7 +77,7 @@
 			result.Incomplete++
 			continue
 		}
-		t := float64(v.Done-v.started) / float64(copyTime)
+		t := float64(v.Done-v.started) / float64(r.Scenario.CopyTime)
 		times = append(times, t)
 		result.ByRegion[v.Region] = max(result.ByRegion[v.Region], t)
 		result.ByZone[v.Zone] = max(result.ByZone[v.Zone], t)
--- a/lib/swarm/linkfake/run.go
+++ b/lib/swarm/linkfake/run.go
@@ -12,10 +12,11 @@
 )
 
 const (
-	// copyTime is V: the time in which a VM's whole link carries one copy.
-	copyTime = 60 * time.Second
-	// originCopies is the number of copies that the store's whole link carries per V.
-	originCopies = 2
+	// defaultCopyTime is V: the time in which a VM's whole link carries one copy.
+	defaultCopyTime = 60 * time.Second
+	// defaultOriginCopies is the number of copies that the store's whole link carries
+	// per V.
+	defaultOriginCopies = 2
 	// originConcurrency is the number of transfers that the store runs at once.
 	originConcurrency = 64
 	// zoneLatency and regionLatency are one-way delays of messages.
@@ -48,6 +49,10 @@
 	Policy  swarm.Policy
 	Chunks  int
 	Regions []Region
+	// CopyTime is V, and OriginCopies the number of copies that the store's whole link
+	// carries per V.
+	CopyTime     time.Duration
+	OriginCopies float64
 	// LinkShare is the part of every link that distribution may use.
 	LinkShare float64
 	Limits    swarm.Limits
@@ -89,6 +94,8 @@
 func NewRun(s Scenario) *Run {
 	s.Chunks = cmp.Or(s.Chunks, 256)
 	s.LinkShare = cmp.Or(s.LinkShare, 1)
+	s.CopyTime = cmp.Or(s.CopyTime, defaultCopyTime)
+	s.OriginCopies = cmp.Or(s.OriginCopies, defaultOriginCopies)
 	s.Deadline = cmp.Or(s.Deadline, 12)
 	s.Policy = cmp.Or(s.Policy, swarm.PolicySwarm)
 	r := &Run{
@@ -100,21 +107,21 @@
 		plans:      make(map[string]*swarm.Plan),
 		zoneOrigin: make(map[string]float64),
 		digest:     weights.Sum(fmt.Appendf(nil, "%s/%d", s.Name, s.Seed)),
-		chunkTime:  time.Duration(float64(copyTime) / float64(s.Chunks) / s.LinkShare),
+		chunkTime:  time.Duration(float64(s.CopyTime) / float64(s.Chunks) / s.LinkShare),
 	}
-	r.origin = &link{rate: originCopies * r.vmRate()}
+	r.origin = &link{rate: s.OriginCopies * r.vmRate()}
 	for _, region := range s.Regions {
 		r.addRegion(region)
 	}
 	for _, fault := range s.Faults {
-		r.after(time.Duration(fault.At*float64(copyTime)), func() { fault.Do(r) })
+		r.after(time.Duration(fault.At*float64(s.CopyTime)), func() { fault.Do(r) })
 	}
 	return r
 }
 
 // vmRate returns the permitted rate of a VM's link in chunks per second.
 func (r *Run) vmRate() float64 {
-	return float64(r.Scenario.Chunks) / copyTime.Seconds() * r.Scenario.LinkShare
+	return float64(r.Scenario.Chunks) / r.Scenario.CopyTime.Seconds() * r.Scenario.LinkShare
 }
 
 func (r *Run) addRegion(region Region) {
@@ -143,7 +150,7 @@
 		Done:     never,
 		started:  r.now,
 	}
-	interval := r.chunkTime / originCopies
+	interval := time.Duration(float64(r.chunkTime) / r.Scenario.OriginCopies)
 	if linkCopies > 0 {
 		interval = max(interval, time.Duration(float64(r.chunkTime)/linkCopies))
 	}
@@ -161,7 +168,7 @@
 	r.VMs = append(r.VMs, v)
 	r.byName[member.VM] = v
 	var delay time.Duration
-	if spread := int64(r.Scenario.StartSpread * float64(copyTime)); spread > 0 {
+	if spread := int64(r.Scenario.StartSpread * float64(r.Scenario.CopyTime)); spread > 0 {
 		delay = time.Duration(r.Rand.Int64N(spread))
 	}
 	number := uint64(len(r.VMs))
@@ -208,7 +215,7 @@
 
 // Execute runs until every live VM is complete or the deadline passes.
 func (r *Run) Execute() Result {
-	deadline := time.Duration(r.Scenario.Deadline * float64(copyTime))
+	deadline := time.Duration(r.Scenario.Deadline * float64(r.Scenario.CopyTime))
 	for r.now < deadline && !r.finished() && r.step() {
 		continue
 	}
@@ -227,5 +234,5 @@
 	for _, fault := range r.Scenario.Faults {
 		last = max(last, fault.At)
 	}
-	return time.Duration(last * float64(copyTime))
+	return time.Duration(last * float64(r.Scenario.CopyTime))
 }
--- a/lib/swarm/linkfake/scenarios.go
+++ b/lib/swarm/linkfake/scenarios.go
@@ -30,6 +30,24 @@
 	return Scenario{Name: "half-link", Seed: Seed, Regions: zoned(vms), LinkShare: 0.5}
 }
 
+// Small is a burst of a small model to a few VMs in three regions with one zone each, as
+// the first users run it: 48 chunks of 49,152 bytes, links of 9.4 Mbit/s, a store of 15
+// Mbit/s and 27 Mbit/s between regions.
+func Small(vms ...int) Scenario {
+	const linkMbit, storeMbit, regionMbit = 9.4, 15, 27
+	s := Scenario{
+		Name: "small", Seed: Seed, Chunks: 48, CopyTime: 2008 * time.Millisecond, OriginCopies: storeMbit / linkMbit,
+	}
+	for i, count := range vms {
+		region := Region{Name: string(rune('a' + i)), VMs: count, Zones: 1}
+		if i > 0 {
+			region.LinkCopies = regionMbit / linkMbit
+		}
+		s.Regions = append(s.Regions, region)
+	}
+	return s
+}
+
 // TwoRegions is a burst without faults to two regions behind a narrow link.
 func TwoRegions(home, other int) Scenario {
 	return Scenario{Name: "two-regions", Seed: Seed, Regions: []Region{
@@ -85,7 +103,7 @@
 				continue
 			}
 			r.SetDown(v, 0)
-			r.after(copyTime/5, func() {
+			r.after(r.Scenario.CopyTime/5, func() {
 				r.SetUp(v, 1)
 				r.SetDown(v, 1)
 			})
--- a/lib/swarm/linkfake/transfer.go
+++ b/lib/swarm/linkfake/transfer.go
@@ -177,7 +177,7 @@
 func (r *Run) SetDown(v *VM, part float64) { r.setRate(v.down, part*r.vmRate()) }
 
 // SetOrigin changes the rate of the store's link, as a part of the permitted rate.
-func (r *Run) SetOrigin(part float64) { r.setRate(r.origin, part*originCopies*r.vmRate()) }
+func (r *Run) SetOrigin(part float64) { r.setRate(r.origin, part*r.Scenario.OriginCopies*r.vmRate()) }
 
 // SetOriginGate sets the decision on requests to the store; nil accepts all.
 func (r *Run) SetOriginGate(gate func() (swarm.Result, time.Duration)) { r.originGate = gate }
--- a/lib/transfer/distribution.go
+++ b/lib/transfer/distribution.go
@@ -30,23 +30,28 @@
 	eventBacklog = 1024
 	// exchangeTimeout bounds one exchange of bitmaps.
 	exchangeTimeout = 2 * time.Second
-	// PieceBytes is the unit in which chunks are read and sent.
+	// PieceBytes is the unit in which chunks are read and sent on wide links.
 	PieceBytes = 256 << 10
-	// linkBurst lets one piece pass at once.
-	linkBurst = PieceBytes
 )
 
 // Links limits the transfer of weights to its share of this VM's link.
 type Links struct {
 	Download *rate.Limiter
 	Upload   *rate.Limiter
+	// Piece is the number of bytes that are sent at once. Requests that share the link
+	// wait behind a piece.
+	Piece int
 }
 
 // NewLinks returns the limits of a link share in bytes per second.
-func NewLinks(bytesPerSecond float64) Links {
+func NewLinks(bytesPerSecond float64) Links { return NewPacedLinks(bytesPerSecond, PieceBytes) }
+
+// NewPacedLinks is NewLinks with a size of the pieces, for links that are narrow.
+func NewPacedLinks(bytesPerSecond float64, piece int) Links {
 	return Links{
-		Download: rate.NewLimiter(rate.Limit(bytesPerSecond), linkBurst),
-		Upload:   rate.NewLimiter(rate.Limit(bytesPerSecond), linkBurst),
+		Download: rate.NewLimiter(rate.Limit(bytesPerSecond), piece),
+		Upload:   rate.NewLimiter(rate.Limit(bytesPerSecond), piece),
+		Piece:    piece,
 	}
 }
 
--- a/lib/transfer/server.go
+++ b/lib/transfer/server.go
@@ -54,9 +54,9 @@
 	if err != nil {
 		return status.Error(codes.NotFound, err.Error())
 	}
-	link := d.transfer.Links.Upload
-	for start := 0; start < len(data); start += PieceBytes {
-		piece := data[start:min(len(data), start+PieceBytes)]
+	link, step := d.transfer.Links.Upload, d.transfer.Links.Piece
+	for start := 0; start < len(data); start += step {
+		piece := data[start:min(len(data), start+step)]
 		if err := link.WaitN(stream.Context(), len(piece)); err != nil {
 			return status.FromContextError(err).Err()
 		}
