Change workers over without idling the fleet

A worker that is ordered to load waits 2.2 s on average for its running requests and takes nothing new; with 24 orders in 3 s, 17 workers were out at a time. Those that waited for version 3 idled from the end of version 2's bound.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -57,13 +57,17 @@
 	reported bool
 	// switching is set from just before an order until the worker serves its version.
 	switching bool
+	// closes is the time until the worker will be ordered; zero for no plan.
+	closes time.Duration
+	// ordered is the version of the last order.
+	ordered   int
 	sequence  uint64
 	logged    rollout.Reason
 	openAfter time.Time
 	// opening delivers the version that is being opened; nil while none is.
 	opening chan openResult
-	target  rollout.Target
-	opened  *version
+	// targets are the versions that are fetched or held, in ascending order.
+	targets []*target
 	socket  net.PacketConn
 }
 
@@ -156,12 +160,29 @@
 	}
 }
 
-// whole is closed when the target is complete. It is nil when that was noticed before.
-func (p *Process) whole() <-chan struct{} {
-	if p.opened == nil || p.target.Held {
+// target is a version that is fetched or held.
+type target struct {
+	version *version
+	named   time.Time
+	held    bool
+	heldAt  time.Time
+}
+
+// newest returns the newest target, or nil.
+func (p *Process) newest() *target {
+	if len(p.targets) == 0 {
 		return nil
 	}
-	return p.opened.distribution.Whole()
+	return p.targets[len(p.targets)-1]
+}
+
+// whole is closed when the newest version is complete. It is nil when that was noticed
+// before.
+func (p *Process) whole() <-chan struct{} {
+	if newest := p.newest(); newest != nil && !newest.held {
+		return newest.version.distribution.Whole()
+	}
+	return nil
 }
 
 // look reads the worker's state and reports it to the entries.
@@ -191,13 +212,14 @@
 		Address: p.settings.Worker, Born: p.report.Born, Model: p.report.Weights.Model, Version: int32(p.report.Weights.Version),
 		LayersFrom: int32(p.report.Weights.From), LayersTo: int32(p.report.Weights.To), Busy: p.report.Busy || p.switching,
 		Queued: int32(p.report.Queued), Running: int32(p.report.Running), Sequence: p.sequence,
+		ClosesInMs: int32(p.closes.Milliseconds()),
 	})
 	if err != nil {
 		p.log.Error("report not encoded", zap.Error(err))
 		return
 	}
 	near, far := p.view.entryAddresses()
-	if p.sequence%farReports == 0 || p.switching {
+	if p.sequence%farReports == 0 || p.switching || p.closes > 0 {
 		near = append(near, far...)
 	}
 	for _, entry := range near {
@@ -221,18 +243,34 @@
 	p.open(ctx, model)
 	weights := p.report.Weights
 	worker := rollout.Worker{Version: weights.Version, Whole: weights.Whole(service.Engine.Layers), Busy: p.report.Busy}
-	if worker.Whole && worker.Version >= p.target.Version {
+	if worker.Whole && worker.Version >= p.ordered {
 		p.switching = false
 	}
-	decision := rollout.Decide(p.changes, worker, p.target, p.settings.IP, p.view.zone(), time.Now())
+	decision := rollout.Decide(p.changes, worker, p.rolloutTargets(), p.settings.IP, p.view.zone(), time.Now())
 	if decision.Reason != p.logged {
 		p.logged = decision.Reason
-		p.log.Info("change of weights decided", zap.Bool("load", decision.Load), zap.String("reason", string(decision.Reason)),
-			zap.Int("target", p.target.Version), zap.Int("version", worker.Version), zap.Duration("wait", decision.Wait))
+		p.log.Info("change of weights decided", zap.Int("load", decision.Load), zap.String("reason", string(decision.Reason)),
+			zap.Int("version", worker.Version))
+	}
+	p.closes = decision.Closes
+	for _, t := range p.targets {
+		if t.version.number == decision.Load {
+			p.load(ctx, model, t)
+		}
 	}
-	if decision.Load {
-		p.load(ctx, model)
+}
+
+// rolloutTargets describes the versions to the decision.
+func (p *Process) rolloutTargets() []rollout.Target {
+	list := make([]rollout.Target, 0, len(p.targets))
+	for _, t := range p.targets {
+		if !t.held && t.version.distribution.Replica().Complete() {
+			t.held = true
+			t.heldAt = time.Now()
+		}
+		list = append(list, rollout.Target{Version: t.version.number, Named: t.named, Held: t.held, HeldAt: t.heldAt})
 	}
+	return list
 }
 
 // openResult is a version that was opened, or why it could not be.
@@ -246,8 +284,7 @@
 // worker, which may take long, beside the reports.
 func (p *Process) open(ctx context.Context, model string) {
 	wanted := p.view.named(model)
-	if p.opened != nil && p.opened.number >= wanted.version {
-		p.target.Held = p.opened.distribution.Replica().Complete()
+	if newest := p.newest(); newest != nil && newest.version.number >= wanted.version {
 		return
 	}
 	if p.opening != nil || time.Now().Before(p.openAfter) {
@@ -273,28 +310,30 @@
 	if since.IsZero() {
 		since = time.Now()
 	}
-	p.opened = result.version
-	p.target = rollout.Target{
-		Version: result.version.number, Named: since, Held: result.version.distribution.Replica().Complete(),
+	p.targets = append(p.targets, &target{version: result.version, named: since})
+	if len(p.targets) > keptVersions {
+		p.targets = p.targets[1:]
 	}
 }
 
-// load hands the target over and orders the worker to load it.
-func (p *Process) load(ctx context.Context, model string) {
+// load hands a version over and orders the worker to load it.
+func (p *Process) load(ctx context.Context, model string, t *target) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	started := time.Now()
-	if err := p.library.stage(ctx, p.opened); err != nil {
-		p.log.Warn("weights not handed over", zap.Int("version", p.opened.number), zap.Error(err))
+	number := t.version.number
+	if err := p.library.stage(ctx, t.version); err != nil {
+		p.log.Warn("weights not handed over", zap.Int("version", number), zap.Error(err))
 		return
 	}
 	p.switching = true
+	p.ordered = number
 	p.sendReport()
-	result, err := p.worker.LoadStaged(ctx, model, p.opened.number, p.report.Sequence)
+	result, err := p.worker.LoadStaged(ctx, model, number, p.report.Sequence)
 	p.orders.Inc()
-	p.log.Info("worker ordered to load", zap.Int("version", p.opened.number), zap.Int("sequence", p.report.Sequence),
+	p.log.Info("worker ordered to load", zap.Int("version", number), zap.Int("sequence", p.report.Sequence),
 		zap.Stringer("result", result), zap.Duration("staged_in", time.Since(started)),
-		zap.Duration("since_named", time.Since(p.target.Named)), zap.Error(err))
+		zap.Duration("since_named", time.Since(t.named)), zap.Error(err))
 	if result == platform.OrderRefused {
 		p.switching = false
 	}
--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -26,6 +26,8 @@
 	// answer before a request that may be repeated is sent to another one. It covers the
 	// longest work of 220 ms twice.
 	plainPatience = 500 * time.Millisecond
+	// detailEvery is the number of decisions of which one is logged with all candidates.
+	detailEvery = 64
 	// streamPatience is the same for the head and each event of a stream. Callers give a
 	// stream up after 2.4 s.
 	streamPatience = 1500 * time.Millisecond
@@ -95,8 +97,9 @@
 	query := &routing.Request{
 		ID: c.in.ID, Attempt: number, VersionDigest: digest, Idempotent: c.route.Repeatable(), Tried: tried, Regions: c.regions,
 	}
-	if c.service.config.Engine != nil {
+	if engine := c.service.config.Engine; engine != nil {
 		query.Model = c.serviceName
+		query.Duration = engine.Duration(c.in.PromptTokens, c.in.ExpectedTokens)
 		query.Tokens = c.tokens()
 	} else {
 		query.Service = c.serviceName
@@ -108,14 +111,21 @@
 func (c *call) Pick(number uint32, digest string, tried []string) (routing.Decision, error) {
 	c.view.mu.Lock()
 	defer c.view.mu.Unlock()
-	decision, err := c.service.table.Pick(c.query(number, digest, tried), time.Now())
+	query := c.query(number, digest, tried)
+	c.service.picks++
+	query.Detail = c.service.picks%detailEvery == 0
+	decision, err := c.service.table.Pick(query, time.Now())
 	if err != nil {
 		c.log.Warn("no endpoint chosen", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.Error(err))
 		return decision, err
 	}
-	c.log.Info("endpoint chosen", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
+	fields := []zap.Field{zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
 		zap.String("zone", decision.Zone), zap.String("reason", string(decision.Reason)), zap.String("weights", decision.VersionDigest),
-		zap.Float64("load", decision.Load), zap.Int("eligible", decision.Eligible), zap.Int("pool", decision.Pool))
+		zap.Float64("load", decision.Load), zap.Int("eligible", decision.Eligible), zap.Int("pool", decision.Pool)}
+	if query.Detail {
+		fields = append(fields, zap.Any("candidates", decision.Candidates))
+	}
+	c.log.Info("endpoint chosen", fields...)
 	return decision, nil
 }
 
--- a/entry/hosted/reports.go
+++ b/entry/hosted/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
@@ -30,6 +31,7 @@
 		}
 		p.view.reported(report.GetAddress(), report.GetSequence(), catalog.Report{
 			Born: report.GetBorn(), Busy: report.GetBusy(), Queued: int(report.GetQueued()), Running: int(report.GetRunning()),
+			ClosesIn: time.Duration(report.GetClosesInMs()) * time.Millisecond,
 			Weights: catalog.Weights{
 				Model: report.GetModel(), Version: int(report.GetVersion()),
 				From: int(report.GetLayersFrom()), To: int(report.GetLayersTo()),
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -23,7 +23,7 @@
 const (
 	// engineQueue is the number of requests beyond its slots that an engine may hold.
 	// One slot frees every 70 ms, so that a longer queue misses the objective.
-	engineQueue = 3
+	engineQueue = 2
 	// plainQueue is the same for a plain service, whose requests take 30 to 60 ms.
 	plainQueue = 6
 	// refusalRetryAfter is when a refused caller may come back.
@@ -65,6 +65,8 @@
 	config *catalog.Service
 	table  *routing.Table
 	loop   *dispatch.Loop
+	// picks counts the decisions.
+	picks int
 }
 
 // worker is a worker of the list with its last report.
@@ -315,11 +317,20 @@
 		v.describeEngine(w, state.config.Engine, report, now)
 	}
 	state.table.ReportReceived(report, now)
+	state.table.SetClosing(w.ID, w.closes(now))
 	if w.Leaving {
 		state.table.SetLeaving(w.ID, routing.Incarnation{Counter: report.GetIncarnation().GetCounter()})
 	}
 }
 
+// closes returns when a worker will be ordered to load other weights, or the zero time.
+func (w *worker) closes(now time.Time) time.Time {
+	if w.report.ClosesIn == 0 || w.report.Born != w.Born || now.Sub(w.reportedAt) >= reportStaleness {
+		return time.Time{}
+	}
+	return w.reportedAt.Add(w.report.ClosesIn)
+}
+
 func (v *view) describeEngine(w *worker, engine *catalog.Engine, report *laburnumgwv1.ReportRequest, now time.Time) {
 	weights := w.Weights
 	if w.report.Born == w.Born && now.Sub(w.reportedAt) < reportStaleness {
--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -92,6 +92,28 @@
 	UsualAnswer float64
 }
 
+// prefillShare is the part of an engine's time that reading the prompts of others takes
+// from a request that is writing, at the usual load.
+const prefillShare = 0.25
+
+// Duration estimates how long a request runs.
+func (e *Engine) Duration(promptTokens, answerTokens int) time.Duration {
+	if answerTokens <= 0 {
+		answerTokens = int(e.UsualAnswer)
+	}
+	if promptTokens <= 0 {
+		promptTokens = int(e.UsualPrompt)
+	}
+	read := 0.0
+	if e.PromptPerSecond > 0 {
+		read = float64(promptTokens) / e.PromptPerSecond
+	}
+	step := e.Step + time.Duration(e.Slots)/2*e.StepPerRequest
+	pass := time.Duration(e.Stride) * step
+	write := time.Duration(float64(answerTokens) * float64(step) * (1 + prefillShare))
+	return time.Duration(read*float64(time.Second)) + pass + write
+}
+
 // Origin is where weights come from.
 type Origin struct {
 	Address  string
--- a/lib/rollout/rollout.go
+++ b/lib/rollout/rollout.go
@@ -13,26 +13,33 @@
 // Settings are the times of a change of versions, counted from the moment at which the
 // version was named.
 type Settings struct {
-	// First is when the first workers of an availability zone change over, if their
+	// First is when the first worker of an availability zone changes over, if its
 	// weights are whole by then.
 	First time.Duration
-	// Last is when the last ones do. A worker takes nothing new while it waits for its
-	// running requests, so that spreading keeps a part of the zone in service.
+	// Last is when the last one does. A worker takes nothing new while it waits for its
+	// running requests, so that spreading keeps the most of the zone in service.
 	Last time.Duration
+	// Notice is how long before its turn a worker is announced to close, so that it gets
+	// only requests that end by then.
+	Notice time.Duration
 }
 
-// Times of a change for a bound of 8 s: all links carry a copy by about 3 s, and a worker
-// needs up to 2.5 s to end its requests and load.
 const (
-	firstShare = 0.35
-	lastShare  = 0.64
+	// firstShare of the bound is when all links have carried a copy, and the first
+	// workers could be announced: 3.9 of 8 s.
+	firstShare = 0.48
+	// lastShare leaves a worker time to end its last requests and to load: 1.2 of 8 s.
+	lastShare = 0.85
+	// noticeShare is the time in which most requests end: 1.2 of 8 s.
+	noticeShare = 0.15
 )
 
 // DefaultSettings spreads the change over the bound within which it must be complete.
 func DefaultSettings(bound time.Duration) Settings {
 	return Settings{
-		First: time.Duration(firstShare * float64(bound)),
-		Last:  time.Duration(lastShare * float64(bound)),
+		First:  time.Duration(firstShare * float64(bound)),
+		Last:   time.Duration(lastShare * float64(bound)),
+		Notice: time.Duration(noticeShare * float64(bound)),
 	}
 }
 
@@ -46,22 +53,25 @@
 	Busy bool
 }
 
-// Target is the version that the worker is to serve.
+// Target is a version that the worker is to serve.
 type Target struct {
 	Version int
 	// Named is the time at which this process learnt of the version.
 	Named time.Time
 	// Held is set when every chunk is held and verified here.
 	Held bool
+	// HeldAt is the time at which it became so.
+	HeldAt time.Time
 }
 
 // Decision is what follows for the worker.
 type Decision struct {
-	// Load orders the worker to load the target now.
-	Load   bool
+	// Load is the version to load now; zero for none.
+	Load   int
 	Reason Reason
-	// Wait is when to decide again, if nothing else happens; zero for no time.
-	Wait time.Duration
+	// Closes is the time until the worker will be ordered, when that is at most the
+	// notice away; zero otherwise.
+	Closes time.Duration
 }
 
 // Reason states why a decision was taken.
@@ -75,38 +85,110 @@
 	ReasonEmpty    Reason = "serves_nothing"
 	ReasonTurn     Reason = "turn_in_zone"
 	ReasonWaiting  Reason = "waits_for_turn"
+	ReasonSkipped  Reason = "waits_for_newer_version"
 	ReasonNoTarget Reason = "no_version_known"
 )
 
-// Decide states whether the worker is to load the target now. Self and zone are the names
-// of the worker's VM and of all VMs of its availability zone that serve the model.
-func Decide(s Settings, w Worker, t Target, self string, zone []string, now time.Time) Decision {
+// Decide states whether the worker is to load a version now. Self and zone are the names
+// of the worker's VM and of all VMs of its zone that serve the model.
+//
+// When a newer version is named while an older one is due, half of the workers change
+// over to the older one and keep serving until the newer one is whole; the others wait
+// for the newer one and change over once.
+func Decide(s Settings, w Worker, targets []Target, self string, zone []string, now time.Time) Decision {
+	newest := 0
+	for _, t := range targets {
+		newest = max(newest, t.Version)
+	}
 	switch {
-	case t.Version == 0:
+	case newest == 0:
 		return Decision{Reason: ReasonNoTarget}
-	case w.Whole && w.Version >= t.Version:
+	case w.Whole && w.Version >= newest:
 		return Decision{Reason: ReasonCurrent}
 	case w.Busy:
 		return Decision{Reason: ReasonBusy}
-	case !t.Held:
-		return Decision{Reason: ReasonMissing}
-	case !w.Whole:
-		return Decision{Load: true, Reason: ReasonEmpty}
 	}
-	wait := t.Named.Add(s.turn(self, zone)).Sub(now)
-	if wait <= 0 {
-		return Decision{Load: true, Reason: ReasonTurn}
+	decision := Decision{Reason: ReasonMissing}
+	place := placeOf(self, zone)
+	for _, t := range targets {
+		if !t.Held || (w.Whole && t.Version <= w.Version) || t.Version < decision.Load {
+			continue
+		}
+		if !w.Whole {
+			decision = Decision{Load: t.Version, Reason: ReasonEmpty}
+			continue
+		}
+		if place.skips && s.replaced(t, targets, now) {
+			if decision.Load == 0 {
+				decision = Decision{Reason: ReasonSkipped, Closes: s.notice(t.Named.Add(s.Last).Sub(now))}
+			}
+			continue
+		}
+		wait := s.turn(w, t, targets, place).Sub(now)
+		switch {
+		case wait <= 0:
+			decision = Decision{Load: t.Version, Reason: ReasonTurn}
+		case decision.Load == 0:
+			decision = Decision{Reason: ReasonWaiting, Closes: s.notice(wait)}
+		}
+	}
+	return decision
+}
+
+// notice returns a wait that is to be announced, or zero while it is too long.
+func (s Settings) notice(wait time.Duration) time.Duration {
+	if wait > s.Notice {
+		return 0
+	}
+	return max(wait, time.Millisecond)
+}
+
+// replaced reports whether a newer version is on its way and can still be waited for.
+func (s Settings) replaced(t Target, targets []Target, now time.Time) bool {
+	if now.After(t.Named.Add(s.Last + s.Notice)) {
+		return false
 	}
-	return Decision{Reason: ReasonWaiting, Wait: wait}
+	return slices.ContainsFunc(targets, func(other Target) bool { return other.Version > t.Version && !other.Held })
 }
 
-// turn returns when a VM of an availability zone changes over. The order is the same for
-// all processes.
-func (s Settings) turn(self string, zone []string) time.Duration {
+// place is the place of a VM in the order of its availability zone. The order is the same
+// for all processes.
+type place struct {
+	// part is 0 for the first VM and 1 for the last one.
+	part float64
+	// skips is set for every second VM.
+	skips bool
+}
+
+func placeOf(self string, zone []string) place {
 	if len(zone) < 2 {
-		return s.First
+		return place{}
 	}
 	ranked := rendezvous.Rank("change-over", zone)
 	rank := max(0, slices.Index(ranked, self))
-	return s.First + time.Duration(rank)*(s.Last-s.First)/time.Duration(len(ranked)-1)
+	return place{part: float64(rank) / float64(len(ranked)-1), skips: rank%2 == 1}
+}
+
+// turn returns when a worker changes over to a target. The turns of a zone are spread up
+// to the end of the bound of the oldest version that the worker does not serve yet.
+func (s Settings) turn(w Worker, t Target, targets []Target, p place) time.Time {
+	first, last := t.Named.Add(s.First), t.Named.Add(s.Last)
+	for _, other := range targets {
+		if end := other.Named.Add(s.Last); other.Version > w.Version && other.Version < t.Version && end.Before(last) {
+			last = end
+		}
+	}
+	turn := last
+	if first.Before(last) {
+		turn = first.Add(time.Duration(p.part * float64(last.Sub(first))))
+	}
+	// Weights that became whole late still give notice, within the bound.
+	noticed := t.HeldAt.Add(s.Notice / 2)
+	if noticed.After(last) {
+		noticed = last
+	}
+	if noticed.After(turn) {
+		return noticed
+	}
+	return turn
 }
--- /dev/null
+++ b/lib/rollout/rollout_test.go
@@ -0,0 +1,143 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+var settings = DefaultSettings(8 * time.Second)
+
+func zone(vms int) []string {
+	var names []string
+	for i := range vms {
+		names = append(names, fmt.Sprintf("10.1.0.%d", i))
+	}
+	return names
+}
+
+// Guards against a worker that loads weights of which a chunk is missing, is ordered
+// again while an order runs, or goes back to an older version.
+func TestOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := Worker{
+			Version: rapid.IntRange(0, 4).Draw(t, "version"), Whole: rapid.Bool().Draw(t, "whole"), Busy: rapid.Bool().Draw(t, "busy"),
+		}
+		held := make(map[int]bool)
+		var targets []Target
+		for version := 1; version <= rapid.IntRange(0, 4).Draw(t, "targets"); version++ {
+			target := Target{
+				Version: version, Held: rapid.Bool().Draw(t, "held"),
+				Named: start.Add(time.Duration(rapid.IntRange(-9000, 0).Draw(t, "named ms")) * time.Millisecond),
+			}
+			held[version] = target.Held
+			targets = append(targets, target)
+		}
+		vms := zone(rapid.IntRange(1, 9).Draw(t, "vms"))
+		decision := Decide(settings, w, targets, vms[0], vms, start)
+		if decision.Load == 0 {
+			return
+		}
+		if !held[decision.Load] || w.Busy || (w.Whole && decision.Load <= w.Version) {
+			t.Fatalf("%+v for %+v and %+v", decision, w, targets)
+		}
+	})
+}
+
+// turns returns when the workers of a zone change over to a version, by VM.
+func turns(names []string, targets []Target, version, worker int) map[string]time.Duration {
+	at := make(map[string]time.Duration)
+	for ms := time.Duration(0); ms <= 20*time.Second; ms += 50 * time.Millisecond {
+		for _, vm := range names {
+			if _, done := at[vm]; done {
+				continue
+			}
+			var known []Target
+			for _, t := range targets {
+				if t.Named.After(start.Add(ms)) {
+					continue
+				}
+				t.Held = !t.HeldAt.After(start.Add(ms))
+				known = append(known, t)
+			}
+			if Decide(settings, Worker{Version: worker, Whole: true}, known, vm, names, start.Add(ms)).Load == version {
+				at[vm] = ms
+			}
+		}
+	}
+	return at
+}
+
+// Guards against a zone whose workers all wait for their running requests at the same
+// time, and against one that changes over after the bound.
+func TestTurnsAreSpread(t *testing.T) {
+	Convey("Zones of 2 to 30 workers that hold version 2 after 3.3 s", t, func() {
+		targets := []Target{{Version: 2, Named: start, HeldAt: start.Add(3300 * time.Millisecond)}}
+		const out = time.Second
+		for vms := 2; vms <= 30; vms++ {
+			at := turns(zone(vms), targets, 2, 1)
+			So(at, ShouldHaveLength, vms)
+			for _, turn := range at {
+				So(turn, ShouldBeBetweenOrEqual, settings.First, settings.Last+50*time.Millisecond)
+				together := 0
+				for _, other := range at {
+					if other <= turn && other > turn-out {
+						together++
+					}
+				}
+				So(together, ShouldBeLessThanOrEqualTo, vms/2+1)
+			}
+		}
+	})
+}
+
+// Guards against idle workers when versions follow each other within 4 s: all waited for
+// the chunks of version 3 past version 2's bound, and nothing was served for a second.
+func TestHalfOfAZoneBridgesTheGapToANewerVersion(t *testing.T) {
+	Convey("Version 3 is named 4 s after version 2 and whole 3.3 s later", t, func() {
+		names := zone(8)
+		targets := []Target{
+			{Version: 2, Named: start, HeldAt: start.Add(3300 * time.Millisecond)},
+			{Version: 3, Named: start.Add(4 * time.Second), HeldAt: start.Add(7300 * time.Millisecond)},
+		}
+		bridging := turns(names, targets, 2, 1)
+		direct := turns(names, targets, 3, 1)
+		Convey("half of the workers serve version 2 by its bound", func() {
+			So(len(bridging), ShouldBeBetweenOrEqual, 4, 5)
+			for _, turn := range bridging {
+				So(turn, ShouldBeLessThanOrEqualTo, 8*time.Second)
+			}
+		})
+		Convey("the others load version 3 as soon as it is whole", func() {
+			for vm, turn := range direct {
+				if _, ok := bridging[vm]; !ok {
+					So(turn, ShouldBeBetweenOrEqual, 7300*time.Millisecond, 7400*time.Millisecond)
+				}
+			}
+		})
+		Convey("those on version 2 take their turns within version 3's bound", func() {
+			for _, turn := range turns(names, targets, 3, 2) {
+				So(turn, ShouldBeBetweenOrEqual, 7300*time.Millisecond, 12*time.Second)
+			}
+		})
+	})
+	Convey("A newer version that does not arrive is not waited for longer than the bound", t, func() {
+		names := zone(8)
+		targets := []Target{
+			{Version: 2, Named: start, HeldAt: start.Add(3300 * time.Millisecond)},
+			{Version: 3, Named: start.Add(4 * time.Second), HeldAt: start.Add(time.Hour)},
+		}
+		for _, turn := range turns(names, targets, 2, 1) {
+			So(turn, ShouldBeLessThanOrEqualTo, settings.Last+settings.Notice+100*time.Millisecond)
+		}
+	})
+	Convey("A worker without layers loads the newest held version at once", t, func() {
+		targets := []Target{{Version: 1, Named: start, Held: true}, {Version: 2, Named: start}}
+		So(Decide(settings, Worker{}, targets, "a", []string{"a", "b"}, start).Load, ShouldEqual, 1)
+	})
+}
--- a/lib/routing/endpoint.go
+++ b/lib/routing/endpoint.go
@@ -35,6 +35,9 @@
 	othersSmooth float64
 	// loadAt is the table's time of the last observation.
 	loadAt time.Duration
+	// closesAt is the table's time at which the endpoint stops for a while; zero for no
+	// such plan.
+	closesAt time.Duration
 	// triedIn and affinityIn are the queries in which the endpoint was marked as
 	// tried, and in which affinity is the matched share of the request's prefixes.
 	triedIn    uint64
@@ -80,6 +83,7 @@
 func (e *endpoint) restart(incarnation Incarnation) {
 	e.incarnation = incarnation
 	e.leaving = false
+	e.closesAt = 0
 	e.others = 0
 	e.othersKnown = false
 	e.adapters = nil
--- a/lib/routing/filters.go
+++ b/lib/routing/filters.go
@@ -19,6 +19,7 @@
 	FilterSuspect  Filter = "suspect"
 	FilterRegion   Filter = "other_region"
 	FilterArrivals Filter = "arrivals_used_up"
+	FilterClosing  Filter = "closes_too_soon"
 )
 
 // filter removes candidates.
@@ -48,6 +49,8 @@
 	regionFilter = filter{FilterRegion, inRegion}
 	// arrivalFilter holds this entry's share of what a cold endpoint bears in a second.
 	arrivalFilter = filter{FilterArrivals, hasArrivals}
+	// closingFilter removes endpoints that stop before the request would end.
+	closingFilter = filter{FilterClosing, endsInTime}
 	// suspectFilter applies while at least one endpoint is not suspect.
 	suspectFilter = filter{FilterSuspect, notSuspect}
 )
@@ -63,6 +66,10 @@
 	return slices.Contains(q.request.Regions, e.region)
 }
 
+func endsInTime(q *query, e *endpoint, _ *candidate) bool {
+	return e.closesAt == 0 || q.elapsed+q.request.Duration <= e.closesAt
+}
+
 func hasArrivals(q *query, e *endpoint, _ *candidate) bool {
 	return e.arrivals.count(q.elapsed) < q.arrivals
 }
--- a/lib/routing/query.go
+++ b/lib/routing/query.go
@@ -39,12 +39,13 @@
 	detail      []Candidate
 	// near holds the indices of the candidates with a score near the best one.
 	near []int
-	// suspect, ejected and failing count the candidates in these states, and full
-	// those that may have no room. A filter or scorer that concerns none is skipped.
+	// suspect, ejected, failing and closing count the candidates in these states, and
+	// full those that may have no room. A filter or scorer that concerns none is skipped.
 	suspect int
 	ejected int
 	failing int
 	full    int
+	closing int
 
 	// Sums and means over the candidates that are scored.
 	totalLoad     float64
@@ -74,6 +75,7 @@
 	q.ejected = 0
 	q.failing = 0
 	q.full = 0
+	q.closing = 0
 	q.matched = false
 	if p == nil {
 		return
@@ -103,6 +105,9 @@
 		if e.health.consecutive > 0 {
 			q.failing++
 		}
+		if e.closesAt != 0 {
+			q.closing++
+		}
 		// The fields are written in place; appending a literal copies it twice.
 		c := &q.candidates[n]
 		n++
--- a/lib/routing/request.go
+++ b/lib/routing/request.go
@@ -31,6 +31,8 @@
 	PreferredVM string
 	// OwnerOnly refuses the request when PreferredVM cannot take it.
 	OwnerOnly bool
+	// Duration estimates how long the request runs; zero when unknown.
+	Duration time.Duration
 	// Regions are the only ones that may run the request; nil for any.
 	Regions []string
 	// Detail records every candidate in the decision, which allocates.
--- a/lib/routing/table.go
+++ b/lib/routing/table.go
@@ -231,6 +231,20 @@
 	t.limitEjections(e)
 }
 
+// SetClosing states when an endpoint stops for a while, for example to load other
+// weights. Until then it gets only requests that are expected to end in time; a zero
+// time ends the plan.
+func (t *Table) SetClosing(vm string, at time.Time) {
+	e := t.endpoints[vm]
+	if e == nil {
+		return
+	}
+	e.closesAt = 0
+	if !at.IsZero() {
+		e.closesAt = max(t.elapsed(at), 1)
+	}
+}
+
 // SetAdapters replaces the adapters that are loaded on an endpoint.
 func (t *Table) SetAdapters(vm string, adapters []string) {
 	if e := t.endpoints[vm]; e != nil {
