--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -131,7 +131,7 @@
 }
 
 func (p *Process) serveMetrics() error {
-	address := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.LastPort))
+	address := net.JoinHostPort(p.settings.IP, strconv.Itoa(telemetry.MetricsPort))
 	server := &http.Server{Addr: address, Handler: telemetry.Handler(p.metrics), ReadHeaderTimeout: readHeaderTimeout}
 	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve metrics on %s: %w", address, err)
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -130,7 +130,7 @@
 	if err := serve(p.settings.Readiness, &http.Server{Handler: p.front.readiness(), ReadHeaderTimeout: readHeaderTimeout}); err != nil {
 		return nil, err
 	}
-	metrics := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.LastPort))
+	metrics := net.JoinHostPort(p.settings.IP, strconv.Itoa(telemetry.MetricsPort))
 	if err := serve(metrics, &http.Server{Handler: telemetry.Handler(p.front.metrics.set), ReadHeaderTimeout: readHeaderTimeout}); err != nil {
 		return nil, err
 	}
--- a/lib/telemetry/telemetry.go
+++ b/lib/telemetry/telemetry.go
@@ -52,6 +52,10 @@
 	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, parsed)), nil
 }
 
+// MetricsPort is where processes on the users' platform serve metrics, at /metrics. The
+// deploy file names it.
+const MetricsPort = 9464
+
 // Handler serves the metrics of a set and of the process in the Prometheus text format.
 func Handler(set *metrics.Set) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
