--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -20,6 +20,7 @@
 	"laburnumgw/lib/mirror/rpcmirror"
 	"laburnumgw/lib/rollout"
 	"laburnumgw/lib/rpc"
+	"laburnumgw/lib/suspend"
 	"laburnumgw/lib/telemetry"
 	"laburnumgw/platform"
 )
@@ -64,6 +65,8 @@
 	sequence  uint64
 	logged    rollout.Reason
 	openAfter time.Time
+	// suspensions delivers the lengths of suspensions of the machine.
+	suspensions chan time.Duration
 	// opening delivers the version that is being opened; nil while none is.
 	opening chan openResult
 	// targets are the versions that are fetched or held, in ascending order.
@@ -83,6 +86,7 @@
 		settings: settings, view: v, worker: worker, conns: conns, log: log, metrics: set,
 		orders: set.NewCounter("laburnumgw_worker_orders_total"), changes: rollout.DefaultSettings(settings.Bounds.VersionApply),
 		library: newLibrary(v, worker, conns, set, log), grpc: grpc.NewServer(),
+		suspensions: make(chan time.Duration, 4),
 	}
 	p.mirror = mirror.NewDriver(mirror.Config{
 		Kinds: map[string]bool{
@@ -111,6 +115,11 @@
 	go func() { failed <- p.grpc.Serve(listener) }()
 	go func() { failed <- p.serveMetrics() }()
 	go p.mirror.Run(ctx)
+	go func() {
+		if err := suspend.Watch(ctx, p.suspended); err != nil {
+			p.log.Error("suspensions of the machine are not noticed", zap.Error(err))
+		}
+	}()
 	done := make(chan struct{})
 	go func() {
 		p.watch(ctx)
@@ -130,6 +139,24 @@
 	return nil
 }
 
+// suspended passes a suspension on to the loop that looks at the worker.
+func (p *Process) suspended(length time.Duration) {
+	p.mirror.Refresh("machine was suspended")
+	select {
+	case p.suspensions <- length:
+	default:
+	}
+}
+
+// shift moves the dates of versions back by a suspension, which the monotonic clock has
+// not counted.
+func (p *Process) shift(length time.Duration) {
+	p.log.Warn("machine was suspended", zap.Duration("length", length))
+	for _, t := range p.targets {
+		t.named = t.named.Add(-length)
+	}
+}
+
 func (p *Process) serveMetrics() error {
 	address := net.JoinHostPort(p.settings.IP, strconv.Itoa(telemetry.MetricsPort))
 	server := &http.Server{Addr: address, Handler: telemetry.Handler(p.metrics), ReadHeaderTimeout: readHeaderTimeout}
@@ -151,6 +178,9 @@
 			p.library.membersChanged()
 		case <-ticker.C:
 			p.look(ctx)
+		case length := <-p.suspensions:
+			p.shift(length)
+			p.look(ctx)
 		case result := <-p.opening:
 			p.finishOpen(result)
 		case <-p.whole():
--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -28,6 +28,8 @@
 	workers  map[string]catalog.Worker
 	entries  map[string]platform.Entry
 	versions map[string]named
+	// listed holds the kinds that were read once.
+	listed map[string]bool
 }
 
 // named is the newest named version of a model.
@@ -40,6 +42,7 @@
 	return &view{
 		settings: settings, log: log, wake: make(chan struct{}, 1), workers: make(map[string]catalog.Worker),
 		entries: make(map[string]platform.Entry), versions: make(map[string]named),
+		listed: make(map[string]bool),
 	}
 }
 
@@ -50,6 +53,7 @@
 	for _, change := range changes {
 		v.apply(kind, change)
 	}
+	v.listed[kind] = true
 	select {
 	case v.wake <- struct{}{}:
 	default:
@@ -81,7 +85,12 @@
 		if change.Deleted || err != nil || v.versions[model].version >= version {
 			return
 		}
-		v.versions[model] = named{version, time.Now()}
+		since := time.Now()
+		if !v.listed[kind] {
+			// How long ago a version was named is not known when it is read at the start.
+			since = since.Add(-v.settings.Bounds.VersionApply)
+		}
+		v.versions[model] = named{version, since}
 		v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision))
 	case platform.KindEntries:
 		entry, err := platform.DecodeEntry(name, value)
--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -34,6 +34,8 @@
 )
 
 var (
+	// errOtherWorker marks an answer of another worker at the address of the chosen one.
+	errOtherWorker = errors.New("another worker has the address")
 	// errNotSealed marks a success that does not carry the worker's proof.
 	errNotSealed = errors.New("answer carries no proof of the worker")
 	// errRefused marks an answer that states that the request was not run.
@@ -166,7 +168,7 @@
 // exchange sends the request to one worker and relays its answer.
 func (c *call) exchange(ctx context.Context, decision routing.Decision) (retry.Attempt, *laburnumgwv1.Load) {
 	request := &workerconn.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, AnswerWithin: c.patience(),
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, AnswerWithin: c.answerWithin(decision),
 		Header: platform.WorkerHeader(c.forwarded, c.forward(decision)),
 	}
 	response, sent, err := c.conns.Send(ctx, decision.Address, request, c.owns)
@@ -181,6 +183,9 @@
 		version = strconv.Itoa(answer.WeightVersion)
 	}
 	switch {
+	case answer.OtherWorker && c.relayed == 0:
+		c.view.misdirected(c.service, decision.VM)
+		return c.ended(laburnumgwv1.Outcome_OUTCOME_NOT_RUN, true, "", errOtherWorker), nil
 	case answer.NotRun:
 		if _, err := io.Copy(io.Discard, response.Body); err == nil {
 			response.Finish(answer.KeepAlive)
@@ -227,6 +232,23 @@
 	}
 }
 
+// answerWithin returns how long a worker may take for the head of its answer. A request
+// must not begin on weights whose time is over, so it does not wait beyond that.
+func (c *call) answerWithin(decision routing.Decision) time.Duration {
+	within := c.patience()
+	engine := c.service.config.Engine
+	if engine == nil {
+		return within
+	}
+	// A version of the table is always a number.
+	version, _ := strconv.Atoi(decision.VersionDigest)
+	left, bounded := c.view.timeFor(engine.Model, version)
+	if bounded && (within == 0 || left < within) {
+		return max(left, time.Millisecond)
+	}
+	return within
+}
+
 // owns reports whether an answer belongs to this request. A statement without an id that
 // a request was not run is believed only on a connection that carried no other request.
 func (c *call) owns(response *http.Response, fresh bool) bool {
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -24,6 +24,8 @@
 	defaultDeadline = 30 * time.Second
 	// defaultBodyBytes bounds a body when the configuration does not.
 	defaultBodyBytes = 4 << 20
+	// writeGrace is added to the deadline for the final answer itself.
+	writeGrace = 200 * time.Millisecond
 	// finalRetryAfter is the least time that a refused caller is told to wait.
 	finalRetryAfter = 250 * time.Millisecond
 	// retryAfterJitter spreads the return of refused callers, as a part of the time.
@@ -93,9 +95,14 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errTimeout)
 	defer cancel()
+	// A caller that does not read must not hold the exchange longer than its time.
+	writes := http.NewResponseController(w)
+	if err := writes.SetWriteDeadline(c.deadline.Add(writeGrace)); err != nil {
+		f.log.Warn("time to write not bounded", zap.String("request", c.in.ID), zap.Error(err))
+	}
 	ended, err := c.service.loop.Run(ctx, retry.Request{
 		Idempotent: c.route.Repeatable(), Resumable: c.route.Resumable, Deadline: c.deadline,
-		MaxAttempts: max(1, c.route.Attempts), RetryAfter: finalRetryAfter,
+		MaxSent: max(1, c.route.Attempts), RetryAfter: finalRetryAfter,
 	}, c)
 	reason := c.finish(ctx, ended, err)
 	f.metrics.answered(reason, started)
@@ -106,6 +113,9 @@
 		// The connection is cut so that the part sent does not look complete.
 		panic(http.ErrAbortHandler)
 	}
+	if err := writes.SetWriteDeadline(time.Time{}); err != nil {
+		f.log.Warn("time to write not cleared", zap.String("request", c.in.ID), zap.Error(err))
+	}
 }
 
 // accept checks a request against the configuration and reads its body.
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -20,6 +20,7 @@
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/mirror/rpcmirror"
 	"laburnumgw/lib/rpc"
+	"laburnumgw/lib/suspend"
 	"laburnumgw/lib/telemetry"
 	"laburnumgw/lib/workerconn"
 	"laburnumgw/platform"
@@ -40,6 +41,9 @@
 	leaveWait = 2500 * time.Millisecond
 	// stopMargin is kept of the grace time for the end of the process.
 	stopMargin = 500 * time.Millisecond
+	// settingsInterval separates two looks at the settings file, which may change without
+	// a signal.
+	settingsInterval = 2 * time.Second
 	// registerInterval separates two tries to write this entry to the store.
 	registerInterval = 500 * time.Millisecond
 )
@@ -96,6 +100,11 @@
 	go p.mirror.Run(running)
 	go p.register(running)
 	go p.reload(running)
+	go func() {
+		if err := suspend.Watch(running, p.suspended); err != nil {
+			p.log.Error("suspensions of the machine are not noticed", zap.Error(err))
+		}
+	}()
 	p.log.Info("entry started", zap.String("vm", p.settings.VM), zap.String("zone", p.settings.Zone), zap.String("frontend", p.settings.Frontend))
 	select {
 	case err := <-failed:
@@ -168,13 +177,22 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
+	path := os.Getenv(platform.SettingsVariable)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	read := modified(path)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangups:
+		case <-ticker.C:
+			if modified(path).Equal(read) {
+				continue
+			}
 		}
-		next, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+		read = modified(path)
+		next, err := platform.ReadSettings(path)
 		if err != nil {
 			p.log.Error("settings not reloaded; the ones in force stay", zap.Error(err))
 			continue
@@ -184,6 +202,21 @@
 	}
 }
 
+// modified returns the time of a file's last change, or the zero time.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// suspended looks at the store again after a suspension, before old beliefs are acted on.
+func (p *Process) suspended(length time.Duration) {
+	p.view.suspended(length)
+	p.mirror.Refresh("machine was suspended")
+}
+
 // stop tells the platform and the callers, still serves for a while, and finishes what
 // runs.
 func (p *Process) stop(server *http.Server) error {
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -31,6 +31,9 @@
 	// versionMargin is how long before the bound older weights get no more requests: a
 	// request may wait that long at its worker before it begins.
 	versionMargin = 1200 * time.Millisecond
+	// beginMargin is how long before the bound a request that waits at a worker with older
+	// weights is given up there.
+	beginMargin = 300 * time.Millisecond
 	// reportStaleness is the age after which a worker's report is no longer believed.
 	reportStaleness = 2 * time.Second
 	// reportReorder is how long a datagram may be overtaken by a later one. After it, a
@@ -58,6 +61,8 @@
 	out      map[string]bool
 	versions map[string][]namedVersion
 	sequence uint64
+	// listed holds the kinds that were read once.
+	listed map[string]bool
 }
 
 // service is the state of one service.
@@ -89,6 +94,7 @@
 		settings: settings, log: log, metrics: metrics, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		services: make(map[string]*service), workers: make(map[string]*worker), entries: make(map[string]platform.Entry),
 		out: make(map[string]bool), versions: make(map[string][]namedVersion),
+		listed: make(map[string]bool),
 	}
 }
 
@@ -110,6 +116,7 @@
 			v.entryChanged(change)
 		}
 	}
+	v.listed[kind] = true
 }
 
 func (v *view) configChanged(change mirror.Change) {
@@ -255,7 +262,12 @@
 	if len(list) > 0 && list[len(list)-1].version >= version {
 		return
 	}
-	v.versions[model] = append(list, namedVersion{version, time.Now()})
+	since := time.Now()
+	if !v.listed[platform.KindVersions] {
+		// How long ago a version was named is not known when it is read at the start.
+		since = since.Add(-v.settings.Bounds.VersionApply)
+	}
+	v.versions[model] = append(list, namedVersion{version, since})
 	v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision))
 	time.AfterFunc(v.settings.Bounds.VersionApply-versionMargin, func() {
 		v.mu.Lock()
@@ -265,6 +277,45 @@
 	})
 }
 
+// timeFor returns how long requests may still begin on a version of a model, when a newer
+// one was named.
+func (v *view) timeFor(model string, version int) (time.Duration, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, named := range v.versions[model] {
+		if named.version > version {
+			return time.Until(named.since.Add(v.settings.Bounds.VersionApply - beginMargin)), true
+		}
+	}
+	return 0, false
+}
+
+// misdirected notes that a worker is not at its address any more. The next change of its
+// entry makes it usable again.
+func (v *view) misdirected(state *service, vm string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	state.table.SetLiveness(vm, routing.Dead)
+	v.log.Warn("worker is not at its address", zap.String("vm", vm))
+}
+
+// suspended moves the dates of what is bounded in time back by the length of a
+// suspension, which the monotonic clock has not counted.
+func (v *view) suspended(length time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.log.Warn("machine was suspended", zap.Duration("length", length))
+	for _, list := range v.versions {
+		for i := range list {
+			list[i].since = list[i].since.Add(-length)
+		}
+	}
+	for _, w := range v.workers {
+		w.reportedAt = w.reportedAt.Add(-length)
+	}
+	v.feedAll()
+}
+
 // required returns the oldest version of a model that may get requests.
 func (v *view) required(model string, now time.Time) int {
 	required := 0
@@ -369,7 +420,8 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return len(v.workers) > 0
+	return v.listed[platform.KindWorkers] && v.listed[platform.KindEntries] && v.listed[platform.KindVersions] &&
+		v.listed[platform.KindEvacuations]
 }
 
 // peers returns the addresses of the other entries.
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -29,6 +29,8 @@
 	probeInterval = time.Second
 	// probeGrace is how long a watch may take to deliver what a probe has seen.
 	probeGrace = 250 * time.Millisecond
+	// batchWait is the pause before a watch goes on after a change.
+	batchWait = 150 * time.Millisecond
 	// tickInterval is the resolution of grace times.
 	tickInterval = 200 * time.Millisecond
 )
@@ -179,6 +181,8 @@
 		case err == nil:
 			listed = true
 			pause.Reset()
+			// Changes that follow each other closely are read with one call.
+			sleep(ctx, batchWait)
 			continue
 		case ctx.Err() != nil:
 			return
@@ -214,7 +218,8 @@
 		if err == nil && (!sleep(ctx, probeGrace) || d.upTo(revision)) {
 			continue
 		}
-		d.refresh(revision, err)
+		d.config.Log.Warn("watches are behind the store", zap.Int64("revision", revision), zap.Error(err))
+		d.Refresh("watches are behind the store")
 	}
 }
 
@@ -230,11 +235,11 @@
 	return false
 }
 
-// refresh lists all kinds again.
-func (d *Driver) refresh(revision int64, err error) {
+// Refresh lists all kinds again.
+func (d *Driver) Refresh(reason string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.config.Log.Warn("watches are behind the store; listing again", zap.Int64("revision", revision), zap.Error(err))
+	d.config.Log.Info("kinds are listed again", zap.String("reason", reason))
 	for _, cancel := range d.cancels {
 		cancel()
 	}
--- a/lib/retry/plan.go
+++ b/lib/retry/plan.go
@@ -45,9 +45,9 @@
 	// Resumable streams can continue after the tokens already relayed.
 	Resumable bool
 	Deadline  time.Time
-	// MaxAttempts bounds the attempts of this request, the first one included; zero
-	// for the planner's.
-	MaxAttempts int
+	// MaxSent bounds the endpoints that this request is sent to; zero for no bound
+	// beside the planner's. Attempts that never left do not count.
+	MaxSent int
 	// RetryAfter is the least time that a final answer tells the caller to wait; zero
 	// for DefaultRetryAfter.
 	RetryAfter time.Duration
@@ -73,8 +73,10 @@
 type State struct {
 	request  Request
 	attempts int
-	relayed  bool
-	digest   string
+	// sent counts the attempts that left the entry.
+	sent    int
+	relayed bool
+	digest  string
 	// notRun holds while every attempt was never sent or refused with NOT_RUN.
 	notRun bool
 	// unknown is set when an attempt's outcome is unknown.
@@ -153,7 +155,7 @@
 	if action == Answer {
 		return s.giveUp(cause)
 	}
-	if s.attempts >= cmp.Or(s.request.MaxAttempts, p.settings.MaxAttempts) {
+	if s.attempts >= p.settings.MaxAttempts || (s.request.MaxSent > 0 && s.sent >= s.request.MaxSent) {
 		return s.giveUp("the attempts are used up")
 	}
 	s.action = action
@@ -256,6 +258,9 @@
 
 func (s *State) record(a Attempt) {
 	s.attempts++
+	if a.Sent {
+		s.sent++
+	}
 	s.lastErr = a.Err
 	s.retryAfter = max(s.retryAfter, a.RetryAfter)
 	if a.RelayedBytes > 0 && !s.relayed {
--- /dev/null
+++ b/lib/suspend/suspend_test.go
@@ -0,0 +1,48 @@
+package suspend
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Guards against dates that seem younger than they are: after a freeze of 4 s, old weights
+// got requests for 4 s past their bound.
+func TestSuspensionIsReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		began := time.Now()
+		var slept time.Duration
+		read := func() (time.Duration, time.Duration, error) {
+			monotonic := time.Since(began)
+			return monotonic + slept, monotonic, nil
+		}
+		var reported []time.Duration
+		done := make(chan error, 1)
+		go func() { done <- watch(ctx, read, func(length time.Duration) { reported = append(reported, length) }) }()
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		slept = 4 * time.Second
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		slept += shortest / 2
+		time.Sleep(2 * time.Second)
+		cancel()
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		if len(reported) != 1 || reported[0] != 4*time.Second {
+			t.Fatalf("reported %v, want one suspension of 4s", reported)
+		}
+	})
+}
+
+func TestSystemClocksAreRead(t *testing.T) {
+	boot, monotonic, err := system()
+	// The clocks are read one after the other, so equal ones may differ by that time.
+	if err != nil || boot < monotonic-shortest {
+		t.Fatalf("boot %v, monotonic %v: %v", boot, monotonic, err)
+	}
+}
