Give requests up that wait beyond the bound of their weights

The entry stops sending 1.2 s before the bound but did not bound the wait. Ruled out: a late watch (the entry knew the version after 20 ms). The request now ends at the worker 0.3 s before the bound and goes elsewhere.

A test of entries that start amid a change found that workers which were fed before the version was read stayed in use. The tests drive the whole request path against scripted workers on pipes in virtual time; TestRequestDoesNotWaitBeyondTheBound and the case after a start fail on the code before.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -63,6 +63,8 @@
 	body        []byte
 	deadline    time.Time
 	attempts    uint32
+	// beginWithin bounds the wait for the first event of the attempt; zero for no bound.
+	beginWithin time.Duration
 
 	// headed is set once the head of the answer was sent to the caller.
 	headed bool
@@ -167,8 +169,9 @@
 
 // exchange sends the request to one worker and relays its answer.
 func (c *call) exchange(ctx context.Context, decision routing.Decision) (retry.Attempt, *laburnumgwv1.Load) {
+	c.beginWithin = c.answerWithin(decision)
 	request := &workerconn.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, AnswerWithin: c.answerWithin(decision),
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, AnswerWithin: c.beginWithin,
 		Header: platform.WorkerHeader(c.forwarded, c.forward(decision)),
 	}
 	response, sent, err := c.conns.Send(ctx, decision.Address, request, c.owns)
--- /dev/null
+++ b/entry/hosted/call_test.go
@@ -0,0 +1,357 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// inBubble runs a test in virtual time.
+func inBubble(t *testing.T, run func(t *testing.T, d *deployment)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		d := newDeployment(t)
+		run(t, d)
+		// Workers that still wait end before their connections are closed.
+		<-time.After(2 * time.Minute)
+		for address := range d.scripts {
+			d.front.conns.Forget(address)
+		}
+	})
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for id := from; id <= to; id++ {
+		fmt.Fprintf(&b, "id: %d\ndata: x\n\n", id)
+	}
+	return b.String()
+}
+
+// Guards against requests that are changed on the way, and against workers that see a key
+// or believe a workspace that the caller made up.
+func TestRequestReachesTheWorkerUnchanged(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		d.worker("desk", "w1", 0, func(e *exchangeOnWire) { e.whole(http.StatusOK, "done") })
+		got := d.ask(t.Context(), http.MethodPost, "/book/a%2fb//c?x=1&y=%20", "payload", deadlineHeader, "900",
+			tenantHeader, "other", "X-Custom", "kept", "Connection", "X-Hop", "X-Hop", "dropped", "Path", "10.0.0.9:1=0-16")
+		if got.status != http.StatusOK || got.body != "done" || got.header.Get(sealHeader) != "seal" {
+			t.Fatalf("answer %+v", got)
+		}
+		a := d.arrived()[0]
+		if a.target != "/book/a%2fb//c?x=1&y=%20" || a.method != http.MethodPost || a.body != "payload" {
+			t.Errorf("request changed: %+v", a)
+		}
+		for name, want := range map[string]string{
+			idHeader: "r1", tenantHeader: "ws", instanceHeader: "w1", "X-Custom": "kept", "X-Hop": "", "Path": "",
+			"Authorization": "", "User-Agent": "",
+		} {
+			if value := a.header.Get(name); value != want {
+				t.Errorf("header %s is %q, want %q", name, value, want)
+			}
+		}
+		if left := a.header.Get(deadlineHeader); left != "900" {
+			t.Errorf("deadline handed on: %s", left)
+		}
+	})
+}
+
+// Guards I5 and I6: a booking whose answer was lost must not be sent again, and must not
+// be called "not run".
+func TestLostAnswerOfABookingIsUnknown(t *testing.T) {
+	for name, answer := range map[string]script{
+		"closed":    func(e *exchangeOnWire) { e.Close() },
+		"truncated": func(e *exchangeOnWire) { e.head(200, sealHeader, "s", "Content-Length", "10"); e.chunk("x"); e.Close() },
+		"no seal":   func(e *exchangeOnWire) { e.head(200, "Content-Length", "2"); fmt.Fprint(e, "ok") },
+		"garbage":   func(e *exchangeOnWire) { fmt.Fprint(e, "\x00\x01 nonsense\r\n\r\n"); e.Close() },
+		"foreign id": func(e *exchangeOnWire) {
+			fmt.Fprintf(e, "HTTP/1.1 503 Busy\r\n%s: other\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", idHeader, notRunHeader)
+			e.Close()
+		},
+		"own 503 that ran": func(e *exchangeOnWire) { e.whole(http.StatusServiceUnavailable, "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, d *deployment) {
+				d.worker("desk", "w1", 0, answer)
+				d.worker("desk", "w2", 0, answer)
+				got := d.ask(t.Context(), http.MethodPost, "/book/x", "b", deadlineHeader, "2500")
+				if got.status != http.StatusBadGateway || got.header.Get(sealHeader) != "" {
+					t.Errorf("answer %+v", got)
+				}
+				if n := len(d.arrived()); n != 1 {
+					t.Errorf("sent %d times", n)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a booking that is refused although another worker could be asked: one
+// that no byte of the request has reached does not count as sent.
+func TestBookingMovesOnFromAWorkerThatIsGone(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		d.worker("desk", "w1", 0, nil)
+		d.worker("desk", "w2", 0, func(e *exchangeOnWire) { e.whole(http.StatusOK, "booked") })
+		for range 8 {
+			if got := d.ask(t.Context(), http.MethodPost, "/book/x", "b", deadlineHeader, "2500"); got.status != http.StatusOK {
+				t.Fatalf("answer %+v", got)
+			}
+		}
+	})
+}
+
+// Guards against a refusal without a time to come back, and against a false one.
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		d.worker("desk", "w1", 0, func(e *exchangeOnWire) { e.head(503, notRunHeader, "1", "Content-Length", "0") })
+		got := d.ask(t.Context(), http.MethodPost, "/book/x", "b", deadlineHeader, "2500")
+		if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || got.took > 100*time.Millisecond {
+			t.Fatalf("answer %+v", got)
+		}
+	})
+}
+
+// Guards against a failure of one worker that a second one could have answered, and
+// against hiding the worker's own answer when both fail.
+func TestLookupIsRepeatedAfterAFailure(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		failing := func(e *exchangeOnWire) { e.whole(http.StatusInternalServerError, "broken") }
+		d.worker("desk", "w1", 0, failing)
+		d.worker("desk", "w2", 0, failing)
+		got := d.ask(t.Context(), http.MethodGet, "/view/x", "", deadlineHeader, "2500")
+		if got.status != http.StatusInternalServerError || got.body != "broken" || got.header.Get(sealHeader) != "seal" {
+			t.Fatalf("answer %+v", got)
+		}
+		if arrived := d.arrived(); len(arrived) != 2 || arrived[0].worker == arrived[1].worker {
+			t.Fatalf("attempts %+v", arrived)
+		}
+	})
+}
+
+// Guards against streams with a gap, a doubled event or a part of an event, when a worker
+// breaks off in the middle of one.
+func TestBrokenStreamIsResumedOnTheSameWeights(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		answer := func(e *exchangeOnWire) {
+			e.stream(1)
+			if e.request.Header.Get("Last-Event-Id") == "" {
+				e.events(1, 3)
+				e.chunk("id: 4\nda")
+				e.Close()
+				return
+			}
+			e.events(4, 6)
+			e.end()
+		}
+		d.worker("llm", "w1", 1, answer)
+		d.worker("llm", "w2", 1, answer)
+		got := d.ask(t.Context(), http.MethodPost, "/chat/x", "prompt", deadlineHeader, "6000")
+		if got.body != events(1, 6) || got.cut || got.status != http.StatusOK {
+			t.Fatalf("answer %+v", got)
+		}
+		second := d.arrived()[1]
+		if second.header.Get("Last-Event-Id") != "3" || second.header.Get("X-Laburnumgw-Expect-Version") != "1" {
+			t.Errorf("resumed with %v", second.header)
+		}
+	})
+}
+
+// Guards I1: a stream must not go on with other weights. It is cut, so that it does not
+// look complete.
+func TestBrokenStreamIsCutWhenTheWeightsAreGone(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		d.worker("llm", "w1", 1, func(e *exchangeOnWire) {
+			e.stream(1)
+			e.events(1, 2)
+			d.worker("llm", "w2", 2, func(e *exchangeOnWire) { e.stream(2); e.events(3, 4); e.end() })
+			e.Close()
+		})
+		got := d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000")
+		if got.body != events(1, 2) || !got.cut || len(d.arrived()) != 1 {
+			t.Fatalf("answer %+v", got)
+		}
+	})
+}
+
+// Guards against a worker that goes on for a caller that has left.
+func TestCallerThatLeavesStopsTheWorker(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		stopped := make(chan time.Time, 1)
+		d.worker("llm", "w1", 1, func(e *exchangeOnWire) {
+			e.stream(1)
+			for {
+				if _, err := fmt.Fprint(e, "f\r\nid: 1\ndata: x\n\n\r\n"); err != nil {
+					stopped <- time.Now()
+					return
+				}
+				<-time.After(50 * time.Millisecond)
+			}
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(300*time.Millisecond, cancel)
+		left := time.Now().Add(300 * time.Millisecond)
+		d.ask(ctx, http.MethodPost, "/chat/x", "p", deadlineHeader, "6000")
+		if after := (<-stopped).Sub(left); after > 500*time.Millisecond {
+			t.Fatalf("worker went on for %v", after)
+		}
+	})
+}
+
+// Guards against an answer that comes later than the route's timeout.
+func TestTimeoutIsAnsweredInTime(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		d.worker("desk", "w1", 0, func(*exchangeOnWire) { <-time.After(time.Minute) })
+		got := d.ask(t.Context(), http.MethodPost, "/book/x", "b", deadlineHeader, "2500")
+		if got.status != http.StatusGatewayTimeout || got.took > 1300*time.Millisecond {
+			t.Fatalf("answer %+v", got)
+		}
+	})
+}
+
+// Guards against a request that begins on old weights after their bound, because it
+// waited at its worker: VERSION on scale-1 of sokkel-gw, 1.3 s after the entry sent it.
+func TestRequestDoesNotWaitBeyondTheBoundOfItsWeights(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		began := make(chan time.Time, 4)
+		d.worker("llm", "w1", 1, func(e *exchangeOnWire) {
+			<-time.After(1400 * time.Millisecond)
+			e.stream(1)
+			if _, err := fmt.Fprint(e, "0\r\n\r\n"); err == nil {
+				began <- time.Now()
+			}
+		})
+		named := time.Now()
+		d.version(2)
+		<-time.After(6700 * time.Millisecond)
+		got := d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000")
+		if time.Since(named) > 8*time.Second || got.status == http.StatusOK {
+			t.Fatalf("answer %v after the version was named: %+v", time.Since(named), got)
+		}
+		select {
+		case at := <-began:
+			t.Fatalf("request began %v after the version was named", at.Sub(named))
+		default:
+		}
+	})
+}
+
+// Guards against old weights that get requests after their bound, also for an entry whose
+// machine stood still meanwhile and for one that started after the version was named.
+func TestOldWeightsGetNoRequestsAfterTheirBound(t *testing.T) {
+	answer := func(e *exchangeOnWire) { e.stream(1); e.events(1, 1); e.end() }
+	refused := func(t *testing.T, d *deployment) {
+		t.Helper()
+		got := d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000")
+		if got.status != http.StatusServiceUnavailable || len(d.arrived()) != 0 {
+			t.Errorf("answer %+v, arrivals %d", got, len(d.arrived()))
+		}
+	}
+	t.Run("after the bound", func(t *testing.T) {
+		inBubble(t, func(t *testing.T, d *deployment) {
+			d.worker("llm", "w1", 1, answer)
+			d.version(2)
+			<-time.After(7 * time.Second)
+			refused(t, d)
+		})
+	})
+	t.Run("after a suspension", func(t *testing.T) {
+		inBubble(t, func(t *testing.T, d *deployment) {
+			d.worker("llm", "w1", 1, answer)
+			d.version(2)
+			<-time.After(2 * time.Second)
+			d.front.view.suspended(5 * time.Second)
+			refused(t, d)
+		})
+	})
+	t.Run("after a start", func(t *testing.T) {
+		inBubble(t, func(t *testing.T, d *deployment) {
+			d.worker("llm", "w1", 1, answer)
+			v := d.front.view
+			v.mu.Lock()
+			delete(v.listed, "versions")
+			v.mu.Unlock()
+			d.version(2)
+			refused(t, d)
+		})
+	})
+}
+
+// Guards against workers that get requests after they leave, or after their entry was
+// spoilt by another writer.
+func TestLeavingAndSpoiltWorkersGetNothing(t *testing.T) {
+	for name, value := range map[string]string{
+		"draining": entryOf("desk", "w1", "draining", 0), "unknown state": entryOf("desk", "w1", "resting", 0),
+		"wrong types": `{"service":"desk","address":5,"zone":[],"state":"ready"}`, "unreadable": `"@`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, d *deployment) {
+				d.worker("desk", "w1", 0, func(e *exchangeOnWire) { e.whole(200, "") })
+				d.put("servers", "w1", value)
+				got := d.ask(t.Context(), http.MethodPost, "/book/x", "b", deadlineHeader, "2500")
+				if got.status != http.StatusServiceUnavailable || len(d.arrived()) != 0 {
+					t.Errorf("answer %+v", got)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a worker whose address has passed to another one and that would be
+// chosen again and again until its entry lapses.
+func TestMovedWorkerIsNotAskedAgain(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		d.worker("desk", "w1", 0, func(e *exchangeOnWire) { e.head(421, "Content-Length", "0") })
+		d.worker("desk", "w2", 0, func(e *exchangeOnWire) { e.whole(http.StatusOK, "") })
+		for range 20 {
+			got := d.ask(t.Context(), http.MethodGet, "/view/x", "", deadlineHeader, "2500")
+			if got.status != http.StatusOK || got.took > 100*time.Millisecond {
+				t.Fatalf("answer %+v", got)
+			}
+		}
+		misdirected := 0
+		for _, a := range d.arrived() {
+			if a.worker == "w1" {
+				misdirected++
+			}
+		}
+		if misdirected > 1 {
+			t.Fatalf("asked %d times at the wrong address", misdirected)
+		}
+	})
+}
+
+// Guards against answers of an entry that knows no configuration, or keys and routes that
+// are wrong.
+func TestOwnAnswers(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		for target, want := range map[string]int{"/none/": http.StatusNotFound, "/chatter": http.StatusNotFound} {
+			if got := d.ask(t.Context(), http.MethodGet, target, ""); got.status != want {
+				t.Errorf("%s: %+v", target, got)
+			}
+		}
+		if got := d.ask(t.Context(), http.MethodGet, "/view/x", "", "Authorization", "Token stolen"); got.status != http.StatusUnauthorized {
+			t.Errorf("unknown key: %+v", got)
+		}
+		d.front.view.snapshot.Store(nil)
+		if got := d.ask(t.Context(), http.MethodGet, "/view/x", ""); got.status != http.StatusServiceUnavailable {
+			t.Errorf("without a configuration: %+v", got)
+		}
+	})
+}
+
+// Guards against an unreadable configuration that puts the one in force out of force, and
+// against an older one that comes late.
+func TestBadConfigurationChangesNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		for _, value := range []string{`{`, `{"version":"x"}`, `{"version":0}`, `{"version":3,"routes":[]}`, `{"version":9,"routes":[{"kind":"odd"}]}`} {
+			d.put("config", "main", value)
+			if version := d.front.view.snapshot.Load().Version; version != 7 {
+				t.Errorf("%s is in force as version %d", value, version)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/entry/hosted/harness_test.go
@@ -0,0 +1,266 @@
+package hosted
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"laburnumgw/lib/mirror"
+	"laburnumgw/lib/workerconn"
+	"laburnumgw/platform"
+)
+
+// Headers of the platform as the tests write them, by hand from its pages.
+const (
+	idHeader       = "X-Laburnumgw-Request-Id"
+	sealHeader     = "X-Laburnumgw-Server-Seal"
+	notRunHeader   = "X-Laburnumgw-Not-Executed"
+	deadlineHeader = "X-Laburnumgw-Deadline-Ms"
+	instanceHeader = "X-Laburnumgw-Expect-Instance"
+	tenantHeader   = "X-Laburnumgw-Tenant"
+	versionHeader  = "X-Laburnumgw-Weight-Versions"
+)
+
+const testConfig = `{"version":7,
+"routes":[
+ {"name":"chat","host":"a.example","path_prefix":"/chat/","kind":"streaming","timeout_ms":6000,"target_latency_ms":400,"priority":1,"service":"llm","attempts":2,"resumable":true,"gap_target_ms":300},
+ {"name":"book","host":"a.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":1200,"target_latency_ms":150,"priority":2,"service":"desk","attempts":1},
+ {"name":"view","host":"a.example","path_prefix":"/view/","kind":"safe","timeout_ms":1200,"target_latency_ms":150,"priority":2,"service":"desk","attempts":2}],
+"services":[
+ {"name":"llm","health_path":"/health","connection_limit":400,"cold_start_s":3,"cold_per_s":36,"engine":{"slots":16,"layers":16,"chunks":48,"chunk_bytes":49152,"step_ms":6.73,"per_seq_ms":0.02,"stride":6,"read_per_s":30600,"models":[{"name":"m","warm_s":0.3}],"usual":{"prompt":964,"answer":119}}},
+ {"name":"desk","health_path":"/health","connection_limit":100}],
+"limits":{"header_bytes":16384,"body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"ws","api_keys":["key"],"priority":1}]}`
+
+// script answers the requests that one worker receives.
+type script func(w *exchangeOnWire)
+
+// exchangeOnWire is one request at a worker.
+type exchangeOnWire struct {
+	net.Conn
+	request *http.Request
+	body    []byte
+}
+
+// head writes the head of an answer.
+func (e *exchangeOnWire) head(status int, fields ...string) {
+	fmt.Fprintf(e, "HTTP/1.1 %d Status\r\n%s: %s\r\n", status, idHeader, e.request.Header.Get(idHeader))
+	for i := 0; i+1 < len(fields); i += 2 {
+		fmt.Fprintf(e, "%s: %s\r\n", fields[i], fields[i+1])
+	}
+	fmt.Fprint(e, "\r\n")
+}
+
+// whole writes a sealed answer with a body.
+func (e *exchangeOnWire) whole(status int, body string) {
+	e.head(status, sealHeader, "seal", "Content-Length", fmt.Sprint(len(body)))
+	if body != "" {
+		// A pipe holds an empty write until the next read.
+		fmt.Fprint(e, body)
+	}
+}
+
+// stream writes the head of a sealed stream on a version of the weights.
+func (e *exchangeOnWire) stream(version int) {
+	e.head(http.StatusOK, sealHeader, "seal", versionHeader, fmt.Sprint(version), "Content-Type", "text/event-stream", "Transfer-Encoding", "chunked")
+}
+
+func (e *exchangeOnWire) events(from, to int) {
+	for id := from; id <= to; id++ {
+		e.chunk(fmt.Sprintf("id: %d\ndata: x\n\n", id))
+	}
+}
+
+func (e *exchangeOnWire) chunk(text string) { fmt.Fprintf(e, "%x\r\n%s\r\n", len(text), text) }
+
+func (e *exchangeOnWire) end() { fmt.Fprint(e, "0\r\n\r\n") }
+
+// arrival is a request that reached a worker.
+type arrival struct {
+	worker string
+	header http.Header
+	method string
+	target string
+	body   string
+	at     time.Time
+}
+
+// deployment is an entry with workers whose connections are pipes in memory.
+type deployment struct {
+	t     *testing.T
+	front *frontend
+	rev   int64
+
+	mu       sync.Mutex
+	scripts  map[string]script
+	arrivals []arrival
+	refused  map[string]bool
+}
+
+func newDeployment(t *testing.T) *deployment {
+	settings := &platform.Settings{
+		VM: "front-1", Zone: "a", Region: "r1", IP: "10.0.0.1", Zones: map[string]string{"a": "r1", "b": "r2"},
+		Bounds: platform.Bounds{
+			RetryRatio: 0.2, RetrySlack: 104, RetryWindow: 10 * time.Second, ColdOverage: 1.5, ColdSlack: 5,
+			VersionApply: 8 * time.Second,
+		},
+	}
+	metrics := newEntryMetrics()
+	d := &deployment{t: t, scripts: make(map[string]script), refused: make(map[string]bool)}
+	v := newView(settings, metrics, zap.NewNop())
+	d.front = &frontend{view: v, conns: workerconn.NewPoolWith(d.dial), metrics: metrics, log: zap.NewNop()}
+	for _, kind := range []string{platform.KindEntries, platform.KindEvacuations} {
+		v.changed(kind, nil)
+	}
+	d.put(platform.KindConfig, "main", testConfig)
+	d.version(1)
+	v.mu.Lock()
+	v.versions["m"][0].since = time.Now().Add(-time.Hour)
+	v.mu.Unlock()
+	return d
+}
+
+func (d *deployment) put(kind, name, value string) {
+	d.rev++
+	d.front.view.changed(kind, []mirror.Change{{Object: mirror.Object{Name: name, Revision: d.rev, Value: json.RawMessage(value)}}})
+}
+
+func (d *deployment) remove(kind, name string) {
+	d.rev++
+	d.front.view.changed(kind, []mirror.Change{{Deleted: true, Object: mirror.Object{Name: name, Revision: d.rev}}})
+}
+
+// version names a version of the weights.
+func (d *deployment) version(number int) {
+	d.put(platform.KindVersions, "m", fmt.Sprintf(`{"model":"m","version":%d}`, number))
+}
+
+// worker adds a worker at an address that is its id.
+func (d *deployment) worker(service, id string, version int, answer script) {
+	d.mu.Lock()
+	d.scripts[id] = answer
+	d.mu.Unlock()
+	d.put(platform.KindWorkers, id, entryOf(service, id, "ready", version))
+}
+
+func entryOf(service, id, state string, version int) string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":16,"state":%q,"cold_remaining_ms":0,"born":1,`+
+		`"models":[{"name":"m","version":%d}],"layers":{"from":0,"target":16,"version":%d},"sequence":4}`, service, id, state, version, version)
+}
+
+var errRefusedByPeer = errors.New("connection refused")
+
+func (d *deployment) dial(_ context.Context, _, address string) (net.Conn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	answer := d.scripts[address]
+	if answer == nil || d.refused[address] {
+		return nil, errRefusedByPeer
+	}
+	near, far := net.Pipe()
+	go d.serve(address, far, answer)
+	return near, nil
+}
+
+func (d *deployment) serve(address string, conn net.Conn, answer script) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		d.mu.Lock()
+		d.arrivals = append(d.arrivals, arrival{address, request.Header, request.Method, request.RequestURI, string(body), time.Now()})
+		d.mu.Unlock()
+		answer(&exchangeOnWire{Conn: conn, request: request, body: body})
+	}
+}
+
+func (d *deployment) arrived() []arrival {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]arrival(nil), d.arrivals...)
+}
+
+// answered is what a caller received.
+type answered struct {
+	status int
+	header http.Header
+	body   string
+	// cut is set when the connection was closed before the answer was whole.
+	cut  bool
+	took time.Duration
+}
+
+// caller receives an answer.
+type caller struct {
+	mu     sync.Mutex
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (c *caller) Header() http.Header { return c.header }
+
+func (c *caller) WriteHeader(status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.status = status
+}
+
+func (c *caller) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.body.Write(p)
+}
+
+func (c *caller) FlushError() error                { return nil }
+func (c *caller) SetReadDeadline(time.Time) error  { return nil }
+func (c *caller) SetWriteDeadline(time.Time) error { return nil }
+
+// ask sends a request of a caller and waits for its end.
+func (d *deployment) ask(ctx context.Context, method, target, body string, fields ...string) answered {
+	d.t.Helper()
+	request, err := http.NewRequestWithContext(ctx, method, "http://a.example"+target, bytes.NewBufferString(body))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	request.RequestURI = target
+	request.Header.Set(idHeader, "r1")
+	request.Header.Set("Authorization", "Token key")
+	for i := 0; i+1 < len(fields); i += 2 {
+		request.Header.Set(fields[i], fields[i+1])
+	}
+	to := &caller{header: make(http.Header), status: http.StatusOK}
+	started := time.Now()
+	out := answered{}
+	func() {
+		defer func() {
+			if cause := recover(); cause != nil {
+				if cause != http.ErrAbortHandler { //nolint:errorlint // a panic value
+					panic(cause)
+				}
+				out.cut = true
+			}
+		}()
+		d.front.handler().ServeHTTP(to, request)
+	}()
+	out.status, out.header, out.body, out.took = to.status, to.header, to.body.String(), time.Since(started)
+	return out
+}
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -98,8 +98,8 @@
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
 	var pending []byte
+	response.Within(c.beginWithin)
 	for {
-		response.Within(c.patience())
 		n, err := response.Body.Read(buffer[:])
 		pending = append(pending, buffer[:n]...)
 		if errors.Is(err, io.EOF) {
@@ -114,6 +114,7 @@
 				return err
 			}
 			pending = append(pending[:0], pending[whole:]...)
+			response.Within(c.patience())
 		}
 		if err != nil {
 			return fmt.Errorf("%w: %w", errCut, err)
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -269,7 +269,12 @@
 	}
 	v.versions[model] = append(list, namedVersion{version, since})
 	v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision))
-	time.AfterFunc(v.settings.Bounds.VersionApply-versionMargin, func() {
+	until := time.Until(since.Add(v.settings.Bounds.VersionApply - versionMargin))
+	if until <= 0 {
+		v.feedAll()
+		return
+	}
+	time.AfterFunc(until, func() {
 		v.mu.Lock()
 		defer v.mu.Unlock()
 		v.log.Info("older weights get no more requests", zap.String("model", model), zap.Int("version", version))
--- a/lib/mirror/mirror_test.go
+++ b/lib/mirror/mirror_test.go
@@ -179,10 +179,10 @@
 		store := newFakeStore()
 		store.put("workers", "a")
 		seen := follow(t.Context(), store, map[string]bool{"workers": true, "config": false})
-		time.Sleep(3 * time.Second)
+		<-time.After(3 * time.Second)
 		store.set(func() { store.deaf = true })
 		store.put("workers", "b")
-		time.Sleep(bound)
+		<-time.After(bound)
 		if at := seen.when("b", false); at < 0 || at > 3*time.Second+bound {
 			t.Fatalf("change seen at %v, made at 3s", at)
 		}
@@ -196,13 +196,13 @@
 		store := newFakeStore()
 		store.put("workers", "a")
 		seen := follow(t.Context(), store, map[string]bool{"workers": true})
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 		store.set(func() { store.down = true })
-		time.Sleep(5 * time.Second)
+		<-time.After(5 * time.Second)
 		store.set(func() { store.down = false })
-		time.Sleep(4 * time.Second)
+		<-time.After(4 * time.Second)
 		store.remove("workers", "a")
-		time.Sleep(bound)
+		<-time.After(bound)
 		if at := seen.when("a", true); at < 0 || at > 10*time.Second+bound {
 			t.Fatalf("removal seen at %v, made at 10s", at)
 		}
@@ -216,11 +216,11 @@
 		store := newFakeStore()
 		store.put("workers", "a")
 		follow(t.Context(), store, map[string]bool{"workers": true, "config": false})
-		time.Sleep(10 * time.Second)
+		<-time.After(10 * time.Second)
 		store.mu.Lock()
 		before := store.calls
 		store.mu.Unlock()
-		time.Sleep(time.Minute)
+		<-time.After(time.Minute)
 		store.mu.Lock()
 		defer store.mu.Unlock()
 		if calls := store.calls - before; calls > 70 {
--- a/lib/suspend/suspend_test.go
+++ b/lib/suspend/suspend_test.go
@@ -22,13 +22,13 @@
 		var reported []time.Duration
 		done := make(chan error, 1)
 		go func() { done <- watch(ctx, read, func(length time.Duration) { reported = append(reported, length) }) }()
-		time.Sleep(2 * time.Second)
+		<-time.After(2 * time.Second)
 		synctest.Wait()
 		slept = 4 * time.Second
-		time.Sleep(2 * time.Second)
+		<-time.After(2 * time.Second)
 		synctest.Wait()
 		slept += shortest / 2
-		time.Sleep(2 * time.Second)
+		<-time.After(2 * time.Second)
 		cancel()
 		if err := <-done; err != nil {
 			t.Fatal(err)
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -52,7 +52,7 @@
 
 // Pool keeps idle connections by address.
 type Pool struct {
-	dialer net.Dialer
+	dial Dial
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -60,12 +60,18 @@
 	opened int64
 }
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewPool returns a pool that opens connections within a timeout and probes silent ones.
 func NewPool(connectTimeout time.Duration, keepAlive net.KeepAliveConfig) *Pool {
-	return &Pool{
-		dialer: net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive},
-		idle:   make(map[string][]*conn),
-	}
+	dialer := &net.Dialer{Timeout: connectTimeout, KeepAliveConfig: keepAlive}
+	return NewPoolWith(dialer.DialContext)
+}
+
+// NewPoolWith returns a pool that opens connections with a function.
+func NewPoolWith(dial Dial) *Pool {
+	return &Pool{dial: dial, idle: make(map[string][]*conn)}
 }
 
 // Opened returns the number of connections that were opened.
@@ -191,7 +197,7 @@
 	delete(p.idle, address)
 	p.opened++
 	p.mu.Unlock()
-	opened, err := p.dialer.DialContext(ctx, "tcp", address)
+	opened, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to worker: %w", err)
 	}
