Wait for workers that report, and leave silent ones sooner

A worker that is cut off was waited for as long. Ruled out: lost answers (the workers reported queues of 5 and more at those times).

Both tests of patience fail on the code before.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -28,9 +28,13 @@
 	plainPatience = 500 * time.Millisecond
 	// detailEvery is the number of decisions of which one is logged with all candidates.
 	detailEvery = 64
-	// streamPatience is the same for the head and each event of a stream. Callers give a
-	// stream up after 2.4 s.
-	streamPatience = 1500 * time.Millisecond
+	// streamPatience is the same for the head and each event of a stream, of a worker that
+	// does not report, and busyPatience of one that does. Callers give a stream up after
+	// 2.4 s of silence.
+	streamPatience = 900 * time.Millisecond
+	busyPatience   = 2200 * time.Millisecond
+	// patienceStep separates two looks at the reports of a silent worker.
+	patienceStep = 200 * time.Millisecond
 )
 
 var (
@@ -63,8 +67,6 @@
 	body        []byte
 	deadline    time.Time
 	attempts    uint32
-	// beginWithin bounds the wait for the first event of the attempt; zero for no bound.
-	beginWithin time.Duration
 
 	// headed is set once the head of the answer was sent to the caller.
 	headed bool
@@ -169,9 +171,9 @@
 
 // exchange sends the request to one worker and relays its answer.
 func (c *call) exchange(ctx context.Context, decision routing.Decision) (retry.Attempt, *laburnumgwv1.Load) {
-	c.beginWithin = c.answerWithin(decision)
+	begin := c.beginPatience(decision)
 	request := &workerconn.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, AnswerWithin: c.beginWithin,
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, Patience: begin,
 		Header: platform.WorkerHeader(c.forwarded, c.forward(decision)),
 	}
 	response, sent, err := c.conns.Send(ctx, decision.Address, request, c.owns)
@@ -197,7 +199,7 @@
 	case !answer.Sealed:
 		return c.ended(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", errNotSealed), load
 	case c.route.Kind == catalog.Stream && response.StatusCode == http.StatusOK:
-		err = c.relayStream(response, answer)
+		err = c.relayStream(response, answer, begin, c.patience(decision.VM))
 	default:
 		return c.relayWhole(response, answer), load
 	}
@@ -223,33 +225,50 @@
 	return f
 }
 
-// patience returns how long a worker may be silent; zero when nobody else may be asked.
-func (c *call) patience() time.Duration {
-	switch {
-	case !c.route.Repeatable():
+// patience returns how long a worker may be silent, or nil when nobody else may be asked.
+// A model worker that reports is alive and only busy, so it gets most of the time that
+// callers wait.
+func (c *call) patience(vm string) workerconn.Patience {
+	if !c.route.Repeatable() {
+		return nil
+	}
+	first, last := plainPatience, plainPatience
+	if c.route.Kind == catalog.Stream {
+		first, last = streamPatience, busyPatience
+	}
+	return func(waited time.Duration) time.Duration {
+		switch {
+		case waited < first:
+			return first - waited
+		case waited < last && c.view.reporting(vm):
+			return min(last-waited, patienceStep)
+		}
 		return 0
-	case c.route.Kind == catalog.Stream:
-		return streamPatience
-	default:
-		return plainPatience
 	}
 }
 
-// answerWithin returns how long a worker may take for the head of its answer. A request
-// must not begin on weights whose time is over, so it does not wait beyond that.
-func (c *call) answerWithin(decision routing.Decision) time.Duration {
-	within := c.patience()
+// beginPatience is patience for the head and the first event. A request must not begin on
+// weights whose time is over, so it does not wait beyond that.
+func (c *call) beginPatience(decision routing.Decision) workerconn.Patience {
+	patience := c.patience(decision.VM)
 	engine := c.service.config.Engine
 	if engine == nil {
-		return within
+		return patience
 	}
 	// A version of the table is always a number.
 	version, _ := strconv.Atoi(decision.VersionDigest)
 	left, bounded := c.view.timeFor(engine.Model, version)
-	if bounded && (within == 0 || left < within) {
-		return max(left, time.Millisecond)
+	if !bounded {
+		return patience
+	}
+	end := time.Now().Add(left)
+	return func(time.Duration) time.Duration {
+		more := time.Until(end)
+		if patience != nil {
+			more = min(more, patience(time.Since(end.Add(-left))))
+		}
+		return more
 	}
-	return within
 }
 
 // owns reports whether an answer belongs to this request. A statement without an id that
--- a/entry/hosted/call_test.go
+++ b/entry/hosted/call_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"laburnumgw/lib/catalog"
 )
 
 // inBubble runs a test in virtual time.
@@ -355,3 +357,50 @@
 		}
 	})
 }
+
+// reportsOf makes the process beside a worker report all the time.
+func (d *deployment) reportsOf(ctx context.Context, id string, version int) {
+	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
+		d.front.view.reported(id, sequence, catalog.Report{Born: 1, Weights: catalog.Weights{Model: "m", Version: version, To: 16}})
+		<-time.After(150 * time.Millisecond)
+	}
+}
+
+// Guards against giving up a worker that is only busy: under overload, first events came
+// after 1.5 s, and requests that were about to run were answered with 502.
+func TestBusyWorkerIsWaitedFor(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		d.worker("llm", "w1", 1, func(e *exchangeOnWire) {
+			<-time.After(1900 * time.Millisecond)
+			e.stream(1)
+			e.events(1, 2)
+			e.end()
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go d.reportsOf(ctx, "w1", 1)
+		got := d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000")
+		if got.status != http.StatusOK || got.body != events(1, 2) {
+			t.Fatalf("answer %+v", got)
+		}
+	})
+}
+
+// Guards against waiting for a worker that is cut off or without power until the caller
+// gives up.
+func TestSilentWorkerIsReplacedSoon(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		silent := func(*exchangeOnWire) { <-time.After(time.Minute) }
+		d.worker("llm", "w1", 1, silent)
+		d.worker("llm", "w2", 1, func(e *exchangeOnWire) { e.stream(1); e.events(1, 1); e.end() })
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go d.reportsOf(ctx, "w2", 1)
+		for range 6 {
+			got := d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000")
+			if got.status != http.StatusOK || got.took > 1100*time.Millisecond {
+				t.Fatalf("answer %+v", got)
+			}
+		}
+	})
+}
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -94,12 +94,15 @@
 
 // relayStream passes the whole events of a stream on as they arrive. It returns nil when
 // the stream is complete.
-func (c *call) relayStream(response *workerconn.Response, answer platform.Answer) error {
+func (c *call) relayStream(response *workerconn.Response, answer platform.Answer, begin, next workerconn.Patience) error {
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
 	var pending []byte
-	response.Within(c.beginWithin)
+	patience := begin
 	for {
+		if err := response.Await(patience); err != nil {
+			return fmt.Errorf("%w: %w", errCut, err)
+		}
 		n, err := response.Body.Read(buffer[:])
 		pending = append(pending, buffer[:n]...)
 		if errors.Is(err, io.EOF) {
@@ -114,7 +117,7 @@
 				return err
 			}
 			pending = append(pending[:0], pending[whole:]...)
-			response.Within(c.patience())
+			patience = next
 		}
 		if err != nil {
 			return fmt.Errorf("%w: %w", errCut, err)
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -36,6 +36,9 @@
 	beginMargin = 300 * time.Millisecond
 	// reportStaleness is the age after which a worker's report is no longer believed.
 	reportStaleness = 2 * time.Second
+	// reportingAge is the age of a report up to which a worker counts as alive. Reports
+	// of other zones come every 450 ms.
+	reportingAge = time.Second
 	// reportReorder is how long a datagram may be overtaken by a later one. After it, a
 	// lower number means that the sender has started again.
 	reportReorder = time.Second
@@ -295,6 +298,14 @@
 	return 0, false
 }
 
+// reporting reports whether the process beside a worker has told its state lately.
+func (v *view) reporting(vm string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	w := v.workers[vm]
+	return w != nil && w.report.Born == w.Born && time.Since(w.reportedAt) < reportingAge
+}
+
 // misdirected notes that a worker is not at its address any more. The next change of its
 // entry makes it usable again.
 func (v *view) misdirected(state *service, vm string) {
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -27,6 +28,8 @@
 	// unknownKeepAlive is how long an idle connection is used when the worker does not
 	// say how long it keeps it.
 	unknownKeepAlive = 500 * time.Millisecond
+	// restTimeout bounds the wait for the rest of what has begun to arrive.
+	restTimeout = 2 * time.Second
 	// maxForeign bounds the answers to other requests that are read before the own one.
 	maxForeign = 3
 )
@@ -42,10 +45,17 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// AnswerWithin bounds the wait for the head of the answer; zero for no bound.
-	AnswerWithin time.Duration
+	// Patience bounds the wait for the answer; nil for no bound.
+	Patience Patience
 }
 
+// Patience states how much longer to wait for a silent worker, of which the connection
+// has waited for some time already. Zero gives the worker up.
+type Patience func(waited time.Duration) (more time.Duration)
+
+// ErrSilent is returned when a worker sends nothing for longer than the patience.
+var ErrSilent = errors.New("worker is silent")
+
 // Identity tells whether an answer belongs to the request that was sent. Fresh is set
 // on a connection that has carried no other request.
 type Identity func(answer *http.Response, fresh bool) bool
@@ -121,7 +131,9 @@
 	if err != nil {
 		return fail(n > 0, fmt.Errorf("send request: %w", err))
 	}
-	c.within(r.AnswerWithin)
+	if err := c.await(r.Patience); err != nil {
+		return fail(true, fmt.Errorf("wait for answer: %w", err))
+	}
 	answer, err := c.readAnswer(r, own)
 	if err != nil {
 		return fail(true, fmt.Errorf("read answer: %w", err))
@@ -228,18 +240,37 @@
 	return err == nil && quiet
 }
 
-// within bounds the time until the next bytes arrive; zero for no bound.
-func (c *conn) within(wait time.Duration) {
-	deadline := time.Time{}
-	if wait > 0 {
-		deadline = time.Now().Add(wait)
+// await waits for the next byte. Bytes that have begun to arrive are waited for until
+// restTimeout.
+func (c *conn) await(patience Patience) error {
+	if patience == nil || c.reader.Buffered() > 0 {
+		return nil
+	}
+	started := time.Now()
+	for {
+		more := patience(time.Since(started))
+		if more <= 0 {
+			return ErrSilent
+		}
+		if err := c.SetReadDeadline(time.Now().Add(more)); err != nil {
+			return fmt.Errorf("bound the wait: %w", err)
+		}
+		_, err := c.reader.Peek(1)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		// It fails only on a closed connection, of which the next read reports the end
+		// after the bytes that have arrived.
+		_ = c.SetReadDeadline(time.Now().Add(restTimeout))
+		return nil
 	}
-	// It fails only on a closed connection, which the next read reports.
-	_ = c.SetReadDeadline(deadline)
 }
 
-// Within bounds the time until the next bytes of the body arrive; zero for no bound.
-func (r *Response) Within(wait time.Duration) { r.conn.within(wait) }
+// Await waits for the next bytes of the body.
+func (r *Response) Await(patience Patience) error { return r.conn.await(patience) }
 
 // Finish ends a response whose body was read to its end. The connection is kept when
 // nothing speaks against it; keepAlive is what the worker says, or zero.
@@ -257,7 +288,8 @@
 		r.conn.keepAlive = max(keepAlive-idleMargin, idleMargin)
 	}
 	r.conn.idleSince = time.Now()
-	r.conn.within(0)
+	// It fails only on a closed connection, which the next request notices.
+	_ = r.conn.SetReadDeadline(time.Time{})
 	r.pool.put(r.address, r.conn)
 }
 
