--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -95,6 +95,7 @@
 		Store: store, Neighbours: rpcmirror.NewClient(conns, v.neighbours), First: mirror.NeighboursFirst, Changed: v.changed, Log: log,
 	})
 	laburnumgwv1.RegisterPeerServer(p.grpc, p.library.server())
+	laburnumgwv1.RegisterManifestsServer(p.grpc, &manifestServer{library: p.library})
 	return p, nil
 }
 
