Let one entry of a zone read the store, and answer streams before callers leave

Callers left frozen workers after 2.4 s without an event; the workers ran those requests when they woke. A stream without an event now gets its final answer 0.2 s before its caller would leave.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -32,6 +32,10 @@
 	// farReports is the number of reports of which one goes to the other zones, since
 	// bytes between zones are dear.
 	farReports = 3
+	// pullWait is how long an entry waits for a change of what this process mirrors, and
+	// staleAfter the age from which on it is not relied on.
+	pullWait   = 2 * time.Second
+	staleAfter = 5 * time.Second
 	// orderTimeout bounds the handing over of one version.
 	orderTimeout = 5 * time.Second
 	// retryInterval separates two tries to open a version.
@@ -92,7 +96,8 @@
 		Kinds: map[string]bool{
 			platform.KindConfig: false, platform.KindWorkers: true, platform.KindVersions: false, platform.KindEntries: false,
 		},
-		Store: store, Neighbours: rpcmirror.NewClient(conns, v.neighbours), First: mirror.NeighboursFirst, Changed: v.changed, Log: log,
+		Store: store, Neighbours: rpcmirror.NewClient(conns, v.neighbours), PullWait: pullWait, StaleAfter: staleAfter,
+		First: func() mirror.Source { return mirror.NeighboursFirst }, Changed: v.changed, Log: log,
 	})
 	laburnumgwv1.RegisterPeerServer(p.grpc, p.library.server())
 	laburnumgwv1.RegisterManifestsServer(p.grpc, &manifestServer{library: p.library})
--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -67,6 +67,8 @@
 	body        []byte
 	deadline    time.Time
 	attempts    uint32
+	// begin ends the request unless the first event arrives before; nil without a bound.
+	begin *time.Timer
 
 	// headed is set once the head of the answer was sent to the caller.
 	headed bool
--- a/entry/hosted/call_test.go
+++ b/entry/hosted/call_test.go
@@ -404,3 +404,18 @@
 		}
 	})
 }
+
+// Guards against callers that wait for a stream until they give up: those of a worker on a
+// frozen machine left after 2.4 s, and their requests ran when it woke (GONE on an own day
+// with frozen machines). An answer before that lets them come back.
+func TestStreamWithoutAnEventIsAnsweredBeforeTheCallerLeaves(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		silent := func(*exchangeOnWire) { <-time.After(time.Minute) }
+		d.worker("llm", "w1", 1, silent)
+		d.worker("llm", "w2", 1, silent)
+		got := d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000")
+		if got.status < 500 || got.status == http.StatusServiceUnavailable || got.took > 2300*time.Millisecond {
+			t.Fatalf("answer %+v", got)
+		}
+	})
+}
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -26,6 +26,9 @@
 	defaultBodyBytes = 4 << 20
 	// writeGrace is added to the deadline for the final answer itself.
 	writeGrace = 200 * time.Millisecond
+	// beginReserve is how long before a caller gives a stream up without an event that it
+	// gets a final answer, with which it can come back.
+	beginReserve = 200 * time.Millisecond
 	// finalRetryAfter is the least time that a refused caller is told to wait.
 	finalRetryAfter = 250 * time.Millisecond
 	// retryAfterJitter spreads the return of refused callers, as a part of the time.
@@ -95,6 +98,12 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errTimeout)
 	defer cancel()
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	if c.route.Kind == catalog.Stream {
+		c.begin = time.AfterFunc(c.route.CallerPatience()-beginReserve, func() { giveUp(errTimeout) })
+		defer c.begin.Stop()
+	}
 	// A caller that does not read must not hold the exchange longer than its time.
 	writes := http.NewResponseController(w)
 	if err := writes.SetWriteDeadline(c.deadline.Add(writeGrace)); err != nil {
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -44,6 +44,11 @@
 	// settingsInterval separates two looks at the settings file, which may change without
 	// a signal.
 	settingsInterval = 2 * time.Second
+	// pullWait and staleAfter bound the time in which an entry notices that the one it
+	// mirrors from is gone or hears nothing, so that it knows of a leaving worker within
+	// the bound of 2 s.
+	pullWait   = 500 * time.Millisecond
+	staleAfter = 1900 * time.Millisecond
 	// registerInterval separates two tries to write this entry to the store.
 	registerInterval = 500 * time.Millisecond
 )
@@ -76,7 +81,8 @@
 			platform.KindConfig: false, platform.KindWorkers: true, platform.KindEvacuations: false,
 			platform.KindVersions: false, platform.KindEntries: false,
 		},
-		Store: store, Neighbours: rpcmirror.NewClient(conns, v.peers), First: mirror.StoreFirst, Changed: v.changed, Log: log,
+		Store: store, Neighbours: rpcmirror.NewClient(conns, v.neighbours), First: v.source, PullWait: pullWait, StaleAfter: staleAfter,
+		Changed: v.changed, Log: log,
 	})
 	p.grpc = grpc.NewServer()
 	laburnumgwv1.RegisterMirrorServer(p.grpc, &rpcmirror.Server{Driver: p.mirror})
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -146,6 +146,9 @@
 		return nil
 	}
 	if !c.headed {
+		if c.begin != nil && !c.begin.Stop() {
+			return errTimeout
+		}
 		c.head(response.StatusCode, response.Header)
 		c.w.WriteHeader(response.StatusCode)
 		c.metrics.firstByte.UpdateDuration(c.started)
--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -23,6 +23,19 @@
 	Stream
 )
 
+// Callers give a stream up, also before its first event, after a pause of the longest of
+// leastPause, pauseObjectives times the objective and pauseGaps times the gap.
+const (
+	leastPause      = 2 * time.Second
+	pauseObjectives = 4
+	pauseGaps       = 8
+)
+
+// CallerPatience returns how long a caller of a stream waits for the next event.
+func (r *Route) CallerPatience() time.Duration {
+	return max(leastPause, pauseObjectives*r.Objective, pauseGaps*r.Gap)
+}
+
 // Backend is one service of a route with its share of the requests.
 type Backend struct {
 	Service string
@@ -40,7 +53,9 @@
 	// Objective is the latency within which an answer has its full value; for streams
 	// up to the first event.
 	Objective time.Duration
-	Priority  int
+	// Gap is the longest pause between events that is still on time.
+	Gap      time.Duration
+	Priority int
 	// Attempts is the largest number of workers that one request is sent to.
 	Attempts  int
 	Public    bool
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
+	"fmt"
 	"sync"
 	"time"
 
@@ -14,19 +14,22 @@
 const (
 	// watchWait is how long one watch waits for a change. Each watch is one priced call;
 	// keep-alives of the connection find a silent store earlier.
-	watchWait = 25 * time.Second
-	// pullWait is how long a neighbour waits for a change.
-	pullWait = 20 * time.Second
-	// turnAfter is how long the store may fail before neighbours are asked, and the
-	// other way round.
+	watchWait = 29 * time.Second
+	// turnAfter is how long the store may fail before neighbours are asked.
 	turnAfter = 400 * time.Millisecond
+	// idleWait is the resolution at which neighbours take over from the store.
+	idleWait = 200 * time.Millisecond
+	// turnInterval is how often it is looked at who is asked first.
+	turnInterval = time.Second
+	// pullRetry is the pause after all neighbours failed.
+	pullRetry = 500 * time.Millisecond
 	// Calls that failed are repeated after firstRetry, doubling up to lastRetry.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond
 	// probeInterval separates two looks at the revision of the store. A watch may be deaf
 	// while changes are made, and the bounds of leaving workers and of configurations
 	// are 2 s.
-	probeInterval = time.Second
+	probeInterval = 1250 * time.Millisecond
 	// probeGrace is how long a watch may take to deliver what a probe has seen.
 	probeGrace = 250 * time.Millisecond
 	// batchWait is the pause before a watch goes on after a change.
@@ -53,7 +56,14 @@
 // Neighbours asks one of the neighbours for kinds that it knows in a newer revision.
 // It fails when none is known or none answers.
 type Neighbours interface {
-	Pull(ctx context.Context, known map[string]int64, wait time.Duration) ([]State, error)
+	Pull(ctx context.Context, known map[string]int64, wait time.Duration) (Pulled, error)
+}
+
+// Pulled is the answer of a neighbour.
+type Pulled struct {
+	States []State
+	// Age is that of the neighbour's last answer of the store.
+	Age time.Duration
 }
 
 // Source names who is asked first.
@@ -73,7 +83,12 @@
 	Kinds      map[string]bool
 	Store      Store
 	Neighbours Neighbours
-	First      Source
+	// First names who is asked first; nil for the store.
+	First func() Source
+	// PullWait is how long a neighbour waits for a change, and StaleAfter the age of its
+	// last answer of the store from which on it is not relied on.
+	PullWait   time.Duration
+	StaleAfter time.Duration
 	// Changed is called in order for each change. It must not block.
 	Changed func(kind string, changes []Change)
 	Log     *zap.Logger
@@ -87,15 +102,19 @@
 	kinds map[string]*Kind
 	// moved is closed and replaced at each new revision, for those who wait for one.
 	moved chan struct{}
-	// pulling is set while the neighbours answer.
+	// pulling is set while the neighbours answer; turned is closed and replaced when
+	// that changes.
 	pulling bool
+	turned  chan struct{}
+	// confirmedAt is the time of the last answer of the store, also through neighbours.
+	confirmedAt time.Time
 	// cancels ends the call of the store that runs for a kind.
 	cancels map[string]context.CancelFunc
 }
 
 // NewDriver returns a driver that runs with Run.
 func NewDriver(config Config) *Driver {
-	d := &Driver{config: config, kinds: make(map[string]*Kind), moved: make(chan struct{}), cancels: make(map[string]context.CancelFunc)}
+	d := &Driver{config: config, kinds: make(map[string]*Kind), moved: make(chan struct{}), turned: make(chan struct{}), cancels: make(map[string]context.CancelFunc)}
 	for name, lapses := range config.Kinds {
 		d.kinds[name] = NewKind(lapses)
 	}
@@ -165,9 +184,9 @@
 	pause.Reset()
 	listed := false
 	for ctx.Err() == nil {
-		if d.idle(kind) {
+		if turned, idle := d.idle(kind); idle {
 			listed = false
-			sleep(ctx, turnAfter)
+			awaitTurn(ctx, turned)
 			continue
 		}
 		calling, cancel := context.WithCancel(ctx)
@@ -206,17 +225,18 @@
 func (d *Driver) probe(ctx context.Context) {
 	for sleep(ctx, probeInterval) {
 		d.mu.Lock()
-		idle := d.config.First == NeighboursFirst && d.pulling
+		idle := d.first() == NeighboursFirst && d.pulling
 		d.mu.Unlock()
 		if idle {
 			continue
 		}
 		revision, err := d.config.Store.Revision(ctx)
-		if err == nil && d.upTo(revision) {
+		if err == nil && (d.upTo(revision) || (sleep(ctx, probeGrace) && d.upTo(revision))) {
+			d.confirmed(0)
 			continue
 		}
-		if err == nil && (!sleep(ctx, probeGrace) || d.upTo(revision)) {
-			continue
+		if ctx.Err() != nil {
+			return
 		}
 		d.config.Log.Warn("watches are behind the store", zap.Int64("revision", revision), zap.Error(err))
 		d.Refresh("watches are behind the store")
@@ -245,11 +265,47 @@
 	}
 }
 
-// idle reports whether the neighbours make the store's calls needless.
-func (d *Driver) idle(kind *Kind) bool {
+// idle reports whether the neighbours make the store's calls needless. The channel is
+// closed when they stop to answer.
+func (d *Driver) idle(kind *Kind) (turned <-chan struct{}, idle bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.turned, d.first() == NeighboursFirst && d.pulling && kind.Known()
+}
+
+// awaitTurn waits until the neighbours stop to answer, or for a while, since who is asked
+// first may change.
+func awaitTurn(ctx context.Context, turned <-chan struct{}) {
+	timer := time.NewTimer(turnInterval)
+	defer timer.Stop()
+	select {
+	case <-turned:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (d *Driver) first() Source {
+	if d.config.First == nil {
+		return StoreFirst
+	}
+	return d.config.First()
+}
+
+// Age returns the time since the last answer of the store, also through neighbours.
+func (d *Driver) Age() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.confirmedAt)
+}
+
+// confirmed notes an answer of the store of an age.
+func (d *Driver) confirmed(age time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.config.First == NeighboursFirst && d.pulling && kind.Known()
+	if at := time.Now().Add(-age); at.After(d.confirmedAt) {
+		d.confirmedAt = at
+	}
 }
 
 func (d *Driver) ask(ctx context.Context, name string, kind *Kind, listed bool) error {
@@ -259,6 +315,7 @@
 			return err
 		}
 		d.apply(name, kind, func(now time.Time) []Change { return kind.Listed(objects, revision, now) })
+		d.confirmed(0)
 		return nil
 	}
 	d.mu.Lock()
@@ -311,30 +368,41 @@
 	}
 	for ctx.Err() == nil {
 		if !d.wantsNeighbours() {
-			sleep(ctx, turnAfter/2)
+			sleep(ctx, idleWait)
 			continue
 		}
-		states, err := d.config.Neighbours.Pull(ctx, d.revisions(), pullWait)
-		d.mu.Lock()
-		if d.pulling != (err == nil) {
-			d.config.Log.Info("neighbours mirror the store", zap.Bool("answering", err == nil), zap.Error(err))
+		pulled, err := d.config.Neighbours.Pull(ctx, d.revisions(), d.config.PullWait)
+		if err == nil && pulled.Age > d.config.StaleAfter {
+			err = fmt.Errorf("neighbour has not heard of the store for %s", pulled.Age)
 		}
-		d.pulling = err == nil
-		d.mu.Unlock()
+		d.answering(err)
 		if err != nil {
-			sleep(ctx, firstRetry+rand.N(firstRetry))
+			sleep(ctx, pullRetry)
 			continue
 		}
-		for _, state := range states {
+		for _, state := range pulled.States {
 			if kind := d.kinds[state.Kind]; kind != nil {
 				d.apply(state.Kind, kind, func(now time.Time) []Change { return kind.Listed(state.Objects, state.Revision, now) })
 			}
 		}
+		d.confirmed(pulled.Age)
+	}
+}
+
+// answering notes whether the neighbours answer.
+func (d *Driver) answering(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.pulling != (err == nil) {
+		close(d.turned)
+		d.turned = make(chan struct{})
+		d.config.Log.Info("neighbours mirror the store", zap.Bool("answering", err == nil), zap.Error(err))
 	}
+	d.pulling = err == nil
 }
 
 func (d *Driver) wantsNeighbours() bool {
-	if d.config.First == NeighboursFirst {
+	if d.first() == NeighboursFirst {
 		return true
 	}
 	d.mu.Lock()
--- a/lib/mirror/mirror_test.go
+++ b/lib/mirror/mirror_test.go
@@ -112,9 +112,12 @@
 			if o.Revision > after {
 				events = append(events, Event{Object: o})
 			}
-			delete(seen, name)
+			seen[name] = true
 		}
 		for name := range seen {
+			if _, present := f.objects[kind][name]; present {
+				continue
+			}
 			events = append(events, Event{Object: object(name, f.revision), Deleted: true})
 		}
 		revision := f.revision
@@ -302,3 +305,109 @@
 		}
 	})
 }
+
+// neighbour is a fakeNeighbours over another driver, which can be frozen or gone.
+type neighbour struct {
+	driver *Driver
+	mu     sync.Mutex
+	gone   bool
+}
+
+func (n *neighbour) Pull(ctx context.Context, known map[string]int64, wait time.Duration) (Pulled, error) {
+	n.mu.Lock()
+	gone := n.gone
+	n.mu.Unlock()
+	if gone {
+		select {
+		case <-time.After(wait + 400*time.Millisecond):
+		case <-ctx.Done():
+		}
+		return Pulled{}, errDown
+	}
+	states := n.driver.Newer(ctx, known, wait)
+	return Pulled{States: states, Age: n.driver.Age()}, nil
+}
+
+// followLeader runs a leader that reads the store and a follower that mirrors from it.
+func followLeader(ctx context.Context, leaderStore, followerStore *fakeStore) (*followed, *neighbour) {
+	kinds := map[string]bool{"workers": true, "config": false}
+	leader := NewDriver(Config{Kinds: kinds, Store: leaderStore, Log: zap.NewNop(), Changed: func(string, []Change) {}})
+	go leader.Run(ctx)
+	n := &neighbour{driver: leader}
+	f := &followed{began: time.Now()}
+	follower := NewDriver(Config{
+		Kinds: kinds, Store: followerStore, Log: zap.NewNop(), Neighbours: n, PullWait: 500 * time.Millisecond, StaleAfter: 1900 * time.Millisecond,
+		First: func() Source { return NeighboursFirst }, Changed: func(_ string, changes []Change) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for _, change := range changes {
+				f.changes = append(f.changes, change)
+				f.at = append(f.at, time.Since(f.began))
+			}
+		},
+	})
+	go follower.Run(ctx)
+	return f, n
+}
+
+// Guards against calls of the store that grow with the number of entries, and against a
+// follower that learns of a leaving worker too late when the entry that it mirrors from
+// is gone, or is cut off from the store and hears nothing.
+func TestFollowerLearnsInTime(t *testing.T) {
+	t.Run("from its leader, without calls of its own", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			store, own := newFakeStore(), newFakeStore()
+			store.put("workers", "a")
+			own.put("workers", "a")
+			seen, _ := followLeader(t.Context(), store, own)
+			<-time.After(10 * time.Second)
+			own.mu.Lock()
+			before := own.calls
+			own.mu.Unlock()
+			<-time.After(50 * time.Second)
+			store.put("workers", "b")
+			<-time.After(time.Second)
+			if at := seen.when("b", false); at < 0 || at > 61*time.Second {
+				t.Errorf("change seen at %v", at)
+			}
+			own.mu.Lock()
+			defer own.mu.Unlock()
+			if own.calls != before {
+				t.Errorf("%d calls of the store by the follower", own.calls-before)
+			}
+		})
+	})
+	t.Run("when the leader is gone", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			store := newFakeStore()
+			store.put("workers", "a")
+			seen, n := followLeader(t.Context(), store, store)
+			<-time.After(10 * time.Second)
+			n.mu.Lock()
+			n.gone = true
+			n.mu.Unlock()
+			store.remove("workers", "a")
+			<-time.After(bound)
+			if at := seen.when("a", true); at < 0 {
+				t.Error("removal not seen within the bound")
+			}
+		})
+	})
+	t.Run("when the leader cannot reach the store", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			store, own := newFakeStore(), newFakeStore()
+			store.put("workers", "a")
+			own.put("workers", "a")
+			seen, _ := followLeader(t.Context(), store, own)
+			<-time.After(10 * time.Second)
+			store.set(func() { store.down = true })
+			own.set(func() { own.revision = 100 })
+			<-time.After(3 * time.Second)
+			own.put("workers", "b")
+			<-time.After(bound)
+			if at := seen.when("b", false); at < 0 {
+				t.Error("change not seen within the bound of a stable core")
+			}
+		})
+	})
+}
--- a/lib/mirror/rpcmirror/rpcmirror.go
+++ b/lib/mirror/rpcmirror/rpcmirror.go
@@ -3,7 +3,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"fmt"
+	"slices"
 	"time"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
@@ -13,7 +14,7 @@
 )
 
 // pullSlack is added to the time that a neighbour may wait.
-const pullSlack = time.Second
+const pullSlack = 400 * time.Millisecond
 
 // maxWait bounds how long a caller may let a pull wait.
 const maxWait = 30 * time.Second
@@ -27,8 +28,9 @@
 // Pull implements the Mirror service.
 func (s *Server) Pull(ctx context.Context, request *laburnumgwv1.PullRequest) (*laburnumgwv1.PullResponse, error) {
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxWait)
-	response := &laburnumgwv1.PullResponse{}
-	for _, state := range s.Driver.Newer(ctx, request.GetKnown(), wait) {
+	states := s.Driver.Newer(ctx, request.GetKnown(), wait)
+	response := &laburnumgwv1.PullResponse{ConfirmedMsAgo: s.Driver.Age().Milliseconds()}
+	for _, state := range states {
 		kind := &laburnumgwv1.KindState{Kind: state.Kind, Revision: state.Revision}
 		for _, object := range state.Objects {
 			kind.Objects = append(kind.Objects, &laburnumgwv1.MirroredObject{
@@ -53,34 +55,38 @@
 	return &Client{conns: conns, peers: peers}
 }
 
-// Pull implements mirror.Neighbours.
-func (c *Client) Pull(ctx context.Context, known map[string]int64, wait time.Duration) ([]mirror.State, error) {
-	if c.current == "" {
-		peers := c.peers()
-		if len(peers) == 0 {
-			return nil, errkind.New(errkind.Unavailable, "wait until the store names other processes", "no neighbour is known")
-		}
-		c.current = peers[rand.IntN(len(peers))]
+// Pull implements mirror.Neighbours. It asks the next neighbour at the next call when one
+// does not answer.
+func (c *Client) Pull(ctx context.Context, known map[string]int64, wait time.Duration) (mirror.Pulled, error) {
+	peers := c.peers()
+	if len(peers) == 0 {
+		c.current = ""
+		return mirror.Pulled{}, errkind.New(errkind.Unavailable, "wait until the store names other processes", "no neighbour is known")
 	}
-	states, err := c.pull(ctx, c.current, known, wait)
+	at := slices.Index(peers, c.current)
+	if at < 0 {
+		at = 0
+		c.current = peers[0]
+	}
+	pulled, err := c.pull(ctx, c.current, known, wait)
 	if err != nil {
-		c.current = ""
+		c.current = peers[(at+1)%len(peers)]
 	}
-	return states, err
+	return pulled, err
 }
 
-func (c *Client) pull(ctx context.Context, address string, known map[string]int64, wait time.Duration) ([]mirror.State, error) {
+func (c *Client) pull(ctx context.Context, address string, known map[string]int64, wait time.Duration) (mirror.Pulled, error) {
 	conn, err := c.conns.Conn(address)
 	if err != nil {
-		return nil, err
+		return mirror.Pulled{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+pullSlack)
 	defer cancel()
 	response, err := laburnumgwv1.NewMirrorClient(conn).Pull(ctx, &laburnumgwv1.PullRequest{Known: known, WaitMs: int32(wait.Milliseconds())})
 	if err != nil {
-		return nil, err
+		return mirror.Pulled{}, fmt.Errorf("pull from %s: %w", address, err)
 	}
-	states := make([]mirror.State, 0, len(response.GetKinds()))
+	pulled := mirror.Pulled{Age: time.Duration(response.GetConfirmedMsAgo()) * time.Millisecond}
 	for _, kind := range response.GetKinds() {
 		state := mirror.State{Kind: kind.GetKind(), Revision: kind.GetRevision()}
 		for _, object := range kind.GetObjects() {
@@ -88,7 +94,7 @@
 				Name: object.GetName(), Revision: object.GetRevision(), Value: object.GetValue(),
 			})
 		}
-		states = append(states, state)
+		pulled.States = append(pulled.States, state)
 	}
-	return states, nil
+	return pulled, nil
 }
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -100,6 +100,16 @@
 	idleSince time.Time
 }
 
+// abort closes the connection with a reset. A worker that has not read the request yet,
+// because its machine stands still, then never reads it.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// It fails only on a connection that is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // Response is an answer whose body is read from its connection.
 type Response struct {
 	*http.Response
@@ -118,10 +128,10 @@
 	if err != nil {
 		return nil, false, err
 	}
-	stop := context.AfterFunc(ctx, func() { c.Close() })
+	stop := context.AfterFunc(ctx, c.abort)
 	fail := func(sent bool, err error) (*Response, bool, error) {
 		stop()
-		c.Close()
+		c.abort()
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
@@ -306,7 +316,7 @@
 	}
 	r.closed = true
 	r.stop()
-	r.conn.Close()
+	r.conn.abort()
 }
 
 func (p *Pool) put(address string, c *conn) {
