Add a soak of the real processes under random faults

Stand-ins of the platform's store, workers and origin on loopback, a proxy that delays, silences, resets and cuts one way, and callers that check what they get.

--- /dev/null
+++ b/cmd/laburnumsoak/main.go
@@ -0,0 +1,98 @@
+// Command laburnumsoak runs the daemon on loopback under random faults and checks its
+// promises. It prints the seeds that broke one.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"golang.org/x/sync/errgroup"
+
+	"laburnumgw/soak"
+)
+
+type options struct {
+	Binary   string        `long:"binary" default:"bin/laburnumgw" description:"daemon to run"`
+	Dir      string        `long:"dir" description:"directory for settings and logs; a temporary one when omitted"`
+	Seed     uint64        `long:"seed" default:"1" description:"first seed"`
+	Seeds    int           `long:"seeds" default:"1" description:"number of seeds"`
+	Parallel int           `long:"parallel" default:"1" description:"seeds to run at the same time"`
+	Duration time.Duration `long:"duration" default:"20s" description:"length of a run"`
+	Entries  int           `long:"entries" default:"3" description:"entry processes"`
+	Models   int           `long:"models" default:"6" description:"model workers with their processes"`
+	Plain    int           `long:"plain" default:"3" description:"plain workers"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var usage *flags.Error
+		if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(2)
+	}
+	broken, err := run(o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "laburnumsoak:", err)
+		os.Exit(2)
+	}
+	if broken > 0 {
+		os.Exit(1)
+	}
+}
+
+func run(o options) (int, error) {
+	if o.Dir == "" {
+		dir, err := os.MkdirTemp("", "laburnumsoak")
+		if err != nil {
+			return 0, fmt.Errorf("create directory: %w", err)
+		}
+		o.Dir = dir
+	}
+	results := make([]soak.Result, o.Seeds)
+	networks := make(chan int, o.Parallel)
+	for i := range o.Parallel {
+		networks <- 10 + i
+	}
+	var group errgroup.Group
+	group.SetLimit(o.Parallel)
+	for i := range o.Seeds {
+		group.Go(func() error {
+			network := <-networks
+			defer func() { networks <- network }()
+			seed := o.Seed + uint64(i)
+			dir := filepath.Join(o.Dir, fmt.Sprintf("seed-%d", seed))
+			if err := os.MkdirAll(dir, 0o700); err != nil {
+				return fmt.Errorf("create directory: %w", err)
+			}
+			result, err := soak.Run(soak.Options{
+				Binary: o.Binary, Dir: dir, Network: network, Entries: o.Entries, Models: o.Models, Plain: o.Plain, Model: soak.SmallModel(),
+			}, seed, o.Duration)
+			if err != nil {
+				return fmt.Errorf("seed %d: %w", seed, err)
+			}
+			results[i] = result
+			fmt.Println(result)
+			for _, problem := range result.Broken {
+				fmt.Println("  broken:", problem)
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return 0, err
+	}
+	broken := 0
+	for _, result := range results {
+		if len(result.Broken) > 0 {
+			broken++
+		}
+	}
+	fmt.Printf("%d of %d seeds broke a promise; logs in %s\n", broken, o.Seeds, o.Dir)
+	return broken, nil
+}
--- /dev/null
+++ b/soak/callers.go
@@ -0,0 +1,149 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Outcome is what one request came to.
+type Outcome struct {
+	ID     string
+	Kind   string
+	Entry  string
+	Sent   time.Time
+	Ended  time.Time
+	Status int
+	// Err is set when the answer did not arrive whole.
+	Err error
+	// Wrong describes an answer that breaks a promise.
+	Wrong error
+}
+
+// Callers send requests to all entries until they are stopped. They keep connections open
+// until the process is gone.
+type Callers struct {
+	fleet  *Fleet
+	client *http.Client
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+
+	mu       sync.Mutex
+	outcomes []Outcome
+}
+
+// callerPause separates two requests of one caller.
+const callerPause = 40 * time.Millisecond
+
+// Call starts callers of each kind of request at each entry.
+func (f *Fleet) Call(seed uint64) *Callers {
+	ctx, stop := context.WithCancel(context.Background())
+	c := &Callers{fleet: f, stop: stop, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}}
+	for i, entry := range f.Entries {
+		for _, kind := range []string{"chat", "book", "view"} {
+			c.done.Go(func() {
+				for n := 0; ctx.Err() == nil; n++ {
+					c.record(c.ask(entry, kind, fmt.Sprintf("%d-%s-%d-%d", seed, kind, i, n)))
+					time.Sleep(callerPause)
+				}
+			})
+		}
+	}
+	return c
+}
+
+// Stop waits for the running requests and returns all outcomes.
+func (c *Callers) Stop() []Outcome {
+	c.stop()
+	c.done.Wait()
+	return c.outcomes
+}
+
+func (c *Callers) record(o Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = append(c.outcomes, o)
+}
+
+func (c *Callers) ask(entry *Process, kind, id string) Outcome {
+	o := Outcome{ID: id, Kind: kind, Entry: entry.Name, Sent: time.Now()}
+	defer func() { o.Ended = time.Now() }()
+	method, body := http.MethodPost, []byte("body-"+id)
+	if kind == "view" {
+		method, body = http.MethodGet, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 7*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+entry.Frontend()+"/"+kind+"/"+id, bytes.NewReader(body))
+	if err != nil {
+		o.Err = err
+		return o
+	}
+	// The client must not repeat a request by itself under the same id.
+	request.GetBody = nil
+	request.Host = host
+	request.Header.Set("X-Laburnumgw-Request-Id", id)
+	request.Header.Set("X-Laburnumgw-Deadline-Ms", "6000")
+	request.Header.Set("X-Laburnumgw-Token-Counts", "900,48")
+	request.Header.Set("Authorization", "Token "+apiKey)
+	response, err := c.client.Do(request)
+	if err != nil {
+		o.Err = err
+		return o
+	}
+	defer response.Body.Close()
+	o.Status = response.StatusCode
+	data, err := io.ReadAll(response.Body)
+	o.Err = err
+	if err == nil && o.Status == http.StatusOK {
+		o.Wrong = c.check(kind, id, method, body, response.Header, data)
+	}
+	return o
+}
+
+// check compares a whole success with what the worker must have sent.
+func (c *Callers) check(kind, id, method string, body []byte, header http.Header, data []byte) error {
+	if header.Get("X-Laburnumgw-Request-Id") != id {
+		return fmt.Errorf("answer belongs to request %q", header.Get("X-Laburnumgw-Request-Id"))
+	}
+	if header.Get("X-Laburnumgw-Server-Seal") == "" {
+		return errors.New("success without the worker's proof")
+	}
+	if kind != "chat" {
+		if want := fmt.Sprintf("%s /%s/%s %s", method, kind, id, body); string(data) != want {
+			return fmt.Errorf("body %q, want %q", data, want)
+		}
+		return nil
+	}
+	return checkStream(data, header.Get("X-Laburnumgw-Weight-Versions"))
+}
+
+// checkStream checks that every event came once, in order and from one version.
+func checkStream(data []byte, version string) error {
+	const events = 8
+	next := 1
+	lines := bufio.NewScanner(bytes.NewReader(data))
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), ": ")
+		switch {
+		case name == "id" && value != strconv.Itoa(next):
+			return fmt.Errorf("event %s where %d is due", value, next)
+		case name == "id":
+			next++
+		case name == "data" && value != "version "+version:
+			return fmt.Errorf("stream of version %s holds %q", version, value)
+		}
+	}
+	if next != events+1 {
+		return fmt.Errorf("stream ended as complete after %d of %d events", next-1, events)
+	}
+	return nil
+}
--- /dev/null
+++ b/soak/fleet.go
@@ -0,0 +1,357 @@
+// Package soak runs the daemon as separate processes on loopback before stand-ins of the
+// users' platform, injects faults from outside the processes, and checks what callers and
+// workers see. A run is drawn from a seed.
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"laburnumgw/standin/hosted"
+)
+
+const (
+	// grace is the time from SIGTERM to SIGKILL.
+	grace = 8 * time.Second
+	// versionBound is the time in which a named version must be in force.
+	versionBound = 8 * time.Second
+	// drainBound is the time after which a leaving worker must get no requests.
+	drainBound = 2 * time.Second
+	// settle is the calm after which bounds of time hold again.
+	settle = 3 * time.Second
+	// workerPort and the others are the same on all machines; each has its own address.
+	workerPort    = 8100
+	frontendPort  = 8200
+	readinessPort = 8201
+	internalPort  = 8300
+	lastPort      = 8315
+)
+
+// Names in the configuration of the soak.
+const (
+	modelService = "llm"
+	plainService = "desk"
+	apiKey       = "key"
+	host         = "soak.example"
+)
+
+// Options describe a fleet.
+type Options struct {
+	// Binary is the daemon.
+	Binary string
+	// Dir receives settings and logs.
+	Dir string
+	// Network is the second byte of the loopback addresses, so that fleets can run side
+	// by side.
+	Network int
+	Entries int
+	Models  int
+	Plain   int
+	Model   hosted.Model
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	Options
+	Store   *hosted.Store
+	Origin  *hosted.Origin
+	Entries []*Process
+	Sides   []*Process
+	Workers []*Machine
+	Plains  []*Machine
+
+	storeProxies []*Proxy
+	servers      []*http.Server
+	mu           sync.Mutex
+}
+
+// Machine is a worker with its address and the proxy before it.
+type Machine struct {
+	*hosted.Worker
+	Proxy *Proxy
+}
+
+// Process is one daemon process.
+type Process struct {
+	Name string
+	IP   string
+	Zone string
+
+	fleet    *Fleet
+	role     string
+	settings string
+	log      *os.File
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+var zones = []string{"a", "b", "c"}
+
+func zoneOf(i int) string { return zones[i%len(zones)] }
+
+// Start starts a fleet. Two thirds of the model workers hold version 1; the others are
+// empty, as workers are that join later.
+func Start(options Options) (*Fleet, error) {
+	f := &Fleet{Options: options, Store: hosted.NewStore(), Origin: &hosted.Origin{Model: options.Model, Newest: 1}}
+	if err := f.startOutside(); err != nil {
+		return nil, errors.Join(err, f.Stop())
+	}
+	for i := range options.Entries {
+		p, err := f.process("hosted-entry", fmt.Sprintf("front-%d", i), f.ip(1, i), zoneOf(i), "")
+		if err != nil {
+			return nil, errors.Join(err, f.Stop())
+		}
+		f.Entries = append(f.Entries, p)
+	}
+	for i, m := range f.Workers {
+		p, err := f.process("hosted-endpoint", fmt.Sprintf("side-%d", i), f.ip(2, i), m.Zone, m.Address)
+		if err != nil {
+			return nil, errors.Join(err, f.Stop())
+		}
+		f.Sides = append(f.Sides, p)
+	}
+	for _, p := range append(append([]*Process{}, f.Entries...), f.Sides...) {
+		if err := p.Start(); err != nil {
+			return nil, errors.Join(err, f.Stop())
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) ip(class, i int) string { return fmt.Sprintf("127.%d.%d.%d", f.Network, class, i+1) }
+
+// startOutside starts the stand-ins.
+func (f *Fleet) startOutside() error {
+	store := f.ip(4, 0) + ":8000"
+	origin := f.ip(4, 1) + ":8000"
+	if err := f.serve(store, f.Store); err != nil {
+		return err
+	}
+	if err := f.serve(origin, f.Origin); err != nil {
+		return err
+	}
+	for i := range f.Options.Models {
+		w := &hosted.Worker{
+			ID: fmt.Sprintf("m-%d", i), Service: modelService, Zone: zoneOf(i), Address: fmt.Sprintf("%s:%d", f.ip(2, i), workerPort),
+			Model: f.Model, Events: 8, EventGap: 20 * time.Millisecond,
+		}
+		if i%3 != 2 {
+			w.Load(1)
+		}
+		m, err := f.machine(w)
+		if err != nil {
+			return err
+		}
+		f.Workers = append(f.Workers, m)
+	}
+	for i := range f.Options.Plain {
+		w := &hosted.Worker{ID: fmt.Sprintf("p-%d", i), Service: plainService, Zone: zoneOf(i), Address: fmt.Sprintf("%s:%d", f.ip(3, i), workerPort)}
+		m, err := f.machine(w)
+		if err != nil {
+			return err
+		}
+		f.Plains = append(f.Plains, m)
+	}
+	f.Store.Put("config", "main", f.Config(1, origin))
+	f.Store.Put("versions", f.Model.Name, map[string]any{"model": f.Model.Name, "version": 1})
+	f.Publish()
+	return nil
+}
+
+// machine starts a worker behind a proxy at its address.
+func (f *Fleet) machine(w *hosted.Worker) (*Machine, error) {
+	ip, _, err := net.SplitHostPort(w.Address)
+	if err != nil {
+		return nil, fmt.Errorf("address of worker %s: %w", w.ID, err)
+	}
+	behind := fmt.Sprintf("%s:%d", ip, workerPort+1)
+	if err := f.serve(behind, w); err != nil {
+		return nil, err
+	}
+	proxy, err := NewProxy(w.Address, behind)
+	if err != nil {
+		return nil, err
+	}
+	return &Machine{Worker: w, Proxy: proxy}, nil
+}
+
+func (f *Fleet) serve(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: grace}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(listener) }() // it ends when the fleet stops
+	return nil
+}
+
+// Config returns a configuration.
+func (f *Fleet) Config(version int, origin string) map[string]any {
+	route := func(name, kind, service string, timeout, attempts int) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": timeout, "target_latency_ms": 400,
+			"priority": 1, "service": service, "attempts": attempts, "resumable": kind == "streaming", "gap_target_ms": 300,
+		}
+	}
+	return map[string]any{
+		"version": version,
+		"routes": []any{
+			route("chat", "streaming", modelService, 6000, 2), route("book", "unsafe", plainService, 1200, 1), route("view", "safe", plainService, 1200, 2),
+		},
+		"services": []any{
+			map[string]any{
+				"name": modelService, "health_path": "/health", "connection_limit": 400, "engine": map[string]any{
+					"slots": 16, "layers": f.Model.Layers, "chunks": f.Model.Chunks, "chunk_bytes": f.Model.ChunkBytes, "step_ms": 3.0, "stride": 6,
+					"read_per_s": 30600.0, "models": []any{map[string]any{"name": f.Model.Name, "warm_s": 0.3}}, "usual": map[string]any{"prompt": 900, "answer": 48},
+				},
+			},
+			map[string]any{"name": plainService, "health_path": "/health", "connection_limit": 100},
+			map[string]any{"name": "weights", "origin": origin, "zone": "a", "link_mbps": 400.0, "connection_limit": 48},
+		},
+		"limits":  map[string]any{"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "ws", "api_keys": []string{apiKey}, "priority": 1}},
+	}
+}
+
+// OriginAddress returns the address of the origin of weights.
+func (f *Fleet) OriginAddress() string { return f.ip(4, 1) + ":8000" }
+
+// Publish writes the entries of all workers, as they do by themselves.
+func (f *Fleet) Publish() {
+	for _, m := range append(append([]*Machine{}, f.Workers...), f.Plains...) {
+		f.Store.Put("servers", m.ID, m.Entry("ready"))
+	}
+}
+
+// Name names a new version of the weights.
+func (f *Fleet) Name(version int) {
+	f.Store.Put("versions", f.Model.Name, map[string]any{"model": f.Model.Name, "version": version})
+}
+
+// process prepares a process with its own way to the store.
+func (f *Fleet) process(role, name, ip, zone, worker string) (*Process, error) {
+	proxy, err := NewProxy(ip+":8400", f.ip(4, 0)+":8000")
+	if err != nil {
+		return nil, err
+	}
+	f.storeProxies = append(f.storeProxies, proxy)
+	var b strings.Builder
+	fmt.Fprintf(&b, "node_name = %q\nip_address = %q\nzone = %q\nregion = \"r1\"\ninternal_ports = [%d,%d]\n", name, ip, zone, internalPort, lastPort)
+	if worker != "" {
+		fmt.Fprintf(&b, "app = %q\nservice = %q\n", worker, modelService)
+	}
+	fmt.Fprint(&b, "[zones]\na = \"r1\"\nb = \"r1\"\nc = \"r1\"\n[listen]\n")
+	if worker == "" {
+		fmt.Fprintf(&b, "frontend = \"%s:%d\"\nreadiness = \"%s:%d\"\n", ip, frontendPort, ip, readinessPort)
+	}
+	fmt.Fprintf(&b, "[limits]\nlink_mbps = 100.0\nmemory_mb = 256\n[bounds]\nsettle_window_ms = %d\ngrace_s = %d\n"+
+		"retry_budget_ratio = 0.2\nretry_budget_slack = 104\nbudget_window_s = 10\ncold_overage = 1.5\ncold_slack = 5\nversion_ms = %d\n"+
+		"[platform]\naddress = \"%s:8400\"\n", settle.Milliseconds(), int(grace.Seconds()), versionBound.Milliseconds(), ip)
+	path := filepath.Join(f.Dir, name+".toml")
+	if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
+		return nil, fmt.Errorf("write settings: %w", err)
+	}
+	log, err := os.Create(filepath.Join(f.Dir, name+".log"))
+	if err != nil {
+		return nil, fmt.Errorf("create log: %w", err)
+	}
+	return &Process{Name: name, IP: ip, Zone: zone, fleet: f, role: role, settings: path, log: log}, nil
+}
+
+// Frontend returns the address for callers.
+func (p *Process) Frontend() string { return fmt.Sprintf("%s:%d", p.IP, frontendPort) }
+
+// Ready reports whether the process says that it takes connections.
+func (p *Process) Ready() bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get(fmt.Sprintf("http://%s:%d/-/readiness", p.IP, readinessPort))
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// Start starts the process.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	command := exec.Command(p.fleet.Binary, p.role)
+	command.Env = append(os.Environ(), "LABURNUMGW_BOOT="+p.settings)
+	command.Stdout, command.Stderr = p.log, p.log
+	if err := command.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.Name, err)
+	}
+	exited := make(chan struct{})
+	p.command, p.exited = command, exited
+	go func() {
+		_ = command.Wait() // the state says how it ended
+		close(exited)
+	}()
+	return nil
+}
+
+// Signal sends a signal to the process, which this fleet has started.
+func (p *Process) Signal(signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil {
+		_ = p.command.Process.Signal(signal) // a process that has ended needs none
+	}
+}
+
+// Wait waits for the end of the process and returns its exit code, or -1 after a time.
+func (p *Process) Wait(limit time.Duration) int {
+	p.mu.Lock()
+	exited, command := p.exited, p.command
+	p.mu.Unlock()
+	select {
+	case <-exited:
+		return command.ProcessState.ExitCode()
+	case <-time.After(limit):
+		return -1
+	}
+}
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	p.Wait(grace)
+}
+
+// Stop ends everything that the fleet has started.
+func (f *Fleet) Stop() error {
+	for _, p := range append(append([]*Process{}, f.Entries...), f.Sides...) {
+		p.mu.Lock()
+		started := p.command != nil
+		p.mu.Unlock()
+		if started {
+			p.Signal(syscall.SIGCONT)
+			p.Kill()
+		}
+		p.log.Close()
+	}
+	for _, proxy := range f.storeProxies {
+		proxy.Close()
+	}
+	for _, m := range append(append([]*Machine{}, f.Workers...), f.Plains...) {
+		m.Proxy.Close()
+	}
+	var problems []error
+	for _, server := range f.servers {
+		problems = append(problems, server.Close())
+	}
+	return errors.Join(problems...)
+}
--- /dev/null
+++ b/soak/run.go
@@ -0,0 +1,246 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"syscall"
+	"time"
+
+	"laburnumgw/standin/hosted"
+)
+
+// Result is what a run showed.
+type Result struct {
+	Seed uint64
+	// Requests and Served count what callers sent and got.
+	Requests int
+	Served   int
+	// Faults lists the faults in the order in which they began.
+	Faults []string
+	// Broken lists the promises that were broken.
+	Broken []error
+}
+
+// String summarises a run.
+func (r Result) String() string {
+	return fmt.Sprintf("seed %d: %d of %d requests served, %d faults, %d promises broken", r.Seed, r.Served, r.Requests, len(r.Faults), len(r.Broken))
+}
+
+// window is a time in which a fault or its effects last.
+type window struct{ from, to time.Time }
+
+// run is a run in progress.
+type run struct {
+	fleet   *Fleet
+	rng     *rand.Rand
+	result  Result
+	windows []window
+	version int
+	config  int
+	named   time.Time
+}
+
+const (
+	readyLimit = 20 * time.Second
+	// calmStart and calmEnd are without faults, so that the start and the end are served.
+	calmStart = time.Second
+	calmEnd   = 4 * time.Second
+)
+
+// Run plays one seed on a fresh fleet for about a duration.
+func Run(options Options, seed uint64, duration time.Duration) (result Result, err error) {
+	fleet, err := Start(options)
+	if err != nil {
+		return Result{Seed: seed}, err
+	}
+	defer func() { err = errors.Join(err, fleet.Stop()) }()
+	r := &run{fleet: fleet, rng: rand.New(rand.NewPCG(seed, 7)), result: Result{Seed: seed}, version: 1, config: 1}
+	if err := fleet.AwaitReady(readyLimit); err != nil {
+		return r.result, err
+	}
+	callers := fleet.Call(seed)
+	time.Sleep(calmStart)
+	for end := time.Now().Add(duration - calmStart - calmEnd); time.Now().Before(end); {
+		r.fault()
+		time.Sleep(time.Duration(200+r.rng.IntN(1200)) * time.Millisecond)
+	}
+	r.heal()
+	time.Sleep(calmEnd)
+	outcomes := callers.Stop()
+	r.check(outcomes)
+	return r.result, nil
+}
+
+// AwaitReady waits until every entry is ready and some worker serves.
+func (f *Fleet) AwaitReady(limit time.Duration) error {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		ready := 0
+		for _, p := range f.Entries {
+			if p.Ready() {
+				ready++
+			}
+		}
+		if ready == len(f.Entries) {
+			return nil
+		}
+	}
+	return fmt.Errorf("not every entry is ready after %s", limit)
+}
+
+func pick[T any](r *rand.Rand, list []T) T { return list[r.IntN(len(list))] }
+
+// mark records a fault that lasts for a time.
+func (r *run) mark(lasts time.Duration, format string, args ...any) {
+	now := time.Now()
+	r.windows = append(r.windows, window{now, now.Add(lasts)})
+	r.result.Faults = append(r.result.Faults, fmt.Sprintf(format, args...))
+}
+
+// fault draws one fault. Faults overlap, because they are undone later.
+func (r *run) fault() {
+	lasts := time.Duration(500+r.rng.IntN(2500)) * time.Millisecond
+	all := append(append([]*Process{}, r.fleet.Entries...), r.fleet.Sides...)
+	switch r.rng.IntN(10) {
+	case 0:
+		p := pick(r.rng, all)
+		r.mark(lasts, "kill %s for %s", p.Name, lasts)
+		p.Kill()
+		time.AfterFunc(lasts, func() { _ = p.Start() }) // a fleet that has stopped starts none
+	case 1:
+		p := pick(r.rng, all)
+		r.mark(lasts, "pause %s for %s", p.Name, lasts)
+		p.Signal(syscall.SIGSTOP)
+		time.AfterFunc(lasts, func() { p.Signal(syscall.SIGCONT) })
+	case 2:
+		r.restart(pick(r.rng, r.fleet.Entries))
+	case 3:
+		proxy := pick(r.rng, r.fleet.storeProxies)
+		r.harm(proxy, "store of one process", lasts)
+	case 4:
+		m := pick(r.rng, append(append([]*Machine{}, r.fleet.Workers...), r.fleet.Plains...))
+		r.harm(m.Proxy, "worker "+m.ID, lasts)
+	case 5:
+		r.mark(lasts, "store down for %s", lasts)
+		r.fleet.Store.SetDown(true)
+		time.AfterFunc(lasts, func() { r.fleet.Store.SetDown(false) })
+	case 6:
+		r.mark(0, "history of the store is dropped")
+		r.fleet.Store.Compact()
+	case 7:
+		if time.Since(r.named) > versionBound+settle {
+			r.version++
+			r.named = time.Now()
+			r.result.Faults = append(r.result.Faults, fmt.Sprintf("version %d is named", r.version))
+			r.fleet.Origin.SetNewest(r.version)
+			r.fleet.Name(r.version)
+		}
+	case 8:
+		r.config++
+		r.result.Faults = append(r.result.Faults, fmt.Sprintf("configuration %d", r.config))
+		r.fleet.Store.Put("config", "main", r.fleet.Config(r.config, r.fleet.OriginAddress()))
+	case 9:
+		proxy := pick(r.rng, append(append([]*Machine{}, r.fleet.Workers...), r.fleet.Plains...)).Proxy
+		r.mark(0, "connections of a worker are reset")
+		proxy.Reset()
+	}
+}
+
+func (r *run) harm(proxy *Proxy, what string, lasts time.Duration) {
+	mode := pick(r.rng, []Mode{Delay, Silence, OneWay, Refuse})
+	r.mark(lasts, "%s: %s for %s", what, mode, lasts)
+	proxy.Set(mode)
+	time.AfterFunc(lasts, func() { proxy.Set(Pass) })
+}
+
+// restart stops an entry as planned and starts it again.
+func (r *run) restart(p *Process) {
+	r.result.Faults = append(r.result.Faults, "planned restart of "+p.Name)
+	p.Signal(syscall.SIGTERM)
+	time.AfterFunc(grace, func() {
+		if p.Wait(0) < 0 {
+			p.Kill()
+		}
+		_ = p.Start() // a fleet that has stopped starts none
+	})
+}
+
+// heal ends all faults that can be ended at once.
+func (r *run) heal() {
+	for _, proxy := range r.fleet.storeProxies {
+		proxy.Set(Pass)
+	}
+	for _, m := range append(append([]*Machine{}, r.fleet.Workers...), r.fleet.Plains...) {
+		m.Proxy.Set(Pass)
+	}
+	r.fleet.Store.SetDown(false)
+}
+
+// calm reports whether no fault touched a time.
+func (r *run) calm(from, to time.Time) bool {
+	for _, w := range r.windows {
+		if w.from.Before(to) && w.to.Add(settle).After(from) {
+			return false
+		}
+	}
+	return true
+}
+
+// check compares what callers and workers saw with what is promised.
+func (r *run) check(outcomes []Outcome) {
+	broken := func(format string, args ...any) {
+		r.result.Broken = append(r.result.Broken, fmt.Errorf(format, args...))
+	}
+	runs := func(id string) int {
+		total := 0
+		for _, m := range append(append([]*Machine{}, r.fleet.Workers...), r.fleet.Plains...) {
+			total += m.Runs(id)
+		}
+		return total
+	}
+	for _, o := range outcomes {
+		r.result.Requests++
+		if o.Status == http.StatusOK && o.Err == nil {
+			r.result.Served++
+		}
+		if o.Wrong != nil {
+			broken("%s at %s: %w", o.ID, o.Entry, o.Wrong)
+		}
+		if o.Kind == "book" && runs(o.ID) > 1 {
+			broken("%s ran %d times", o.ID, runs(o.ID))
+		}
+		if o.Kind == "book" && (o.Status == http.StatusServiceUnavailable || o.Status == http.StatusTooManyRequests) && runs(o.ID) > 0 {
+			broken("%s was answered %d and ran", o.ID, o.Status)
+		}
+		if (o.Status == http.StatusUnauthorized || o.Status == http.StatusNotFound) && o.Err == nil {
+			broken("%s at %s was answered %d", o.ID, o.Entry, o.Status)
+		}
+		if took := o.Ended.Sub(o.Sent); took > 6500*time.Millisecond && r.calm(o.Sent, o.Ended) {
+			broken("%s at %s took %s", o.ID, o.Entry, took)
+		}
+	}
+	for _, m := range r.fleet.Workers {
+		if err := m.Err(); err != nil {
+			broken("%w", err)
+		}
+	}
+	if r.result.Served*4 < r.result.Requests {
+		broken("only %d of %d requests were served", r.result.Served, r.result.Requests)
+	}
+	tail := outcomes[max(0, len(outcomes)-len(r.fleet.Entries)*6):]
+	served := 0
+	for _, o := range tail {
+		if o.Status == http.StatusOK && o.Err == nil {
+			served++
+		}
+	}
+	if served == 0 {
+		broken("nothing is served after the faults have ended")
+	}
+}
+
+// SmallModel returns the weights of the soak: small, so that they move within a second.
+func SmallModel() hosted.Model {
+	return hosted.Model{Name: "m", Chunks: 16, ChunkBytes: 4096, Layers: 8}
+}
--- /dev/null
+++ b/standin/hosted/store.go
@@ -0,0 +1,213 @@
+// Package hosted holds stand-ins of the users' platform for tests: its metadata store, a
+// model worker, a plain worker and the origin of weights. They speak the platform's
+// formats as far as the daemon uses them. The daemon never imports it.
+package hosted
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Object is one stored object.
+type Object struct {
+	Metadata struct {
+		Name       string   `json:"name"`
+		Revision   int64    `json:"revision"`
+		Finalizers []string `json:"finalizers"`
+	} `json:"metadata"`
+	Specification json.RawMessage `json:"specification"`
+	Status        json.RawMessage `json:"status"`
+}
+
+type event struct {
+	Object  Object `json:"object"`
+	Deleted bool   `json:"deleted"`
+	kind    string
+}
+
+// Store is the metadata store. Its history is never dropped unless Compact is called.
+type Store struct {
+	mu       sync.Mutex
+	revision int64
+	objects  map[string]map[string]Object
+	history  []event
+	oldest   int64
+	changed  chan struct{}
+	down     bool
+	calls    int
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{revision: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{})}
+}
+
+// Put writes an object.
+func (s *Store) Put(kind, name string, value any) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(kind, name, raw)
+}
+
+func (s *Store) write(kind, name string, raw json.RawMessage) Object {
+	s.revision++
+	object := Object{Specification: raw}
+	object.Metadata.Name = name
+	object.Metadata.Revision = s.revision
+	if s.objects[kind] == nil {
+		s.objects[kind] = make(map[string]Object)
+	}
+	s.objects[kind][name] = object
+	s.record(event{Object: object, kind: kind})
+	return object
+}
+
+// Delete removes an object.
+func (s *Store) Delete(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, ok := s.objects[kind][name]
+	if !ok {
+		return
+	}
+	delete(s.objects[kind], name)
+	s.revision++
+	object.Metadata.Revision = s.revision
+	s.record(event{Object: object, Deleted: true, kind: kind})
+}
+
+func (s *Store) record(e event) {
+	s.history = append(s.history, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Compact forgets the history.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.oldest = s.revision
+}
+
+// SetDown starts or ends an outage, in which every call is answered 503.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Calls returns the number of calls.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	down := s.down
+	s.mu.Unlock()
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/-/objects/"), "/")
+	switch {
+	case down:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
+		s.watch(w, r, kind)
+	case r.Method == http.MethodGet:
+		s.list(w, kind)
+	case r.Method == http.MethodPost || r.Method == http.MethodPut:
+		s.put(w, r, kind, name)
+	default:
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	}
+}
+
+func (s *Store) list(w http.ResponseWriter, kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items := []Object{}
+	for _, object := range s.objects[kind] {
+		items = append(items, object)
+	}
+	answer(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "current_rev": s.revision})
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		events := []event{}
+		for _, e := range s.history {
+			if e.kind == kind && e.Object.Metadata.Revision > after {
+				events = append(events, e)
+			}
+		}
+		revision, changed, lost, down := s.revision, s.changed, after < s.oldest, s.down
+		s.mu.Unlock()
+		switch {
+		case down:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case lost:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(events) > 0:
+			answer(w, http.StatusOK, map[string]any{"events": events, "current_rev": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			answer(w, http.StatusOK, map[string]any{"events": events, "current_rev": revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request, kind, name string) {
+	var object Object
+	if err := json.NewDecoder(r.Body).Decode(&object); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stored, exists := s.objects[kind][object.Metadata.Name]
+	switch {
+	case r.Method == http.MethodPost && exists:
+		answer(w, http.StatusConflict, stored)
+	case r.Method == http.MethodPut && !exists:
+		w.WriteHeader(http.StatusNotFound)
+	case r.Method == http.MethodPut && name != object.Metadata.Name:
+		w.WriteHeader(http.StatusBadRequest)
+	case exists && string(stored.Specification) == string(object.Specification):
+		answer(w, http.StatusOK, stored)
+	default:
+		answer(w, http.StatusOK, s.write(kind, object.Metadata.Name, object.Specification))
+	}
+}
+
+func answer(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that has gone does not read the answer.
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/standin/hosted/worker.go
@@ -0,0 +1,251 @@
+package hosted
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Model describes the weights that origin and workers agree on.
+type Model struct {
+	Name       string
+	Chunks     int
+	ChunkBytes int
+	Layers     int
+}
+
+// Chunk returns the true bytes of a chunk of a version.
+func (m Model) Chunk(version, index int) []byte {
+	data := make([]byte, m.ChunkBytes)
+	seed := sha256.Sum256(fmt.Appendf(nil, "%s/%d/%d", m.Name, version, index))
+	for i := range data {
+		data[i] = seed[i%len(seed)] ^ byte(i/len(seed))
+	}
+	return data
+}
+
+// Origin serves the manifests and chunks of all versions.
+type Origin struct {
+	Model Model
+	// Newest is the version that a call without one gets. SetNewest changes it.
+	Newest int
+
+	mu     sync.Mutex
+	pieces int
+}
+
+// SetNewest changes the newest version.
+func (o *Origin) SetNewest(version int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.Newest = version
+}
+
+// Pieces returns the number of chunks that were sent.
+func (o *Origin) Pieces() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.pieces
+}
+
+// ServeHTTP implements http.Handler.
+func (o *Origin) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	o.mu.Lock()
+	version := o.Newest
+	o.mu.Unlock()
+	if text := r.URL.Query().Get("version"); text != "" {
+		version, _ = strconv.Atoi(text)
+	}
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/-/manifest/"):
+		digests := make([]string, o.Model.Chunks)
+		for i := range digests {
+			sum := sha256.Sum256(o.Model.Chunk(version, i))
+			digests[i] = hex.EncodeToString(sum[:])
+		}
+		answer(w, http.StatusOK, map[string]any{
+			"model": o.Model.Name, "version": version, "chunk_bytes": o.Model.ChunkBytes, "layers": o.Model.Layers, "digests": digests,
+		})
+	case strings.HasPrefix(r.URL.Path, "/-/piece/"):
+		index, _ := strconv.Atoi(r.URL.Query().Get("item_count"))
+		o.mu.Lock()
+		o.pieces++
+		o.mu.Unlock()
+		// A caller that has gone does not read the answer.
+		_, _ = w.Write(o.Model.Chunk(version, index))
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// Worker is a model worker, or a plain one when it has no model.
+type Worker struct {
+	ID      string
+	Service string
+	Zone    string
+	Address string
+	Model   Model
+	// EventGap is the time between the events of a stream.
+	EventGap time.Duration
+	Events   int
+
+	mu       sync.Mutex
+	version  int
+	sequence int
+	staged   map[int][]byte
+	runs     map[string]int
+	broken   []error
+}
+
+// Load makes the worker hold a version from the start, staged as well.
+func (w *Worker) Load(version int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version = version
+	w.staged = make(map[int][]byte)
+	for i := range w.Model.Chunks {
+		w.staged[i] = w.Model.Chunk(version, i)
+	}
+}
+
+// Version returns the loaded version.
+func (w *Worker) Version() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version
+}
+
+// Runs returns how often a request ran.
+func (w *Worker) Runs(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[id]
+}
+
+// Err returns what was ordered or asked wrongly.
+func (w *Worker) Err() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return errors.Join(w.broken...)
+}
+
+// Entry returns the worker's entry in the list.
+func (w *Worker) Entry(state string) map[string]any {
+	entry := w.state()
+	entry["service"], entry["address"], entry["zone"], entry["slots"], entry["state"] = w.Service, w.Address, w.Zone, 16, state
+	entry["cold_remaining_ms"] = 0
+	return entry
+}
+
+func (w *Worker) state() map[string]any {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	state := map[string]any{"born": 1_700_000_000_000, "stage": "both", "busy": false, "sequence": w.sequence,
+		"queued_requests": 0, "running_requests": 0, "kv_cache_used": 0, "kv_cache_total": 1000, "handles": 0}
+	if w.version > 0 {
+		state["models"] = []map[string]any{{"name": w.Model.Name, "version": w.version, "adapters": []string{}}}
+		state["layers"] = map[string]int{"from": 0, "target": w.Model.Layers, "version": w.version}
+	}
+	return state
+}
+
+// ServeHTTP implements http.Handler.
+func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/-/report":
+		answer(out, http.StatusOK, w.state())
+	case r.URL.Path == "/-/order":
+		w.order(out, r)
+	case strings.HasPrefix(r.URL.Path, "/-/stage-"):
+		w.stage(out, r)
+	default:
+		w.serve(out, r)
+	}
+}
+
+func (w *Worker) stage(out http.ResponseWriter, r *http.Request) {
+	index, _ := strconv.Atoi(r.URL.Query().Get("item_count"))
+	body, err := io.ReadAll(r.Body)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if r.Method == http.MethodPut && err == nil {
+		if w.staged == nil {
+			w.staged = make(map[int][]byte)
+		}
+		w.staged[index] = body
+		return
+	}
+	data, ok := w.staged[index]
+	if !ok {
+		out.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_, _ = out.Write(data) // a caller that has gone does not read the answer
+}
+
+func (w *Worker) order(out http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Operation    string `json:"operation"`
+		Version      int    `json:"version"`
+		SwitchMode   string `json:"switch_mode"`
+		Precondition int    `json:"precondition"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.Operation != "start" || order.SwitchMode != "wait" {
+		out.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if order.Precondition != w.sequence {
+		out.WriteHeader(http.StatusConflict)
+		return
+	}
+	for i := range w.Model.Chunks {
+		if string(w.staged[i]) != string(w.Model.Chunk(order.Version, i)) {
+			w.broken = append(w.broken, fmt.Errorf("worker %s was ordered to load version %d while chunk %d is not whole", w.ID, order.Version, i))
+		}
+	}
+	w.sequence++
+	w.version = order.Version
+	out.WriteHeader(http.StatusAccepted)
+}
+
+func (w *Worker) serve(out http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Laburnumgw-Request-Id")
+	out.Header().Set("X-Laburnumgw-Request-Id", id)
+	if r.Header.Get("X-Laburnumgw-Expect-Instance") != w.ID {
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, _ := io.ReadAll(r.Body) // a request that is cut is answered all the same
+	w.mu.Lock()
+	version := w.version
+	if w.runs == nil {
+		w.runs = make(map[string]int)
+	}
+	w.runs[id]++
+	w.mu.Unlock()
+	out.Header().Set("X-Laburnumgw-Server-Seal", "seal-"+w.ID)
+	if w.Model.Name == "" {
+		fmt.Fprintf(out, "%s %s %s", r.Method, r.RequestURI, body)
+		return
+	}
+	out.Header().Set("X-Laburnumgw-Weight-Versions", strconv.Itoa(version))
+	out.Header().Set("Content-Type", "text/event-stream")
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for event := first + 1; event <= w.Events; event++ {
+		fmt.Fprintf(out, "id: %d\ndata: version %d\n\n", event, version)
+		if err := http.NewResponseController(out).Flush(); err != nil {
+			return
+		}
+		time.Sleep(w.EventGap)
+	}
+}
