--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -65,7 +65,8 @@
 // hostedOptions are the settings of a process on the users' platform that do not come
 // from the platform's settings file.
 type hostedOptions struct {
-	LogLevel string `long:"log-level" env:"LABURNUMGW_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
+	LogLevel  string  `long:"log-level" env:"LABURNUMGW_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
+	LogDetail float64 `long:"log-detail" env:"LABURNUMGW_LOG_DETAIL" default:"300" description:"most lines a second for requests that go well; others are never bounded"`
 }
 
 type hostedEntryCommand struct {
--- a/cmd/laburnumgw/providers.go
+++ b/cmd/laburnumgw/providers.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,8 +40,8 @@
 	return platform.NewClient(p.Platform)
 }
 
-func provideHostedLogger(o *hostedOptions) (*zap.Logger, error) {
-	return telemetry.NewBufferedLogger(o.LogLevel)
+func provideHostedLogger(o *hostedOptions) (*telemetry.Bounded, error) {
+	return telemetry.NewBounded(o.LogLevel, o.LogDetail, os.Stdout)
 }
 
 // hostedConnectTimeout bounds the opening of a connection between processes on the
--- a/cmd/laburnumgw/wire_gen.go
+++ b/cmd/laburnumgw/wire_gen.go
@@ -57,11 +57,11 @@
 func initializeHostedEntry(s *platform.Settings, o *hostedOptions) (*hosted.Process, error) {
 	store := provideHostedStore(s)
 	pool := provideHostedPool()
-	logger, err := provideHostedLogger(o)
+	bounded, err := provideHostedLogger(o)
 	if err != nil {
 		return nil, err
 	}
-	process, err := hosted.New(s, store, pool, logger)
+	process, err := hosted.New(s, store, pool, bounded)
 	if err != nil {
 		return nil, err
 	}
@@ -71,11 +71,11 @@
 func initializeHostedEndpoint(s *platform.Settings, o *hostedOptions) (*hosted2.Process, error) {
 	store := provideHostedStore(s)
 	pool := provideHostedPool()
-	logger, err := provideHostedLogger(o)
+	bounded, err := provideHostedLogger(o)
 	if err != nil {
 		return nil, err
 	}
-	process, err := hosted2.New(s, store, pool, logger)
+	process, err := hosted2.New(s, store, pool, bounded)
 	if err != nil {
 		return nil, err
 	}
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -4,18 +4,21 @@
 	"cmp"
 	"context"
 	"fmt"
+	"io"
+	"os"
 	"slices"
 	"strings"
 
 	"github.com/jessevdk/go-flags"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/explain"
 )
 
 // addExplain adds the command that explains routing decisions.
 func addExplain(parser *flags.Parser, session *Session) error {
 	_, err := parser.AddCommand("explain", "Explain why a request went where it went",
-		"Shows the routing decisions of one request that the entry still remembers. The X-Request-Id header of the response names the request.",
+		"Shows the routing decisions of one request that the entry still remembers, or its whole life from logs. The request id of the answer names the request.",
 		&explainCommand{session: session})
 	return err
 }
@@ -23,6 +26,7 @@
 type explainCommand struct {
 	session *Session
 	NodeOptions
+	Logs []string `long:"log" value-name:"FILE" description:"read the life of the request from a log, - for standard input; repeat for several"`
 	Args struct {
 		RequestID string `positional-arg-name:"REQUEST" required:"yes" description:"value of X-Request-Id"`
 	} `positional-args:"yes"`
@@ -30,6 +34,9 @@
 
 // Execute shows the decisions of a request.
 func (c *explainCommand) Execute([]string) error {
+	if len(c.Logs) > 0 {
+		return c.fromLogs()
+	}
 	var decisions []*laburnumgwv1.Decision
 	err := c.call(func(ctx context.Context, client laburnumgwv1.NodeClient) error {
 		response, err := client.Explain(ctx, &laburnumgwv1.ExplainRequest{RequestId: c.Args.RequestID})
@@ -49,6 +56,32 @@
 	return c.session.Output().Print(decisions, table)
 }
 
+// fromLogs tells the life of a request from logs.
+func (c *explainCommand) fromLogs() error {
+	var readers []io.Reader
+	for _, name := range c.Logs {
+		if name == "-" {
+			readers = append(readers, os.Stdin)
+			continue
+		}
+		file, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("open log: %w", err)
+		}
+		defer file.Close()
+		readers = append(readers, file)
+	}
+	story, err := explain.Read(c.Args.RequestID, readers...)
+	if err != nil {
+		return err
+	}
+	table := Table{Header: []string{"TIME", "NODE", "EVENT", "DETAILS"}, Summary: "cause: " + story.Cause}
+	for _, step := range story.Steps {
+		table.Rows = append(table.Rows, []string{step.Time.Format("15:04:05.000"), step.Node, step.Message, step.Details()})
+	}
+	return c.session.Output().Print(story, table)
+}
+
 func candidates(d *laburnumgwv1.Decision) string {
 	var parts []string
 	for _, candidate := range d.GetCandidates() {
--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -79,12 +79,14 @@
 }
 
 // New assembles an endpoint process.
-func New(settings *platform.Settings, store *platform.Store, conns *rpc.Pool, log *zap.Logger) (*Process, error) {
+func New(settings *platform.Settings, store *platform.Store, conns *rpc.Pool, bounded *telemetry.Bounded) (*Process, error) {
 	if err := settings.CheckEndpoint(); err != nil {
 		return nil, err
 	}
+	log := bounded.With(zap.String("node", settings.VM))
 	v := newView(settings, log)
 	set := metrics.NewSet()
+	set.NewGauge("laburnumgw_log_lines_dropped", func() float64 { return float64(bounded.Dropped()) })
 	worker := platform.NewWorker(settings.Worker)
 	p := &Process{
 		settings: settings, view: v, worker: worker, conns: conns, log: log, metrics: set,
--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -124,16 +124,18 @@
 	query.Detail = c.service.picks%detailEvery == 0
 	decision, err := c.service.table.Pick(query, time.Now())
 	if err != nil {
-		c.log.Warn("no endpoint chosen", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.Error(err))
+		c.log.Warn("no endpoint chosen", zap.String("request", c.in.ID), zap.Uint32("attempt", number),
+			zap.Int64("config", c.snapshot.Version), zap.Duration("left", time.Until(c.deadline)), zap.Error(err))
 		return decision, err
 	}
 	fields := []zap.Field{zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
 		zap.String("zone", decision.Zone), zap.String("reason", string(decision.Reason)), zap.String("weights", decision.VersionDigest),
-		zap.Float64("load", decision.Load), zap.Int("eligible", decision.Eligible), zap.Int("pool", decision.Pool)}
+		zap.Float64("load", decision.Load), zap.Int("eligible", decision.Eligible), zap.Int("pool", decision.Pool),
+		zap.Int64("config", c.snapshot.Version), zap.Duration("left", time.Until(c.deadline)), zap.Duration("report_age", c.view.reportAge(decision.VM))}
 	if query.Detail {
 		fields = append(fields, zap.Any("candidates", decision.Candidates))
 	}
-	c.log.Info("endpoint chosen", fields...)
+	c.logFor(number == 1).Info("endpoint chosen", fields...)
 	return decision, nil
 }
 
@@ -165,7 +167,7 @@
 	c.service.table.AttemptFinished(tracked, result, time.Now())
 	c.view.mu.Unlock()
 	c.metrics.attempts.UpdateDuration(started)
-	c.log.Info("attempt ended", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
+	c.logFor(ended.Outcome == laburnumgwv1.Outcome_OUTCOME_COMPLETE).Info("attempt ended", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
 		zap.Stringer("outcome", ended.Outcome), zap.Bool("sent", ended.Sent), zap.Int64("relayed", ended.RelayedBytes),
 		zap.Duration("duration", time.Since(started)), zap.Error(ended.Err))
 	return ended
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -48,6 +48,8 @@
 	conns   *workerconn.Pool
 	metrics *entryMetrics
 	log     *zap.Logger
+	// detail logs the steps of requests that go well.
+	detail  *zap.Logger
 	leaving atomic.Bool
 }
 
@@ -115,7 +117,7 @@
 	}, c)
 	reason := c.finish(ctx, ended, err)
 	f.metrics.answered(reason, started)
-	f.log.Info("request ended", zap.String("request", c.in.ID), zap.String("route", c.route.Name), zap.String("service", c.serviceName),
+	f.logFor(reason == "complete" && c.attempts <= 1).Info("request ended", zap.String("request", c.in.ID), zap.String("route", c.route.Name), zap.String("service", c.serviceName),
 		zap.String("workspace", c.workspaceName()), zap.Int64("config", c.snapshot.Version), zap.String("reason", reason),
 		zap.Uint32("attempts", c.attempts), zap.Duration("duration", time.Since(started)), zap.Error(err))
 	if c.broken {
@@ -127,6 +129,14 @@
 	}
 }
 
+// logFor returns the logger of a step, which may be dropped when it went well.
+func (f *frontend) logFor(well bool) *zap.Logger {
+	if well {
+		return f.detail
+	}
+	return f.log
+}
+
 // accept checks a request against the configuration and reads its body.
 func (f *frontend) accept(w http.ResponseWriter, r *http.Request, started time.Time) (*call, error) {
 	c := &call{frontend: f, w: w, r: r, started: started}
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -66,15 +66,17 @@
 }
 
 // New assembles an entry.
-func New(settings *platform.Settings, store *platform.Store, conns *rpc.Pool, log *zap.Logger) (*Process, error) {
+func New(settings *platform.Settings, store *platform.Store, conns *rpc.Pool, bounded *telemetry.Bounded) (*Process, error) {
 	if err := settings.CheckEntry(); err != nil {
 		return nil, err
 	}
+	log := bounded.With(zap.String("node", settings.VM))
 	metrics := newEntryMetrics()
+	metrics.set.NewGauge("laburnumgw_log_lines_dropped", func() float64 { return float64(bounded.Dropped()) })
 	v := newView(settings, metrics, log)
 	p := &Process{
 		settings: settings, view: v, store: store, conns: conns, log: log,
-		front: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), metrics: metrics, log: log},
+		front: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), metrics: metrics, log: log, detail: log.Named(telemetry.DetailName)},
 	}
 	p.mirror = mirror.NewDriver(mirror.Config{
 		Kinds: map[string]bool{
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -307,6 +307,15 @@
 	return w != nil && w.report.Born == w.Born && time.Since(w.reportedAt) < reportingAge
 }
 
+// reportAge returns the age of a worker's last report, zero when there was none. The
+// caller holds the lock.
+func (v *view) reportAge(vm string) time.Duration {
+	if w := v.workers[vm]; w != nil && !w.reportedAt.IsZero() {
+		return time.Since(w.reportedAt)
+	}
+	return 0
+}
+
 // misdirected notes that a worker is not at its address any more. The next change of its
 // entry makes it usable again.
 func (v *view) misdirected(state *service, vm string) {
--- /dev/null
+++ b/lib/explain/explain_test.go
@@ -0,0 +1,51 @@
+package explain
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Lines of a run with the platform's stand-ins, of two processes and with other text.
+const refusedLog = `  28.10 frontend-a {"level":"warn","ts":"2026-02-07T16:49:13.237819698Z","node":"front-a","msg":"no endpoint chosen","request":"r1","attempt":1,"config":17,"left":5999,"error":"request r1 was not run: no endpoint is eligible for model \"llm\" among 5: 5 no_room; repeat the request after the time in Retry-After"}
+not json
+{"level":"info","ts":"2026-02-07T16:49:13.237919698Z","node":"front-a","msg":"request ended","request":"r1","route":"chat","service":"llm","workspace":"ws","config":17,"reason":"not_run","attempts":0,"duration":1}
+{"level":"info","ts":"2026-02-07T16:49:13.3Z","node":"front-b","msg":"request ended","request":"r2","reason":"complete"}`
+
+const lostLog = `{"level":"info","ts":"2026-02-07T16:49:14.2Z","node":"front-b","msg":"attempt ended","request":"r3","attempt":1,"vm":"w1","outcome":"OUTCOME_UNKNOWN","sent":true,"relayed":0,"duration":37,"error":"read answer: EOF"}
+{"level":"info","ts":"2026-02-07T16:49:14.1Z","node":"front-b","msg":"endpoint chosen","request":"r3","attempt":1,"vm":"w1","zone":"a","reason":"score","load":2,"config":17}
+{"level":"info","ts":"2026-02-07T16:49:14.3Z","node":"front-b","msg":"request ended","request":"r3","reason":"outcome_unknown","attempts":1,"duration":40}`
+
+const cutLog = `{"level":"info","ts":"2026-02-07T16:49:15.1Z","node":"front-b","msg":"endpoint chosen","request":"r4","attempt":1,"vm":"w1","weights":"1"}
+{"level":"info","ts":"2026-02-07T16:49:15.4Z","node":"front-b","msg":"attempt ended","request":"r4","attempt":1,"vm":"w1","outcome":"OUTCOME_UNKNOWN","relayed":390,"duration":300,"error":"answer was cut off: unexpected EOF"}
+{"level":"info","ts":"2026-02-07T16:49:15.4Z","node":"front-b","msg":"retry","request":"r4","attempt":1,"vm":"w1","outcome":"OUTCOME_UNKNOWN","resume":true}
+{"level":"warn","ts":"2026-02-07T16:49:15.4Z","node":"front-b","msg":"no endpoint chosen","request":"r4","attempt":2,"error":"no endpoint is eligible for model \"llm\" among 6: 6 other_version"}
+{"level":"info","ts":"2026-02-07T16:49:15.4Z","node":"front-b","msg":"request ended","request":"r4","reason":"stream_cut","attempts":1}`
+
+// Guards against an explanation that mixes requests, loses their order, or does not name
+// the cause.
+func TestStories(t *testing.T) {
+	golden := goldie.New(t)
+	for name, id := range map[string]string{"refused": "r1", "lost": "r3", "cut": "r4"} {
+		story, err := Read(id, strings.NewReader(refusedLog), strings.NewReader(lostLog+"\n"+cutLog))
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := json.MarshalIndent(story, "", " ")
+		if err != nil {
+			t.Fatal(err)
+		}
+		golden.Assert(t, name, data)
+	}
+}
+
+func TestUnknownRequest(t *testing.T) {
+	Convey("A request that no line names is said to be so", t, func() {
+		story, err := Read("r9", strings.NewReader(refusedLog))
+		So(err, ShouldBeNil)
+		So(story.Cause, ShouldContainSubstring, "no line of these logs names the request")
+	})
+}
--- a/lib/telemetry/telemetry.go
+++ b/lib/telemetry/telemetry.go
@@ -4,7 +4,6 @@
 import (
 	"fmt"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -30,28 +29,6 @@
 	return logger, nil
 }
 
-const (
-	// bufferBytes bounds the log lines that wait to be written; a process writes about
-	// 30 kB a second at its peak.
-	bufferBytes = 256 << 10
-	// flushInterval is the longest time that a line waits.
-	flushInterval = 200 * time.Millisecond
-)
-
-// NewBufferedLogger returns a JSON logger that writes to standard output in batches, so
-// that a request does not wait for a write.
-func NewBufferedLogger(level string) (*zap.Logger, error) {
-	parsed, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, fmt.Errorf("log level %q is not one of debug, info, warn, error: %w", level, err)
-	}
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	config.EncodeDuration = zapcore.MillisDurationEncoder
-	sink := &zapcore.BufferedWriteSyncer{WS: zapcore.Lock(os.Stdout), Size: bufferBytes, FlushInterval: flushInterval}
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(config), sink, parsed)), nil
-}
-
 // MetricsPort is where processes on the users' platform serve metrics, at /metrics. The
 // deploy file names it.
 const MetricsPort = 9464
