--- a/endpoint/metrics.go
+++ b/endpoint/metrics.go
@@ -10,7 +10,7 @@
 	"laburnumgw/lib/transfer"
 )
 
-// endpointMetrics are the metrics of an endpoint process. docs/operations.md lists them.
+// endpointMetrics are the metrics of an endpoint process. docs/OPERATIONS.md lists them.
 type endpointMetrics struct {
 	set           *metrics.Set
 	transfer      *transfer.Metrics
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -9,7 +9,7 @@
 	"laburnumgw/lib/errkind"
 )
 
-// entryMetrics are the metrics of an entry. docs/operations.md lists them.
+// entryMetrics are the metrics of an entry. docs/OPERATIONS.md lists them.
 type entryMetrics struct {
 	set           *metrics.Set
 	retries       *metrics.Counter
