Mend what a new user stumbled over

A request with chunks ends its connection, as a length beside them is dropped unseen (RFC 9112, section 6.1); a byte order mark is skipped; the help of status names what it shows; the demonstration prints commands without brackets; an empty model gets a remedy.

--- a/cmd/laburnumdemo/main.go
+++ b/cmd/laburnumdemo/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -104,7 +105,7 @@
 }
 
 func (d *demo) ctl(ctx context.Context, args ...string) error {
-	d.say("$ laburnumctl %v", args)
+	d.say("$ laburnumctl %s", strings.Join(args, " "))
 	return d.Ctl(ctx, d.out, args...)
 }
 
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -17,7 +17,7 @@
 
 // addStatus adds the commands that show the system and push to a partitioned zone.
 func addStatus(parser *flags.Parser, session *Session) error {
-	command, err := parser.AddCommand("status", "Show zones, VMs and rollouts",
+	command, err := parser.AddCommand("status", "Show endpoints, entries and rollouts",
 		"Shows what one entry knows: endpoints with load, versions served, and progress of the distribution.", &struct{}{})
 	if err != nil {
 		return err
--- a/entry/http.go
+++ b/entry/http.go
@@ -66,6 +66,11 @@
 
 func (f *frontend) serve(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
+	if len(r.TransferEncoding) > 0 {
+		// The server drops a Content-Length beside the chunks without telling, so bytes
+		// behind the body may be a smuggled request (RFC 9112, section 6.1).
+		w.Header().Set("Connection", "close")
+	}
 	id := rand.Text()
 	kind := f.answer(w, r, id, started)
 	f.metrics.answer(kind)
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
 
 	"laburnumgw/lib/config"
 	"laburnumgw/lib/errkind"
@@ -111,3 +113,16 @@
 		}
 	})
 }
+
+// Guards against a smuggled request behind a body that has both a length and chunks: the
+// server drops the length, so the connection must not carry another request.
+func TestChunkedRequestEndsItsConnection(t *testing.T) {
+	Convey("A chunked request is answered with Connection: close", t, func() {
+		f := newFrontend(&control{}, nil, newEntryMetrics(), zap.NewNop())
+		recorder := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", nil)
+		request.TransferEncoding = []string{"chunked"}
+		f.serve(recorder, request)
+		So(recorder.Header().Get("Connection"), ShouldEqual, "close")
+	})
+}
--- a/lib/config/config_test.go
+++ b/lib/config/config_test.go
@@ -177,3 +177,10 @@
 		So(problemsOf(make([]File, MaxFiles+1)), ShouldHaveLength, 1)
 	})
 }
+
+// Guards against a byte order mark that makes the first key unknown.
+func TestByteOrderMark(t *testing.T) {
+	Convey("A file that begins with a byte order mark is read like one without", t, func() {
+		So(problemsOf(files("10.yaml", "\ufeff"+zonesFile)), ShouldBeEmpty)
+	})
+}
--- a/lib/config/tree.go
+++ b/lib/config/tree.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
@@ -82,7 +83,8 @@
 			root = nil
 		}
 	}()
-	tokens := lexer.Tokenize(content)
+	// Editors of some systems put a byte order mark before the text.
+	tokens := lexer.Tokenize(strings.TrimPrefix(content, "\ufeff"))
 	if !p.checkTokens(tokens) {
 		return nil
 	}
--- a/lib/weights/manifest.go
+++ b/lib/weights/manifest.go
@@ -53,7 +53,7 @@
 		return errkind.New(errkind.Invalid, "use BLAKE3 or SHA-256", "unknown hash %q", m.Hash)
 	}
 	if m.Size <= 0 {
-		return errkind.New(errkind.Invalid, manifestRemedy, "size of %d bytes", m.Size)
+		return errkind.New(errkind.Invalid, "publish a file that is not empty", "size of %d bytes", m.Size)
 	}
 	count := (m.Size-1)/m.ChunkSize + 1
 	if count > MaxChunks {
