--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -18,6 +19,7 @@
 	"laburnumgw/lib/catalog"
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/mirror/rpcmirror"
+	"laburnumgw/lib/reload"
 	"laburnumgw/lib/rollout"
 	"laburnumgw/lib/rpc"
 	"laburnumgw/lib/suspend"
@@ -108,6 +110,7 @@
 
 // Run works until the context ends.
 func (p *Process) Run(ctx context.Context) error {
+	hangups := reload.Hangups()
 	address := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort))
 	config := net.ListenConfig{KeepAliveConfig: platform.KeepAlive()}
 	listener, err := config.Listen(ctx, "tcp", address)
@@ -122,6 +125,7 @@
 	failed := make(chan error, 2)
 	go func() { failed <- p.grpc.Serve(listener) }()
 	go func() { failed <- p.serveMetrics() }()
+	go reload.Watch(ctx, os.Getenv(platform.SettingsVariable), hangups, p.reload)
 	go p.mirror.Run(ctx)
 	go func() {
 		if err := suspend.Watch(ctx, p.suspended); err != nil {
@@ -147,6 +151,16 @@
 	return nil
 }
 
+// reload checks the settings file. What a process beside a worker uses of it does not
+// change while it runs, so that it takes nothing over until it starts again.
+func (p *Process) reload() {
+	if _, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable)); err != nil {
+		p.log.Error("settings file is not valid; the settings in force stay", zap.Error(err))
+		return
+	}
+	p.log.Info("settings file read")
+}
+
 // suspended passes a suspension on to the loop that looks at the worker.
 func (p *Process) suspended(length time.Duration) {
 	p.mirror.Refresh("machine was suspended")
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -7,9 +7,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,6 +17,7 @@
 	"laburnumgw/lib/dispatch"
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/mirror/rpcmirror"
+	"laburnumgw/lib/reload"
 	"laburnumgw/lib/rpc"
 	"laburnumgw/lib/suspend"
 	"laburnumgw/lib/telemetry"
@@ -41,9 +40,6 @@
 	leaveWait = 2500 * time.Millisecond
 	// stopMargin is kept of the grace time for the end of the process.
 	stopMargin = 500 * time.Millisecond
-	// settingsInterval separates two looks at the settings file, which may change without
-	// a signal.
-	settingsInterval = 2 * time.Second
 	// pullWait and staleAfter bound the time in which an entry notices that the one it
 	// mirrors from is gone or hears nothing, so that it knows of a leaving worker within
 	// the bound of 2 s.
@@ -98,6 +94,7 @@
 
 // Run serves until the context ends, then stops gracefully.
 func (p *Process) Run(ctx context.Context) error {
+	hangups := reload.Hangups()
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 5)
@@ -107,7 +104,7 @@
 	}
 	go p.mirror.Run(running)
 	go p.register(running)
-	go p.reload(running)
+	go reload.Watch(running, os.Getenv(platform.SettingsVariable), hangups, p.reload)
 	go func() {
 		if err := suspend.Watch(running, p.suspended); err != nil {
 			p.log.Error("suspensions of the machine are not noticed", zap.Error(err))
@@ -179,44 +176,16 @@
 	}
 }
 
-// reload reads the settings file again at each SIGHUP and reports what is wrong with it.
-// A process keeps its name and its addresses until it starts again.
-func (p *Process) reload(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
-	path := os.Getenv(platform.SettingsVariable)
-	ticker := time.NewTicker(settingsInterval)
-	defer ticker.Stop()
-	read := modified(path)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		case <-ticker.C:
-			if modified(path).Equal(read) {
-				continue
-			}
-		}
-		read = modified(path)
-		next, err := platform.ReadSettings(path)
-		if err != nil {
-			p.log.Error("settings not reloaded; the ones in force stay", zap.Error(err))
-			continue
-		}
-		p.view.reconfigure(next)
-		p.log.Info("settings reloaded")
-	}
-}
-
-// modified returns the time of a file's last change, or the zero time.
-func modified(path string) time.Time {
-	info, err := os.Stat(path)
+// reload reads the settings file again and reports what is wrong with it. A process keeps
+// its name and its addresses until it starts again.
+func (p *Process) reload() {
+	next, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
-		return time.Time{}
+		p.log.Error("settings not reloaded; the ones in force stay", zap.Error(err))
+		return
 	}
-	return info.ModTime()
+	p.view.reconfigure(next)
+	p.log.Info("settings reloaded")
 }
 
 // suspended looks at the store again after a suspension, before old beliefs are acted on.
