Ask other entries how long a version has been named

From 26 s on, three entries that had been stopped and started in turn answered every request for the model with "none serves it": they read a version that had just been named at their start, counted it as named long ago, and no worker had changed over yet (209 refusals in 6 s by frontend-cpt-a-2, frontend-dbn-a-2 and frontend-jhb-a-3). An entry that starts now asks up to three others how long they have known the version and takes the longest time; without an answer it stays careful.

--- a/entry/hosted/call_test.go
+++ b/entry/hosted/call_test.go
@@ -436,3 +436,36 @@
 		}
 	})
 }
+
+// Guards against an entry that starts amid a change of weights and refuses everything
+// until the first worker has changed over: three entries refused 209 requests in the
+// recorded day of shelfwatch-rota.
+func TestEntryThatStartsAmidAChangeUsesOldWeightsUntilTheirBound(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		d.worker("llm", "w1", 1, func(e *exchangeOnWire) { e.stream(1); e.events(1, 1); e.end() })
+		v := d.front.view
+		v.mu.Lock()
+		delete(v.listed, "versions")
+		v.mu.Unlock()
+		d.version(2)
+		revision := d.rev
+		ask := func() int { return d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000").status }
+		if got := ask(); got != http.StatusServiceUnavailable {
+			t.Errorf("without knowledge of its age: %d", got)
+		}
+		v.versionKnown("m", revision-1, time.Second)
+		if got := ask(); got != http.StatusServiceUnavailable {
+			t.Errorf("dated by another revision: %d", got)
+		}
+		v.versionKnown("m", revision, time.Second)
+		v.versionKnown("m", revision, 3*time.Second)
+		v.versionKnown("m", revision, 2*time.Second)
+		if got := ask(); got != http.StatusOK {
+			t.Errorf("dated by other entries: %d", got)
+		}
+		<-time.After(4 * time.Second)
+		if got := ask(); got != http.StatusServiceUnavailable {
+			t.Errorf("after the bound of the longest time: %d", got)
+		}
+	})
+}
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -45,6 +45,10 @@
 	// the bound of 2 s.
 	pullWait   = 300 * time.Millisecond
 	staleAfter = 1250 * time.Millisecond
+	// dateInterval separates two looks whether the store was read, and dateEntries is the
+	// number of entries that are asked how long versions have been named.
+	dateInterval = 20 * time.Millisecond
+	dateEntries  = 3
 	// registerInterval separates two tries to write this entry to the store.
 	registerInterval = 500 * time.Millisecond
 )
@@ -104,6 +108,7 @@
 	}
 	go p.mirror.Run(running)
 	go p.register(running)
+	go p.dateVersions(running)
 	go reload.Watch(running, os.Getenv(platform.SettingsVariable), hangups, p.reload)
 	go func() {
 		if err := suspend.Watch(running, p.suspended); err != nil {
@@ -176,6 +181,30 @@
 	}
 }
 
+// dateVersions asks other entries how long the versions have been named that this one has
+// read at its start. Without an answer they count as named long ago.
+func (p *Process) dateVersions(ctx context.Context) {
+	for !p.mirror.Known() {
+		if !dispatch.Sleep(ctx, dateInterval) {
+			return
+		}
+	}
+	asked := 0
+	for _, address := range p.view.others() {
+		ages, err := rpcmirror.Ages(ctx, p.conns, address, platform.KindVersions)
+		if err != nil {
+			p.log.Debug("age of versions not known", zap.String("entry", address), zap.Error(err))
+			continue
+		}
+		for _, known := range ages {
+			p.view.versionKnown(known.Name, known.Revision, known.For)
+		}
+		if asked++; asked == dateEntries {
+			return
+		}
+	}
+}
+
 // reload reads the settings file again and reports what is wrong with it. A process keeps
 // its name and its addresses until it starts again.
 func (p *Process) reload() {
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -91,6 +91,11 @@
 type namedVersion struct {
 	version int
 	since   time.Time
+	// object and revision identify the object that named it.
+	object   string
+	revision int64
+	// assumed is set while its age is not known and it counts as named long ago.
+	assumed bool
 }
 
 func newView(settings *platform.Settings, metrics *entryMetrics, log *zap.Logger) *view {
@@ -267,15 +272,22 @@
 		return
 	}
 	since := time.Now()
-	if !v.listed[platform.KindVersions] {
+	assumed := !v.listed[platform.KindVersions]
+	if assumed {
 		// How long ago a version was named is not known when it is read at the start.
 		since = since.Add(-v.settings.Bounds.VersionApply)
 	}
-	v.versions[model] = append(list, namedVersion{version, since})
+	v.versions[model] = append(list, namedVersion{version, since, change.Object.Name, change.Object.Revision, assumed})
 	v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision))
+	v.retireOlder(model, version, since)
+}
+
+// retireOlder takes older weights out of use at the bound of a version. The caller holds
+// the lock.
+func (v *view) retireOlder(model string, version int, since time.Time) {
 	until := time.Until(since.Add(v.settings.Bounds.VersionApply - versionMargin))
+	v.feedAll()
 	if until <= 0 {
-		v.feedAll()
 		return
 	}
 	time.AfterFunc(until, func() {
@@ -286,6 +298,39 @@
 	})
 }
 
+// versionKnown dates a version that was read at the start by what another entry knows.
+// The longest time counts, since an entry may have learnt of it late.
+func (v *view) versionKnown(object string, revision int64, known time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for model, list := range v.versions {
+		for i := range list {
+			named := &list[i]
+			since := time.Now().Add(-known)
+			if named.object != object || named.revision != revision || (!named.assumed && !since.Before(named.since)) {
+				continue
+			}
+			named.assumed = false
+			named.since = since
+			v.log.Info("version dated by another entry", zap.String("model", model), zap.Int("version", named.version), zap.Duration("known", known))
+			v.retireOlder(model, named.version, since)
+		}
+	}
+}
+
+// others returns the addresses of other entries.
+func (v *view) others() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var addresses []string
+	for name, entry := range v.entries {
+		if name != v.settings.VM {
+			addresses = append(addresses, entry.Address)
+		}
+	}
+	return addresses
+}
+
 // timeFor returns how long requests may still begin on a version of a model, when a newer
 // one was named.
 func (v *view) timeFor(model string, version int) (time.Duration, bool) {
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -33,6 +33,9 @@
 	// Revision is that of the object's last change.
 	Revision int64           `json:"revision"`
 	Value    json.RawMessage `json:"value"`
+	// Learnt is the time at which this process learnt of the revision; zero when it was
+	// read at the start, so that its age is not known.
+	Learnt time.Time `json:"-"`
 }
 
 // Event is one change that a watch reports.
@@ -133,12 +136,17 @@
 	if revision < k.revision {
 		return nil
 	}
+	first := !k.known
 	k.known = true
 	k.revision = revision
 	var changes []Change
 	present := make(map[string]bool, len(objects))
 	for _, object := range objects {
 		present[object.Name] = true
+		object.Learnt = now
+		if first {
+			object.Learnt = time.Time{}
+		}
 		changes = k.set(changes, object)
 	}
 	for _, name := range slices.Sorted(maps.Keys(k.objects)) {
@@ -162,6 +170,7 @@
 			changes = k.remove(changes, event.Object.Name, now)
 			continue
 		}
+		event.Object.Learnt = now
 		changes = k.set(changes, event.Object)
 	}
 	return changes
--- a/lib/mirror/rpcmirror/rpcmirror.go
+++ b/lib/mirror/rpcmirror/rpcmirror.go
@@ -34,7 +34,7 @@
 		kind := &laburnumgwv1.KindState{Kind: state.Kind, Revision: state.Revision}
 		for _, object := range state.Objects {
 			kind.Objects = append(kind.Objects, &laburnumgwv1.MirroredObject{
-				Name: object.Name, Revision: object.Revision, Value: object.Value,
+				Name: object.Name, Revision: object.Revision, Value: object.Value, KnownMs: knownFor(object),
 			})
 		}
 		response.Kinds = append(response.Kinds, kind)
@@ -42,6 +42,45 @@
 	return response, nil
 }
 
+// knownFor returns how long an object has been known in ms, or 0 when that is not known.
+func knownFor(object mirror.Object) int64 {
+	if object.Learnt.IsZero() {
+		return 0
+	}
+	return max(1, time.Since(object.Learnt).Milliseconds())
+}
+
+// Known is how long a process has known a revision of an object.
+type Known struct {
+	Name     string
+	Revision int64
+	For      time.Duration
+}
+
+// Ages asks one process how long it has known the objects of a kind. Objects whose age it
+// does not know are left out.
+func Ages(ctx context.Context, conns *rpc.Pool, address, kind string) ([]Known, error) {
+	conn, err := conns.Conn(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullSlack)
+	defer cancel()
+	response, err := laburnumgwv1.NewMirrorClient(conn).Pull(ctx, &laburnumgwv1.PullRequest{Known: map[string]int64{kind: -1}})
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", address, err)
+	}
+	var ages []Known
+	for _, state := range response.GetKinds() {
+		for _, object := range state.GetObjects() {
+			if object.GetKnownMs() > 0 {
+				ages = append(ages, Known{object.GetName(), object.GetRevision(), time.Duration(object.GetKnownMs()) * time.Millisecond})
+			}
+		}
+	}
+	return ages, nil
+}
+
 // Client asks one of several neighbours. It stays with one that answers.
 type Client struct {
 	conns *rpc.Pool
