--- a/e2e/hosted_test.go
+++ b/e2e/hosted_test.go
@@ -10,6 +10,9 @@
 	"laburnumgw/soak"
 )
 
+// drainBound is the time after which a leaving worker must get no requests.
+const drainBound = 2 * time.Second
+
 // Networks of the loopback addresses, one for each test.
 const (
 	calmNetwork = 31
@@ -56,6 +59,13 @@
 	f.Origin.SetNewest(2)
 	f.Name(2)
 	w.until("version 2 is in force", serves(2))
+	leaving := f.Plains[0]
+	f.Store.Put("servers", leaving.ID, leaving.Entry("draining"))
+	told := time.Now()
+	w.until("the leaving worker is left alone", func() bool { return time.Since(leaving.LastRun()) > drainBound })
+	if last := leaving.LastRun().Sub(told); last > drainBound {
+		t.Errorf("leaving worker got a request after %v", last)
+	}
 	f.Entries[1].Signal(syscall.SIGTERM)
 	if code := f.Entries[1].Wait(waitLimit); code != 0 {
 		t.Errorf("entry ended with code %d", code)
--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -136,11 +136,6 @@
 	d.front.view.changed(kind, []mirror.Change{{Object: mirror.Object{Name: name, Revision: d.rev, Value: json.RawMessage(value)}}})
 }
 
-func (d *deployment) remove(kind, name string) {
-	d.rev++
-	d.front.view.changed(kind, []mirror.Change{{Deleted: true, Object: mirror.Object{Name: name, Revision: d.rev}}})
-}
-
 // version names a version of the weights.
 func (d *deployment) version(number int) {
 	d.put(platform.KindVersions, "m", fmt.Sprintf(`{"model":"m","version":%d}`, number))
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -91,9 +91,9 @@
 	return p, nil
 }
 
-// internal returns the address for the system's own processes at an offset of the ports.
-func (p *Process) internal(offset int) string {
-	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort+offset))
+// internal returns the address for the system's own processes.
+func (p *Process) internal() string {
+	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort))
 }
 
 // Run serves until the context ends, then stops gracefully.
@@ -153,14 +153,14 @@
 	if err := serve(metrics, &http.Server{Handler: telemetry.Handler(p.front.metrics.set), ReadHeaderTimeout: readHeaderTimeout}); err != nil {
 		return nil, err
 	}
-	internal, err := config.Listen(ctx, "tcp", p.internal(0))
+	internal, err := config.Listen(ctx, "tcp", p.internal())
 	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", p.internal(0), err)
+		return nil, fmt.Errorf("listen on %s: %w", p.internal(), err)
 	}
 	go func() { failed <- p.grpc.Serve(internal) }()
-	reports, err := net.ListenPacket("udp", p.internal(0))
+	reports, err := net.ListenPacket("udp", p.internal())
 	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", p.internal(0), err)
+		return nil, fmt.Errorf("listen on %s: %w", p.internal(), err)
 	}
 	go p.readReports(reports)
 	return server, nil
@@ -169,7 +169,7 @@
 // register writes this entry to the store, so that other processes find it.
 func (p *Process) register(ctx context.Context) {
 	for {
-		err := p.store.Put(ctx, platform.KindEntries, p.settings.VM, platform.Entry{Zone: p.settings.Zone, Address: p.internal(0)})
+		err := p.store.Put(ctx, platform.KindEntries, p.settings.VM, platform.Entry{Zone: p.settings.Zone, Address: p.internal()})
 		if err == nil {
 			p.log.Info("entry registered")
 			return
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -62,7 +62,7 @@
 
 // send writes a whole answer to the caller.
 func (c *call) send(held *heldAnswer) error {
-	c.head(held.status, held.header)
+	c.head(held.header)
 	if c.r.Method != http.MethodHead {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(held.body)))
 	}
@@ -75,7 +75,7 @@
 }
 
 // head copies the headers of a worker's answer.
-func (c *call) head(status int, header http.Header) {
+func (c *call) head(header http.Header) {
 	c.headed = true
 	out := c.w.Header()
 	for name, values := range platform.EndToEnd(header) {
@@ -149,7 +149,7 @@
 		if c.begin != nil && !c.begin.Stop() {
 			return errTimeout
 		}
-		c.head(response.StatusCode, response.Header)
+		c.head(response.Header)
 		c.w.WriteHeader(response.StatusCode)
 		c.metrics.firstByte.UpdateDuration(c.started)
 	}
@@ -169,7 +169,7 @@
 // endStream sends the head of a stream without events.
 func (c *call) endStream(response *workerconn.Response) error {
 	if !c.headed {
-		c.head(response.StatusCode, response.Header)
+		c.head(response.Header)
 		c.w.WriteHeader(response.StatusCode)
 	}
 	return nil
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -464,7 +464,8 @@
 			continue
 		}
 		pulled, err := d.config.Neighbours.Pull(ctx, d.revisions(), d.config.PullWait)
-		if err == nil && (!(pulled.Direct || d.config.Indirect) || pulled.Age > d.config.StaleAfter) {
+		reads := pulled.Direct || d.config.Indirect
+		if err == nil && (!reads || pulled.Age > d.config.StaleAfter) {
 			err = fmt.Errorf("neighbour does not read the store or has not heard of it for %s", pulled.Age)
 		}
 		d.answering(err)
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -153,7 +153,7 @@
 	if err := c.await(r.Patience); err != nil {
 		return fail(true, fmt.Errorf("wait for answer: %w", err))
 	}
-	answer, err := c.readAnswer(r, own)
+	answer, err := c.readAnswer(r, own) //nolint:bodyclose // the caller ends the response
 	if err != nil {
 		return fail(true, fmt.Errorf("read answer: %w", err))
 	}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -24,8 +24,6 @@
 	grace = 8 * time.Second
 	// versionBound is the time in which a named version must be in force.
 	versionBound = 8 * time.Second
-	// drainBound is the time after which a leaving worker must get no requests.
-	drainBound = 2 * time.Second
 	// settle is the calm after which bounds of time hold again.
 	settle = 3 * time.Second
 	// workerPort and the others are the same on all machines; each has its own address.
@@ -71,7 +69,6 @@
 
 	storeProxies []*Proxy
 	servers      []*http.Server
-	mu           sync.Mutex
 }
 
 // Machine is a worker with its address and the proxy before it.
@@ -141,7 +138,7 @@
 	if err := f.serve(origin, f.Origin); err != nil {
 		return err
 	}
-	for i := range f.Options.Models {
+	for i := range f.Models {
 		w := &hosted.Worker{
 			ID: fmt.Sprintf("m-%d", i), Service: modelService, Zone: zoneOf(i), Address: fmt.Sprintf("%s:%d", f.ip(2, i), workerPort),
 			Model: f.Model, Events: 8, EventGap: 20 * time.Millisecond,
@@ -155,7 +152,7 @@
 		}
 		f.Workers = append(f.Workers, m)
 	}
-	for i := range f.Options.Plain {
+	for i := range f.Plain {
 		w := &hosted.Worker{ID: fmt.Sprintf("p-%d", i), Service: plainService, Zone: zoneOf(i), Address: fmt.Sprintf("%s:%d", f.ip(3, i), workerPort)}
 		m, err := f.machine(w)
 		if err != nil {
--- a/soak/run.go
+++ b/soak/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -40,10 +41,23 @@
 	version int
 	config  int
 	named   time.Time
+
+	mu      sync.Mutex
+	leaving bool
+	left    []departure
+}
+
+// departure is a worker that left, with the last request that it got.
+type departure struct {
+	worker string
+	told   time.Time
+	last   time.Time
 }
 
 const (
 	readyLimit = 20 * time.Second
+	// drainBound is the time after which a leaving worker must get no requests.
+	drainBound = 2 * time.Second
 	// calmStart and calmEnd are without faults, so that the start and the end are served.
 	calmStart = time.Second
 	calmEnd   = 4 * time.Second
@@ -102,7 +116,7 @@
 func (r *run) fault() {
 	lasts := time.Duration(500+r.rng.IntN(2500)) * time.Millisecond
 	all := append(append([]*Process{}, r.fleet.Entries...), r.fleet.Sides...)
-	switch r.rng.IntN(10) {
+	switch r.rng.IntN(11) {
 	case 0:
 		p := pick(r.rng, all)
 		r.mark(lasts, "kill %s for %s", p.Name, lasts)
@@ -140,6 +154,8 @@
 		r.config++
 		r.result.Faults = append(r.result.Faults, fmt.Sprintf("configuration %d", r.config))
 		r.fleet.Store.Put("config", "main", r.fleet.Config(r.config, r.fleet.OriginAddress()))
+	case 10:
+		r.leave(pick(r.rng, r.fleet.Plains))
 	case 9:
 		proxy := pick(r.rng, append(append([]*Machine{}, r.fleet.Workers...), r.fleet.Plains...)).Proxy
 		r.mark(0, "connections of a worker are reset")
@@ -166,6 +182,29 @@
 	})
 }
 
+// leave has a worker announce that it leaves, and come back later. Where nothing else
+// happened around, it must get no requests after the bound.
+func (r *run) leave(m *Machine) {
+	r.mu.Lock()
+	busy := r.leaving
+	r.leaving = true
+	r.mu.Unlock()
+	if busy {
+		return
+	}
+	r.result.Faults = append(r.result.Faults, m.ID+" leaves")
+	told := time.Now()
+	r.fleet.Store.Put("servers", m.ID, m.Entry("draining"))
+	time.AfterFunc(drainBound+time.Second, func() {
+		last := m.LastRun()
+		r.fleet.Store.Put("servers", m.ID, m.Entry("ready"))
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.leaving = false
+		r.left = append(r.left, departure{m.ID, told, last})
+	})
+}
+
 // heal ends all faults that can be ended at once.
 func (r *run) heal() {
 	for _, proxy := range r.fleet.storeProxies {
@@ -220,6 +259,13 @@
 			broken("%s at %s took %s", o.ID, o.Entry, took)
 		}
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, d := range r.left {
+		if after := d.last.Sub(d.told); after > drainBound && r.calm(d.told.Add(-settle), d.last) {
+			broken("%s got a request %s after it had said that it leaves", d.worker, after)
+		}
+	}
 	for _, m := range r.fleet.Workers {
 		if err := m.Err(); err != nil {
 			broken("%w", err)
--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -102,6 +102,7 @@
 	sequence int
 	staged   map[int][]byte
 	runs     map[string]int
+	lastRun  time.Time
 	broken   []error
 }
 
@@ -130,6 +131,13 @@
 	return w.runs[id]
 }
 
+// LastRun returns when the last request began to run.
+func (w *Worker) LastRun() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lastRun
+}
+
 // Err returns what was ordered or asked wrongly.
 func (w *Worker) Err() error {
 	w.mu.Lock()
@@ -232,6 +240,7 @@
 		w.runs = make(map[string]int)
 	}
 	w.runs[id]++
+	w.lastRun = time.Now()
 	w.mu.Unlock()
 	out.Header().Set("X-Laburnumgw-Server-Seal", "seal-"+w.ID)
 	if w.Model.Name == "" {
