Start with two calls of the store, and list the kinds that are behind

A process that starts reads who its neighbours are and then asks them; the reader of a zone lists the kinds that are behind at each second probe.

--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -83,7 +83,7 @@
 			platform.KindConfig: false, platform.KindWorkers: true, platform.KindEvacuations: false,
 			platform.KindVersions: false, platform.KindEntries: false,
 		},
-		Store: store, Neighbours: rpcmirror.NewClient(conns, v.neighbours), First: v.source, PullWait: pullWait, StaleAfter: staleAfter,
+		Store: store, Seed: platform.KindEntries, Neighbours: rpcmirror.NewClient(conns, v.neighbours), First: v.source, PullWait: pullWait, StaleAfter: staleAfter,
 		Changed: v.changed, Log: log,
 	})
 	p.grpc = grpc.NewServer()
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -21,6 +21,9 @@
 	idleWait = 200 * time.Millisecond
 	// turnInterval is how often it is looked at who is asked first.
 	turnInterval = time.Second
+	// seedWait bounds the wait of a start for neighbours, and seedStep separates two looks.
+	seedWait = 600 * time.Millisecond
+	seedStep = 20 * time.Millisecond
 	// pullRetry is the pause after all neighbours failed.
 	pullRetry = 500 * time.Millisecond
 	// Calls that failed are repeated after firstRetry, doubling up to lastRetry.
@@ -30,10 +33,9 @@
 	// while changes are made, and the bounds of leaving workers and of configurations
 	// are 2 s.
 	probeInterval = 900 * time.Millisecond
-	// smallKind is the size in bytes up to which a kind is listed rather than watched.
-	smallKind = 8 << 10
-	// verifyWait makes a watch answer at once.
-	verifyWait = time.Millisecond
+	// verifyEvery is the number of probes of which one verifies the kinds that are behind.
+	// While workers change all the time, other kinds always are.
+	verifyEvery = 2
 	// probeGrace is how long a watch may take to deliver what a probe has seen.
 	probeGrace = 250 * time.Millisecond
 	// batchWait is the pause before a watch goes on after a change.
@@ -90,6 +92,8 @@
 	Kinds      map[string]bool
 	Store      Store
 	Neighbours Neighbours
+	// Seed is the kind that names the neighbours; empty for none.
+	Seed string
 	// First names who is asked first; nil for the store.
 	First func() Source
 	// PullWait is how long a neighbour waits for a change, and StaleAfter the age of its
@@ -198,6 +202,7 @@
 	pause := &backoff.ExponentialBackOff{InitialInterval: firstRetry, MaxInterval: lastRetry, Multiplier: 2, RandomizationFactor: 0.3}
 	pause.Reset()
 	listed := false
+	d.awaitSeed(ctx, name)
 	for ctx.Err() == nil {
 		if turned, idle := d.idle(kind); idle {
 			listed = false
@@ -236,6 +241,23 @@
 	}
 }
 
+// awaitSeed lets a process that starts learn its neighbours first, and then what they know,
+// so that a start costs few calls of the store.
+func (d *Driver) awaitSeed(ctx context.Context, name string) {
+	if d.config.Seed == "" || name == d.config.Seed {
+		return
+	}
+	for waited := time.Duration(0); waited < seedWait; waited += seedStep {
+		d.mu.Lock()
+		known, pulling := d.kinds[d.config.Seed].Known(), d.pulling
+		reads := known && d.first() == StoreFirst
+		d.mu.Unlock()
+		if pulling || reads || !sleep(ctx, seedStep) {
+			return
+		}
+	}
+}
+
 // probe compares the revision of the store with what the watches have delivered. It does
 // so only while this process reads the store.
 func (d *Driver) probe(ctx context.Context) {
@@ -263,8 +285,10 @@
 				unseen[name] = 0
 				continue
 			}
+			if unseen[name]%verifyEvery == 0 {
+				d.verify(ctx, name)
+			}
 			unseen[name]++
-			d.verify(ctx, name, unseen[name]%2 == 0 || d.small(name))
 		}
 	}
 }
@@ -283,30 +307,24 @@
 	return behind
 }
 
-// small reports whether a list of a kind costs hardly more than a watch.
-func (d *Driver) small(name string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.kinds[name].Size() <= smallKind
-}
-
-// verify asks whether a kind has changes that its watch has not delivered: with a list, or
-// for large kinds with a short watch at each first time, as that may be deaf as well.
-func (d *Driver) verify(ctx context.Context, name string, list bool) {
+// verify lists a kind, whose watch may be deaf. A list is the only answer that cannot be.
+func (d *Driver) verify(ctx context.Context, name string) {
 	kind := d.kinds[name]
-	if list {
-		objects, revision, err := d.config.Store.List(ctx, name)
-		if err == nil {
-			d.apply(name, kind, func(now time.Time) []Change { return kind.Listed(objects, revision, now) })
-		}
-		return
+	objects, revision, err := d.config.Store.List(ctx, name)
+	if err != nil {
+		return // the watch or the next probe notices an outage
 	}
 	d.mu.Lock()
-	after := kind.Revision()
+	before := kind.Revision()
 	d.mu.Unlock()
-	events, _, err := d.config.Store.Watch(ctx, name, after, verifyWait)
-	if errors.Is(err, ErrHistoryLost) || len(events) > 0 {
-		d.config.Log.Warn("watch is behind the store", zap.String("kind", name), zap.Int64("revision", after))
+	changed := false
+	d.apply(name, kind, func(now time.Time) []Change {
+		changes := kind.Listed(objects, revision, now)
+		changed = len(changes) > 0
+		return changes
+	})
+	if changed {
+		d.config.Log.Warn("watch was behind the store", zap.String("kind", name), zap.Int64("revision", before))
 		d.cancel(name)
 	}
 }
@@ -459,6 +477,10 @@
 		return
 	}
 	for ctx.Err() == nil {
+		if !d.seeded() {
+			sleep(ctx, seedStep)
+			continue
+		}
 		if !d.wantsNeighbours() {
 			sleep(ctx, idleWait)
 			continue
@@ -482,6 +504,13 @@
 	}
 }
 
+// seeded reports whether the kind that names the neighbours was read.
+func (d *Driver) seeded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.config.Seed == "" || d.kinds[d.config.Seed].Known()
+}
+
 // answering notes whether the neighbours answer.
 func (d *Driver) answering(err error) {
 	d.mu.Lock()
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -86,15 +86,6 @@
 	return slices.SortedFunc(maps.Values(all), func(a, b Object) int { return strings.Compare(a.Name, b.Name) })
 }
 
-// Size returns the bytes of all objects.
-func (k *Kind) Size() int {
-	size := 0
-	for _, object := range k.objects {
-		size += len(object.Value)
-	}
-	return size
-}
-
 // Get returns an object.
 func (k *Kind) Get(name string) (Object, bool) {
 	if object, ok := k.objects[name]; ok {
