--- /dev/null
+++ b/entry/hosted/neighbours.go
@@ -0,0 +1,88 @@
+package hosted
+
+import (
+	"maps"
+	"slices"
+
+	"go.uber.org/zap"
+
+	"laburnumgw/lib/mirror"
+	"laburnumgw/lib/rendezvous"
+	"laburnumgw/platform"
+)
+
+// entryCount returns the number of entries that share the limits of the deployment.
+func (v *view) entryCount() float64 { return float64(max(len(v.entries), minEntries)) }
+
+// others returns the addresses of other entries.
+func (v *view) others() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var addresses []string
+	for name, entry := range v.entries {
+		if name != v.settings.VM {
+			addresses = append(addresses, entry.Address)
+		}
+	}
+	return addresses
+}
+
+func (v *view) entryChanged(change mirror.Change) {
+	if change.Deleted {
+		delete(v.entries, change.Object.Name)
+		return
+	}
+	entry, err := platform.DecodeEntry(change.Object.Name, change.Object.Value)
+	if err != nil {
+		v.log.Warn("entry ignored", zap.String("entry", change.Object.Name), zap.Error(err))
+		return
+	}
+	v.entries[change.Object.Name] = entry
+	for _, state := range v.services {
+		v.configureService(state.config)
+	}
+}
+
+// leaders returns the entries of this availability zone that rank above this one, the
+// first of which reads the store for the zone. The caller holds the lock.
+func (v *view) leaders() []string {
+	var names []string
+	for name, entry := range v.entries {
+		if entry.Zone == v.settings.Zone {
+			names = append(names, name)
+		}
+	}
+	ranked := rendezvous.Rank("mirror", names)
+	return ranked[:max(0, slices.Index(ranked, v.settings.VM))]
+}
+
+// source states whether this entry reads the store itself. One entry of a zone does, so
+// that the calls do not grow with the number of entries.
+func (v *view) source() mirror.Source {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.leaders()) == 0 {
+		return mirror.StoreFirst
+	}
+	return mirror.NeighboursFirst
+}
+
+// neighbours returns the addresses of the entries to mirror from: those that rank above
+// this one, or any other while this one cannot reach the store itself.
+func (v *view) neighbours() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var addresses []string
+	for _, name := range v.leaders() {
+		addresses = append(addresses, v.entries[name].Address)
+	}
+	if len(addresses) > 0 {
+		return addresses
+	}
+	for _, name := range slices.Sorted(maps.Keys(v.entries)) {
+		if name != v.settings.VM {
+			addresses = append(addresses, v.entries[name].Address)
+		}
+	}
+	return addresses
+}
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -15,7 +15,6 @@
 	"laburnumgw/lib/catalog"
 	"laburnumgw/lib/dispatch"
 	"laburnumgw/lib/mirror"
-	"laburnumgw/lib/rendezvous"
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/routing"
 	"laburnumgw/platform"
@@ -87,17 +86,6 @@
 	reportSequence uint64
 }
 
-// namedVersion is a version of weights with the time at which this process learnt it.
-type namedVersion struct {
-	version int
-	since   time.Time
-	// object and revision identify the object that named it.
-	object   string
-	revision int64
-	// assumed is set while its age is not known and it counts as named long ago.
-	assumed bool
-}
-
 func newView(settings *platform.Settings, metrics *entryMetrics, log *zap.Logger) *view {
 	return &view{
 		settings: settings, log: log, metrics: metrics, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -173,9 +161,6 @@
 	state.loop.Configure(0, v.budget())
 }
 
-// entryCount returns the number of entries that share the limits of the deployment.
-func (v *view) entryCount() float64 { return float64(max(len(v.entries), minEntries)) }
-
 // budget returns this entry's share of the retry budget.
 func (v *view) budget() retry.BudgetSettings {
 	bounds := v.settings.Bounds
@@ -258,92 +243,6 @@
 	return zones
 }
 
-func (v *view) versionChanged(change mirror.Change) {
-	if change.Deleted {
-		return
-	}
-	model, version, err := platform.DecodeVersion(change.Object.Name, change.Object.Value)
-	if err != nil {
-		v.log.Warn("version ignored", zap.Error(err))
-		return
-	}
-	list := v.versions[model]
-	if len(list) > 0 && list[len(list)-1].version >= version {
-		return
-	}
-	since := time.Now()
-	assumed := !v.listed[platform.KindVersions]
-	if assumed {
-		// How long ago a version was named is not known when it is read at the start.
-		since = since.Add(-v.settings.Bounds.VersionApply)
-	}
-	v.versions[model] = append(list, namedVersion{version, since, change.Object.Name, change.Object.Revision, assumed})
-	v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision))
-	v.retireOlder(model, version, since)
-}
-
-// retireOlder takes older weights out of use at the bound of a version. The caller holds
-// the lock.
-func (v *view) retireOlder(model string, version int, since time.Time) {
-	until := time.Until(since.Add(v.settings.Bounds.VersionApply - versionMargin))
-	v.feedAll()
-	if until <= 0 {
-		return
-	}
-	time.AfterFunc(until, func() {
-		v.mu.Lock()
-		defer v.mu.Unlock()
-		v.log.Info("older weights get no more requests", zap.String("model", model), zap.Int("version", version))
-		v.feedAll()
-	})
-}
-
-// versionKnown dates a version that was read at the start by what another entry knows.
-// The longest time counts, since an entry may have learnt of it late.
-func (v *view) versionKnown(object string, revision int64, known time.Duration) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for model, list := range v.versions {
-		for i := range list {
-			named := &list[i]
-			since := time.Now().Add(-known)
-			if named.object != object || named.revision != revision || (!named.assumed && !since.Before(named.since)) {
-				continue
-			}
-			named.assumed = false
-			named.since = since
-			v.log.Info("version dated by another entry", zap.String("model", model), zap.Int("version", named.version), zap.Duration("known", known))
-			v.retireOlder(model, named.version, since)
-		}
-	}
-}
-
-// others returns the addresses of other entries.
-func (v *view) others() []string {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var addresses []string
-	for name, entry := range v.entries {
-		if name != v.settings.VM {
-			addresses = append(addresses, entry.Address)
-		}
-	}
-	return addresses
-}
-
-// timeFor returns how long requests may still begin on a version of a model, when a newer
-// one was named.
-func (v *view) timeFor(model string, version int) (time.Duration, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for _, named := range v.versions[model] {
-		if named.version > version {
-			return time.Until(named.since.Add(v.settings.Bounds.VersionApply - beginMargin)), true
-		}
-	}
-	return 0, false
-}
-
 // reporting reports whether the process beside a worker has told its state lately.
 func (v *view) reporting(vm string) bool {
 	v.mu.Lock()
@@ -387,33 +286,6 @@
 	v.feedAll()
 }
 
-// required returns the oldest version of a model that may get requests.
-func (v *view) required(model string, now time.Time) int {
-	required := 0
-	for _, named := range v.versions[model] {
-		if now.Sub(named.since) >= v.settings.Bounds.VersionApply-versionMargin {
-			required = named.version
-		}
-	}
-	return required
-}
-
-func (v *view) entryChanged(change mirror.Change) {
-	if change.Deleted {
-		delete(v.entries, change.Object.Name)
-		return
-	}
-	entry, err := platform.DecodeEntry(change.Object.Name, change.Object.Value)
-	if err != nil {
-		v.log.Warn("entry ignored", zap.String("entry", change.Object.Name), zap.Error(err))
-		return
-	}
-	v.entries[change.Object.Name] = entry
-	for _, state := range v.services {
-		v.configureService(state.config)
-	}
-}
-
 func (v *view) feedAll() {
 	for _, id := range slices.Sorted(maps.Keys(v.workers)) {
 		v.feed(v.workers[id])
@@ -495,50 +367,6 @@
 		v.listed[platform.KindEvacuations]
 }
 
-// leaders returns the entries of this availability zone that rank above this one, the
-// first of which reads the store for the zone. The caller holds the lock.
-func (v *view) leaders() []string {
-	var names []string
-	for name, entry := range v.entries {
-		if entry.Zone == v.settings.Zone {
-			names = append(names, name)
-		}
-	}
-	ranked := rendezvous.Rank("mirror", names)
-	return ranked[:max(0, slices.Index(ranked, v.settings.VM))]
-}
-
-// source states whether this entry reads the store itself. One entry of a zone does, so
-// that the calls do not grow with the number of entries.
-func (v *view) source() mirror.Source {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if len(v.leaders()) == 0 {
-		return mirror.StoreFirst
-	}
-	return mirror.NeighboursFirst
-}
-
-// neighbours returns the addresses of the entries to mirror from: those that rank above
-// this one, or any other while this one cannot reach the store itself.
-func (v *view) neighbours() []string {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	var addresses []string
-	for _, name := range v.leaders() {
-		addresses = append(addresses, v.entries[name].Address)
-	}
-	if len(addresses) > 0 {
-		return addresses
-	}
-	for _, name := range slices.Sorted(maps.Keys(v.entries)) {
-		if name != v.settings.VM {
-			addresses = append(addresses, v.entries[name].Address)
-		}
-	}
-	return addresses
-}
-
 // service returns the state of a service, or nil.
 func (v *view) service(name string) *service {
 	v.mu.Lock()
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"sync"
 	"time"
 
@@ -52,40 +51,6 @@
 	Revision(ctx context.Context) (int64, error)
 }
 
-// State is what a neighbour knows of a kind.
-type State struct {
-	Kind     string
-	Revision int64
-	Objects  []Object
-}
-
-// Neighbours asks one of the neighbours for kinds that it knows in a newer revision.
-// It fails when none is known or none answers.
-type Neighbours interface {
-	Pull(ctx context.Context, known map[string]int64, wait time.Duration) (Pulled, error)
-}
-
-// Pulled is the answer of a neighbour.
-type Pulled struct {
-	States []State
-	// Age is that of the neighbour's last answer of the store.
-	Age time.Duration
-	// Direct is set when the neighbour reads the store itself. One that mirrors another
-	// is not relied on, or two that have lost the store would confirm each other.
-	Direct bool
-}
-
-// Source names who is asked first.
-type Source uint8
-
-// Sources.
-const (
-	StoreFirst Source = iota
-	// NeighboursFirst asks the store only until neighbours answer. It keeps the calls
-	// of the store independent of the number of workers.
-	NeighboursFirst
-)
-
 // Config configures a Driver.
 type Config struct {
 	// Kinds lists the kinds; those with true lapse while the store is down.
@@ -161,41 +126,6 @@
 	return true
 }
 
-// Newer returns the kinds that are known in a newer revision, waiting for one.
-func (d *Driver) Newer(ctx context.Context, known map[string]int64, wait time.Duration) []State {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		states, moved := d.newer(known)
-		if len(states) > 0 {
-			return states
-		}
-		select {
-		case <-moved:
-			if !d.Direct() {
-				return nil
-			}
-		case <-timer.C:
-			return nil
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-func (d *Driver) newer(known map[string]int64) ([]State, <-chan struct{}) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var states []State
-	for name, kind := range d.kinds {
-		revision, asked := known[name]
-		if asked && kind.Known() && kind.Revision() > revision {
-			states = append(states, State{Kind: name, Revision: kind.Revision(), Objects: kind.Objects()})
-		}
-	}
-	return states, d.moved
-}
-
 // follow mirrors one kind from the store.
 func (d *Driver) follow(ctx context.Context, name string) {
 	kind := d.kinds[name]
@@ -258,112 +188,6 @@
 	}
 }
 
-// probe compares the revision of the store with what the watches have delivered. It does
-// so only while this process reads the store.
-func (d *Driver) probe(ctx context.Context) {
-	unseen := make(map[string]int)
-	for sleep(ctx, probeInterval) {
-		d.mu.Lock()
-		idle := d.first() == NeighboursFirst && d.pulling
-		d.mu.Unlock()
-		if idle {
-			continue
-		}
-		revision, err := d.config.Store.Revision(ctx)
-		if err != nil {
-			d.lost()
-			d.Refresh("the store does not answer")
-			continue
-		}
-		d.confirmed(0)
-		if len(d.behind(revision)) == 0 || !sleep(ctx, probeGrace) {
-			continue
-		}
-		behind := d.behind(revision)
-		for name := range d.kinds {
-			if !behind[name] {
-				unseen[name] = 0
-				continue
-			}
-			if unseen[name]%verifyEvery == 0 {
-				d.verify(ctx, name)
-			}
-			unseen[name]++
-		}
-	}
-}
-
-// behind returns the kinds that are not known up to a revision. A change of another kind
-// is no reason to believe that nothing was missed.
-func (d *Driver) behind(revision int64) map[string]bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	behind := make(map[string]bool)
-	for name, kind := range d.kinds {
-		if kind.Revision() < revision {
-			behind[name] = true
-		}
-	}
-	return behind
-}
-
-// verify lists a kind, whose watch may be deaf. A list is the only answer that cannot be.
-func (d *Driver) verify(ctx context.Context, name string) {
-	kind := d.kinds[name]
-	objects, revision, err := d.config.Store.List(ctx, name)
-	if err != nil {
-		return // the watch or the next probe notices an outage
-	}
-	d.mu.Lock()
-	before := kind.Revision()
-	d.mu.Unlock()
-	changed := false
-	d.apply(name, kind, func(now time.Time) []Change {
-		changes := kind.Listed(objects, revision, now)
-		changed = len(changes) > 0
-		return changes
-	})
-	if changed {
-		d.config.Log.Warn("watch was behind the store", zap.String("kind", name), zap.Int64("revision", before))
-		d.cancel(name)
-	}
-}
-
-func (d *Driver) cancel(name string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if cancel := d.cancels[name]; cancel != nil {
-		cancel()
-	}
-}
-
-// lost notes that the store does not answer, and tells those who mirror from here.
-func (d *Driver) lost() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.loseDirect()
-}
-
-// loseDirect wakes the neighbours that wait. The caller holds the lock.
-func (d *Driver) loseDirect() {
-	if !d.direct {
-		return
-	}
-	d.direct = false
-	close(d.moved)
-	d.moved = make(chan struct{})
-}
-
-// Refresh lists all kinds again.
-func (d *Driver) Refresh(reason string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.config.Log.Info("kinds are listed again", zap.String("reason", reason))
-	for _, cancel := range d.cancels {
-		cancel()
-	}
-}
-
 // idle reports whether the neighbours make the store's calls needless. The channel is
 // closed when they stop to answer.
 func (d *Driver) idle(kind *Kind) (turned <-chan struct{}, idle bool) {
@@ -384,39 +208,6 @@
 	}
 }
 
-func (d *Driver) first() Source {
-	if d.config.First == nil {
-		return StoreFirst
-	}
-	return d.config.First()
-}
-
-// Age returns the time since the last answer of the store, also through neighbours.
-func (d *Driver) Age() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return time.Since(d.confirmedAt)
-}
-
-// Direct reports whether the store answers this process.
-func (d *Driver) Direct() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.direct
-}
-
-// confirmed notes an answer of the store of an age, zero for one to this process.
-func (d *Driver) confirmed(age time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if age == 0 {
-		d.direct = true
-	}
-	if at := time.Now().Add(-age); at.After(d.confirmedAt) {
-		d.confirmedAt = at
-	}
-}
-
 func (d *Driver) ask(ctx context.Context, name string, kind *Kind, listed bool) error {
 	if !listed {
 		objects, revision, err := d.config.Store.List(ctx, name)
@@ -470,88 +261,6 @@
 	d.loseDirect()
 }
 
-// pull mirrors from neighbours when the store is out of reach, or always when they are
-// to be asked first.
-func (d *Driver) pull(ctx context.Context) {
-	if d.config.Neighbours == nil {
-		return
-	}
-	for ctx.Err() == nil {
-		if !d.seeded() {
-			sleep(ctx, seedStep)
-			continue
-		}
-		if !d.wantsNeighbours() {
-			sleep(ctx, idleWait)
-			continue
-		}
-		pulled, err := d.config.Neighbours.Pull(ctx, d.revisions(), d.config.PullWait)
-		reads := pulled.Direct || d.config.Indirect
-		if err == nil && (!reads || pulled.Age > d.config.StaleAfter) {
-			err = fmt.Errorf("neighbour does not read the store or has not heard of it for %s", pulled.Age)
-		}
-		d.answering(err)
-		if err != nil {
-			sleep(ctx, pullRetry)
-			continue
-		}
-		for _, state := range pulled.States {
-			if kind := d.kinds[state.Kind]; kind != nil {
-				d.apply(state.Kind, kind, func(now time.Time) []Change { return kind.Listed(state.Objects, state.Revision, now) })
-			}
-		}
-		d.confirmed(max(pulled.Age, time.Millisecond))
-	}
-}
-
-// seeded reports whether the kind that names the neighbours was read.
-func (d *Driver) seeded() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.config.Seed == "" || d.kinds[d.config.Seed].Known()
-}
-
-// answering notes whether the neighbours answer.
-func (d *Driver) answering(err error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.pulling != (err == nil) {
-		close(d.turned)
-		d.turned = make(chan struct{})
-		d.config.Log.Info("neighbours mirror the store", zap.Bool("answering", err == nil), zap.Error(err))
-	}
-	d.pulling = err == nil
-}
-
-func (d *Driver) wantsNeighbours() bool {
-	if d.first() == NeighboursFirst {
-		return true
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	for _, kind := range d.kinds {
-		if kind.Failing(now) >= turnAfter {
-			return true
-		}
-	}
-	d.pulling = false
-	return false
-}
-
-func (d *Driver) revisions() map[string]int64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	known := make(map[string]int64, len(d.kinds))
-	for name, kind := range d.kinds {
-		known[name] = kind.Revision()
-		if !kind.Known() {
-			known[name] = -1
-		}
-	}
-	return known
-}
-
 // tick ends grace times.
 func (d *Driver) tick(ctx context.Context) {
 	for sleep(ctx, tickInterval) {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"laburnumgw/standin/hosted"
 )
 
 // Outcome is what one request came to.
@@ -90,10 +92,7 @@
 	// The client must not repeat a request by itself under the same id.
 	request.GetBody = nil
 	request.Host = host
-	request.Header.Set("X-Laburnumgw-Request-Id", id)
-	request.Header.Set("X-Laburnumgw-Deadline-Ms", "6000")
-	request.Header.Set("X-Laburnumgw-Token-Counts", "900,48")
-	request.Header.Set("Authorization", "Token "+apiKey)
+	hosted.SetCall(request.Header, id, apiKey, "6000", "900,48")
 	response, err := c.client.Do(request)
 	if err != nil {
 		o.Err = err
@@ -111,10 +110,11 @@
 
 // check compares a whole success with what the worker must have sent.
 func (c *Callers) check(kind, id, method string, body []byte, header http.Header, data []byte) error {
-	if header.Get("X-Laburnumgw-Request-Id") != id {
-		return fmt.Errorf("answer belongs to request %q", header.Get("X-Laburnumgw-Request-Id"))
+	answer := hosted.ReadAnswer(header)
+	if answer.RequestID != id {
+		return fmt.Errorf("answer belongs to request %q", answer.RequestID)
 	}
-	if header.Get("X-Laburnumgw-Server-Seal") == "" {
+	if !answer.Sealed {
 		return errors.New("success without the worker's proof")
 	}
 	if kind != "chat" {
@@ -123,7 +123,7 @@
 		}
 		return nil
 	}
-	return checkStream(data, header.Get("X-Laburnumgw-Weight-Versions"))
+	return checkStream(data, answer.Version)
 }
 
 // checkStream checks that every event came once, in order and from one version.
--- /dev/null
+++ b/standin/hosted/caller.go
@@ -0,0 +1,26 @@
+package hosted
+
+import "net/http"
+
+// SetCall sets the headers of a caller's request.
+func SetCall(header http.Header, id, key, deadlineMs, tokens string) {
+	header.Set("X-Laburnumgw-Request-Id", id)
+	header.Set("X-Laburnumgw-Deadline-Ms", deadlineMs)
+	header.Set("X-Laburnumgw-Token-Counts", tokens)
+	header.Set("Authorization", "Token "+key)
+}
+
+// Answer is what the headers of an answer say.
+type Answer struct {
+	RequestID string
+	Sealed    bool
+	Version   string
+}
+
+// ReadAnswer reads the headers of an answer.
+func ReadAnswer(header http.Header) Answer {
+	return Answer{
+		RequestID: header.Get("X-Laburnumgw-Request-Id"), Sealed: header.Get("X-Laburnumgw-Server-Seal") != "",
+		Version: header.Get("X-Laburnumgw-Weight-Versions"),
+	}
+}
