Tell neighbours changes alone, through a tree of entries

Ruled out: the store (acks after 228 ms).

A neighbour now gets what has changed since it asked, by a sequence of the server's copy; entries mirror in a tree of fan-out 8; processes beside workers spread over the entries of their zone. A removal at the end of the grace time now reaches neighbours, too: before, they heard of it at the next change. The property test covers both.

--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -13,6 +13,7 @@
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/catalog"
 	"laburnumgw/lib/mirror"
+	"laburnumgw/lib/rendezvous"
 	"laburnumgw/platform"
 )
 
@@ -183,10 +184,8 @@
 // neighbours returns the entries to mirror from.
 func (v *view) neighbours() []string {
 	near, far := v.entryAddresses()
-	if len(near) > 0 {
-		return near
-	}
-	return far
+	// Each process has its own order, so that the entries share the load.
+	return append(rendezvous.Rank(v.settings.IP, near), rendezvous.Rank(v.settings.IP, far)...)
 }
 
 func hostOf(address string) string {
--- a/entry/hosted/neighbours.go
+++ b/entry/hosted/neighbours.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -56,6 +57,23 @@
 	return ranked[:max(0, slices.Index(ranked, v.settings.VM))]
 }
 
+// parentOf returns the rank of the entry that one of a rank above 0 mirrors from.
+func parentOf(rank int) int { return (rank - 1) / mirrorFanout }
+
+// staleAfter returns the age from which on the entry that this one mirrors from is not
+// relied on.
+func (v *view) staleAfter() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	limit := staleAfter
+	for rank := len(v.leaders()); rank > 0; rank = parentOf(rank) {
+		if parentOf(rank) > 0 {
+			limit += staleStep
+		}
+	}
+	return limit
+}
+
 // source states whether this entry reads the store itself. One entry of a zone does, so
 // that the calls do not grow with the number of entries.
 func (v *view) source() mirror.Source {
@@ -73,8 +91,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	var addresses []string
-	for _, name := range v.leaders() {
-		addresses = append(addresses, v.entries[name].Address)
+	leaders := v.leaders()
+	for i := range leaders {
+		// The entry to mirror from comes first, then the others from the reader on.
+		addresses = append(addresses, v.entries[leaders[(i+parentOf(len(leaders)))%len(leaders)]].Address)
 	}
 	if len(addresses) > 0 {
 		return addresses
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -45,6 +45,11 @@
 	// the bound of 2 s.
 	pullWait   = 300 * time.Millisecond
 	staleAfter = 1250 * time.Millisecond
+	// staleStep is added for each entry between this one and the reader of the zone.
+	staleStep = 350 * time.Millisecond
+	// mirrorFanout is the number of entries that mirror from the same one, so that the
+	// work of the reader does not grow with the zone.
+	mirrorFanout = 8
 	// dateInterval separates two looks whether the store was read, and dateEntries is the
 	// number of entries that are asked how long versions have been named.
 	dateInterval = 20 * time.Millisecond
@@ -83,7 +88,7 @@
 			platform.KindConfig: false, platform.KindWorkers: true, platform.KindEvacuations: false,
 			platform.KindVersions: false, platform.KindEntries: false,
 		},
-		Store: store, Seed: platform.KindEntries, Neighbours: rpcmirror.NewClient(conns, v.neighbours), First: v.source, PullWait: pullWait, StaleAfter: staleAfter,
+		Store: store, Seed: platform.KindEntries, Neighbours: rpcmirror.NewClient(conns, v.neighbours), First: v.source, PullWait: pullWait, StaleAfter: v.staleAfter,
 		Changed: v.changed, Log: log,
 	})
 	p.grpc = grpc.NewServer()
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -64,7 +65,7 @@
 	// PullWait is how long a neighbour waits for a change, and StaleAfter the age of its
 	// last answer of the store from which on it is not relied on.
 	PullWait   time.Duration
-	StaleAfter time.Duration
+	StaleAfter func() time.Duration
 	// Indirect accepts neighbours that mirror others. Only a process that nobody mirrors
 	// may set it.
 	Indirect bool
@@ -85,6 +86,10 @@
 	// that changes.
 	pulling bool
 	turned  chan struct{}
+	// instance identifies this life of the mirror, and heard is what was heard from the
+	// neighbour that answered last. Only the goroutine that pulls uses heard.
+	instance uint64
+	heard    Since
 	// direct is set while the store answers this process.
 	direct bool
 	// confirmedAt is the time of the last answer of the store, also through neighbours.
@@ -95,7 +100,7 @@
 
 // NewDriver returns a driver that runs with Run.
 func NewDriver(config Config) *Driver {
-	d := &Driver{config: config, kinds: make(map[string]*Kind), moved: make(chan struct{}), turned: make(chan struct{}), cancels: make(map[string]context.CancelFunc)}
+	d := &Driver{config: config, instance: rand.Uint64(), kinds: make(map[string]*Kind), moved: make(chan struct{}), turned: make(chan struct{}), cancels: make(map[string]context.CancelFunc)}
 	for name, lapses := range config.Kinds {
 		d.kinds[name] = NewKind(lapses)
 	}
@@ -234,13 +239,13 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	outage := kind.Failing(now)
-	before, known := kind.Revision(), kind.Known()
+	before, known := kind.Sequence(), kind.Known()
 	changes := change(now)
 	if outage > 0 {
 		d.config.Log.Info("source of the mirror regained", zap.String("kind", name), zap.Duration("outage", outage),
 			zap.Int64("revision", kind.Revision()))
 	}
-	if kind.Revision() != before || known != kind.Known() {
+	if kind.Sequence() != before || known != kind.Known() {
 		close(d.moved)
 		d.moved = make(chan struct{})
 	}
@@ -269,6 +274,8 @@
 		for name, kind := range d.kinds {
 			if changes := kind.Tick(now); len(changes) > 0 {
 				d.config.Changed(name, changes)
+				close(d.moved)
+				d.moved = make(chan struct{})
 			}
 		}
 		d.mu.Unlock()
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -60,15 +60,31 @@
 	objects  map[string]Object
 	// held are objects that were deleted during or just after an outage.
 	held map[string]Object
+	// sequence counts the changes of this copy, changed holds that of each object's last
+	// change, and gone those of the objects that were removed since floor.
+	sequence int64
+	changed  map[string]int64
+	gone     []departure
+	floor    int64
 	// failedAt is the start of the outage that is going on.
 	failedAt  time.Time
 	failing   bool
 	graceEnds time.Time
 }
 
+// departure is an object that was removed.
+type departure struct {
+	name     string
+	sequence int64
+}
+
+// maxGone bounds the removals that are remembered. A neighbour that has missed more of
+// them gets all objects.
+const maxGone = 512
+
 // NewKind returns an empty mirror.
 func NewKind(lapses bool) *Kind {
-	return &Kind{lapses: lapses, objects: make(map[string]Object), held: make(map[string]Object)}
+	return &Kind{lapses: lapses, objects: make(map[string]Object), held: make(map[string]Object), changed: make(map[string]int64)}
 }
 
 // Known reports whether the kind was listed once.
@@ -95,6 +111,43 @@
 	return object, ok
 }
 
+// Sequence returns the number of changes of this copy.
+func (k *Kind) Sequence() int64 { return k.sequence }
+
+// Since returns what has changed after a sequence number of this copy. It returns all
+// objects when that is negative or too old.
+func (k *Kind) Since(sequence int64) (objects []Object, removed []string, full bool) {
+	if sequence < k.floor || sequence < 0 {
+		return k.Objects(), nil, true
+	}
+	for _, object := range k.Objects() {
+		if k.changed[object.Name] > sequence {
+			objects = append(objects, object)
+		}
+	}
+	for _, g := range k.gone {
+		if _, back := k.changed[g.name]; g.sequence > sequence && !back {
+			removed = append(removed, g.name)
+		}
+	}
+	return objects, removed, false
+}
+
+func (k *Kind) touch(name string) {
+	k.sequence++
+	k.changed[name] = k.sequence
+}
+
+func (k *Kind) bury(name string) {
+	k.sequence++
+	delete(k.changed, name)
+	k.gone = append(k.gone, departure{name, k.sequence})
+	if len(k.gone) > maxGone {
+		k.floor = k.gone[0].sequence
+		k.gone = k.gone[1:]
+	}
+}
+
 // Failed notes that no source answered.
 func (k *Kind) Failed(now time.Time) {
 	if !k.failing {
@@ -175,6 +228,7 @@
 	var changes []Change
 	for _, name := range slices.Sorted(maps.Keys(k.held)) {
 		changes = append(changes, Change{Object: k.held[name], Deleted: true})
+		k.bury(name)
 	}
 	clear(k.held)
 	return changes
@@ -189,6 +243,7 @@
 	held, wasHeld := k.held[object.Name]
 	delete(k.held, object.Name)
 	k.objects[object.Name] = object
+	k.touch(object.Name)
 	if wasHeld && string(held.Value) == string(object.Value) {
 		return changes
 	}
@@ -205,5 +260,6 @@
 		k.held[name] = object
 		return changes
 	}
+	k.bury(name)
 	return append(changes, Change{Object: object, Deleted: true})
 }
--- a/lib/mirror/mirror_test.go
+++ b/lib/mirror/mirror_test.go
@@ -318,7 +318,7 @@
 	stale bool
 }
 
-func (n *neighbour) Pull(ctx context.Context, known map[string]int64, wait time.Duration) (Pulled, error) {
+func (n *neighbour) Pull(ctx context.Context, since Since, wait time.Duration) (Pulled, error) {
 	n.mu.Lock()
 	gone, stale := n.gone, n.stale
 	n.mu.Unlock()
@@ -333,8 +333,8 @@
 		}
 		return Pulled{}, errDown
 	}
-	states := n.driver.Newer(ctx, known, wait)
-	return Pulled{States: states, Age: n.driver.Age(), Direct: n.driver.Direct()}, nil
+	states := n.driver.Newer(ctx, since, wait)
+	return Pulled{Instance: n.driver.Instance(), States: states, Age: n.driver.Age(), Direct: n.driver.Direct()}, nil
 }
 
 // followLeader runs a leader that reads the store and a follower that mirrors from it.
@@ -345,7 +345,7 @@
 	n := &neighbour{driver: leader}
 	f := &followed{began: time.Now()}
 	follower := NewDriver(Config{
-		Kinds: kinds, Store: followerStore, Log: zap.NewNop(), Neighbours: n, PullWait: 300 * time.Millisecond, StaleAfter: 1250 * time.Millisecond,
+		Kinds: kinds, Store: followerStore, Log: zap.NewNop(), Neighbours: n, PullWait: 300 * time.Millisecond, StaleAfter: func() time.Duration { return 1250 * time.Millisecond },
 		First: func() Source { return NeighboursFirst }, Changed: func(_ string, changes []Change) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -462,3 +462,68 @@
 		}
 	})
 }
+
+// Guards against neighbours that get all objects at each change (15 MB a second at 300
+// entries), and against one that misses a change or a removal by getting only some.
+func TestChangesAloneKeepACopy(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		server, client := NewKind(true), NewKind(false)
+		revision, heard := int64(1), int64(-1)
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2500).Draw(t, "ms")) * time.Millisecond)
+			revision++
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name")
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				server.Listed([]Object{object(name, revision)}, revision, now)
+			case 1, 2:
+				server.Watched([]Event{{Object: object(name, revision)}}, revision, now)
+			case 3:
+				server.Watched([]Event{{Object: object(name, revision), Deleted: true}}, revision, now)
+			case 4:
+				server.Failed(now)
+			default:
+				server.Tick(now)
+			}
+			if rapid.Bool().Draw(t, "pull") || !server.Known() {
+				continue
+			}
+			objects, removed, full := server.Since(heard)
+			if full {
+				client.Listed(objects, server.Revision(), now)
+			} else {
+				client.Watched(eventsOf(State{Objects: objects, Removed: removed}), server.Revision(), now)
+			}
+			heard = server.Sequence()
+			got, want := client.Objects(), server.Objects()
+			if len(got) != len(want) {
+				t.Fatalf("copy has %d objects, want %d", len(got), len(want))
+			}
+			for i := range got {
+				if got[i].Name != want[i].Name || got[i].Revision != want[i].Revision {
+					t.Fatalf("copy has %+v, want %+v", got[i], want[i])
+				}
+			}
+		}
+	})
+}
+
+// Guards against removals that are forgotten before a neighbour has heard of them.
+func TestTooOldSequenceGetsEverything(t *testing.T) {
+	Convey("After more removals than are remembered, all objects are told", t, func() {
+		kind := NewKind(false)
+		kind.Listed([]Object{object("kept", 1)}, 1, start)
+		heard := kind.Sequence()
+		for i := range int64(maxGone + 1) {
+			kind.Watched([]Event{{Object: object("x", 2*i+2)}}, 2*i+2, start)
+			kind.Watched([]Event{{Object: object("x", 2*i+3), Deleted: true}}, 2*i+3, start)
+		}
+		objects, _, full := kind.Since(heard)
+		So(full, ShouldBeTrue)
+		So(objects, ShouldHaveLength, 1)
+		_, removed, full := kind.Since(kind.Sequence() - 1)
+		So(full, ShouldBeFalse)
+		So(removed, ShouldResemble, []string{"x"})
+	})
+}
--- a/lib/mirror/pull.go
+++ b/lib/mirror/pull.go
@@ -8,26 +8,42 @@
 	"go.uber.org/zap"
 )
 
-// State is what a neighbour knows of a kind.
+// State is what a neighbour tells of a kind.
 type State struct {
 	Kind     string
 	Revision int64
-	Objects  []Object
+	// Sequence is that of the neighbour's copy.
+	Sequence int64
+	// Objects are all objects when Full is set, else those that have changed, and Removed
+	// names those that have gone.
+	Full    bool
+	Objects []Object
+	Removed []string
 }
 
-// Neighbours asks one of the neighbours for kinds that it knows in a newer revision.
-// It fails when none is known or none answers.
+// Since tells a neighbour what is known of its copies.
+type Since struct {
+	// Instance is the life of the neighbour's mirror that the sequence numbers belong to.
+	Instance uint64
+	// Sequences holds a number for each kind that is asked for, -1 for all objects.
+	Sequences map[string]int64
+}
+
+// Neighbours asks one of the neighbours for what has changed. It fails when none is known
+// or the one that was asked does not answer.
 type Neighbours interface {
-	Pull(ctx context.Context, known map[string]int64, wait time.Duration) (Pulled, error)
+	Pull(ctx context.Context, since Since, wait time.Duration) (Pulled, error)
 }
 
 // Pulled is the answer of a neighbour.
 type Pulled struct {
-	States []State
+	Instance uint64
+	States   []State
 	// Age is that of the neighbour's last answer of the store.
 	Age time.Duration
-	// Direct is set when the neighbour reads the store itself. One that mirrors another
-	// is not relied on, or two that have lost the store would confirm each other.
+	// Direct is set when the neighbour reads the store, or mirrors one that ranks above it
+	// and does. Others are not relied on, or two that have lost the store would confirm
+	// each other.
 	Direct bool
 }
 
@@ -42,12 +58,15 @@
 	NeighboursFirst
 )
 
-// Newer returns the kinds that are known in a newer revision, waiting for one.
-func (d *Driver) Newer(ctx context.Context, known map[string]int64, wait time.Duration) []State {
+// Instance identifies this life of the mirror.
+func (d *Driver) Instance() uint64 { return d.instance }
+
+// Newer returns what has changed since, waiting for a change.
+func (d *Driver) Newer(ctx context.Context, since Since, wait time.Duration) []State {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		states, moved := d.newer(known)
+		states, moved := d.newer(since)
 		if len(states) > 0 {
 			return states
 		}
@@ -64,15 +83,22 @@
 	}
 }
 
-func (d *Driver) newer(known map[string]int64) ([]State, <-chan struct{}) {
+func (d *Driver) newer(since Since) ([]State, <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var states []State
 	for name, kind := range d.kinds {
-		revision, asked := known[name]
-		if asked && kind.Known() && kind.Revision() > revision {
-			states = append(states, State{Kind: name, Revision: kind.Revision(), Objects: kind.Objects()})
+		known, asked := since.Sequences[name]
+		if since.Instance != d.instance {
+			known = -1
 		}
+		if !asked || !kind.Known() || kind.Sequence() <= known {
+			continue
+		}
+		objects, removed, full := kind.Since(known)
+		states = append(states, State{
+			Kind: name, Revision: kind.Revision(), Sequence: kind.Sequence(), Full: full, Objects: objects, Removed: removed,
+		})
 	}
 	return states, d.moved
 }
@@ -91,11 +117,12 @@
 	return time.Since(d.confirmedAt)
 }
 
-// Direct reports whether the store answers this process.
+// Direct reports whether the store answers this process, or a neighbour that ranks above
+// it and passes the store's answers on.
 func (d *Driver) Direct() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.direct
+	return d.direct || (d.pulling && d.first() == NeighboursFirst)
 }
 
 // confirmed notes an answer of the store of an age, zero for one to this process.
@@ -125,9 +152,9 @@
 			sleep(ctx, idleWait)
 			continue
 		}
-		pulled, err := d.config.Neighbours.Pull(ctx, d.revisions(), d.config.PullWait)
+		pulled, err := d.config.Neighbours.Pull(ctx, d.since(), d.config.PullWait)
 		reads := pulled.Direct || d.config.Indirect
-		if err == nil && (!reads || pulled.Age > d.config.StaleAfter) {
+		if err == nil && (!reads || pulled.Age > d.config.StaleAfter()) {
 			err = fmt.Errorf("neighbour does not read the store or has not heard of it for %s", pulled.Age)
 		}
 		d.answering(err)
@@ -135,13 +162,52 @@
 			sleep(ctx, pullRetry)
 			continue
 		}
-		for _, state := range pulled.States {
-			if kind := d.kinds[state.Kind]; kind != nil {
-				d.apply(state.Kind, kind, func(now time.Time) []Change { return kind.Listed(state.Objects, state.Revision, now) })
+		d.take(pulled)
+		d.confirmed(max(pulled.Age, time.Millisecond))
+	}
+}
+
+// take applies the answer of a neighbour.
+func (d *Driver) take(pulled Pulled) {
+	if pulled.Instance != d.heard.Instance {
+		d.heard = Since{Instance: pulled.Instance, Sequences: make(map[string]int64)}
+	}
+	for _, state := range pulled.States {
+		kind := d.kinds[state.Kind]
+		if kind == nil {
+			continue
+		}
+		d.heard.Sequences[state.Kind] = state.Sequence
+		d.apply(state.Kind, kind, func(now time.Time) []Change {
+			if state.Full {
+				return kind.Listed(state.Objects, state.Revision, now)
 			}
+			return kind.Watched(eventsOf(state), state.Revision, now)
+		})
+	}
+}
+
+func eventsOf(state State) []Event {
+	events := make([]Event, 0, len(state.Objects)+len(state.Removed))
+	for _, name := range state.Removed {
+		events = append(events, Event{Object: Object{Name: name}, Deleted: true})
+	}
+	for _, object := range state.Objects {
+		events = append(events, Event{Object: object})
+	}
+	return events
+}
+
+// since tells a neighbour what was heard from it.
+func (d *Driver) since() Since {
+	since := Since{Instance: d.heard.Instance, Sequences: make(map[string]int64, len(d.kinds))}
+	for name := range d.kinds {
+		since.Sequences[name] = -1
+		if sequence, ok := d.heard.Sequences[name]; ok {
+			since.Sequences[name] = sequence
 		}
-		d.confirmed(max(pulled.Age, time.Millisecond))
 	}
+	return since
 }
 
 // seeded reports whether the kind that names the neighbours was read.
@@ -158,6 +224,8 @@
 	if d.pulling != (err == nil) {
 		close(d.turned)
 		d.turned = make(chan struct{})
+		close(d.moved)
+		d.moved = make(chan struct{})
 		d.config.Log.Info("neighbours mirror the store", zap.Bool("answering", err == nil), zap.Error(err))
 	}
 	d.pulling = err == nil
@@ -178,16 +246,3 @@
 	d.pulling = false
 	return false
 }
-
-func (d *Driver) revisions() map[string]int64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	known := make(map[string]int64, len(d.kinds))
-	for name, kind := range d.kinds {
-		known[name] = kind.Revision()
-		if !kind.Known() {
-			known[name] = -1
-		}
-	}
-	return known
-}
--- a/lib/mirror/rpcmirror/rpcmirror.go
+++ b/lib/mirror/rpcmirror/rpcmirror.go
@@ -28,10 +28,12 @@
 // Pull implements the Mirror service.
 func (s *Server) Pull(ctx context.Context, request *laburnumgwv1.PullRequest) (*laburnumgwv1.PullResponse, error) {
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxWait)
-	states := s.Driver.Newer(ctx, request.GetKnown(), wait)
-	response := &laburnumgwv1.PullResponse{ConfirmedMsAgo: s.Driver.Age().Milliseconds(), Direct: s.Driver.Direct()}
+	states := s.Driver.Newer(ctx, mirror.Since{Instance: request.GetInstance(), Sequences: request.GetKnown()}, wait)
+	response := &laburnumgwv1.PullResponse{ConfirmedMsAgo: s.Driver.Age().Milliseconds(), Direct: s.Driver.Direct(), Instance: s.Driver.Instance()}
 	for _, state := range states {
-		kind := &laburnumgwv1.KindState{Kind: state.Kind, Revision: state.Revision}
+		kind := &laburnumgwv1.KindState{
+			Kind: state.Kind, Revision: state.Revision, Sequence: state.Sequence, Full: state.Full, Removed: state.Removed,
+		}
 		for _, object := range state.Objects {
 			kind.Objects = append(kind.Objects, &laburnumgwv1.MirroredObject{
 				Name: object.Name, Revision: object.Revision, Value: object.Value, KnownMs: knownFor(object),
@@ -96,7 +98,7 @@
 
 // Pull implements mirror.Neighbours. It asks the next neighbour at the next call when one
 // does not answer.
-func (c *Client) Pull(ctx context.Context, known map[string]int64, wait time.Duration) (mirror.Pulled, error) {
+func (c *Client) Pull(ctx context.Context, since mirror.Since, wait time.Duration) (mirror.Pulled, error) {
 	peers := c.peers()
 	if len(peers) == 0 {
 		c.current = ""
@@ -107,27 +109,31 @@
 		at = 0
 		c.current = peers[0]
 	}
-	pulled, err := c.pull(ctx, c.current, known, wait)
+	pulled, err := c.pull(ctx, c.current, since, wait)
 	if err != nil {
 		c.current = peers[(at+1)%len(peers)]
 	}
 	return pulled, err
 }
 
-func (c *Client) pull(ctx context.Context, address string, known map[string]int64, wait time.Duration) (mirror.Pulled, error) {
+func (c *Client) pull(ctx context.Context, address string, since mirror.Since, wait time.Duration) (mirror.Pulled, error) {
 	conn, err := c.conns.Conn(address)
 	if err != nil {
 		return mirror.Pulled{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+pullSlack)
 	defer cancel()
-	response, err := laburnumgwv1.NewMirrorClient(conn).Pull(ctx, &laburnumgwv1.PullRequest{Known: known, WaitMs: int32(wait.Milliseconds())})
+	response, err := laburnumgwv1.NewMirrorClient(conn).Pull(ctx, &laburnumgwv1.PullRequest{
+		Instance: since.Instance, Known: since.Sequences, WaitMs: int32(wait.Milliseconds()),
+	})
 	if err != nil {
 		return mirror.Pulled{}, fmt.Errorf("pull from %s: %w", address, err)
 	}
-	pulled := mirror.Pulled{Age: time.Duration(response.GetConfirmedMsAgo()) * time.Millisecond, Direct: response.GetDirect()}
+	pulled := mirror.Pulled{Age: time.Duration(response.GetConfirmedMsAgo()) * time.Millisecond, Direct: response.GetDirect(), Instance: response.GetInstance()}
 	for _, kind := range response.GetKinds() {
-		state := mirror.State{Kind: kind.GetKind(), Revision: kind.GetRevision()}
+		state := mirror.State{
+			Kind: kind.GetKind(), Revision: kind.GetRevision(), Sequence: kind.GetSequence(), Full: kind.GetFull(), Removed: kind.GetRemoved(),
+		}
 		for _, object := range kind.GetObjects() {
 			state.Objects = append(state.Objects, mirror.Object{
 				Name: object.GetName(), Revision: object.GetRevision(), Value: object.GetValue(),
