--- /dev/null
+++ b/endpoint/hosted/weights_test.go
@@ -0,0 +1,183 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/mirror"
+	"laburnumgw/lib/rpc"
+	"laburnumgw/platform"
+	"laburnumgw/standin/hosted"
+)
+
+var testModel = hosted.Model{Name: "m", Chunks: 6, ChunkBytes: 1024, Layers: 4}
+
+// site is a library before stand-ins of the worker beside it and of the origin.
+type site struct {
+	library *library
+	view    *view
+	worker  *hosted.Worker
+	// spoil makes the origin's next manifests wrong, and reads counts them.
+	spoil atomic.Int32
+	reads atomic.Int32
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{worker: &hosted.Worker{ID: "w", Model: testModel}}
+	origin := &hosted.Origin{Model: testModel, Newest: 1}
+	originServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.URL.Path, "manifest") {
+			origin.ServeHTTP(w, r)
+			return
+		}
+		s.reads.Add(1)
+		recorder := httptest.NewRecorder()
+		origin.ServeHTTP(recorder, r)
+		body := recorder.Body.String()
+		if left := s.spoil.Add(-1); left >= 0 {
+			// Each spoilt manifest has other wrong digits.
+			at := strings.Index(body, `"digests":["`) + len(`"digests":["`)
+			body = body[:at] + fmt.Sprintf("%02x", left) + body[at+2:]
+		}
+		fmt.Fprint(w, body)
+	}))
+	t.Cleanup(originServer.Close)
+	workerServer := httptest.NewServer(s.worker)
+	t.Cleanup(workerServer.Close)
+	address := strings.TrimPrefix(workerServer.URL, "http://")
+	settings := &platform.Settings{
+		VM: "side-1", IP: "127.0.0.1", Zone: "a", Region: "r", Zones: map[string]string{"a": "r"}, FirstPort: 7700,
+		Worker: address, Service: "llm", LinkMbit: 100,
+	}
+	s.view = newView(settings, zap.NewNop())
+	config := fmt.Sprintf(`{"version":1,"services":[{"name":"llm","engine":{"layers":4,"chunks":6,"chunk_bytes":1024,"models":[{"name":"m"}]}},`+
+		`{"name":"w","origin":%q,"zone":"a","link_mbps":100}]}`, strings.TrimPrefix(originServer.URL, "http://"))
+	s.put(platform.KindConfig, "main", config)
+	s.library = newLibrary(s.view, platform.NewWorker(address), rpc.NewPlainPool(), metrics.NewSet(), zap.NewNop())
+	return s
+}
+
+func (s *site) put(kind, name, value string) {
+	s.view.changed(kind, []mirror.Change{{Object: mirror.Object{Name: name, Revision: 1, Value: json.RawMessage(value)}}})
+}
+
+// Guards I1: a staged chunk that has turned bad is not taken for a good one after a start,
+// and every chunk is written again before an order.
+func TestSpoiltStagedChunksAreReplaced(t *testing.T) {
+	Convey("Given a worker with version 1 of which a chunk has turned bad", t, func() {
+		s := newSite(t)
+		s.worker.Load(1)
+		own := platform.NewWorker(s.view.settings.Worker)
+		ctx := context.Background()
+		So(own.Stage(ctx, "m", 2, []byte("rot")), ShouldBeNil)
+
+		opened, err := s.library.open(ctx, "m", 1)
+		So(err, ShouldBeNil)
+		Reset(opened.distribution.Stop)
+
+		Convey("it is fetched, and the worker may load only what is whole", func() {
+			<-opened.distribution.Whole()
+			report, err := own.Report(ctx)
+			So(err, ShouldBeNil)
+			So(s.library.stage(ctx, opened), ShouldBeNil)
+			result, err := own.LoadStaged(ctx, "m", 1, report.Sequence)
+			So(err, ShouldBeNil)
+			So(result, ShouldEqual, platform.OrderBegun)
+			So(s.worker.Err(), ShouldBeNil)
+
+			Convey("and an order for an earlier state is refused", func() {
+				result, err := own.LoadStaged(ctx, "m", 1, report.Sequence)
+				So(err, ShouldNotBeNil)
+				So(result, ShouldEqual, platform.OrderRefused)
+			})
+		})
+	})
+}
+
+// Guards against a manifest that the origin has spoilt: chunks would be verified against
+// wrong digests.
+func TestManifestIsReadUntilTwoAgree(t *testing.T) {
+	Convey("An origin that spoils one manifest is read three times, one that spoils all fails", t, func() {
+		s := newSite(t)
+		s.spoil.Store(1)
+		manifest, number, err := s.library.readManifest(context.Background(), "m", 1)
+		So(err, ShouldBeNil)
+		So(number, ShouldEqual, 1)
+		So(manifest.Verify(0, testModel.Chunk(1, 0)), ShouldBeNil)
+		So(s.reads.Load(), ShouldEqual, 3)
+		s.spoil.Store(manifestReads)
+		_, _, err = s.library.readManifest(context.Background(), "m", 1)
+		So(err, ShouldNotBeNil)
+	})
+}
+
+// Guards against processes that all read the origin, which bears 48 connections.
+func TestManifestsAreToldToPeers(t *testing.T) {
+	Convey("A process tells what it has read, and not what it has not", t, func() {
+		s := newSite(t)
+		server := &manifestServer{library: s.library}
+		ask := func(version int32) (*laburnumgwv1.GetManifestResponse, error) {
+			return server.GetManifest(context.Background(), &laburnumgwv1.GetManifestRequest{Model: "m", Version: version})
+		}
+		_, err := ask(0)
+		So(status.Code(err), ShouldEqual, codes.NotFound)
+		opened, err := s.library.open(context.Background(), "m", 1)
+		So(err, ShouldBeNil)
+		Reset(opened.distribution.Stop)
+		for _, version := range []int32{0, 1} {
+			response, err := ask(version)
+			So(err, ShouldBeNil)
+			So(response.GetVersion(), ShouldEqual, 1)
+			So(response.GetDigests(), ShouldHaveLength, testModel.Chunks)
+		}
+		_, err = ask(2)
+		So(status.Code(err), ShouldEqual, codes.NotFound)
+	})
+	Convey("The readers of a region are two whatever its size", t, func() {
+		s := newSite(t)
+		for i := range 40 {
+			s.put(platform.KindWorkers, fmt.Sprint("i-", i), fmt.Sprintf(
+				`{"service":"llm","address":"10.0.0.%d:1","zone":"a","state":"ready"}`, i+1))
+		}
+		So(s.library.ranked("m", 1), ShouldHaveLength, 41)
+		So(s.library.ranked("m", 1), ShouldResemble, s.library.ranked("m", 1))
+	})
+}
+
+// Guards against a process beside a worker that fetches for, or reports to, what is not
+// its own.
+func TestViewOfTheDeployment(t *testing.T) {
+	Convey("Workers of other services and spoilt entries take no part", t, func() {
+		s := newSite(t)
+		s.put(platform.KindWorkers, "i-1", `{"service":"llm","address":"10.0.0.1:1","zone":"a","state":"ready"}`)
+		s.put(platform.KindWorkers, "i-2", `{"service":"desk","address":"10.0.0.2:1","zone":"a","state":"ready"}`)
+		s.put(platform.KindWorkers, "i-3", `{"service":"llm","address":5}`)
+		So(s.view.assignments(), ShouldHaveLength, 2)
+		s.put(platform.KindEntries, "front-1", `{"zone":"a","address":"10.0.1.1:7700"}`)
+		s.put(platform.KindEntries, "front-2", `{"zone":"b","address":"10.0.1.2:7700"}`)
+		near, far := s.view.entryAddresses()
+		So(near, ShouldResemble, []string{"10.0.1.1:7700"})
+		So(far, ShouldResemble, []string{"10.0.1.2:7700"})
+		So(s.view.neighbours()[0], ShouldEqual, "10.0.1.1:7700")
+	})
+	Convey("Versions never go back", t, func() {
+		s := newSite(t)
+		s.put(platform.KindVersions, "m", `{"model":"m","version":3}`)
+		s.put(platform.KindVersions, "m", `{"model":"m","version":2}`)
+		So(s.view.named("m").version, ShouldEqual, 3)
+	})
+}
