Read a service's engine under the lock of the view

The race detector found no race in the tests of the hosted roles; this one was read in the code: a configuration replaces the pointer while requests read it.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -63,10 +63,12 @@
 	regions     []string
 	serviceName string
 	service     *service
-	forwarded   http.Header
-	body        []byte
-	deadline    time.Time
-	attempts    uint32
+	// engine is nil for a plain service.
+	engine    *catalog.Engine
+	forwarded http.Header
+	body      []byte
+	deadline  time.Time
+	attempts  uint32
 	// begin ends the request unless the first event arrives before; nil without a bound.
 	begin *time.Timer
 
@@ -105,7 +107,7 @@
 	query := &routing.Request{
 		ID: c.in.ID, Attempt: number, VersionDigest: digest, Idempotent: c.route.Repeatable(), Tried: tried, Regions: c.regions,
 	}
-	if engine := c.service.config.Engine; engine != nil {
+	if engine := c.engine; engine != nil {
 		query.Model = c.serviceName
 		query.Duration = engine.Duration(c.in.PromptTokens, c.in.ExpectedTokens)
 		query.Tokens = c.tokens()
@@ -256,7 +258,7 @@
 // weights whose time is over, so it does not wait beyond that.
 func (c *call) beginPatience(decision routing.Decision) workerconn.Patience {
 	patience := c.patience(decision.VM)
-	engine := c.service.config.Engine
+	engine := c.engine
 	if engine == nil {
 		return patience
 	}
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -163,7 +163,7 @@
 	c.regions = catalog.Homes(c.route, workspace)
 	c.deadline = started.Add(deadline(in.Deadline, c.route.Timeout))
 	c.serviceName = c.route.Choose(f.view.random())
-	c.service = f.view.service(c.serviceName)
+	c.service, c.engine = f.view.service(c.serviceName)
 	if c.service == nil {
 		return c, errkind.New(errkind.NotRun, "repeat the request", "service %q is not known here", c.serviceName).
 			WithRetryAfter(finalRetryAfter)
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -367,9 +367,13 @@
 		v.listed[platform.KindEvacuations]
 }
 
-// service returns the state of a service, or nil.
-func (v *view) service(name string) *service {
+// service returns the state of a service with its engine, or nil.
+func (v *view) service(name string) (*service, *catalog.Engine) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.services[name]
+	state := v.services[name]
+	if state == nil {
+		return nil, nil
+	}
+	return state, state.config.Engine
 }
--- a/lib/suspend/suspend_test.go
+++ b/lib/suspend/suspend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,20 +15,20 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		began := time.Now()
-		var slept time.Duration
+		var slept atomic.Int64
 		read := func() (time.Duration, time.Duration, error) {
 			monotonic := time.Since(began)
-			return monotonic + slept, monotonic, nil
+			return monotonic + time.Duration(slept.Load()), monotonic, nil
 		}
 		var reported []time.Duration
 		done := make(chan error, 1)
 		go func() { done <- watch(ctx, read, func(length time.Duration) { reported = append(reported, length) }) }()
 		<-time.After(2 * time.Second)
 		synctest.Wait()
-		slept = 4 * time.Second
+		slept.Store(int64(4 * time.Second))
 		<-time.After(2 * time.Second)
 		synctest.Wait()
-		slept += shortest / 2
+		slept.Add(int64(shortest / 2))
 		<-time.After(2 * time.Second)
 		cancel()
 		if err := <-done; err != nil {
