Leave no process behind a soak run

Cause: Process.Start looked neither whether the fleet had stopped nor whether the process ran.

Ruled out: a daemon that hangs in its shutdown.

A third fault of the same place: a planned restart ended whatever ran when its grace was over, also an instance started meanwhile by another fault. That end stood in no list of faults.

Start now refuses after a stop and beside a running instance, a planned restart ends only the instance that it asked, an instance that cannot be started again fails the run, and Stop reports a process that outlives SIGKILL.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -89,10 +89,23 @@
 	log      *os.File
 
 	mu      sync.Mutex
+	running *Instance
+	stopped bool
+}
+
+// Instance is one run of a process, from its start to its end.
+type Instance struct {
 	command *exec.Cmd
 	exited  chan struct{}
 }
 
+var (
+	// ErrStopped is the error of a start after the fleet has stopped.
+	ErrStopped = errors.New("the fleet has stopped; start another fleet")
+	// ErrRunning is the error of a start while the process runs.
+	ErrRunning = errors.New("the process runs; kill it first")
+)
+
 var zones = []string{"a", "b", "c"}
 
 func zoneOf(i int) string { return zones[i%len(zones)] }
@@ -281,64 +294,105 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// Start starts the process.
+// Start starts the process, unless it runs or the fleet has stopped.
 func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.stopped {
+		return fmt.Errorf("start %s: %w", p.Name, ErrStopped)
+	}
+	if p.running != nil && !p.running.Ended() {
+		return fmt.Errorf("start %s: %w", p.Name, ErrRunning)
+	}
 	command := exec.Command(p.fleet.Binary, p.role)
 	command.Env = append(os.Environ(), "LABURNUMGW_BOOT="+p.settings)
 	command.Stdout, command.Stderr = p.log, p.log
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.Name, err)
 	}
-	exited := make(chan struct{})
-	p.command, p.exited = command, exited
+	i := &Instance{command: command, exited: make(chan struct{})}
+	p.running = i
 	go func() {
 		_ = command.Wait() // the state says how it ended
-		close(exited)
+		close(i.exited)
 	}()
 	return nil
 }
 
-// Signal sends a signal to the process, which this fleet has started.
-func (p *Process) Signal(signal syscall.Signal) {
+// Running returns the instance started last, or nil.
+func (p *Process) Running() *Instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.command != nil {
-		_ = p.command.Process.Signal(signal) // a process that has ended needs none
+	return p.running
+}
+
+// Signal sends a signal to the instance started last.
+func (p *Process) Signal(signal syscall.Signal) {
+	if i := p.Running(); i != nil {
+		_ = i.command.Process.Signal(signal) // an instance that has ended needs none
 	}
 }
 
-// Wait waits for the end of the process and returns its exit code, or -1 after a time.
+// Wait waits for the end of the instance started last and returns its exit code, or -1
+// after a time.
 func (p *Process) Wait(limit time.Duration) int {
-	p.mu.Lock()
-	exited, command := p.exited, p.command
-	p.mu.Unlock()
+	i := p.Running()
 	select {
-	case <-exited:
-		return command.ProcessState.ExitCode()
+	case <-i.exited:
+		return i.command.ProcessState.ExitCode()
 	case <-time.After(limit):
 		return -1
 	}
 }
 
-// Kill ends the process at once.
+// Kill ends the instance started last at once.
 func (p *Process) Kill() {
-	p.Signal(syscall.SIGKILL)
-	p.Wait(grace)
+	if i := p.Running(); i != nil {
+		i.Kill()
+	}
+}
+
+// stop ends the process for good.
+func (p *Process) stop() error {
+	p.mu.Lock()
+	p.stopped = true
+	p.mu.Unlock()
+	defer p.log.Close()
+	i := p.Running()
+	if i == nil {
+		return nil
+	}
+	i.Kill()
+	if !i.Ended() {
+		return fmt.Errorf("process %s (%d) still runs %s after SIGKILL; end it by hand", p.Name, i.command.Process.Pid, grace)
+	}
+	return nil
+}
+
+// Ended reports whether the instance has ended.
+func (i *Instance) Ended() bool {
+	select {
+	case <-i.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// Kill ends the instance at once and waits for its end.
+func (i *Instance) Kill() {
+	_ = i.command.Process.Kill() // an instance that has ended needs none
+	select {
+	case <-i.exited:
+	case <-time.After(grace):
+	}
 }
 
 // Stop ends everything that the fleet has started.
 func (f *Fleet) Stop() error {
+	var problems []error
 	for _, p := range append(append([]*Process{}, f.Entries...), f.Sides...) {
-		p.mu.Lock()
-		started := p.command != nil
-		p.mu.Unlock()
-		if started {
-			p.Signal(syscall.SIGCONT)
-			p.Kill()
-		}
-		p.log.Close()
+		problems = append(problems, p.stop())
 	}
 	for _, proxy := range f.storeProxies {
 		proxy.Close()
@@ -346,7 +400,6 @@
 	for _, m := range append(append([]*Machine{}, f.Workers...), f.Plains...) {
 		m.Proxy.Close()
 	}
-	var problems []error
 	for _, server := range f.servers {
 		problems = append(problems, server.Close())
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -45,6 +45,8 @@
 	mu      sync.Mutex
 	leaving bool
 	left    []departure
+	// failed lists processes that could not be started again.
+	failed []error
 }
 
 // departure is a worker that left, with the last request that it got.
@@ -84,7 +86,9 @@
 	time.Sleep(calmEnd)
 	outcomes := callers.Stop()
 	r.check(outcomes)
-	return r.result, nil
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.result, errors.Join(r.failed...)
 }
 
 // AwaitReady waits until every entry is ready and some worker serves.
@@ -121,7 +125,7 @@
 		p := pick(r.rng, all)
 		r.mark(lasts, "kill %s for %s", p.Name, lasts)
 		p.Kill()
-		time.AfterFunc(lasts, func() { _ = p.Start() }) // a fleet that has stopped starts none
+		time.AfterFunc(lasts, func() { r.start(p) })
 	case 1:
 		p := pick(r.rng, all)
 		r.mark(lasts, "pause %s for %s", p.Name, lasts)
@@ -173,13 +177,26 @@
 // restart stops an entry as planned and starts it again.
 func (r *run) restart(p *Process) {
 	r.result.Faults = append(r.result.Faults, "planned restart of "+p.Name)
+	asked := p.Running()
 	p.Signal(syscall.SIGTERM)
-	time.AfterFunc(grace, func() {
-		if p.Wait(0) < 0 {
-			p.Kill()
-		}
-		_ = p.Start() // a fleet that has stopped starts none
-	})
+	time.AfterFunc(grace, func() { r.replace(p, asked) })
+}
+
+// replace ends an instance that was asked to stop and starts the process again. Another
+// fault may have done so already.
+func (r *run) replace(p *Process, asked *Instance) {
+	asked.Kill()
+	r.start(p)
+}
+
+// start starts a process again, unless the run is over or another fault has started it.
+func (r *run) start(p *Process) {
+	err := p.Start()
+	if err != nil && !errors.Is(err, ErrStopped) && !errors.Is(err, ErrRunning) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.failed = append(r.failed, err)
+	}
 }
 
 // leave has a worker announce that it leaves, and come back later. Where nothing else
