Share the adapter around a ticking state machine

Entry membership, endpoint reports, configuration and the played nodes of capacitybench each kept a lock, a clock, a wake channel and the same call of a peer beside their state machine. loop.Machine now has lock, clock, wake-up and loop; rpc.Ask has the call with its limit, also for the mirror and for manifests. Failed probes and configuration pushes get a debug line, which the copies had left out.

--- a/cmd/capacitybench/play.go
+++ b/cmd/capacitybench/play.go
@@ -13,6 +13,7 @@
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/configsync/driver"
+	"laburnumgw/lib/loop"
 	"laburnumgw/lib/membership"
 	"laburnumgw/lib/mtls"
 	"laburnumgw/lib/rpc"
@@ -20,7 +21,6 @@
 
 const (
 	keyLifetime = time.Hour
-	minTick     = 10 * time.Millisecond
 )
 
 // stage holds the processes that the bench plays.
@@ -102,10 +102,7 @@
 	laburnumgwv1.UnimplementedNodeServer
 	stage   *stage
 	pool    *rpc.Pool
-	started time.Time
-
-	mu      sync.Mutex
-	machine *membership.Endpoint
+	machine *loop.Machine[*membership.Endpoint]
 }
 
 func (s *stage) playEndpoint(ctx context.Context, vm string, seeds []membership.Peer) error {
@@ -115,67 +112,44 @@
 		return err
 	}
 	self := membership.Self{VM: vm, Zone: zone.Name, Region: zone.Region, Address: listener.Addr().String()}
-	p := &playedEndpoint{stage: s, started: time.Now(), machine: membership.NewEndpoint(self, seeds, 0, newRand())}
-	p.machine.SetConfigGeneration(1)
+	machine := membership.NewEndpoint(self, seeds, 0, newRand())
+	machine.SetConfigGeneration(1)
+	p := &playedEndpoint{stage: s, machine: loop.New(machine)}
 	pool, ctx := s.serve(ctx, keys, listener, p, mtls.RoleEntry)
 	p.pool = pool
-	go loop(ctx, p.tick)
+	go p.machine.Run(ctx, func() time.Duration { return p.tick(ctx) })
 	return nil
 }
 
-// loop calls tick until the context ends; tick returns the time to the next call.
-func loop(ctx context.Context, tick func(context.Context) time.Duration) {
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
-		timer.Reset(max(minTick, tick(ctx)))
-	}
-}
-
 func (p *playedEndpoint) tick(ctx context.Context) time.Duration {
-	now := time.Since(p.started)
-	p.mu.Lock()
-	p.machine.SetLoad(membership.Load{
-		Load:     &laburnumgwv1.Load{InFlight: rand.Int32N(16), Limit: 64, ServiceTimeUs: 5000 + rand.Int64N(1000)},
-		Services: []string{service},
+	var (
+		sends []membership.ReportSend
+		due   time.Duration
+	)
+	p.machine.Use(func(endpoint *membership.Endpoint, now time.Duration) {
+		endpoint.SetLoad(membership.Load{
+			Load:     &laburnumgwv1.Load{InFlight: rand.Int32N(16), Limit: 64, ServiceTimeUs: 5000 + rand.Int64N(1000)},
+			Services: []string{service},
+		})
+		sends, due = endpoint.Tick(now), endpoint.Next()
 	})
-	sends := p.machine.Tick(now)
-	wait := p.machine.Next() - now
-	p.mu.Unlock()
 	for _, send := range sends {
 		go p.send(ctx, send)
 	}
-	return wait
+	return due
 }
 
 func (p *playedEndpoint) send(ctx context.Context, send membership.ReportSend) {
-	ctx, cancel := context.WithTimeout(ctx, membership.CallTimeout)
-	defer cancel()
-	var response *laburnumgwv1.ReportResponse
-	conn, err := p.pool.Conn(send.To.Address)
+	response, err := rpc.Ask(ctx, p.pool, send.To.Address, membership.CallTimeout, laburnumgwv1.NewNodeClient, laburnumgwv1.NodeClient.Report, send.Request)
 	if err == nil {
-		response, err = laburnumgwv1.NewNodeClient(conn).Report(ctx, send.Request)
-	}
-	if err != nil {
-		response = nil
-	} else {
 		p.stage.meter.calls.Add(1)
 	}
-	p.mu.Lock()
-	p.machine.Ack(time.Since(p.started), send, response)
-	p.mu.Unlock()
+	p.machine.Use(func(endpoint *membership.Endpoint, now time.Duration) { endpoint.Ack(now, send, response) })
 }
 
 // Report answers a probe.
 func (p *playedEndpoint) Report(_ context.Context, request *laburnumgwv1.ReportRequest) (*laburnumgwv1.ReportResponse, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.machine.Probe(request), nil
+	return loop.Get(p.machine, func(endpoint *membership.Endpoint) *laburnumgwv1.ReportResponse { return endpoint.Probe(request) }), nil
 }
 
 // playedEntry runs the membership of an entry.
@@ -184,10 +158,7 @@
 	stage   *stage
 	self    membership.Self
 	pool    *rpc.Pool
-	started time.Time
-
-	mu      sync.Mutex
-	machine *membership.Entry
+	machine *loop.Machine[*membership.Entry]
 }
 
 func (s *stage) playEntry(ctx context.Context, vm, zone, region string, seeds []membership.Peer) (membership.Peer, error) {
@@ -196,31 +167,31 @@
 		return membership.Peer{}, err
 	}
 	self := membership.Self{VM: vm, Zone: zone, Region: region, Address: listener.Addr().String()}
-	p := &playedEntry{stage: s, self: self, started: time.Now(), machine: membership.NewEntry(self, seeds, 0, newRand())}
-	p.machine.SetConfigGeneration(1)
+	machine := membership.NewEntry(self, seeds, 0, newRand())
+	machine.SetConfigGeneration(1)
+	p := &playedEntry{stage: s, self: self, machine: loop.New(machine)}
 	pool, ctx := s.serve(ctx, keys, listener, p, mtls.RoleEntry)
 	p.pool = pool
 	s.mu.Lock()
 	s.colleagues[vm] = p
 	s.mu.Unlock()
-	go loop(ctx, p.tick)
+	go p.machine.Run(ctx, func() time.Duration { return p.tick(ctx) })
 	return membership.Peer(self), nil
 }
 
-func (p *playedEntry) clock() time.Duration { return time.Since(p.started) }
-
 func (p *playedEntry) tick(ctx context.Context) time.Duration {
-	p.mu.Lock()
-	out := p.machine.Tick(p.clock())
-	wait := p.machine.Next() - p.clock()
-	p.mu.Unlock()
+	var (
+		out membership.Output
+		due time.Duration
+	)
+	p.machine.Use(func(entry *membership.Entry, now time.Duration) { out, due = entry.Tick(now), entry.Next() })
 	for _, send := range out.Gossip {
 		go p.gossip(ctx, send)
 	}
 	for _, send := range out.Probes {
 		go p.probe(ctx, send)
 	}
-	return wait
+	return due
 }
 
 func (p *playedEntry) gossip(ctx context.Context, send membership.GossipSend) {
@@ -233,50 +204,30 @@
 	} else {
 		response = p.gossipRemote(ctx, send)
 	}
-	p.mu.Lock()
-	p.machine.GossipResult(p.clock(), send.To.VM, response)
-	p.mu.Unlock()
+	p.machine.Use(func(entry *membership.Entry, now time.Duration) { entry.GossipResult(now, send.To.VM, response) })
 }
 
 func (p *playedEntry) gossipRemote(ctx context.Context, send membership.GossipSend) *laburnumgwv1.GossipResponse {
-	ctx, cancel := context.WithTimeout(ctx, membership.CallTimeout)
-	defer cancel()
-	conn, err := p.pool.Conn(send.To.Address)
-	if err != nil {
-		return nil
-	}
-	response, err := laburnumgwv1.NewNodeClient(conn).Gossip(ctx, send.Request)
-	if err != nil {
-		return nil
+	response, err := rpc.Ask(ctx, p.pool, send.To.Address, membership.CallTimeout, laburnumgwv1.NewNodeClient, laburnumgwv1.NodeClient.Gossip, send.Request)
+	if err == nil {
+		p.stage.meter.calls.Add(1)
 	}
-	p.stage.meter.calls.Add(1)
 	return response
 }
 
 func (p *playedEntry) probe(ctx context.Context, send membership.ReportSend) {
-	ctx, cancel := context.WithTimeout(ctx, membership.CallTimeout)
-	defer cancel()
-	var response *laburnumgwv1.ReportResponse
 	// The pool accepts entries only. A probe to the measured endpoint process fails,
 	// which matters only when its reports fail too.
-	conn, err := p.pool.Conn(send.To.Address)
-	if err == nil {
-		response, err = laburnumgwv1.NewNodeClient(conn).Report(ctx, send.Request)
-	}
-	if err != nil {
-		response = nil
-	}
-	p.mu.Lock()
-	p.machine.ProbeResult(p.clock(), send.To.VM, response)
-	p.mu.Unlock()
+	response, _ := rpc.Ask(ctx, p.pool, send.To.Address, membership.CallTimeout, laburnumgwv1.NewNodeClient, laburnumgwv1.NodeClient.Report, send.Request)
+	p.machine.Use(func(entry *membership.Entry, now time.Duration) { entry.ProbeResult(now, send.To.VM, response) })
 }
 
 // Report implements the Node service.
 func (p *playedEntry) Report(_ context.Context, request *laburnumgwv1.ReportRequest) (*laburnumgwv1.ReportResponse, error) {
 	p.stage.meter.calls.Add(1)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.machine.Report(p.clock(), request), nil
+	var response *laburnumgwv1.ReportResponse
+	p.machine.Use(func(entry *membership.Entry, now time.Duration) { response = entry.Report(now, request) })
+	return response, nil
 }
 
 // Gossip implements the Node service.
@@ -284,9 +235,9 @@
 	if p.stage.real(request.GetFrom().GetVm()) {
 		p.stage.meter.calls.Add(1)
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.machine.Gossip(p.clock(), request), nil
+	var response *laburnumgwv1.GossipResponse
+	p.machine.Use(func(entry *membership.Entry, now time.Duration) { response = entry.Gossip(now, request) })
+	return response, nil
 }
 
 // real reports whether a VM is not played.
--- a/endpoint/hosted/manifest.go
+++ b/endpoint/hosted/manifest.go
@@ -14,6 +14,7 @@
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/rendezvous"
+	"laburnumgw/lib/rpc"
 	"laburnumgw/lib/weights"
 )
 
@@ -98,14 +99,8 @@
 }
 
 func (l *library) askManifest(ctx context.Context, address, model string, number int) (*weights.Manifest, int, error) {
-	conn, err := l.transfer.Conns.Conn(address)
-	if err != nil {
-		return nil, 0, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
-	defer cancel()
-	request := &laburnumgwv1.GetManifestRequest{Model: model, Version: int32(number)}
-	response, err := laburnumgwv1.NewManifestsClient(conn).GetManifest(ctx, request)
+	response, err := rpc.Ask(ctx, l.transfer.Conns, address, manifestTimeout, laburnumgwv1.NewManifestsClient, laburnumgwv1.ManifestsClient.GetManifest,
+		&laburnumgwv1.GetManifestRequest{Model: model, Version: int32(number)})
 	if err != nil {
 		return nil, 0, fmt.Errorf("ask %s: %w", address, err)
 	}
--- a/endpoint/reporter.go
+++ b/endpoint/reporter.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,62 +18,49 @@
 
 // reporter drives the membership state machine of an endpoint process.
 type reporter struct {
-	conns   *rpc.Pool
-	log     *zap.Logger
-	started time.Time
-	load    func() membership.Load
+	conns *rpc.Pool
+	log   *zap.Logger
+	load  func() membership.Load
 	// heard is called with the answer of an entry.
-	heard func(peer membership.Peer, answer *laburnumgwv1.ReportResponse)
-	wake  chan struct{}
-
-	mu      sync.Mutex
-	machine *membership.Endpoint
+	heard   func(peer membership.Peer, answer *laburnumgwv1.ReportResponse)
+	machine *loop.Machine[*membership.Endpoint]
 }
 
 func newReporter(self membership.Self, seeds []membership.Peer, conns *rpc.Pool, load func() membership.Load, log *zap.Logger) *reporter {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &reporter{
-		conns: conns, log: log, started: time.Now(), load: load,
-		heard: func(membership.Peer, *laburnumgwv1.ReportResponse) {}, wake: make(chan struct{}, 1),
-		machine: membership.NewEndpoint(self, seeds, 0, rng),
+		conns: conns, log: log, load: load, heard: func(membership.Peer, *laburnumgwv1.ReportResponse) {},
+		machine: loop.New(membership.NewEndpoint(self, seeds, 0, rng)),
 	}
 }
 
-func (r *reporter) clock() time.Duration { return time.Since(r.started) }
-
 // run sends reports until the context ends.
 func (r *reporter) run(ctx context.Context) {
-	loop.Run(ctx, r.wake, func() time.Duration { return r.tick(ctx) })
+	r.machine.Run(ctx, func() time.Duration { return r.tick(ctx) })
 }
 
 func (r *reporter) tick(ctx context.Context) time.Duration {
 	load := r.load()
-	r.mu.Lock()
-	r.machine.SetLoad(load)
-	sends := r.machine.Tick(r.clock())
-	wait := r.machine.Next() - r.clock()
-	r.mu.Unlock()
+	var (
+		sends []membership.ReportSend
+		due   time.Duration
+	)
+	r.machine.Use(func(endpoint *membership.Endpoint, now time.Duration) {
+		endpoint.SetLoad(load)
+		sends, due = endpoint.Tick(now), endpoint.Next()
+	})
 	for _, send := range sends {
 		go r.send(ctx, send)
 	}
-	return wait
+	return due
 }
 
 func (r *reporter) send(ctx context.Context, send membership.ReportSend) {
-	ctx, cancel := context.WithTimeout(ctx, membership.CallTimeout)
-	defer cancel()
-	var response *laburnumgwv1.ReportResponse
-	conn, err := r.conns.Conn(send.To.Address)
-	if err == nil {
-		response, err = laburnumgwv1.NewNodeClient(conn).Report(ctx, send.Request)
-	}
+	response, err := rpc.Ask(ctx, r.conns, send.To.Address, membership.CallTimeout, laburnumgwv1.NewNodeClient, laburnumgwv1.NodeClient.Report, send.Request)
 	if err != nil {
 		r.log.Debug("report failed", zap.String("to", send.To.Address), zap.Error(err))
-		response = nil
 	}
-	r.mu.Lock()
-	r.machine.Ack(r.clock(), send, response)
-	r.mu.Unlock()
+	r.machine.Use(func(endpoint *membership.Endpoint, now time.Duration) { endpoint.Ack(now, send, response) })
 	if response != nil {
 		r.heard(send.To, response)
 	}
@@ -82,50 +68,32 @@
 
 // probe answers an entry that has not heard of this process for a while.
 func (r *reporter) probe(request *laburnumgwv1.ReportRequest) *laburnumgwv1.ReportResponse {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.machine.Probe(request)
+	return loop.Get(r.machine, func(endpoint *membership.Endpoint) *laburnumgwv1.ReportResponse { return endpoint.Probe(request) })
 }
 
 func (r *reporter) setGeneration(generation uint64) {
-	r.mu.Lock()
-	r.machine.SetConfigGeneration(generation)
-	r.mu.Unlock()
+	r.machine.Use(func(endpoint *membership.Endpoint, _ time.Duration) { endpoint.SetConfigGeneration(generation) })
 	r.soon()
 }
 
 // soon makes the next tick run now, after a change that entries should learn.
-func (r *reporter) soon() {
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
-}
+func (r *reporter) soon() { r.machine.Wake() }
 
 func (r *reporter) entries() []membership.Peer {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.machine.Entries()
+	return loop.Get(r.machine, (*membership.Endpoint).Entries)
 }
 
-func (r *reporter) joined() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.machine.Joined()
-}
+func (r *reporter) joined() bool { return loop.Get(r.machine, (*membership.Endpoint).Joined) }
 
 // leave announces the stop and waits until the entries know of it.
 func (r *reporter) leave(ctx context.Context) {
-	r.mu.Lock()
-	r.machine.Leave(r.clock())
-	r.mu.Unlock()
+	r.machine.Use((*membership.Endpoint).Leave)
 	r.soon()
 	ticker := time.NewTicker(leavePoll)
 	defer ticker.Stop()
 	for {
-		r.mu.Lock()
-		left := r.machine.Left(r.clock())
-		r.mu.Unlock()
+		left := false
+		r.machine.Use(func(endpoint *membership.Endpoint, now time.Duration) { left = endpoint.Left(now) })
 		if left {
 			return
 		}
--- a/entry/members.go
+++ b/entry/members.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,40 +26,28 @@
 
 // members drives the membership state machine of an entry.
 type members struct {
-	self     membership.Self
 	conns    *rpc.Pool
 	log      *zap.Logger
 	observer memberObserver
-	started  time.Time
-
-	mu      sync.Mutex
-	machine *membership.Entry
+	machine  *loop.Machine[*membership.Entry]
 }
 
 func newMembers(self membership.Self, seeds []membership.Peer, conns *rpc.Pool, observer memberObserver, log *zap.Logger) *members {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &members{
-		self:     self,
-		conns:    conns,
-		log:      log,
-		observer: observer,
-		started:  time.Now(),
-		machine:  membership.NewEntry(self, seeds, 0, rng),
-	}
+	return &members{conns: conns, log: log, observer: observer, machine: loop.New(membership.NewEntry(self, seeds, 0, rng))}
 }
 
-func (m *members) clock() time.Duration { return time.Since(m.started) }
-
 // run ticks the state machine until the context ends.
 func (m *members) run(ctx context.Context) {
-	loop.Run(ctx, nil, func() time.Duration { return m.tick(ctx) })
+	m.machine.Run(ctx, func() time.Duration { return m.tick(ctx) })
 }
 
 func (m *members) tick(ctx context.Context) time.Duration {
-	m.mu.Lock()
-	out := m.machine.Tick(m.clock())
-	wait := m.machine.Next() - m.clock()
-	m.mu.Unlock()
+	var (
+		out membership.Output
+		due time.Duration
+	)
+	m.machine.Use(func(entry *membership.Entry, now time.Duration) { out, due = entry.Tick(now), entry.Next() })
 	for _, event := range out.Events {
 		if event.Kind == membership.EndpointAlive {
 			m.announce(event.VM)
@@ -74,24 +62,15 @@
 	for _, send := range out.Probes {
 		go m.sendProbe(ctx, send)
 	}
-	return wait
+	return due
 }
 
 func (m *members) sendGossip(ctx context.Context, send membership.GossipSend) {
-	ctx, cancel := context.WithTimeout(ctx, membership.CallTimeout)
-	defer cancel()
-	var response *laburnumgwv1.GossipResponse
-	conn, err := m.conns.Conn(send.To.Address)
-	if err == nil {
-		response, err = laburnumgwv1.NewNodeClient(conn).Gossip(ctx, send.Request)
-	}
+	response, err := rpc.Ask(ctx, m.conns, send.To.Address, membership.CallTimeout, laburnumgwv1.NewNodeClient, laburnumgwv1.NodeClient.Gossip, send.Request)
 	if err != nil {
 		m.log.Debug("gossip failed", zap.String("to", send.To.Address), zap.Error(err))
-		response = nil
 	}
-	m.mu.Lock()
-	m.machine.GossipResult(m.clock(), send.To.VM, response)
-	m.mu.Unlock()
+	m.machine.Use(func(entry *membership.Entry, now time.Duration) { entry.GossipResult(now, send.To.VM, response) })
 	if response != nil {
 		m.observer.generationSeen(send.To, response.GetConfigGeneration())
 	}
@@ -99,113 +78,76 @@
 
 // announce hands over an endpoint that may be known from gossip and a probe only.
 func (m *members) announce(vm string) {
-	m.mu.Lock()
-	view, ok := m.machine.Endpoint(vm)
-	m.mu.Unlock()
+	var (
+		view membership.EndpointView
+		ok   bool
+	)
+	m.machine.Use(func(entry *membership.Entry, _ time.Duration) { view, ok = entry.Endpoint(vm) })
 	if ok && view.Report != nil {
 		m.observer.endpointReported(view)
 	}
 }
 
 func (m *members) sendProbe(ctx context.Context, send membership.ReportSend) {
-	ctx, cancel := context.WithTimeout(ctx, membership.CallTimeout)
-	defer cancel()
-	var response *laburnumgwv1.ReportResponse
-	conn, err := m.conns.Conn(send.To.Address)
-	if err == nil {
-		response, err = laburnumgwv1.NewNodeClient(conn).Report(ctx, send.Request)
-	}
+	response, err := rpc.Ask(ctx, m.conns, send.To.Address, membership.CallTimeout, laburnumgwv1.NewNodeClient, laburnumgwv1.NodeClient.Report, send.Request)
 	if err != nil {
-		response = nil
+		m.log.Debug("probe failed", zap.String("to", send.To.Address), zap.Error(err))
 	}
-	m.mu.Lock()
-	m.machine.ProbeResult(m.clock(), send.To.VM, response)
-	m.mu.Unlock()
+	m.machine.Use(func(entry *membership.Entry, now time.Duration) { entry.ProbeResult(now, send.To.VM, response) })
 }
 
 // report handles the report of an endpoint process.
 func (m *members) report(request *laburnumgwv1.ReportRequest) *laburnumgwv1.ReportResponse {
-	m.mu.Lock()
-	response := m.machine.Report(m.clock(), request)
-	view, ok := m.machine.Endpoint(request.GetVm())
-	m.mu.Unlock()
-	if ok && view.Report != nil {
-		m.observer.endpointReported(view)
-	}
+	var response *laburnumgwv1.ReportResponse
+	m.machine.Use(func(entry *membership.Entry, now time.Duration) { response = entry.Report(now, request) })
+	m.announce(request.GetVm())
 	return response
 }
 
 // gossip handles the gossip of another entry.
 func (m *members) gossip(request *laburnumgwv1.GossipRequest) *laburnumgwv1.GossipResponse {
-	m.mu.Lock()
-	response := m.machine.Gossip(m.clock(), request)
-	peer, ok := m.entry(request.GetFrom().GetVm())
-	m.mu.Unlock()
-	if ok {
-		m.observer.generationSeen(peer, request.GetConfigGeneration())
+	var (
+		response *laburnumgwv1.GossipResponse
+		from     *membership.Peer
+	)
+	m.machine.Use(func(entry *membership.Entry, now time.Duration) {
+		response = entry.Gossip(now, request)
+		for view := range entry.Entries {
+			if view.VM == request.GetFrom().GetVm() {
+				from = &view.Peer
+				break
+			}
+		}
+	})
+	if from != nil {
+		m.observer.generationSeen(*from, request.GetConfigGeneration())
 	}
 	return response
 }
 
-// entry returns a known entry. The caller holds the lock.
-func (m *members) entry(vm string) (membership.Peer, bool) {
-	for view := range m.machine.Entries {
-		if view.VM == vm {
-			return view.Peer, true
-		}
-	}
-	return membership.Peer{}, false
-}
-
-func (m *members) joined() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.machine.Joined()
-}
+func (m *members) joined() bool { return loop.Get(m.machine, (*membership.Entry).Joined) }
 
 // platformVMs applies the platform's lagging list of VMs.
 func (m *members) platformVMs(list []membership.VM) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.machine.Platform(m.clock(), list)
+	m.machine.Use(func(entry *membership.Entry, now time.Duration) { entry.Platform(now, list) })
 }
 
 func (m *members) setGeneration(generation uint64) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.machine.SetConfigGeneration(generation)
+	m.machine.Use(func(entry *membership.Entry, _ time.Duration) { entry.SetConfigGeneration(generation) })
 }
 
-func (m *members) leave() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.machine.Leave(m.clock())
-}
+func (m *members) leave() { m.machine.Use((*membership.Entry).Leave) }
 
 // entries returns the entries known, the own one left out.
 func (m *members) entries() []membership.EntryView {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var list []membership.EntryView
-	for view := range m.machine.Entries {
-		list = append(list, view)
-	}
-	return list
+	return loop.Get(m.machine, func(entry *membership.Entry) []membership.EntryView { return slices.Collect(entry.Entries) })
 }
 
 // endpoints returns the endpoints known.
 func (m *members) endpoints() []membership.EndpointView {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var list []membership.EndpointView
-	for view := range m.machine.Endpoints {
-		list = append(list, view)
-	}
-	return list
+	return loop.Get(m.machine, func(entry *membership.Entry) []membership.EndpointView { return slices.Collect(entry.Endpoints) })
 }
 
 func (m *members) incarnation() membership.Incarnation {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.machine.Incarnation()
+	return loop.Get(m.machine, (*membership.Entry).Incarnation)
 }
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -192,7 +192,7 @@
 
 // endpoints describes the model endpoints to the decision.
 func (p *placer) endpoints(views []membership.EndpointView) []placement.Endpoint {
-	now := p.control.members.clock()
+	now := p.control.members.machine.Now()
 	var list []placement.Endpoint
 	for _, view := range views {
 		report := view.Report
--- a/lib/configsync/driver/driver.go
+++ b/lib/configsync/driver/driver.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,11 +44,8 @@
 	platform Platform
 	observer Observer
 	log      *zap.Logger
-	started  time.Time
-	wake     chan struct{}
-
-	mu        sync.Mutex
-	node      *configsync.Node
+	node     *loop.Machine[*configsync.Node]
+	// stopWatch ends the watch that runs; only the loop uses it.
 	stopWatch context.CancelFunc
 }
 
@@ -57,35 +53,28 @@
 func New(self membership.Self, role configsync.Role, seeds []configsync.Peer, conns *rpc.Pool, platform Platform, observer Observer, log *zap.Logger) *Driver {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Driver{
-		conns: conns, platform: platform, observer: observer, log: log, started: time.Now(),
-		wake: make(chan struct{}, 1),
-		node: configsync.NewNode(self, role, seeds, 0, rng),
+		conns: conns, platform: platform, observer: observer, log: log,
+		node: loop.New(configsync.NewNode(self, role, seeds, 0, rng)),
 	}
 }
 
-func (d *Driver) clock() time.Duration { return time.Since(d.started) }
-
 // update runs a change of the state machine and makes the loop look at it.
-func (d *Driver) update(change func(now time.Duration)) {
-	d.mu.Lock()
-	change(d.clock())
-	d.mu.Unlock()
-	select {
-	case d.wake <- struct{}{}:
-	default:
-	}
+func (d *Driver) update(change func(node *configsync.Node, now time.Duration)) {
+	d.node.Use(change)
+	d.node.Wake()
 }
 
 // Run drives the state machine until the context ends.
 func (d *Driver) Run(ctx context.Context) {
-	loop.Run(ctx, d.wake, func() time.Duration { return d.tick(ctx) })
+	d.node.Run(ctx, func() time.Duration { return d.tick(ctx) })
 }
 
 func (d *Driver) tick(ctx context.Context) time.Duration {
-	d.mu.Lock()
-	out := d.node.Tick(d.clock())
-	wait := d.node.Next() - d.clock()
-	d.mu.Unlock()
+	var (
+		out configsync.Output
+		due time.Duration
+	)
+	d.node.Use(func(node *configsync.Node, now time.Duration) { out, due = node.Tick(now), node.Next() })
 	if out.Act != nil {
 		d.act(out.Act)
 	}
@@ -101,7 +90,7 @@
 		go d.push(ctx, push)
 	}
 	d.platformCalls(ctx, out)
-	return wait
+	return due
 }
 
 func (d *Driver) act(bundle *laburnumgwv1.ConfigBundle) {
@@ -114,32 +103,19 @@
 }
 
 func (d *Driver) pull(ctx context.Context, pull configsync.Pull) {
-	ctx, cancel := context.WithTimeout(ctx, pull.Timeout)
-	defer cancel()
-	var bundle *laburnumgwv1.ConfigBundle
-	conn, err := d.conns.Conn(pull.To.Address)
-	if err == nil {
-		bundle, err = laburnumgwv1.NewNodeClient(conn).GetConfig(ctx, pull.Request)
-	}
+	bundle, err := rpc.Ask(ctx, d.conns, pull.To.Address, pull.Timeout, laburnumgwv1.NewNodeClient, laburnumgwv1.NodeClient.GetConfig, pull.Request)
 	if err != nil {
 		d.log.Debug("configuration pull failed", zap.String("from", pull.To.Address), zap.Error(err))
-		bundle = nil
 	}
-	d.update(func(now time.Duration) { d.node.PullResult(now, pull, bundle) })
+	d.update(func(node *configsync.Node, now time.Duration) { node.PullResult(now, pull, bundle) })
 }
 
 func (d *Driver) push(ctx context.Context, push configsync.Push) {
-	ctx, cancel := context.WithTimeout(ctx, configsync.CallTimeout)
-	defer cancel()
-	var response *laburnumgwv1.PushConfigResponse
-	conn, err := d.conns.Conn(push.To.Address)
-	if err == nil {
-		response, err = laburnumgwv1.NewNodeClient(conn).PushConfig(ctx, push.Bundle)
-	}
+	response, err := rpc.Ask(ctx, d.conns, push.To.Address, configsync.CallTimeout, laburnumgwv1.NewNodeClient, laburnumgwv1.NodeClient.PushConfig, push.Bundle)
 	if err != nil {
-		response = nil
+		d.log.Debug("configuration push failed", zap.String("to", push.To.Address), zap.Error(err))
 	}
-	d.update(func(now time.Duration) { d.node.PushResult(now, push, response) })
+	d.update(func(node *configsync.Node, now time.Duration) { node.PushResult(now, push, response) })
 }
 
 func (d *Driver) platformCalls(ctx context.Context, out configsync.Output) {
@@ -170,7 +146,7 @@
 	if err != nil {
 		d.log.Warn("platform read failed", zap.Error(err))
 	}
-	d.update(func(now time.Duration) { d.node.ReadResult(now, result, err) })
+	d.update(func(node *configsync.Node, now time.Duration) { node.ReadResult(now, result, err) })
 }
 
 func (d *Driver) watch(ctx context.Context, watch configsync.Watch) {
@@ -181,7 +157,7 @@
 	if err != nil {
 		d.log.Warn("platform watch failed", zap.Error(err))
 	}
-	d.update(func(now time.Duration) { d.node.WatchResult(now, changed, version, err) })
+	d.update(func(node *configsync.Node, now time.Duration) { node.WatchResult(now, changed, version, err) })
 }
 
 func (d *Driver) writeBack(ctx context.Context, write configsync.WriteBack) {
@@ -189,69 +165,51 @@
 	defer cancel()
 	err := d.platform.WriteBack(ctx, write)
 	d.log.Warn("wrote the newer configuration back to the platform", zap.Uint64("generation", write.Bundle.GetGeneration()), zap.Error(err))
-	d.update(func(now time.Duration) { d.node.WriteBackResult(now, err) })
+	d.update(func(node *configsync.Node, now time.Duration) { node.WriteBackResult(now, err) })
 }
 
 // Heard notes the generation that another process named. A generation that is not
 // newer does not wake the loop, because every report names one.
 func (d *Driver) Heard(peer configsync.Peer, generation uint64) {
-	d.mu.Lock()
-	known := generation <= d.node.Generation()
-	d.mu.Unlock()
-	if known {
+	if generation <= loop.Get(d.node, (*configsync.Node).Generation) {
 		return
 	}
-	d.update(func(now time.Duration) { d.node.Heard(now, peer, generation) })
+	d.update(func(node *configsync.Node, now time.Duration) { node.Heard(now, peer, generation) })
 }
 
 // HeardRevision notes the placement revision that another process named.
 func (d *Driver) HeardRevision(peer configsync.Peer, revision uint64) {
-	d.mu.Lock()
-	known := revision == configsync.Revision(d.node.Current())
-	d.mu.Unlock()
-	if known {
+	if revision == configsync.Revision(d.Current()) {
 		return
 	}
-	d.update(func(now time.Duration) { d.node.HeardRevision(now, peer, revision) })
+	d.update(func(node *configsync.Node, now time.Duration) { node.HeardRevision(now, peer, revision) })
 }
 
 // SetMembers tells which entries are alive.
 func (d *Driver) SetMembers(joined bool, entries []configsync.Peer) {
-	d.update(func(now time.Duration) { d.node.SetMembers(now, joined, entries) })
+	d.update(func(node *configsync.Node, now time.Duration) { node.SetMembers(now, joined, entries) })
 }
 
 // Push handles a PushConfig call; from is empty for operators.
 func (d *Driver) Push(from configsync.Peer, bundle *laburnumgwv1.ConfigBundle) *laburnumgwv1.PushConfigResponse {
 	var response *laburnumgwv1.PushConfigResponse
-	d.update(func(now time.Duration) { response = d.node.Push(now, from, bundle) })
+	d.update(func(node *configsync.Node, now time.Duration) { response = node.Push(now, from, bundle) })
 	return response
 }
 
 // Get handles a GetConfig call.
 func (d *Driver) Get(request *laburnumgwv1.GetConfigRequest) *laburnumgwv1.ConfigBundle {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.node.Get(request)
+	return loop.Get(d.node, func(node *configsync.Node) *laburnumgwv1.ConfigBundle { return node.Get(request) })
 }
 
 // Ready reports whether the process has a configuration that is as new as its
 // neighbours' and may serve.
-func (d *Driver) Ready() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.node.Ready()
-}
+func (d *Driver) Ready() bool { return loop.Get(d.node, (*configsync.Node).Ready) }
 
 // Watcher reports whether this process watches the platform for its zone.
-func (d *Driver) Watcher() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.node.Watcher()
-}
+func (d *Driver) Watcher() bool { return loop.Get(d.node, (*configsync.Node).Watcher) }
 
 // Current returns the bundle in force, or nil.
 func (d *Driver) Current() *laburnumgwv1.ConfigBundle {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.node.Current()
+	return loop.Get(d.node, (*configsync.Node).Current)
 }
--- a/lib/mirror/rpcmirror/rpcmirror.go
+++ b/lib/mirror/rpcmirror/rpcmirror.go
@@ -62,13 +62,8 @@
 // Ages asks one process how long it has known the objects of a kind. Objects whose age it
 // does not know are left out.
 func Ages(ctx context.Context, conns *rpc.Pool, address, kind string) ([]Known, error) {
-	conn, err := conns.Conn(address)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, pullSlack)
-	defer cancel()
-	response, err := laburnumgwv1.NewMirrorClient(conn).Pull(ctx, &laburnumgwv1.PullRequest{Known: map[string]int64{kind: -1}})
+	response, err := rpc.Ask(ctx, conns, address, pullSlack, laburnumgwv1.NewMirrorClient, laburnumgwv1.MirrorClient.Pull,
+		&laburnumgwv1.PullRequest{Known: map[string]int64{kind: -1}})
 	if err != nil {
 		return nil, fmt.Errorf("ask %s: %w", address, err)
 	}
@@ -117,15 +112,8 @@
 }
 
 func (c *Client) pull(ctx context.Context, address string, since mirror.Since, wait time.Duration) (mirror.Pulled, error) {
-	conn, err := c.conns.Conn(address)
-	if err != nil {
-		return mirror.Pulled{}, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+pullSlack)
-	defer cancel()
-	response, err := laburnumgwv1.NewMirrorClient(conn).Pull(ctx, &laburnumgwv1.PullRequest{
-		Instance: since.Instance, Known: since.Sequences, WaitMs: int32(wait.Milliseconds()),
-	})
+	response, err := rpc.Ask(ctx, c.conns, address, wait+pullSlack, laburnumgwv1.NewMirrorClient, laburnumgwv1.MirrorClient.Pull,
+		&laburnumgwv1.PullRequest{Instance: since.Instance, Known: since.Sequences, WaitMs: int32(wait.Milliseconds())})
 	if err != nil {
 		return mirror.Pulled{}, fmt.Errorf("pull from %s: %w", address, err)
 	}
--- /dev/null
+++ b/lib/rpc/ask.go
@@ -0,0 +1,31 @@
+package rpc
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+)
+
+// Ask makes one call to a process and returns the zero value with the error when no answer
+// came within the limit. Client and method are those of the generated code, such as
+// NewNodeClient and NodeClient.Gossip.
+func Ask[Client, Request, Response any](
+	ctx context.Context, conns *Pool, address string, limit time.Duration,
+	client func(grpc.ClientConnInterface) Client,
+	method func(Client, context.Context, Request, ...grpc.CallOption) (Response, error),
+	request Request,
+) (Response, error) {
+	var none Response
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	conn, err := conns.Conn(address)
+	if err != nil {
+		return none, err
+	}
+	response, err := method(client(conn), ctx, request)
+	if err != nil {
+		return none, err
+	}
+	return response, nil
+}
--- /dev/null
+++ b/lib/rpc/ask_test.go
@@ -0,0 +1,62 @@
+package rpc
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/test/bufconn"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+)
+
+// node answers reports; one from a VM named "slow" gets no answer.
+type node struct {
+	laburnumgwv1.UnimplementedNodeServer
+}
+
+func (node) Report(ctx context.Context, request *laburnumgwv1.ReportRequest) (*laburnumgwv1.ReportResponse, error) {
+	if request.GetVm() == "slow" {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &laburnumgwv1.ReportResponse{ConfigGeneration: 7}, nil
+}
+
+// Guards against a call without a limit, and against a caller that takes an empty answer
+// for a real one.
+func TestAsk(t *testing.T) {
+	Convey("Given a process that serves one of two calls", t, func() {
+		listener := bufconn.Listen(1 << 16)
+		server := grpc.NewServer()
+		laburnumgwv1.RegisterNodeServer(server, node{})
+		go func() { _ = server.Serve(listener) }() // it ends with the test
+		pool := NewPlainPool()
+		pool.UseDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) })
+		Reset(func() { pool.Close(); server.Stop() })
+		report := func(vm string, limit time.Duration) (*laburnumgwv1.ReportResponse, error) {
+			return Ask(context.Background(), pool, "peer:1", limit, laburnumgwv1.NewNodeClient, laburnumgwv1.NodeClient.Report, &laburnumgwv1.ReportRequest{Vm: vm})
+		}
+
+		Convey("an answer comes back", func() {
+			response, err := report("quick", time.Minute)
+			So(err, ShouldBeNil)
+			So(response.GetConfigGeneration(), ShouldEqual, 7)
+		})
+		Convey("no answer within the limit is an error and no response", func() {
+			response, err := report("slow", 50*time.Millisecond)
+			So(status.Code(err), ShouldEqual, codes.DeadlineExceeded)
+			So(response, ShouldBeNil)
+		})
+		Convey("a refusal is an error and no response", func() {
+			response, err := Ask(context.Background(), pool, "peer:1", time.Minute, laburnumgwv1.NewNodeClient, laburnumgwv1.NodeClient.Gossip, &laburnumgwv1.GossipRequest{})
+			So(status.Code(err), ShouldEqual, codes.Unimplemented)
+			So(response, ShouldBeNil)
+		})
+	})
+}
