Relay a resumed stream only on the weights of its last event

The worker of the second attempt had been ordered to change 0.7 s before; the entry's report of it was 2.0 s old and showed version 1.

Cause, in two parts. The entry asks for the version in the header and relied on the worker to refuse; it did not compare the version in the answer. And the soak's stand-in ignored that header, while the platform's workers answer 421, so that there the stream would have been resumed elsewhere or cut.

Ruled out: the choice of a version by lib/retry, which asked for 1, and the order to change, which was due.

The entry now drops a resumed answer whose version differs. A stream whose worker changed weights within it is resumed on those of its last event, where it was resumed on those of its first. The stand-in refuses as the platform does.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -40,6 +40,8 @@
 var (
 	// errOtherWorker marks an answer of another worker at the address of the chosen one.
 	errOtherWorker = errors.New("another worker has the address")
+	// errOtherWeights marks a resumed stream that a worker answered on other weights.
+	errOtherWeights = errors.New("stream would go on with other weights")
 	// errNotSealed marks a success that does not carry the worker's proof.
 	errNotSealed = errors.New("answer carries no proof of the worker")
 	// errRefused marks an answer that states that the request was not run.
@@ -76,10 +78,11 @@
 	headed bool
 	// broken is set when the answer cannot be completed.
 	broken bool
-	// relayed counts the bytes of the body that were sent, and lastEvent is the id of
-	// the last event among them.
-	relayed   int64
-	lastEvent string
+	// relayed counts the bytes of the body that were sent. LastEvent is the id of the last
+	// event among them, and weightVersion that of the weights that made it.
+	relayed       int64
+	lastEvent     string
+	weightVersion int
 	// failure is the last failure of a worker, answered when nothing better follows.
 	failure *heldAnswer
 }
@@ -190,10 +193,6 @@
 	defer response.Abort()
 	answer := platform.ParseAnswer(response.StatusCode, response.Header)
 	load := loadOf(answer.Load)
-	version := ""
-	if answer.WeightVersion > 0 {
-		version = strconv.Itoa(answer.WeightVersion)
-	}
 	switch {
 	case answer.OtherWorker && c.relayed == 0:
 		c.view.misdirected(c.service, decision.VM)
@@ -205,11 +204,19 @@
 		return c.ended(laburnumgwv1.Outcome_OUTCOME_NOT_RUN, true, "", errRefused), load
 	case !answer.Sealed:
 		return c.ended(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", errNotSealed), load
+	case c.relayed > 0 && response.StatusCode == http.StatusOK && answer.WeightVersion != c.weightVersion:
+		// The worker changed its weights after it was chosen and did not refuse.
+		return c.ended(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", errOtherWeights), load
 	case c.route.Kind == catalog.Stream && response.StatusCode == http.StatusOK:
+		c.weightVersion = answer.WeightVersion
 		err = c.relayStream(response, answer, begin, c.patience(decision.VM))
 	default:
 		return c.relayWhole(response, answer), load
 	}
+	version := ""
+	if c.weightVersion > 0 {
+		version = strconv.Itoa(c.weightVersion)
+	}
 	if err != nil {
 		return c.ended(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, version, err), load
 	}
--- a/entry/hosted/call_test.go
+++ b/entry/hosted/call_test.go
@@ -179,6 +179,53 @@
 	})
 }
 
+// Guards I1 against a worker that changed its weights after its last report and answers a
+// resumed stream on the new ones: what it sends must not reach the caller.
+func TestResumedStreamOnOtherWeightsIsNotRelayed(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		answer := func(e *exchangeOnWire) {
+			if e.request.Header.Get("Last-Event-Id") == "" {
+				e.stream(1)
+				e.events(1, 3)
+				e.Close()
+				return
+			}
+			e.stream(2)
+			e.events(4, 6)
+			e.end()
+		}
+		d.worker("llm", "w1", 1, answer)
+		d.worker("llm", "w2", 1, answer)
+		got := d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000")
+		if got.body != events(1, 3) || !got.cut || len(d.arrived()) != 2 {
+			t.Fatalf("answer %+v after %d attempts", got, len(d.arrived()))
+		}
+	})
+}
+
+// Guards I1 for a stream whose worker changed weights within it: the rest must come from
+// the weights of the last event that reached the caller, not from those of the first.
+func TestStreamIsResumedOnTheWeightsOfItsLastEvent(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		d.version(2)
+		d.worker("llm", "w1", 1, func(e *exchangeOnWire) {
+			e.stream(1)
+			e.events(1, 2)
+			e.chunk("x-laburnumgw-weight-versions:2\nid: 3\ndata: x\n\n")
+			d.worker("llm", "w2", 2, func(e *exchangeOnWire) { e.stream(2); e.events(4, 6); e.end() })
+			e.Close()
+		})
+		got := d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000")
+		if got.cut || !strings.HasSuffix(got.body, events(4, 6)) {
+			t.Fatalf("answer %+v after %d attempts", got, len(d.arrived()))
+		}
+		second := d.arrived()[1]
+		if second.worker != "w2" || second.header.Get("Last-Event-Id") != "3" || second.header.Get("X-Laburnumgw-Expect-Version") != "2" {
+			t.Errorf("resumed at %s with %v", second.worker, second.header)
+		}
+	})
+}
+
 // Guards against a worker that goes on for a caller that has left.
 func TestCallerThatLeavesStopsTheWorker(t *testing.T) {
 	inBubble(t, func(t *testing.T, d *deployment) {
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -160,6 +160,9 @@
 	if id := lastEventID(events); id != "" {
 		c.lastEvent = id
 	}
+	if version := platform.ChangedVersion(events); version > 0 {
+		c.weightVersion = version
+	}
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		return fmt.Errorf("%w: %w", errCallerLeft, err)
 	}
--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -236,6 +236,11 @@
 	body, _ := io.ReadAll(r.Body) // a request that is cut is answered all the same
 	w.mu.Lock()
 	version := w.version
+	if expected := r.Header.Get("X-Laburnumgw-Expect-Version"); expected != "" && expected != strconv.Itoa(version) {
+		w.mu.Unlock()
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if w.runs == nil {
 		w.runs = make(map[string]int)
 	}
