Mirror thousands of workers without listing them again and again

A process that changed its neighbour was told everything as well. A list is 1 MB and the link between regions carries 27 Mbit/s, so that dials of the store timed out from then on and entries kept an old configuration.

A neighbour now tells a copy that came from elsewhere the changes since its revision. A long kind is resumed by a watch from where it is known. A start waits for its neighbours in the order of rank.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -101,7 +101,7 @@
 			platform.KindConfig: false, platform.KindWorkers: true, platform.KindVersions: false, platform.KindEntries: false,
 		},
 		Store: store, Seed: platform.KindEntries, Neighbours: rpcmirror.NewClient(conns, v.neighbours), PullWait: pullWait, StaleAfter: func() time.Duration { return staleAfter }, Indirect: true,
-		First: func() mirror.Source { return mirror.NeighboursFirst }, Changed: v.changed, Log: log,
+		First: func() mirror.Source { return mirror.NeighboursFirst }, Patience: v.patience, Changed: v.changed, Log: log,
 	})
 	laburnumgwv1.RegisterPeerServer(p.grpc, p.library.server())
 	laburnumgwv1.RegisterManifestsServer(p.grpc, &manifestServer{library: p.library})
--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -181,6 +181,13 @@
 	return near, far
 }
 
+// patience returns how long a start waits for the entries of its availability zone, all of
+// which may read the store before.
+func (v *view) patience() time.Duration {
+	near, _ := v.entryAddresses()
+	return mirror.PatienceAt(len(near))
+}
+
 // neighbours returns the entries to mirror from.
 func (v *view) neighbours() []string {
 	near, far := v.entryAddresses()
--- a/entry/hosted/neighbours.go
+++ b/entry/hosted/neighbours.go
@@ -74,6 +74,13 @@
 	return limit
 }
 
+// patience returns how long a start waits for the entries that rank above this one.
+func (v *view) patience() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return mirror.PatienceAt(len(v.leaders()))
+}
+
 // source states whether this entry reads the store itself. One entry of a zone does, so
 // that the calls do not grow with the number of entries.
 func (v *view) source() mirror.Source {
--- a/entry/hosted/neighbours_test.go
+++ b/entry/hosted/neighbours_test.go
@@ -62,3 +62,24 @@
 		}
 	})
 }
+
+// Guards against a zone that starts at once, without the entry that reads the store for it,
+// and whose entries all list the workers in the same moment: the lists filled the link of
+// the zone (sweep of shelfwatch-rota at 300 machines). Small zones lose no time.
+func TestStartsOfAZoneAreSpread(t *testing.T) {
+	Convey("Of 50 entries, at most 8 begin to read within 500 ms once the shortest wait is over", t, func() {
+		begins := make(map[time.Duration]int)
+		for _, v := range zoneOf(50) {
+			begins[v.patience()/(500*time.Millisecond)]++
+		}
+		delete(begins, 1)
+		for _, entries := range begins {
+			So(entries, ShouldBeLessThanOrEqualTo, 8)
+		}
+	})
+	Convey("The entries of a zone of 4 wait no longer than 600 ms", t, func() {
+		for _, v := range zoneOf(4) {
+			So(v.patience(), ShouldBeLessThanOrEqualTo, 600*time.Millisecond)
+		}
+	})
+}
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -89,7 +89,7 @@
 			platform.KindVersions: false, platform.KindEntries: false,
 		},
 		Store: store, Seed: platform.KindEntries, Neighbours: rpcmirror.NewClient(conns, v.neighbours), First: v.source, PullWait: pullWait, StaleAfter: v.staleAfter,
-		Changed: v.changed, Log: log,
+		Patience: v.patience, Changed: v.changed, Log: log,
 	})
 	p.grpc = grpc.NewServer()
 	laburnumgwv1.RegisterMirrorServer(p.grpc, &rpcmirror.Server{Driver: p.mirror})
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -21,9 +21,20 @@
 	idleWait = 200 * time.Millisecond
 	// turnInterval is how often it is looked at who is asked first.
 	turnInterval = time.Second
-	// seedWait bounds the wait of a start for neighbours, and seedStep separates two looks.
-	seedWait = 600 * time.Millisecond
-	seedStep = 20 * time.Millisecond
+	// minPatience and maxPatience bound the wait of a start for what neighbours know, and
+	// seedStep separates two looks. A service is back within 12 s of the death of every
+	// process.
+	minPatience = 600 * time.Millisecond
+	maxPatience = 4 * time.Second
+	seedStep    = 20 * time.Millisecond
+	// patienceStep separates the starts of two processes that read the store because no
+	// neighbour tells them: a list of 600 workers, 150 KB, takes 45 ms of a link of
+	// 27 Mbit/s.
+	patienceStep = 75 * time.Millisecond
+	// longKind is the number of objects from which on a kind is not listed again after a
+	// failure, but watched from where it was known. Lists of shorter ones take a page or
+	// two, and tell at once what a watch may be deaf to.
+	longKind = 200
 	// pullRetry is the pause after all neighbours failed.
 	pullRetry = 500 * time.Millisecond
 	// Calls that failed are repeated after firstRetry, doubling up to lastRetry.
@@ -66,6 +77,9 @@
 	// last answer of the store from which on it is not relied on.
 	PullWait   time.Duration
 	StaleAfter func() time.Duration
+	// Patience is how long a start waits for what the neighbours know before it reads the
+	// store itself; see PatienceAt. Nil for the shortest.
+	Patience func() time.Duration
 	// Indirect accepts neighbours that mirror others. Only a process that nobody mirrors
 	// may set it.
 	Indirect bool
@@ -136,11 +150,11 @@
 	kind := d.kinds[name]
 	pause := &backoff.ExponentialBackOff{InitialInterval: firstRetry, MaxInterval: lastRetry, Multiplier: 2, RandomizationFactor: 0.3}
 	pause.Reset()
-	listed := false
+	next := list
 	d.awaitSeed(ctx, name)
 	for ctx.Err() == nil {
 		if turned, idle := d.idle(kind); idle {
-			listed = false
+			next = d.again(kind)
 			awaitTurn(ctx, turned)
 			continue
 		}
@@ -148,12 +162,12 @@
 		d.mu.Lock()
 		d.cancels[name] = cancel
 		d.mu.Unlock()
-		err := d.ask(calling, name, kind, listed)
+		err := d.ask(calling, name, kind, next)
 		refreshed := calling.Err() != nil
 		cancel()
 		switch {
 		case err == nil:
-			listed = true
+			next = watch
 			pause.Reset()
 			// Changes that follow each other closely are read with one call.
 			sleep(ctx, batchWait)
@@ -161,38 +175,51 @@
 		case ctx.Err() != nil:
 			return
 		case refreshed:
-			listed = false
+			next = d.again(kind)
 			continue
 		case errors.Is(err, ErrHistoryLost):
-			listed = false
+			next = list
 			d.config.Log.Warn("history of the store is lost; listing again", zap.String("kind", name))
 			continue
 		}
-		// A list is answered at once, so that the end of an outage is noticed, while a
-		// watch waits for the next change.
-		listed = false
+		next = d.again(kind)
 		d.failed(name, kind, err)
 		sleep(ctx, pause.NextBackOff())
 	}
 }
 
 // awaitSeed lets a process that starts learn its neighbours first, and then what they know,
-// so that a start costs few calls of the store.
+// so that a start costs few calls of the store. A neighbour may answer before it knows the
+// kind itself.
 func (d *Driver) awaitSeed(ctx context.Context, name string) {
 	if d.config.Seed == "" || name == d.config.Seed {
 		return
 	}
-	for waited := time.Duration(0); waited < seedWait; waited += seedStep {
+	for waited := time.Duration(0); waited < d.patience(); waited += seedStep {
 		d.mu.Lock()
-		known, pulling := d.kinds[d.config.Seed].Known(), d.pulling
-		reads := known && d.first() == StoreFirst
+		known := d.kinds[name].Known()
+		reads := d.kinds[d.config.Seed].Known() && d.first() == StoreFirst
 		d.mu.Unlock()
-		if pulling || reads || !sleep(ctx, seedStep) {
+		if known || reads || !sleep(ctx, seedStep) {
 			return
 		}
 	}
 }
 
+func (d *Driver) patience() time.Duration {
+	if d.config.Patience == nil {
+		return minPatience
+	}
+	return d.config.Patience()
+}
+
+// PatienceAt returns how long a start waits for its neighbours when a number of other
+// processes may read the store before it. It spreads the lists of a zone that starts at
+// once and whose reader is gone.
+func PatienceAt(others int) time.Duration {
+	return min(max(time.Duration(others)*patienceStep, minPatience), maxPatience)
+}
+
 // idle reports whether the neighbours make the store's calls needless. The channel is
 // closed when they stop to answer.
 func (d *Driver) idle(kind *Kind) (turned <-chan struct{}, idle bool) {
@@ -213,8 +240,36 @@
 	}
 }
 
-func (d *Driver) ask(ctx context.Context, name string, kind *Kind, listed bool) error {
-	if !listed {
+// question is what the store is asked next for a kind.
+type question uint8
+
+// Lists and resumptions are answered at once, so that the end of an outage is noticed,
+// while a watch waits for the next change.
+const (
+	// list asks for all objects.
+	list question = iota
+	// resume asks whether the store answers, to watch from what is known.
+	resume
+	// watch waits for changes.
+	watch
+)
+
+// again returns what to ask after the watch of a kind has ended without an answer.
+func (d *Driver) again(kind *Kind) question {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if kind.Known() && kind.Len() >= longKind {
+		return resume
+	}
+	return list
+}
+
+func (d *Driver) ask(ctx context.Context, name string, kind *Kind, next question) error {
+	d.mu.Lock()
+	after := kind.Revision()
+	d.mu.Unlock()
+	switch next {
+	case list:
 		objects, revision, err := d.config.Store.List(ctx, name)
 		if err != nil {
 			return err
@@ -222,10 +277,14 @@
 		d.apply(name, kind, func(now time.Time) []Change { return kind.Listed(objects, revision, now) })
 		d.confirmed(0)
 		return nil
+	case resume:
+		if _, err := d.config.Store.Revision(ctx); err != nil {
+			return err
+		}
+		d.apply(name, kind, func(now time.Time) []Change { return kind.Watched(nil, after, now) })
+		d.confirmed(0)
+		return nil
 	}
-	d.mu.Lock()
-	after := kind.Revision()
-	d.mu.Unlock()
 	events, revision, err := d.config.Store.Watch(ctx, name, after, watchWait)
 	if err != nil {
 		return err
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -66,16 +66,19 @@
 	changed  map[string]int64
 	gone     []departure
 	floor    int64
+	// floorRevision is the revision of the store since which all removals are in gone.
+	floorRevision int64
 	// failedAt is the start of the outage that is going on.
 	failedAt  time.Time
 	failing   bool
 	graceEnds time.Time
 }
 
-// departure is an object that was removed.
+// departure is an object that was removed. The revision is that of the kind when it was.
 type departure struct {
 	name     string
 	sequence int64
+	revision int64
 }
 
 // maxGone bounds the removals that are remembered. A neighbour that has missed more of
@@ -93,6 +96,9 @@
 // Revision returns the revision up to which changes are known.
 func (k *Kind) Revision() int64 { return k.revision }
 
+// Len returns the number of objects, without held ones.
+func (k *Kind) Len() int { return len(k.objects) }
+
 // Objects returns the objects in the order of their names, held ones included.
 func (k *Kind) Objects() []Object {
 	all := maps.Clone(k.objects)
@@ -133,6 +139,25 @@
 	return objects, removed, false
 }
 
+// After returns what has changed after a revision of the store, for a copy that was made
+// from another source. It returns all objects when the removals since are not known.
+func (k *Kind) After(revision int64) (objects []Object, removed []string, full bool) {
+	if revision < k.floorRevision {
+		return k.Objects(), nil, true
+	}
+	for _, object := range k.Objects() {
+		if object.Revision > revision {
+			objects = append(objects, object)
+		}
+	}
+	for _, g := range k.gone {
+		if _, back := k.changed[g.name]; g.revision > revision && !back {
+			removed = append(removed, g.name)
+		}
+	}
+	return objects, removed, false
+}
+
 func (k *Kind) touch(name string) {
 	k.sequence++
 	k.changed[name] = k.sequence
@@ -141,9 +166,10 @@
 func (k *Kind) bury(name string) {
 	k.sequence++
 	delete(k.changed, name)
-	k.gone = append(k.gone, departure{name, k.sequence})
+	k.gone = append(k.gone, departure{name, k.sequence, k.revision})
 	if len(k.gone) > maxGone {
 		k.floor = k.gone[0].sequence
+		k.floorRevision = k.gone[0].revision
 		k.gone = k.gone[1:]
 	}
 }
@@ -181,6 +207,9 @@
 		return nil
 	}
 	first := !k.known
+	if first {
+		k.floorRevision = revision
+	}
 	k.known = true
 	k.revision = revision
 	var changes []Change
--- a/lib/mirror/mirror_test.go
+++ b/lib/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,7 +31,9 @@
 	deafKind string
 	down     bool
 	calls    int
-	changed  chan struct{}
+	// lists counts the lists of each kind.
+	lists   map[string]int
+	changed chan struct{}
 }
 
 var errDown = errors.New("store is down")
@@ -74,6 +77,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
+	if f.lists == nil {
+		f.lists = make(map[string]int)
+	}
+	f.lists[kind]++
 	if f.down {
 		return nil, 0, errDown
 	}
@@ -316,11 +323,13 @@
 	// stale makes the neighbour one that has lost the store and hears of nothing, but
 	// whose own neighbours confirm its state.
 	stale bool
+	// told counts the objects that were told.
+	told int
 }
 
 func (n *neighbour) Pull(ctx context.Context, since Since, wait time.Duration) (Pulled, error) {
 	n.mu.Lock()
-	gone, stale := n.gone, n.stale
+	gone, stale, driver := n.gone, n.stale, n.driver
 	n.mu.Unlock()
 	if stale {
 		<-time.After(wait)
@@ -333,8 +342,13 @@
 		}
 		return Pulled{}, errDown
 	}
-	states := n.driver.Newer(ctx, since, wait)
-	return Pulled{Instance: n.driver.Instance(), States: states, Age: n.driver.Age(), Direct: n.driver.Direct()}, nil
+	states := driver.Newer(ctx, since, wait)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, state := range states {
+		n.told += len(state.Objects)
+	}
+	return Pulled{Instance: driver.Instance(), States: states, Age: driver.Age(), Direct: driver.Direct()}, nil
 }
 
 // followLeader runs a leader that reads the store and a follower that mirrors from it.
@@ -527,3 +541,165 @@
 		So(removed, ShouldResemble, []string{"x"})
 	})
 }
+
+// Guards against a change of the neighbour that costs a full list: in a zone of 3,000
+// workers whose reader lost the store, each process took 1 MB over the link between
+// regions and nothing else came through it (sweep of shelfwatch-rota at 300 machines).
+func TestAnotherNeighbourTellsChangesAlone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first, second, client := NewKind(false), NewKind(false), NewKind(false)
+		names := []string{"a", "b", "c", "d"}
+		revision := int64(1)
+		change := func(kinds ...*Kind) {
+			revision++
+			event := Event{Object: object(rapid.SampledFrom(names).Draw(t, "name"), revision), Deleted: rapid.Bool().Draw(t, "deleted")}
+			for _, kind := range kinds {
+				kind.Watched([]Event{event}, revision, start)
+			}
+		}
+		list := []Object{object("a", 1), object("b", 1)}
+		first.Listed(list, revision, start)
+		second.Listed(list, revision, start)
+		for range rapid.IntRange(0, 20).Draw(t, "before") {
+			change(first, second)
+		}
+		client.Listed(first.Objects(), first.Revision(), start)
+		for range rapid.IntRange(0, 20).Draw(t, "after") {
+			change(second)
+		}
+		objects, removed, full := second.After(client.Revision())
+		if full {
+			t.Fatal("all objects were told")
+		}
+		client.Watched(eventsOf(State{Objects: objects, Removed: removed}), second.Revision(), start)
+		got, want := client.Objects(), second.Objects()
+		if len(got) != len(want) {
+			t.Fatalf("copy has %d objects, want %d", len(got), len(want))
+		}
+		for i := range got {
+			if got[i].Name != want[i].Name || got[i].Revision != want[i].Revision {
+				t.Fatalf("copy has %+v, want %+v", got[i], want[i])
+			}
+		}
+	})
+}
+
+// Guards against changes alone from a neighbour that has not seen every removal since the
+// revision that is asked for.
+func TestRevisionsBeforeTheFirstListGetEverything(t *testing.T) {
+	Convey("Given a kind that was listed at revision 10", t, func() {
+		kind := NewKind(false)
+		kind.Listed([]Object{object("a", 3)}, 10, start)
+		Convey("an older revision gets all objects", func() {
+			_, _, full := kind.After(9)
+			So(full, ShouldBeTrue)
+		})
+		Convey("the revision of the list gets the changes since", func() {
+			kind.Watched([]Event{{Object: object("b", 11)}}, 11, start)
+			objects, removed, full := kind.After(10)
+			So(full, ShouldBeFalse)
+			So(removed, ShouldBeEmpty)
+			So(objects, ShouldHaveLength, 1)
+		})
+		Convey("a revision before removals that are forgotten gets all objects", func() {
+			for i := range int64(maxGone + 1) {
+				kind.Watched([]Event{{Object: object("x", 2*i+11)}}, 2*i+11, start)
+				kind.Watched([]Event{{Object: object("x", 2*i+12), Deleted: true}}, 2*i+12, start)
+			}
+			_, _, full := kind.After(10)
+			So(full, ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against the same at the pull: a driver told the neighbour its sequence numbers
+// alone, which another neighbour cannot use.
+func TestPullFromAnotherNeighbourIsSmall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		for i := range 500 {
+			store.put("workers", fmt.Sprint("w", i))
+		}
+		seen, n := followLeader(t.Context(), store, store)
+		<-time.After(3 * time.Second)
+		other := NewDriver(Config{Kinds: map[string]bool{"workers": true, "config": false}, Store: store, Log: zap.NewNop(), Changed: func(string, []Change) {}})
+		go other.Run(t.Context())
+		<-time.After(3 * time.Second)
+		n.mu.Lock()
+		n.driver = other
+		n.told = 0
+		n.mu.Unlock()
+		store.put("workers", "new")
+		<-time.After(3 * time.Second)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if seen.when("new", false) < 0 {
+			t.Error("change not seen")
+		}
+		if n.told > 5 {
+			t.Errorf("%d objects told for 1 change", n.told)
+		}
+	})
+}
+
+// Guards against processes that list thousands of workers each time the store fails them
+// for a moment, all at once: the lists of one zone filled its link for the rest of the day.
+func TestLongKindIsNotListedAgainAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		for i := range longKind + 1 {
+			store.put("workers", fmt.Sprint("w", i))
+		}
+		store.put("config", "main")
+		seen := follow(t.Context(), store, map[string]bool{"workers": true, "config": false})
+		<-time.After(2 * time.Second)
+		store.set(func() { store.down = true })
+		<-time.After(time.Second)
+		store.set(func() { store.lists = nil; store.down = false })
+		store.put("workers", "new")
+		store.put("config", "next")
+		<-time.After(bound)
+		for _, name := range []string{"new", "next"} {
+			if seen.when(name, false) < 0 {
+				t.Errorf("change %s not seen within the bound", name)
+			}
+		}
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		if store.lists["workers"] > 0 {
+			t.Errorf("%d lists of workers after the outage", store.lists["workers"])
+		}
+	})
+}
+
+// Guards against a start of a whole zone in which each process lists all workers because
+// the one that reads the store for them needs longer than a short wait.
+func TestStartWaitsForTheNeighboursState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("entries", "leader")
+		kinds := map[string]bool{"entries": false, "workers": true}
+		leader := NewDriver(Config{Kinds: kinds, Store: store, Log: zap.NewNop(), Changed: func(string, []Change) {}})
+		n := &neighbour{driver: leader}
+		own := newFakeStore()
+		own.put("entries", "leader")
+		follower := NewDriver(Config{
+			Kinds: kinds, Store: own, Log: zap.NewNop(), Neighbours: n, Seed: "entries", PullWait: 300 * time.Millisecond,
+			StaleAfter: func() time.Duration { return 1250 * time.Millisecond }, Patience: func() time.Duration { return 3 * time.Second },
+			First: func() Source { return NeighboursFirst }, Changed: func(string, []Change) {},
+		})
+		go follower.Run(t.Context())
+		<-time.After(2 * time.Second)
+		store.put("workers", "a")
+		go leader.Run(t.Context())
+		<-time.After(2 * time.Second)
+		if !follower.Known() {
+			t.Error("follower does not know the workers")
+		}
+		own.mu.Lock()
+		defer own.mu.Unlock()
+		if own.lists["workers"] > 0 {
+			t.Errorf("%d lists of workers by the follower", own.lists["workers"])
+		}
+	})
+}
--- a/lib/mirror/probe.go
+++ b/lib/mirror/probe.go
@@ -43,13 +43,14 @@
 }
 
 // behind returns the kinds that are not known up to a revision. A change of another kind
-// is no reason to believe that nothing was missed.
+// is no reason to believe that nothing was missed. A kind that was not read yet is not
+// behind: its start waits for neighbours or for its own list.
 func (d *Driver) behind(revision int64) map[string]bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	behind := make(map[string]bool)
 	for name, kind := range d.kinds {
-		if kind.Revision() < revision {
+		if kind.Known() && kind.Revision() < revision {
 			behind[name] = true
 		}
 	}
--- a/lib/mirror/pull.go
+++ b/lib/mirror/pull.go
@@ -27,6 +27,9 @@
 	Instance uint64
 	// Sequences holds a number for each kind that is asked for, -1 for all objects.
 	Sequences map[string]int64
+	// Revisions are those of the store up to which the kinds are known. They serve where
+	// the sequence numbers are another neighbour's.
+	Revisions map[string]int64
 }
 
 // Neighbours asks one of the neighbours for what has changed. It fails when none is known
@@ -96,6 +99,9 @@
 			continue
 		}
 		objects, removed, full := kind.Since(known)
+		if revision, copied := since.Revisions[name]; full && copied {
+			objects, removed, full = kind.After(revision)
+		}
 		states = append(states, State{
 			Kind: name, Revision: kind.Revision(), Sequence: kind.Sequence(), Full: full, Objects: objects, Removed: removed,
 		})
@@ -200,8 +206,15 @@
 
 // since tells a neighbour what was heard from it.
 func (d *Driver) since() Since {
-	since := Since{Instance: d.heard.Instance, Sequences: make(map[string]int64, len(d.kinds))}
-	for name := range d.kinds {
+	since := Since{
+		Instance: d.heard.Instance, Sequences: make(map[string]int64, len(d.kinds)), Revisions: make(map[string]int64, len(d.kinds)),
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, kind := range d.kinds {
+		if kind.Known() {
+			since.Revisions[name] = kind.Revision()
+		}
 		since.Sequences[name] = -1
 		if sequence, ok := d.heard.Sequences[name]; ok {
 			since.Sequences[name] = sequence
--- a/lib/mirror/rpcmirror/rpcmirror.go
+++ b/lib/mirror/rpcmirror/rpcmirror.go
@@ -28,7 +28,9 @@
 // Pull implements the Mirror service.
 func (s *Server) Pull(ctx context.Context, request *laburnumgwv1.PullRequest) (*laburnumgwv1.PullResponse, error) {
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxWait)
-	states := s.Driver.Newer(ctx, mirror.Since{Instance: request.GetInstance(), Sequences: request.GetKnown()}, wait)
+	states := s.Driver.Newer(ctx, mirror.Since{
+		Instance: request.GetInstance(), Sequences: request.GetKnown(), Revisions: request.GetRevisions(),
+	}, wait)
 	response := &laburnumgwv1.PullResponse{ConfirmedMsAgo: s.Driver.Age().Milliseconds(), Direct: s.Driver.Direct(), Instance: s.Driver.Instance()}
 	for _, state := range states {
 		kind := &laburnumgwv1.KindState{
@@ -113,7 +115,9 @@
 
 func (c *Client) pull(ctx context.Context, address string, since mirror.Since, wait time.Duration) (mirror.Pulled, error) {
 	response, err := rpc.Ask(ctx, c.conns, address, wait+pullSlack, laburnumgwv1.NewMirrorClient, laburnumgwv1.MirrorClient.Pull,
-		&laburnumgwv1.PullRequest{Instance: since.Instance, Known: since.Sequences, WaitMs: int32(wait.Milliseconds())})
+		&laburnumgwv1.PullRequest{
+			Instance: since.Instance, Known: since.Sequences, Revisions: since.Revisions, WaitMs: int32(wait.Milliseconds()),
+		})
 	if err != nil {
 		return mirror.Pulled{}, fmt.Errorf("pull from %s: %w", address, err)
 	}
