Mirror from the preferred neighbour as soon as it is known

Cause: a process stayed with the neighbour that answered it first. At a start that is one of the region where the store is, since entries there register first, so each process elsewhere was sent each change of 3,001 workers over the link between regions.

--- /dev/null
+++ b/lib/mirror/rpcmirror/choice_test.go
@@ -0,0 +1,41 @@
+package rpcmirror
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestChoice(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	Convey("Given neighbours in the order of preference", t, func() {
+		var c choice
+		Convey("none is asked when none is known", func() {
+			So(c.pick(nil, now), ShouldBeEmpty)
+		})
+		// Guards against a process that stays with an entry of another region, which it
+		// asked while those of its own zone were not registered yet: each change of 3,000
+		// workers crossed the link between regions once for each process.
+		Convey("the preferred one is asked as soon as it is known", func() {
+			So(c.pick([]string{"far"}, now), ShouldEqual, "far")
+			So(c.pick([]string{"near", "far"}, now), ShouldEqual, "near")
+		})
+		Convey("one that failed is passed over for a while", func() {
+			c.failed("near", now)
+			So(c.pick([]string{"near", "far"}, now), ShouldEqual, "far")
+			So(c.pick([]string{"near", "far"}, now.Add(avoidance)), ShouldEqual, "near")
+		})
+		// Guards against a process that asks the same dead neighbour over and over.
+		Convey("all are asked in turn while all fail", func() {
+			asked := make(map[string]int)
+			for i := range 9 {
+				at := now.Add(time.Duration(i) * 500 * time.Millisecond)
+				address := c.pick([]string{"a", "b", "c"}, at)
+				asked[address]++
+				c.failed(address, at)
+			}
+			So(asked, ShouldResemble, map[string]int{"a": 3, "b": 3, "c": 3})
+		})
+	})
+}
--- a/lib/mirror/rpcmirror/rpcmirror.go
+++ b/lib/mirror/rpcmirror/rpcmirror.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"time"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
@@ -80,12 +79,12 @@
 	return ages, nil
 }
 
-// Client asks one of several neighbours. It stays with one that answers.
+// Client asks one of several neighbours: the preferred one that answers.
 type Client struct {
 	conns *rpc.Pool
 	// peers returns the addresses of the neighbours, the preferred ones first.
-	peers   func() []string
-	current string
+	peers  func() []string
+	choice choice
 }
 
 // NewClient returns a client that asks the neighbours that peers returns.
@@ -96,19 +95,13 @@
 // Pull implements mirror.Neighbours. It asks the next neighbour at the next call when one
 // does not answer.
 func (c *Client) Pull(ctx context.Context, since mirror.Since, wait time.Duration) (mirror.Pulled, error) {
-	peers := c.peers()
-	if len(peers) == 0 {
-		c.current = ""
+	peer := c.choice.pick(c.peers(), time.Now())
+	if peer == "" {
 		return mirror.Pulled{}, errkind.New(errkind.Unavailable, "wait until the store names other processes", "no neighbour is known")
 	}
-	at := slices.Index(peers, c.current)
-	if at < 0 {
-		at = 0
-		c.current = peers[0]
-	}
-	pulled, err := c.pull(ctx, c.current, since, wait)
+	pulled, err := c.pull(ctx, peer, since, wait)
 	if err != nil {
-		c.current = peers[(at+1)%len(peers)]
+		c.choice.failed(peer, time.Now())
 	}
 	return pulled, err
 }
