Check a settings file of the platform without starting a process

It reports what the start would refuse, with the same exit code, and names the role that the file is for.

--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -91,6 +91,30 @@
 	})
 }
 
+type checkCommand struct {
+	Positional struct {
+		File string `positional-arg-name:"FILE" description:"settings file; by default the one that LABURNUMGW_BOOT names"`
+	} `positional-args:"yes"`
+}
+
+// Execute checks a settings file of the users' platform and starts nothing.
+func (c *checkCommand) Execute([]string) error {
+	path := c.Positional.File
+	if path == "" {
+		path = os.Getenv(platform.SettingsVariable)
+	}
+	s, err := platform.ReadSettings(path)
+	if err != nil {
+		return settingsError{err}
+	}
+	role, problem := s.Role()
+	if problem != nil {
+		return settingsError{problem}
+	}
+	fmt.Printf("%s: settings of %s in zone %s are valid for %s\n", path, s.VM, s.Zone, role)
+	return nil
+}
+
 func runHosted(options *hostedOptions, initialize func(*platform.Settings, *hostedOptions) (runner, error)) error {
 	s, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
@@ -144,6 +168,7 @@
 	add("endpoint", "Run the process of an endpoint VM", &endpointCommand{})
 	add("hosted-entry", "Run the process of an entry VM on the users' platform", &hostedEntryCommand{})
 	add("hosted-endpoint", "Run the process beside a model worker on the users' platform", &hostedEndpointCommand{})
+	add("check", "Check a settings file of the users' platform", &checkCommand{})
 	_, err := parser.ParseArgs(args)
 	if err == nil {
 		return 0
