--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -12,6 +12,7 @@
 	"github.com/jessevdk/go-flags"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/explain"
 )
 
@@ -56,22 +57,31 @@
 	return c.session.Output().Print(decisions, table)
 }
 
-// fromLogs tells the life of a request from logs.
-func (c *explainCommand) fromLogs() error {
+// withLogs opens logs, - for standard input, while they are read.
+func withLogs(names []string, read func([]io.Reader) error) error {
 	var readers []io.Reader
-	for _, name := range c.Logs {
+	for _, name := range names {
 		if name == "-" {
 			readers = append(readers, os.Stdin)
 			continue
 		}
 		file, err := os.Open(name)
 		if err != nil {
-			return fmt.Errorf("open log: %w", err)
+			return errkind.Wrap(err, errkind.Invalid, "check the name of the file", "log cannot be opened")
 		}
 		defer file.Close()
 		readers = append(readers, file)
 	}
-	story, err := explain.Read(c.Args.RequestID, readers...)
+	return read(readers)
+}
+
+// fromLogs tells the life of a request from logs.
+func (c *explainCommand) fromLogs() error {
+	var story explain.Story
+	err := withLogs(c.Logs, func(logs []io.Reader) (err error) {
+		story, err = explain.Read(c.Args.RequestID, logs...)
+		return err
+	})
 	if err != nil {
 		return err
 	}
--- a/ctl/record.go
+++ b/ctl/record.go
@@ -155,13 +155,17 @@
 type reportCommand struct {
 	session *Session
 	Out     flags.Filename `long:"out" default:"report" description:"directory for the plots"`
+	Logs    []string       `long:"log" value-name:"FILE" description:"draw the day from a log of the users' platform, - for standard input; repeat for several"`
 	Args    struct {
-		File flags.Filename `positional-arg-name:"FILE" required:"yes" description:"file of a recorded run"`
+		File flags.Filename `positional-arg-name:"FILE" description:"file of a recorded run"`
 	} `positional-args:"yes"`
 }
 
 // Execute draws the plots.
 func (c *reportCommand) Execute([]string) error {
+	if len(c.Logs) > 0 {
+		return c.fromLogs()
+	}
 	file, err := os.Open(string(c.Args.File))
 	if err != nil {
 		return errkind.Wrap(err, errkind.Invalid, "record a run with `laburnumctl record`", "recorded run cannot be read")
@@ -175,7 +179,27 @@
 	if err != nil {
 		return err
 	}
-	table := Table{Header: []string{"PLOT"}, Summary: fmt.Sprintf("%d samples", len(samples))}
+	return c.print(names, fmt.Sprintf("%d samples", len(samples)))
+}
+
+// fromLogs draws the plots of a day on the users' platform.
+func (c *reportCommand) fromLogs() error {
+	if c.Args.File != "" {
+		return errkind.New(errkind.Invalid, "pass either a recorded run or logs", "both FILE and --log are set")
+	}
+	var names []string
+	err := withLogs(c.Logs, func(logs []io.Reader) (err error) {
+		names, err = report.DrawLogs(string(c.Out), logs...)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return c.print(names, fmt.Sprintf("%d logs", len(c.Logs)))
+}
+
+func (c *reportCommand) print(names []string, summary string) error {
+	table := Table{Header: []string{"PLOT"}, Summary: summary}
 	for _, name := range names {
 		table.Rows = append(table.Rows, []string{name})
 	}
--- a/lib/explain/explain.go
+++ b/lib/explain/explain.go
@@ -2,18 +2,15 @@
 package explain
 
 import (
-	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
 	"slices"
 	"strings"
 	"time"
-)
 
-// maxLineBytes bounds one log line.
-const maxLineBytes = 1 << 20
+	"laburnumgw/lib/logline"
+)
 
 // Step is one log line of a request.
 type Step struct {
@@ -32,21 +29,19 @@
 	Cause string `json:"cause"`
 }
 
-// Read collects the lines of a request. Text before the JSON of a line, such as the name
-// of a machine, is skipped, and lines that are no JSON are ignored, because the output of
-// other programs may stand between them.
+// Read collects the lines of a request.
 func Read(request string, readers ...io.Reader) (Story, error) {
 	story := Story{Request: request}
 	for _, reader := range readers {
-		scanner := bufio.NewScanner(reader)
-		scanner.Buffer(make([]byte, 64<<10), maxLineBytes)
-		for scanner.Scan() {
-			if step, ok := parse(scanner.Text(), request); ok {
-				story.Steps = append(story.Steps, step)
+		err := logline.Read(reader, func(line logline.Line) {
+			if line.Fields["request"] != request {
+				return
 			}
-		}
-		if err := scanner.Err(); err != nil {
-			return story, fmt.Errorf("read log: %w", err)
+			delete(line.Fields, "request")
+			story.Steps = append(story.Steps, Step{line.Time, line.Node, line.Message, line.Fields})
+		})
+		if err != nil {
+			return story, err
 		}
 	}
 	slices.SortStableFunc(story.Steps, func(a, b Step) int { return a.Time.Compare(b.Time) })
@@ -54,35 +49,6 @@
 	return story, nil
 }
 
-func parse(line, request string) (Step, bool) {
-	start := strings.IndexByte(line, '{')
-	if start < 0 || !strings.Contains(line, request) {
-		return Step{}, false
-	}
-	var fields map[string]any
-	if err := json.Unmarshal([]byte(line[start:]), &fields); err != nil || fields["request"] != request {
-		return Step{}, false
-	}
-	step := Step{Fields: make(map[string]string)}
-	for name, value := range fields {
-		text := fmt.Sprint(value)
-		switch name {
-		case "ts":
-			if at, err := time.Parse(time.RFC3339Nano, text); err == nil {
-				step.Time = at
-			}
-		case "msg":
-			step.Message = text
-		case "node":
-			step.Node = text
-		case "level", "request":
-		default:
-			step.Fields[name] = text
-		}
-	}
-	return step, true
-}
-
 // Details returns the fields of a step in a fixed order.
 func (s Step) Details() string {
 	parts := make([]string, 0, len(s.Fields))
--- /dev/null
+++ b/lib/report/logs_test.go
@@ -0,0 +1,83 @@
+package report
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/logline"
+)
+
+// entryLog and endpointLog are what processes write, with the names of their machines in
+// front and lines of other programs between.
+const (
+	entryLog = `front-1 {"level":"info","ts":"2026-01-01T00:00:00Z","msg":"configuration in force","node":"front-1","version":9}
+some other program
+front-1 {"level":"info","ts":"2026-01-01T00:00:01.2Z","msg":"request refused","node":"front-1","request":"a","reason":"not_found"}
+front-1 {"level":"info","ts":"2026-01-01T00:00:01.7Z","msg":"request ended","node":"front-1","request":"b","reason":"not_run"}
+front-1 {"level":"warn","ts":"2026-01-01T00:00:02Z","msg":"store does not answer; the mirrored state stays in force","node":"front-1","kind":"config"}
+front-1 {"level":"info","ts":"2026-01-01T00:00:03Z","msg":"source of the mirror regained","node":"front-1","kind":"config"}
+front-1 {"level":"info","ts":"2026-01-01T00:00:04Z","msg":"configuration in force","node":"front-1","version":10}
+`
+	endpointLog = `{"level":"info","ts":"2026-01-01T00:00:00.5Z","msg":"worker state","node":"side-1","version":1}
+{"level":"info","ts":"2026-01-01T00:00:02.5Z","msg":"worker state","node":"side-1","version":2}
+{"level":"info","ts":"2026-01-01T00:00:05Z","msg":"attempt ended","node":"front-1","outcome":"OUTCOME_COMPLETE"}
+`
+)
+
+// Guards against plots that are empty, and against logs of several processes that are
+// joined in the order of the files instead of the order of time.
+func TestDrawLogs(t *testing.T) {
+	Convey("Logs of several processes make one day", t, func() {
+		dir := t.TempDir()
+		names, err := DrawLogs(dir, strings.NewReader(endpointLog), strings.NewReader(entryLog))
+		So(err, ShouldBeNil)
+		So(names, ShouldHaveLength, 5)
+		for _, name := range names {
+			content, err := os.ReadFile(name)
+			So(err, ShouldBeNil)
+			So(strings.Count(string(content), "<path"), ShouldBeGreaterThan, 2)
+		}
+	})
+	Convey("Logs without any line of laburnumgw are refused", t, func() {
+		_, err := DrawLogs(t.TempDir(), strings.NewReader("hello\n{}\n"))
+		So(errkind.Of(err), ShouldEqual, errkind.Invalid)
+	})
+}
+
+// Guards against curves that show a belief after it has ended, or one that a process held
+// before it started again.
+func TestLevels(t *testing.T) {
+	Convey("Each holder counts for what it holds last", t, func() {
+		l := newLevels()
+		l.set("a", "version 9", 0)
+		l.set("b", "version 9", 1e9)
+		l.set("a", "version 10", 2e9)
+		l.set("b", "", 3e9)
+		lines := l.lines(4e9)
+		So(lines, ShouldHaveLength, 2)
+		So(lines[0].name, ShouldEqual, "version 9")
+		So(lines[1].name, ShouldEqual, "version 10")
+		last := func(s series) float64 { return s.points[len(s.points)-1].Y }
+		So(last(lines[0]), ShouldEqual, 0)
+		So(last(lines[1]), ShouldEqual, 1)
+		So(lines[0].points[3].Y, ShouldEqual, 2)
+	})
+	Convey("A process that starts again holds nothing", t, func() {
+		d := newDay()
+		for _, text := range strings.Split(strings.TrimSpace(entryLog), "\n") {
+			if line, ok := logline.Parse(text); ok {
+				d.lines = append(d.lines, line)
+				d.add(line)
+			}
+		}
+		So(d.configs.counts, ShouldResemble, map[string]int{"version 9": 0, "version 10": 1})
+		So(d.outages.counts, ShouldResemble, map[string]int{"config": 0})
+		restart, _ := logline.Parse(`{"ts":"2026-01-01T00:00:06Z","msg":"entry started","node":"front-1"}`)
+		d.add(restart)
+		So(d.configs.counts["version 10"], ShouldEqual, 0)
+	})
+}
--- a/lib/report/report.go
+++ b/lib/report/report.go
@@ -100,11 +100,15 @@
 	if len(samples) == 0 {
 		return nil, errors.New("no samples to draw")
 	}
+	return drawAll(figures(samples), dir)
+}
+
+func drawAll(figures []figure, dir string) ([]string, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, fmt.Errorf("create report directory: %w", err)
 	}
 	var names []string
-	for _, f := range figures(samples) {
+	for _, f := range figures {
 		path := filepath.Join(dir, f.file)
 		if err := f.draw(path); err != nil {
 			return nil, err
