Do not ask restarted workers under their old names

Entries chose the old names, got 421 and gave up, as attempts and retry budget were used up: 360 requests in 2.5 s. A 421 did mark the name, but each report of the process at the address, every 150 ms, made it usable again.

Ruled out: the start of the entries (all have a configuration 0.4 s after they start), and the change of weights (version 2 is loaded from 42.6 s on).

A name is out of use while a later start is listed or reported at its address, and after a 421 until its entry changes.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -195,7 +195,7 @@
 	load := loadOf(answer.Load)
 	switch {
 	case answer.OtherWorker && c.relayed == 0:
-		c.view.misdirected(c.service, decision.VM)
+		c.view.misdirected(decision.VM)
 		return c.ended(laburnumgwv1.Outcome_OUTCOME_NOT_RUN, true, "", errOtherWorker), nil
 	case answer.NotRun:
 		if _, err := io.Copy(io.Discard, response.Body); err == nil {
--- a/entry/hosted/call_test.go
+++ b/entry/hosted/call_test.go
@@ -373,6 +373,94 @@
 	})
 }
 
+// Guards against workers that have started again under other names while the list still
+// has the old ones: after a power cut, entries asked at the wrong address for 3 s and
+// answered 503 until the old entries had lapsed (trouble-1 of shelfwatch-rota). Reports
+// of the process at the address made the old names usable again each 150 ms.
+func TestRestartedWorkerIsNotAskedUnderItsOldName(t *testing.T) {
+	moved := func(e *exchangeOnWire) {
+		if e.request.Header.Get(instanceHeader) != "new" {
+			e.head(421, "Content-Length", "0")
+			return
+		}
+		e.stream(1)
+		e.events(1, 2)
+		e.end()
+	}
+	misdirected := func(d *deployment) (count int) {
+		for _, a := range d.arrived() {
+			if a.header.Get(instanceHeader) != "new" {
+				count++
+			}
+		}
+		return count
+	}
+	entry := func(id string, born int) string {
+		return strings.Replace(entryOf("llm", "here", "ready", 1), `"born":1`, fmt.Sprintf(`"born":%d`, born), 1)
+	}
+	report := func(d *deployment, sequence uint64, born int64) {
+		d.front.view.reported("here", sequence, catalog.Report{Born: born, Weights: catalog.Weights{Model: "m", Version: 1, To: 16}})
+	}
+	ask := func(d *deployment) answered {
+		return d.ask(context.Background(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000")
+	}
+	t.Run("once it has answered", func(t *testing.T) {
+		inBubble(t, func(t *testing.T, d *deployment) {
+			d.scripts["here"] = moved
+			d.put("servers", "old", entry("old", 1))
+			for sequence := range uint64(10) {
+				report(d, sequence+1, 1)
+				ask(d)
+			}
+			if count := misdirected(d); count > 1 {
+				t.Errorf("asked %d times at the wrong address", count)
+			}
+		})
+	})
+	t.Run("when another name is listed at the address", func(t *testing.T) {
+		inBubble(t, func(t *testing.T, d *deployment) {
+			d.scripts["here"] = moved
+			d.put("servers", "old", entry("old", 1))
+			d.put("servers", "new", entry("new", 2))
+			for sequence := range uint64(10) {
+				report(d, sequence+1, 2)
+				if got := ask(d); got.status != http.StatusOK {
+					t.Errorf("answer %+v", got)
+				}
+			}
+			if count := misdirected(d); count > 0 {
+				t.Errorf("asked %d times at the wrong address", count)
+			}
+		})
+	})
+	t.Run("when the process beside it reports a later start", func(t *testing.T) {
+		inBubble(t, func(t *testing.T, d *deployment) {
+			d.scripts["here"] = moved
+			d.put("servers", "old", entry("old", 1))
+			report(d, 1, 2)
+			if got := ask(d); got.status != http.StatusServiceUnavailable || misdirected(d) > 0 {
+				t.Errorf("answer %+v, asked %d times", got, misdirected(d))
+			}
+			d.put("servers", "new", entry("new", 2))
+			report(d, 2, 2)
+			if got := ask(d); got.status != http.StatusOK {
+				t.Errorf("answer once the new name is listed: %+v", got)
+			}
+		})
+	})
+	t.Run("and is asked again when its entry says that it is back", func(t *testing.T) {
+		inBubble(t, func(t *testing.T, d *deployment) {
+			d.scripts["here"] = moved
+			d.put("servers", "new", entry("new", 1))
+			report(d, 1, 2)
+			d.put("servers", "new", entry("new", 2))
+			if got := ask(d); got.status != http.StatusOK {
+				t.Errorf("answer %+v", got)
+			}
+		})
+	})
+}
+
 // Guards against answers of an entry that knows no configuration, or keys and routes that
 // are wrong.
 func TestOwnAnswers(t *testing.T) {
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -87,6 +87,9 @@
 	reportedAt time.Time
 	// reportSequence orders the reports of one start of the worker.
 	reportSequence uint64
+	// misdirected is set from when the address answers for another worker until the entry
+	// in the list changes.
+	misdirected bool
 }
 
 func newView(settings *platform.Settings, metrics *entryMetrics, log *zap.Logger) *view {
@@ -214,12 +217,15 @@
 	wasLeaving, wasVersion := known.Leaving, known.Weights.Version
 	v.unindex(known)
 	known.Worker = decoded
+	known.misdirected = false
 	v.byAddress[known.Address] = append(v.byAddress[known.Address], known)
 	if isNew || wasLeaving != decoded.Leaving || wasVersion != decoded.Weights.Version {
 		v.log.Info("worker changed", zap.String("vm", id), zap.String("service", decoded.Service), zap.String("zone", decoded.Zone),
 			zap.Bool("leaving", decoded.Leaving), zap.Int("weights", decoded.Weights.Version), zap.Int64("revision", change.Object.Revision))
 	}
-	v.feed(known)
+	for _, w := range v.byAddress[known.Address] {
+		v.feed(w)
+	}
 }
 
 func (v *view) removeWorker(known *worker, revision int64) {
@@ -228,6 +234,9 @@
 	if state := v.services[known.Service]; state != nil {
 		state.table.Remove(known.ID)
 	}
+	for _, w := range v.byAddress[known.Address] {
+		v.feed(w)
+	}
 	v.log.Info("worker is gone", zap.String("vm", known.ID), zap.String("service", known.Service), zap.Int64("revision", revision))
 }
 
@@ -278,10 +287,13 @@
 
 // misdirected notes that a worker is not at its address any more. The next change of its
 // entry makes it usable again.
-func (v *view) misdirected(state *service, vm string) {
+func (v *view) misdirected(vm string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	state.table.SetLiveness(vm, routing.Dead)
+	if w := v.workers[vm]; w != nil {
+		w.misdirected = true
+		v.feed(w)
+	}
 	v.log.Warn("worker is not at its address", zap.String("vm", vm))
 }
 
@@ -328,11 +340,23 @@
 	}
 	state.table.ReportReceived(report, now)
 	state.table.SetClosing(w.ID, w.closes(now))
+	if v.replaced(w) {
+		state.table.SetLiveness(w.ID, routing.Dead)
+	}
 	if w.Leaving {
 		state.table.SetLeaving(w.ID, routing.Incarnation{Counter: report.GetIncarnation().GetCounter()})
 	}
 }
 
+// replaced reports whether another worker, or a later start of the same one, has taken the
+// address, so that the entry in the list is out of date. The caller holds the lock.
+func (v *view) replaced(w *worker) bool {
+	if w.misdirected || w.report.Born > w.Born {
+		return true
+	}
+	return slices.ContainsFunc(v.byAddress[w.Address], func(other *worker) bool { return other.Born > w.Born })
+}
+
 // closes returns when a worker will be ordered to load other weights, or the zero time.
 func (w *worker) closes(now time.Time) time.Time {
 	if w.report.ClosesIn == 0 || w.report.Born != w.Born || now.Sub(w.reportedAt) >= reportStaleness {
