Ask again soon at a start, for what neighbours know and for manifests

A process whose first pull came before its neighbour listened paused for 500 ms, and one that asked for a manifest before the readers of its region had it paused for 300 ms, rounded up to the next look at the worker. Workers stood idle meanwhile with their weights staged.

Ruled out: the loading itself (0.3 to 0.45 s from the order on).

Before: TestStartHearsOfNeighboursThatStartAsWell hears after 500 ms of what is there after 120 ms.

Seven tries instead of five keep the time after which a VM reads the origin itself.

--- a/endpoint/hosted/manifest.go
+++ b/endpoint/hosted/manifest.go
@@ -27,7 +27,7 @@
 	manifestPeers = 3
 	// manifestTries is the number of tries without an answer of a peer after which a VM
 	// reads the origin whatever its rank.
-	manifestTries = 5
+	manifestTries = 7
 	// manifestTimeout bounds one question to a peer.
 	manifestTimeout = 400 * time.Millisecond
 	// manifestReads is how often a manifest is read from the origin until two agree.
--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
@@ -40,8 +41,10 @@
 	staleAfter = 5 * time.Second
 	// orderTimeout bounds the handing over of one version.
 	orderTimeout = 5 * time.Second
-	// retryInterval separates two tries to open a version.
-	retryInterval = 300 * time.Millisecond
+	// Tries to open a version are separated by firstRetry, doubling up to lastRetry. The
+	// VMs that read the manifest for their region need about 100 ms.
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 300 * time.Millisecond
 	// readHeaderTimeout bounds how long a reader of metrics may take for its headers.
 	readHeaderTimeout = 5 * time.Second
 )
@@ -71,6 +74,9 @@
 	sequence  uint64
 	logged    rollout.Reason
 	openAfter time.Time
+	openPause *backoff.ExponentialBackOff
+	// openAgain delivers when openAfter has come; nil while no try failed.
+	openAgain <-chan time.Time
 	// suspensions delivers the lengths of suspensions of the machine.
 	suspensions chan time.Duration
 	// opening delivers the version that is being opened; nil while none is.
@@ -94,7 +100,7 @@
 		settings: settings, view: v, worker: worker, conns: conns, log: log, metrics: set,
 		orders: set.NewCounter("laburnumgw_worker_orders_total"), changes: rollout.DefaultSettings(settings.Bounds.VersionApply),
 		library: newLibrary(v, worker, conns, set, log), grpc: grpc.NewServer(),
-		suspensions: make(chan time.Duration, 4),
+		suspensions: make(chan time.Duration, 4), openPause: newOpenPause(),
 	}
 	p.mirror = mirror.NewDriver(mirror.Config{
 		Kinds: map[string]bool{
@@ -108,6 +114,12 @@
 	return p, nil
 }
 
+func newOpenPause() *backoff.ExponentialBackOff {
+	pause := &backoff.ExponentialBackOff{InitialInterval: firstRetry, MaxInterval: lastRetry, Multiplier: 2, RandomizationFactor: 0.1}
+	pause.Reset()
+	return pause
+}
+
 // Run works until the context ends.
 func (p *Process) Run(ctx context.Context) error {
 	hangups := reload.Hangups()
@@ -205,6 +217,7 @@
 			p.look(ctx)
 		case result := <-p.opening:
 			p.finishOpen(result)
+		case <-p.openAgain:
 		case <-p.whole():
 			p.look(ctx)
 		}
@@ -355,9 +368,12 @@
 	p.opening = nil
 	if result.err != nil {
 		p.log.Warn("version cannot be fetched yet", zap.Int("version", result.named.version), zap.Error(result.err))
-		p.openAfter = time.Now().Add(retryInterval)
+		pause := p.openPause.NextBackOff()
+		p.openAfter = time.Now().Add(pause)
+		p.openAgain = time.After(pause)
 		return
 	}
+	p.openPause.Reset()
 	since := result.named.since
 	if since.IsZero() {
 		since = time.Now()
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -35,8 +35,10 @@
 	// failure, but watched from where it was known. Lists of shorter ones take a page or
 	// two, and tell at once what a watch may be deaf to.
 	longKind = 200
-	// pullRetry is the pause after all neighbours failed.
-	pullRetry = 500 * time.Millisecond
+	// pullRetry is the pause after all neighbours failed, and startRetry the same for a
+	// process that knows nothing yet. Its neighbours often start at the same time.
+	pullRetry  = 500 * time.Millisecond
+	startRetry = 50 * time.Millisecond
 	// Calls that failed are repeated after firstRetry, doubling up to lastRetry.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond
--- a/lib/mirror/mirror_test.go
+++ b/lib/mirror/mirror_test.go
@@ -325,12 +325,17 @@
 	stale bool
 	// told counts the objects that were told.
 	told int
+	// starting makes the neighbour one whose process does not listen yet.
+	starting bool
 }
 
 func (n *neighbour) Pull(ctx context.Context, since Since, wait time.Duration) (Pulled, error) {
 	n.mu.Lock()
-	gone, stale, driver := n.gone, n.stale, n.driver
+	gone, stale, driver, starting := n.gone, n.stale, n.driver, n.starting
 	n.mu.Unlock()
+	if starting {
+		return Pulled{}, errDown
+	}
 	if stale {
 		<-time.After(wait)
 		return Pulled{Age: 100 * time.Millisecond}, nil
@@ -703,3 +708,28 @@
 		}
 	})
 }
+
+// Guards against a start that waits half a second because its neighbours, which start at
+// the same time, did not listen at the first try: after a power cut, workers stood idle and
+// entries answered 503 for that long (trouble-1 of shelfwatch-rota).
+func TestStartHearsOfNeighboursThatStartAsWell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("workers", "a")
+		store.put("config", "main")
+		own := newFakeStore()
+		own.down = true
+		seen, n := followLeader(t.Context(), store, own)
+		n.mu.Lock()
+		n.starting = true
+		n.mu.Unlock()
+		<-time.After(120 * time.Millisecond)
+		n.mu.Lock()
+		n.starting = false
+		n.mu.Unlock()
+		<-time.After(time.Second)
+		if at := seen.when("a", false); at < 0 || at > 250*time.Millisecond {
+			t.Fatalf("workers known at %v, the neighbour listened at 120ms", at)
+		}
+	})
+}
--- a/lib/mirror/pull.go
+++ b/lib/mirror/pull.go
@@ -165,7 +165,11 @@
 		}
 		d.answering(err)
 		if err != nil {
-			sleep(ctx, pullRetry)
+			if d.Known() {
+				sleep(ctx, pullRetry)
+			} else {
+				sleep(ctx, startRetry)
+			}
 			continue
 		}
 		d.take(pulled)
