Keep the first tries to connect short

The network repeats an unanswered packet after a second, and one try to connect was allowed two, so the process read the store itself after 0.6 s and heard neighbours after 1.3 s.

Ruled out: the backoff of the connections (100 ms at first).

A try takes 200 ms at first and doubles with each failure, up to the two seconds of before, which a full link may need.

Conclusion: the product's own path has it too, as the pool is the same.

--- a/lib/rpc/rpc.go
+++ b/lib/rpc/rpc.go
@@ -40,7 +40,8 @@
 type Pool struct {
 	keys  *mtls.Keys
 	roles []mtls.Role
-	extra []grpc.DialOption
+	dial  func(ctx context.Context, address string) (net.Conn, error)
+	dials *dialer
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
@@ -48,13 +49,16 @@
 
 // NewPool returns a pool whose peers must prove one of the roles.
 func NewPool(keys *mtls.Keys, roles ...mtls.Role) *Pool {
-	return &Pool{keys: keys, roles: roles, conns: make(map[string]*grpc.ClientConn)}
+	pool := NewPlainPool()
+	pool.keys, pool.roles = keys, roles
+	return pool
 }
 
 // NewPlainPool returns a pool without certificates, for networks in which the platform
 // decides who can connect.
 func NewPlainPool() *Pool {
-	return &Pool{conns: make(map[string]*grpc.ClientConn)}
+	dials := newDialer()
+	return &Pool{conns: make(map[string]*grpc.ClientConn), dials: dials, dial: dials.Dial}
 }
 
 // credentials returns how a connection proves its identity.
@@ -68,7 +72,7 @@
 // UseDialer makes later connections through a dialer, so that a bench can count their
 // bytes. It must be called before the first call of Conn.
 func (p *Pool) UseDialer(dial func(ctx context.Context, address string) (net.Conn, error)) {
-	p.extra = []grpc.DialOption{grpc.WithContextDialer(dial)}
+	p.dial = dial
 }
 
 // Conn returns the connection to an address. It connects on the first call.
@@ -78,7 +82,8 @@
 	if conn, ok := p.conns[address]; ok {
 		return conn, nil
 	}
-	options := append([]grpc.DialOption{
+	options := []grpc.DialOption{
+		grpc.WithContextDialer(p.dial),
 		grpc.WithTransportCredentials(p.credentials()),
 		grpc.WithStatsHandler(sentHandler{}),
 		grpc.WithDisableServiceConfig(),
@@ -90,7 +95,7 @@
 			MinConnectTimeout: connectTimeout,
 		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
-	}, p.extra...)
+	}
 	conn, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", address, err)
@@ -105,6 +110,7 @@
 	conn := p.conns[address]
 	delete(p.conns, address)
 	p.mu.Unlock()
+	p.dials.forget(address)
 	if conn != nil {
 		conn.Close()
 	}
