Bound the tries to connect of whichever dialer a pool uses

The hosted roles hand over another one, whose tries took 800 ms. A trial with a line at each call showed it: a pull of the process beside a worker began 20 ms after its start and failed after 800 ms; it read the store itself after 600 ms.

Ruled out: slow calls of the store (18 ms), and the pause between pulls.

--- a/cmd/capacitybench/measure.go
+++ b/cmd/capacitybench/measure.go
@@ -104,9 +104,9 @@
 	return n, err
 }
 
-func (m *meter) dial(ctx context.Context, address string) (net.Conn, error) {
+func (m *meter) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := dialer.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/laburnumgw/providers.go
+++ b/cmd/laburnumgw/providers.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"net"
 	"os"
 	"time"
@@ -53,13 +51,7 @@
 func provideHostedPool() *rpc.Pool {
 	pool := rpc.NewPlainPool()
 	dialer := &net.Dialer{Timeout: hostedConnectTimeout, KeepAliveConfig: hosted.KeepAlive()}
-	pool.UseDialer(func(ctx context.Context, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, "tcp", address)
-		if err != nil {
-			return nil, fmt.Errorf("connect to %s: %w", address, err)
-		}
-		return conn, nil
-	})
+	pool.UseDialer(dialer.DialContext)
 	return pool
 }
 
--- a/lib/rpc/dial_test.go
+++ b/lib/dial/dial_test.go
@@ -1,4 +1,4 @@
-package rpc
+package dial
 
 import (
 	"context"
@@ -15,10 +15,9 @@
 func TestDialTriesAgainSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
-		d := newDialer()
 		// The machine answers packets that are sent once it is on. The network repeats a
 		// packet after a second.
-		d.dial = func(ctx context.Context, _ string) (net.Conn, error) {
+		d := New(func(ctx context.Context, _, _ string) (net.Conn, error) {
 			wait := time.Millisecond
 			if time.Since(began) < 100*time.Millisecond {
 				wait = time.Second
@@ -30,9 +29,9 @@
 			case <-ctx.Done():
 				return nil, ctx.Err()
 			}
-		}
+		}, 2*time.Second)
 		for {
-			conn, err := d.Dial(t.Context(), "a")
+			conn, err := d.Dial(t.Context(), "tcp", "a")
 			if err == nil {
 				conn.Close()
 				break
@@ -44,9 +43,8 @@
 		}
 	})
 	synctest.Test(t, func(t *testing.T) {
-		d := newDialer()
 		// Each packet waits 1.2 s in the queue of a link.
-		d.dial = func(ctx context.Context, _ string) (net.Conn, error) {
+		d := New(func(ctx context.Context, _, _ string) (net.Conn, error) {
 			select {
 			case <-time.After(1200 * time.Millisecond):
 				near, _ := net.Pipe()
@@ -54,11 +52,11 @@
 			case <-ctx.Done():
 				return nil, ctx.Err()
 			}
-		}
+		}, 2*time.Second)
 		tries := 0
 		for {
 			tries++
-			conn, err := d.Dial(t.Context(), "a")
+			conn, err := d.Dial(t.Context(), "tcp", "a")
 			if err == nil {
 				conn.Close()
 				break
@@ -67,7 +65,7 @@
 		if tries > 4 {
 			t.Errorf("%d tries on a slow link", tries)
 		}
-		if d.failures["a"] != 0 {
+		if len(d.patience) != 0 {
 			t.Error("failures are kept after a success")
 		}
 	})
--- a/lib/rpc/ask_test.go
+++ b/lib/rpc/ask_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"google.golang.org/grpc/test/bufconn"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/dial"
 )
 
 // node answers reports; one from a VM named "slow" gets no answer.
@@ -37,7 +39,7 @@
 		laburnumgwv1.RegisterNodeServer(server, node{})
 		go func() { _ = server.Serve(listener) }() // it ends with the test
 		pool := NewPlainPool()
-		pool.UseDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) })
+		pool.UseDialer(func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.DialContext(ctx) })
 		Reset(func() { pool.Close(); server.Stop() })
 		report := func(vm string, limit time.Duration) (*laburnumgwv1.ReportResponse, error) {
 			return Ask(context.Background(), pool, "peer:1", limit, laburnumgwv1.NewNodeClient, laburnumgwv1.NodeClient.Report, &laburnumgwv1.ReportRequest{Vm: vm})
@@ -60,3 +62,24 @@
 		})
 	})
 }
+
+// Guards against a pool that bounds the tries of its own dialer alone: the processes on the
+// users' platform use another one, and waited 800 ms for a machine that was off.
+func TestUsedDialerHasShortFirstTries(t *testing.T) {
+	Convey("The first try of a dialer that is handed over is short", t, func() {
+		tries := make(chan time.Duration, 64)
+		pool := NewPlainPool()
+		pool.UseDialer(func(ctx context.Context, _, _ string) (net.Conn, error) {
+			deadline, bounded := ctx.Deadline()
+			if !bounded {
+				deadline = time.Now().Add(time.Hour)
+			}
+			tries <- time.Until(deadline)
+			return nil, errors.New("off")
+		})
+		Reset(pool.Close)
+		_, err := Ask(context.Background(), pool, "peer:1", time.Second, laburnumgwv1.NewNodeClient, laburnumgwv1.NodeClient.Report, &laburnumgwv1.ReportRequest{})
+		So(err, ShouldNotBeNil)
+		So(<-tries, ShouldBeLessThanOrEqualTo, dial.First)
+	})
+}
--- a/lib/rpc/rpc.go
+++ b/lib/rpc/rpc.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/stats"
 
+	"laburnumgw/lib/dial"
 	"laburnumgw/lib/mtls"
 )
 
@@ -40,8 +41,7 @@
 type Pool struct {
 	keys  *mtls.Keys
 	roles []mtls.Role
-	dial  func(ctx context.Context, address string) (net.Conn, error)
-	dials *dialer
+	dials *dial.Dialer
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
@@ -57,8 +57,7 @@
 // NewPlainPool returns a pool without certificates, for networks in which the platform
 // decides who can connect.
 func NewPlainPool() *Pool {
-	dials := newDialer()
-	return &Pool{conns: make(map[string]*grpc.ClientConn), dials: dials, dial: dials.Dial}
+	return &Pool{conns: make(map[string]*grpc.ClientConn), dials: dial.New(new(net.Dialer).DialContext, connectTimeout)}
 }
 
 // credentials returns how a connection proves its identity.
@@ -69,10 +68,11 @@
 	return p.keys.ClientCredentials(p.roles...)
 }
 
-// UseDialer makes later connections through a dialer, so that a bench can count their
-// bytes. It must be called before the first call of Conn.
-func (p *Pool) UseDialer(dial func(ctx context.Context, address string) (net.Conn, error)) {
-	p.dial = dial
+// UseDialer opens later connections in another way, for example so that a bench can count
+// their bytes. How long a try may take stays with the pool. It must be called before the
+// first call of Conn.
+func (p *Pool) UseDialer(open dial.Func) {
+	p.dials = dial.New(open, connectTimeout)
 }
 
 // Conn returns the connection to an address. It connects on the first call.
@@ -83,7 +83,9 @@
 		return conn, nil
 	}
 	options := []grpc.DialOption{
-		grpc.WithContextDialer(p.dial),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return p.dials.Dial(ctx, "tcp", address)
+		}),
 		grpc.WithTransportCredentials(p.credentials()),
 		grpc.WithStatsHandler(sentHandler{}),
 		grpc.WithDisableServiceConfig(),
@@ -110,7 +112,7 @@
 	conn := p.conns[address]
 	delete(p.conns, address)
 	p.mu.Unlock()
-	p.dials.forget(address)
+	p.dials.Forget(address)
 	if conn != nil {
 		conn.Close()
 	}
