Hear soon that the origin of weights is back

The pause after a failure doubled up to 64 times 0.5 s and was 3.2 s in the end; version 3 came 1.5 s after the origin, and no weights that requests may use were loaded meanwhile. A trial with a line at each chunk showed it: 7 of 48 chunks, then nothing from 22.5 to 28.0 s.

Ruled out: peers (no failed fetch from one), the full link, rotten chunks.

The VMs of a region now try 100 times a second together, so the longest pause grows with the region: 0.5 s up to 50 VMs, 7.5 s at 750.

A VM of a region of 700 keeps its tries under 1 in 7 s, which the test checks as well.

--- a/lib/swarm/machine_test.go
+++ b/lib/swarm/machine_test.go
@@ -137,3 +137,64 @@
 		So(resumed, ShouldNotBeEmpty)
 	})
 }
+
+// downSource plays a source that fails each try after a while, until it is back. It
+// returns the number of tries, and when the first one after the outage began.
+func downSource(t *testing.T, vms int, outage time.Duration) (tries int, back time.Duration) {
+	const (
+		step    = 10 * time.Millisecond
+		tryTime = 200 * time.Millisecond
+	)
+	m, err := swarm.New(swarm.Config{
+		Self: swarm.Member{VM: "self", Zone: "z", Region: "a"}, Digest: weights.Sum([]byte("v")), Chunks: testChunks,
+		Held: weights.NewBitmap(testChunks), HomeRegion: "a", ChunkTime: 50 * time.Millisecond, SourceInterval: 30 * time.Millisecond,
+	}, rand.New(rand.NewPCG(1, 1)), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	failing := make(map[swarm.FetchID]time.Duration)
+	note := func(now time.Duration, actions []swarm.Action) (asked int) {
+		for _, f := range fetches(actions) {
+			if f.From == swarm.Origin {
+				failing[f.ID] = now + tryTime
+				asked++
+			}
+		}
+		return asked
+	}
+	tries = note(0, m.Step(0, peers(vms-1)))
+	for now := step; now < outage+time.Minute; now += step {
+		asked := note(now, m.Step(now, swarm.Tick{}))
+		for id, at := range failing {
+			if now >= at {
+				delete(failing, id)
+				asked += note(now, m.Step(now, swarm.ChunkDone{ID: id, Result: swarm.ResultFailed}))
+			}
+		}
+		if asked > 0 && now >= outage {
+			return tries, now
+		}
+		tries += asked
+	}
+	return tries, time.Hour
+}
+
+// Guards against VMs that wait for seconds after the origin is back: it had been down for
+// 6 s, the last pause was 3.2 s, and workers had no weights that requests may use (scale-1
+// of shelfwatch-rota). Guards as well against a large region that falls upon it.
+func TestSourceIsAskedSoonAfterAnOutage(t *testing.T) {
+	for _, outage := range []time.Duration{2 * time.Second, 6 * time.Second, 20 * time.Second, time.Minute} {
+		if _, back := downSource(t, 1, outage); back-outage > time.Second {
+			t.Errorf("asked %v after an outage of %v", back-outage, outage)
+		}
+	}
+	const perSecond = 100
+	for _, vms := range []int{100, 700} {
+		const outage = 5 * time.Minute
+		tries, _ := downSource(t, vms, outage)
+		// The first pauses double.
+		if limit := perSecond*int(outage/time.Second)/vms + 8; tries > limit {
+			t.Errorf("%d tries of each of %d VMs in %v, at most %d", tries, vms, outage, limit)
+		}
+	}
+}
--- a/lib/swarm/source.go
+++ b/lib/swarm/source.go
@@ -39,8 +39,11 @@
 	maxSlowdown = 4
 	// sourceBackoffChunkTimes is the first pause after a failure of the source.
 	sourceBackoffChunkTimes = 4
-	// maxSourceDoublings bounds that pause.
+	// maxSourceDoublings and sourceTrySpacing bound that pause. The VMs of a region try 100
+	// times a second together, so that a small region hears of the end of an outage at
+	// once, and a large one does not fall upon a source that bears 48 connections.
 	maxSourceDoublings = 6
+	sourceTrySpacing   = 10 * time.Millisecond
 )
 
 // duty is a chunk that this VM may fetch from the region's source.
@@ -270,7 +273,9 @@
 		m.sourceFailures = 0
 		return
 	}
-	pause := m.after(sourceBackoffChunkTimes) << min(m.sourceFailures, maxSourceDoublings)
+	first := m.after(sourceBackoffChunkTimes)
+	longest := max(first, time.Duration(len(m.plan.local[m.cfg.Self.Region]))*sourceTrySpacing)
+	pause := min(first<<min(m.sourceFailures, maxSourceDoublings), longest)
 	m.sourceFailures++
 	if e.Result == ResultRateLimited {
 		pause = max(e.RetryAfter, m.cfg.ChunkTime)
