--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -71,22 +71,26 @@
 
 type hostedEntryCommand struct {
 	hostedOptions
+	RoutingPolicy string `long:"routing-policy" env:"LABURNUMGW_ROUTING_POLICY" default:"least-estimated" choice:"least-estimated" choice:"power-of-two" choice:"least-reported" choice:"round-robin" choice:"random" description:"how a worker is chosen; all but the default are for comparison"`
 }
 
 // Execute runs an entry on the users' platform.
 func (c *hostedEntryCommand) Execute([]string) error {
 	return runHosted(&c.hostedOptions, func(s *platform.Settings, o *hostedOptions) (runner, error) {
+		s.RoutingPolicy = c.RoutingPolicy
 		return initializeHostedEntry(s, o)
 	})
 }
 
 type hostedEndpointCommand struct {
 	hostedOptions
+	WeightsPolicy string `long:"weights-policy" env:"LABURNUMGW_WEIGHTS_POLICY" default:"swarm" choice:"swarm" choice:"origin-only" choice:"fixed-tree" choice:"random-piece" description:"how weights are fetched; all but the default are for comparison"`
 }
 
 // Execute runs an endpoint process on the users' platform.
 func (c *hostedEndpointCommand) Execute([]string) error {
 	return runHosted(&c.hostedOptions, func(s *platform.Settings, o *hostedOptions) (runner, error) {
+		s.WeightsPolicy = c.WeightsPolicy
 		return initializeHostedEndpoint(s, o)
 	})
 }
--- a/cmd/laburnumgw/main_test.go
+++ b/cmd/laburnumgw/main_test.go
@@ -5,8 +5,11 @@
 	"path/filepath"
 	"testing"
 
+	"github.com/jessevdk/go-flags"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"laburnumgw/lib/routing"
+	"laburnumgw/lib/swarm"
 	"laburnumgw/platform"
 )
 
@@ -54,3 +57,29 @@
 		})
 	})
 }
+
+// Guards against a policy that is misspelt and falls back to the default, so that a
+// comparison compares the default with itself.
+func TestPolicies(t *testing.T) {
+	Convey("Unknown policies are refused before anything starts", t, func() {
+		path := filepath.Join(t.TempDir(), "settings.toml")
+		So(os.WriteFile(path, []byte("node_name = "), 0o600), ShouldBeNil)
+		t.Setenv(platform.SettingsVariable, path)
+		So(execute([]string{"hosted-entry", "--routing-policy", "best"}), ShouldEqual, exitSettings)
+		So(execute([]string{"hosted-endpoint", "--weights-policy", "best"}), ShouldEqual, exitSettings)
+	})
+	Convey("Each flag offers exactly the policies that exist", t, func() {
+		var routed, fetched []string
+		for _, policy := range swarm.Policies() {
+			fetched = append(fetched, string(policy))
+		}
+		routed = routing.Policies()
+		So(choices(&hostedEntryCommand{}, "routing-policy"), ShouldResemble, routed)
+		So(choices(&hostedEndpointCommand{}, "weights-policy"), ShouldResemble, fetched)
+	})
+}
+
+func choices(command any, name string) []string {
+	parser := flags.NewParser(command, flags.None)
+	return parser.FindOptionByLongName(name).Choices
+}
--- a/endpoint/hosted/weights.go
+++ b/endpoint/hosted/weights.go
@@ -77,6 +77,7 @@
 			Self:    swarm.Member{VM: settings.IP, Zone: settings.Zone, Region: settings.Region},
 			Address: v.assignment(settings.IP, settings.Zone).GetAddress(), Conns: conns, Origin: origin,
 			Links: transfer.NewPacedLinks(settings.LinkMbit*megabit*linkShare, pieceBytes), Metrics: transfer.NewMetrics(set), Log: log,
+			Policy: swarm.Policy(settings.WeightsPolicy),
 		},
 	}
 }
--- a/entry/hosted/reports_test.go
+++ b/entry/hosted/reports_test.go
@@ -73,3 +73,11 @@
 		})
 	}
 }
+
+// Guards against a routing policy that is read and not used.
+func TestRoutingPolicyReachesTheTable(t *testing.T) {
+	Convey("A service is routed by the policy of the settings", t, func() {
+		v := newView(&platform.Settings{VM: "front", Zone: "a", RoutingPolicy: "random"}, newEntryMetrics(), zap.NewNop())
+		So(v.routingSettings(&catalog.Service{Name: "desk"}).Policy, ShouldEqual, "random")
+	})
+}
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -180,6 +180,7 @@
 func (v *view) routingSettings(config *catalog.Service) routing.Settings {
 	settings := routing.Settings{
 		Zone: v.settings.Zone, Region: v.settings.Region, QueueLength: plainQueue, RetryAfter: refusalRetryAfter,
+		Policy: v.settings.RoutingPolicy,
 	}
 	if config.Engine != nil {
 		settings.QueueLength = engineQueue
--- a/lib/transfer/distribution.go
+++ b/lib/transfer/distribution.go
@@ -109,6 +109,8 @@
 	Links   Links
 	Metrics *Metrics
 	Log     *zap.Logger
+	// Policy names how versions are fetched; empty for the default.
+	Policy swarm.Policy
 }
 
 // Distribution fetches one version and serves its chunks to other VMs. It runs until
@@ -152,7 +154,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	machine, err := swarm.New(swarm.Config{
 		Self: t.Self, Digest: replica.Digest(), Chunks: len(replica.Manifest().Chunks), Held: replica.Bitmap(),
-		HomeRegion: t.Home, ChunkTime: chunkTime, SourceInterval: interval, Limits: limits,
+		HomeRegion: t.Home, ChunkTime: chunkTime, SourceInterval: interval, Limits: limits, Policy: t.Policy,
 	}, rng, 0)
 	if err != nil {
 		return nil, fmt.Errorf("start distribution: %w", err)
