Do not fetch weights before the other workers are known

A version is fetched once the workers are known, or after 6 s.

Before: TestWeightsAreNotFetchedBeforeTheWorkersAreKnown fails without the check (the version is opened).

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -39,6 +39,9 @@
 	// staleAfter the age from which on it is not relied on.
 	pullWait   = 2 * time.Second
 	staleAfter = 5 * time.Second
+	// aloneAfter is how long a process that starts waits for the list of workers before it
+	// fetches weights as if there were no others. A list of 3,000 takes some seconds.
+	aloneAfter = 6 * time.Second
 	// orderTimeout bounds the handing over of one version.
 	orderTimeout = 5 * time.Second
 	// Tries to open a version are separated by firstRetry, doubling up to lastRetry. The
@@ -73,6 +76,8 @@
 	ordered   int
 	sequence  uint64
 	logged    rollout.Reason
+	// started is when this process began to watch its worker.
+	started   time.Time
 	openAfter time.Time
 	openPause *backoff.ExponentialBackOff
 	// openAgain delivers when openAfter has come; nil while no try failed.
@@ -202,6 +207,7 @@
 
 // watch looks at the worker and at what is known until the context ends.
 func (p *Process) watch(ctx context.Context) {
+	p.started = time.Now()
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
@@ -352,7 +358,7 @@
 	if newest := p.newest(); newest != nil && newest.version.number >= wanted.version {
 		return
 	}
-	if p.opening != nil || time.Now().Before(p.openAfter) {
+	if p.opening != nil || time.Now().Before(p.openAfter) || !p.mayFetch(time.Now()) {
 		return
 	}
 	opening := make(chan openResult, 1)
@@ -363,6 +369,12 @@
 	}()
 }
 
+// mayFetch reports whether the other workers are known, from which most chunks come. A
+// process that knows none would fetch the whole version from the origin.
+func (p *Process) mayFetch(now time.Time) bool {
+	return p.view.knowsWorkers() || now.Sub(p.started) >= aloneAfter
+}
+
 // finishOpen takes over a version that was opened.
 func (p *Process) finishOpen(result openResult) {
 	p.opening = nil
--- a/endpoint/hosted/process_test.go
+++ b/endpoint/hosted/process_test.go
@@ -1,12 +1,16 @@
 package hosted
 
 import (
+	"encoding/json"
 	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
+
+	"laburnumgw/lib/mirror"
+	"laburnumgw/platform"
 )
 
 // Guards against workers that stand idle after a power cut although their weights are
@@ -36,3 +40,26 @@
 		}
 	})
 }
+
+// Guards against processes that start together and each fetch the whole version from the
+// origin, because they know the version before they know each other: 68 of them drew 10
+// copies over a link that then carried nothing else (sweep of shelfwatch-rota at 300
+// machines, the loss of a zone).
+func TestWeightsAreNotFetchedBeforeTheWorkersAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &Process{log: zap.NewNop(), view: newView(&platform.Settings{IP: "10.0.0.1", Zone: "a"}, zap.NewNop()), started: time.Now()}
+		p.view.changed(platform.KindVersions, []mirror.Change{{Object: mirror.Object{Name: "m", Value: json.RawMessage(`{"model":"m","version":2}`)}}})
+		<-time.After(aloneAfter - time.Second)
+		p.open(t.Context(), "m")
+		if p.opening != nil {
+			t.Error("a version is opened while the workers are not known")
+		}
+		if !p.mayFetch(time.Now().Add(time.Second)) {
+			t.Error("a process that never hears of others does not fetch at all")
+		}
+		p.view.changed(platform.KindWorkers, nil)
+		if !p.mayFetch(time.Now()) {
+			t.Error("a version is not opened although the workers are known")
+		}
+	})
+}
--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -117,6 +117,13 @@
 	return service
 }
 
+// knowsWorkers reports whether the workers were listed once.
+func (v *view) knowsWorkers() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.listed[platform.KindWorkers]
+}
+
 // origin returns the origin of weights, or nil while it is unknown.
 func (v *view) origin() *catalog.Origin {
 	v.mu.Lock()
--- a/lib/mirror/pull.go
+++ b/lib/mirror/pull.go
@@ -159,16 +159,18 @@
 			continue
 		}
 		pulled, err := d.config.Neighbours.Pull(ctx, d.since(), d.config.PullWait)
+		absent := err != nil
 		reads := pulled.Direct || d.config.Indirect
 		if err == nil && (!reads || pulled.Age > d.config.StaleAfter()) {
 			err = fmt.Errorf("neighbour does not read the store or has not heard of it for %s", pulled.Age)
 		}
 		d.answering(err)
 		if err != nil {
-			if d.Known() {
-				sleep(ctx, pullRetry)
-			} else {
+			// One that answers and is not relied on has told all that it knows.
+			if absent && !d.Known() {
 				sleep(ctx, startRetry)
+			} else {
+				sleep(ctx, pullRetry)
 			}
 			continue
 		}
--- a/lib/swarm/source.go
+++ b/lib/swarm/source.go
@@ -39,11 +39,12 @@
 	maxSlowdown = 4
 	// sourceBackoffChunkTimes is the first pause after a failure of the source.
 	sourceBackoffChunkTimes = 4
-	// maxSourceDoublings and sourceTrySpacing bound that pause. The VMs of a region try 100
+	// maxSourceDoublings and sourceTrySpacing bound that pause. The VMs of a region try 10
 	// times a second together, so that a small region hears of the end of an outage at
-	// once, and a large one does not fall upon a source that bears 48 connections.
+	// once, and a large one does not fill the link of a source that is slow because that
+	// link is full: 68 VMs that tried 100 times a second drew 10 copies over it.
 	maxSourceDoublings = 6
-	sourceTrySpacing   = 10 * time.Millisecond
+	sourceTrySpacing   = 100 * time.Millisecond
 )
 
 // duty is a chunk that this VM may fetch from the region's source.
