--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -73,9 +73,9 @@
 	// closes is the time until the worker will be ordered; zero for no plan.
 	closes time.Duration
 	// ordered is the version of the last order.
-	ordered   int
-	sequence  uint64
-	logged    rollout.Reason
+	ordered  int
+	sequence uint64
+	logged   rollout.Reason
 	// started is when this process began to watch its worker.
 	started   time.Time
 	openAfter time.Time
