--- a/lib/mirror/mirror_test.go
+++ b/lib/mirror/mirror_test.go
@@ -482,6 +482,19 @@
 	})
 }
 
+// sameObjects fails unless a copy holds the same revisions of the same objects.
+func sameObjects(t *rapid.T, copied, original *Kind) {
+	got, want := copied.Objects(), original.Objects()
+	if len(got) != len(want) {
+		t.Fatalf("copy has %d objects, want %d", len(got), len(want))
+	}
+	for i := range got {
+		if got[i].Name != want[i].Name || got[i].Revision != want[i].Revision {
+			t.Fatalf("copy has %+v, want %+v", got[i], want[i])
+		}
+	}
+}
+
 // Guards against neighbours that get all objects at each change (15 MB a second at 300
 // entries), and against one that misses a change or a removal by getting only some.
 func TestChangesAloneKeepACopy(t *testing.T) {
@@ -515,15 +528,7 @@
 				client.Watched(eventsOf(State{Objects: objects, Removed: removed}), server.Revision(), now)
 			}
 			heard = server.Sequence()
-			got, want := client.Objects(), server.Objects()
-			if len(got) != len(want) {
-				t.Fatalf("copy has %d objects, want %d", len(got), len(want))
-			}
-			for i := range got {
-				if got[i].Name != want[i].Name || got[i].Revision != want[i].Revision {
-					t.Fatalf("copy has %+v, want %+v", got[i], want[i])
-				}
-			}
+			sameObjects(t, client, server)
 		}
 	})
 }
@@ -577,15 +582,7 @@
 			t.Fatal("all objects were told")
 		}
 		client.Watched(eventsOf(State{Objects: objects, Removed: removed}), second.Revision(), start)
-		got, want := client.Objects(), second.Objects()
-		if len(got) != len(want) {
-			t.Fatalf("copy has %d objects, want %d", len(got), len(want))
-		}
-		for i := range got {
-			if got[i].Name != want[i].Name || got[i].Revision != want[i].Revision {
-				t.Fatalf("copy has %+v, want %+v", got[i], want[i])
-			}
-		}
+		sameObjects(t, client, second)
 	})
 }
 
