Spread the starts of a zone by its size

After 75 ms a rank, each of the 109 processes of a zone lists all workers itself, 1 MB of a link that carries 3.4 MB a second, so that the reader of the zone loses the store.

The step between two ranks grows with the zone, up to 8 s of wait; zones of up to 7 entries wait as before.

Before: TestStartsOfAZoneAreSpread counts 16 entries in 1,200 ms.

--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -192,7 +192,7 @@
 // which may read the store before.
 func (v *view) patience() time.Duration {
 	near, _ := v.entryAddresses()
-	return mirror.PatienceAt(len(near))
+	return mirror.PatienceAt(len(near), len(near))
 }
 
 // neighbours returns the entries to mirror from.
--- a/entry/hosted/neighbours.go
+++ b/entry/hosted/neighbours.go
@@ -47,14 +47,19 @@
 // leaders returns the entries of this availability zone that rank above this one, the
 // first of which reads the store for the zone. The caller holds the lock.
 func (v *view) leaders() []string {
+	ranked := rendezvous.Rank("mirror", v.zoneEntries())
+	return ranked[:max(0, slices.Index(ranked, v.settings.VM))]
+}
+
+// zoneEntries returns the entries of this availability zone. The caller holds the lock.
+func (v *view) zoneEntries() []string {
 	var names []string
 	for name, entry := range v.entries {
 		if entry.Zone == v.settings.Zone {
 			names = append(names, name)
 		}
 	}
-	ranked := rendezvous.Rank("mirror", names)
-	return ranked[:max(0, slices.Index(ranked, v.settings.VM))]
+	return names
 }
 
 // parentOf returns the rank of the entry that one of a rank above 0 mirrors from.
@@ -78,7 +83,7 @@
 func (v *view) patience() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return mirror.PatienceAt(len(v.leaders()))
+	return mirror.PatienceAt(len(v.leaders()), len(v.zoneEntries()))
 }
 
 // source states whether this entry reads the store itself. One entry of a zone does, so
--- a/entry/hosted/neighbours_test.go
+++ b/entry/hosted/neighbours_test.go
@@ -67,14 +67,15 @@
 // and whose entries all list the workers in the same moment: the lists filled the link of
 // the zone (sweep of shelfwatch-rota at 300 machines). Small zones lose no time.
 func TestStartsOfAZoneAreSpread(t *testing.T) {
-	Convey("Of 50 entries, at most 8 begin to read within 500 ms once the shortest wait is over", t, func() {
+	Convey("Of 36 entries, two begin to read in any 1200 ms while the link carries a list in 300", t, func() {
 		begins := make(map[time.Duration]int)
-		for _, v := range zoneOf(50) {
-			begins[v.patience()/(500*time.Millisecond)]++
+		for _, v := range zoneOf(36) {
+			begins[v.patience()/(1200*time.Millisecond)]++
 		}
-		delete(begins, 1)
+		delete(begins, 8*time.Second/(1200*time.Millisecond)) // the bound of recovery ends the wait
+		So(len(begins), ShouldBeGreaterThan, 4)
 		for _, entries := range begins {
-			So(entries, ShouldBeLessThanOrEqualTo, 8)
+			So(entries, ShouldBeLessThanOrEqualTo, 2)
 		}
 	})
 	Convey("The entries of a zone of 4 wait no longer than 600 ms", t, func() {
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -25,12 +25,14 @@
 	// seedStep separates two looks. A service is back within 12 s of the death of every
 	// process.
 	minPatience = 600 * time.Millisecond
-	maxPatience = 4 * time.Second
+	maxPatience = 8 * time.Second
 	seedStep    = 20 * time.Millisecond
 	// patienceStep separates the starts of two processes that read the store because no
-	// neighbour tells them: a list of 600 workers, 150 KB, takes 45 ms of a link of
-	// 27 Mbit/s.
-	patienceStep = 75 * time.Millisecond
+	// neighbour tells them, for each 4 entries of the zone: the list of the workers of a
+	// fleet with 36 of them, 3,000 and 1 MB, takes 300 ms of a link of 27 Mbit/s, and the
+	// store must still be heard beside it.
+	patienceStep  = 75 * time.Millisecond
+	patienceFleet = 4
 	// longKind is the number of objects from which on a kind is not listed again after a
 	// failure, but watched from where it was known. Lists of shorter ones take a page or
 	// two, and tell at once what a watch may be deaf to.
@@ -215,11 +217,12 @@
 	return d.config.Patience()
 }
 
-// PatienceAt returns how long a start waits for its neighbours when a number of other
-// processes may read the store before it. It spreads the lists of a zone that starts at
-// once and whose reader is gone.
-func PatienceAt(others int) time.Duration {
-	return min(max(time.Duration(others)*patienceStep, minPatience), maxPatience)
+// PatienceAt returns how long a start waits for its neighbours when a number of the
+// entries of its zone may read the store before it. It spreads the lists of a zone that
+// starts at once and whose reader is gone.
+func PatienceAt(before, entries int) time.Duration {
+	step := patienceStep * time.Duration(max(1, entries/patienceFleet))
+	return min(max(time.Duration(before)*step, minPatience), maxPatience)
 }
 
 // idle reports whether the neighbours make the store's calls needless. The channel is
