Bound the entries that hear a worker's reports

Cause: docs/CAPACITY.md names the wall: reports grow with entries times workers, 154 kB a second at an entry of 340 before 600 workers where control may take 29.

A worker's reports go to 16 entries of its own zone and 4 of each other one, by rendezvous rank. The other entries go by the list and their own sends. Zones of up to 4 entries, as on both sites, hear everything as before.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -289,11 +290,12 @@
 		p.log.Error("report not encoded", zap.Error(err))
 		return
 	}
-	near, far := p.view.entryAddresses()
+	targets := p.view.reportTargets()
+	hears := targets.near
 	if p.sequence%farReports == 0 || p.switching || p.closes > 0 {
-		near = append(near, far...)
+		hears = slices.Concat(targets.near, targets.far)
 	}
-	for _, entry := range near {
+	for _, entry := range hears {
 		address, err := net.ResolveUDPAddr("udp", entry)
 		if err != nil {
 			continue
--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -28,6 +28,8 @@
 	snapshot *catalog.Snapshot
 	workers  map[string]catalog.Worker
 	entries  map[string]platform.Entry
+	// targets is nil after a change of the entries.
+	targets  *targets
 	versions map[string]named
 	// listed holds the kinds that were read once.
 	listed map[string]bool
@@ -94,6 +96,7 @@
 		v.versions[model] = named{version, since}
 		v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision))
 	case platform.KindEntries:
+		v.targets = nil
 		entry, err := platform.DecodeEntry(name, value)
 		if change.Deleted || err != nil {
 			delete(v.entries, name)
@@ -188,6 +191,45 @@
 	return near, far
 }
 
+const (
+	// nearEntries is the number of entries of the own availability zone that hear the
+	// reports of a worker, and farEntries that of each other one. Without these bounds the
+	// reports grow with entries times workers: an entry of a fleet of 340 before 600
+	// workers would get 154 kB a second of the 29 that control may take. An entry that does
+	// not hear a worker goes by the list and its own sends.
+	nearEntries = 16
+	farEntries  = 4
+)
+
+// targets are the entries that hear this worker's reports.
+type targets struct {
+	near, far []string
+}
+
+// reportTargets returns the entries that hear this worker's reports: those of the own
+// zone, and those of the others. Each entry hears about as many workers as the next.
+func (v *view) reportTargets() targets {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.targets != nil {
+		return *v.targets
+	}
+	zones := make(map[string][]string)
+	for _, entry := range v.entries {
+		zones[entry.Zone] = append(zones[entry.Zone], entry.Address)
+	}
+	v.targets = new(targets)
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		ranked := rendezvous.Rank("reports/"+v.settings.IP, zones[zone])
+		if zone == v.settings.Zone {
+			v.targets.near = ranked[:min(nearEntries, len(ranked))]
+		} else {
+			v.targets.far = append(v.targets.far, ranked[:min(farEntries, len(ranked))]...)
+		}
+	}
+	return *v.targets
+}
+
 // patience returns how long a start waits for the entries of its availability zone, all of
 // which may read the store before.
 func (v *view) patience() time.Duration {
