Keep the reports of every entry within the bound, not of the mean

Cause: the test allowed the busiest entry half as much again as the 29 KB a second that the aim states for a node; with 16 entries of the own zone it got 34.2 KB. The bound of the test is now the aim, for each entry.

--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -197,7 +197,7 @@
 	// reports grow with entries times workers: an entry of a fleet of 340 before 600
 	// workers would get 154 kB a second of the 29 that control may take. An entry that does
 	// not hear a worker goes by the list and its own sends.
-	nearEntries = 16
+	nearEntries = 12
 	farEntries  = 4
 )
 
--- a/endpoint/hosted/view_test.go
+++ b/endpoint/hosted/view_test.go
@@ -51,14 +51,9 @@
 			}
 		}
 		So(perSecond, ShouldHaveLength, 343)
-		var total, most float64
 		for _, reports := range perSecond {
-			total += reports * reportBytes
-			most = max(most, reports*reportBytes)
+			So(reports*reportBytes, ShouldBeLessThanOrEqualTo, 29_000)
 		}
-		So(total/343, ShouldBeLessThanOrEqualTo, 29_000)
-		// Ranks spread the workers unevenly; no entry may get half as much again.
-		So(most, ShouldBeLessThanOrEqualTo, 1.5*29_000)
 	})
 	Convey("In a small fleet every entry hears every worker", t, func() {
 		for _, v := range fleet(3, 4, 5) {
