--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -36,6 +36,13 @@
 	// farReports is the number of reports of which one goes to the other zones, since
 	// bytes between zones are dear.
 	farReports = 3
+	// nearEntries is the number of entries of the own availability zone that hear the
+	// reports of a worker, and farEntries that of each other one. Without these bounds the
+	// reports grow with entries times workers: an entry of a fleet of 340 before 600
+	// workers would get 154 kB a second of the 29 that control may take. An entry that does
+	// not hear a worker goes by the list and its own sends.
+	nearEntries = 12
+	farEntries  = 4
 	// pullWait is how long an entry waits for a change of what this process mirrors, and
 	// staleAfter the age from which on it is not relied on.
 	pullWait   = 2 * time.Second
@@ -79,9 +86,8 @@
 	logged   rollout.Reason
 	// started is when this process began to watch its worker.
 	started   time.Time
-	openAfter time.Time
 	openPause *backoff.ExponentialBackOff
-	// openAgain delivers when openAfter has come; nil while no try failed.
+	// openAgain delivers at the end of the pause after a try that failed; nil without one.
 	openAgain <-chan time.Time
 	// suspensions delivers the lengths of suspensions of the machine.
 	suspensions chan time.Duration
@@ -225,6 +231,7 @@
 		case result := <-p.opening:
 			p.finishOpen(result)
 		case <-p.openAgain:
+			p.openAgain = nil
 		case <-p.whole():
 			p.look(ctx)
 		}
@@ -360,7 +367,7 @@
 	if newest := p.newest(); newest != nil && newest.version.number >= wanted.version {
 		return
 	}
-	if p.opening != nil || time.Now().Before(p.openAfter) || !p.mayFetch(time.Now()) {
+	if p.opening != nil || p.openAgain != nil || !p.mayFetch(time.Now()) {
 		return
 	}
 	opening := make(chan openResult, 1)
@@ -382,9 +389,7 @@
 	p.opening = nil
 	if result.err != nil {
 		p.log.Warn("version cannot be fetched yet", zap.Int("version", result.named.version), zap.Error(result.err))
-		pause := p.openPause.NextBackOff()
-		p.openAfter = time.Now().Add(pause)
-		p.openAgain = time.After(pause)
+		p.openAgain = time.After(p.openPause.NextBackOff())
 		return
 	}
 	p.openPause.Reset()
--- a/endpoint/hosted/process_test.go
+++ b/endpoint/hosted/process_test.go
@@ -14,14 +14,15 @@
 )
 
 // Guards against workers that stand idle after a power cut although their weights are
-// staged: the manifest was asked for again only 300 ms after the first try, which came
-// before the VMs that read the origin had it (trouble-1 of shelfwatch-rota).
+// staged, because the manifest is asked for again long after the VMs that read it have it.
 func TestManifestIsAskedForAgainSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &Process{log: zap.NewNop(), openPause: newOpenPause()}
 		fail := func() time.Duration {
+			failed := time.Now()
 			p.finishOpen(openResult{err: errors.New("not known yet")})
-			return time.Until(p.openAfter)
+			<-p.openAgain
+			return time.Since(failed)
 		}
 		if pause := fail(); pause > 80*time.Millisecond {
 			t.Errorf("first pause %v", pause)
@@ -42,9 +43,8 @@
 }
 
 // Guards against processes that start together and each fetch the whole version from the
-// origin, because they know the version before they know each other: 68 of them drew 10
-// copies over a link that then carried nothing else (sweep of shelfwatch-rota at 300
-// machines, the loss of a zone).
+// origin, because they know the version before they know each other. 68 of them drew 10
+// copies over a link that then carried nothing else.
 func TestWeightsAreNotFetchedBeforeTheWorkersAreKnown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := &Process{log: zap.NewNop(), view: newView(&platform.Settings{IP: "10.0.0.1", Zone: "a"}, zap.NewNop()), started: time.Now()}
--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -191,16 +191,6 @@
 	return near, far
 }
 
-const (
-	// nearEntries is the number of entries of the own availability zone that hear the
-	// reports of a worker, and farEntries that of each other one. Without these bounds the
-	// reports grow with entries times workers: an entry of a fleet of 340 before 600
-	// workers would get 154 kB a second of the 29 that control may take. An entry that does
-	// not hear a worker goes by the list and its own sends.
-	nearEntries = 12
-	farEntries  = 4
-)
-
 // targets are the entries that hear this worker's reports.
 type targets struct {
 	near, far []string
--- a/entry/hosted/call_test.go
+++ b/entry/hosted/call_test.go
@@ -262,7 +262,7 @@
 }
 
 // Guards against a request that begins on old weights after their bound, because it
-// waited at its worker: VERSION on scale-1 of sokkel-gw, 1.3 s after the entry sent it.
+// waited at its worker.
 func TestRequestDoesNotWaitBeyondTheBoundOfItsWeights(t *testing.T) {
 	inBubble(t, func(t *testing.T, d *deployment) {
 		began := make(chan time.Time, 4)
@@ -374,9 +374,8 @@
 }
 
 // Guards against workers that have started again under other names while the list still
-// has the old ones: after a power cut, entries asked at the wrong address for 3 s and
-// answered 503 until the old entries had lapsed (trouble-1 of shelfwatch-rota). Reports
-// of the process at the address made the old names usable again each 150 ms.
+// has the old ones. Such requests use up attempts and retry budget, and a report of the
+// process at the address must not make the old name usable again.
 func TestRestartedWorkerIsNotAskedUnderItsOldName(t *testing.T) {
 	moved := func(e *exchangeOnWire) {
 		if e.request.Header.Get(instanceHeader) != "new" {
@@ -573,8 +572,7 @@
 }
 
 // Guards against an entry that starts amid a change of weights and refuses everything
-// until the first worker has changed over: three entries refused 209 requests in the
-// recorded day of shelfwatch-rota.
+// until the first worker has changed over.
 func TestEntryThatStartsAmidAChangeUsesOldWeightsUntilTheirBound(t *testing.T) {
 	inBubble(t, func(t *testing.T, d *deployment) {
 		d.worker("llm", "w1", 1, func(e *exchangeOnWire) { e.stream(1); e.events(1, 1); e.end() })
--- a/entry/hosted/neighbours_test.go
+++ b/entry/hosted/neighbours_test.go
@@ -64,8 +64,8 @@
 }
 
 // Guards against a zone that starts at once, without the entry that reads the store for it,
-// and whose entries all list the workers in the same moment: the lists filled the link of
-// the zone (sweep of shelfwatch-rota at 300 machines). Small zones lose no time.
+// and whose entries all list the workers in the same moment, which fills the link of the
+// zone. Small zones lose no time.
 func TestStartsOfAZoneAreSpread(t *testing.T) {
 	Convey("Of 36 entries, two begin to read in any 1200 ms while the link carries a list in 300", t, func() {
 		begins := make(map[time.Duration]int)
--- a/lib/dial/dial_test.go
+++ b/lib/dial/dial_test.go
@@ -9,9 +9,7 @@
 )
 
 // Guards against a process that waits a second for a machine that was off at the first
-// packet: after a power cut, workers stood idle until the processes beside them reached an
-// entry (trouble-1 of shelfwatch-rota). Guards as well against tries that stay too short
-// for a link that is full.
+// packet. Guards as well against tries that stay too short for a link that is full.
 func TestDialTriesAgainSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
--- a/lib/mirror/rpcmirror/choice_test.go
+++ b/lib/mirror/rpcmirror/choice_test.go
@@ -15,8 +15,7 @@
 			So(c.pick(nil, now), ShouldBeEmpty)
 		})
 		// Guards against a process that stays with an entry of another region, which it
-		// asked while those of its own zone were not registered yet: each change of 3,000
-		// workers crossed the link between regions once for each process.
+		// asked while those of its own zone were not registered yet.
 		Convey("the preferred one is asked as soon as it is known", func() {
 			So(c.pick([]string{"far"}, now), ShouldEqual, "far")
 			So(c.pick([]string{"near", "far"}, now), ShouldEqual, "near")
--- a/lib/swarm/machine_test.go
+++ b/lib/swarm/machine_test.go
@@ -179,9 +179,8 @@
 	return tries, time.Hour
 }
 
-// Guards against VMs that wait for seconds after the origin is back: it had been down for
-// 6 s, the last pause was 3.2 s, and workers had no weights that requests may use (scale-1
-// of shelfwatch-rota). Guards as well against a large region that falls upon it.
+// Guards against VMs that wait for seconds after the origin is back, and against a large
+// region that falls upon it.
 func TestSourceIsAskedSoonAfterAnOutage(t *testing.T) {
 	for _, outage := range []time.Duration{2 * time.Second, 6 * time.Second, 20 * time.Second, time.Minute} {
 		if _, back := downSource(t, 1, outage); back-outage > time.Second {
