Heed workers that leave or ask for a pause, and bound every reader

Cause: an entry did not read Server-Leaving, Retry-After of a worker's 503, nor bound what it reads of a worker in trouble.

Leaving binds the entry at once, for this start of the worker, through new lists, settings and suspensions. The process beside a worker reports it, an entry tells the others in one datagram each, and one that starts asks. A pause is a filter of the routing table; one request tries the worker afterwards, and callers are told the end of the pause when nobody else is left. Heads are bounded to 64 kB, bodies that nobody wants to 16 kB and 250 ms, held answers to 16 MB and all together to a quarter of the memory limit. Patience counts from the last whole event, so that a byte now and then does not renew it.

Ruled out: writing departures to the store, which costs calls that the list costs already.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -291,7 +291,7 @@
 		Address: p.settings.Worker, Born: p.report.Born, Model: p.report.Weights.Model, Version: int32(p.report.Weights.Version),
 		LayersFrom: int32(p.report.Weights.From), LayersTo: int32(p.report.Weights.To), Busy: p.report.Busy || p.switching,
 		Queued: int32(p.report.Queued), Running: int32(p.report.Running), Sequence: p.sequence,
-		ClosesInMs: int32(p.closes.Milliseconds()),
+		ClosesInMs: int32(p.closes.Milliseconds()), Leaving: p.report.Leaving,
 	})
 	if err != nil {
 		p.log.Error("report not encoded", zap.Error(err))
--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -1,9 +1,9 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,19 +20,22 @@
 )
 
 const (
-	// maxHeldBytes bounds an answer that is held until it is whole.
+	// maxHeldBytes bounds an answer that is held until it is whole, and heldShare is the
+	// part of the memory limit of the process that all held answers may take.
 	maxHeldBytes = 16 << 20
-	// plainPatience is how long a worker of a plain service may take for the head of its
-	// answer before a request that may be repeated is sent to another one. It covers the
-	// longest work of 220 ms twice.
-	plainPatience = 500 * time.Millisecond
+	heldShare    = 0.25
+	// plainObjectives is the number of objectives that a worker of a plain service may take
+	// for the head of its answer before a request that may be repeated is sent to another
+	// one. Answers that take longer are rare, and the repeat can still be in time.
+	plainObjectives = 3
 	// detailEvery is the number of decisions of which one is logged with all candidates.
 	detailEvery = 64
-	// streamPatience is the same for the head and each event of a stream, of a worker that
-	// does not report, and busyPatience of one that does. Callers give a stream up after
-	// 2.4 s of silence.
-	streamPatience = 900 * time.Millisecond
-	busyPatience   = 2200 * time.Millisecond
+	// streamGaps is the number of gaps of its route for which the worker of a stream may be
+	// silent when it does not report either. One that reports is only busy: it gets the time
+	// for which callers wait, less beginReserve.
+	streamGaps = 3
+	// leastPatience applies to routes that name no objective or gap.
+	leastPatience = 500 * time.Millisecond
 	// patienceStep separates two looks at the reports of a silent worker.
 	patienceStep = 200 * time.Millisecond
 )
@@ -161,7 +164,7 @@
 	c.view.mu.Lock()
 	tracked := c.service.table.AttemptSent(decision, c.query(number, "", nil), started)
 	c.view.mu.Unlock()
-	ended, load := c.exchange(ctx, decision)
+	ended, load := c.exchange(ctx, decision, tracked)
 	result := routing.Result{Outcome: ended.Outcome, Sent: ended.Sent, Load: load}
 	if ctx.Err() != nil {
 		// The caller left or its time is over, which says nothing about the endpoint.
@@ -179,7 +182,7 @@
 }
 
 // exchange sends the request to one worker and relays its answer.
-func (c *call) exchange(ctx context.Context, decision routing.Decision) (retry.Attempt, *laburnumgwv1.Load) {
+func (c *call) exchange(ctx context.Context, decision routing.Decision, tracked routing.Attempt) (retry.Attempt, *laburnumgwv1.Load) {
 	begin := c.beginPatience(decision)
 	request := &workerconn.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, Patience: begin,
@@ -193,21 +196,25 @@
 	defer response.Abort()
 	answer := platform.ParseAnswer(response.StatusCode, response.Header)
 	load := loadOf(answer.Load)
+	if answer.Leaving && !answer.OtherWorker {
+		c.view.leavingAnswered(decision.VM)
+	}
 	switch {
 	case answer.OtherWorker && c.relayed == 0:
 		c.view.misdirected(decision.VM)
 		return c.ended(laburnumgwv1.Outcome_OUTCOME_NOT_RUN, true, "", errOtherWorker), nil
 	case answer.NotRun:
-		if _, err := io.Copy(io.Discard, response.Body); err == nil {
-			response.Finish(answer.KeepAlive)
-		}
-		return c.ended(laburnumgwv1.Outcome_OUTCOME_NOT_RUN, true, "", errRefused), load
+		response.Drain(answer.KeepAlive)
+		refused := c.ended(laburnumgwv1.Outcome_OUTCOME_NOT_RUN, true, "", errRefused)
+		refused.RetryAfter = c.view.paused(c.service, decision.VM, answer.Pause)
+		return refused, load
 	case !answer.Sealed:
 		return c.ended(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", errNotSealed), load
 	case c.relayed > 0 && response.StatusCode == http.StatusOK && answer.WeightVersion != c.weightVersion:
 		// The worker changed its weights after it was chosen and did not refuse.
 		return c.ended(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", errOtherWeights), load
 	case c.route.Kind == catalog.Stream && response.StatusCode == http.StatusOK:
+		c.view.accepted(c.service, tracked)
 		c.weightVersion = answer.WeightVersion
 		err = c.relayStream(response, answer, begin, c.patience(decision.VM))
 	default:
@@ -246,9 +253,10 @@
 	if !c.route.Repeatable() {
 		return nil
 	}
-	first, last := plainPatience, plainPatience
+	first := cmp.Or(plainObjectives*c.route.Objective, leastPatience)
+	last := first
 	if c.route.Kind == catalog.Stream {
-		first, last = streamPatience, busyPatience
+		first, last = max(streamGaps*c.route.Gap, leastPatience), c.route.CallerPatience()-beginReserve
 	}
 	return func(waited time.Duration) time.Duration {
 		switch {
--- /dev/null
+++ b/entry/hosted/departures.go
@@ -0,0 +1,106 @@
+package hosted
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/departure"
+	"laburnumgw/lib/rpc"
+)
+
+// departuresTimeout bounds the question of a process that starts to another entry.
+const departuresTimeout = time.Second
+
+// departuresServer tells entries that have just started which workers are leaving.
+type departuresServer struct {
+	laburnumgwv1.UnimplementedDeparturesServer
+	view *view
+}
+
+// ListDepartures implements the Departures service.
+func (s *departuresServer) ListDepartures(context.Context, *laburnumgwv1.ListDeparturesRequest) (*laburnumgwv1.ListDeparturesResponse, error) {
+	s.view.mu.Lock()
+	defer s.view.mu.Unlock()
+	response := new(laburnumgwv1.ListDeparturesResponse)
+	for _, d := range s.view.departures.All() {
+		response.Departures = append(response.Departures, &laburnumgwv1.Departure{Vm: d.VM, Born: d.Born})
+	}
+	return response, nil
+}
+
+// workerDeparts takes over that a worker has stated that it is leaving. It reports whether
+// that is new. The caller holds the lock.
+func (v *view) workerDeparts(d departure.Departure, from string) bool {
+	if !v.departures.Add(d) {
+		return false
+	}
+	v.log.Info("worker states that it is leaving", zap.String("vm", d.VM), zap.Int64("born", d.Born), zap.String("told_by", from))
+	if w := v.workers[d.VM]; w != nil {
+		v.feed(w)
+	}
+	return true
+}
+
+// leavingAnswered takes over that an answer states the leaving of its worker, and tells the
+// other entries.
+func (v *view) leavingAnswered(vm string) {
+	v.mu.Lock()
+	w := v.workers[vm]
+	if w == nil {
+		v.mu.Unlock()
+		return
+	}
+	d := departure.Departure{VM: vm, Born: w.Born}
+	isNew := v.workerDeparts(d, "its answer")
+	v.mu.Unlock()
+	if isNew && v.tellDeparture != nil {
+		v.tellDeparture(d)
+	}
+}
+
+// tellDeparture sends a departure to all other entries. A datagram that is lost is made up
+// for by the worker's next answer there, or by the list.
+func (p *Process) tellDeparture(socket net.PacketConn) func(departure.Departure) {
+	return func(d departure.Departure) {
+		data, err := proto.Marshal(&laburnumgwv1.WorkerReport{LeavingVm: d.VM, Born: d.Born})
+		if err != nil {
+			p.log.Error("departure not encoded", zap.Error(err))
+			return
+		}
+		for _, entry := range p.view.others() {
+			address, err := net.ResolveUDPAddr("udp", entry)
+			if err != nil {
+				p.log.Warn("entry has no usable address", zap.String("entry", entry), zap.Error(err))
+				continue
+			}
+			if _, err := socket.WriteTo(data, address); err != nil {
+				p.log.Debug("departure not told", zap.String("entry", entry), zap.Error(err))
+			}
+		}
+	}
+}
+
+// learnDepartures asks another entry which workers are leaving.
+func (p *Process) learnDepartures(ctx context.Context, address string) {
+	response, err := rpc.Ask(ctx, p.conns, address, departuresTimeout, laburnumgwv1.NewDeparturesClient,
+		laburnumgwv1.DeparturesClient.ListDepartures, new(laburnumgwv1.ListDeparturesRequest))
+	if err != nil {
+		p.log.Debug("departures not known", zap.String("entry", address), zap.Error(err))
+		return
+	}
+	p.view.departuresTold(response, address)
+}
+
+// departuresTold takes over the departures that another entry knows.
+func (v *view) departuresTold(response *laburnumgwv1.ListDeparturesResponse, from string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, d := range response.GetDepartures() {
+		v.workerDeparts(departure.Departure{VM: d.GetVm(), Born: d.GetBorn()}, from)
+	}
+}
--- /dev/null
+++ b/entry/hosted/departures_test.go
@@ -0,0 +1,140 @@
+package hosted
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/departure"
+	"laburnumgw/lib/mirror"
+	"laburnumgw/platform"
+)
+
+const leavingHeader = "Server-Leaving"
+
+// countOf returns the requests that a worker received.
+func (d *deployment) countOf(worker string) int {
+	n := 0
+	for _, a := range d.arrived() {
+		if a.worker == worker {
+			n++
+		}
+	}
+	return n
+}
+
+// leavingWorker answers lookups and states that it is leaving.
+func leavingWorker(e *exchangeOnWire) {
+	e.head(http.StatusOK, sealHeader, "seal", leavingHeader, "1", "Content-Length", "0")
+}
+
+// Guards against requests to a worker whose answer has stated that it is leaving, while the
+// list still says "ready": the statement binds through new lists and settings.
+func TestWorkerThatStatesItsLeavingGetsNothingMore(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		told := 0
+		d.front.view.tellDeparture = func(departure.Departure) { told++ }
+		d.worker("desk", "w1", 0, leavingWorker)
+		view := func() answered { return d.ask(t.Context(), http.MethodGet, "/view/x", "", deadlineHeader, "2500") }
+		if got := view(); got.status != http.StatusOK || got.header.Get(leavingHeader) != "1" {
+			t.Fatalf("first answer %+v", got)
+		}
+		for name, change := range map[string]func(){
+			"at once":          func() {},
+			"listed again":     func() { d.put(platform.KindWorkers, "w1", entryOf("desk", "w1", "ready", 0)) },
+			"removed and back": func() { d.removed("w1"); d.put(platform.KindWorkers, "w1", entryOf("desk", "w1", "ready", 0)) },
+			"settings read":    func() { d.front.view.reconfigure(d.front.view.settings) },
+			"configured again": func() { d.put(platform.KindConfig, "main", testConfig) },
+			"suspended":        func() { d.front.view.suspended(time.Minute) },
+		} {
+			change()
+			if got := view(); got.status != http.StatusServiceUnavailable || d.countOf("w1") != 1 {
+				t.Errorf("%s: answer %+v, %d requests", name, got, d.countOf("w1"))
+			}
+		}
+		if told != 1 {
+			t.Errorf("other entries told %d times", told)
+		}
+		d.put(platform.KindWorkers, "w1", `{"service":"desk","address":"w1","zone":"a","slots":16,"state":"ready","born":2,"sequence":4}`)
+		if got := view(); got.status != http.StatusOK {
+			t.Errorf("a worker that has started again is shut out: %+v", got)
+		}
+	})
+}
+
+// removed takes a worker out of the list.
+func (d *deployment) removed(id string) {
+	d.rev++
+	d.front.view.changed(platform.KindWorkers, []mirror.Change{{Object: mirror.Object{Name: id, Revision: d.rev}, Deleted: true}})
+}
+
+// Guards against entries that learn of a leaving worker only from its answer to them: the
+// process beside it, another entry, and one that is asked at a start tell it as well.
+func TestDeparturesAreLearntFromOthers(t *testing.T) {
+	learnt := map[string]func(t *testing.T, d *deployment){
+		"report": func(_ *testing.T, d *deployment) {
+			d.front.view.reported("w1", 1, catalog.Report{Born: 1, Leaving: true, Weights: catalog.Weights{Model: "m", Version: 1, To: 16}})
+			d.front.view.reported("w1", 2, catalog.Report{Born: 1, Weights: catalog.Weights{Model: "m", Version: 1, To: 16}})
+		},
+		"datagram": func(t *testing.T, d *deployment) {
+			data, err := proto.Marshal(&laburnumgwv1.WorkerReport{LeavingVm: "w1", Born: 1})
+			if err != nil {
+				t.Fatal(err)
+			}
+			d.front.view.datagram(data)
+		},
+		"other entry": func(t *testing.T, d *deployment) {
+			other := newView(d.front.view.settings, newEntryMetrics(), d.front.log)
+			other.workerDeparts(departure.Departure{VM: "w1", Born: 1}, "test")
+			response, err := (&departuresServer{view: other}).ListDepartures(t.Context(), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			d.front.view.departuresTold(response, "other")
+		},
+	}
+	for name, learn := range learnt {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, d *deployment) {
+				d.worker("llm", "w1", 1, func(e *exchangeOnWire) { e.stream(1); e.events(1, 1); e.end() })
+				learn(t, d)
+				got := d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000")
+				if got.status != http.StatusServiceUnavailable || len(d.arrived()) != 0 {
+					t.Fatalf("answer %+v", got)
+				}
+			})
+		})
+	}
+}
+
+// Guards against requests to a worker that has asked this entry for a pause, and against
+// callers that are told to come back before it is over.
+func TestWorkerThatAsksForAPauseGetsNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		d.worker("desk", "w1", 0, func(e *exchangeOnWire) {
+			e.head(http.StatusServiceUnavailable, notRunHeader, "1", "Retry-After", "1.5", "Content-Length", "0")
+		})
+		began := time.Now()
+		for time.Since(began) < 1400*time.Millisecond {
+			got := d.ask(t.Context(), http.MethodPost, "/book/x", "b", deadlineHeader, "2500")
+			left := 1500*time.Millisecond - time.Since(began)
+			after, err := time.ParseDuration(got.header.Get("Retry-After") + "s")
+			if got.status != http.StatusServiceUnavailable || err != nil || after < left-10*time.Millisecond {
+				t.Fatalf("answer %+v, %v left", got, left)
+			}
+			<-time.After(100 * time.Millisecond)
+		}
+		if n := d.countOf("w1"); n != 1 {
+			t.Errorf("%d requests in the pause", n)
+		}
+		<-time.After(200 * time.Millisecond)
+		d.ask(t.Context(), http.MethodPost, "/book/x", "b", deadlineHeader, "2500")
+		if n := d.countOf("w1"); n != 2 {
+			t.Errorf("%d requests after the pause, want a trial", n)
+		}
+	})
+}
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -46,6 +46,7 @@
 type frontend struct {
 	view    *view
 	conns   *workerconn.Pool
+	held    *heldAnswers
 	metrics *entryMetrics
 	log     *zap.Logger
 	// detail logs the steps of requests that go well.
--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -119,7 +119,7 @@
 	metrics := newEntryMetrics()
 	d := &deployment{t: t, scripts: make(map[string]script), refused: make(map[string]bool)}
 	v := newView(settings, metrics, zap.NewNop())
-	d.front = &frontend{view: v, conns: workerconn.NewPoolWith(d.dial), metrics: metrics, log: zap.NewNop(), detail: zap.NewNop()}
+	d.front = &frontend{view: v, conns: workerconn.NewPoolWith(d.dial), held: newHeldAnswers(64), metrics: metrics, log: zap.NewNop(), detail: zap.NewNop()}
 	for _, kind := range []string{platform.KindEntries, platform.KindEvacuations} {
 		v.changed(kind, nil)
 	}
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -81,7 +81,7 @@
 	v := newView(settings, metrics, log)
 	p := &Process{
 		settings: settings, view: v, store: store, conns: conns, log: log,
-		front: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), metrics: metrics, log: log, detail: log.Named(telemetry.DetailName)},
+		front: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), held: newHeldAnswers(settings.MemoryMB), metrics: metrics, log: log, detail: log.Named(telemetry.DetailName)},
 	}
 	p.mirror = mirror.NewDriver(mirror.Config{
 		Kinds: map[string]bool{
@@ -93,6 +93,7 @@
 	})
 	p.grpc = grpc.NewServer()
 	laburnumgwv1.RegisterMirrorServer(p.grpc, &rpcmirror.Server{Driver: p.mirror})
+	laburnumgwv1.RegisterDeparturesServer(p.grpc, &departuresServer{view: v})
 	return p, nil
 }
 
@@ -113,7 +114,7 @@
 	}
 	go p.mirror.Run(running)
 	go p.register(running)
-	go p.dateVersions(running)
+	go p.catchUp(running)
 	go reload.Watch(running, os.Getenv(platform.SettingsVariable), hangups, p.reload)
 	go func() {
 		if err := suspend.Watch(running, p.suspended); err != nil {
@@ -167,6 +168,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", p.internal(), err)
 	}
+	p.view.mu.Lock()
+	p.view.tellDeparture = p.tellDeparture(reports)
+	p.view.mu.Unlock()
 	go p.readReports(reports)
 	return server, nil
 }
@@ -186,9 +190,10 @@
 	}
 }
 
-// dateVersions asks other entries how long the versions have been named that this one has
-// read at its start. Without an answer they count as named long ago.
-func (p *Process) dateVersions(ctx context.Context) {
+// catchUp asks other entries what the store does not tell at a start: how long the versions
+// have been named, which count as named long ago without an answer, and which workers have
+// stated that they are leaving.
+func (p *Process) catchUp(ctx context.Context) {
 	for !p.mirror.Known() {
 		if !dispatch.Sleep(ctx, dateInterval) {
 			return
@@ -201,6 +206,7 @@
 			p.log.Debug("age of versions not known", zap.String("entry", address), zap.Error(err))
 			continue
 		}
+		p.learnDepartures(ctx, address)
 		for _, known := range ages {
 			p.view.versionKnown(known.Name, known.Revision, known.For)
 		}
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/retry"
@@ -18,18 +19,16 @@
 const (
 	// streamBufferBytes is the size of a read from a stream; an event has about 65 bytes.
 	streamBufferBytes = 2 << 10
-	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds one event. Events of a few tokens have some hundred bytes.
+	maxEventBytes = 64 << 10
 )
 
 var streamBuffers = sync.Pool{New: func() any { return new([streamBufferBytes]byte) }}
 
 // relayWhole holds an answer until it is whole, then decides whether it is the caller's.
 func (c *call) relayWhole(response *workerconn.Response, answer platform.Answer) retry.Attempt {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxHeldBytes+1))
-	if err == nil && len(body) > maxHeldBytes {
-		err = fmt.Errorf("answer exceeds %d bytes", maxHeldBytes)
-	}
+	body, release, err := c.held.readAll(response.Body)
+	defer release()
 	if err != nil {
 		return c.ended(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", fmt.Errorf("%w: %w", errCut, err))
 	}
@@ -98,9 +97,9 @@
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
 	var pending []byte
-	patience := begin
+	patience, since := begin, time.Now()
 	for {
-		if err := response.Await(patience); err != nil {
+		if err := response.Await(patience, since); err != nil {
 			return fmt.Errorf("%w: %w", errCut, err)
 		}
 		n, err := response.Body.Read(buffer[:])
@@ -117,7 +116,7 @@
 				return err
 			}
 			pending = append(pending[:0], pending[whole:]...)
-			patience = next
+			patience, since = next, time.Now()
 		}
 		if err != nil {
 			return fmt.Errorf("%w: %w", errCut, err)
--- a/entry/hosted/reports.go
+++ b/entry/hosted/reports.go
@@ -9,35 +9,47 @@
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/departure"
 	"laburnumgw/platform"
 )
 
 // maxReportBytes bounds the datagram of a report.
 const maxReportBytes = 1 << 10
 
-// readReports applies the reports of the processes beside workers.
+// readReports applies the datagrams of the processes beside workers and of other entries.
 func (p *Process) readReports(socket net.PacketConn) {
 	buffer := make([]byte, maxReportBytes)
-	var report laburnumgwv1.WorkerReport
 	for {
 		n, _, err := socket.ReadFrom(buffer)
 		if err != nil {
 			p.log.Error("reports of workers are no longer received", zap.Error(err))
 			return
 		}
-		if err := proto.Unmarshal(buffer[:n], &report); err != nil {
-			p.log.Warn("report ignored", zap.Error(err))
-			continue
-		}
-		p.view.reported(report.GetAddress(), report.GetSequence(), catalog.Report{
-			Born: report.GetBorn(), Busy: report.GetBusy(), Queued: int(report.GetQueued()), Running: int(report.GetRunning()),
-			ClosesIn: time.Duration(report.GetClosesInMs()) * time.Millisecond,
-			Weights: catalog.Weights{
-				Model: report.GetModel(), Version: int(report.GetVersion()),
-				From: int(report.GetLayersFrom()), To: int(report.GetLayersTo()),
-			},
-		})
+		p.view.datagram(buffer[:n])
+	}
+}
+
+// datagram applies a report of a worker, or the departure that another entry tells.
+func (v *view) datagram(data []byte) {
+	var report laburnumgwv1.WorkerReport
+	if err := proto.Unmarshal(data, &report); err != nil {
+		v.log.Warn("report ignored", zap.Error(err))
+		return
+	}
+	if vm := report.GetLeavingVm(); vm != "" {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.workerDeparts(departure.Departure{VM: vm, Born: report.GetBorn()}, "another entry")
+		return
 	}
+	v.reported(report.GetAddress(), report.GetSequence(), catalog.Report{
+		Born: report.GetBorn(), Busy: report.GetBusy(), Queued: int(report.GetQueued()), Running: int(report.GetRunning()),
+		Leaving: report.GetLeaving(), ClosesIn: time.Duration(report.GetClosesInMs()) * time.Millisecond,
+		Weights: catalog.Weights{
+			Model: report.GetModel(), Version: int(report.GetVersion()),
+			From: int(report.GetLayersFrom()), To: int(report.GetLayersTo()),
+		},
+	})
 }
 
 // reconfigure takes over what may change while the process runs.
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -13,6 +13,7 @@
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/departure"
 	"laburnumgw/lib/dispatch"
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/retry"
@@ -69,6 +70,11 @@
 	sequence  uint64
 	// listed holds the kinds that were read once.
 	listed map[string]bool
+	// departures are the workers that have stated that they are leaving, whatever the list
+	// says.
+	departures *departure.Set
+	// tellDeparture tells the other entries; nil while the process does not listen.
+	tellDeparture func(departure.Departure)
 }
 
 // service is the state of one service.
@@ -97,7 +103,7 @@
 		settings: settings, log: log, metrics: metrics, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		services: make(map[string]*service), workers: make(map[string]*worker), byAddress: make(map[string][]*worker), entries: make(map[string]platform.Entry),
 		out: make(map[string]bool), versions: make(map[string][]namedVersion),
-		listed: make(map[string]bool),
+		listed: make(map[string]bool), departures: departure.NewSet(),
 	}
 }
 
@@ -298,6 +304,30 @@
 	v.log.Warn("worker is not at its address", zap.String("vm", vm))
 }
 
+// paused notes that a worker wants no requests from this entry for a while. It returns how
+// long no worker of the service wants any.
+func (v *view) paused(state *service, vm string, pause time.Duration) time.Duration {
+	if pause <= 0 {
+		return 0
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := time.Now()
+	state.table.SetPaused(vm, now.Add(pause))
+	v.log.Info("worker asked for a pause", zap.String("vm", vm), zap.Duration("pause", pause))
+	if state.config.Engine != nil {
+		return state.table.PauseLeft(state.config.Name, "", now)
+	}
+	return state.table.PauseLeft("", state.config.Name, now)
+}
+
+// accepted notes that a worker has begun to answer an attempt.
+func (v *view) accepted(state *service, attempt routing.Attempt) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	state.table.AttemptAccepted(attempt)
+}
+
 // suspended moves the dates of what is bounded in time back by the length of a
 // suspension, which the monotonic clock has not counted.
 func (v *view) suspended(length time.Duration) {
@@ -344,7 +374,7 @@
 	if v.replaced(w) {
 		state.table.SetLiveness(w.ID, routing.Dead)
 	}
-	if w.Leaving {
+	if w.Leaving || v.departures.Holds(w.ID, w.Born) {
 		state.table.SetLeaving(w.ID, routing.Incarnation{Counter: report.GetIncarnation().GetCounter()})
 	}
 }
@@ -392,6 +422,9 @@
 		w.reportSequence = sequence
 		w.report = report
 		w.reportedAt = time.Now()
+		if report.Leaving && report.Born == w.Born {
+			v.workerDeparts(departure.Departure{VM: w.ID, Born: w.Born}, "the process beside it")
+		}
 		v.feed(w)
 	}
 }
--- a/lib/catalog/worker.go
+++ b/lib/catalog/worker.go
@@ -48,4 +48,6 @@
 	// ClosesIn is the time until the worker will be ordered to load other weights; zero
 	// for no plan.
 	ClosesIn time.Duration
+	// Leaving is set when the worker states that it is leaving.
+	Leaving bool
 }
--- a/lib/routing/endpoint.go
+++ b/lib/routing/endpoint.go
@@ -38,6 +38,10 @@
 	// closesAt is the table's time at which the endpoint stops for a while; zero for no
 	// such plan.
 	closesAt time.Duration
+	// pausedUntil is the table's time until which the endpoint wants no requests from this
+	// entry; zero for no pause. Trying is set while one request tries it afterwards.
+	pausedUntil time.Duration
+	trying      bool
 	// triedIn and affinityIn are the queries in which the endpoint was marked as
 	// tried, and in which affinity is the matched share of the request's prefixes.
 	triedIn    uint64
@@ -84,6 +88,8 @@
 	e.incarnation = incarnation
 	e.leaving = false
 	e.closesAt = 0
+	e.pausedUntil = 0
+	e.trying = false
 	e.others = 0
 	e.othersKnown = false
 	e.adapters = nil
--- a/lib/routing/errors.go
+++ b/lib/routing/errors.go
@@ -14,7 +14,7 @@
 }
 
 // maxFilters is the number of filters.
-const maxFilters = 13
+const maxFilters = 14
 
 // FilterCounts lists the filters that removed endpoints, in the order of application.
 type FilterCounts struct {
@@ -89,7 +89,8 @@
 		Removed:    append([]FilterCount(nil), q.counts.Entries()...),
 		Candidates: q.detail,
 	}
+	after := max(t.settings.RetryAfter, pauseLeft(q.members, q.elapsed))
 	remedy := "repeat the request after the time in Retry-After"
 	return errkind.Wrap(cause, errkind.NotRun, remedy, "request %s was not run", q.request.ID).
-		WithRetryAfter(t.settings.RetryAfter)
+		WithRetryAfter(after)
 }
--- a/lib/routing/filters.go
+++ b/lib/routing/filters.go
@@ -20,6 +20,7 @@
 	FilterRegion   Filter = "other_region"
 	FilterArrivals Filter = "arrivals_used_up"
 	FilterClosing  Filter = "closes_too_soon"
+	FilterPaused   Filter = "asked_for_a_pause"
 )
 
 // filter removes candidates.
@@ -51,6 +52,8 @@
 	arrivalFilter = filter{FilterArrivals, hasArrivals}
 	// closingFilter removes endpoints that stop before the request would end.
 	closingFilter = filter{FilterClosing, endsInTime}
+	// pausedFilter removes endpoints that have asked this entry for a pause.
+	pausedFilter = filter{FilterPaused, notPaused}
 	// suspectFilter applies while at least one endpoint is not suspect.
 	suspectFilter = filter{FilterSuspect, notSuspect}
 )
--- a/lib/routing/pick.go
+++ b/lib/routing/pick.go
@@ -18,6 +18,9 @@
 	if q.closing > 0 {
 		q.apply(&closingFilter)
 	}
+	if q.paused > 0 {
+		q.apply(&pausedFilter)
+	}
 	if q.arrivals > 0 {
 		q.apply(&arrivalFilter)
 	}
--- a/lib/routing/query.go
+++ b/lib/routing/query.go
@@ -39,13 +39,14 @@
 	detail      []Candidate
 	// near holds the indices of the candidates with a score near the best one.
 	near []int
-	// suspect, ejected, failing and closing count the candidates in these states, and
+	// suspect, ejected, failing, closing and paused count the candidates in these states, and
 	// full those that may have no room. A filter or scorer that concerns none is skipped.
 	suspect int
 	ejected int
 	failing int
 	full    int
 	closing int
+	paused  int
 
 	// Sums and means over the candidates that are scored.
 	totalLoad     float64
@@ -76,6 +77,7 @@
 	q.failing = 0
 	q.full = 0
 	q.closing = 0
+	q.paused = 0
 	q.matched = false
 	if p == nil {
 		return
@@ -108,6 +110,9 @@
 		if e.closesAt != 0 {
 			q.closing++
 		}
+		if e.pausedUntil != 0 {
+			q.paused++
+		}
 		// The fields are written in place; appending a literal copies it twice.
 		c := &q.candidates[n]
 		n++
--- a/lib/routing/request.go
+++ b/lib/routing/request.go
@@ -106,5 +106,7 @@
 	incarnation Incarnation
 	tokens      int64
 	probe       bool
-	sent        time.Time
+	// trial is set when the attempt tries an endpoint after the pause that it asked for.
+	trial bool
+	sent  time.Time
 }
--- a/lib/routing/table.go
+++ b/lib/routing/table.go
@@ -278,6 +278,7 @@
 	if t.settings.ArrivalsPerSecond > 0 {
 		e.arrivals.add(t.elapsed(now))
 	}
+	a.trial = e.trySent(t.elapsed(now))
 	if e.health.ejected {
 		a.probe = true
 		e.health.probeSent(now)
@@ -315,6 +316,9 @@
 	if a.incarnation != e.incarnation {
 		return
 	}
+	if a.trial && e.trying {
+		e.endTrial(result.Outcome == laburnumgwv1.Outcome_OUTCOME_COMPLETE)
+	}
 	if result.Load != nil {
 		t.frameReceived(e, result.Load, now)
 	}
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -32,8 +33,17 @@
 	restTimeout = 2 * time.Second
 	// maxForeign bounds the answers to other requests that are read before the own one.
 	maxForeign = 3
+	// maxHeadBytes bounds the head of an answer, and maxDroppedBytes a body that is read
+	// only to keep its connection. A worker in trouble may send bytes without end.
+	maxHeadBytes    = 64 << 10
+	maxDroppedBytes = 16 << 10
+	// dropTimeout bounds the wait for such a body.
+	dropTimeout = 250 * time.Millisecond
 )
 
+// ErrHeadTooLarge is returned when the head of an answer does not end within its bound.
+var ErrHeadTooLarge = errors.New("head of the answer exceeds its bound")
+
 // ErrForeign is returned when a connection delivers only answers to other requests.
 var ErrForeign = errors.New("connection delivers answers to other requests")
 
@@ -98,11 +108,26 @@
 	net.Conn
 	reader *bufio.Reader
 	used   bool
+	// headLeft is what may still be read of a head; negative outside of heads.
+	headLeft int
 	// keepAlive is how long the worker keeps the connection idle.
 	keepAlive time.Duration
 	idleSince time.Time
 }
 
+// Read implements io.Reader for the buffered reader, and bounds heads.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.headLeft < 0 {
+		return c.Conn.Read(p)
+	}
+	if c.headLeft == 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
 // abort closes the connection with a reset. A worker that has not read the request yet,
 // because its machine stands still, then never reads it.
 func (c *conn) abort() {
@@ -150,7 +175,7 @@
 	if err != nil {
 		return fail(n > 0, fmt.Errorf("send request: %w", err))
 	}
-	if err := c.await(r.Patience); err != nil {
+	if err := c.await(r.Patience, time.Now()); err != nil {
 		return fail(true, fmt.Errorf("wait for answer: %w", err))
 	}
 	answer, err := c.readAnswer(r, own) //nolint:bodyclose // the caller ends the response
@@ -188,7 +213,9 @@
 	fresh := !c.used
 	c.used = true
 	for range maxForeign {
+		c.headLeft = maxHeadBytes
 		answer, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		c.headLeft = -1
 		if err != nil {
 			return nil, err
 		}
@@ -199,17 +226,21 @@
 			return answer, nil
 		}
 		c.keepAlive = -1
-		if _, err := bufio.NewReader(answer.Body).WriteTo(discard{}); err != nil {
-			return nil, err
+		if err := drop(answer.Body); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrForeign, err)
 		}
 	}
 	return nil, ErrForeign
 }
 
-type discard struct{}
-
-// Write implements io.Writer.
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
+// drop reads a body to its end without keeping it, and fails on a long one.
+func drop(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDroppedBytes+1))
+	if err == nil && n > maxDroppedBytes {
+		err = fmt.Errorf("body exceeds %d bytes", maxDroppedBytes)
+	}
+	return err
+}
 
 // take returns an idle connection that still seems open, or a new one.
 func (p *Pool) take(ctx context.Context, address string, fresh bool) (*conn, error) {
@@ -234,7 +265,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to worker: %w", err)
 	}
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, bufferBytes)}, nil
+	c := &conn{Conn: opened, headLeft: -1}
+	c.reader = bufio.NewReaderSize(c, bufferBytes)
+	return c, nil
 }
 
 // quiet reports whether an idle connection is open and has nothing to read. Bytes that
@@ -261,13 +294,17 @@
 	return err == nil && quiet
 }
 
-// await waits for the next byte. Bytes that have begun to arrive are waited for until
-// restTimeout.
-func (c *conn) await(patience Patience) error {
-	if patience == nil || c.reader.Buffered() > 0 {
+// await waits for the next byte of what is expected since a time. Bytes that have begun to
+// arrive are waited for until restTimeout.
+func (c *conn) await(patience Patience, started time.Time) error {
+	if patience == nil {
+		return nil
+	}
+	if c.reader.Buffered() > 0 {
+		// What is buffered may end amid a frame whose rest is still to come.
+		_ = c.SetReadDeadline(time.Now().Add(restTimeout))
 		return nil
 	}
-	started := time.Now()
 	for {
 		more := patience(time.Since(started))
 		if more <= 0 {
@@ -290,8 +327,11 @@
 	}
 }
 
-// Await waits for the next bytes of the body.
-func (r *Response) Await(patience Patience) error { return r.conn.await(patience) }
+// Await waits for the next bytes of the body. The patience counts from when they were first
+// expected, so that a worker that sends a byte now and then does not renew it.
+func (r *Response) Await(patience Patience, since time.Time) error {
+	return r.conn.await(patience, since)
+}
 
 // Finish ends a response whose body was read to its end. The connection is kept when
 // nothing speaks against it; keepAlive is what the worker says, or zero.
@@ -314,6 +354,18 @@
 	r.pool.put(r.address, r.conn)
 }
 
+// Drain ends a response whose body is not used. A short body is read, so that the
+// connection can be kept; a long or slow one ends it.
+func (r *Response) Drain(keepAlive time.Duration) {
+	// It fails only on a closed connection, which the read reports.
+	_ = r.conn.SetReadDeadline(time.Now().Add(dropTimeout))
+	if err := drop(r.Body); err != nil {
+		r.Abort()
+		return
+	}
+	r.Finish(keepAlive)
+}
+
 // framed reports whether the end of the body was marked, so that another answer may
 // follow on the connection.
 func (r *Response) framed() bool {
