Let one entry read the store, and none list it all while it is away

Each failing probe ended the lists under way. An entry just back from an outage was not relied on for its grace time, which sent its whole zone to the store.

Now only probes ask while the store is away, less often the more others would tell; lists under way are left alone; who mirrors lets its neighbours read first; a copy ends its grace time with its source, which says how long it has been sound. One entry reads the store for the deployment, the first of each zone mirrors from it, and falls back to the store at once. Starts ask the seeds of the settings for the entries. Probes are as frequent as the shortest bound needs. A process beside a worker leaves the store to entries that answer.

TestEntriesMirrorInATree asked for one reader a zone and none elsewhere; it now asks for one in the deployment, one crossing a zone, and the rest as before.

Ruled out: longer timeouts, which keep the herd.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -37,16 +37,16 @@
 	// bytes between zones are dear.
 	farReports = 3
 	// nearEntries is the number of entries of the own availability zone that hear the
-	// reports of a worker, and farEntries that of each other one. Without these bounds the
-	// reports grow with entries times workers: an entry of a fleet of 340 before 600
-	// workers would get 154 kB a second of the 29 that control may take. An entry that does
-	// not hear a worker goes by the list and its own sends.
+	// reports of a worker, and farEntries that of each other one.
 	nearEntries = 12
 	farEntries  = 4
 	// pullWait is how long an entry waits for a change of what this process mirrors, and
 	// staleAfter the age from which on it is not relied on.
 	pullWait   = 2 * time.Second
 	staleAfter = 5 * time.Second
+	// seedPatience is how long a start asks the seeds for the entries before it asks the
+	// store, which each process of a fleet that starts at once would do.
+	seedPatience = 3 * time.Second
 	// aloneAfter is how long a process that starts waits for the list of workers before it
 	// fetches weights as if there were no others. A list of 3,000 takes some seconds.
 	aloneAfter = 6 * time.Second
@@ -118,8 +118,8 @@
 		Kinds: map[string]bool{
 			platform.KindConfig: false, platform.KindWorkers: true, platform.KindVersions: false, platform.KindEntries: false,
 		},
-		Store: store, Seed: platform.KindEntries, Neighbours: rpcmirror.NewClient(conns, v.neighbours), PullWait: pullWait, StaleAfter: func() time.Duration { return staleAfter }, Indirect: true,
-		First: func() mirror.Source { return mirror.NeighboursFirst }, Patience: v.patience, Changed: v.changed, Log: log,
+		Store: store, Seed: platform.KindEntries, Seeds: rpcmirror.NewSeedClient(conns, settings.SeedAddresses()), Neighbours: rpcmirror.NewClient(conns, v.neighbours), PullWait: pullWait, StaleAfter: func() time.Duration { return staleAfter }, Indirect: true,
+		First: func() mirror.Source { return mirror.NeighboursFirst }, Patience: v.patience, Probing: v.probing, Within: settings.Bounds.Shortest(), HoldOff: func() time.Duration { return staleAfter }, SeedWait: seedPatience, Changed: v.changed, Log: log,
 	})
 	laburnumgwv1.RegisterPeerServer(p.grpc, p.library.server())
 	laburnumgwv1.RegisterManifestsServer(p.grpc, &manifestServer{library: p.library})
--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -227,6 +227,13 @@
 	return mirror.PatienceAt(len(near), len(near))
 }
 
+// probing returns the longest pause between two looks whether the store is back. The
+// entries of the zone tell this process.
+func (v *view) probing() time.Duration {
+	near, _ := v.entryAddresses()
+	return mirror.ProbingAt(len(near))
+}
+
 // neighbours returns the entries to mirror from.
 func (v *view) neighbours() []string {
 	near, far := v.entryAddresses()
--- a/entry/hosted/neighbours.go
+++ b/entry/hosted/neighbours.go
@@ -28,6 +28,20 @@
 	return addresses
 }
 
+// registered reports whether the store names this entry as it is.
+func (v *view) registered(own platform.Entry) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.entries[v.settings.VM] == own
+}
+
+// knowsEntries reports whether the entries of the deployment were read.
+func (v *view) knowsEntries() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.listed[platform.KindEntries]
+}
+
 func (v *view) entryChanged(change mirror.Change) {
 	if change.Deleted {
 		delete(v.entries, change.Object.Name)
@@ -44,18 +58,48 @@
 	}
 }
 
-// leaders returns the entries of this availability zone that rank above this one, the
-// first of which reads the store for the zone. The caller holds the lock.
+// mirrorKey ranks entries, and availability zones, by who mirrors from whom.
+const mirrorKey = "mirror"
+
+// leaders returns the entries that this one may mirror from: those of its availability zone
+// that rank above it, or, for the first of a zone, the first ones of the zones that rank
+// above. One entry has none and reads the store for the deployment. The caller holds the
+// lock.
 func (v *view) leaders() []string {
-	ranked := rendezvous.Rank("mirror", v.zoneEntries())
-	return ranked[:max(0, slices.Index(ranked, v.settings.VM))]
+	ranked := rendezvous.Rank(mirrorKey, v.zoneEntries(v.settings.Zone))
+	if at := slices.Index(ranked, v.settings.VM); at > 0 {
+		return ranked[:at]
+	}
+	return v.zoneLeaders()
 }
 
-// zoneEntries returns the entries of this availability zone. The caller holds the lock.
-func (v *view) zoneEntries() []string {
+// zoneLeaders returns the first entry of each availability zone that ranks above this one's.
+// The caller holds the lock.
+func (v *view) zoneLeaders() []string {
+	zones := make(map[string]bool)
+	for _, entry := range v.entries {
+		zones[entry.Zone] = true
+	}
+	ranked := rendezvous.Rank(mirrorKey, slices.Sorted(maps.Keys(zones)))
+	var leaders []string
+	for _, zone := range ranked[:max(0, slices.Index(ranked, v.settings.Zone))] {
+		leaders = append(leaders, rendezvous.Best(mirrorKey, v.zoneEntries(zone)))
+	}
+	return leaders
+}
+
+// leadsZone reports whether this entry is the first of its availability zone. The caller
+// holds the lock.
+func (v *view) leadsZone() bool {
+	ranked := rendezvous.Rank(mirrorKey, v.zoneEntries(v.settings.Zone))
+	return slices.Index(ranked, v.settings.VM) <= 0
+}
+
+// zoneEntries returns the entries of an availability zone. The caller holds the lock.
+func (v *view) zoneEntries(zone string) []string {
 	var names []string
 	for name, entry := range v.entries {
-		if entry.Zone == v.settings.Zone {
+		if entry.Zone == zone {
 			names = append(names, name)
 		}
 	}
@@ -70,7 +114,13 @@
 func (v *view) staleAfter() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	limit := staleAfter
+	limit := mirror.ProbeInterval(v.settings.Bounds.Shortest()) + staleStep
+	if v.leadsZone() {
+		return limit
+	}
+	if len(v.zoneLeaders()) > 0 {
+		limit += staleStep
+	}
 	for rank := len(v.leaders()); rank > 0; rank = parentOf(rank) {
 		if parentOf(rank) > 0 {
 			limit += staleStep
@@ -79,11 +129,31 @@
 	return limit
 }
 
+// holdOff returns the age of the last answer of the store from which on this entry turns to
+// the store when the one that it mirrors from does not answer. The first of a zone does so
+// at once, and the others give it the time.
+func (v *view) holdOff() time.Duration {
+	v.mu.Lock()
+	leads := v.leadsZone()
+	v.mu.Unlock()
+	if leads {
+		return 0
+	}
+	return v.staleAfter()
+}
+
 // patience returns how long a start waits for the entries that rank above this one.
 func (v *view) patience() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return mirror.PatienceAt(len(v.leaders()), len(v.zoneEntries()))
+	return mirror.PatienceAt(len(v.leaders()), len(v.zoneEntries(v.settings.Zone)))
+}
+
+// probing returns the longest pause between two looks whether the store is back.
+func (v *view) probing() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return mirror.ProbingAt(len(v.leaders()))
 }
 
 // source states whether this entry reads the store itself. One entry of a zone does, so
@@ -104,11 +174,18 @@
 	defer v.mu.Unlock()
 	var addresses []string
 	leaders := v.leaders()
-	for i := range leaders {
+	if len(leaders) > 0 {
 		// The entry to mirror from comes first, then the others from the reader on.
-		addresses = append(addresses, v.entries[leaders[(i+parentOf(len(leaders)))%len(leaders)]].Address)
-	}
-	if len(addresses) > 0 {
+		parent := parentOf(len(leaders))
+		if v.leadsZone() {
+			parent = 0
+		}
+		addresses = append(addresses, v.entries[leaders[parent]].Address)
+		for i, leader := range leaders {
+			if i != parent {
+				addresses = append(addresses, v.entries[leader].Address)
+			}
+		}
 		return addresses
 	}
 	for _, name := range slices.Sorted(maps.Keys(v.entries)) {
--- a/entry/hosted/neighbours_test.go
+++ b/entry/hosted/neighbours_test.go
@@ -26,35 +26,64 @@
 	return views
 }
 
-// Guards against a reader of the store whose work grows with its zone: at 100 entries it
-// sent 15 MB a second. Guards as well against circles, in which entries would confirm
-// each other, and against a limit of age that the depth of the tree exceeds.
+// fleetOf returns the views of all entries of some zones, by their addresses.
+func fleetOf(zones, entriesPerZone int) map[string]*view {
+	views := make(map[string]*view)
+	for zone := range zones {
+		for i := range entriesPerZone {
+			name := fmt.Sprintf("front-%d-%d", zone, i)
+			views[addressOf(name)] = newView(&platform.Settings{VM: name, Zone: fmt.Sprint("zone-", zone)}, newEntryMetrics(), zap.NewNop())
+		}
+	}
+	for _, v := range views {
+		for address, other := range views {
+			v.entries[other.settings.VM] = platform.Entry{Zone: other.settings.Zone, Address: address}
+		}
+	}
+	return views
+}
+
+func addressOf(name string) string { return name + ":1" }
+
+// Guards against calls of the store that grow with the number of zones, and against a reader
+// whose work grows with its zone: at 100 entries it sent 15 MB a second. Guards as well
+// against circles, in which entries would confirm each other, against entries other than
+// the first of a zone that mirror over the links between regions, and against a limit of age
+// that the depth of the tree exceeds.
 func TestEntriesMirrorInATree(t *testing.T) {
-	Convey("In zones of 1 to 120 entries", t, func() {
-		for _, entries := range []int{1, 2, 8, 9, 30, 120} {
-			views := zoneOf(entries)
+	Convey("In fleets of 1 to 7 zones with 1 to 120 entries", t, func() {
+		for _, size := range []struct{ zones, entries int }{{1, 1}, {1, 120}, {3, 2}, {3, 8}, {4, 9}, {5, 30}, {7, 49}} {
+			views := fleetOf(size.zones, size.entries)
 			parents := make(map[string]string)
 			children := make(map[string]int)
-			readers := 0
-			for i, v := range views {
-				own := fmt.Sprintf("10.0.0.%d:1", i)
+			readers, crossing := 0, 0
+			for own, v := range views {
 				if v.source() == mirror.StoreFirst {
 					readers++
 					continue
 				}
-				parents[own] = v.neighbours()[0]
-				children[v.neighbours()[0]]++
+				parent := v.neighbours()[0]
+				parents[own] = parent
+				children[parent]++
 				So(v.neighbours(), ShouldNotContain, own)
-				So(v.neighbours(), ShouldNotContain, "10.1.0.1:1")
+				if views[parent].settings.Zone != v.settings.Zone {
+					crossing++
+					So(v.holdOff(), ShouldEqual, time.Duration(0))
+					continue
+				}
+				for _, other := range v.neighbours() {
+					So(views[other].settings.Zone, ShouldEqual, v.settings.Zone)
+				}
 			}
 			So(readers, ShouldEqual, 1)
-			for i, v := range views {
+			So(crossing, ShouldEqual, size.zones-1)
+			for own, v := range views {
 				depth := 0
-				for at := fmt.Sprintf("10.0.0.%d:1", i); parents[at] != ""; at = parents[at] {
+				for at := own; parents[at] != ""; at = parents[at] {
 					depth++
-					So(depth, ShouldBeLessThanOrEqualTo, 3)
+					So(depth, ShouldBeLessThanOrEqualTo, 4)
 				}
-				So(children[fmt.Sprintf("10.0.0.%d:1", i)], ShouldBeLessThanOrEqualTo, mirrorFanout)
+				So(children[own], ShouldBeLessThanOrEqualTo, mirrorFanout+size.zones-1)
 				// The reader hears of the store each 0.9 s, and each level adds a wait.
 				oldest := 900*time.Millisecond + time.Duration(depth)*pullWait
 				So(v.staleAfter(), ShouldBeGreaterThanOrEqualTo, oldest)
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -40,12 +41,14 @@
 	leaveWait = 2500 * time.Millisecond
 	// stopMargin is kept of the grace time for the end of the process.
 	stopMargin = 500 * time.Millisecond
-	// pullWait and staleAfter bound the time in which an entry notices that the one it
-	// mirrors from is gone or hears nothing, so that it knows of a leaving worker within
-	// the bound of 2 s.
-	pullWait   = 300 * time.Millisecond
-	staleAfter = 1250 * time.Millisecond
-	// staleStep is added for each entry between this one and the reader of the zone.
+	// pullWait bounds the time in which an entry notices that the one it mirrors from is
+	// gone.
+	pullWait = 300 * time.Millisecond
+	// seedPatience is how long a start asks the seeds, which list the entries within half a
+	// second of their own start.
+	seedPatience = 2 * time.Second
+	// staleStep is added to the interval of the reader's probes for each entry on the way to
+	// it. An older answer of the store is not relied on.
 	staleStep = 350 * time.Millisecond
 	// mirrorFanout is the number of entries that mirror from the same one, so that the
 	// work of the reader does not grow with the zone.
@@ -54,8 +57,10 @@
 	// number of entries that are asked how long versions have been named.
 	dateInterval = 20 * time.Millisecond
 	dateEntries  = 3
-	// registerInterval separates two tries to write this entry to the store.
+	// registerInterval separates two tries to write this entry to the store, and registerWait
+	// is how long a start waits to hear whether it is there.
 	registerInterval = 500 * time.Millisecond
+	registerWait     = time.Second
 )
 
 // Process is a running entry.
@@ -88,8 +93,8 @@
 			platform.KindConfig: false, platform.KindWorkers: true, platform.KindEvacuations: false,
 			platform.KindVersions: false, platform.KindEntries: false,
 		},
-		Store: store, Seed: platform.KindEntries, Neighbours: rpcmirror.NewClient(conns, v.neighbours), First: v.source, PullWait: pullWait, StaleAfter: v.staleAfter,
-		Patience: v.patience, Changed: v.changed, Log: log,
+		Store: store, Seed: platform.KindEntries, Seeds: rpcmirror.NewSeedClient(conns, settings.SeedAddresses()), Neighbours: rpcmirror.NewClient(conns, v.neighbours), First: v.source, PullWait: pullWait, StaleAfter: v.staleAfter,
+		Patience: v.patience, Probing: v.probing, HoldOff: v.holdOff, Within: settings.Bounds.Shortest(), SeedWait: seedWait(settings), Changed: v.changed, Log: log,
 	})
 	p.grpc = grpc.NewServer()
 	laburnumgwv1.RegisterMirrorServer(p.grpc, &rpcmirror.Server{Driver: p.mirror})
@@ -97,6 +102,14 @@
 	return p, nil
 }
 
+// seedWait returns how long a start asks the seeds. A seed asks the others once.
+func seedWait(settings *platform.Settings) time.Duration {
+	if slices.Contains(settings.Seeds, settings.IP) {
+		return 0
+	}
+	return seedPatience
+}
+
 // internal returns the address for the system's own processes.
 func (p *Process) internal() string {
 	return net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.FirstPort))
@@ -175,8 +188,18 @@
 	return server, nil
 }
 
-// register writes this entry to the store, so that other processes find it.
+// register writes this entry to the store, so that other processes find it. One that has
+// started again is often known already.
 func (p *Process) register(ctx context.Context) {
+	for waited := time.Duration(0); waited < registerWait; waited += dateInterval {
+		if p.view.registered(platform.Entry{Zone: p.settings.Zone, Address: p.internal()}) {
+			p.log.Info("entry is registered already")
+			return
+		}
+		if p.view.knowsEntries() || !dispatch.Sleep(ctx, dateInterval) {
+			break
+		}
+	}
 	for {
 		err := p.store.Put(ctx, platform.KindEntries, p.settings.VM, platform.Entry{Zone: p.settings.Zone, Address: p.internal()})
 		if err == nil {
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -27,6 +28,8 @@
 	minPatience = 600 * time.Millisecond
 	maxPatience = 8 * time.Second
 	seedStep    = 20 * time.Millisecond
+	// seedWait is how long a seed may wait until it knows the others itself.
+	seedWait = 300 * time.Millisecond
 	// patienceStep separates the starts of two processes that read the store because no
 	// neighbour tells them, for each 4 entries of the zone: the list of the workers of a
 	// fleet with 36 of them, 3,000 and 1 MB, takes 300 ms of a link of 27 Mbit/s, and the
@@ -44,15 +47,20 @@
 	// Calls that failed are repeated after firstRetry, doubling up to lastRetry.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond
-	// probeInterval separates two looks at the revision of the store. A watch may be deaf
-	// while changes are made, and the bounds of leaving workers and of configurations
-	// are 2 s.
-	probeInterval = 900 * time.Millisecond
+	// probePart is the part of the time within which a change must be known that separates
+	// two looks at the revision of the store. A watch may be deaf while changes are made;
+	// every second look verifies the kinds that are behind.
+	probePart = 0.45
+	// defaultWithin applies when the configuration names no such time.
+	defaultWithin = 2 * time.Second
 	// verifyEvery is the number of probes of which one verifies the kinds that are behind.
 	// While workers change all the time, other kinds always are.
 	verifyEvery = 2
 	// probeGrace is how long a watch may take to deliver what a probe has seen.
 	probeGrace = 250 * time.Millisecond
+	// maxProbing bounds the pause between two probes of one process during an outage. It is
+	// well below the time after an outage from which on the bounds hold again.
+	maxProbing = 2 * time.Second
 	// batchWait is the pause before a watch goes on after a change.
 	batchWait = 150 * time.Millisecond
 	// tickInterval is the resolution of grace times.
@@ -75,6 +83,15 @@
 	Neighbours Neighbours
 	// Seed is the kind that names the neighbours; empty for none.
 	Seed string
+	// Seeds are neighbours that are known beforehand. They are asked for the seed kind at
+	// the start, before the store is; nil for none.
+	Seeds Neighbours
+	// SeedWait is how long a start asks the seeds before it reads the store.
+	SeedWait time.Duration
+	// HoldOff is how old the last answer of the store may be before a process whose
+	// neighbours do not answer turns to the store; nil for at once. The neighbours may only
+	// be turning to others themselves.
+	HoldOff func() time.Duration
 	// First names who is asked first; nil for the store.
 	First func() Source
 	// PullWait is how long a neighbour waits for a change, and StaleAfter the age of its
@@ -84,9 +101,14 @@
 	// Patience is how long a start waits for what the neighbours know before it reads the
 	// store itself; see PatienceAt. Nil for the shortest.
 	Patience func() time.Duration
-	// Indirect accepts neighbours that mirror others. Only a process that nobody mirrors
-	// may set it.
+	// Indirect accepts neighbours that do not hear of the store either, as long as they
+	// answer. Only a process that nobody mirrors may set it.
 	Indirect bool
+	// Within is the time in which a change must be known; zero for defaultWithin.
+	Within time.Duration
+	// Probing is the longest pause between two looks whether the store is back; nil for
+	// lastRetry. It grows with the number of processes that look.
+	Probing func() time.Duration
 	// Changed is called in order for each change. It must not block.
 	Changed func(kind string, changes []Change)
 	Log     *zap.Logger
@@ -108,17 +130,28 @@
 	// neighbour that answered last. Only the goroutine that pulls uses heard.
 	instance uint64
 	heard    Since
-	// direct is set while the store answers this process.
-	direct bool
+	// reachable is cleared when the store does not answer this process, until a probe finds
+	// that it does. Revived is closed and replaced then, and kick asks for a probe.
+	reachable bool
+	revivedAt time.Time
+	revived   chan struct{}
+	kick      chan struct{}
 	// confirmedAt is the time of the last answer of the store, also through neighbours.
 	confirmedAt time.Time
-	// cancels ends the call of the store that runs for a kind.
+	// cancels ends the watch that runs for a kind.
 	cancels map[string]context.CancelFunc
 }
 
+// ProbeInterval returns the time between two looks at the revision of the store when changes
+// must be known within a time.
+func ProbeInterval(within time.Duration) time.Duration {
+	return time.Duration(probePart * float64(cmp.Or(within, defaultWithin)))
+}
+
 // NewDriver returns a driver that runs with Run.
 func NewDriver(config Config) *Driver {
-	d := &Driver{config: config, instance: rand.Uint64(), kinds: make(map[string]*Kind), moved: make(chan struct{}), turned: make(chan struct{}), cancels: make(map[string]context.CancelFunc)}
+	d := &Driver{config: config, instance: rand.Uint64(), kinds: make(map[string]*Kind), moved: make(chan struct{}), turned: make(chan struct{}), cancels: make(map[string]context.CancelFunc),
+		reachable: true, revived: make(chan struct{}), kick: make(chan struct{}, 1)}
 	for name, lapses := range config.Kinds {
 		d.kinds[name] = NewKind(lapses)
 	}
@@ -155,6 +188,7 @@
 	pause := &backoff.ExponentialBackOff{InitialInterval: firstRetry, MaxInterval: lastRetry, Multiplier: 2, RandomizationFactor: 0.3}
 	pause.Reset()
 	next := list
+	d.askSeeds(ctx, name)
 	d.awaitSeed(ctx, name)
 	for ctx.Err() == nil {
 		if turned, idle := d.idle(kind); idle {
@@ -162,10 +196,17 @@
 			awaitTurn(ctx, turned)
 			continue
 		}
+		if wait := d.barred(kind); wait != nil {
+			next = d.again(kind)
+			awaitTurn(ctx, wait)
+			continue
+		}
 		calling, cancel := context.WithCancel(ctx)
-		d.mu.Lock()
-		d.cancels[name] = cancel
-		d.mu.Unlock()
+		if next == watch {
+			d.mu.Lock()
+			d.cancels[name] = cancel
+			d.mu.Unlock()
+		}
 		err := d.ask(calling, name, kind, next)
 		refreshed := calling.Err() != nil
 		cancel()
@@ -192,16 +233,39 @@
 	}
 }
 
+// askSeeds learns the neighbours from those that are known beforehand, so that the store is
+// not asked for them by each process of a fleet that starts at once.
+func (d *Driver) askSeeds(ctx context.Context, name string) {
+	if d.config.Seeds == nil || name != d.config.Seed {
+		return
+	}
+	kind := d.kinds[name]
+	for began := time.Now(); !d.seeded(); {
+		pulled, err := d.config.Seeds.Pull(ctx, Since{Sequences: map[string]int64{name: -1}}, min(seedWait, d.config.SeedWait))
+		if err != nil && !sleep(ctx, startRetry) {
+			return
+		}
+		for _, state := range pulled.States {
+			if state.Kind == name {
+				d.apply(name, kind, func(now time.Time) []Change { return kind.Listed(state.Objects, state.Revision, now) })
+			}
+		}
+		if time.Since(began) >= d.config.SeedWait {
+			return
+		}
+	}
+}
+
 // awaitSeed lets a process that starts learn its neighbours first, and then what they know,
 // so that a start costs few calls of the store. A neighbour may answer before it knows the
 // kind itself.
 func (d *Driver) awaitSeed(ctx context.Context, name string) {
-	if d.config.Seed == "" || name == d.config.Seed {
+	if d.config.Seed == "" || (name == d.config.Seed && !d.seeded()) {
 		return
 	}
 	for waited := time.Duration(0); waited < d.patience(); waited += seedStep {
 		d.mu.Lock()
-		known := d.kinds[name].Known()
+		known := d.kinds[name].Known() && (name != d.config.Seed || d.pulling)
 		reads := d.kinds[d.config.Seed].Known() && d.first() == StoreFirst
 		d.mu.Unlock()
 		if known || reads || !sleep(ctx, seedStep) {
@@ -225,6 +289,12 @@
 	return min(max(time.Duration(before)*step, minPatience), maxPatience)
 }
 
+// ProbingAt returns the longest pause between two probes, during an outage, of a process
+// behind a number of others of its zone, which will tell it when the store is back.
+func ProbingAt(before int) time.Duration {
+	return min(lastRetry*time.Duration(before+1), maxProbing)
+}
+
 // idle reports whether the neighbours make the store's calls needless. The channel is
 // closed when they stop to answer.
 func (d *Driver) idle(kind *Kind) (turned <-chan struct{}, idle bool) {
@@ -233,6 +303,41 @@
 	return d.turned, d.first() == NeighboursFirst && d.pulling && kind.Known()
 }
 
+// barred returns what to wait for before the store is asked for a kind, or nil. While it
+// does not answer, only the probe asks. When it is back, a process that mirrors from others
+// lets them read first, so that the lists of a whole fleet do not fill its links at once.
+func (d *Driver) barred(kind *Kind) <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.reachable {
+		return d.revived
+	}
+	if !kind.Known() || d.first() != NeighboursFirst {
+		return nil
+	}
+	if !kind.failing {
+		if d.config.HoldOff == nil {
+			return nil
+		}
+		if left := d.config.HoldOff() - time.Since(d.confirmedAt); left > 0 {
+			return after(min(left, idleWait))
+		}
+		return nil
+	}
+	// Neighbours may be back since the last pull, which the next one finds.
+	if left := d.patience() + d.config.PullWait + pullRetry - time.Since(d.revivedAt); left > 0 {
+		return after(min(left, idleWait))
+	}
+	return nil
+}
+
+// after returns a channel that is closed after a time.
+func after(wait time.Duration) <-chan struct{} {
+	done := make(chan struct{})
+	time.AfterFunc(wait, func() { close(done) })
+	return done
+}
+
 // awaitTurn waits until the neighbours stop to answer, or for a while, since who is asked
 // first may change.
 func awaitTurn(ctx context.Context, turned <-chan struct{}) {
@@ -302,13 +407,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	outage := kind.Failing(now)
 	before, known := kind.Sequence(), kind.Known()
+	d.regained(name, kind, now)
 	changes := change(now)
-	if outage > 0 {
-		d.config.Log.Info("source of the mirror regained", zap.String("kind", name), zap.Duration("outage", outage),
-			zap.Int64("revision", kind.Revision()))
-	}
 	if kind.Sequence() != before || known != kind.Known() {
 		close(d.moved)
 		d.moved = make(chan struct{})
@@ -318,6 +419,14 @@
 	}
 }
 
+// regained logs the end of an outage. The caller holds the lock.
+func (d *Driver) regained(name string, kind *Kind, now time.Time) {
+	if outage := kind.Failing(now); outage > 0 {
+		d.config.Log.Info("source of the mirror regained", zap.String("kind", name), zap.Duration("outage", outage),
+			zap.Int64("revision", kind.Revision()))
+	}
+}
+
 func (d *Driver) failed(name string, kind *Kind, err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -327,7 +436,7 @@
 			zap.Int64("revision", kind.Revision()), zap.Error(err))
 	}
 	kind.Failed(now)
-	d.loseDirect()
+	d.lose()
 }
 
 // tick ends grace times.
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -72,6 +72,8 @@
 	failedAt  time.Time
 	failing   bool
 	graceEnds time.Time
+	// soundSince is when the store began to answer without a break, here or at the source.
+	soundSince time.Time
 }
 
 // departure is an object that was removed. The revision is that of the kind when it was.
@@ -193,19 +195,34 @@
 // Recovering reports whether the grace time after an outage runs.
 func (k *Kind) Recovering(now time.Time) bool { return now.Before(k.graceEnds) }
 
-// answered ends an outage. After a long one, deletions are believed only when the grace
-// time is over. A kind that was never read holds nothing that could be deleted.
-func (k *Kind) answered(now time.Time) {
-	if k.known && k.failing && k.lapses && now.Sub(k.failedAt) >= lapseOutage {
-		k.graceEnds = now.Add(lapseGrace)
+// Sound returns how long the store has answered without a break, here or at the neighbour
+// that this copy comes from.
+func (k *Kind) Sound(now time.Time) time.Duration {
+	if !k.known || k.failing {
+		return 0
+	}
+	return now.Sub(k.soundSince)
+}
+
+// Answered ends an outage of a source that has been sound for some time; zero for the store
+// itself. After a long outage, deletions are believed only when the grace time is over. It
+// began when the source became sound, so that copies of copies end it together. A kind that
+// was never read holds nothing that could be deleted.
+func (k *Kind) Answered(sound time.Duration, now time.Time) {
+	if k.known && !k.failing {
+		return
+	}
+	if k.known && k.lapses && now.Sub(k.failedAt) >= lapseOutage {
+		k.graceEnds = now.Add(lapseGrace - sound)
 	}
+	k.soundSince = now.Add(-sound)
 	k.failing = false
 }
 
 // Listed applies the full list of a revision. A list that is older than what is known
 // is ignored.
 func (k *Kind) Listed(objects []Object, revision int64, now time.Time) []Change {
-	k.answered(now)
+	k.Answered(0, now)
 	if revision < k.revision {
 		return nil
 	}
@@ -235,7 +252,7 @@
 
 // Watched applies the events up to a revision.
 func (k *Kind) Watched(events []Event, revision int64, now time.Time) []Change {
-	k.answered(now)
+	k.Answered(0, now)
 	if revision < k.revision {
 		return nil
 	}
--- a/lib/mirror/mirror_test.go
+++ b/lib/mirror/mirror_test.go
@@ -355,9 +355,11 @@
 	for _, state := range states {
 		n.told += len(state.Objects)
 	}
-	return Pulled{Instance: driver.Instance(), States: states, Age: driver.Age(), Direct: driver.Direct()}, nil
+	return Pulled{Instance: driver.Instance(), States: states, Age: driver.Age(), Direct: driver.Direct(), Sound: driver.Sound()}, nil
 }
 
+func (n *neighbour) Unreliable() {}
+
 // followLeader runs a leader that reads the store and a follower that mirrors from it.
 func followLeader(ctx context.Context, leaderStore, followerStore *fakeStore) (*followed, *neighbour) {
 	kinds := map[string]bool{"workers": true, "config": false}
--- /dev/null
+++ b/lib/mirror/outage_test.go
@@ -0,0 +1,174 @@
+package mirror
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// fiveKinds are those of an entry; one of them lapses.
+var fiveKinds = map[string]bool{"config": false, "workers": true, "evacuations": false, "versions": false, "entries": false}
+
+// fleet runs a leader that reads a store and followers that mirror from it, all of which
+// reach the same store.
+type fleet struct {
+	store     *fakeStore
+	leader    *neighbour
+	followers []*Driver
+	seen      []*followed
+}
+
+func newFleet(ctx context.Context, followers int) *fleet {
+	f := &fleet{store: newFakeStore()}
+	for kind := range fiveKinds {
+		f.store.put(kind, "a")
+	}
+	leader := NewDriver(Config{Kinds: fiveKinds, Store: f.store, Log: zap.NewNop(), Changed: func(string, []Change) {}})
+	f.leader = &neighbour{driver: leader}
+	go leader.Run(ctx)
+	<-time.After(100 * time.Millisecond)
+	for i := range followers {
+		seen := &followed{began: time.Now()}
+		f.seen = append(f.seen, seen)
+		driver := NewDriver(Config{
+			Kinds: fiveKinds, Store: f.store, Log: zap.NewNop(), Neighbours: f.leader, PullWait: 300 * time.Millisecond,
+			StaleAfter: func() time.Duration { return 1250 * time.Millisecond },
+			First:      func() Source { return NeighboursFirst },
+			Patience:   func() time.Duration { return PatienceAt(i+1, followers+1) },
+			Probing:    func() time.Duration { return ProbingAt(i + 1) },
+			Changed:    seen.changed,
+		})
+		f.followers = append(f.followers, driver)
+		go driver.Run(ctx)
+	}
+	return f
+}
+
+func (f *followed) changed(_ string, changes []Change) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, change := range changes {
+		f.changes = append(f.changes, change)
+		f.at = append(f.at, time.Since(f.began))
+	}
+}
+
+func (f *fakeStore) count() (calls, lists int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, n := range f.lists {
+		lists += n
+	}
+	return f.calls, lists
+}
+
+// Guards against a fleet whose entries all list every kind again and again while the store
+// is away and when it is back: on a day with 149 entries and 920 routes the lists filled the
+// links between regions, timed out, and 29 entries kept an old configuration to the end.
+func TestOutageOfAFleetCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const followers, outage = 29, 8 * time.Second
+		f := newFleet(t.Context(), followers)
+		<-time.After(5 * time.Second)
+		before, _ := f.store.count()
+		f.store.set(func() { f.store.down = true })
+		<-time.After(outage)
+		during, _ := f.store.count()
+		// Each process tries 10 times while its pause grows and at the longest one, and the
+		// first ones, whose longest pause is shorter, 20 times more.
+		if calls, most := during-before, (followers+1)*10+3*20; calls > most {
+			t.Errorf("%d calls in an outage of %v, want at most %d", calls, outage, most)
+		}
+		_, lists := f.store.count()
+		f.store.set(func() { f.store.down = false })
+		f.store.put("config", "new")
+		<-time.After(bound)
+		for i, seen := range f.seen {
+			if seen.when("new", false) < 0 {
+				t.Errorf("follower %d has not seen a change in %v", i, bound)
+			}
+		}
+		// The leader lists, and a follower in whose turn to wait the leader was not back.
+		if _, after := f.store.count(); after-lists > 3*len(fiveKinds) {
+			t.Errorf("%d lists after the outage", after-lists)
+		}
+	})
+}
+
+// Guards against copies that begin a grace time of their own when their source ends its: a
+// worker that left after an outage was kept for both (DRAIN by 8 ms).
+func TestGraceTimeEndsWithThatOfTheSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t.Context(), 3)
+		<-time.After(5 * time.Second)
+		f.store.set(func() { f.store.down = true })
+		<-time.After(6 * time.Second)
+		f.store.set(func() { f.store.down = false })
+		back := time.Since(f.seen[0].began)
+		<-time.After(time.Second)
+		f.store.remove("workers", "a")
+		<-time.After(10 * time.Second)
+		for i, seen := range f.seen {
+			// Half a second until the leader finds the store, and a pull with its pause.
+			at := seen.when("a", true) - back
+			if at < lapseGrace || at > lapseGrace+lastRetry*13/10+pullRetry+tickInterval {
+				t.Errorf("follower %d believes the removal %v after the outage", i, at)
+			}
+		}
+	})
+}
+
+// Guards against a source that has just started, and has listed a store from which entries
+// have lapsed: a copy that knew them must not drop them at once.
+func TestCopyOfANewSourceKeepsLapsedEntries(t *testing.T) {
+	kind := NewKind(true)
+	kind.Listed([]Object{object("a", 1)}, 1, start)
+	kind.Failed(start.Add(time.Second))
+	back := start.Add(10 * time.Second)
+	kind.Answered(500*time.Millisecond, back)
+	if changes := kind.Listed(nil, 9, back); len(changes) != 0 {
+		t.Fatalf("changes %v", changes)
+	}
+	if changes := kind.Tick(back.Add(lapseGrace - 501*time.Millisecond)); len(changes) != 0 {
+		t.Fatalf("changes %v before the source's grace time is over", changes)
+	}
+	if changes := kind.Tick(back.Add(lapseGrace - 500*time.Millisecond)); len(changes) != 1 {
+		t.Fatalf("changes %v after it", changes)
+	}
+}
+
+// slowLists answers lists slowly and probes never, as a link does that is full.
+type slowLists struct{ *fakeStore }
+
+func (s slowLists) List(ctx context.Context, kind string) ([]Object, int64, error) {
+	select {
+	case <-time.After(1200 * time.Millisecond):
+		return s.fakeStore.List(ctx, kind)
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+func (s slowLists) Revision(context.Context) (int64, error) { return 0, errDown }
+
+// Guards against ending lists that are under way because a probe fails: on a full link none
+// ever ended.
+func TestFailingProbesDoNotEndLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("config", "main")
+		seen := &followed{began: time.Now()}
+		driver := NewDriver(Config{Kinds: map[string]bool{"config": false}, Store: slowLists{store}, Log: zap.NewNop(), Changed: seen.changed})
+		ctx, cancel := context.WithCancel(t.Context())
+		go driver.Run(ctx)
+		<-time.After(3 * time.Second)
+		if seen.when("main", false) < 0 {
+			t.Error("list never ended")
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/lib/mirror/probe.go
+++ b/lib/mirror/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 )
 
@@ -11,19 +12,17 @@
 // so only while this process reads the store.
 func (d *Driver) probe(ctx context.Context) {
 	unseen := make(map[string]int)
-	for sleep(ctx, probeInterval) {
-		d.mu.Lock()
-		idle := d.first() == NeighboursFirst && d.pulling
-		d.mu.Unlock()
-		if idle {
+	pause := &backoff.ExponentialBackOff{InitialInterval: firstRetry, Multiplier: 2, RandomizationFactor: 0.3}
+	for d.awaitProbe(ctx, pause) {
+		if d.spared() {
 			continue
 		}
 		revision, err := d.config.Store.Revision(ctx)
 		if err != nil {
-			d.lost()
-			d.Refresh("the store does not answer")
+			d.lost(err)
 			continue
 		}
+		d.found()
 		d.confirmed(0)
 		if len(d.behind(revision)) == 0 || !sleep(ctx, probeGrace) {
 			continue
@@ -43,14 +42,14 @@
 }
 
 // behind returns the kinds that are not known up to a revision. A change of another kind
-// is no reason to believe that nothing was missed. A kind that was not read yet is not
-// behind: its start waits for neighbours or for its own list.
+// is no reason to believe that nothing was missed. A kind that was not read yet, or whose
+// source has failed, is not behind: it waits for neighbours or for its own list.
 func (d *Driver) behind(revision int64) map[string]bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	behind := make(map[string]bool)
 	for name, kind := range d.kinds {
-		if kind.Known() && kind.Revision() < revision {
+		if kind.Known() && !kind.failing && kind.Revision() < revision {
 			behind[name] = true
 		}
 	}
@@ -87,19 +86,95 @@
 	}
 }
 
-// lost notes that the store does not answer, and tells those who mirror from here.
-func (d *Driver) lost() {
+// awaitProbe waits until the next look at the store. While it does not answer, the pause
+// grows up to that of the configuration, so that the calls of a fleet stay few.
+func (d *Driver) awaitProbe(ctx context.Context, pause *backoff.ExponentialBackOff) bool {
+	d.mu.Lock()
+	reachable := d.reachable
+	d.mu.Unlock()
+	if !reachable {
+		pause.MaxInterval = lastRetry
+		if d.config.Probing != nil {
+			pause.MaxInterval = d.config.Probing()
+		}
+		return sleep(ctx, pause.NextBackOff())
+	}
+	pause.Reset()
+	timer := time.NewTimer(ProbeInterval(d.config.Within))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-d.kick:
+		return sleep(ctx, pause.NextBackOff())
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+// spared reports whether neighbours make probes needless. What the store did before is then
+// forgotten.
+func (d *Driver) spared() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.first() != NeighboursFirst || !d.pulling {
+		return false
+	}
+	d.revive()
+	return true
+}
+
+// found notes that the store answers.
+func (d *Driver) found() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.loseDirect()
+	d.revive()
 }
 
-// loseDirect wakes the neighbours that wait. The caller holds the lock.
-func (d *Driver) loseDirect() {
-	if !d.direct {
+// revive lets the kinds ask the store again. The caller holds the lock.
+func (d *Driver) revive() {
+	if d.reachable {
 		return
 	}
-	d.direct = false
+	d.reachable = true
+	d.revivedAt = time.Now()
+	close(d.revived)
+	d.revived = make(chan struct{})
+}
+
+// lost notes that the store does not answer. The watches end, because they would not notice
+// the end of the outage.
+func (d *Driver) lost(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for _, kind := range d.kinds {
+		kind.Failed(now)
+	}
+	if d.reachable {
+		d.config.Log.Warn("store does not answer; the mirrored state stays in force", zap.Error(err))
+	}
+	d.lose()
+	d.cancelWatches()
+}
+
+// cancelWatches ends the watches that run. The caller holds the lock.
+func (d *Driver) cancelWatches() {
+	for _, cancel := range d.cancels {
+		cancel()
+	}
+}
+
+// lose lets only the probe ask the store, and wakes the neighbours that wait. The caller
+// holds the lock.
+func (d *Driver) lose() {
+	if !d.reachable {
+		return
+	}
+	d.reachable = false
+	select {
+	case d.kick <- struct{}{}:
+	default:
+	}
 	close(d.moved)
 	d.moved = make(chan struct{})
 }
@@ -109,7 +184,5 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.config.Log.Info("kinds are listed again", zap.String("reason", reason))
-	for _, cancel := range d.cancels {
-		cancel()
-	}
+	d.cancelWatches()
 }
--- a/lib/mirror/pull.go
+++ b/lib/mirror/pull.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,6 +37,9 @@
 // or the one that was asked does not answer.
 type Neighbours interface {
 	Pull(ctx context.Context, since Since, wait time.Duration) (Pulled, error)
+	// Unreliable tells that the neighbour that answered last does not read the store, so
+	// that another one is asked next.
+	Unreliable()
 }
 
 // Pulled is the answer of a neighbour.
@@ -44,6 +48,8 @@
 	States   []State
 	// Age is that of the neighbour's last answer of the store.
 	Age time.Duration
+	// Sound is how long the store has answered the neighbour without a break.
+	Sound time.Duration
 	// Direct is set when the neighbour reads the store, or mirrors one that ranks above it
 	// and does. Others are not relied on, or two that have lost the store would confirm
 	// each other.
@@ -124,27 +130,45 @@
 }
 
 // Direct reports whether the store answers this process, or a neighbour that ranks above
-// it and passes the store's answers on. It does not while a grace time runs: a neighbour
-// that relied on this process would believe deletions as late as it does.
+// it and passes the store's answers on.
 func (d *Driver) Direct() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	return d.isDirect()
+}
+
+// isDirect is Direct for callers that hold the lock.
+func (d *Driver) isDirect() bool {
+	if d.pulling && d.first() == NeighboursFirst {
+		return true
+	}
+	if !d.reachable {
+		return false
+	}
 	for _, kind := range d.kinds {
-		if kind.Recovering(now) {
+		if kind.failing {
 			return false
 		}
 	}
-	return d.direct || (d.pulling && d.first() == NeighboursFirst)
+	return true
+}
+
+// Sound returns how long the store has answered without a break, here or at the source.
+func (d *Driver) Sound() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	sound := time.Duration(math.MaxInt64)
+	for _, kind := range d.kinds {
+		sound = min(sound, kind.Sound(now))
+	}
+	return sound
 }
 
 // confirmed notes an answer of the store of an age, zero for one to this process.
 func (d *Driver) confirmed(age time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if age == 0 {
-		d.direct = true
-	}
 	if at := time.Now().Add(-age); at.After(d.confirmedAt) {
 		d.confirmedAt = at
 	}
@@ -167,9 +191,16 @@
 		}
 		pulled, err := d.config.Neighbours.Pull(ctx, d.since(), d.config.PullWait)
 		absent := err != nil
-		reads := pulled.Direct || d.config.Indirect
-		if err == nil && (!reads || pulled.Age > d.config.StaleAfter()) {
-			err = fmt.Errorf("neighbour does not read the store or has not heard of it for %s", pulled.Age)
+		if err == nil && (!pulled.Direct || pulled.Age > d.config.StaleAfter()) {
+			// Another neighbour may know more. A process that mirrors indirectly still
+			// leaves the store to its neighbours.
+			d.config.Neighbours.Unreliable()
+			if !d.config.Indirect {
+				err = fmt.Errorf("neighbour does not read the store or has not heard of it for %s", pulled.Age)
+			}
+		}
+		if err == nil && pulled.Sound < lapseGrace && d.served() {
+			err = fmt.Errorf("neighbour hears of the store again only since %s", pulled.Sound)
 		}
 		d.answering(err)
 		if err != nil {
@@ -181,11 +212,41 @@
 			}
 			continue
 		}
+		d.heardFrom(pulled)
 		d.take(pulled)
 		d.confirmed(max(pulled.Age, time.Millisecond))
 	}
 }
 
+// served reports whether the store itself serves all kinds to this process, so that it has
+// no use for a neighbour that does not believe removals yet.
+func (d *Driver) served() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.pulling || !d.reachable {
+		return false
+	}
+	for _, kind := range d.kinds {
+		if !kind.Known() || kind.failing {
+			return false
+		}
+	}
+	return true
+}
+
+// heardFrom ends the outage of all kinds: the neighbour has told what has changed of each.
+func (d *Driver) heardFrom(pulled Pulled) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	for name, kind := range d.kinds {
+		if kind.Known() {
+			d.regained(name, kind, now)
+			kind.Answered(pulled.Sound, now)
+		}
+	}
+}
+
 // take applies the answer of a neighbour.
 func (d *Driver) take(pulled Pulled) {
 	if pulled.Instance != d.heard.Instance {
@@ -254,6 +315,10 @@
 		d.moved = make(chan struct{})
 		d.config.Log.Info("neighbours mirror the store", zap.Bool("answering", err == nil), zap.Error(err))
 	}
+	if err == nil && !d.pulling && d.first() == NeighboursFirst {
+		// A watch of the store that has begun before would be a call at each change.
+		d.cancelWatches()
+	}
 	d.pulling = err == nil
 }
 
--- a/lib/mirror/rpcmirror/choice.go
+++ b/lib/mirror/rpcmirror/choice.go
@@ -6,36 +6,42 @@
 // have failed as well. A process that was killed is back after some seconds.
 const avoidance = 5 * time.Second
 
+// detour is the same for a neighbour that answers and does not read the store, which may
+// change at any moment. It is longer than a pull with its pause, so that the neighbour that
+// is asked next is another one.
+const detour = 1100 * time.Millisecond
+
 // choice selects the neighbour to ask. It is not safe for concurrent use.
 type choice struct {
-	failedAt map[string]time.Time
+	// avoided holds until when neighbours that have failed are asked last.
+	avoided map[string]time.Time
 }
 
 // pick returns the first neighbour in the order of preference that has not failed lately,
-// else the one whose failure is the oldest. It returns "" when there is none.
+// else the one that is avoided for the shortest time. It returns "" when there is none.
 func (c *choice) pick(preferred []string, now time.Time) string {
-	oldest := ""
+	soonest := ""
 	for _, address := range preferred {
-		at, failed := c.failedAt[address]
-		if !failed || now.Sub(at) >= avoidance {
+		until, failed := c.avoided[address]
+		if !failed || !now.Before(until) {
 			return address
 		}
-		if oldest == "" || at.Before(c.failedAt[oldest]) {
-			oldest = address
+		if soonest == "" || until.Before(c.avoided[soonest]) {
+			soonest = address
 		}
 	}
-	return oldest
+	return soonest
 }
 
-// failed notes that a neighbour did not answer, and forgets failures that no longer count.
-func (c *choice) failed(address string, now time.Time) {
-	if c.failedAt == nil {
-		c.failedAt = make(map[string]time.Time)
+// failed avoids a neighbour for some time, and forgets those whose time is over.
+func (c *choice) failed(address string, now time.Time, avoid time.Duration) {
+	if c.avoided == nil {
+		c.avoided = make(map[string]time.Time)
 	}
-	for other, at := range c.failedAt {
-		if now.Sub(at) >= avoidance {
-			delete(c.failedAt, other)
+	for other, until := range c.avoided {
+		if !now.Before(until) {
+			delete(c.avoided, other)
 		}
 	}
-	c.failedAt[address] = now
+	c.avoided[address] = now.Add(avoid)
 }
--- a/lib/mirror/rpcmirror/choice_test.go
+++ b/lib/mirror/rpcmirror/choice_test.go
@@ -21,7 +21,7 @@
 			So(c.pick([]string{"near", "far"}, now), ShouldEqual, "near")
 		})
 		Convey("one that failed is passed over for a while", func() {
-			c.failed("near", now)
+			c.failed("near", now, avoidance)
 			So(c.pick([]string{"near", "far"}, now), ShouldEqual, "far")
 			So(c.pick([]string{"near", "far"}, now.Add(avoidance)), ShouldEqual, "near")
 		})
@@ -32,7 +32,7 @@
 				at := now.Add(time.Duration(i) * 500 * time.Millisecond)
 				address := c.pick([]string{"a", "b", "c"}, at)
 				asked[address]++
-				c.failed(address, at)
+				c.failed(address, at, avoidance)
 			}
 			So(asked, ShouldResemble, map[string]int{"a": 3, "b": 3, "c": 3})
 		})
--- a/lib/mirror/rpcmirror/rpcmirror.go
+++ b/lib/mirror/rpcmirror/rpcmirror.go
@@ -30,7 +30,8 @@
 	states := s.Driver.Newer(ctx, mirror.Since{
 		Instance: request.GetInstance(), Sequences: request.GetKnown(), Revisions: request.GetRevisions(),
 	}, wait)
-	response := &laburnumgwv1.PullResponse{ConfirmedMsAgo: s.Driver.Age().Milliseconds(), Direct: s.Driver.Direct(), Instance: s.Driver.Instance()}
+	response := &laburnumgwv1.PullResponse{ConfirmedMsAgo: s.Driver.Age().Milliseconds(), Direct: s.Driver.Direct(), Instance: s.Driver.Instance(),
+		SoundMs: s.Driver.Sound().Milliseconds()}
 	for _, state := range states {
 		kind := &laburnumgwv1.KindState{
 			Kind: state.Kind, Revision: state.Revision, Sequence: state.Sequence, Full: state.Full, Removed: state.Removed,
@@ -85,6 +86,8 @@
 	// peers returns the addresses of the neighbours, the preferred ones first.
 	peers  func() []string
 	choice choice
+	// asked is the neighbour that was asked last.
+	asked string
 }
 
 // NewClient returns a client that asks the neighbours that peers returns.
@@ -92,6 +95,15 @@
 	return &Client{conns: conns, peers: peers}
 }
 
+// NewSeedClient returns a client that asks processes at fixed addresses in turn, or nil when
+// there are none.
+func NewSeedClient(conns *rpc.Pool, addresses []string) mirror.Neighbours {
+	if len(addresses) == 0 {
+		return nil
+	}
+	return NewClient(conns, func() []string { return addresses })
+}
+
 // Pull implements mirror.Neighbours. It asks the next neighbour at the next call when one
 // does not answer.
 func (c *Client) Pull(ctx context.Context, since mirror.Since, wait time.Duration) (mirror.Pulled, error) {
@@ -99,13 +111,17 @@
 	if peer == "" {
 		return mirror.Pulled{}, errkind.New(errkind.Unavailable, "wait until the store names other processes", "no neighbour is known")
 	}
+	c.asked = peer
 	pulled, err := c.pull(ctx, peer, since, wait)
 	if err != nil {
-		c.choice.failed(peer, time.Now())
+		c.choice.failed(peer, time.Now(), avoidance)
 	}
 	return pulled, err
 }
 
+// Unreliable implements mirror.Neighbours.
+func (c *Client) Unreliable() { c.choice.failed(c.asked, time.Now(), detour) }
+
 func (c *Client) pull(ctx context.Context, address string, since mirror.Since, wait time.Duration) (mirror.Pulled, error) {
 	response, err := rpc.Ask(ctx, c.conns, address, wait+pullSlack, laburnumgwv1.NewMirrorClient, laburnumgwv1.MirrorClient.Pull,
 		&laburnumgwv1.PullRequest{
@@ -114,7 +130,8 @@
 	if err != nil {
 		return mirror.Pulled{}, fmt.Errorf("pull from %s: %w", address, err)
 	}
-	pulled := mirror.Pulled{Age: time.Duration(response.GetConfirmedMsAgo()) * time.Millisecond, Direct: response.GetDirect(), Instance: response.GetInstance()}
+	pulled := mirror.Pulled{Age: time.Duration(response.GetConfirmedMsAgo()) * time.Millisecond, Direct: response.GetDirect(), Instance: response.GetInstance(),
+		Sound: time.Duration(response.GetSoundMs()) * time.Millisecond}
 	for _, kind := range response.GetKinds() {
 		state := mirror.State{
 			Kind: kind.GetKind(), Revision: kind.GetRevision(), Sequence: kind.GetSequence(), Full: kind.GetFull(), Removed: kind.GetRemoved(),
