Divide what a cold worker bears among the entries that send to it

Each entry heard the reports of 28 random workers of 138 and sent to all.

Now a worker has a subset of entries by rendezvous, seven tenths of its bound long and mostly of its own zone, that may send once a second each and hear its reports. Others are guests, each allowed in a random second, a tenth of the bound on average, behind all others, and not while the list calls the worker cold. With fewer entries than the bound nothing changes.

lib/senders tests the sums for 1 to 340 entries, also while a tenth of them is new to half of the others; the code before is max(1, 26/35) an entry, 35 in all.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -36,10 +36,6 @@
 	// farReports is the number of reports of which one goes to the other zones, since
 	// bytes between zones are dear.
 	farReports = 3
-	// nearEntries is the number of entries of the own availability zone that hear the
-	// reports of a worker, and farEntries that of each other one.
-	nearEntries = 12
-	farEntries  = 4
 	// pullWait is how long an entry waits for a change of what this process mirrors, and
 	// staleAfter the age from which on it is not relied on.
 	pullWait   = 2 * time.Second
--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -14,6 +14,7 @@
 	"laburnumgw/lib/catalog"
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/rendezvous"
+	"laburnumgw/lib/senders"
 	"laburnumgw/platform"
 )
 
@@ -76,6 +77,7 @@
 			return
 		}
 		v.snapshot = snapshot
+		v.targets = nil
 	case platform.KindWorkers:
 		worker, err := platform.DecodeWorker(name, value)
 		if change.Deleted || err != nil {
@@ -196,30 +198,48 @@
 	near, far []string
 }
 
-// reportTargets returns the entries that hear this worker's reports: those of the own
-// zone, and those of the others. Each entry hears about as many workers as the next.
+// reportTargets returns the entries that hear this worker's reports, which are those that
+// send to it: the entries of the own zone, and the others.
 func (v *view) reportTargets() targets {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.targets != nil {
 		return *v.targets
 	}
-	zones := make(map[string][]string)
-	for _, entry := range v.entries {
-		zones[entry.Zone] = append(zones[entry.Zone], entry.Address)
-	}
-	v.targets = new(targets)
-	for _, zone := range slices.Sorted(maps.Keys(zones)) {
-		ranked := rendezvous.Rank("reports/"+v.settings.IP, zones[zone])
-		if zone == v.settings.Zone {
-			v.targets.near = ranked[:min(nearEntries, len(ranked))]
-		} else {
-			v.targets.far = append(v.targets.far, ranked[:min(farEntries, len(ranked))]...)
-		}
+	zones := make(map[string]string, len(v.entries))
+	for name, entry := range v.entries {
+		zones[name] = entry.Zone
 	}
+	near, far := senders.NewFleet(zones).Members(v.settings.Worker, v.settings.Zone, v.senders())
+	v.targets = &targets{near: v.addresses(near), far: v.addresses(far)}
 	return *v.targets
 }
 
+// senders returns the number of entries that send to the worker. The caller holds the lock.
+func (v *view) senders() int {
+	if v.snapshot == nil {
+		return senders.Unbounded
+	}
+	service := v.snapshot.Service(v.settings.Service)
+	if service == nil || service.ColdPerSecond <= 0 {
+		return senders.Unbounded
+	}
+	bounds := v.settings.Bounds
+	bound := service.ColdPerSecond*bounds.ColdOverage + bounds.ColdSlack
+	if float64(len(v.entries)) <= bound {
+		return senders.Unbounded
+	}
+	return senders.Size(bound)
+}
+
+func (v *view) addresses(names []string) []string {
+	list := make([]string, 0, len(names))
+	for _, name := range names {
+		list = append(list, v.entries[name].Address)
+	}
+	return list
+}
+
 // patience returns how long a start waits for the entries of its availability zone, all of
 // which may read the store before.
 func (v *view) patience() time.Duration {
--- a/endpoint/hosted/view_test.go
+++ b/endpoint/hosted/view_test.go
@@ -23,7 +23,7 @@
 	var views []*view
 	for zone := range zones {
 		for w := range workersPerZone {
-			v := newView(&platform.Settings{IP: fmt.Sprintf("10.%d.1.%d", zone, w), Zone: zoneName(zone)}, zap.NewNop())
+			v := newView(&platform.Settings{IP: fmt.Sprintf("10.%d.1.%d", zone, w), Worker: fmt.Sprintf("10.%d.1.%d", zone, w) + ":8000", Zone: zoneName(zone)}, zap.NewNop())
 			for other := range zones {
 				for e := range entriesPerZone {
 					name := fmt.Sprintf("front-%d-%d", other, e)
--- a/entry/hosted/neighbours.go
+++ b/entry/hosted/neighbours.go
@@ -9,6 +9,7 @@
 
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/rendezvous"
+	"laburnumgw/lib/senders"
 	"laburnumgw/platform"
 )
 
@@ -53,9 +54,19 @@
 		return
 	}
 	v.entries[change.Object.Name] = entry
+}
+
+// entriesChanged divides the limits of the deployment anew. The caller holds the lock.
+func (v *view) entriesChanged() {
+	zones := map[string]string{v.settings.VM: v.settings.Zone}
+	for name, entry := range v.entries {
+		zones[name] = entry.Zone
+	}
+	v.fleet = senders.NewFleet(zones)
 	for _, state := range v.services {
 		v.configureService(state.config)
 	}
+	v.feedAll()
 }
 
 // mirrorKey ranks entries, and availability zones, by who mirrors from whom.
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -18,6 +18,7 @@
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/routing"
+	"laburnumgw/lib/senders"
 	"laburnumgw/platform"
 )
 
@@ -65,6 +66,7 @@
 	// started again under another name is listed with its former self.
 	byAddress map[string][]*worker
 	entries   map[string]platform.Entry
+	fleet     senders.Fleet
 	out       map[string]bool
 	versions  map[string][]namedVersion
 	sequence  uint64
@@ -96,6 +98,10 @@
 	// misdirected is set from when the address answers for another worker until the entry
 	// in the list changes.
 	misdirected bool
+	// share is this entry's share of what the worker bears; shared is cleared when it has to
+	// be computed again.
+	share  senders.Share
+	shared bool
 }
 
 func newView(settings *platform.Settings, metrics *entryMetrics, log *zap.Logger) *view {
@@ -126,6 +132,9 @@
 		}
 	}
 	v.listed[kind] = true
+	if kind == platform.KindEntries {
+		v.entriesChanged()
+	}
 }
 
 func (v *view) configChanged(change mirror.Change) {
@@ -192,13 +201,33 @@
 		settings.QueueLength = engineQueue
 	}
 	if config.ColdPerSecond > 0 {
-		bounds := v.settings.Bounds
-		share := (config.ColdPerSecond*bounds.ColdOverage + bounds.ColdSlack) / v.entryCount()
-		settings.ArrivalsPerSecond = max(1, int(share))
+		settings.ArrivalsPerSecond = max(1, int(coldBound(config, v.settings.Bounds)/v.entryCount()))
 	}
 	return settings
 }
 
+// coldBound returns the requests that a cold worker of a service bears in a second.
+func coldBound(config *catalog.Service, bounds platform.Bounds) float64 {
+	return config.ColdPerSecond*bounds.ColdOverage + bounds.ColdSlack
+}
+
+// share sets this entry's share of what a worker bears in a second. The caller holds the
+// lock.
+func (v *view) share(state *service, w *worker) {
+	if state.config.ColdPerSecond <= 0 {
+		return
+	}
+	if !w.shared {
+		w.shared = true
+		w.share = v.fleet.Of(v.settings.VM, v.settings.Zone, w.Address, w.Zone, coldBound(state.config, v.settings.Bounds), minEntries)
+	}
+	share := w.share
+	if w.Cold > 0 {
+		share.Guest = 0
+	}
+	state.table.SetShare(w.ID, share)
+}
+
 func (v *view) workerChanged(change mirror.Change) {
 	id := change.Object.Name
 	known := v.workers[id]
@@ -225,6 +254,7 @@
 	v.unindex(known)
 	known.Worker = decoded
 	known.misdirected = false
+	known.shared = false
 	v.byAddress[known.Address] = append(v.byAddress[known.Address], known)
 	if isNew || wasLeaving != decoded.Leaving || wasVersion != decoded.Weights.Version {
 		v.log.Info("worker changed", zap.String("vm", id), zap.String("service", decoded.Service), zap.String("zone", decoded.Zone),
@@ -347,6 +377,7 @@
 
 func (v *view) feedAll() {
 	for _, id := range slices.Sorted(maps.Keys(v.workers)) {
+		v.workers[id].shared = false
 		v.feed(v.workers[id])
 	}
 }
@@ -371,6 +402,7 @@
 	}
 	state.table.ReportReceived(report, now)
 	state.table.SetClosing(w.ID, w.closes(now))
+	v.share(state, w)
 	if v.replaced(w) {
 		state.table.SetLiveness(w.ID, routing.Dead)
 	}
--- a/lib/routing/endpoint.go
+++ b/lib/routing/endpoint.go
@@ -42,6 +42,11 @@
 	// entry; zero for no pause. Trying is set while one request tries it afterwards.
 	pausedUntil time.Duration
 	trying      bool
+	// share bounds the requests of this entry in a second where shared is set; a guest has
+	// none and takes its turn with a probability.
+	shared bool
+	share  int32
+	guest  float64
 	// triedIn and affinityIn are the queries in which the endpoint was marked as
 	// tried, and in which affinity is the matched share of the request's prefixes.
 	triedIn    uint64
--- a/lib/routing/filters.go
+++ b/lib/routing/filters.go
@@ -73,10 +73,6 @@
 	return e.closesAt == 0 || q.elapsed+q.request.Duration <= e.closesAt
 }
 
-func hasArrivals(q *query, e *endpoint, _ *candidate) bool {
-	return e.arrivals.count(q.elapsed) < q.arrivals
-}
-
 func hasAdapter(q *query, e *endpoint, _ *candidate) bool {
 	return slices.Contains(e.adapters, q.request.Adapter)
 }
--- a/lib/routing/query.go
+++ b/lib/routing/query.go
@@ -32,6 +32,7 @@
 	bound   float64
 	// arrivals is the limit of requests to one endpoint in a second; zero for none.
 	arrivals    int
+	salt        uint64
 	queueLength float64
 	members     []member
 	candidates  []candidate
@@ -67,6 +68,7 @@
 	q.elapsed = t.elapsed(now)
 	q.bound = t.settings.AffinityBound
 	q.arrivals = t.settings.ArrivalsPerSecond
+	q.salt = t.salt
 	q.queueLength = float64(t.settings.QueueLength)
 	q.members = nil
 	q.candidates = q.candidates[:0]
--- /dev/null
+++ b/lib/routing/share.go
@@ -0,0 +1,57 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"laburnumgw/lib/senders"
+)
+
+// SetShare replaces ArrivalsPerSecond for one endpoint.
+func (t *Table) SetShare(vm string, share senders.Share) {
+	if e := t.endpoints[vm]; e != nil {
+		e.shared = true
+		e.share = int32(share.PerSecond)
+		e.guest = share.Guest
+	}
+}
+
+// isGuest reports whether this entry is no regular sender of the endpoint.
+func (e *endpoint) isGuest() bool { return e.shared && e.share == 0 }
+
+// hasArrivals holds this entry's share of what an endpoint bears in a second.
+func hasArrivals(q *query, e *endpoint, _ *candidate) bool {
+	switch {
+	case !e.shared:
+		return e.arrivals.count(q.elapsed) < q.arrivals
+	case e.isGuest():
+		return e.guestTurn(q.elapsed, q.salt) && e.arrivals.count(q.elapsed) == 0
+	}
+	return e.arrivals.count(q.elapsed) < int(e.share)
+}
+
+// guestTurn reports whether a guest may send in the second of a time. Each entry draws for
+// itself, so that the guests of an endpoint are few in any second.
+func (e *endpoint) guestTurn(now time.Duration, salt uint64) bool {
+	if e.guest <= 0 {
+		return false
+	}
+	second := uint64(now / time.Second)
+	draw := xxhash.Sum64String(e.vm) ^ salt ^ second*0x9E3779B97F4A7C15
+	draw ^= draw >> 29
+	draw *= 0xBF58476D1CE4E5B9
+	draw ^= draw >> 32
+	return float64(draw>>11)/(1<<53) < e.guest
+}
+
+// scoreGuests prefers the endpoints that hear from this entry regularly: their reports come
+// here, and their bound has a share for it.
+func scoreGuests(q *query) {
+	penalty := max(otherRegionPenalty*q.meanScore, 2*minDistancePenalty)
+	for i := range q.candidates {
+		if c := &q.candidates[i]; c.endpoint.isGuest() {
+			c.score += penalty
+		}
+	}
+}
--- a/lib/routing/table.go
+++ b/lib/routing/table.go
@@ -75,9 +75,11 @@
 
 // Table holds the endpoints known to one entry. It is not safe for concurrent use.
 type Table struct {
-	settings  Settings
-	policy    policy
-	rng       *rand.Rand
+	settings Settings
+	policy   policy
+	rng      *rand.Rand
+	// salt makes the draws of this table independent of those of others.
+	salt      uint64
 	endpoints map[string]*endpoint
 	pools     map[poolKey]*pool
 	zones     map[string]Zone
@@ -95,6 +97,7 @@
 func New(settings Settings, rng *rand.Rand) (*Table, error) {
 	t := &Table{
 		rng:       rng,
+		salt:      rng.Uint64(),
 		endpoints: map[string]*endpoint{},
 		pools:     map[poolKey]*pool{},
 		prefixes:  newPrefixIndex(),
--- /dev/null
+++ b/lib/senders/senders_test.go
@@ -0,0 +1,106 @@
+package senders
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// entries returns a number of entries spread over zones.
+func entries(count, zones int) map[string]string {
+	list := make(map[string]string, count)
+	for i := range count {
+		list[fmt.Sprintf("front-%03d", i)] = fmt.Sprintf("zone-%d", i%zones)
+	}
+	return list
+}
+
+// sum returns what all entries may send to a worker in a second, and what guests send on
+// average, when each entry knows what the function returns.
+func sum(all map[string]string, known func(entry string) Fleet, worker, zone string, bound float64) (regular int, guests float64) {
+	for entry, entryZone := range all {
+		share := known(entry).Of(entry, entryZone, worker, zone, bound, 4)
+		regular += share.PerSecond
+		guests += share.Guest
+	}
+	return regular, guests
+}
+
+// Guards against shares of a cold worker's bound that sum up to more than the bound: with
+// one request a second for each of 35 entries, a worker that bears 26 got 28.
+func TestSharesStayWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 340).Draw(t, "entries")
+		zones := rapid.IntRange(1, 7).Draw(t, "zones")
+		bound := rapid.Float64Range(5, 80).Draw(t, "bound")
+		worker := fmt.Sprintf("10.0.0.%d:80", rapid.IntRange(0, 250).Draw(t, "worker"))
+		zone := fmt.Sprintf("zone-%d", rapid.IntRange(0, 7).Draw(t, "zone"))
+		all := entries(count, zones)
+		whole := NewFleet(all)
+		regular, guests := sum(all, func(string) Fleet { return whole }, worker, zone, bound)
+		if float64(regular) > bound || float64(regular)+guests > bound {
+			t.Fatalf("%d and %g of %g", regular, guests, bound)
+		}
+		if regular == 0 {
+			t.Fatal("nobody may send")
+		}
+	})
+}
+
+// Guards against shares that depend on what all entries know at the same time: a tenth of
+// them is new, and half of the others have not heard of these yet.
+func TestSharesStayWithinTheBoundWhileEntriesJoin(t *testing.T) {
+	for _, count := range []int{35, 42, 149, 207, 340} {
+		all := entries(count, 5)
+		before := entries(count*9/10, 5)
+		whole, old := NewFleet(all), NewFleet(before)
+		for w := range 200 {
+			i := 0
+			regular, guests := sum(all, func(entry string) Fleet {
+				i++
+				if _, known := before[entry]; known && i%2 == 0 {
+					return old
+				}
+				return whole
+			}, fmt.Sprintf("10.0.0.%d:80", w), "zone-1", 26)
+			if float64(regular)+guests > 26 {
+				t.Fatalf("%d entries: %d and %g of 26", count, regular, guests)
+			}
+		}
+	}
+}
+
+// Guards against entries that hear from few workers or none, and against workers that are
+// sent to by few entries of their own zone.
+func TestSubsetsAreEven(t *testing.T) {
+	Convey("Given 149 entries before 138 workers in 5 zones", t, func() {
+		all := entries(149, 5)
+		fleet := NewFleet(all)
+		workers := make(map[string]int)
+		for w := range 138 {
+			worker, zone := fmt.Sprintf("10.0.%d.%d:80", w%5, w), fmt.Sprintf("zone-%d", w%5)
+			near, far := fleet.Members(worker, zone, Size(26))
+			So(len(near)+len(far), ShouldEqual, Size(26))
+			So(len(near), ShouldBeGreaterThan, len(far))
+			for _, entry := range append(near, far...) {
+				workers[entry]++
+				So(fleet.Of(entry, all[entry], worker, zone, 26, 4).PerSecond, ShouldEqual, 1)
+			}
+		}
+		So(workers, ShouldHaveLength, 149)
+		for _, n := range workers {
+			So(n, ShouldBeBetween, 5, 40)
+		}
+	})
+	Convey("A zone without entries is sent to from the others", t, func() {
+		near, far := NewFleet(entries(60, 3)).Members("w", "zone-9", 18)
+		So(near, ShouldBeEmpty)
+		So(far, ShouldHaveLength, 18)
+	})
+	Convey("Few entries share the bound evenly", t, func() {
+		fleet := NewFleet(entries(8, 3))
+		So(fleet.Of("front-000", "zone-0", "w", "zone-1", 59, 4), ShouldResemble, Share{PerSecond: 7})
+	})
+}
