Bound the prompts that wait at an engine

Cause: an engine that comes back empty from a change of weights has the lowest load of all, so every entry fills its places at once.

An entry now leaves no more prompt tokens unanswered at an engine than its part of what the engine reads in half of the shortest objective; one request may always wait. The figures come from the route and the engine's description.

Ruled out: more exchanges of bitmaps and more upload slots (versions are whole 3.8 s after they are named, where the link needs 3.0).

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -117,6 +117,7 @@
 		query.Model = c.serviceName
 		query.Duration = engine.Duration(c.in.PromptTokens, c.in.ExpectedTokens)
 		query.Tokens = c.tokens()
+		query.PromptTokens = int64(c.in.PromptTokens)
 	} else {
 		query.Service = c.serviceName
 	}
@@ -164,7 +165,7 @@
 	c.view.mu.Lock()
 	tracked := c.service.table.AttemptSent(decision, c.query(number, "", nil), started)
 	c.view.mu.Unlock()
-	ended, load := c.exchange(ctx, decision, tracked)
+	ended, load := c.exchange(ctx, decision, &tracked)
 	result := routing.Result{Outcome: ended.Outcome, Sent: ended.Sent, Load: load}
 	if ctx.Err() != nil {
 		// The caller left or its time is over, which says nothing about the endpoint.
@@ -182,7 +183,7 @@
 }
 
 // exchange sends the request to one worker and relays its answer.
-func (c *call) exchange(ctx context.Context, decision routing.Decision, tracked routing.Attempt) (retry.Attempt, *laburnumgwv1.Load) {
+func (c *call) exchange(ctx context.Context, decision routing.Decision, tracked *routing.Attempt) (retry.Attempt, *laburnumgwv1.Load) {
 	begin := c.beginPatience(decision)
 	request := &workerconn.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, Patience: begin,
@@ -214,9 +215,8 @@
 		// The worker changed its weights after it was chosen and did not refuse.
 		return c.ended(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", errOtherWeights), load
 	case c.route.Kind == catalog.Stream && response.StatusCode == http.StatusOK:
-		c.view.accepted(c.service, tracked)
 		c.weightVersion = answer.WeightVersion
-		err = c.relayStream(response, answer, begin, c.patience(decision.VM))
+		err = c.relayStream(response, answer, begin, c.patience(decision.VM), func() { c.view.accepted(c.service, tracked) })
 	default:
 		return c.relayWhole(response, answer), load
 	}
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -91,9 +91,9 @@
 	}
 }
 
-// relayStream passes the whole events of a stream on as they arrive. It returns nil when
-// the stream is complete.
-func (c *call) relayStream(response *workerconn.Response, answer platform.Answer, begin, next workerconn.Patience) error {
+// relayStream passes the whole events of a stream on as they arrive, and calls began after
+// the first. It returns nil when the stream is complete.
+func (c *call) relayStream(response *workerconn.Response, answer platform.Answer, begin, next workerconn.Patience, began func()) error {
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
 	var pending []byte
@@ -116,6 +116,10 @@
 				return err
 			}
 			pending = append(pending[:0], pending[whole:]...)
+			if began != nil {
+				began()
+				began = nil
+			}
 			patience, since = next, time.Now()
 		}
 		if err != nil {
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -46,6 +46,9 @@
 	reportReorder = time.Second
 	// minEntries is assumed while the entries of the deployment are not known.
 	minEntries = 4
+	// promptPart is the part of an objective in which an engine reads the prompts that wait.
+	// The rest is for prompts of other entries and for the first tokens.
+	promptPart = 0.5
 	// budgetReserve is the part of the shared limits that is used, because clocks and
 	// windows of the entries differ.
 	budgetReserve = 0.8
@@ -58,10 +61,13 @@
 	metrics  *entryMetrics
 	snapshot atomic.Pointer[catalog.Snapshot]
 
-	mu       sync.Mutex
-	rng      *rand.Rand
-	services map[string]*service
-	workers  map[string]*worker
+	mu sync.Mutex
+	// configuring is the snapshot that services are configured from, which is put in force
+	// when all are.
+	configuring *catalog.Snapshot
+	rng         *rand.Rand
+	services    map[string]*service
+	workers     map[string]*worker
 	// byAddress holds the workers of each address. There are two while a worker that has
 	// started again under another name is listed with its former self.
 	byAddress map[string][]*worker
@@ -150,6 +156,7 @@
 		v.log.Error("older configuration ignored", zap.Int64("version", next.Version), zap.Int64("in_force", current.Version))
 		return
 	}
+	v.configuring = next
 	for _, config := range next.Services() {
 		if config.Origin == nil {
 			v.configureService(config)
@@ -199,6 +206,7 @@
 	}
 	if config.Engine != nil {
 		settings.QueueLength = engineQueue
+		settings.PromptsWaiting = v.promptsWaiting(config)
 	}
 	if config.ColdPerSecond > 0 {
 		settings.ArrivalsPerSecond = max(1, int(coldBound(config, v.settings.Bounds)/v.entryCount()))
@@ -206,6 +214,24 @@
 	return settings
 }
 
+// promptsWaiting returns this entry's share of the prompt tokens that an engine reads within
+// a part of the shortest objective of its routes. The caller holds the lock.
+func (v *view) promptsWaiting(config *catalog.Service) int64 {
+	objective := v.objective(config.Name)
+	inTime := promptPart * objective.Seconds() * config.Engine.PromptPerSecond
+	near := max(len(v.zoneEntries(v.settings.Zone)), 1)
+	return int64(inTime / min(float64(near), float64(senders.Unbounded)))
+}
+
+// objective returns the shortest objective of the routes to a service.
+func (v *view) objective(service string) time.Duration {
+	snapshot := v.configuring
+	if snapshot == nil {
+		return 0
+	}
+	return snapshot.Objective(service)
+}
+
 // coldBound returns the requests that a cold worker of a service bears in a second.
 func coldBound(config *catalog.Service, bounds platform.Bounds) float64 {
 	return config.ColdPerSecond*bounds.ColdOverage + bounds.ColdSlack
@@ -352,7 +378,7 @@
 }
 
 // accepted notes that a worker has begun to answer an attempt.
-func (v *view) accepted(state *service, attempt routing.Attempt) {
+func (v *view) accepted(state *service, attempt *routing.Attempt) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	state.table.AttemptAccepted(attempt)
--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -205,6 +205,22 @@
 // Service returns a service, or nil.
 func (s *Snapshot) Service(name string) *Service { return s.services[name] }
 
+// Objective returns the shortest objective of the routes to a service, or zero without one.
+func (s *Snapshot) Objective(service string) time.Duration {
+	shortest := time.Duration(0)
+	for _, list := range s.routes {
+		for _, route := range list {
+			if route.Objective <= 0 || (shortest > 0 && route.Objective >= shortest) {
+				continue
+			}
+			if slices.ContainsFunc(route.Backends, func(b Backend) bool { return b.Service == service }) {
+				shortest = route.Objective
+			}
+		}
+	}
+	return shortest
+}
+
 // Services returns all services.
 func (s *Snapshot) Services() []*Service {
 	list := make([]*Service, 0, len(s.services))
--- a/lib/routing/endpoint.go
+++ b/lib/routing/endpoint.go
@@ -29,6 +29,9 @@
 	// own and ownTokens count this entry's running attempts.
 	own       int32
 	ownTokens int64
+	// prompts counts the prompt tokens of this entry's attempts that the endpoint has not
+	// begun to answer.
+	prompts int64
 	// others estimates the load that other entries cause; othersSmooth averages it
 	// over the last observations.
 	others       float64
--- a/lib/routing/filters.go
+++ b/lib/routing/filters.go
@@ -21,6 +21,7 @@
 	FilterArrivals Filter = "arrivals_used_up"
 	FilterClosing  Filter = "closes_too_soon"
 	FilterPaused   Filter = "asked_for_a_pause"
+	FilterPrompts  Filter = "prompts_waiting"
 )
 
 // filter removes candidates.
@@ -54,6 +55,8 @@
 	closingFilter = filter{FilterClosing, endsInTime}
 	// pausedFilter removes endpoints that have asked this entry for a pause.
 	pausedFilter = filter{FilterPaused, notPaused}
+	// promptFilter removes endpoints that still read prompts of this entry.
+	promptFilter = filter{FilterPrompts, readsInTime}
 	// suspectFilter applies while at least one endpoint is not suspect.
 	suspectFilter = filter{FilterSuspect, notSuspect}
 )
--- a/lib/routing/pause.go
+++ b/lib/routing/pause.go
@@ -12,7 +12,11 @@
 }
 
 // AttemptAccepted records that the endpoint has begun to answer an attempt, before its end.
-func (t *Table) AttemptAccepted(a Attempt) {
+func (t *Table) AttemptAccepted(a *Attempt) {
+	if a.endpoint != nil {
+		a.endpoint.prompts -= a.prompt
+		a.prompt = 0
+	}
 	if a.trial && a.endpoint != nil && a.incarnation == a.endpoint.incarnation {
 		a.endpoint.endTrial(true)
 	}
--- a/lib/routing/pause_test.go
+++ b/lib/routing/pause_test.go
@@ -66,7 +66,7 @@
 			_, err = pick(table, now)
 			So(err, ShouldNotBeNil)
 			Convey("accepted", func() {
-				table.AttemptAccepted(trial)
+				table.AttemptAccepted(&trial)
 				_, err = pick(table, now)
 				So(err, ShouldBeNil)
 			})
--- a/lib/routing/pick.go
+++ b/lib/routing/pick.go
@@ -66,6 +66,9 @@
 	if q.full > 0 {
 		q.apply(&roomFilter)
 	}
+	if t.settings.PromptsWaiting > 0 {
+		q.apply(&promptFilter)
+	}
 	if q.suspect > 0 && !q.applyUnlessLast(&suspectFilter) {
 		reason = ReasonSuspect
 	}
--- /dev/null
+++ b/lib/routing/prompts.go
@@ -0,0 +1,7 @@
+package routing
+
+// readsInTime reports whether the endpoint will read the prompt soon enough, as far as this
+// entry's own requests tell. One request may always wait.
+func readsInTime(q *query, e *endpoint, _ *candidate) bool {
+	return e.prompts <= 0 || e.prompts+q.request.PromptTokens <= q.promptsWaiting
+}
--- a/lib/routing/query.go
+++ b/lib/routing/query.go
@@ -31,13 +31,15 @@
 	elapsed time.Duration
 	bound   float64
 	// arrivals is the limit of requests to one endpoint in a second; zero for none.
-	arrivals    int
-	salt        uint64
-	queueLength float64
-	members     []member
-	candidates  []candidate
-	counts      FilterCounts
-	detail      []Candidate
+	arrivals int
+	salt     uint64
+	// promptsWaiting is the limit of prompt tokens that wait at one endpoint.
+	promptsWaiting int64
+	queueLength    float64
+	members        []member
+	candidates     []candidate
+	counts         FilterCounts
+	detail         []Candidate
 	// near holds the indices of the candidates with a score near the best one.
 	near []int
 	// suspect, ejected, failing, closing and paused count the candidates in these states, and
@@ -69,6 +71,7 @@
 	q.bound = t.settings.AffinityBound
 	q.arrivals = t.settings.ArrivalsPerSecond
 	q.salt = t.salt
+	q.promptsWaiting = t.settings.PromptsWaiting
 	q.queueLength = float64(t.settings.QueueLength)
 	q.members = nil
 	q.candidates = q.candidates[:0]
--- a/lib/routing/request.go
+++ b/lib/routing/request.go
@@ -23,6 +23,8 @@
 	Idempotent bool
 	// Tokens estimates the work of the request; zero when unknown.
 	Tokens int64
+	// PromptTokens is the length of the prompt; zero when unknown.
+	PromptTokens int64
 	// Prefixes holds the hashes of the prompt's prefixes, the longest first.
 	Prefixes []uint64
 	// Tried names the VMs that earlier attempts of the request were sent to.
@@ -105,7 +107,9 @@
 	// incarnation is that of the endpoint when the attempt was sent.
 	incarnation Incarnation
 	tokens      int64
-	probe       bool
+	// prompt is the length of the prompt until the endpoint begins to answer.
+	prompt int64
+	probe  bool
 	// trial is set when the attempt tries an endpoint after the pause that it asked for.
 	trial bool
 	sent  time.Time
--- a/lib/routing/table.go
+++ b/lib/routing/table.go
@@ -37,6 +37,11 @@
 	// second; zero for no bound. It is this entry's share of what an endpoint bears while
 	// it is cold, and always holds, because an endpoint may turn cold without notice.
 	ArrivalsPerSecond int
+	// PromptsWaiting bounds the prompt tokens of this entry at one endpoint that has not
+	// begun to answer them; zero for no bound. One request may always wait. An endpoint
+	// reads prompts one after the other, so that many sent at once, as to one that has just
+	// come back empty, are answered late.
+	PromptsWaiting int64
 	// RetryAfter is returned with refusals; zero for DefaultRetryAfter.
 	RetryAfter time.Duration
 }
@@ -275,7 +280,8 @@
 	if e == nil {
 		return Attempt{}
 	}
-	a := Attempt{endpoint: e, incarnation: e.incarnation, tokens: r.Tokens, sent: now}
+	a := Attempt{endpoint: e, incarnation: e.incarnation, tokens: r.Tokens, prompt: r.PromptTokens, sent: now}
+	e.prompts += r.PromptTokens
 	e.own++
 	e.ownTokens += r.Tokens
 	if t.settings.ArrivalsPerSecond > 0 {
@@ -316,6 +322,7 @@
 	}
 	e.own--
 	e.ownTokens -= a.tokens
+	e.prompts -= a.prompt
 	if a.incarnation != e.incarnation {
 		return
 	}
