Watch the store when a neighbour is gone, and date versions by the neighbour

Cause: a process whose neighbour was gone held off from the store while the last answer was young, and counted its own probes as answers, so that it never watched.

Hold-off now goes by what neighbours have passed on. Objects keep the time at which the neighbour learnt of them, from which a version's bound counts. The margin is 0.9 s: 0.3 s, 0.4 s in which most requests begin, and 0.2 s of lateness.

TestFollowerWatchesTheStoreWhenItsNeighbourIsGone and TestVersionLearntLateIsDatedByTheNeighbour fail on the code before.

--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -90,10 +90,13 @@
 		if change.Deleted || err != nil || v.versions[model].version >= version {
 			return
 		}
-		since := time.Now()
-		if !v.listed[kind] {
+		since := change.Object.Learnt
+		switch {
+		case since.IsZero() && !v.listed[kind]:
 			// How long ago a version was named is not known when it is read at the start.
-			since = since.Add(-v.settings.Bounds.VersionApply)
+			since = time.Now().Add(-v.settings.Bounds.VersionApply)
+		case since.IsZero():
+			since = time.Now()
 		}
 		v.versions[model] = named{version, since}
 		v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision))
--- a/entry/hosted/call_test.go
+++ b/entry/hosted/call_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/mirror"
+	"laburnumgw/platform"
 )
 
 // inBubble runs a test in virtual time.
@@ -303,7 +305,7 @@
 		inBubble(t, func(t *testing.T, d *deployment) {
 			d.worker("llm", "w1", 1, answer)
 			d.version(2)
-			<-time.After(8*time.Second - versionMargin)
+			<-time.After(8*time.Second - versionMargin + time.Millisecond)
 			refused(t, d)
 		})
 	})
@@ -312,7 +314,7 @@
 			d.worker("llm", "w1", 1, answer)
 			d.version(2)
 			<-time.After(2 * time.Second)
-			d.front.view.suspended(6*time.Second - versionMargin)
+			d.front.view.suspended(6*time.Second - versionMargin + time.Millisecond)
 			refused(t, d)
 		})
 	})
@@ -349,6 +351,28 @@
 	}
 }
 
+// Guards against an entry that learns of a version from a neighbour a second after that did,
+// and counts the bound from then on: 22 requests began on older weights 8.1 s after a newer
+// version was named (VERSION on keg-laburnum scale-1).
+func TestVersionLearntLateIsDatedByTheNeighbour(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		d.worker("llm", "w1", 1, func(e *exchangeOnWire) { e.stream(1); e.events(1, 1); e.end() })
+		d.rev++
+		d.front.view.changed(platform.KindVersions, []mirror.Change{{Object: mirror.Object{
+			Name: "m", Revision: d.rev, Value: []byte(`{"model":"m","version":2}`), Learnt: time.Now().Add(-time.Second),
+		}}})
+		ask := func() int { return d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000").status }
+		<-time.After(7*time.Second - versionMargin - time.Millisecond)
+		if got := ask(); got != http.StatusOK {
+			t.Errorf("before the bound: %d", got)
+		}
+		<-time.After(2 * time.Millisecond)
+		if got := ask(); got != http.StatusServiceUnavailable {
+			t.Errorf("after the bound: %d", got)
+		}
+	})
+}
+
 // Guards against a worker whose address has passed to another one and that would be
 // chosen again and again until its entry lapses.
 func TestMovedWorkerIsNotAskedAgain(t *testing.T) {
@@ -596,7 +620,7 @@
 		if got := ask(); got != http.StatusOK {
 			t.Errorf("dated by other entries: %d", got)
 		}
-		<-time.After(5*time.Second - versionMargin)
+		<-time.After(5*time.Second - versionMargin + time.Millisecond)
 		if got := ask(); got != http.StatusServiceUnavailable {
 			t.Errorf("after the bound of the longest time: %d", got)
 		}
--- a/entry/hosted/versions.go
+++ b/entry/hosted/versions.go
@@ -33,11 +33,14 @@
 	if len(list) > 0 && list[len(list)-1].version >= version {
 		return
 	}
-	since := time.Now()
-	assumed := !v.listed[platform.KindVersions]
-	if assumed {
+	since := change.Object.Learnt
+	assumed := since.IsZero() && !v.listed[platform.KindVersions]
+	switch {
+	case assumed:
 		// How long ago a version was named is not known when it is read at the start.
-		since = since.Add(-v.settings.Bounds.VersionApply)
+		since = time.Now().Add(-v.settings.Bounds.VersionApply)
+	case since.IsZero():
+		since = time.Now()
 	}
 	v.versions[model] = append(list, namedVersion{version, since, change.Object.Name, change.Object.Revision, assumed})
 	v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision))
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -31,8 +31,9 @@
 	// refusalRetryAfter is when a refused caller may come back.
 	refusalRetryAfter = 300 * time.Millisecond
 	// versionMargin is how long before the bound older weights get no more requests: most
-	// requests begin within 400 ms, and the others are given up at beginMargin.
-	versionMargin = beginMargin + 400*time.Millisecond
+	// requests begin within 400 ms, the others are given up at beginMargin, and a version may
+	// be learnt 200 ms after it was named.
+	versionMargin = beginMargin + 600*time.Millisecond
 	// beginMargin is how long before the bound a request that waits at a worker with older
 	// weights is given up there.
 	beginMargin = 300 * time.Millisecond
@@ -219,8 +220,8 @@
 func (v *view) promptsWaiting(config *catalog.Service) int64 {
 	objective := v.objective(config.Name)
 	inTime := promptPart * objective.Seconds() * config.Engine.PromptPerSecond
-	near := max(len(v.zoneEntries(v.settings.Zone)), 1)
-	return int64(inTime / min(float64(near), float64(senders.Unbounded)))
+	sending := max(len(v.entries), 1)
+	return int64(inTime / min(float64(sending), float64(senders.Unbounded)))
 }
 
 // objective returns the shortest objective of the routes to a service.
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -90,9 +90,9 @@
 	Seeds Neighbours
 	// SeedWait is how long a start asks the seeds before it reads the store.
 	SeedWait time.Duration
-	// HoldOff is how old the last answer of the store may be before a process whose
-	// neighbours do not answer turns to the store; nil for at once. The neighbours may only
-	// be turning to others themselves.
+	// HoldOff is how old the last answer of the store that neighbours have passed on may be
+	// before a process turns to the store; nil for at once. The neighbours may only be
+	// turning to others themselves.
 	HoldOff func() time.Duration
 	// First names who is asked first; nil for the store.
 	First func() Source
@@ -140,6 +140,8 @@
 	kick      chan struct{}
 	// confirmedAt is the time of the last answer of the store, also through neighbours.
 	confirmedAt time.Time
+	// toldAt is the time of the last answer of the store that a neighbour has passed on.
+	toldAt time.Time
 	// cancels ends the watch that runs for a kind.
 	cancels map[string]context.CancelFunc
 }
@@ -322,7 +324,7 @@
 		if d.config.HoldOff == nil {
 			return nil
 		}
-		if left := d.config.HoldOff() - time.Since(d.confirmedAt); left > 0 {
+		if left := d.config.HoldOff() - time.Since(d.toldAt); left > 0 {
 			return after(min(left, idleWait))
 		}
 		return nil
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -33,8 +33,8 @@
 	// Revision is that of the object's last change.
 	Revision int64           `json:"revision"`
 	Value    json.RawMessage `json:"value"`
-	// Learnt is the time at which this process learnt of the revision; zero when it was
-	// read at the start, so that its age is not known.
+	// Learnt is the time at which this process, or the neighbour that it was heard from,
+	// learnt of the revision; zero when it was read at a start, so that its age is not known.
 	Learnt time.Time `json:"-"`
 }
 
@@ -236,9 +236,8 @@
 	present := make(map[string]bool, len(objects))
 	for _, object := range objects {
 		present[object.Name] = true
-		object.Learnt = now
-		if first {
-			object.Learnt = time.Time{}
+		if !first && object.Learnt.IsZero() {
+			object.Learnt = now
 		}
 		changes = k.set(changes, object)
 	}
@@ -263,7 +262,9 @@
 			changes = k.remove(changes, event.Object.Name, now)
 			continue
 		}
-		event.Object.Learnt = now
+		if event.Object.Learnt.IsZero() {
+			event.Object.Learnt = now
+		}
 		changes = k.set(changes, event.Object)
 	}
 	return changes
--- a/lib/mirror/outage_test.go
+++ b/lib/mirror/outage_test.go
@@ -36,6 +36,7 @@
 		driver := NewDriver(Config{
 			Kinds: fiveKinds, Store: f.store, Log: zap.NewNop(), Neighbours: f.leader, PullWait: 300 * time.Millisecond,
 			StaleAfter: func() time.Duration { return 1250 * time.Millisecond },
+			HoldOff:    func() time.Duration { return 1250 * time.Millisecond },
 			First:      func() Source { return NeighboursFirst },
 			Patience:   func() time.Duration { return PatienceAt(i+1, followers+1) },
 			Probing:    func() time.Duration { return ProbingAt(i + 1) },
@@ -98,6 +99,31 @@
 	})
 }
 
+// Guards against a process that holds off from the store for ever once its neighbour is gone,
+// because its own probes of the store count as answers: it had a version of weights a second
+// late, when its neighbour was back (VERSION on keg-laburnum scale-1).
+func TestFollowerWatchesTheStoreWhenItsNeighbourIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t.Context(), 2)
+		<-time.After(5 * time.Second)
+		f.leader.mu.Lock()
+		f.leader.gone = true
+		f.leader.mu.Unlock()
+		<-time.After(3 * time.Second)
+		for i := range 10 {
+			name := string(rune('b' + i))
+			f.store.put("versions", name)
+			made := time.Since(f.seen[0].began)
+			<-time.After(700 * time.Millisecond)
+			for j, seen := range f.seen {
+				if at := seen.when(name, false); at < 0 || at-made > 200*time.Millisecond {
+					t.Errorf("follower %d saw change %d at %v, made at %v", j, i, at, made)
+				}
+			}
+		}
+	})
+}
+
 // Guards against copies that begin a grace time of their own when their source ends its: a
 // worker that left after an outage was kept for both (DRAIN by 8 ms).
 func TestGraceTimeEndsWithThatOfTheSource(t *testing.T) {
--- a/lib/mirror/pull.go
+++ b/lib/mirror/pull.go
@@ -244,6 +244,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	d.toldAt = now.Add(-pulled.Age)
 	for name, kind := range d.kinds {
 		if kind.Known() {
 			d.regained(name, kind, now)
--- a/lib/mirror/rpcmirror/rpcmirror.go
+++ b/lib/mirror/rpcmirror/rpcmirror.go
@@ -68,6 +68,15 @@
 	return max(1, time.Since(object.Learnt).Milliseconds())
 }
 
+// learntAt returns when the server learnt of an object, or the zero time when it does not
+// know that.
+func learntAt(object *laburnumgwv1.MirroredObject, now time.Time) time.Time {
+	if object.GetKnownMs() <= 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(object.GetKnownMs()) * time.Millisecond)
+}
+
 // Known is how long a process has known a revision of an object.
 type Known struct {
 	Name     string
@@ -152,7 +161,7 @@
 		}
 		for _, object := range kind.GetObjects() {
 			state.Objects = append(state.Objects, mirror.Object{
-				Name: object.GetName(), Revision: object.GetRevision(), Value: object.GetValue(),
+				Name: object.GetName(), Revision: object.GetRevision(), Value: object.GetValue(), Learnt: learntAt(object, time.Now()),
 			})
 		}
 		pulled.States = append(pulled.States, state)
