--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -76,7 +76,7 @@
 	} else {
 		serve.backend = newBackend(s.ServiceURL)
 	}
-	p.grpc = newGRPCServer(keys, serve, p.peerServer(), &node{settings: s, reporter: p.reporter, configs: p.configs})
+	p.grpc = newGRPCServer(keys, serve, p.peerServer(), &node{settings: s, reporter: p.reporter, configs: p.configs}, log)
 	return p, nil
 }
 
--- a/endpoint/node.go
+++ b/endpoint/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
@@ -30,8 +31,8 @@
 	configs  *driver.Driver
 }
 
-func newGRPCServer(keys *mtls.Keys, s *server, peers *transfer.Server, n *node) *grpc.Server {
-	out := grpc.NewServer(rpc.ServerOptions(keys, nodePolicy)...)
+func newGRPCServer(keys *mtls.Keys, s *server, peers *transfer.Server, n *node, log *zap.Logger) *grpc.Server {
+	out := grpc.NewServer(append(rpc.ServerOptions(keys, nodePolicy), rpc.Recovering(log)...)...)
 	laburnumgwv1.RegisterEndpointServer(out, s)
 	laburnumgwv1.RegisterPeerServer(out, peers)
 	laburnumgwv1.RegisterNodeServer(out, n)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,7 +44,7 @@
 	c := newControl(s, conns, store, r, d, metrics, log)
 	return &Process{
 		settings: s, control: c, frontend: newFrontend(c, d, metrics, log),
-		grpc: newGRPCServer(keys, c, r), conns: conns, log: log,
+		grpc: newGRPCServer(keys, c, r, log), conns: conns, log: log,
 	}, nil
 }
 
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -96,7 +96,7 @@
 		Store: store, Seed: platform.KindEntries, Seeds: rpcmirror.NewSeedClient(conns, settings.SeedAddresses()), Neighbours: rpcmirror.NewClient(conns, v.neighbours), First: v.source, PullWait: pullWait, StaleAfter: v.staleAfter,
 		Patience: v.patience, Probing: v.probing, HoldOff: v.holdOff, Within: settings.Bounds.Shortest(), SeedWait: seedWait(settings), Changed: v.changed, Log: log,
 	})
-	p.grpc = grpc.NewServer()
+	p.grpc = grpc.NewServer(rpc.Recovering(log)...)
 	laburnumgwv1.RegisterMirrorServer(p.grpc, &rpcmirror.Server{Driver: p.mirror})
 	laburnumgwv1.RegisterDeparturesServer(p.grpc, &departuresServer{view: v})
 	return p, nil
--- a/entry/hosted/reports_test.go
+++ b/entry/hosted/reports_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
+	"pgregory.net/rapid"
 
 	"laburnumgw/lib/catalog"
 	"laburnumgw/lib/mirror"
@@ -81,3 +82,17 @@
 		So(v.routingSettings(&catalog.Service{Name: "desk"}).Policy, ShouldEqual, "random")
 	})
 }
+
+// Guards against a datagram that ends the process or changes what is believed: any machine
+// can send one.
+func TestMalformedDatagramsChangeNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := reportsView(3)
+		v.datagram(rapid.SliceOfN(rapid.Byte(), 0, maxReportBytes).Draw(t, "data"))
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		if len(v.workers) != 3 {
+			t.Fatalf("%d workers are known, want 3", len(v.workers))
+		}
+	})
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"go.uber.org/zap"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -33,8 +34,8 @@
 	routes  *routes
 }
 
-func newGRPCServer(keys *mtls.Keys, c *control, r *routes) *grpc.Server {
-	server := grpc.NewServer(rpc.ServerOptions(keys, nodePolicy)...)
+func newGRPCServer(keys *mtls.Keys, c *control, r *routes, log *zap.Logger) *grpc.Server {
+	server := grpc.NewServer(append(rpc.ServerOptions(keys, nodePolicy), rpc.Recovering(log)...)...)
 	laburnumgwv1.RegisterNodeServer(server, &node{control: c, routes: r})
 	return server
 }
