--- a/cmd/swarmbench/main.go
+++ b/cmd/swarmbench/main.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"sync/atomic"
 	"text/tabwriter"
 
 	"github.com/jessevdk/go-flags"
@@ -47,11 +48,14 @@
 
 func run(opts options) error {
 	rows := selectRows(opts)
+	fmt.Fprintf(os.Stderr, "seed %d: %d runs, %d at a time\n", opts.Seed, len(rows), max(1, opts.Parallel))
+	var done atomic.Int64
 	var group errgroup.Group
 	group.SetLimit(max(1, opts.Parallel))
 	for i := range rows {
 		group.Go(func() error {
 			rows[i].result = linkfake.NewRun(rows[i].scenario).Execute()
+			fmt.Fprintf(os.Stderr, "%d of %d done: %s, %s\n", done.Add(1), len(rows), rows[i].scenario.Name, rows[i].scenario.Policy)
 			return nil
 		})
 	}
