Draw the salt of guests with the first share

The table drew its salt from the generator that its owner passes, which moved the stream of every simulation. Load is ruled out: the test runs in virtual time and repeats. The salt is now drawn when a share is set, and the stream is the old one.

--- a/lib/routing/share.go
+++ b/lib/routing/share.go
@@ -10,6 +10,9 @@
 
 // SetShare replaces ArrivalsPerSecond for one endpoint.
 func (t *Table) SetShare(vm string, share senders.Share) {
+	if t.salt == 0 {
+		t.salt = t.rng.Uint64()
+	}
 	if e := t.endpoints[vm]; e != nil {
 		e.shared = true
 		e.share = int32(share.PerSecond)
--- a/lib/routing/table.go
+++ b/lib/routing/table.go
@@ -83,7 +83,8 @@
 	settings Settings
 	policy   policy
 	rng      *rand.Rand
-	// salt makes the draws of this table independent of those of others.
+	// salt makes the turns of this entry as a guest independent of those of other entries. It
+	// is drawn with the first share.
 	salt      uint64
 	endpoints map[string]*endpoint
 	pools     map[poolKey]*pool
@@ -102,7 +103,6 @@
 func New(settings Settings, rng *rand.Rand) (*Table, error) {
 	t := &Table{
 		rng:       rng,
-		salt:      rng.Uint64(),
 		endpoints: map[string]*endpoint{},
 		pools:     map[poolKey]*pool{},
 		prefixes:  newPrefixIndex(),
