Take over the last chunks of several lost fetchers sooner

Cause: the next in rank takes a chunk over when 3/16 of all chunks have appeared after it, or all but 1/32 at all.

Chunks that have stopped to appear, once half of them are there, now count as evidence, and a round of exchanges counts the peers that there are instead of 12.

--- a/lib/swarm/machine.go
+++ b/lib/swarm/machine.go
@@ -18,10 +18,16 @@
 	held  weights.Bitmap
 	count int
 	// holders counts the peers of the region that hold each chunk.
-	holders   []int32
-	peers     []*peer
-	byVM      map[string]*peer
-	neighbors []*peer
+	holders []int32
+	// seenCount is the number of chunks that have appeared in the region, and seenAt when
+	// the last one did.
+	seenCount int
+	seenAt    time.Duration
+	// fetchersLost is set once chunks have stopped to appear.
+	fetchersLost bool
+	peers        []*peer
+	byVM         map[string]*peer
+	neighbors    []*peer
 	// known lists the peers that hold at least one chunk.
 	known  []*peer
 	parent *peer
--- a/lib/swarm/machine_test.go
+++ b/lib/swarm/machine_test.go
@@ -201,3 +201,64 @@
 		}
 	}
 }
+
+// Guards against a version that waits for the chunks of fetchers that are gone: two of six
+// VMs of the home region were cut off at the start, and all workers became whole 10 s after
+// the naming instead of 4, two seconds after their bound (incident inc-1ac0).
+func TestLastChunksOfLostFetchersAreTakenOver(t *testing.T) {
+	const chunks, step = 96, 10 * time.Millisecond
+	const interval = 27 * time.Millisecond
+	members := peers(5)
+	for _, lost := range [][2]string{{"peer-0", "peer-1"}, {"peer-1", "peer-3"}, {"peer-2", "peer-4"}} {
+		digest := weights.Sum([]byte(lost[0] + lost[1]))
+		plan := swarm.NewPlan(digest, chunks, "a", members.Members)
+		m, err := swarm.New(swarm.Config{
+			Self: swarm.Member{VM: "self", Zone: "z", Region: "a"}, Digest: digest, Chunks: chunks, Held: weights.NewBitmap(chunks),
+			HomeRegion: "a", ChunkTime: 31 * time.Millisecond, SourceInterval: interval,
+			Limits: swarm.Limits{UploadSlots: 2, Downloads: 2, ExchangesPerSecond: 15, ExchangeBurst: 4},
+		}, rand.New(rand.NewPCG(1, 1)), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The chunks that this VM is the next one to fetch after a lost one.
+		taken := make(map[int]time.Duration)
+		for chunk := range chunks {
+			if f := plan.Fetchers("a", chunk); (f[0] == lost[0] || f[0] == lost[1]) && f[1] == "self" {
+				taken[chunk] = 0
+			}
+		}
+		pending := m.Step(0, members)
+		for now := step; now < 20*time.Second; now += step {
+			var next []swarm.Action
+			for _, f := range fetches(pending) {
+				if _, ok := taken[f.Chunk]; ok && f.From == swarm.Origin && taken[f.Chunk] == 0 {
+					taken[f.Chunk] = now
+				}
+				next = append(next, m.Step(now, swarm.ChunkDone{ID: f.ID, Result: swarm.ResultOK})...)
+			}
+			if now%(100*time.Millisecond) == 0 {
+				bitmap := weights.NewBitmap(chunks)
+				for chunk := range chunks {
+					first := plan.Fetchers("a", chunk)[0]
+					if first != lost[0] && first != lost[1] && first != "self" && now > time.Duration(chunk)*interval+200*time.Millisecond {
+						bitmap.Set(chunk)
+					}
+				}
+				for _, member := range members.Members[1:] {
+					if member.VM != lost[0] && member.VM != lost[1] {
+						next = append(next, m.Step(now, swarm.BitmapReceived{From: member.VM, Bitmap: bitmap})...)
+					}
+				}
+			}
+			pending = append(next, m.Step(now, swarm.Tick{})...)
+		}
+		if len(taken) == 0 {
+			t.Fatal("no chunk to take over")
+		}
+		for chunk, at := range taken {
+			if at == 0 || at > 6*time.Second {
+				t.Errorf("without %v, chunk %d is taken over at %v", lost, chunk, at)
+			}
+		}
+	}
+}
--- a/lib/swarm/source.go
+++ b/lib/swarm/source.go
@@ -133,10 +133,11 @@
 		return d.rank > 0 && m.starved(now, d)
 	}
 	seen, later := m.seen(d.chunk)
+	stalled := m.stalled(now, seen)
 	if d.rank == 0 {
 		return d.chunk <= seen+m.part(sourceWindowPart)
 	}
-	evidence := later >= m.part(takeoverEvidencePart) || seen >= m.cfg.Chunks-m.part(takeoverTailPart)
+	evidence := later >= m.part(takeoverEvidencePart) || seen >= m.cfg.Chunks-m.part(takeoverTailPart) || stalled
 	if !evidence && now < at+m.after(blindTakeoverChunkTimes)<<d.rank {
 		return false
 	}
@@ -155,6 +156,21 @@
 	return time.Duration(part * float64(m.cfg.SourceInterval))
 }
 
+// stalled reports whether most chunks have appeared in the region and no other has for a
+// while. When several fetchers are lost at once, too many of the last chunks are missing for
+// any of them to be the last one. What was seen once holds: the chunks that are taken over
+// appear one by one.
+func (m *Machine) stalled(now time.Duration, seen int) bool {
+	if seen != m.seenCount {
+		m.seenCount = seen
+		m.seenAt = now
+	}
+	if 2*seen >= m.cfg.Chunks && now-m.seenAt >= m.after(takeoverChunkTimes) {
+		m.fetchersLost = true
+	}
+	return m.fetchersLost
+}
+
 // part returns a part of all chunks, but at least a few.
 func (m *Machine) part(part float64) int {
 	const least = 4
@@ -164,7 +180,8 @@
 // rounds returns the time in which a VM exchanges bitmaps with each peer that it
 // selected a number of times.
 func (m *Machine) rounds(count int) time.Duration {
-	round := time.Second * time.Duration(m.cfg.Limits.Neighbors) / time.Duration(m.cfg.Limits.ExchangesPerSecond)
+	neighbors := max(1, min(m.cfg.Limits.Neighbors, len(m.known)))
+	round := time.Second * time.Duration(neighbors) / time.Duration(m.cfg.Limits.ExchangesPerSecond)
 	return time.Duration(count) * round
 }
 
