Log how long a version was known, and how long attempts waited on its weights

"version named" now has the age that the entry counts from, and "attempt ended" the wait for the first event and what was left of the time of the weights.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -86,6 +86,9 @@
 	relayed       int64
 	lastEvent     string
 	weightVersion int
+	// waited is how long the last attempt waited for its first event, and weightsLeft what was
+	// left of the time of its weights when it was sent; zero for none and for no bound.
+	waited, weightsLeft time.Duration
 	// failure is the last failure of a worker, answered when nothing better follows.
 	failure *heldAnswer
 }
@@ -161,7 +164,7 @@
 // Attempt implements dispatch.Target.
 func (c *call) Attempt(ctx context.Context, decision routing.Decision, number uint32) retry.Attempt {
 	started := time.Now()
-	c.attempts = number
+	c.attempts, c.waited, c.weightsLeft = number, 0, 0
 	c.view.mu.Lock()
 	tracked := c.service.table.AttemptSent(decision, c.query(number, "", nil), started)
 	c.view.mu.Unlock()
@@ -178,12 +181,14 @@
 	c.metrics.attempts.UpdateDuration(started)
 	c.logFor(ended.Outcome == laburnumgwv1.Outcome_OUTCOME_COMPLETE).Info("attempt ended", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
 		zap.Stringer("outcome", ended.Outcome), zap.Bool("sent", ended.Sent), zap.Int64("relayed", ended.RelayedBytes),
-		zap.Duration("duration", time.Since(started)), zap.Error(ended.Err))
+		zap.Duration("duration", time.Since(started)), zap.Duration("first_event", c.waited), zap.Duration("weights_left", c.weightsLeft),
+		zap.Error(ended.Err))
 	return ended
 }
 
 // exchange sends the request to one worker and relays its answer.
 func (c *call) exchange(ctx context.Context, decision routing.Decision, tracked *routing.Attempt) (retry.Attempt, *laburnumgwv1.Load) {
+	sentAt := time.Now()
 	begin := c.beginPatience(decision)
 	request := &workerconn.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, Patience: begin,
@@ -216,7 +221,10 @@
 		return c.ended(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", errOtherWeights), load
 	case c.route.Kind == catalog.Stream && response.StatusCode == http.StatusOK:
 		c.weightVersion = answer.WeightVersion
-		err = c.relayStream(response, answer, begin, c.patience(decision.VM), func() { c.view.accepted(c.service, tracked) })
+		err = c.relayStream(response, answer, begin, c.patience(decision.VM), func() {
+			c.waited = time.Since(sentAt)
+			c.view.accepted(c.service, tracked)
+		})
 	default:
 		return c.relayWhole(response, answer), load
 	}
@@ -283,6 +291,7 @@
 	if !bounded {
 		return patience
 	}
+	c.weightsLeft = left
 	end := time.Now().Add(left)
 	return func(time.Duration) time.Duration {
 		more := time.Until(end)
--- a/entry/hosted/versions.go
+++ b/entry/hosted/versions.go
@@ -43,7 +43,8 @@
 		since = time.Now()
 	}
 	v.versions[model] = append(list, namedVersion{version, since, change.Object.Name, change.Object.Revision, assumed})
-	v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision))
+	v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision),
+		zap.Duration("known", time.Since(since)), zap.Bool("assumed", assumed))
 	v.retireOlder(model, version, since)
 }
 
