Date changes by when they can have been made, not by when they were heard of

Cause: an entry counts the bound of old weights from when it heard of the new ones. It heard of them 0.31 and 0.41 s late or later; the record allows nothing else, as waiting requests are given up 0.3 s before the bound that the entry knows.

Now a copy knows when it was last complete, and what is found later counts as made then; after an outage of the store its end counts, as nothing is changed meanwhile. Answers say how long the neighbour held the call, and the rest of the call adds to ages. A suspension is noticed before an answer is applied.

After: no later than made, and at most the silence of the source earlier.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -65,6 +65,7 @@
 	library  *library
 	grpc     *grpc.Server
 	conns    *rpc.Pool
+	monitor  *suspend.Monitor
 	metrics  *metrics.Set
 	orders   *metrics.Counter
 	log      *zap.Logger
@@ -110,12 +111,17 @@
 		library: newLibrary(v, worker, conns, set, log), grpc: grpc.NewServer(rpc.Recovering(log)...),
 		suspensions: make(chan time.Duration, 4), openPause: newOpenPause(),
 	}
+	monitor, err := suspend.NewMonitor(p.suspended)
+	if err != nil {
+		return nil, fmt.Errorf("notice suspensions of the machine: %w", err)
+	}
+	p.monitor = monitor
 	p.mirror = mirror.NewDriver(mirror.Config{
 		Kinds: map[string]bool{
 			platform.KindConfig: false, platform.KindWorkers: true, platform.KindVersions: false, platform.KindEntries: false,
 		},
 		Store: store, Seed: platform.KindEntries, Seeds: rpcmirror.NewSeedClient(conns, settings.SeedAddresses()), Neighbours: rpcmirror.NewClient(conns, v.neighbours), PullWait: pullWait, StaleAfter: func() time.Duration { return staleAfter }, Indirect: true,
-		First: func() mirror.Source { return mirror.NeighboursFirst }, Patience: v.patience, Probing: v.probing, Within: settings.Bounds.Shortest(), HoldOff: func() time.Duration { return staleAfter }, SeedWait: seedPatience, Changed: v.changed, Log: log,
+		First: func() mirror.Source { return mirror.NeighboursFirst }, Patience: v.patience, Probing: v.probing, Within: settings.Bounds.Shortest(), HoldOff: func() time.Duration { return staleAfter }, SeedWait: seedPatience, Awake: p.awake, Changed: v.changed, Log: log,
 	})
 	laburnumgwv1.RegisterPeerServer(p.grpc, p.library.server())
 	laburnumgwv1.RegisterManifestsServer(p.grpc, &manifestServer{library: p.library})
@@ -148,7 +154,7 @@
 	go reload.Watch(ctx, os.Getenv(platform.SettingsVariable), hangups, p.reload)
 	go p.mirror.Run(ctx)
 	go func() {
-		if err := suspend.Watch(ctx, p.suspended); err != nil {
+		if err := p.monitor.Run(ctx); err != nil {
 			p.log.Error("suspensions of the machine are not noticed", zap.Error(err))
 		}
 	}()
@@ -183,13 +189,20 @@
 
 // suspended passes a suspension on to the loop that looks at the worker.
 func (p *Process) suspended(length time.Duration) {
-	p.mirror.Refresh("machine was suspended")
+	p.mirror.Suspended(length)
 	select {
 	case p.suspensions <- length:
 	default:
 	}
 }
 
+// awake notices a suspension that has just ended.
+func (p *Process) awake() {
+	if err := p.monitor.Check(); err != nil {
+		p.log.Error("suspension of the machine may not be noticed", zap.Error(err))
+	}
+}
+
 // shift moves the dates of versions back by a suspension, which the monotonic clock has
 // not counted.
 func (p *Process) shift(length time.Duration) {
--- /dev/null
+++ b/entry/hosted/dating_test.go
@@ -0,0 +1,82 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"laburnumgw/lib/mirror"
+	"laburnumgw/platform"
+)
+
+// deafStore names versions that its watches do not report.
+type deafStore struct {
+	mu      sync.Mutex
+	version int
+}
+
+func (s *deafStore) List(context.Context, string) ([]mirror.Object, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value := json.RawMessage(`{"model":"m","version":` + string(rune('0'+s.version)) + `}`)
+	return []mirror.Object{{Name: "m", Revision: int64(s.version), Value: value}}, int64(s.version), nil
+}
+
+func (s *deafStore) Revision(context.Context) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(s.version), nil
+}
+
+func (s *deafStore) Watch(ctx context.Context, _ string, after int64, _ time.Duration) ([]mirror.Event, int64, error) {
+	<-ctx.Done()
+	return nil, after, ctx.Err()
+}
+
+// Guards against requests that begin on old weights after their bound (VERSION on
+// shelfwatch-rota-grown): the entry had heard of the new ones 0.4 s late and counted the bound
+// from then on, while requests waited long at overloaded workers.
+func TestNoRequestBeginsOnOldWeightsWhenTheNewOnesAreHeardOfLate(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		var mu sync.Mutex
+		var latest time.Time
+		d.worker("llm", "w1", 1, func(e *exchangeOnWire) {
+			<-time.After(800 * time.Millisecond)
+			if _, err := e.Write([]byte("HTTP/1.1 200 OK\r\n" + idHeader + ": " + e.request.Header.Get(idHeader) + "\r\n" + sealHeader + ": seal\r\n" +
+				versionHeader + ": 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")); err != nil {
+				return
+			}
+			mu.Lock()
+			latest = time.Now()
+			mu.Unlock()
+			e.events(1, 1)
+			e.end()
+		})
+		store := &deafStore{version: 1}
+		driver := mirror.NewDriver(mirror.Config{
+			Kinds: map[string]bool{platform.KindVersions: false}, Store: store, Log: zap.NewNop(), Changed: d.front.view.changed,
+		})
+		go driver.Run(t.Context())
+		<-time.After(3 * time.Second)
+		store.mu.Lock()
+		store.version = 2
+		store.mu.Unlock()
+		named := time.Now()
+		var asking sync.WaitGroup
+		for time.Since(named) < 9*time.Second {
+			asking.Go(func() { d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000") })
+			<-time.After(100 * time.Millisecond)
+		}
+		asking.Wait()
+		mu.Lock()
+		defer mu.Unlock()
+		if began := latest.Sub(named); began > d.front.view.settings.Bounds.VersionApply || began < 4*time.Second {
+			t.Errorf("the last request began on old weights %v after new ones were named", began)
+		}
+	})
+}
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -72,6 +72,7 @@
 	store    *platform.Store
 	grpc     *grpc.Server
 	conns    *rpc.Pool
+	monitor  *suspend.Monitor
 	log      *zap.Logger
 }
 
@@ -88,13 +89,18 @@
 		settings: settings, view: v, store: store, conns: conns, log: log,
 		front: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), held: newHeldAnswers(settings.MemoryMB), metrics: metrics, log: log, detail: log.Named(telemetry.DetailName)},
 	}
+	monitor, err := suspend.NewMonitor(p.suspended)
+	if err != nil {
+		return nil, fmt.Errorf("notice suspensions of the machine: %w", err)
+	}
+	p.monitor = monitor
 	p.mirror = mirror.NewDriver(mirror.Config{
 		Kinds: map[string]bool{
 			platform.KindConfig: false, platform.KindWorkers: true, platform.KindEvacuations: false,
 			platform.KindVersions: false, platform.KindEntries: false,
 		},
 		Store: store, Seed: platform.KindEntries, Seeds: rpcmirror.NewSeedClient(conns, settings.SeedAddresses()), Neighbours: rpcmirror.NewClient(conns, v.neighbours), First: v.source, PullWait: pullWait, StaleAfter: v.staleAfter,
-		Patience: v.patience, Probing: v.probing, HoldOff: v.holdOff, Within: settings.Bounds.Shortest(), SeedWait: seedWait(settings), Changed: v.changed, Log: log,
+		Patience: v.patience, Probing: v.probing, HoldOff: v.holdOff, Within: settings.Bounds.Shortest(), SeedWait: seedWait(settings), Awake: p.awake, Changed: v.changed, Log: log,
 	})
 	p.grpc = grpc.NewServer(rpc.Recovering(log)...)
 	laburnumgwv1.RegisterMirrorServer(p.grpc, &rpcmirror.Server{Driver: p.mirror})
@@ -130,7 +136,7 @@
 	go p.catchUp(running)
 	go reload.Watch(running, os.Getenv(platform.SettingsVariable), hangups, p.reload)
 	go func() {
-		if err := suspend.Watch(running, p.suspended); err != nil {
+		if err := p.monitor.Run(running); err != nil {
 			p.log.Error("suspensions of the machine are not noticed", zap.Error(err))
 		}
 	}()
@@ -254,7 +260,14 @@
 // suspended looks at the store again after a suspension, before old beliefs are acted on.
 func (p *Process) suspended(length time.Duration) {
 	p.view.suspended(length)
-	p.mirror.Refresh("machine was suspended")
+	p.mirror.Suspended(length)
+}
+
+// awake notices a suspension that has just ended.
+func (p *Process) awake() {
+	if err := p.monitor.Check(); err != nil {
+		p.log.Error("suspension of the machine may not be noticed", zap.Error(err))
+	}
 }
 
 // stop tells the platform and the callers, still serves for a while, and finishes what
--- /dev/null
+++ b/lib/mirror/dating_test.go
@@ -0,0 +1,135 @@
+package mirror
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// learnt returns when a change of an object counts as learnt, since the record began.
+func (f *followed) learnt(name string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, change := range f.changes {
+		if change.Object.Name == name && !change.Deleted {
+			return change.Object.Learnt.Sub(f.began)
+		}
+	}
+	return -1
+}
+
+// checkDate fails unless a copy dates a change at or before the time at which it was made,
+// and at most early before that.
+func checkDate(t *testing.T, seen *followed, name string, made, early time.Duration) {
+	t.Helper()
+	at := seen.when(name, false)
+	if at < 0 {
+		t.Fatalf("%s: not seen", name)
+	}
+	if learnt := seen.learnt(name); learnt > made || learnt < made-early {
+		t.Errorf("%s: made at %v, seen at %v, dated %v", name, made, at, learnt)
+	}
+}
+
+// Guards against a bound that counts from when a process heard of a change instead of from
+// when it was made: entries that heard of new weights 0.3 and 0.4 s late sent requests that
+// began on old ones after the bound (VERSION on shelfwatch-rota-grown).
+func TestChangeIsNotDatedAfterItWasMade(t *testing.T) {
+	t.Run("made while the neighbour is lost, found by a list of the store", func(t *testing.T) {
+		for _, delay := range []time.Duration{0, 50 * time.Millisecond, 400 * time.Millisecond, time.Second} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t.Context(), 2)
+				<-time.After(5 * time.Second)
+				f.leader.mu.Lock()
+				f.leader.gone = true
+				f.leader.mu.Unlock()
+				<-time.After(delay)
+				f.store.put("versions", "b")
+				made := time.Now()
+				<-time.After(4 * time.Second)
+				for _, seen := range f.seen {
+					checkDate(t, seen, "b", made.Sub(seen.began), delay+time.Second)
+				}
+			})
+		}
+	})
+	t.Run("missed by a watch, found by a probe", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			store := newFakeStore()
+			store.put("versions", "a")
+			seen := follow(t.Context(), store, map[string]bool{"versions": false, "workers": true})
+			<-time.After(3 * time.Second)
+			store.set(func() { store.deafKind = "versions" })
+			store.put("versions", "b")
+			made := time.Since(seen.began)
+			<-time.After(4 * time.Second)
+			checkDate(t, seen, "b", made, 3*time.Second)
+		})
+	})
+	t.Run("made just before a watch begins", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			store := newFakeStore()
+			store.put("versions", "a")
+			seen := follow(t.Context(), store, map[string]bool{"versions": false})
+			<-time.After(3 * time.Second)
+			store.put("versions", "b")
+			<-time.After(batchWait / 4)
+			store.put("versions", "c")
+			made := time.Since(seen.began)
+			<-time.After(time.Second)
+			checkDate(t, seen, "c", made, batchWait)
+		})
+	})
+	t.Run("told by another neighbour, that has just started", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			// The first neighbour does not hear of the change before the other one is asked.
+			kinds, before, store := map[string]bool{"versions": false}, newFakeStore(), newFakeStore()
+			before.put("versions", "a")
+			store.put("versions", "a")
+			start := func(store *fakeStore) *Driver {
+				driver := NewDriver(Config{Kinds: kinds, Store: store, Log: zap.NewNop(), Changed: func(string, []Change) {}})
+				go driver.Run(t.Context())
+				<-time.After(100 * time.Millisecond)
+				return driver
+			}
+			n := &neighbour{driver: start(before)}
+			seen := &followed{began: time.Now()}
+			follower := NewDriver(Config{
+				Kinds: kinds, Store: before, Log: zap.NewNop(), Neighbours: n, PullWait: 300 * time.Millisecond,
+				StaleAfter: func() time.Duration { return 1250 * time.Millisecond }, First: func() Source { return NeighboursFirst }, Changed: seen.changed,
+			})
+			go follower.Run(t.Context())
+			<-time.After(5 * time.Second)
+			store.put("versions", "b")
+			made := time.Since(seen.began)
+			other := start(store)
+			n.mu.Lock()
+			n.driver = other
+			n.mu.Unlock()
+			<-time.After(2 * time.Second)
+			checkDate(t, seen, "b", made, 1250*time.Millisecond)
+		})
+	})
+}
+
+// Guards against a long outage of the store after which every change counts as made at its
+// beginning: old weights would be out of use at once. Nobody can name weights meanwhile.
+func TestChangeAfterAnOutageIsDatedByItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("versions", "a")
+		seen := follow(t.Context(), store, map[string]bool{"versions": false})
+		<-time.After(3 * time.Second)
+		store.set(func() { store.down = true })
+		<-time.After(6 * time.Second)
+		store.set(func() { store.down = false })
+		back := time.Since(seen.began)
+		store.put("versions", "b")
+		<-time.After(2 * time.Second)
+		if learnt := seen.learnt("b"); learnt < back {
+			t.Errorf("store back at %v, change dated %v", back, learnt)
+		}
+	})
+}
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -10,6 +10,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
+
+	"laburnumgw/lib/suspend"
 )
 
 const (
@@ -111,6 +113,8 @@
 	// Probing is the longest pause between two looks whether the store is back; nil for
 	// lastRetry. It grows with the number of processes that look.
 	Probing func() time.Duration
+	// Awake has a suspension of the machine noticed that has just ended; nil for none.
+	Awake func()
 	// Changed is called in order for each change. It must not block.
 	Changed func(kind string, changes []Change)
 	Log     *zap.Logger
@@ -385,11 +389,12 @@
 	d.mu.Unlock()
 	switch next {
 	case list:
+		asked := suspend.Start()
 		objects, revision, err := d.config.Store.List(ctx, name)
 		if err != nil {
 			return err
 		}
-		d.apply(name, kind, func(now time.Time) []Change { return kind.Listed(objects, revision, now) })
+		d.apply(name, kind, func(now time.Time) []Change { return kind.listedSince(objects, revision, asked, now) })
 		d.confirmed(0)
 		return nil
 	case resume:
@@ -400,15 +405,40 @@
 		d.confirmed(0)
 		return nil
 	}
+	asked := suspend.Start()
 	events, revision, err := d.config.Store.Watch(ctx, name, after, watchWait)
 	if err != nil {
 		return err
 	}
-	d.apply(name, kind, func(now time.Time) []Change { return kind.Watched(events, revision, now) })
+	received := time.Now()
+	// Events that were made before the watch, or lay unread during a suspension, are not new.
+	late := asked.Elapsed() < batchWait || asked.Suspended() >= suspend.Shortest
+	d.apply(name, kind, func(now time.Time) []Change {
+		learnt := received
+		if late {
+			learnt = kind.Missed(received)
+		}
+		for i := range events {
+			events[i].Object.Learnt = learnt
+		}
+		changes := kind.Watched(events, revision, now)
+		if len(events) > 0 {
+			kind.CompleteAt(received)
+		}
+		return changes
+	})
 	return nil
 }
 
+// listedSince applies the full list of a revision that was asked for at a time.
+func (k *Kind) listedSince(objects []Object, revision int64, asked suspend.Stopwatch, now time.Time) []Change {
+	changes := k.Listed(objects, revision, now)
+	k.CompleteAt(now.Add(-asked.Elapsed()))
+	return changes
+}
+
 func (d *Driver) apply(name string, kind *Kind, change func(time.Time) []Change) {
+	d.awake()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -424,6 +454,25 @@
 	}
 }
 
+// awake has suspensions of the machine noticed before an answer is applied that may have
+// lain unread meanwhile.
+func (d *Driver) awake() {
+	if d.config.Awake != nil {
+		d.config.Awake()
+	}
+}
+
+// Suspended moves what is dated back by a suspension of the machine, and reads all kinds
+// again.
+func (d *Driver) Suspended(length time.Duration) {
+	d.mu.Lock()
+	for _, kind := range d.kinds {
+		kind.Suspended(length)
+	}
+	d.mu.Unlock()
+	d.Refresh("machine was suspended")
+}
+
 // regained logs the end of an outage. The caller holds the lock.
 func (d *Driver) regained(name string, kind *Kind, now time.Time) {
 	if outage := kind.Failing(now); outage > 0 {
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -33,8 +33,10 @@
 	// Revision is that of the object's last change.
 	Revision int64           `json:"revision"`
 	Value    json.RawMessage `json:"value"`
-	// Learnt is the time at which this process, or the neighbour that it was heard from,
-	// learnt of the revision; zero when it was read at a start, so that its age is not known.
+	// Learnt is when this process, or the one that it was heard from, learnt of the revision
+	// while it was kept up to date. For a revision that was missed and found later it is the
+	// last time before at which the copy was complete, so that bounds that count from it are
+	// not overrun. It is zero when the revision was read at a start and its age is not known.
 	Learnt time.Time `json:"-"`
 }
 
@@ -74,6 +76,8 @@
 	graceEnds time.Time
 	// soundSince is when the store began to answer without a break, here or at the source.
 	soundSince time.Time
+	// completeAt is the last time at which the copy is known to have held every change.
+	completeAt time.Time
 }
 
 // departure is an object that was removed. The revision is that of the kind when it was.
@@ -176,6 +180,27 @@
 	}
 }
 
+// CompleteAt notes that the copy held every change at a time.
+func (k *Kind) CompleteAt(at time.Time) {
+	if at.After(k.completeAt) {
+		k.completeAt = at
+	}
+}
+
+// Missed returns the earliest time at which a change that is found now can have been made.
+func (k *Kind) Missed(now time.Time) time.Time {
+	if k.completeAt.IsZero() || k.completeAt.After(now) {
+		return now
+	}
+	return k.completeAt
+}
+
+// Suspended moves what is dated back by a suspension of the machine, which the monotonic
+// clock has not counted.
+func (k *Kind) Suspended(length time.Duration) {
+	k.completeAt = k.completeAt.Add(-length)
+}
+
 // Failed notes that no source answered.
 func (k *Kind) Failed(now time.Time) {
 	if !k.failing {
@@ -217,12 +242,15 @@
 	}
 	k.soundSince = now.Add(-sound)
 	k.failing = false
+	// Nothing is changed while the store answers nobody.
+	k.CompleteAt(k.soundSince)
 }
 
 // Listed applies the full list of a revision. A list that is older than what is known
 // is ignored.
 func (k *Kind) Listed(objects []Object, revision int64, now time.Time) []Change {
 	k.Answered(0, now)
+	missed := k.Missed(now)
 	if revision < k.revision {
 		return nil
 	}
@@ -237,7 +265,7 @@
 	for _, object := range objects {
 		present[object.Name] = true
 		if !first && object.Learnt.IsZero() {
-			object.Learnt = now
+			object.Learnt = missed
 		}
 		changes = k.set(changes, object)
 	}
@@ -249,7 +277,8 @@
 	return changes
 }
 
-// Watched applies the events up to a revision.
+// Watched applies the events up to a revision. Those that do not say when they were learnt
+// have just been made.
 func (k *Kind) Watched(events []Event, revision int64, now time.Time) []Change {
 	k.Answered(0, now)
 	if revision < k.revision {
--- a/lib/mirror/probe.go
+++ b/lib/mirror/probe.go
@@ -6,6 +6,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
+
+	"laburnumgw/lib/suspend"
 )
 
 // probe compares the revision of the store with what the watches have delivered. It does
@@ -17,12 +19,14 @@
 		if d.spared() {
 			continue
 		}
+		asked := suspend.Start()
 		revision, err := d.config.Store.Revision(ctx)
 		if err != nil {
 			d.lost(err)
 			continue
 		}
 		d.found()
+		d.complete(revision, asked)
 		d.confirmed(0)
 		if len(d.behind(revision)) == 0 || !sleep(ctx, probeGrace) {
 			continue
@@ -41,6 +45,20 @@
 	}
 }
 
+// complete notes that no kind that is known up to the revision of the store, which was asked
+// for at a time, misses a change.
+func (d *Driver) complete(revision int64, asked suspend.Stopwatch) {
+	d.awake()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at := time.Now().Add(-asked.Elapsed())
+	for _, kind := range d.kinds {
+		if kind.Known() && !kind.failing && kind.Revision() >= revision {
+			kind.CompleteAt(at)
+		}
+	}
+}
+
 // behind returns the kinds that are not known up to a revision. A change of another kind
 // is no reason to believe that nothing was missed. A kind that was not read yet, or whose
 // source has failed, is not behind: it waits for neighbours or for its own list.
@@ -59,6 +77,7 @@
 // verify lists a kind, whose watch may be deaf. A list is the only answer that cannot be.
 func (d *Driver) verify(ctx context.Context, name string) {
 	kind := d.kinds[name]
+	asked := suspend.Start()
 	objects, revision, err := d.config.Store.List(ctx, name)
 	if err != nil {
 		return // the watch or the next probe notices an outage
@@ -68,7 +87,7 @@
 	d.mu.Unlock()
 	changed := false
 	d.apply(name, kind, func(now time.Time) []Change {
-		changes := kind.Listed(objects, revision, now)
+		changes := kind.listedSince(objects, revision, asked, now)
 		changed = len(changes) > 0
 		return changes
 	})
--- a/lib/mirror/pull.go
+++ b/lib/mirror/pull.go
@@ -241,6 +241,7 @@
 
 // heardFrom ends the outage of all kinds: the neighbour has told what has changed of each.
 func (d *Driver) heardFrom(pulled Pulled) {
+	d.awake()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -294,9 +295,24 @@
 			if state.Full {
 				return kind.Listed(state.Objects, state.Revision, now)
 			}
-			return kind.Watched(eventsOf(state), state.Revision, now)
+			events := eventsOf(state)
+			for i := range events {
+				if events[i].Object.Learnt.IsZero() {
+					// The neighbour does not know how old the change is.
+					events[i].Object.Learnt = kind.Missed(now)
+				}
+			}
+			return kind.Watched(events, state.Revision, now)
 		})
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at := time.Now().Add(-pulled.Age)
+	for _, kind := range d.kinds {
+		if kind.Known() {
+			kind.CompleteAt(at)
+		}
+	}
 }
 
 func eventsOf(state State) []Event {
--- a/lib/mirror/rpcmirror/rpcmirror.go
+++ b/lib/mirror/rpcmirror/rpcmirror.go
@@ -14,6 +14,7 @@
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/rpc"
+	"laburnumgw/lib/suspend"
 )
 
 // pullSlack is added to the time that a neighbour may wait.
@@ -34,6 +35,7 @@
 
 // Pull implements the Mirror service.
 func (s *Server) Pull(ctx context.Context, request *laburnumgwv1.PullRequest) (*laburnumgwv1.PullResponse, error) {
+	began := suspend.Start()
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxWait)
 	states := s.Driver.Newer(ctx, mirror.Since{
 		Instance: request.GetInstance(), Sequences: request.GetKnown(), Revisions: request.GetRevisions(),
@@ -51,6 +53,7 @@
 		}
 		response.Kinds = append(response.Kinds, kind)
 	}
+	response.HeldMs = began.Elapsed().Milliseconds()
 	if proto.Size(response) >= compressFrom {
 		// It fails only for a client that does not read the encoding.
 		if err := grpc.SetSendCompressor(ctx, gzip.Name); err != nil {
@@ -68,13 +71,20 @@
 	return max(1, time.Since(object.Learnt).Milliseconds())
 }
 
-// learntAt returns when the server learnt of an object, or the zero time when it does not
-// know that.
-func learntAt(object *laburnumgwv1.MirroredObject, now time.Time) time.Time {
+// learntAt returns when the server learnt of an object that it told at a time, or the zero
+// time when it does not know that.
+func learntAt(object *laburnumgwv1.MirroredObject, told time.Time) time.Time {
 	if object.GetKnownMs() <= 0 {
 		return time.Time{}
 	}
-	return now.Add(-time.Duration(object.GetKnownMs()) * time.Millisecond)
+	return told.Add(-time.Duration(object.GetKnownMs()) * time.Millisecond)
+}
+
+// onTheWay returns how long ago an answer may have been given: the time of the call in which
+// the server did not hold it. A large answer takes long on a narrow link, and one that
+// arrives at a machine that is suspended lies unread.
+func onTheWay(call suspend.Stopwatch, response *laburnumgwv1.PullResponse) time.Duration {
+	return max(0, call.Elapsed()-time.Duration(response.GetHeldMs())*time.Millisecond)
 }
 
 // Known is how long a process has known a revision of an object.
@@ -87,16 +97,18 @@
 // Ages asks one process how long it has known the objects of a kind. Objects whose age it
 // does not know are left out.
 func Ages(ctx context.Context, conns *rpc.Pool, address, kind string) ([]Known, error) {
+	call := suspend.Start()
 	response, err := rpc.Ask(ctx, conns, address, pullSlack, laburnumgwv1.NewMirrorClient, laburnumgwv1.MirrorClient.Pull,
 		&laburnumgwv1.PullRequest{Known: map[string]int64{kind: -1}})
 	if err != nil {
 		return nil, fmt.Errorf("ask %s: %w", address, err)
 	}
+	way := onTheWay(call, response)
 	var ages []Known
 	for _, state := range response.GetKinds() {
 		for _, object := range state.GetObjects() {
 			if object.GetKnownMs() > 0 {
-				ages = append(ages, Known{object.GetName(), object.GetRevision(), time.Duration(object.GetKnownMs()) * time.Millisecond})
+				ages = append(ages, Known{object.GetName(), object.GetRevision(), way + time.Duration(object.GetKnownMs())*time.Millisecond})
 			}
 		}
 	}
@@ -146,6 +158,7 @@
 func (c *Client) Unreliable() { c.choice.failed(c.asked, time.Now(), detour) }
 
 func (c *Client) pull(ctx context.Context, address string, since mirror.Since, wait time.Duration) (mirror.Pulled, error) {
+	call := suspend.Start()
 	response, err := rpc.Ask(ctx, c.conns, address, wait+pullSlack, laburnumgwv1.NewMirrorClient, laburnumgwv1.MirrorClient.Pull,
 		&laburnumgwv1.PullRequest{
 			Instance: since.Instance, Known: since.Sequences, Revisions: since.Revisions, WaitMs: int32(wait.Milliseconds()),
@@ -153,7 +166,9 @@
 	if err != nil {
 		return mirror.Pulled{}, fmt.Errorf("pull from %s: %w", address, err)
 	}
-	pulled := mirror.Pulled{Age: time.Duration(response.GetConfirmedMsAgo()) * time.Millisecond, Direct: response.GetDirect(), Instance: response.GetInstance(),
+	way := onTheWay(call, response)
+	told := time.Now().Add(-way)
+	pulled := mirror.Pulled{Age: way + time.Duration(response.GetConfirmedMsAgo())*time.Millisecond, Direct: response.GetDirect(), Instance: response.GetInstance(),
 		Sound: time.Duration(response.GetSoundMs()) * time.Millisecond}
 	for _, kind := range response.GetKinds() {
 		state := mirror.State{
@@ -161,7 +176,7 @@
 		}
 		for _, object := range kind.GetObjects() {
 			state.Objects = append(state.Objects, mirror.Object{
-				Name: object.GetName(), Revision: object.GetRevision(), Value: object.GetValue(), Learnt: learntAt(object, time.Now()),
+				Name: object.GetName(), Revision: object.GetRevision(), Value: object.GetValue(), Learnt: learntAt(object, told),
 			})
 		}
 		pulled.States = append(pulled.States, state)
--- a/lib/mirror/rpcmirror/rpcmirror_test.go
+++ b/lib/mirror/rpcmirror/rpcmirror_test.go
@@ -88,3 +88,60 @@
 		t.Errorf("%d bytes sent for a value of %d", got, len(value))
 	}
 }
+
+// slowWay answers at once, and has its answers under way for a while.
+type slowWay struct {
+	laburnumgwv1.UnimplementedMirrorServer
+	told atomic.Pointer[time.Time]
+}
+
+func (s *slowWay) Pull(context.Context, *laburnumgwv1.PullRequest) (*laburnumgwv1.PullResponse, error) {
+	now := time.Now()
+	s.told.Store(&now)
+	return &laburnumgwv1.PullResponse{ConfirmedMsAgo: 0, Direct: true, Kinds: []*laburnumgwv1.KindState{{
+		Kind: "versions", Revision: 7, Full: true, Objects: []*laburnumgwv1.MirroredObject{{Name: "m", Revision: 7, KnownMs: 1}},
+	}}}, nil
+}
+
+func (s *slowWay) delay(ctx context.Context, request any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+	response, err := handler(ctx, request)
+	<-time.After(30 * time.Millisecond)
+	return response, err
+}
+
+// Guards against the age of new weights that counts from when an answer was read instead of
+// from when it was given: an answer that lay unread while the machine stood still for 5.9 s
+// made an entry use old weights 5.9 s too long.
+func TestTimeOnTheWayCountsForTheAge(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var slow slowWay
+	server := grpc.NewServer(grpc.UnaryInterceptor(slow.delay))
+	laburnumgwv1.RegisterMirrorServer(server, &slow)
+	go func() { _ = server.Serve(listener) }()
+	defer server.Stop()
+	conns := rpc.NewPlainPool()
+	defer conns.Close()
+	client := NewClient(conns, func() []string { return []string{listener.Addr().String()} })
+	asked := time.Now()
+	pulled, err := client.Pull(t.Context(), mirror.Since{Sequences: map[string]int64{"versions": -1}}, 5*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	learnt, told := pulled.States[0].Objects[0].Learnt, *slow.told.Load()
+	if learnt.After(told) || learnt.Before(asked.Add(-5*time.Millisecond)) {
+		t.Errorf("told %v after the call, dated %v after it", told.Sub(asked), learnt.Sub(asked))
+	}
+	if read := time.Now(); pulled.Age < read.Sub(told)-5*time.Millisecond {
+		t.Errorf("state of %v ago has an age of %v", read.Sub(told), pulled.Age)
+	}
+	ages, err := Ages(t.Context(), conns, listener.Addr().String(), "versions")
+	if err != nil || len(ages) != 1 {
+		t.Fatal(ages, err)
+	}
+	if since := time.Since(*slow.told.Load()); ages[0].For < since-5*time.Millisecond {
+		t.Errorf("known for %v, which was told %v ago", ages[0].For, since)
+	}
+}
--- /dev/null
+++ b/lib/suspend/stopwatch_test.go
@@ -0,0 +1,40 @@
+package suspend
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against an answer that lay unread during a suspension and is applied before the
+// suspension is noticed: it counts as new.
+func TestCheckNoticesASuspensionAtOnce(t *testing.T) {
+	var boot, monotonic time.Duration
+	var reported []time.Duration
+	monitor, err := newMonitor(func() (time.Duration, time.Duration, error) { return boot, monotonic, nil },
+		func(length time.Duration) { reported = append(reported, length) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, step := range []struct{ boot, monotonic time.Duration }{
+		{time.Second, time.Second}, {Shortest - 1, 0}, {1, 0}, {6 * time.Second, 10 * time.Millisecond}, {time.Second, time.Second},
+	} {
+		boot, monotonic = boot+step.boot, monotonic+step.monotonic
+		if err := monitor.Check(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(reported) != 2 || reported[0] != Shortest || reported[1] != 6*time.Second-10*time.Millisecond {
+		t.Errorf("reported %v", reported)
+	}
+}
+
+func TestStopwatchCountsMonotonicTimeAtLeast(t *testing.T) {
+	watch := Start()
+	before := time.Since(watch.began)
+	if elapsed := watch.Elapsed(); elapsed < before {
+		t.Errorf("elapsed %v, of which %v on the monotonic clock", elapsed, before)
+	}
+	if suspended := watch.Suspended(); suspended < 0 || suspended >= Shortest {
+		t.Errorf("suspended for %v", suspended)
+	}
+}
--- a/lib/suspend/suspend.go
+++ b/lib/suspend/suspend.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -14,25 +15,54 @@
 const (
 	// interval separates two comparisons of the clocks.
 	interval = 250 * time.Millisecond
-	// shortest is the shortest suspension that is reported. Clocks that are read one
-	// after the other differ by scheduling delays.
-	shortest = 400 * time.Millisecond
+	// Shortest is the shortest suspension that is noticed. Clocks that are read one after the
+	// other differ by scheduling delays.
+	Shortest = 400 * time.Millisecond
 )
 
 // clock returns the time since boot with suspensions, and without them.
 type clock func() (boot, monotonic time.Duration, err error)
 
-// Watch calls suspended with the length of each suspension until the context ends.
-func Watch(ctx context.Context, suspended func(length time.Duration)) error {
-	return watch(ctx, system, suspended)
+// Monitor notices suspensions.
+type Monitor struct {
+	read      clock
+	suspended func(length time.Duration)
+
+	mu sync.Mutex
+	// known is the length of all suspensions that were noticed.
+	known time.Duration
+}
+
+// NewMonitor returns a monitor that calls suspended with the length of each suspension.
+func NewMonitor(suspended func(length time.Duration)) (*Monitor, error) {
+	return newMonitor(system, suspended)
 }
 
-func watch(ctx context.Context, read clock, suspended func(length time.Duration)) error {
+func newMonitor(read clock, suspended func(length time.Duration)) (*Monitor, error) {
 	boot, monotonic, err := read()
+	if err != nil {
+		return nil, err
+	}
+	return &Monitor{read: read, suspended: suspended, known: boot - monotonic}, nil
+}
+
+// Check notices a suspension that has ended. It returns when suspended has.
+func (m *Monitor) Check() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	boot, monotonic, err := m.read()
 	if err != nil {
 		return err
 	}
-	known := boot - monotonic
+	if gap := boot - monotonic - m.known; gap >= Shortest {
+		m.known += gap
+		m.suspended(gap)
+	}
+	return nil
+}
+
+// Run checks at intervals until the context ends.
+func (m *Monitor) Run(ctx context.Context) error {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
@@ -41,17 +71,42 @@
 			return nil
 		case <-ticker.C:
 		}
-		boot, monotonic, err := read()
-		if err != nil {
+		if err := m.Check(); err != nil {
 			return err
 		}
-		if gap := boot - monotonic - known; gap >= shortest {
-			known += gap
-			suspended(gap)
-		}
 	}
 }
 
+// Stopwatch measures a time that counts suspensions.
+type Stopwatch struct {
+	began time.Time
+	boot  time.Duration
+}
+
+// Start returns a stopwatch that runs from now on.
+func Start() Stopwatch {
+	return Stopwatch{began: time.Now(), boot: sinceBoot()}
+}
+
+// Elapsed returns the time since the start, suspensions included.
+func (s Stopwatch) Elapsed() time.Duration {
+	return max(time.Since(s.began), sinceBoot()-s.boot)
+}
+
+// Suspended returns the part of the time since the start in which the machine was suspended.
+func (s Stopwatch) Suspended() time.Duration {
+	return max(0, sinceBoot()-s.boot-time.Since(s.began))
+}
+
+// sinceBoot returns the time since boot, or zero where the clock cannot be read.
+func sinceBoot() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		return 0
+	}
+	return time.Duration(now.Nano())
+}
+
 func system() (boot, monotonic time.Duration, err error) {
 	var now unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
--- a/lib/suspend/suspend_test.go
+++ b/lib/suspend/suspend_test.go
@@ -21,14 +21,18 @@
 			return monotonic + time.Duration(slept.Load()), monotonic, nil
 		}
 		var reported []time.Duration
+		monitor, err := newMonitor(read, func(length time.Duration) { reported = append(reported, length) })
+		if err != nil {
+			t.Fatal(err)
+		}
 		done := make(chan error, 1)
-		go func() { done <- watch(ctx, read, func(length time.Duration) { reported = append(reported, length) }) }()
+		go func() { done <- monitor.Run(ctx) }()
 		<-time.After(2 * time.Second)
 		synctest.Wait()
 		slept.Store(int64(4 * time.Second))
 		<-time.After(2 * time.Second)
 		synctest.Wait()
-		slept.Add(int64(shortest / 2))
+		slept.Add(int64(Shortest / 2))
 		<-time.After(2 * time.Second)
 		cancel()
 		if err := <-done; err != nil {
@@ -43,7 +47,7 @@
 func TestSystemClocksAreRead(t *testing.T) {
 	boot, monotonic, err := system()
 	// The clocks are read one after the other, so equal ones may differ by that time.
-	if err != nil || boot < monotonic-shortest {
+	if err != nil || boot < monotonic-Shortest {
 		t.Fatalf("boot %v, monotonic %v: %v", boot, monotonic, err)
 	}
 }
