Count suspensions in the ages that neighbours are told

Kind.Suspended moved only completeAt. Object.Learnt and Driver.confirmedAt stood still, so that known_ms and confirmed_ms_ago were short by each suspension of the one that tells them. The test failed before: 'version named 4.3s ago is told as 300ms old', 'last answer of the store 4.6s ago, told as 600ms'.

--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -469,6 +469,7 @@
 	for _, kind := range d.kinds {
 		kind.Suspended(length)
 	}
+	d.confirmedAt, d.toldAt = d.confirmedAt.Add(-length), d.toldAt.Add(-length)
 	d.mu.Unlock()
 	d.Refresh("machine was suspended")
 }
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -199,6 +199,14 @@
 // clock has not counted.
 func (k *Kind) Suspended(length time.Duration) {
 	k.completeAt = k.completeAt.Add(-length)
+	for _, objects := range []map[string]Object{k.objects, k.held} {
+		for name, object := range objects {
+			if !object.Learnt.IsZero() {
+				object.Learnt = object.Learnt.Add(-length)
+				objects[name] = object
+			}
+		}
+	}
 }
 
 // Failed notes that no source answered.
