Let a first copy be as old as its source

The first answer of a neighbour called Answered on an unknown kind, which noted the copy as complete now, whatever the age of the state; so did the first list of the store, at its arrival. The test failed before: 'made at -1s, seen at 100ms, dated 10ms'.

--- a/lib/mirror/age_test.go
+++ b/lib/mirror/age_test.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,3 +35,44 @@
 		}
 	})
 }
+
+// told is a neighbour that gives fixed answers, then none.
+type told struct{ answers []Pulled }
+
+func (n *told) Unreliable() {}
+
+func (n *told) Pull(context.Context, Since, time.Duration) (Pulled, error) {
+	if len(n.answers) == 0 {
+		return Pulled{}, errDown
+	}
+	next := n.answers[0]
+	n.answers = n.answers[1:]
+	<-time.After(10 * time.Millisecond)
+	return next, nil
+}
+
+// Guards against a start that takes a state of some age from a neighbour and counts as complete
+// at once: new weights that were named meanwhile and found later counted from the start.
+func TestFirstCopyIsAsOldAsItsSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("versions", "a")
+		first := State{Kind: "versions", Revision: 2, Sequence: 1, Full: true, Objects: []Object{object("a", 2)}}
+		<-time.After(time.Second)
+		store.put("versions", "b")
+		made := time.Now()
+		<-time.After(time.Second)
+		seen := &followed{began: time.Now()}
+		driver := NewDriver(Config{
+			Kinds: map[string]bool{"versions": false}, Store: store, Log: zap.NewNop(), PullWait: 300 * time.Millisecond,
+			Neighbours: &told{answers: []Pulled{{Instance: 1, Direct: true, Age: 1200 * time.Millisecond, Sound: time.Minute, States: []State{first}}}},
+			StaleAfter: func() time.Duration { return 1250 * time.Millisecond }, HoldOff: func() time.Duration { return 1250 * time.Millisecond },
+			First: func() Source { return NeighboursFirst }, Changed: seen.changed,
+		})
+		go driver.pull(t.Context())
+		<-time.After(100 * time.Millisecond)
+		go driver.follow(t.Context(), "versions")
+		<-time.After(3 * time.Second)
+		checkDate(t, seen, "b", made.Sub(seen.began), 2*time.Second)
+	})
+}
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -249,9 +249,11 @@
 		k.graceEnds = now.Add(lapseGrace - sound)
 	}
 	k.soundSince = now.Add(-sound)
+	if k.failing {
+		// Nothing is changed while the store answers nobody.
+		k.CompleteAt(k.soundSince)
+	}
 	k.failing = false
-	// Nothing is changed while the store answers nobody.
-	k.CompleteAt(k.soundSince)
 }
 
 // Listed applies the full list of a revision. A list that is older than what is known
--- a/lib/mirror/pull.go
+++ b/lib/mirror/pull.go
@@ -272,6 +272,7 @@
 		}
 		d.apply(state.Kind, kind, func(now time.Time) []Change {
 			changes := kind.Listed(state.Objects, state.Revision, now)
+			kind.CompleteAt(now.Add(-pulled.Age))
 			kind.Failed(now.Add(-pulled.Age))
 			return changes
 		})
