Take no neighbour for complete that has not read every kind

A neighbour that has started again answers as soon as it has read one kind. Its answers advanced the completeness of all kinds of the copy. The test failed before: 'made at 15ms, seen at 40ms, dated 30ms'.

--- a/lib/mirror/age_test.go
+++ b/lib/mirror/age_test.go
@@ -76,3 +76,30 @@
 		checkDate(t, seen, "b", made.Sub(seen.began), 2*time.Second)
 	})
 }
+
+// Guards against a neighbour that has just started and has not read the versions yet, whose
+// answers counted as proof that none was missed.
+func TestNeighbourThatKnowsNoVersionsDoesNotMakeACopyComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		seen := &followed{began: began}
+		full := State{Kind: "versions", Revision: 2, Sequence: 1, Full: true, Objects: []Object{object("a", 2)}}
+		news := State{Kind: "versions", Revision: 3, Sequence: 2, Objects: []Object{object("b", 3)}}
+		driver := NewDriver(Config{
+			Kinds: map[string]bool{"versions": false}, Store: newFakeStore(), Log: zap.NewNop(), PullWait: 300 * time.Millisecond,
+			Neighbours: &told{answers: []Pulled{
+				{Instance: 1, Direct: true, Sound: time.Minute, States: []State{full}},
+				{Instance: 2, Direct: true},
+				{Instance: 2, Direct: true},
+				{Instance: 2, Direct: true, Sound: 10 * time.Millisecond, States: []State{news}},
+			}},
+			StaleAfter: func() time.Duration { return 1250 * time.Millisecond }, HoldOff: func() time.Duration { return time.Minute },
+			First: func() Source { return NeighboursFirst }, Changed: seen.changed,
+		})
+		go driver.pull(t.Context())
+		<-time.After(15 * time.Millisecond) // the second neighbour answers 5 ms later
+		made := time.Now()
+		<-time.After(2 * time.Second)
+		checkDate(t, seen, "b", made.Sub(began), time.Second)
+	})
+}
--- a/lib/mirror/pull.go
+++ b/lib/mirror/pull.go
@@ -306,6 +306,9 @@
 			return kind.Watched(events, state.Revision, now)
 		})
 	}
+	if pulled.Sound == 0 {
+		return // the neighbour has not read every kind, so that this copy may miss changes of one
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	at := time.Now().Add(-pulled.Age)
