Bound weights before a version that was skipped

An object tells the newest version of a model only. An entry that started between two versions 2 s apart, or missed the first, counted the bound of the weights before both from the second, up to their distance too long. Now a version that was skipped counts as named when the copy was last complete, or long ago at a start.

Before: 'answer of weights two versions back: 200', 'after the bound of the version that was missed: 200'.

--- /dev/null
+++ b/entry/hosted/skipped_test.go
@@ -0,0 +1,59 @@
+package hosted
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"laburnumgw/lib/mirror"
+	"laburnumgw/platform"
+)
+
+// Guards against old weights that count from the newest version, though one between was named
+// earlier and this entry has never heard of it: it has started after, or was out of touch. An
+// object tells the newest version only.
+func TestWeightsBeforeAVersionThatWasSkippedAreOutOfUseInTime(t *testing.T) {
+	name := func(d *deployment, version int, learnt, complete time.Time) {
+		d.rev++
+		d.front.view.changed(platform.KindVersions, []mirror.Change{{Missed: complete, Object: mirror.Object{
+			Name: "m", Revision: d.rev, Value: json.RawMessage(fmt.Sprintf(`{"model":"m","version":%d}`, version)), Learnt: learnt,
+		}}})
+	}
+	ask := func(t *testing.T, d *deployment) int {
+		return d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000").status
+	}
+	t.Run("named before a start", func(t *testing.T) {
+		inBubble(t, func(t *testing.T, d *deployment) {
+			d.front.view.listed[platform.KindVersions] = false
+			d.worker("llm", "w1", 1, func(e *exchangeOnWire) { e.stream(1); e.events(1, 1); e.end() })
+			// Version 2 was named at an unknown time before.
+			name(d, 3, time.Now().Add(-time.Second), time.Time{})
+			if got := ask(t, d); got != http.StatusServiceUnavailable {
+				t.Errorf("answer of weights two versions back: %d", got)
+			}
+			d.worker("llm", "w2", 2, func(e *exchangeOnWire) { e.stream(2); e.events(1, 1); e.end() })
+			if got := ask(t, d); got != http.StatusOK {
+				t.Errorf("answer of weights one version back: %d", got)
+			}
+		})
+	})
+	t.Run("missed", func(t *testing.T) {
+		inBubble(t, func(t *testing.T, d *deployment) {
+			d.worker("llm", "w1", 1, func(e *exchangeOnWire) { e.stream(1); e.events(1, 1); e.end() })
+			name(d, 1, time.Now(), time.Now())
+			<-time.After(20 * time.Second)
+			complete := time.Now()
+			<-time.After(3 * time.Second)
+			name(d, 3, time.Now(), complete)
+			if got := ask(t, d); got != http.StatusOK {
+				t.Errorf("before the bound of the version that was missed: %d", got)
+			}
+			<-time.After(time.Until(complete.Add(8*time.Second - versionMargin + time.Millisecond)))
+			if got := ask(t, d); got != http.StatusServiceUnavailable {
+				t.Errorf("after the bound of the version that was missed: %d", got)
+			}
+		})
+	})
+}
--- a/entry/hosted/versions.go
+++ b/entry/hosted/versions.go
@@ -42,6 +42,18 @@
 	case since.IsZero():
 		since = time.Now()
 	}
+	if last := len(list) - 1; version > 1 && (last < 0 || list[last].version < version-1) {
+		// The object tells the newest version only, and those between were named before it.
+		skipped := time.Now().Add(-v.settings.Bounds.VersionApply)
+		if !change.Missed.IsZero() && change.Missed.After(skipped) {
+			skipped = change.Missed
+		}
+		if since.Before(skipped) {
+			skipped = since
+		}
+		list = append(list, namedVersion{version: version - 1, since: skipped})
+		defer v.retireOlder(model, version-1, skipped)
+	}
 	v.versions[model] = append(list, namedVersion{version, since, change.Object.Name, change.Object.Revision, assumed})
 	v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision),
 		zap.Duration("known", time.Since(since)), zap.Bool("assumed", assumed))
