--- /dev/null
+++ b/lib/mirror/age_test.go
@@ -0,0 +1,105 @@
+package mirror
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Guards against the age of new weights without a suspension of the entry that tells it: one
+// that started again counted their bound from 4 s late.
+func TestSuspensionAgesWhatNeighboursAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("versions", "a")
+		driver := NewDriver(Config{Kinds: map[string]bool{"versions": false}, Store: store, Log: zap.NewNop(), Changed: func(string, []Change) {}})
+		go driver.Run(t.Context())
+		<-time.After(3 * time.Second)
+		store.put("versions", "b")
+		made := time.Now()
+		<-time.After(300 * time.Millisecond)
+		age := driver.Age()
+		driver.Suspended(4 * time.Second)
+		if got := driver.Age(); got < age+4*time.Second {
+			t.Errorf("last answer of the store %v ago, told as %v", age+4*time.Second, got)
+		}
+		for _, state := range driver.Newer(t.Context(), Since{Sequences: map[string]int64{"versions": -1}}, 0) {
+			for _, o := range state.Objects {
+				if known := time.Since(o.Learnt); o.Name == "b" && known < time.Since(made)+4*time.Second {
+					t.Errorf("version named %v ago is told as %v old", time.Since(made)+4*time.Second, known)
+				}
+			}
+		}
+	})
+}
+
+// told is a neighbour that gives fixed answers, then none.
+type told struct{ answers []Pulled }
+
+func (n *told) Unreliable() {}
+
+func (n *told) Pull(context.Context, Since, time.Duration) (Pulled, error) {
+	if len(n.answers) == 0 {
+		return Pulled{}, errDown
+	}
+	next := n.answers[0]
+	n.answers = n.answers[1:]
+	<-time.After(10 * time.Millisecond)
+	return next, nil
+}
+
+// Guards against a start that takes a state of some age from a neighbour and counts as complete
+// at once: new weights that were named meanwhile and found later counted from the start.
+func TestFirstCopyIsAsOldAsItsSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("versions", "a")
+		first := State{Kind: "versions", Revision: 2, Sequence: 1, Full: true, Objects: []Object{object("a", 2)}}
+		<-time.After(time.Second)
+		store.put("versions", "b")
+		made := time.Now()
+		<-time.After(time.Second)
+		seen := &followed{began: time.Now()}
+		driver := NewDriver(Config{
+			Kinds: map[string]bool{"versions": false}, Store: store, Log: zap.NewNop(), PullWait: 300 * time.Millisecond,
+			Neighbours: &told{answers: []Pulled{{Instance: 1, Direct: true, Age: 1200 * time.Millisecond, Sound: time.Minute, States: []State{first}}}},
+			StaleAfter: func() time.Duration { return 1250 * time.Millisecond }, HoldOff: func() time.Duration { return 1250 * time.Millisecond },
+			First: func() Source { return NeighboursFirst }, Changed: seen.changed,
+		})
+		go driver.pull(t.Context())
+		<-time.After(100 * time.Millisecond)
+		go driver.follow(t.Context(), "versions")
+		<-time.After(3 * time.Second)
+		checkDate(t, seen, "b", made.Sub(seen.began), 2*time.Second)
+	})
+}
+
+// Guards against a neighbour that has just started and has not read the versions yet, whose
+// answers counted as proof that none was missed.
+func TestNeighbourThatKnowsNoVersionsDoesNotMakeACopyComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		seen := &followed{began: began}
+		full := State{Kind: "versions", Revision: 2, Sequence: 1, Full: true, Objects: []Object{object("a", 2)}}
+		news := State{Kind: "versions", Revision: 3, Sequence: 2, Objects: []Object{object("b", 3)}}
+		driver := NewDriver(Config{
+			Kinds: map[string]bool{"versions": false}, Store: newFakeStore(), Log: zap.NewNop(), PullWait: 300 * time.Millisecond,
+			Neighbours: &told{answers: []Pulled{
+				{Instance: 1, Direct: true, Sound: time.Minute, States: []State{full}},
+				{Instance: 2, Direct: true},
+				{Instance: 2, Direct: true},
+				{Instance: 2, Direct: true, Sound: 10 * time.Millisecond, States: []State{news}},
+			}},
+			StaleAfter: func() time.Duration { return 1250 * time.Millisecond }, HoldOff: func() time.Duration { return time.Minute },
+			First: func() Source { return NeighboursFirst }, Changed: seen.changed,
+		})
+		go driver.pull(t.Context())
+		<-time.After(15 * time.Millisecond) // the second neighbour answers 5 ms later
+		made := time.Now()
+		<-time.After(2 * time.Second)
+		checkDate(t, seen, "b", made.Sub(began), time.Second)
+	})
+}
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -50,6 +50,9 @@
 type Change struct {
 	Object  Object
 	Deleted bool
+	// Missed is when the copy was last known to be complete before: a revision of the object
+	// between its last one and this was made later. It is zero at a start.
+	Missed time.Time
 }
 
 // Kind mirrors the objects of one kind. It is not safe for concurrent use.
@@ -199,6 +202,14 @@
 // clock has not counted.
 func (k *Kind) Suspended(length time.Duration) {
 	k.completeAt = k.completeAt.Add(-length)
+	for _, objects := range []map[string]Object{k.objects, k.held} {
+		for name, object := range objects {
+			if !object.Learnt.IsZero() {
+				object.Learnt = object.Learnt.Add(-length)
+				objects[name] = object
+			}
+		}
+	}
 }
 
 // Failed notes that no source answered.
@@ -241,9 +252,11 @@
 		k.graceEnds = now.Add(lapseGrace - sound)
 	}
 	k.soundSince = now.Add(-sound)
+	if k.failing {
+		// Nothing is changed while the store answers nobody.
+		k.CompleteAt(k.soundSince)
+	}
 	k.failing = false
-	// Nothing is changed while the store answers nobody.
-	k.CompleteAt(k.soundSince)
 }
 
 // Listed applies the full list of a revision. A list that is older than what is known
@@ -326,7 +339,7 @@
 	if wasHeld && string(held.Value) == string(object.Value) {
 		return changes
 	}
-	return append(changes, Change{Object: object})
+	return append(changes, Change{Object: object, Missed: k.completeAt})
 }
 
 func (k *Kind) remove(changes []Change, name string, now time.Time) []Change {
