Ask until an entry tells how long a version was named

Cause: an entry that starts asks three others how long they have known a version, and counted those that have started lately and do not know it either. Amid a rolling restart all three may be such; the version then counts as named long ago, and the entry sends nothing to workers with older weights until they have changed over.

Ruled out: entries that do not answer, which were not counted before either.

An answer counts when it dates the version in force; up to nine are heard. By the test, with three entries that have started lately asked first: undated after 3 answers before, dated after 6 now.

TestEntryThatStartsAsksUntilVersionsAreDated fails on the code before.

--- /dev/null
+++ b/entry/hosted/dates_test.go
@@ -0,0 +1,80 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/test/bufconn"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/mirror"
+	"laburnumgw/lib/rpc"
+	"laburnumgw/platform"
+)
+
+// dater answers for all other entries. Those that are asked first do not know how long the
+// version has been named.
+type dater struct {
+	laburnumgwv1.UnimplementedMirrorServer
+	revision int64
+	unaware  int
+
+	mu    sync.Mutex
+	asked int
+}
+
+func (d *dater) Pull(context.Context, *laburnumgwv1.PullRequest) (*laburnumgwv1.PullResponse, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.asked++
+	object := &laburnumgwv1.MirroredObject{Name: "m", Revision: d.revision}
+	if d.asked > d.unaware {
+		object.KnownMs = 1000
+	}
+	return &laburnumgwv1.PullResponse{Kinds: []*laburnumgwv1.KindState{
+		{Kind: platform.KindVersions, Revision: d.revision, Full: true, Objects: []*laburnumgwv1.MirroredObject{object}},
+	}}, nil
+}
+
+// Guards against an entry that starts amid a rolling restart and counts the answers of
+// entries that have started lately as well: three of them were enough to give up, and the
+// entry sent nothing to workers with older weights until they had changed over.
+func TestEntryThatStartsAsksUntilVersionsAreDated(t *testing.T) {
+	const others = 20
+	for _, c := range []struct {
+		unaware, asked int
+		assumed        bool
+	}{{0, dateEntries, false}, {dateEntries, 2 * dateEntries, false}, {others, maxDateEntries, true}} {
+		d := newDeployment(t)
+		v := d.front.view
+		delete(v.listed, platform.KindVersions)
+		d.version(2)
+		for i := range others {
+			v.entries[fmt.Sprint("front-", i+2)] = platform.Entry{Zone: "a", Address: fmt.Sprintf("10.0.0.%d:1", i+2)}
+		}
+		server := &dater{revision: d.rev, unaware: c.unaware}
+		listener := bufconn.Listen(1 << 16)
+		serving := grpc.NewServer()
+		laburnumgwv1.RegisterMirrorServer(serving, server)
+		go func() { _ = serving.Serve(listener) }() // it ends with the test
+		conns := rpc.NewPlainPool()
+		conns.UseDialer(func(ctx context.Context, _, _ string) (net.Conn, error) { return listener.DialContext(ctx) })
+		p := &Process{settings: v.settings, view: v, mirror: mirror.NewDriver(mirror.Config{Log: zap.NewNop()}), conns: conns, log: zap.NewNop()}
+		p.catchUp(t.Context())
+		conns.Close()
+		serving.Stop()
+		named := v.versions["m"][1]
+		if server.asked != c.asked || named.assumed != c.assumed {
+			t.Errorf("%d unaware: %d asked, assumed %v, want %d, %v", c.unaware, server.asked, named.assumed, c.asked, c.assumed)
+		}
+		if age := time.Since(named.since); !c.assumed && age > 2*time.Second {
+			t.Errorf("%d unaware: dated %v ago, want 1 s", c.unaware, age)
+		}
+	}
+}
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -54,9 +54,11 @@
 	// work of the reader does not grow with the zone.
 	mirrorFanout = 8
 	// dateInterval separates two looks whether the store was read, and dateEntries is the
-	// number of entries that are asked how long versions have been named.
-	dateInterval = 20 * time.Millisecond
-	dateEntries  = 3
+	// number of entries that must have told how long versions have been named. Entries that
+	// have started lately may not know it either, so that up to maxDateEntries are asked.
+	dateInterval   = 20 * time.Millisecond
+	dateEntries    = 3
+	maxDateEntries = 3 * dateEntries
 	// registerInterval separates two tries to write this entry to the store, and registerWait
 	// is how long a start waits to hear whether it is there.
 	registerInterval = 500 * time.Millisecond
@@ -222,7 +224,7 @@
 			return
 		}
 	}
-	asked := 0
+	answered, dated := 0, 0
 	for _, address := range p.view.others() {
 		ages, err := rpcmirror.Ages(ctx, p.conns, address, platform.KindVersions)
 		if err != nil {
@@ -230,10 +232,11 @@
 			continue
 		}
 		p.learnDepartures(ctx, address)
-		for _, known := range ages {
-			p.view.versionKnown(known.Name, known.Revision, known.For)
+		answered++
+		if p.view.versionsKnown(ages) {
+			dated++
 		}
-		if asked++; asked == dateEntries {
+		if dated == dateEntries || answered == maxDateEntries {
 			return
 		}
 	}
--- a/entry/hosted/versions.go
+++ b/entry/hosted/versions.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"laburnumgw/lib/mirror"
+	"laburnumgw/lib/mirror/rpcmirror"
 	"laburnumgw/platform"
 )
 
@@ -64,6 +65,25 @@
 	})
 }
 
+// versionsKnown dates versions by what another entry knows. It reports whether that entry
+// knew the age of each version that is in force here.
+func (v *view) versionsKnown(ages []rpcmirror.Known) bool {
+	revisions := make(map[string]int64, len(ages))
+	for _, known := range ages {
+		v.versionKnown(known.Name, known.Revision, known.For)
+		revisions[known.Name] = known.Revision
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, list := range v.versions {
+		newest := list[len(list)-1]
+		if revisions[newest.object] < newest.revision {
+			return false
+		}
+	}
+	return true
+}
+
 // versionKnown dates a version that was read at the start by what another entry knows.
 // The longest time counts, since an entry may have learnt of it late.
 func (v *view) versionKnown(object string, revision int64, known time.Duration) {
