Log when the origin of weights stops answering and answers again

A fetch whose time runs out is cancelled by the swarm's state machine, and the adapter dropped it without a word.

The state machine now reports each fetch from the origin that fails, and the first answer after failures; a spoilt chunk is an answer. The adapter counts the failures (laburnumgw_weights_origin_failures_total) and logs the change alone: "origin does not answer" with model, version, chunk, whether it was silent, how long the fetch waited and the error, and "origin answers again" with the number of failed fetches and the time since the first began.

Before: no line and no counter.

--- a/lib/swarm/doc.go
+++ b/lib/swarm/doc.go
@@ -33,6 +33,8 @@
 //				// End that handler with ResourceExhausted when a.Held, else NotFound.
 //			case swarm.Completed:
 //				// Replica.Open succeeds from here on.
+//			case swarm.SourceFailed, swarm.SourceRecovered:
+//				// Count and log them.
 //			}
 //		}
 //	}
--- a/lib/swarm/fetch.go
+++ b/lib/swarm/fetch.go
@@ -127,7 +127,7 @@
 	}
 	m.endFetch(f)
 	if f.from == nil {
-		m.handleOriginResult(now, e)
+		m.handleOriginResult(now, f, e, false)
 	} else {
 		m.handlePeerResult(now, f, e)
 	}
@@ -216,7 +216,7 @@
 		}
 		m.cancel(f)
 		if f.from == nil {
-			m.handleOriginResult(now, ChunkDone{Result: ResultFailed})
+			m.handleOriginResult(now, f, ChunkDone{ID: f.id, Result: ResultFailed}, true)
 		} else {
 			m.recordFault(now, f.from)
 		}
--- a/lib/swarm/machine.go
+++ b/lib/swarm/machine.go
@@ -42,6 +42,10 @@
 
 	sourceUntil    time.Duration
 	sourceFailures int
+	// sourceUnanswered counts the fetches from the weight store that have failed since its
+	// last answer, and sourceFailedAt is when the first of them began.
+	sourceUnanswered int
+	sourceFailedAt   time.Duration
 
 	uploads []*upload
 	// reservedFor is the peer that gets the next free slot until reservedUntil.
--- a/lib/swarm/message.go
+++ b/lib/swarm/message.go
@@ -62,11 +62,18 @@
 	ResultRateLimited
 )
 
-// ChunkDone ends a fetch. RetryAfter is used with ResultRateLimited.
+// String names the result.
+func (r Result) String() string {
+	return [...]string{"ok", "corrupt", "failed", "refused", "not_held", "rate_limited"}[r]
+}
+
+// ChunkDone ends a fetch. RetryAfter is used with ResultRateLimited, and Err is passed on
+// in SourceFailed.
 type ChunkDone struct {
 	ID         FetchID
 	Result     Result
 	RetryAfter time.Duration
+	Err        error
 }
 
 // UploadRequested asks for a chunk. It is answered at once with AcceptUpload or
@@ -134,9 +141,34 @@
 // Completed reports, once, that every chunk is held.
 type Completed struct{}
 
-func (FetchChunk) isAction()   {}
-func (CancelFetch) isAction()  {}
-func (SendBitmap) isAction()   {}
-func (AcceptUpload) isAction() {}
-func (RefuseUpload) isAction() {}
-func (Completed) isAction()    {}
+// SourceFailed reports a fetch from the weight store that has failed.
+type SourceFailed struct {
+	ID    FetchID
+	Chunk int
+	// First is set when the fetch before it was answered.
+	First bool
+	// Silent is set when the time for the fetch ran out; Err is nil then.
+	Silent bool
+	Result Result
+	Err    error
+	// Waited is the time since the fetch began.
+	Waited time.Duration
+}
+
+// SourceRecovered reports the first answer of the weight store after fetches that failed.
+type SourceRecovered struct {
+	Chunk int
+	// Failures is the number of fetches that have failed, and After the time since the
+	// first of them began.
+	Failures int
+	After    time.Duration
+}
+
+func (FetchChunk) isAction()      {}
+func (CancelFetch) isAction()     {}
+func (SendBitmap) isAction()      {}
+func (AcceptUpload) isAction()    {}
+func (RefuseUpload) isAction()    {}
+func (Completed) isAction()       {}
+func (SourceFailed) isAction()    {}
+func (SourceRecovered) isAction() {}
--- a/lib/swarm/source.go
+++ b/lib/swarm/source.go
@@ -284,9 +284,28 @@
 	}
 }
 
+// reportSource tells the adapter what became of a fetch from the weight store. A corrupt
+// chunk is an answer.
+func (m *Machine) reportSource(now time.Duration, f *fetch, e ChunkDone, silent bool) {
+	if e.Result == ResultOK || e.Result == ResultCorrupt {
+		if m.sourceUnanswered > 0 {
+			m.emit(SourceRecovered{Chunk: f.chunk, Failures: m.sourceUnanswered, After: now - m.sourceFailedAt})
+		}
+		m.sourceUnanswered = 0
+		return
+	}
+	m.sourceUnanswered++
+	first := m.sourceUnanswered == 1
+	if first {
+		m.sourceFailedAt = f.started
+	}
+	m.emit(SourceFailed{ID: f.id, Chunk: f.chunk, First: first, Silent: silent, Result: e.Result, Err: e.Err, Waited: now - f.started})
+}
+
 // handleOriginResult pauses fetches from the weight store after a failure, for a
 // period that doubles with each one, and obeys the store's Retry-After.
-func (m *Machine) handleOriginResult(now time.Duration, e ChunkDone) {
+func (m *Machine) handleOriginResult(now time.Duration, f *fetch, e ChunkDone, silent bool) {
+	m.reportSource(now, f, e, silent)
 	if e.Result == ResultOK {
 		m.sourceFailures = 0
 		return
--- a/lib/transfer/distribution.go
+++ b/lib/transfer/distribution.go
@@ -82,19 +82,21 @@
 
 // Metrics count the bytes of transfers.
 type Metrics struct {
-	OriginBytes   *metrics.Counter
-	PeerBytes     *metrics.Counter
-	UploadedBytes *metrics.Counter
-	CorruptChunks *metrics.Counter
+	OriginBytes    *metrics.Counter
+	PeerBytes      *metrics.Counter
+	UploadedBytes  *metrics.Counter
+	CorruptChunks  *metrics.Counter
+	OriginFailures *metrics.Counter
 }
 
 // NewMetrics registers the counters in a set.
 func NewMetrics(set *metrics.Set) *Metrics {
 	return &Metrics{
-		OriginBytes:   set.NewCounter("laburnumgw_weights_origin_bytes_total"),
-		PeerBytes:     set.NewCounter("laburnumgw_weights_peer_bytes_total"),
-		UploadedBytes: set.NewCounter("laburnumgw_weights_uploaded_bytes_total"),
-		CorruptChunks: set.NewCounter("laburnumgw_weights_corrupt_chunks_total"),
+		OriginBytes:    set.NewCounter("laburnumgw_weights_origin_bytes_total"),
+		PeerBytes:      set.NewCounter("laburnumgw_weights_peer_bytes_total"),
+		UploadedBytes:  set.NewCounter("laburnumgw_weights_uploaded_bytes_total"),
+		CorruptChunks:  set.NewCounter("laburnumgw_weights_corrupt_chunks_total"),
+		OriginFailures: set.NewCounter("laburnumgw_weights_origin_failures_total"),
 	}
 }
 
@@ -229,9 +231,30 @@
 		d.answerUpload(a.ID, refusedUpload(a.Held))
 	case swarm.Completed:
 		close(d.whole)
+	case swarm.SourceFailed:
+		d.originFailed(a)
+	case swarm.SourceRecovered:
+		d.transfer.Log.Info("origin answers again", append(d.fields(a.Chunk), zap.Int("failed", a.Failures), zap.Duration("after", a.After))...)
 	}
 }
 
+// fields name a chunk in the log.
+func (d *Distribution) fields(chunk int) []zap.Field {
+	manifest := d.replica.Manifest()
+	return []zap.Field{zap.String("model", manifest.Model), zap.String("version", manifest.Version), zap.Int("chunk", chunk)}
+}
+
+// originFailed counts every fetch from the weight store that has failed, and logs the first
+// one after an answer.
+func (d *Distribution) originFailed(a swarm.SourceFailed) {
+	d.transfer.Metrics.OriginFailures.Inc()
+	if !a.First {
+		return
+	}
+	d.transfer.Log.Warn("origin does not answer", append(d.fields(a.Chunk), zap.Bool("silent", a.Silent), zap.Stringer("result", a.Result),
+		zap.Duration("waited", a.Waited), zap.Error(a.Err))...)
+}
+
 func (d *Distribution) endFetch(id swarm.FetchID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -288,7 +311,7 @@
 }
 
 func fetchResult(id swarm.FetchID, err error) swarm.ChunkDone {
-	done := swarm.ChunkDone{ID: id, Result: swarm.ResultFailed}
+	done := swarm.ChunkDone{ID: id, Result: swarm.ResultFailed, Err: err}
 	var limited *RateLimitedError
 	switch {
 	case err == nil:
--- /dev/null
+++ b/lib/transfer/origin_test.go
@@ -0,0 +1,121 @@
+package transfer
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/swarm"
+	"laburnumgw/lib/weights"
+)
+
+// plainOrigin sends chunks, refuses, or is silent.
+type plainOrigin struct {
+	chunks [][]byte
+	mode   atomic.Int32
+	asked  atomic.Int32
+}
+
+const (
+	answering = iota
+	silent
+	refusing
+)
+
+func (o *plainOrigin) Chunk(ctx context.Context, _ *weights.Manifest, index int, progress func()) ([]byte, error) {
+	o.asked.Add(1)
+	switch o.mode.Load() {
+	case silent:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case refusing:
+		return nil, errors.New("connection refused")
+	}
+	// One chunk on the origin's link.
+	select {
+	case <-time.After(50 * time.Millisecond):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	progress()
+	return o.chunks[index], nil
+}
+
+// fetchFrom starts the distribution of a version to one VM.
+func fetchFrom(t *testing.T, origin *plainOrigin) (*Distribution, *observer.ObservedLogs, *Metrics) {
+	t.Helper()
+	const chunks, chunkBytes, rate = 64, 1000, 20_000
+	manifest := &weights.Manifest{Model: "m", Version: "7", ChunkSize: chunkBytes, Size: chunks * chunkBytes, Hash: weights.SHA256}
+	for i := range chunks {
+		data := make([]byte, chunkBytes)
+		data[0] = byte(i)
+		origin.chunks = append(origin.chunks, data)
+		manifest.Chunks = append(manifest.Chunks, weights.SHA256.Sum(data))
+	}
+	replica, err := weights.NewStore(1 << 20).Reserve(manifest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	core, logs := observer.New(zap.InfoLevel)
+	shared := &Transfer{
+		Self: swarm.Member{VM: "self", Zone: "z", Region: "r"}, Home: "r", Origin: origin, Links: NewLinks(rate),
+		Metrics: NewMetrics(metrics.NewSet()), Log: zap.New(core),
+	}
+	d, err := New(shared, replica, rate, swarm.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go d.Run()
+	d.SetMembers([]*laburnumgwv1.Assignment{{Vm: "self", Zone: "z", Region: "r"}})
+	return d, logs, shared.Metrics
+}
+
+// Guards against an outage of the origin of which the log tells nothing (incident inc-1ac0),
+// and against a line for each try.
+func TestOutageOfTheOriginIsLogged(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		mode   int32
+		reason string
+	}{{"silent", silent, ""}, {"refusing", refusing, "connection refused"}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				origin := &plainOrigin{}
+				d, logs, counters := fetchFrom(t, origin)
+				defer d.Stop()
+				<-time.After(time.Second)
+				origin.mode.Store(c.mode)
+				<-time.After(7 * time.Second)
+				origin.mode.Store(answering)
+				<-d.Whole()
+				lost := logs.FilterMessage("origin does not answer").All()
+				back := logs.FilterMessage("origin answers again").All()
+				if len(lost) != 1 || len(back) != 1 {
+					t.Fatalf("%d lines of the beginning, %d of the end of one outage", len(lost), len(back))
+				}
+				fields := lost[0].ContextMap()
+				if fields["version"] != "7" || fields["model"] != "m" || fields["silent"] != (c.mode == silent) {
+					t.Errorf("beginning is logged with %v", fields)
+				}
+				if reason, _ := fields["error"].(string); reason != c.reason {
+					t.Errorf("reason %q, not %q", reason, c.reason)
+				}
+				end := back[0].ContextMap()
+				if after, _ := end["after"].(time.Duration); after < 5*time.Second || after > 10*time.Second {
+					t.Errorf("end is logged with %v", end)
+				}
+				if failures, _ := end["failed"].(int64); counters.OriginFailures.Get() != uint64(failures) || failures < 2 {
+					t.Errorf("%d failures counted, %v logged", counters.OriginFailures.Get(), end["failed"])
+				}
+			})
+		})
+	}
+}
