Ask the origin again at once after a fetch that waited in vain

Cause: after a fetch from the origin whose time ran out (32 chunk times, 1.37 s on links of 9.4 Mbit/s) another pause of 0.5 s and more was counted from its end. The pause exists to space the tries of a region, which the wait has done already; it now counts from the start of the fetch. Retry-After still counts from the answer.

Ruled out: a shorter wait for the first byte. It is what the origin's link needs for the chunks that may be outstanding, and less would ask a slow origin twice.

Before, in lib/swarm/linkfake (48 chunks of 49,152 bytes, 7 s of silence at nine moments): distributions to 1, 11 and 45 VMs stall for up to 1.79, 1.2 and 2.02 s beyond the silence.

--- a/lib/swarm/linkfake/bounds_test.go
+++ b/lib/swarm/linkfake/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -152,3 +153,30 @@
 		})
 	}
 }
+
+// Guards against VMs that wait for longer than one fetch in vain after the store was silent:
+// 7 s of silence were followed by up to 1.8 s without a byte.
+func TestStoreSilent(t *testing.T) {
+	t.Parallel()
+	const silence = 7 * time.Second
+	for _, vms := range [][]int{{1}, {4, 4, 3}, {15, 15, 15}} {
+		plain := Small(vms...)
+		whole := seconds(plain, execute(t, plain).Last)
+		for at := 0.0; at < 0.8; at += 0.1 {
+			s := StoreSilent(plain, at, silence)
+			result := execute(t, s)
+			stalled := seconds(s, result.Last) - whole - silence.Seconds()
+			// A fetch that the store drops at the end of its silence is given up after 32
+			// chunk times, and the schedule of the region takes some more to recover.
+			limit := 40 * seconds(s, 1) / float64(s.Chunks)
+			if result.Incomplete > 0 || stalled > limit {
+				t.Errorf("%d VMs, silent from %.1f V: %d incomplete, stalled for %.2f s beyond the silence, at most %.2f", vms, at, result.Incomplete, stalled, limit)
+			}
+			if result.OriginCopies > 1.5 {
+				t.Errorf("%d VMs, silent from %.1f V: %.2f copies from the store", vms, at, result.OriginCopies)
+			}
+		}
+	}
+}
+
+func seconds(s Scenario, copyTimes float64) float64 { return copyTimes * s.CopyTime.Seconds() }
--- a/lib/swarm/linkfake/run.go
+++ b/lib/swarm/linkfake/run.go
@@ -78,11 +78,13 @@
 	originNow int
 	// originGate decides on each request to the store before it runs.
 	originGate func() (swarm.Result, time.Duration)
-	toRegion   map[string]*link
-	fromRegion map[string]*link
-	plans      map[string]*swarm.Plan
-	chunkTime  time.Duration
-	digest     weights.Digest
+	// originSilent is set while the store answers nothing.
+	originSilent bool
+	toRegion     map[string]*link
+	fromRegion   map[string]*link
+	plans        map[string]*swarm.Plan
+	chunkTime    time.Duration
+	digest       weights.Digest
 
 	OriginRequests int
 	OriginRefused  int
--- a/lib/swarm/linkfake/scenarios.go
+++ b/lib/swarm/linkfake/scenarios.go
@@ -185,6 +185,15 @@
 	return s
 }
 
+// StoreSilent lets the store of a scenario drop every request for a time, from a point in V.
+func StoreSilent(s Scenario, from float64, silence time.Duration) Scenario {
+	s.Name += "-store-silent"
+	to := from + silence.Seconds()/s.CopyTime.Seconds()
+	s.Faults = append(slices.Clone(s.Faults),
+		Fault{At: from, Do: func(r *Run) { r.SilenceOrigin(true) }}, Fault{At: to, Do: func(r *Run) { r.SilenceOrigin(false) }})
+	return s
+}
+
 // StoreSlow gives the store's link a part of its rate for the whole run.
 func StoreSlow(vms int, part float64) Scenario {
 	return Scenario{Name: "store-slow", Seed: Seed, Regions: zoned(vms), Faults: []Fault{
--- a/lib/swarm/linkfake/transfer.go
+++ b/lib/swarm/linkfake/transfer.go
@@ -21,6 +21,9 @@
 			return
 		}
 	}
+	if r.originSilent {
+		return
+	}
 	r.waiting = append(r.waiting, t)
 	r.fillOrigin()
 }
@@ -182,6 +185,19 @@
 // SetOriginGate sets the decision on requests to the store; nil accepts all.
 func (r *Run) SetOriginGate(gate func() (swarm.Result, time.Duration)) { r.originGate = gate }
 
+// SilenceOrigin lets the store drop all requests, also those that it is answering, or
+// serve again. Nobody is told.
+func (r *Run) SilenceOrigin(silent bool) {
+	r.originSilent = silent
+	for _, v := range r.VMs {
+		for _, t := range v.sortedIncoming() {
+			if silent && t.from == nil && t.flow != nil {
+				r.freeze(t.flow, true)
+			}
+		}
+	}
+}
+
 // Partition moves the VMs of a zone or region to another side; VMs of different sides
 // cannot reach each other. The store remains reachable from both.
 func (r *Run) Partition(name string, side int) {
--- a/lib/swarm/source.go
+++ b/lib/swarm/source.go
@@ -302,8 +302,8 @@
 	m.emit(SourceFailed{ID: f.id, Chunk: f.chunk, First: first, Silent: silent, Result: e.Result, Err: e.Err, Waited: now - f.started})
 }
 
-// handleOriginResult pauses fetches from the weight store after a failure, for a
-// period that doubles with each one, and obeys the store's Retry-After.
+// handleOriginResult spaces fetches from the weight store after a failure, by a period
+// that doubles with each one, and obeys the store's Retry-After.
 func (m *Machine) handleOriginResult(now time.Duration, f *fetch, e ChunkDone, silent bool) {
 	m.reportSource(now, f, e, silent)
 	if e.Result == ResultOK {
@@ -314,8 +314,11 @@
 	longest := max(first, time.Duration(len(m.plan.local[m.cfg.Self.Region]))*sourceTrySpacing)
 	pause := min(first<<min(m.sourceFailures, maxSourceDoublings), longest)
 	m.sourceFailures++
+	// The pause separates the starts of two tries, so that one that has waited in vain for
+	// longer is followed by the next at once.
+	until := f.started + pause
 	if e.Result == ResultRateLimited {
-		pause = max(e.RetryAfter, m.cfg.ChunkTime)
+		until = now + max(e.RetryAfter, m.cfg.ChunkTime)
 	}
-	m.sourceUntil = max(m.sourceUntil, now+pause+m.jitter(m.cfg.ChunkTime))
+	m.sourceUntil = max(m.sourceUntil, max(until, now)+m.jitter(m.cfg.ChunkTime))
 }
