Give up a silent origin's manifest in the time of its link

Cause: a call for a manifest was bounded by 6 s, whatever its size, and was repeated four times before the peers were asked again. With a bound of 8 s for a version, one call that a silent origin had dropped used most of it.

The wait is now the time in which the origin's link carries the manifest and 32 chunks before it, as a fetch of a chunk waits: 0.91 s with 96 chunks of 24,576 bytes at 7.3 Mbit/s, at least 0.5 s, and 6 s only while the sizes are not known. After a silence the peers are asked first.

--- a/endpoint/hosted/manifest.go
+++ b/endpoint/hosted/manifest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -32,8 +33,24 @@
 	manifestTimeout = 400 * time.Millisecond
 	// manifestReads is how often a manifest is read from the origin until two agree.
 	manifestReads = 4
+	// manifestDigestBytes is the part of a manifest for one chunk: a digest in hexadecimal
+	// with its quotes and comma.
+	manifestDigestBytes = 67
+	// manifestQueue is the number of chunks that the origin may be sending before it answers.
+	// A fetch of a chunk waits for as many.
+	manifestQueue = 32
+	// shortestManifestWait keeps delays of the network and of the scheduler from looking like
+	// a silent origin.
+	shortestManifestWait = 500 * time.Millisecond
+	// longestManifestWait applies while the sizes are not known.
+	longestManifestWait = 6 * time.Second
 )
 
+// manifestSource reads a manifest from the origin of weights.
+type manifestSource interface {
+	Manifest(ctx context.Context, model string, version int) (*weights.Manifest, int, error)
+}
+
 // manifestServer answers other endpoint processes.
 type manifestServer struct {
 	laburnumgwv1.UnimplementedManifestsServer
@@ -118,12 +135,29 @@
 	return manifest, int(response.GetVersion()), manifest.Validate()
 }
 
-// readManifest reads the origin until two manifests agree, because it may spoil one.
+// manifestWait returns how long the origin may take for a manifest: its link carries the
+// manifest and the chunks before it meanwhile.
+func (l *library) manifestWait() time.Duration {
+	origin, service := l.view.origin(), l.view.service()
+	if origin == nil || service == nil || origin.LinkMbit <= 0 || service.Engine.Chunks <= 0 {
+		return longestManifestWait
+	}
+	bytes := int64(service.Engine.Chunks)*manifestDigestBytes + manifestQueue*service.Engine.ChunkBytes
+	wait := time.Duration(float64(bytes) / (origin.LinkMbit * megabit * originShare) * float64(time.Second))
+	return min(max(wait, shortestManifestWait), longestManifestWait)
+}
+
+// readManifest reads the origin until two manifests agree, because it may spoil one. An
+// origin that is silent is asked again by the next try, after the peers.
 func (l *library) readManifest(ctx context.Context, model string, number int) (*weights.Manifest, int, error) {
 	seen := make(map[weights.Digest]bool)
 	var last error
 	for range manifestReads {
-		manifest, read, err := l.origin.Manifest(ctx, model, number)
+		manifest, read, err := l.readOnce(ctx, model, number)
+		if errors.Is(err, context.DeadlineExceeded) {
+			last = err
+			break
+		}
 		if err != nil {
 			last = err
 			continue
@@ -139,3 +173,9 @@
 	}
 	return nil, 0, fmt.Errorf("read manifest of %s version %d: %w", model, number, last)
 }
+
+func (l *library) readOnce(ctx context.Context, model string, number int) (*weights.Manifest, int, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.manifestWait())
+	defer cancel()
+	return l.origin.Manifest(ctx, model, number)
+}
--- a/endpoint/hosted/weights.go
+++ b/endpoint/hosted/weights.go
@@ -44,7 +44,7 @@
 type library struct {
 	view     *view
 	worker   *platform.Worker
-	origin   *platform.Origin
+	origin   manifestSource
 	store    *weights.Store
 	transfer *transfer.Transfer
 	log      *zap.Logger
