Answer at a planned stop every request of which something was read

Cause: http.Server.Shutdown closes a connection that is kept between requests until the whole header of the next one was read, also when its first bytes have arrived; and the server drops a request whose header it reads after Shutdown began, which is any first request on a connection that was accepted just before (net/http, serve: shuttingDown after readRequest). Both end with a closed connection and no answer.

lib/drain replaces Shutdown in both entries. It closes the listener and ends the waits of idle connections with a read deadline, so that a read which has returned bytes is served to the end; it does not return before the other connections have ended with their answer. An answer whose head is written after the entry began to leave now says Connection: close, whenever its request came; with Shutdown, only those of requests that came after it, or after Shutdown itself.

Ruled out: requests at a worker or with half a body; they were answered before as well.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"laburnumgw/lib/dispatch"
+	"laburnumgw/lib/drain"
 	"laburnumgw/lib/mtls"
 	"laburnumgw/lib/platform"
 	"laburnumgw/lib/retry"
@@ -65,12 +66,16 @@
 	if err != nil {
 		return fmt.Errorf("listen on --listen %s: %w", p.settings.Listen, err)
 	}
-	server := &http.Server{Addr: p.settings.HTTPListen, Handler: p.frontend.handler(), ReadHeaderTimeout: readHeaderTimeout}
+	front, err := net.Listen("tcp", p.settings.HTTPListen)
+	if err != nil {
+		return fmt.Errorf("listen on --http-listen %s: %w", p.settings.HTTPListen, err)
+	}
+	callers := drain.New(&http.Server{Handler: p.frontend.handler(), ReadHeaderTimeout: readHeaderTimeout}, front)
 	failed := make(chan error, 3)
 	go func() { failed <- p.grpc.Serve(listener) }()
 	go func() {
-		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-			failed <- fmt.Errorf("listen on --http-listen %s: %w", p.settings.HTTPListen, err)
+		if err := callers.Serve(); !errors.Is(err, http.ErrServerClosed) {
+			failed <- fmt.Errorf("serve on --http-listen %s: %w", p.settings.HTTPListen, err)
 		}
 	}()
 	if p.settings.Metrics != "" {
@@ -94,7 +99,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	err = p.stop(server)
+	err = p.stop(callers)
 	cancel()
 	<-done
 	p.conns.Close()
@@ -102,14 +107,14 @@
 	return err
 }
 
-func (p *Process) stop(server *http.Server) error {
+func (p *Process) stop(callers *drain.Listener) error {
 	p.log.Info("entry is leaving", zap.Duration("leave_wait", p.settings.LeaveWait))
 	p.frontend.leaving.Store(true)
 	p.control.members.leave()
 	time.Sleep(p.settings.LeaveWait)
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.StopTimeout)
 	defer cancel()
-	err := server.Shutdown(ctx)
+	err := callers.Drain(ctx)
 	p.grpc.Stop()
 	if err != nil {
 		return fmt.Errorf("requests still run after %s: %w", p.settings.StopTimeout, err)
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/drain"
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/workerconn"
@@ -58,7 +59,8 @@
 // as they were sent, so no multiplexer cleans them.
 func (f *frontend) handler() http.Handler {
 	stack := negroni.New()
-	stack.UseFunc(f.closeWhenLeaving)
+	stack.Use(drain.MarkLast(f.leaving.Load))
+	stack.UseFunc(closeAfterChunks)
 	stack.UseHandlerFunc(f.serve)
 	return stack
 }
@@ -78,11 +80,11 @@
 	})
 }
 
-// closeWhenLeaving asks callers to leave a connection that will not be served on. A
-// chunked body ends the connection as well: the server drops a Content-Length beside the
-// chunks without telling, so bytes behind the body may be a smuggled request.
-func (f *frontend) closeWhenLeaving(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
-	if f.leaving.Load() || len(r.TransferEncoding) > 0 {
+// closeAfterChunks lets a chunked body end its connection: the server drops a
+// Content-Length beside the chunks without telling, so bytes behind the body may be a
+// smuggled request.
+func closeAfterChunks(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	if len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	next(w, r)
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -16,6 +16,7 @@
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/dispatch"
+	"laburnumgw/lib/drain"
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/mirror/rpcmirror"
 	"laburnumgw/lib/reload"
@@ -121,7 +122,7 @@
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 5)
-	server, err := p.listen(running, failed)
+	callers, err := p.listen(running, failed)
 	if err != nil {
 		return err
 	}
@@ -140,11 +141,11 @@
 		return err
 	case <-ctx.Done():
 	}
-	return p.stop(server)
+	return p.stop(callers, time.After(leaveWait))
 }
 
 // listen opens all listeners.
-func (p *Process) listen(ctx context.Context, failed chan<- error) (*http.Server, error) {
+func (p *Process) listen(ctx context.Context, failed chan<- error) (*drain.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: platform.KeepAlive()}
 	serve := func(address string, server *http.Server) error {
 		listener, err := config.Listen(ctx, "tcp", address)
@@ -158,13 +159,11 @@
 		}()
 		return nil
 	}
-	server := &http.Server{
-		Handler: p.front.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(p.log),
-	}
-	if err := serve(p.settings.Frontend, server); err != nil {
-		return nil, err
+	listener, err := config.Listen(ctx, "tcp", p.settings.Frontend)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", p.settings.Frontend, err)
 	}
+	callers := p.serveCallers(listener, failed)
 	if err := serve(p.settings.Readiness, &http.Server{Handler: p.front.readiness(), ReadHeaderTimeout: readHeaderTimeout}); err != nil {
 		return nil, err
 	}
@@ -185,7 +184,22 @@
 	p.view.tellDeparture = p.tellDeparture(reports)
 	p.view.mu.Unlock()
 	go p.readReports(reports)
-	return server, nil
+	return callers, nil
+}
+
+// serveCallers serves callers on a listener.
+func (p *Process) serveCallers(listener net.Listener, failed chan<- error) *drain.Listener {
+	server := &http.Server{
+		Handler: p.front.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: zap.NewStdLog(p.log),
+	}
+	callers := drain.New(server, listener)
+	go func() {
+		if err := callers.Serve(); !errors.Is(err, http.ErrServerClosed) {
+			failed <- fmt.Errorf("serve on %s: %w", listener.Addr(), err)
+		}
+	}()
+	return callers
 }
 
 // register writes this entry to the store, so that other processes find it. One that has
@@ -257,15 +271,15 @@
 	p.mirror.Refresh("machine was suspended")
 }
 
-// stop tells the platform and the callers, still serves for a while, and finishes what
-// runs.
-func (p *Process) stop(server *http.Server) error {
+// stop tells the platform and the callers, still serves until they have left, and finishes
+// what runs.
+func (p *Process) stop(callers *drain.Listener, left <-chan time.Time) error {
 	p.log.Info("entry is leaving", zap.Duration("leave_wait", leaveWait))
 	p.front.leaving.Store(true)
-	time.Sleep(leaveWait)
+	<-left
 	ctx, cancel := context.WithTimeout(context.Background(), max(p.settings.Bounds.Grace-leaveWait-stopMargin, stopMargin))
 	defer cancel()
-	err := server.Shutdown(ctx)
+	err := callers.Drain(ctx)
 	p.grpc.Stop()
 	p.conns.Close()
 	p.log.Info("entry stopped", zap.Error(err))
--- a/entry/http.go
+++ b/entry/http.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/drain"
 	"laburnumgw/lib/errkind"
 )
 
@@ -38,6 +39,7 @@
 	recovery.PrintStack = false
 	recovery.Logger = zapPrinter{f.log}
 	stack.Use(recovery)
+	stack.Use(drain.MarkLast(f.leaving.Load))
 	stack.UseHandler(mux)
 	return stack
 }
