End older weights at their bound after a suspension and a change of the bound

Cause: the end of the time of older weights is scheduled when a version is dated. A suspension moves the date back and a reload of the settings may shorten the bound, but the schedule stayed. Reports of the workers make the entry look again; a worker beside which no process reports kept getting requests on older weights, up to the length of the suspension after their bound.

Ruled out: the date itself, which suspended() moves; the bound on the first event (timeFor), which gives a request up but has sent it by then.

--- a/entry/hosted/reports.go
+++ b/entry/hosted/reports.go
@@ -65,4 +65,5 @@
 		state.table.SetZones(v.zones())
 	}
 	v.feedAll()
+	v.rescheduleRetirement()
 }
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -400,6 +400,17 @@
 		w.reportedAt = w.reportedAt.Add(-length)
 	}
 	v.feedAll()
+	v.rescheduleRetirement()
+}
+
+// rescheduleRetirement takes older weights out of use at the bounds of the versions as they
+// are dated and bounded now. The caller holds the lock.
+func (v *view) rescheduleRetirement() {
+	for model, list := range v.versions {
+		for _, named := range list {
+			v.retireOlder(model, named.version, named.since)
+		}
+	}
 }
 
 func (v *view) feedAll() {
