Count a worker's turn from the naming, whenever that is learnt

Cause: a process that starts may open the newest version of the origin before it has read which version was named. It dated the version by that moment (finishOpen), and the date that came with the naming was dropped, since the version was open already. A suspension moved the dates of open versions alone, not that of one that was named or being opened.

TestTurnIsCountedFromTheNaming: before, the worker is to load nothing in three cases of four; after, the version that is due, and still nothing before its turn. No bound of a rule depends on this date: entries gate older weights themselves.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -89,6 +89,8 @@
 	suspensions chan time.Duration
 	// opening delivers the version that is being opened; nil while none is.
 	opening chan openResult
+	// openingShift is the length of the suspensions since that began.
+	openingShift time.Duration
 	// targets are the versions that are fetched or held, in ascending order.
 	targets []*target
 	socket  net.PacketConn
@@ -197,6 +199,8 @@
 	for _, t := range p.targets {
 		t.named = t.named.Add(-length)
 	}
+	p.view.shift(length)
+	p.openingShift += length
 }
 
 func (p *Process) serveMetrics() error {
@@ -317,6 +321,7 @@
 	}
 	model := service.Engine.Model
 	p.open(ctx, model)
+	p.date(model)
 	weights := p.report.Weights
 	worker := rollout.Worker{Version: weights.Version, Whole: weights.Whole(service.Engine.Layers), Busy: p.report.Busy}
 	if worker.Whole && worker.Version >= p.ordered {
@@ -368,6 +373,7 @@
 	}
 	opening := make(chan openResult, 1)
 	p.opening = opening
+	p.openingShift = 0
 	go func() {
 		opened, err := p.library.open(ctx, model, wanted.version)
 		opening <- openResult{opened, wanted, err}
@@ -389,8 +395,9 @@
 		return
 	}
 	p.openPause.Reset()
-	since := result.named.since
-	if since.IsZero() {
+	since := result.named.since.Add(-p.openingShift)
+	if result.named.since.IsZero() {
+		// Nothing has named a version yet; date corrects this once it is known.
 		since = time.Now()
 	}
 	p.targets = append(p.targets, &target{version: result.version, named: since})
@@ -399,6 +406,18 @@
 	}
 }
 
+// date takes over when the newest version was named, which a process that starts may learn
+// after it has opened the version.
+func (p *Process) date(model string) {
+	named := p.view.named(model)
+	for _, t := range p.targets {
+		if t.version.number == named.version && named.since.Before(t.named) {
+			p.log.Info("version dated", zap.Int("version", named.version), zap.Duration("known", time.Since(named.since)))
+			t.named = named.since
+		}
+	}
+}
+
 // load hands a version over and orders the worker to load it.
 func (p *Process) load(ctx context.Context, model string, t *target) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/endpoint/hosted/process_test.go
+++ b/endpoint/hosted/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"laburnumgw/lib/mirror"
+	"laburnumgw/lib/rollout"
 	"laburnumgw/platform"
 )
 
@@ -63,3 +65,79 @@
 		}
 	})
 }
+
+// hear tells a process which version of m was named.
+func (p *Process) hear(version int) {
+	value := json.RawMessage(fmt.Sprintf(`{"model":"m","version":%d}`, version))
+	p.view.changed(platform.KindVersions, []mirror.Change{{Object: mirror.Object{Name: "m", Revision: int64(version), Value: value}}})
+}
+
+// Guards against workers that stand idle until a turn that is over: a process that started
+// had opened the newest version before it read which version was named, and dated it by that
+// moment, and a suspension did not move the date of a version that was being opened.
+func TestTurnIsCountedFromTheNaming(t *testing.T) {
+	const bound = 8 * time.Second
+	start := func() *Process {
+		p := &Process{log: zap.NewNop(), openPause: newOpenPause(), changes: rollout.DefaultSettings(bound)}
+		p.view = newView(&platform.Settings{IP: "10.0.0.1", Zone: "a", Bounds: platform.Bounds{VersionApply: bound}}, zap.NewNop())
+		return p
+	}
+	// load returns the version that a worker with version 1 is to load now.
+	load := func(p *Process) int {
+		p.date("m")
+		for _, t := range p.targets {
+			t.held, t.heldAt = true, time.Now().Add(-bound)
+		}
+		worker := rollout.Worker{Version: 1, Whole: true}
+		return rollout.Decide(p.changes, worker, p.rolloutTargets(), "10.0.0.1", []string{"10.0.0.1"}, time.Now()).Load
+	}
+	t.Run("opened before the naming is read", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p := start()
+			p.finishOpen(openResult{version: &version{number: 2}})
+			p.hear(2)
+			if got := load(p); got != 2 {
+				t.Errorf("the worker is to load %d, not 2", got)
+			}
+		})
+	})
+	t.Run("suspended while it is opened", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p := start()
+			p.view.changed(platform.KindVersions, nil)
+			p.hear(2)
+			wanted := p.view.named("m")
+			p.opening = make(chan openResult, 1)
+			p.shift(bound)
+			// A newer version has been named meanwhile.
+			p.hear(3)
+			p.finishOpen(openResult{version: &version{number: 2}, named: wanted})
+			if got := load(p); got != 2 {
+				t.Errorf("the worker is to load %d, not 2", got)
+			}
+		})
+	})
+	t.Run("suspended before it is opened", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p := start()
+			p.view.changed(platform.KindVersions, nil)
+			p.hear(2)
+			p.shift(bound)
+			p.finishOpen(openResult{version: &version{number: 2}, named: p.view.named("m")})
+			if got := load(p); got != 2 {
+				t.Errorf("the worker is to load %d, not 2", got)
+			}
+		})
+	})
+	t.Run("named just now", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p := start()
+			p.view.changed(platform.KindVersions, nil)
+			p.hear(2)
+			p.finishOpen(openResult{version: &version{number: 2}, named: p.view.named("m")})
+			if got := load(p); got != 0 {
+				t.Errorf("the worker is to load %d before its turn", got)
+			}
+		})
+	})
+}
--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -111,6 +111,16 @@
 	}
 }
 
+// shift moves the dates of versions back by a suspension.
+func (v *view) shift(length time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for model, version := range v.versions {
+		version.since = version.since.Add(-length)
+		v.versions[model] = version
+	}
+}
+
 // service returns the service of the worker with its engine, or nil while it is unknown.
 func (v *view) service() *catalog.Service {
 	v.mu.Lock()
