Ignore reports with negative numbers

Cause: a datagram with a negative queue, number of running requests, version or time until the worker closes was believed. A load below nothing draws the requests of an entry to that worker, and a negative time closes it.

--- a/entry/hosted/reports.go
+++ b/entry/hosted/reports.go
@@ -42,6 +42,10 @@
 		v.workerDeparts(departure.Departure{VM: vm, Born: report.GetBorn()}, "another entry")
 		return
 	}
+	if min(report.GetQueued(), report.GetRunning(), report.GetClosesInMs(), report.GetVersion()) < 0 {
+		v.log.Warn("report with a negative number ignored", zap.String("address", report.GetAddress()))
+		return
+	}
 	v.reported(report.GetAddress(), report.GetSequence(), catalog.Report{
 		Born: report.GetBorn(), Busy: report.GetBusy(), Queued: int(report.GetQueued()), Running: int(report.GetRunning()),
 		Leaving: report.GetLeaving(), ClosesIn: time.Duration(report.GetClosesInMs()) * time.Millisecond,
