--- a/lib/swarm/fetch.go
+++ b/lib/swarm/fetch.go
@@ -11,9 +11,9 @@
 const (
 	// waitChunkTimes bounds the wait for a peer's first byte.
 	waitChunkTimes = 6
-	// idleChunkTimes bounds the time without progress of a fetch that has begun.
+	// idleChunkTimes bounds the time without progress of a fetch from a peer that has begun.
 	idleChunkTimes = 6
-	// sourceWaitChunkTimes bounds the wait for the first byte of the weight store,
+	// sourceWaitChunkTimes bounds the time without progress of a fetch from the weight store,
 	// whose link may be shared by many fetches.
 	sourceWaitChunkTimes = 32
 	// slowChunkTimes is the age at which a fetch from a peer counts as slow. A peer whose
@@ -204,9 +204,9 @@
 	for _, f := range slices.Clone(m.fetches) {
 		limit := m.after(idleChunkTimes)
 		switch {
-		case f.moving:
 		case f.from == nil:
 			limit = m.after(sourceWaitChunkTimes)
+		case f.moving:
 		default:
 			limit = m.after(waitChunkTimes)
 		}
