Apply the load of a stream's head when it comes

Cause: the load that a worker tells in the head of its answer was applied at the end of the attempt. For a stream of a model that is a second later, and it replaced what the reports had told since.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -221,10 +221,12 @@
 		return c.ended(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", errOtherWeights), load
 	case c.route.Kind == catalog.Stream && response.StatusCode == http.StatusOK:
 		c.weightVersion = answer.WeightVersion
+		c.view.loadTold(c.service, tracked, load)
 		err = c.relayStream(response, answer, begin, c.patience(decision.VM), func() {
 			c.waited = time.Since(sentAt)
 			c.view.accepted(c.service, tracked)
 		})
+		load = nil // it is as old as the head of the stream
 	default:
 		return c.relayWhole(response, answer), load
 	}
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -379,6 +379,13 @@
 	return state.table.PauseLeft("", state.config.Name, now)
 }
 
+// loadTold notes the load that the head of an answer tells; nil for none.
+func (v *view) loadTold(state *service, attempt *routing.Attempt, load *laburnumgwv1.Load) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	state.table.LoadReceived(*attempt, load, time.Now())
+}
+
 // accepted notes that a worker has begun to answer an attempt.
 func (v *view) accepted(state *service, attempt *routing.Attempt) {
 	v.mu.Lock()
--- a/lib/routing/overload_test.go
+++ b/lib/routing/overload_test.go
@@ -108,8 +108,6 @@
 	prompt     float64
 	passes     int
 	began      bool
-	// load is the one that the head of the answer tells.
-	load    *laburnumgwv1.Load
 	entry   *Table
 	attempt Attempt
 }
@@ -298,7 +296,7 @@
 			if c.passes > 0 {
 				return false
 			}
-			c.entry.AttemptFinished(c.attempt, Result{Outcome: laburnumgwv1.Outcome_OUTCOME_COMPLETE, Sent: true, Load: c.load}, s.time())
+			c.entry.AttemptFinished(c.attempt, Result{Outcome: laburnumgwv1.Outcome_OUTCOME_COMPLETE, Sent: true}, s.time())
 			return true
 		})
 		s.pass(e)
@@ -307,7 +305,7 @@
 
 // begin passes the first event of a call on.
 func (s *simulation) begin(c *simCall, load *laburnumgwv1.Load) {
-	c.load = load
+	c.entry.LoadReceived(c.attempt, load, s.time())
 	c.entry.AttemptAccepted(&c.attempt)
 	if !c.counted {
 		return
