Let callers refused for want of room come back within the objective

Cause: of what was late after the room was shared, most were callers that had been refused and came back after 0.3 to 0.45 s, as they were told. They took a place and were late for certain (objective 0.4 s), while others that could have been in time were refused for them.

Retry-After is now an eighth of the shortest objective of the service's routes, and up to half more at random, when engines serve the request and only lack room. Other refusals keep 0.3 s, and a pause that a worker asks for keeps its length. A time that the routing names replaces the least one of 0.25 s.

Ruled out by reckoning: to send callers away for longer. Each that is refused comes back once, so that in a sustained overload the same number comes back after any time; it would help after a burst of less than about 2 s.

--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -241,7 +242,7 @@
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	var typed *errkind.Error
 	if status == http.StatusServiceUnavailable && errors.As(err, &typed) {
-		after := max(typed.RetryAfter, finalRetryAfter)
+		after := cmp.Or(typed.RetryAfter, finalRetryAfter)
 		platform.SetRetryAfter(header, after+time.Duration(f.view.random()*retryAfterJitter*float64(after)))
 	}
 	w.WriteHeader(status)
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -30,6 +30,10 @@
 	plainQueue = 6
 	// refusalRetryAfter is when a refused caller may come back.
 	refusalRetryAfter = 300 * time.Millisecond
+	// roomRetries is the part of the shortest objective after which a caller may come back
+	// that was refused for want of room. It leaves the time for another try, so that the
+	// answer can still be in time; one that comes later takes room and is late for certain.
+	roomRetries = 8
 	// versionMargin is how long before the bound older weights get no more requests: most
 	// requests begin within 400 ms, the others are given up at beginMargin, and a version may
 	// be learnt 200 ms after it was named.
@@ -209,6 +213,7 @@
 		settings.QueueLength = engineQueue
 		settings.PromptsWaiting = v.promptsWaiting(config)
 		settings.Senders = int(v.entryCount())
+		settings.RoomRetryAfter = v.objective(config.Name) / roomRetries
 	}
 	if config.ColdPerSecond > 0 {
 		settings.ArrivalsPerSecond = max(1, int(coldBound(config, v.settings.Bounds)/v.entryCount()))
--- a/lib/retry/answer.go
+++ b/lib/retry/answer.go
@@ -33,12 +33,12 @@
 	return errkind.Wrap(s.lastErr, kind, remedy, "request ended after %d attempts: %s", s.attempts, cause)
 }
 
-// callerDelay returns the longest time that an endpoint or the routing asked for.
+// callerDelay returns the longest time that an endpoint or the routing asked for. The least
+// time of the request applies when the routing names none.
 func (s *State) callerDelay() time.Duration {
-	delay := s.retryAfter
 	var typed *errkind.Error
-	if errors.As(s.lastErr, &typed) {
-		delay = max(delay, typed.RetryAfter)
+	if errors.As(s.lastErr, &typed) && typed.RetryAfter > 0 {
+		return max(s.retryAfter, typed.RetryAfter)
 	}
-	return max(delay, cmp.Or(s.request.RetryAfter, DefaultRetryAfter))
+	return max(s.retryAfter, cmp.Or(s.request.RetryAfter, DefaultRetryAfter))
 }
--- a/lib/retry/plan_test.go
+++ b/lib/retry/plan_test.go
@@ -80,6 +80,15 @@
 		So(errors.As(next.Err, &typed), ShouldBeTrue)
 		So(typed.RetryAfter, ShouldEqual, 7*time.Second)
 	})
+	Convey("The time that the routing names replaces the least one of the request", t, func() {
+		state := retry.NewState(retry.Request{Deadline: start.Add(time.Minute), RetryAfter: 250 * time.Millisecond})
+		full := errkind.New(errkind.NotRun, "repeat the request", "no room").WithRetryAfter(50 * time.Millisecond)
+		var typed *errkind.Error
+		So(errors.As(state.NoEndpoint(full).Err, &typed), ShouldBeTrue)
+		So(typed.RetryAfter, ShouldEqual, 50*time.Millisecond)
+		So(errors.As(state.NoEndpoint(errkind.New(errkind.NotRun, "repeat the request", "no room")).Err, &typed), ShouldBeTrue)
+		So(typed.RetryAfter, ShouldEqual, 250*time.Millisecond)
+	})
 	Convey("A resumed stream that is refused is resumed again on the same version", t, func() {
 		state := retry.NewState(retry.Request{Idempotent: true, Resumable: true, Deadline: start.Add(time.Minute)})
 		planner := newPlanner(0)
--- a/lib/routing/errors.go
+++ b/lib/routing/errors.go
@@ -80,6 +80,11 @@
 	return 0
 }
 
+// wantsRoom reports whether some endpoint would have been eligible with more room.
+func (e *NoEndpointError) wantsRoom() bool {
+	return e.Count(FilterNoRoom)+e.Count(FilterPlaces)+e.Count(FilterPrompts) > 0
+}
+
 func (t *Table) noEndpoint(q *query) error {
 	cause := &NoEndpointError{
 		RequestID:  q.request.ID,
@@ -89,7 +94,11 @@
 		Removed:    append([]FilterCount(nil), q.counts.Entries()...),
 		Candidates: q.detail,
 	}
-	after := max(t.settings.RetryAfter, pauseLeft(q.members, q.elapsed))
+	after := t.settings.RetryAfter
+	if t.settings.RoomRetryAfter > 0 && cause.wantsRoom() {
+		after = t.settings.RoomRetryAfter
+	}
+	after = max(after, pauseLeft(q.members, q.elapsed))
 	remedy := "repeat the request after the time in Retry-After"
 	return errkind.Wrap(cause, errkind.NotRun, remedy, "request %s was not run", q.request.ID).
 		WithRetryAfter(after)
--- a/lib/routing/overload_test.go
+++ b/lib/routing/overload_test.go
@@ -108,8 +108,8 @@
 	prompt     float64
 	passes     int
 	began      bool
-	entry   *Table
-	attempt Attempt
+	entry      *Table
+	attempt    Attempt
 }
 
 func newSimulation(entries, engines int, load float64) *simulation {
@@ -122,7 +122,7 @@
 	for i := range entries {
 		zoneOf[strconv.Itoa(i)] = zone(i)
 		table, err := New(Settings{
-			Zone: zone(i), Region: zone(i), QueueLength: simQueue, Senders: entries, RetryAfter: simRetryAfter,
+			Zone: zone(i), Region: zone(i), QueueLength: simQueue, Senders: entries, RetryAfter: simRetryAfter, RoomRetryAfter: simObjective / 8,
 			PromptsWaiting: int64(simObjective.Seconds() / 2 * simRead / float64(min(entries, senders.Unbounded))),
 		}, rand.New(rand.NewPCG(uint64(i), 3)))
 		if err != nil {
@@ -327,6 +327,8 @@
 			Convey(fmt.Sprintf("a load of %g times what they carry does not fill their queues", load), func() {
 				s := newSimulation(35, 52, load).run()
 				So(s.quantile(0.5), ShouldBeLessThan, simObjective*3/4)
+				// Those that are refused come back while they can be answered in time.
+				So(float64(s.inTime), ShouldBeGreaterThan, 0.7*s.carried())
 				// The engines stay busy.
 				So(float64(s.inTime+s.late), ShouldBeGreaterThan, 0.92*s.carried())
 			})
--- /dev/null
+++ b/lib/routing/room_test.go
@@ -0,0 +1,84 @@
+package routing
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/errkind"
+)
+
+func TestRefusalsForWantOfRoom(t *testing.T) {
+	settings := Settings{QueueLength: 2, RetryAfter: 300 * time.Millisecond, RoomRetryAfter: 50 * time.Millisecond}
+	refusal := func(table *Table) time.Duration {
+		_, err := table.Pick(&Request{Model: "m"}, day)
+		var typed *errkind.Error
+		So(errors.As(err, &typed), ShouldBeTrue)
+		return typed.RetryAfter
+	}
+	Convey("Given an engine that is full", t, func() {
+		table := engines(1, settings)
+		table.ReportReceived(&laburnumgwv1.ReportRequest{
+			Vm: "vm0", Zone: "a", Region: "r1", Incarnation: &laburnumgwv1.Incarnation{Counter: 1}, Sequence: 2,
+			Load: &laburnumgwv1.Load{Limit: 12, InFlight: 14}, Serving: map[string]string{"m": "1"},
+		}, day)
+		Convey("a caller may come back soon, since places free all the time", func() {
+			So(refusal(table), ShouldEqual, 50*time.Millisecond)
+		})
+		Convey("it may not while the engine asks for a pause", func() {
+			table.SetPaused("vm0", day.Add(2*time.Second))
+			So(refusal(table), ShouldEqual, 2*time.Second)
+		})
+	})
+	Convey("Without an engine that serves the request a caller waits longer", t, func() {
+		So(refusal(engines(0, settings)), ShouldEqual, 300*time.Millisecond)
+	})
+}
+
+func TestRoomIsSharedAsPlacesAreTaken(t *testing.T) {
+	Convey("Given an engine with 4 senders", t, func() {
+		table := engines(1, Settings{QueueLength: 2, Senders: 4})
+		sequence := uint64(1)
+		report := func(taken int32) {
+			sequence++
+			table.ReportReceived(&laburnumgwv1.ReportRequest{
+				Vm: "vm0", Zone: "a", Region: "r1", Incarnation: &laburnumgwv1.Incarnation{Counter: 1}, Sequence: sequence,
+				Load: &laburnumgwv1.Load{Limit: 12, InFlight: taken}, Serving: map[string]string{"m": "1"},
+			}, day)
+			table.ShareRoom("vm0")
+		}
+		// sent returns the requests that follow a report until the first refusal.
+		sent := func(taken int32) int {
+			report(taken)
+			var attempts []Attempt
+			for {
+				request := &Request{Model: "m"}
+				decision, err := table.Pick(request, day)
+				if err != nil {
+					break
+				}
+				attempts = append(attempts, table.AttemptSent(decision, request, day))
+			}
+			for _, a := range attempts {
+				table.AttemptFinished(a, Result{Outcome: laburnumgwv1.Outcome_OUTCOME_COMPLETE, Sent: true}, day)
+			}
+			return len(attempts)
+		}
+		Convey("one alone may fill it while half of the places are free", func() {
+			So(sent(4), ShouldEqual, 10)
+		})
+		Convey("each takes a quarter of what is left once it is full", func() {
+			for range 200 {
+				report(12)
+			}
+			sum := 0
+			for range 400 {
+				sum += sent(12)
+			}
+			So(sum, ShouldBeBetween, 150, 250)
+		})
+	})
+}
--- a/lib/routing/table.go
+++ b/lib/routing/table.go
@@ -47,6 +47,9 @@
 	Senders int
 	// RetryAfter is returned with refusals; zero for DefaultRetryAfter.
 	RetryAfter time.Duration
+	// RoomRetryAfter is returned instead when endpoints serve the request but have no room,
+	// which they may have any moment; zero for RetryAfter.
+	RoomRetryAfter time.Duration
 }
 
 // Zone is the state of one availability zone in the configuration.
