--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -23,13 +23,17 @@
 )
 
 const (
-	// engineQueue is the number of requests beyond its slots that an engine may hold.
-	// One slot frees every 70 ms, so that a longer queue misses the objective.
-	engineQueue = 2
+	// queuePart is the part of an objective within which a request that waits for a slot of an
+	// engine is to begin, as it does on average. Slots free at uneven times, and reports are old.
+	queuePart = 0.5
 	// plainQueue is the same for a plain service, whose requests take 30 to 60 ms.
 	plainQueue = 6
 	// refusalRetryAfter is when a refused caller may come back.
 	refusalRetryAfter = 300 * time.Millisecond
+	// roomRetries is the part of the shortest objective after which a caller may come back
+	// that was refused for want of room. It leaves the time for another try, so that the
+	// answer can still be in time; one that comes later takes room and is late for certain.
+	roomRetries = 8
 	// versionMargin is how long before the bound older weights get no more requests: most
 	// requests begin within 400 ms, the others are given up at beginMargin, and a version may
 	// be learnt 200 ms after it was named.
@@ -206,8 +210,10 @@
 		Policy: v.settings.RoutingPolicy,
 	}
 	if config.Engine != nil {
-		settings.QueueLength = engineQueue
+		settings.QueueLength = v.engineQueue(config)
 		settings.PromptsWaiting = v.promptsWaiting(config)
+		settings.Senders = int(v.entryCount())
+		settings.RoomRetryAfter = v.objective(config.Name) / roomRetries
 	}
 	if config.ColdPerSecond > 0 {
 		settings.ArrivalsPerSecond = max(1, int(coldBound(config, v.settings.Bounds)/v.entryCount()))
@@ -224,6 +230,13 @@
 	return int64(inTime / min(float64(sending), float64(senders.Unbounded)))
 }
 
+// engineQueue returns the number of requests beyond its slots that an engine may hold. The
+// caller holds the lock.
+func (v *view) engineQueue(config *catalog.Service) int {
+	within := time.Duration(queuePart * float64(v.objective(config.Name)))
+	return max(1, config.Engine.Queue(within))
+}
+
 // objective returns the shortest objective of the routes to a service.
 func (v *view) objective(service string) time.Duration {
 	snapshot := v.configuring
@@ -378,6 +391,13 @@
 	return state.table.PauseLeft("", state.config.Name, now)
 }
 
+// loadTold notes the load that the head of an answer tells; nil for none.
+func (v *view) loadTold(state *service, attempt *routing.Attempt, load *laburnumgwv1.Load) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	state.table.LoadReceived(*attempt, load, time.Now())
+}
+
 // accepted notes that a worker has begun to answer an attempt.
 func (v *view) accepted(state *service, attempt *routing.Attempt) {
 	v.mu.Lock()
@@ -496,6 +516,9 @@
 			v.workerDeparts(departure.Departure{VM: w.ID, Born: w.Born}, "the process beside it")
 		}
 		v.feed(w)
+		if state := v.services[w.Service]; state != nil && report.Born == w.Born {
+			state.table.ShareRoom(w.ID)
+		}
 	}
 }
 
