Date versions at a worker across suspensions without moving the dates

Cause: the dates of versions were moved back by the loop that looks at the worker, some time after the suspension was noticed. A version that was heard of in between was moved although its date was right, and its worker changed over too early by the length of the suspension. Dates now carry the length of all suspensions up to then, and are read against the present one.

Ruled out: the entries, which move their dates while the suspension is noticed, before an answer is applied.

TestTurnIsCountedFromTheNaming has a case for it; the order of the two goroutines cannot be provoked in the old code without its loop, so that the case was not seen to fail there. TestManifestIsAskedForAgainSoon now gives its process a view; it checks the same.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -90,8 +90,6 @@
 	suspensions chan time.Duration
 	// opening delivers the version that is being opened; nil while none is.
 	opening chan openResult
-	// openingShift is the length of the suspensions since that began.
-	openingShift time.Duration
 	// targets are the versions that are fetched or held, in ascending order.
 	targets []*target
 	socket  net.PacketConn
@@ -191,6 +189,7 @@
 
 // suspended passes a suspension on to the loop that looks at the worker.
 func (p *Process) suspended(length time.Duration) {
+	p.view.suspended(length)
 	p.mirror.Suspended(length)
 	select {
 	case p.suspensions <- length:
@@ -205,17 +204,6 @@
 	}
 }
 
-// shift moves the dates of versions back by a suspension, which the monotonic clock has
-// not counted.
-func (p *Process) shift(length time.Duration) {
-	p.log.Warn("machine was suspended", zap.Duration("length", length))
-	for _, t := range p.targets {
-		t.named = t.named.Add(-length)
-	}
-	p.view.shift(length)
-	p.openingShift += length
-}
-
 func (p *Process) serveMetrics() error {
 	address := net.JoinHostPort(p.settings.IP, strconv.Itoa(telemetry.MetricsPort))
 	server := &http.Server{Addr: address, Handler: telemetry.Handler(p.metrics), ReadHeaderTimeout: readHeaderTimeout}
@@ -239,7 +227,7 @@
 		case <-ticker.C:
 			p.look(ctx)
 		case length := <-p.suspensions:
-			p.shift(length)
+			p.log.Warn("machine was suspended", zap.Duration("length", length))
 			p.look(ctx)
 		case result := <-p.opening:
 			p.finishOpen(result)
@@ -255,7 +243,7 @@
 // target is a version that is fetched or held.
 type target struct {
 	version *version
-	named   time.Time
+	named   named
 	held    bool
 	heldAt  time.Time
 }
@@ -362,7 +350,7 @@
 			t.held = true
 			t.heldAt = time.Now()
 		}
-		list = append(list, rollout.Target{Version: t.version.number, Named: t.named, Held: t.held, HeldAt: t.heldAt})
+		list = append(list, rollout.Target{Version: t.version.number, Named: p.view.date(t.named), Held: t.held, HeldAt: t.heldAt})
 	}
 	return list
 }
@@ -386,7 +374,6 @@
 	}
 	opening := make(chan openResult, 1)
 	p.opening = opening
-	p.openingShift = 0
 	go func() {
 		opened, err := p.library.open(ctx, model, wanted.version)
 		opening <- openResult{opened, wanted, err}
@@ -408,12 +395,11 @@
 		return
 	}
 	p.openPause.Reset()
-	since := result.named.since.Add(-p.openingShift)
 	if result.named.since.IsZero() {
 		// Nothing has named a version yet; date corrects this once it is known.
-		since = time.Now()
+		result.named = p.view.unnamed()
 	}
-	p.targets = append(p.targets, &target{version: result.version, named: since})
+	p.targets = append(p.targets, &target{version: result.version, named: result.named})
 	if len(p.targets) > keptVersions {
 		p.targets = p.targets[1:]
 	}
@@ -422,11 +408,12 @@
 // date takes over when the newest version was named, which a process that starts may learn
 // after it has opened the version.
 func (p *Process) date(model string) {
-	named := p.view.named(model)
+	wanted := p.view.named(model)
+	since := p.view.date(wanted)
 	for _, t := range p.targets {
-		if t.version.number == named.version && named.since.Before(t.named) {
-			p.log.Info("version dated", zap.Int("version", named.version), zap.Duration("known", time.Since(named.since)))
-			t.named = named.since
+		if t.version.number == wanted.version && since.Before(p.view.date(t.named)) {
+			p.log.Info("version dated", zap.Int("version", wanted.version), zap.Duration("known", time.Since(since)))
+			t.named = wanted
 		}
 	}
 }
@@ -448,7 +435,7 @@
 	p.orders.Inc()
 	p.log.Info("worker ordered to load", zap.Int("version", number), zap.Int("sequence", p.report.Sequence),
 		zap.Stringer("result", result), zap.Duration("staged_in", time.Since(started)),
-		zap.Duration("since_named", time.Since(t.named)), zap.Error(err))
+		zap.Duration("since_named", time.Since(p.view.date(t.named))), zap.Error(err))
 	if result == platform.OrderRefused {
 		p.switching = false
 	}
--- a/endpoint/hosted/process_test.go
+++ b/endpoint/hosted/process_test.go
@@ -19,7 +19,7 @@
 // staged, because the manifest is asked for again long after the VMs that read it have it.
 func TestManifestIsAskedForAgainSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := &Process{log: zap.NewNop(), openPause: newOpenPause()}
+		p := &Process{log: zap.NewNop(), view: newView(&platform.Settings{}, zap.NewNop()), openPause: newOpenPause()}
 		fail := func() time.Duration {
 			failed := time.Now()
 			p.finishOpen(openResult{err: errors.New("not known yet")})
@@ -107,8 +107,7 @@
 			p.view.changed(platform.KindVersions, nil)
 			p.hear(2)
 			wanted := p.view.named("m")
-			p.opening = make(chan openResult, 1)
-			p.shift(bound)
+			p.view.suspended(bound)
 			// A newer version has been named meanwhile.
 			p.hear(3)
 			p.finishOpen(openResult{version: &version{number: 2}, named: wanted})
@@ -122,13 +121,25 @@
 			p := start()
 			p.view.changed(platform.KindVersions, nil)
 			p.hear(2)
-			p.shift(bound)
+			p.view.suspended(bound)
 			p.finishOpen(openResult{version: &version{number: 2}, named: p.view.named("m")})
 			if got := load(p); got != 2 {
 				t.Errorf("the worker is to load %d, not 2", got)
 			}
 		})
 	})
+	t.Run("heard after the suspension it was named in", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			p := start()
+			p.view.changed(platform.KindVersions, nil)
+			p.view.suspended(bound)
+			p.hear(2)
+			p.finishOpen(openResult{version: &version{number: 2}, named: p.view.named("m")})
+			if got := load(p); got != 0 {
+				t.Errorf("the worker is to load %d before its turn", got)
+			}
+		})
+	})
 	t.Run("named just now", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			p := start()
--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -32,6 +32,8 @@
 	// targets is nil after a change of the entries.
 	targets  *targets
 	versions map[string]named
+	// slept is the length of all suspensions of the machine.
+	slept time.Duration
 	// listed holds the kinds that were read once.
 	listed map[string]bool
 }
@@ -40,6 +42,8 @@
 type named struct {
 	version int
 	since   time.Time
+	// slept is the length of all suspensions up to when since was set.
+	slept time.Duration
 }
 
 func newView(settings *platform.Settings, log *zap.Logger) *view {
@@ -98,7 +102,7 @@
 		case since.IsZero():
 			since = time.Now()
 		}
-		v.versions[model] = named{version, since}
+		v.versions[model] = named{version, since, v.slept}
 		v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision))
 	case platform.KindEntries:
 		v.targets = nil
@@ -111,14 +115,25 @@
 	}
 }
 
-// shift moves the dates of versions back by a suspension.
-func (v *view) shift(length time.Duration) {
+// suspended notes a suspension of the machine, which the monotonic clock has not counted.
+func (v *view) suspended(length time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for model, version := range v.versions {
-		version.since = version.since.Add(-length)
-		v.versions[model] = version
-	}
+	v.slept += length
+}
+
+// unnamed returns the date of a version that nothing has named, which is now.
+func (v *view) unnamed() named {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return named{since: time.Now(), slept: v.slept}
+}
+
+// date returns when a version was named, on the monotonic clock as it is now.
+func (v *view) date(n named) time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return n.since.Add(n.slept - v.slept)
 }
 
 // service returns the service of the worker with its engine, or nil while it is unknown.
@@ -152,6 +167,7 @@
 	return v.snapshot.Origin()
 }
 
+// named returns the newest named version of a model, version 0 without one.
 func (v *view) named(model string) named {
 	v.mu.Lock()
 	defer v.mu.Unlock()
