Look at the store while its watches are verified

Cause: the reader of the store verified its watches between two looks at the revision. Workers change all the time, so each second look lists all other kinds, one after the other; with a configuration of thousands of routes that takes longer than the 0.35 s by which the age of the last answer may exceed the interval.

Verification now runs beside the probes; a probe that finds it under way leaves it alone.

TestReaderConfirmsWhileItVerifies fails on the code before: 2.3 s old, want at most 1 s.

--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -138,6 +138,8 @@
 	revivedAt time.Time
 	revived   chan struct{}
 	kick      chan struct{}
+	// probed hands the revisions that probes have seen to the verification.
+	probed chan int64
 	// confirmedAt is the time of the last answer of the store, also through neighbours.
 	confirmedAt time.Time
 	// toldAt is the time of the last answer of the store that a neighbour has passed on.
@@ -155,7 +157,7 @@
 // NewDriver returns a driver that runs with Run.
 func NewDriver(config Config) *Driver {
 	d := &Driver{config: config, instance: rand.Uint64(), kinds: make(map[string]*Kind), moved: make(chan struct{}), turned: make(chan struct{}), cancels: make(map[string]context.CancelFunc),
-		reachable: true, revived: make(chan struct{}), kick: make(chan struct{}, 1)}
+		reachable: true, revived: make(chan struct{}), kick: make(chan struct{}, 1), probed: make(chan int64)}
 	for name, lapses := range config.Kinds {
 		d.kinds[name] = NewKind(lapses)
 	}
@@ -170,6 +172,7 @@
 	}
 	running.Go(func() { d.pull(ctx) })
 	running.Go(func() { d.probe(ctx) })
+	running.Go(func() { d.verifyAll(ctx) })
 	running.Go(func() { d.tick(ctx) })
 	running.Wait()
 }
--- a/lib/mirror/outage_test.go
+++ b/lib/mirror/outage_test.go
@@ -199,6 +199,49 @@
 	})
 }
 
+// longLists answers lists of one kind slowly, as a store does whose configuration has
+// thousands of routes.
+type longLists struct {
+	*fakeStore
+	kind string
+	took time.Duration
+}
+
+func (l longLists) List(ctx context.Context, kind string) ([]Object, int64, error) {
+	if kind == l.kind && !sleep(ctx, l.took) {
+		return nil, 0, ctx.Err()
+	}
+	return l.fakeStore.List(ctx, kind)
+}
+
+// Guards against a reader that does not look at the store while it verifies its watches.
+// Workers change all the time, so that each second look verifies all other kinds; while the
+// configuration was listed, the last answer of the store became older than followers rely
+// on, and a zone of 25 entries listed everything at once.
+func TestReaderConfirmsWhileItVerifies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		for kind := range fiveKinds {
+			store.put(kind, "a")
+		}
+		reader := NewDriver(Config{Kinds: fiveKinds, Store: longLists{store, "config", 1200 * time.Millisecond}, Log: zap.NewNop(), Changed: func(string, []Change) {}})
+		go reader.Run(t.Context())
+		<-time.After(3 * time.Second)
+		oldest := time.Duration(0)
+		for i := range 200 {
+			if i%2 == 0 {
+				store.put("workers", "a")
+			}
+			<-time.After(100 * time.Millisecond)
+			oldest = max(oldest, reader.Age())
+		}
+		// One interval between two looks, and the resolution of this test.
+		if limit := ProbeInterval(0) + 100*time.Millisecond; oldest > limit {
+			t.Errorf("last answer of the store was %v old, want at most %v", oldest, limit)
+		}
+	})
+}
+
 // Guards against state that is lost when entries are restarted in turn while the store is
 // away: each one that starts knew nothing until the store was back, and the last one that
 // knew took the state with it.
--- a/lib/mirror/probe.go
+++ b/lib/mirror/probe.go
@@ -8,10 +8,8 @@
 	"go.uber.org/zap"
 )
 
-// probe compares the revision of the store with what the watches have delivered. It does
-// so only while this process reads the store.
+// probe looks at the revision of the store while this process reads it.
 func (d *Driver) probe(ctx context.Context) {
-	unseen := make(map[string]int)
 	pause := &backoff.ExponentialBackOff{InitialInterval: firstRetry, Multiplier: 2, RandomizationFactor: 0.3}
 	for d.awaitProbe(ctx, pause) {
 		if d.spared() {
@@ -24,6 +22,25 @@
 		}
 		d.found()
 		d.confirmed(0)
+		select {
+		case d.probed <- revision:
+		default: // the last verification is still under way
+		}
+	}
+}
+
+// verifyAll compares the revisions that probes have seen with what the watches have
+// delivered. It is apart from the probes, because long lists would hold them up and
+// neighbours rely on the age of the last one.
+func (d *Driver) verifyAll(ctx context.Context) {
+	unseen := make(map[string]int)
+	for {
+		var revision int64
+		select {
+		case revision = <-d.probed:
+		case <-ctx.Done():
+			return
+		}
 		if len(d.behind(revision)) == 0 || !sleep(ctx, probeGrace) {
 			continue
 		}
