--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -65,6 +65,7 @@
 	library  *library
 	grpc     *grpc.Server
 	conns    *rpc.Pool
+	monitor  *suspend.Monitor
 	metrics  *metrics.Set
 	orders   *metrics.Counter
 	log      *zap.Logger
@@ -89,6 +90,8 @@
 	suspensions chan time.Duration
 	// opening delivers the version that is being opened; nil while none is.
 	opening chan openResult
+	// openingShift is the length of the suspensions since that began.
+	openingShift time.Duration
 	// targets are the versions that are fetched or held, in ascending order.
 	targets []*target
 	socket  net.PacketConn
@@ -110,12 +113,17 @@
 		library: newLibrary(v, worker, conns, set, log), grpc: grpc.NewServer(rpc.Recovering(log)...),
 		suspensions: make(chan time.Duration, 4), openPause: newOpenPause(),
 	}
+	monitor, err := suspend.NewMonitor(p.suspended)
+	if err != nil {
+		return nil, fmt.Errorf("notice suspensions of the machine: %w", err)
+	}
+	p.monitor = monitor
 	p.mirror = mirror.NewDriver(mirror.Config{
 		Kinds: map[string]bool{
 			platform.KindConfig: false, platform.KindWorkers: true, platform.KindVersions: false, platform.KindEntries: false,
 		},
 		Store: store, Seed: platform.KindEntries, Seeds: rpcmirror.NewSeedClient(conns, settings.SeedAddresses()), Neighbours: rpcmirror.NewClient(conns, v.neighbours), PullWait: pullWait, StaleAfter: func() time.Duration { return staleAfter }, Indirect: true,
-		First: func() mirror.Source { return mirror.NeighboursFirst }, Patience: v.patience, Probing: v.probing, Within: settings.Bounds.Shortest(), HoldOff: func() time.Duration { return staleAfter }, SeedWait: seedPatience, Changed: v.changed, Log: log,
+		First: func() mirror.Source { return mirror.NeighboursFirst }, Patience: v.patience, Probing: v.probing, Within: settings.Bounds.Shortest(), HoldOff: func() time.Duration { return staleAfter }, SeedWait: seedPatience, Awake: p.awake, Changed: v.changed, Log: log,
 	})
 	laburnumgwv1.RegisterPeerServer(p.grpc, p.library.server())
 	laburnumgwv1.RegisterManifestsServer(p.grpc, &manifestServer{library: p.library})
@@ -148,7 +156,7 @@
 	go reload.Watch(ctx, os.Getenv(platform.SettingsVariable), hangups, p.reload)
 	go p.mirror.Run(ctx)
 	go func() {
-		if err := suspend.Watch(ctx, p.suspended); err != nil {
+		if err := p.monitor.Run(ctx); err != nil {
 			p.log.Error("suspensions of the machine are not noticed", zap.Error(err))
 		}
 	}()
@@ -183,13 +191,20 @@
 
 // suspended passes a suspension on to the loop that looks at the worker.
 func (p *Process) suspended(length time.Duration) {
-	p.mirror.Refresh("machine was suspended")
+	p.mirror.Suspended(length)
 	select {
 	case p.suspensions <- length:
 	default:
 	}
 }
 
+// awake notices a suspension that has just ended.
+func (p *Process) awake() {
+	if err := p.monitor.Check(); err != nil {
+		p.log.Error("suspension of the machine may not be noticed", zap.Error(err))
+	}
+}
+
 // shift moves the dates of versions back by a suspension, which the monotonic clock has
 // not counted.
 func (p *Process) shift(length time.Duration) {
@@ -197,6 +212,8 @@
 	for _, t := range p.targets {
 		t.named = t.named.Add(-length)
 	}
+	p.view.shift(length)
+	p.openingShift += length
 }
 
 func (p *Process) serveMetrics() error {
@@ -317,6 +334,7 @@
 	}
 	model := service.Engine.Model
 	p.open(ctx, model)
+	p.date(model)
 	weights := p.report.Weights
 	worker := rollout.Worker{Version: weights.Version, Whole: weights.Whole(service.Engine.Layers), Busy: p.report.Busy}
 	if worker.Whole && worker.Version >= p.ordered {
@@ -368,6 +386,7 @@
 	}
 	opening := make(chan openResult, 1)
 	p.opening = opening
+	p.openingShift = 0
 	go func() {
 		opened, err := p.library.open(ctx, model, wanted.version)
 		opening <- openResult{opened, wanted, err}
@@ -389,8 +408,9 @@
 		return
 	}
 	p.openPause.Reset()
-	since := result.named.since
-	if since.IsZero() {
+	since := result.named.since.Add(-p.openingShift)
+	if result.named.since.IsZero() {
+		// Nothing has named a version yet; date corrects this once it is known.
 		since = time.Now()
 	}
 	p.targets = append(p.targets, &target{version: result.version, named: since})
@@ -399,6 +419,18 @@
 	}
 }
 
+// date takes over when the newest version was named, which a process that starts may learn
+// after it has opened the version.
+func (p *Process) date(model string) {
+	named := p.view.named(model)
+	for _, t := range p.targets {
+		if t.version.number == named.version && named.since.Before(t.named) {
+			p.log.Info("version dated", zap.Int("version", named.version), zap.Duration("known", time.Since(named.since)))
+			t.named = named.since
+		}
+	}
+}
+
 // load hands a version over and orders the worker to load it.
 func (p *Process) load(ctx context.Context, model string, t *target) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -16,6 +16,7 @@
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/dispatch"
+	"laburnumgw/lib/drain"
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/mirror/rpcmirror"
 	"laburnumgw/lib/reload"
@@ -74,6 +75,7 @@
 	store    *platform.Store
 	grpc     *grpc.Server
 	conns    *rpc.Pool
+	monitor  *suspend.Monitor
 	log      *zap.Logger
 }
 
@@ -90,13 +92,18 @@
 		settings: settings, view: v, store: store, conns: conns, log: log,
 		front: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), held: newHeldAnswers(settings.MemoryMB), metrics: metrics, log: log, detail: log.Named(telemetry.DetailName)},
 	}
+	monitor, err := suspend.NewMonitor(p.suspended)
+	if err != nil {
+		return nil, fmt.Errorf("notice suspensions of the machine: %w", err)
+	}
+	p.monitor = monitor
 	p.mirror = mirror.NewDriver(mirror.Config{
 		Kinds: map[string]bool{
 			platform.KindConfig: false, platform.KindWorkers: true, platform.KindEvacuations: false,
 			platform.KindVersions: false, platform.KindEntries: false,
 		},
 		Store: store, Seed: platform.KindEntries, Seeds: rpcmirror.NewSeedClient(conns, settings.SeedAddresses()), Neighbours: rpcmirror.NewClient(conns, v.neighbours), First: v.source, PullWait: pullWait, StaleAfter: v.staleAfter,
-		Patience: v.patience, Probing: v.probing, HoldOff: v.holdOff, Within: settings.Bounds.Shortest(), SeedWait: seedWait(settings), Changed: v.changed, Log: log,
+		Patience: v.patience, Probing: v.probing, HoldOff: v.holdOff, Within: settings.Bounds.Shortest(), SeedWait: seedWait(settings), Awake: p.awake, Changed: v.changed, Log: log,
 	})
 	p.grpc = grpc.NewServer(rpc.Recovering(log)...)
 	laburnumgwv1.RegisterMirrorServer(p.grpc, &rpcmirror.Server{Driver: p.mirror})
@@ -123,7 +130,7 @@
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	failed := make(chan error, 5)
-	server, err := p.listen(running, failed)
+	callers, err := p.listen(running, failed)
 	if err != nil {
 		return err
 	}
@@ -132,7 +139,7 @@
 	go p.catchUp(running)
 	go reload.Watch(running, os.Getenv(platform.SettingsVariable), hangups, p.reload)
 	go func() {
-		if err := suspend.Watch(running, p.suspended); err != nil {
+		if err := p.monitor.Run(running); err != nil {
 			p.log.Error("suspensions of the machine are not noticed", zap.Error(err))
 		}
 	}()
@@ -142,11 +149,11 @@
 		return err
 	case <-ctx.Done():
 	}
-	return p.stop(server)
+	return p.stop(callers, time.After(leaveWait))
 }
 
 // listen opens all listeners.
-func (p *Process) listen(ctx context.Context, failed chan<- error) (*http.Server, error) {
+func (p *Process) listen(ctx context.Context, failed chan<- error) (*drain.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: platform.KeepAlive()}
 	serve := func(address string, server *http.Server) error {
 		listener, err := config.Listen(ctx, "tcp", address)
@@ -160,13 +167,11 @@
 		}()
 		return nil
 	}
-	server := &http.Server{
-		Handler: p.front.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(p.log),
-	}
-	if err := serve(p.settings.Frontend, server); err != nil {
-		return nil, err
+	listener, err := config.Listen(ctx, "tcp", p.settings.Frontend)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", p.settings.Frontend, err)
 	}
+	callers := p.serveCallers(listener, failed)
 	if err := serve(p.settings.Readiness, &http.Server{Handler: p.front.readiness(), ReadHeaderTimeout: readHeaderTimeout}); err != nil {
 		return nil, err
 	}
@@ -187,7 +192,22 @@
 	p.view.tellDeparture = p.tellDeparture(reports)
 	p.view.mu.Unlock()
 	go p.readReports(reports)
-	return server, nil
+	return callers, nil
+}
+
+// serveCallers serves callers on a listener.
+func (p *Process) serveCallers(listener net.Listener, failed chan<- error) *drain.Listener {
+	server := &http.Server{
+		Handler: p.front.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: zap.NewStdLog(p.log),
+	}
+	callers := drain.New(server, listener)
+	go func() {
+		if err := callers.Serve(); !errors.Is(err, http.ErrServerClosed) {
+			failed <- fmt.Errorf("serve on %s: %w", listener.Addr(), err)
+		}
+	}()
+	return callers
 }
 
 // register writes this entry to the store, so that other processes find it. One that has
@@ -257,18 +277,25 @@
 // suspended looks at the store again after a suspension, before old beliefs are acted on.
 func (p *Process) suspended(length time.Duration) {
 	p.view.suspended(length)
-	p.mirror.Refresh("machine was suspended")
+	p.mirror.Suspended(length)
+}
+
+// awake notices a suspension that has just ended.
+func (p *Process) awake() {
+	if err := p.monitor.Check(); err != nil {
+		p.log.Error("suspension of the machine may not be noticed", zap.Error(err))
+	}
 }
 
-// stop tells the platform and the callers, still serves for a while, and finishes what
-// runs.
-func (p *Process) stop(server *http.Server) error {
+// stop tells the platform and the callers, still serves until they have left, and finishes
+// what runs.
+func (p *Process) stop(callers *drain.Listener, left <-chan time.Time) error {
 	p.log.Info("entry is leaving", zap.Duration("leave_wait", leaveWait))
 	p.front.leaving.Store(true)
-	time.Sleep(leaveWait)
+	<-left
 	ctx, cancel := context.WithTimeout(context.Background(), max(p.settings.Bounds.Grace-leaveWait-stopMargin, stopMargin))
 	defer cancel()
-	err := server.Shutdown(ctx)
+	err := callers.Drain(ctx)
 	p.grpc.Stop()
 	p.conns.Close()
 	p.log.Info("entry stopped", zap.Error(err))
--- a/lib/mirror/pull.go
+++ b/lib/mirror/pull.go
@@ -241,6 +241,7 @@
 
 // heardFrom ends the outage of all kinds: the neighbour has told what has changed of each.
 func (d *Driver) heardFrom(pulled Pulled) {
+	d.awake()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -271,6 +272,7 @@
 		}
 		d.apply(state.Kind, kind, func(now time.Time) []Change {
 			changes := kind.Listed(state.Objects, state.Revision, now)
+			kind.CompleteAt(now.Add(-pulled.Age))
 			kind.Failed(now.Add(-pulled.Age))
 			return changes
 		})
@@ -294,9 +296,27 @@
 			if state.Full {
 				return kind.Listed(state.Objects, state.Revision, now)
 			}
-			return kind.Watched(eventsOf(state), state.Revision, now)
+			events := eventsOf(state)
+			for i := range events {
+				if events[i].Object.Learnt.IsZero() {
+					// The neighbour does not know how old the change is.
+					events[i].Object.Learnt = kind.Missed(now)
+				}
+			}
+			return kind.Watched(events, state.Revision, now)
 		})
 	}
+	if pulled.Sound == 0 {
+		return // the neighbour has not read every kind, so that this copy may miss changes of one
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at := time.Now().Add(-pulled.Age)
+	for _, kind := range d.kinds {
+		if kind.Known() {
+			kind.CompleteAt(at)
+		}
+	}
 }
 
 func eventsOf(state State) []Event {
