Derive the queue of an engine from the objective

Cause: two requests beyond the slots were fitted to one site. A request that waits for the second slot of an engine with 12 of them, of which one frees every 93 ms, begins 270 ms after it was sent when all goes well; an engine with 8 slots, which frees one every 156 ms, takes 430 ms.

--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -23,9 +23,9 @@
 )
 
 const (
-	// engineQueue is the number of requests beyond its slots that an engine may hold.
-	// One slot frees every 70 ms, so that a longer queue misses the objective.
-	engineQueue = 2
+	// queuePart is the part of an objective within which a request that waits for a slot of an
+	// engine is to begin, as it does on average. Slots free at uneven times, and reports are old.
+	queuePart = 0.5
 	// plainQueue is the same for a plain service, whose requests take 30 to 60 ms.
 	plainQueue = 6
 	// refusalRetryAfter is when a refused caller may come back.
@@ -210,7 +210,7 @@
 		Policy: v.settings.RoutingPolicy,
 	}
 	if config.Engine != nil {
-		settings.QueueLength = engineQueue
+		settings.QueueLength = v.engineQueue(config)
 		settings.PromptsWaiting = v.promptsWaiting(config)
 		settings.Senders = int(v.entryCount())
 		settings.RoomRetryAfter = v.objective(config.Name) / roomRetries
@@ -230,6 +230,13 @@
 	return int64(inTime / min(float64(sending), float64(senders.Unbounded)))
 }
 
+// engineQueue returns the number of requests beyond its slots that an engine may hold. The
+// caller holds the lock.
+func (v *view) engineQueue(config *catalog.Service) int {
+	within := time.Duration(queuePart * float64(v.objective(config.Name)))
+	return max(1, config.Engine.Queue(within))
+}
+
 // objective returns the shortest objective of the routes to a service.
 func (v *view) objective(service string) time.Duration {
 	snapshot := v.configuring
--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -119,14 +119,31 @@
 	if promptTokens <= 0 {
 		promptTokens = int(e.UsualPrompt)
 	}
+	write := time.Duration(float64(answerTokens) * float64(e.step()) * (1 + prefillShare))
+	return e.begin(promptTokens) + write
+}
+
+// step returns the time of one decoding step at the usual load.
+func (e *Engine) step() time.Duration { return e.Step + time.Duration(e.Slots)/2*e.StepPerRequest }
+
+// begin estimates the time from a free slot to the first event, which comes at the end of the
+// pass that reads the prompt.
+func (e *Engine) begin(promptTokens int) time.Duration {
 	read := 0.0
 	if e.PromptPerSecond > 0 {
 		read = float64(promptTokens) / e.PromptPerSecond
 	}
-	step := e.Step + time.Duration(e.Slots)/2*e.StepPerRequest
-	pass := time.Duration(e.Stride) * step
-	write := time.Duration(float64(answerTokens) * float64(step) * (1 + prefillShare))
-	return time.Duration(read*float64(time.Second)) + pass + write
+	return time.Duration(read*float64(time.Second)) + time.Duration(e.Stride)*e.step()
+}
+
+// Queue returns how many usual requests may wait for a slot of a full engine so that the last
+// begins to be answered within a time.
+func (e *Engine) Queue(within time.Duration) int {
+	if e.Slots <= 0 {
+		return 0
+	}
+	interval := e.Duration(0, 0) / time.Duration(e.Slots)
+	return max(0, int((within-e.begin(int(e.UsualPrompt)))/max(interval, 1)))
 }
 
 // Origin is where weights come from.
--- /dev/null
+++ b/lib/catalog/engine_test.go
@@ -0,0 +1,31 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestQueue(t *testing.T) {
+	Convey("Given an engine of which a slot frees every 93 ms", t, func() {
+		engine := Engine{
+			Slots: 12, Step: 6730 * time.Microsecond, StepPerRequest: 22 * time.Microsecond, Stride: 7,
+			PromptPerSecond: 30_600, UsualPrompt: 965, UsualAnswer: 121,
+		}
+		Convey("one request may wait for 0.2 s, and three for 0.4 s", func() {
+			So(engine.Queue(200*time.Millisecond), ShouldEqual, 1)
+			So(engine.Queue(400*time.Millisecond), ShouldEqual, 3)
+		})
+		Convey("none waits for less than a pass takes", func() {
+			So(engine.Queue(50*time.Millisecond), ShouldEqual, 0)
+		})
+		Convey("more may wait with more slots, which free more often", func() {
+			engine.Slots = 48
+			So(engine.Queue(200*time.Millisecond), ShouldBeBetween, 3, 7)
+		})
+	})
+	Convey("An engine without figures has no queue", t, func() {
+		So((&Engine{}).Queue(time.Second), ShouldEqual, 0)
+	})
+}
