Tell neighbours how complete each kind is

A follower took the neighbour's last answer of the store for the completeness of its copy, and probes that verify nothing count as answers. A version that the neighbour's deaf watch missed, and that the follower found by its own list after the neighbour was gone, was dated by the last probe. Before: 'made at 5.6s, seen at 7.45s, dated 6.2s'.

The fake neighbour of the tests tells what the server does.

--- a/lib/mirror/age_test.go
+++ b/lib/mirror/age_test.go
@@ -65,7 +65,7 @@
 		seen := &followed{began: time.Now()}
 		driver := NewDriver(Config{
 			Kinds: map[string]bool{"versions": false}, Store: store, Log: zap.NewNop(), PullWait: 300 * time.Millisecond,
-			Neighbours: &told{answers: []Pulled{{Instance: 1, Direct: true, Age: 1200 * time.Millisecond, Sound: time.Minute, States: []State{first}}}},
+			Neighbours: &told{answers: []Pulled{{Instance: 1, Direct: true, Age: 1200 * time.Millisecond, Complete: map[string]time.Duration{"versions": 1200 * time.Millisecond}, Sound: time.Minute, States: []State{first}}}},
 			StaleAfter: func() time.Duration { return 1250 * time.Millisecond }, HoldOff: func() time.Duration { return 1250 * time.Millisecond },
 			First: func() Source { return NeighboursFirst }, Changed: seen.changed,
 		})
@@ -88,7 +88,7 @@
 		driver := NewDriver(Config{
 			Kinds: map[string]bool{"versions": false}, Store: newFakeStore(), Log: zap.NewNop(), PullWait: 300 * time.Millisecond,
 			Neighbours: &told{answers: []Pulled{
-				{Instance: 1, Direct: true, Sound: time.Minute, States: []State{full}},
+				{Instance: 1, Direct: true, Complete: map[string]time.Duration{"versions": 0}, Sound: time.Minute, States: []State{full}},
 				{Instance: 2, Direct: true},
 				{Instance: 2, Direct: true},
 				{Instance: 2, Direct: true, Sound: 10 * time.Millisecond, States: []State{news}},
@@ -103,3 +103,33 @@
 		checkDate(t, seen, "b", made.Sub(began), time.Second)
 	})
 }
+
+// Guards against a neighbour whose watch is deaf and whose probes are answered: what it had
+// missed counted as made after the last of them, once the neighbour was gone.
+func TestProbesThatVerifyNothingDoNotMakeACopyComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t.Context(), 2)
+		<-time.After(5 * time.Second)
+		// The leader's watch is deaf, and its probes tell that the store answers. It is gone
+		// before it lists the kind.
+		f.store.set(func() { f.store.deafKind = "versions" })
+		probed := func() {
+			for f.leader.driver.Age() > 10*time.Millisecond {
+				<-time.After(time.Millisecond)
+			}
+		}
+		probed()
+		<-time.After(300 * time.Millisecond)
+		f.store.put("versions", "b")
+		made := time.Now()
+		probed()
+		<-time.After(100 * time.Millisecond)
+		f.leader.mu.Lock()
+		f.leader.gone = true
+		f.leader.mu.Unlock()
+		<-time.After(5 * time.Second)
+		for _, seen := range f.seen {
+			checkDate(t, seen, "b", made.Sub(seen.began), 4*time.Second)
+		}
+	})
+}
--- a/lib/mirror/mirror_test.go
+++ b/lib/mirror/mirror_test.go
@@ -349,13 +349,17 @@
 		}
 		return Pulled{}, errDown
 	}
+	complete, began := driver.Complete(), time.Now()
 	states := driver.Newer(ctx, since, wait)
+	for kind := range complete {
+		complete[kind] += time.Since(began)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, state := range states {
 		n.told += len(state.Objects)
 	}
-	return Pulled{Instance: driver.Instance(), States: states, Age: driver.Age(), Direct: driver.Direct(), Sound: driver.Sound()}, nil
+	return Pulled{Instance: driver.Instance(), States: states, Age: driver.Age(), Direct: driver.Direct(), Sound: driver.Sound(), Complete: complete}, nil
 }
 
 func (n *neighbour) Unreliable() {}
--- a/lib/mirror/pull.go
+++ b/lib/mirror/pull.go
@@ -48,6 +48,9 @@
 	States   []State
 	// Age is that of the neighbour's last answer of the store.
 	Age time.Duration
+	// Complete is how long ago the neighbour's copy of each kind was last known to hold every
+	// change. Age is no bound for it, since a watch may be deaf while the store answers probes.
+	Complete map[string]time.Duration
 	// Sound is how long the store has answered the neighbour without a break.
 	Sound time.Duration
 	// Direct is set when the neighbour reads the store, or mirrors one that ranks above it
@@ -129,6 +132,19 @@
 	return time.Since(d.confirmedAt)
 }
 
+// Complete returns how long ago the copy of each kind was last known to hold every change.
+func (d *Driver) Complete() map[string]time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	complete := make(map[string]time.Duration, len(d.kinds))
+	for name, kind := range d.kinds {
+		if kind.Known() && !kind.completeAt.IsZero() {
+			complete[name] = time.Since(kind.completeAt)
+		}
+	}
+	return complete
+}
+
 // Direct reports whether the store answers this process, or a neighbour that ranks above
 // it and passes the store's answers on.
 func (d *Driver) Direct() bool {
@@ -272,7 +288,9 @@
 		}
 		d.apply(state.Kind, kind, func(now time.Time) []Change {
 			changes := kind.Listed(state.Objects, state.Revision, now)
-			kind.CompleteAt(now.Add(-pulled.Age))
+			if ago, ok := pulled.Complete[state.Kind]; ok {
+				kind.CompleteAt(now.Add(-ago))
+			}
 			kind.Failed(now.Add(-pulled.Age))
 			return changes
 		})
@@ -306,15 +324,12 @@
 			return kind.Watched(events, state.Revision, now)
 		})
 	}
-	if pulled.Sound == 0 {
-		return // the neighbour has not read every kind, so that this copy may miss changes of one
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	at := time.Now().Add(-pulled.Age)
-	for _, kind := range d.kinds {
-		if kind.Known() {
-			kind.CompleteAt(at)
+	now := time.Now()
+	for name, ago := range pulled.Complete {
+		if kind := d.kinds[name]; kind != nil && kind.Known() {
+			kind.CompleteAt(now.Add(-ago))
 		}
 	}
 }
--- a/lib/mirror/rpcmirror/rpcmirror.go
+++ b/lib/mirror/rpcmirror/rpcmirror.go
@@ -36,12 +36,17 @@
 // Pull implements the Mirror service.
 func (s *Server) Pull(ctx context.Context, request *laburnumgwv1.PullRequest) (*laburnumgwv1.PullResponse, error) {
 	began := suspend.Start()
+	complete := s.Driver.Complete() // before the states are read, which may hold more
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxWait)
 	states := s.Driver.Newer(ctx, mirror.Since{
 		Instance: request.GetInstance(), Sequences: request.GetKnown(), Revisions: request.GetRevisions(),
 	}, wait)
 	response := &laburnumgwv1.PullResponse{ConfirmedMsAgo: s.Driver.Age().Milliseconds(), Direct: s.Driver.Direct(), Instance: s.Driver.Instance(),
 		SoundMs: s.Driver.Sound().Milliseconds()}
+	response.CompleteMsAgo = make(map[string]int64)
+	for kind, ago := range complete {
+		response.CompleteMsAgo[kind] = (ago + began.Elapsed()).Milliseconds() + 1
+	}
 	for _, state := range states {
 		kind := &laburnumgwv1.KindState{
 			Kind: state.Kind, Revision: state.Revision, Sequence: state.Sequence, Full: state.Full, Removed: state.Removed,
@@ -170,6 +175,10 @@
 	told := time.Now().Add(-way)
 	pulled := mirror.Pulled{Age: way + time.Duration(response.GetConfirmedMsAgo())*time.Millisecond, Direct: response.GetDirect(), Instance: response.GetInstance(),
 		Sound: time.Duration(response.GetSoundMs()) * time.Millisecond}
+	pulled.Complete = make(map[string]time.Duration, len(response.GetCompleteMsAgo()))
+	for kind, ago := range response.GetCompleteMsAgo() {
+		pulled.Complete[kind] = way + time.Duration(ago)*time.Millisecond
+	}
 	for _, kind := range response.GetKinds() {
 		state := mirror.State{
 			Kind: kind.GetKind(), Revision: kind.GetRevision(), Sequence: kind.GetSequence(), Full: kind.GetFull(), Removed: kind.GetRemoved(),
