Date the end of an outage by the last failure, and only after a long one

A change that is found after an outage of the store counted as made when the store was heard of again. That is up to a probe's pause, 2 s at most, after its return, and a call of one process that fails for a moment is no outage in which nobody makes a change. Now the last failed call counts, and only after the 2 s in which entries may lapse.

TestShortFailureDoesNotMakeACopyComplete and TestChangeJustAfterAnOutageIsNotDatedByTheFirstAnswer fail without it: made at 3.6 s, dated 4.69 s; made at 10.7 s, dated 12.8 s.

--- a/lib/mirror/age_test.go
+++ b/lib/mirror/age_test.go
@@ -133,3 +133,83 @@
 		}
 	})
 }
+
+// cutStore is a store that one process does not reach for a while, in which others do.
+type cutStore struct {
+	*fakeStore
+	cut bool
+}
+
+func (s *cutStore) down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cut
+}
+
+func (s *cutStore) List(ctx context.Context, kind string) ([]Object, int64, error) {
+	if s.down() {
+		return nil, 0, errDown
+	}
+	return s.fakeStore.List(ctx, kind)
+}
+
+func (s *cutStore) Revision(ctx context.Context) (int64, error) {
+	if s.down() {
+		return 0, errDown
+	}
+	return s.fakeStore.Revision(ctx)
+}
+
+// Guards against calls that fail for a moment at one process and count as an outage of the store
+// in which nobody makes a change: what was made meanwhile was dated by the first answer.
+func TestShortFailureDoesNotMakeACopyComplete(t *testing.T) {
+	for _, length := range []time.Duration{1200 * time.Millisecond, 1500 * time.Millisecond} {
+		t.Run(length.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				store.put("versions", "a")
+				cut := &cutStore{fakeStore: store}
+				seen := &followed{began: time.Now()}
+				driver := NewDriver(Config{Kinds: map[string]bool{"versions": false}, Store: cut, Log: zap.NewNop(), Changed: seen.changed})
+				go driver.Run(t.Context())
+				<-time.After(3 * time.Second)
+				store.set(func() { cut.cut, store.deafKind = true, "versions" })
+				<-time.After(length / 2)
+				store.put("versions", "b")
+				made := time.Since(seen.began)
+				<-time.After(length / 2)
+				store.set(func() { cut.cut = false })
+				<-time.After(4 * time.Second)
+				checkDate(t, seen, "b", made, length+time.Second)
+			})
+		})
+	}
+}
+
+// Guards against an outage that ends for a process when it asks next instead of when the store
+// is back: a change that was made in between was dated by the first answer.
+func TestChangeJustAfterAnOutageIsNotDatedByTheFirstAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("versions", "a")
+		seen := &followed{began: time.Now()}
+		driver := NewDriver(Config{
+			Kinds: map[string]bool{"versions": false}, Store: store, Log: zap.NewNop(), Changed: seen.changed,
+			Probing: func() time.Duration { return ProbingAt(3) },
+		})
+		go driver.Run(t.Context())
+		<-time.After(3 * time.Second)
+		store.set(func() { store.down = true })
+		<-time.After(6 * time.Second)
+		calls, _ := store.count()
+		for now := calls; now == calls; now, _ = store.count() { // just after a probe that still fails
+			<-time.After(time.Millisecond)
+		}
+		<-time.After(10 * time.Millisecond)
+		store.set(func() { store.down = false })
+		back := time.Since(seen.began)
+		store.put("versions", "b")
+		<-time.After(4 * time.Second)
+		checkDate(t, seen, "b", back, 2*time.Second)
+	})
+}
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -77,6 +77,8 @@
 	failedAt  time.Time
 	failing   bool
 	graceEnds time.Time
+	// lastFailure is when the store was last found not to answer.
+	lastFailure time.Time
 	// soundSince is when the store began to answer without a break, here or at the source.
 	soundSince time.Time
 	// completeAt is the last time at which the copy is known to have held every change.
@@ -202,6 +204,7 @@
 // clock has not counted.
 func (k *Kind) Suspended(length time.Duration) {
 	k.completeAt = k.completeAt.Add(-length)
+	k.lastFailure = k.lastFailure.Add(-length)
 	for _, objects := range []map[string]Object{k.objects, k.held} {
 		for name, object := range objects {
 			if !object.Learnt.IsZero() {
@@ -214,6 +217,7 @@
 
 // Failed notes that no source answered.
 func (k *Kind) Failed(now time.Time) {
+	k.lastFailure = now
 	if !k.failing {
 		k.failing = true
 		k.failedAt = now
@@ -252,9 +256,10 @@
 		k.graceEnds = now.Add(lapseGrace - sound)
 	}
 	k.soundSince = now.Add(-sound)
-	if k.failing {
-		// Nothing is changed while the store answers nobody.
-		k.CompleteAt(k.soundSince)
+	if k.failing && k.lastFailure.Sub(k.failedAt) >= lapseOutage && k.lastFailure.Before(k.soundSince) {
+		// Nothing is changed while the store answers nobody. It may have been back since it was
+		// last asked, and a short failure may be that of one call or connection.
+		k.CompleteAt(k.lastFailure)
 	}
 	k.failing = false
 }
