Send nothing to weights that are out of time

The worker may begin it before it notices the close, and the caller got 502 though nothing need have been sent.

The pool now asks the patience once more before it writes. What is not sent can go to another worker, or is refused as not run.

TestNothingIsSentToWeightsThatAreOutOfTime, before: 1 request sent, 502.

--- a/entry/hosted/dating_test.go
+++ b/entry/hosted/dating_test.go
@@ -80,3 +80,21 @@
 		}
 	})
 }
+
+// Guards against a request that is written to a worker whose weights are out of time, and that
+// may begin before the connection closes: entries that woke from a suspension sent some.
+func TestNothingIsSentToWeightsThatAreOutOfTime(t *testing.T) {
+	inBubble(t, func(t *testing.T, d *deployment) {
+		d.worker("llm", "w1", 1, func(e *exchangeOnWire) { e.stream(1); e.events(1, 1); e.end() })
+		d.version(2)
+		// The time ends between the choice of the worker and the send, here while connecting.
+		d.mu.Lock()
+		d.connecting = versionMargin - beginMargin + 2*time.Millisecond
+		d.mu.Unlock()
+		<-time.After(d.front.view.settings.Bounds.VersionApply - versionMargin - time.Millisecond)
+		got := d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000")
+		if sent := len(d.arrived()); sent != 0 || got.status != http.StatusServiceUnavailable {
+			t.Errorf("%d requests sent, answered %d after %v", sent, got.status, got.took)
+		}
+	})
+}
--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -106,6 +106,8 @@
 	scripts  map[string]script
 	arrivals []arrival
 	refused  map[string]bool
+	// connecting is how long a connection takes to open.
+	connecting time.Duration
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -157,6 +159,10 @@
 var errRefusedByPeer = errors.New("connection refused")
 
 func (d *deployment) dial(_ context.Context, _, address string) (net.Conn, error) {
+	d.mu.Lock()
+	connecting := d.connecting
+	d.mu.Unlock()
+	<-time.After(connecting)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	answer := d.scripts[address]
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -149,13 +149,18 @@
 }
 
 // Send sends a request and reads the head of its answer. Sent is false while no byte of
-// the request has left, so that the request cannot have run. Ending the context closes
+// the request has left, so that the request cannot have run; none does when the patience is at
+// its end. Ending the context closes
 // the connection. The caller ends the response with Finish or Abort.
 func (p *Pool) Send(ctx context.Context, address string, r *Request, own Identity) (response *Response, sent bool, err error) {
 	c, err := p.take(ctx, address, r.Fresh)
 	if err != nil {
 		return nil, false, err
 	}
+	if r.Patience != nil && r.Patience(0) <= 0 {
+		c.Close()
+		return nil, false, fmt.Errorf("not sent: %w", ErrSilent)
+	}
 	stop := context.AfterFunc(ctx, c.abort)
 	fail := func(sent bool, err error) (*Response, bool, error) {
 		stop()
