Notice suspensions from 0.15 s on

The threshold covered delays between the readings of two clocks. The monotonic one is read last, so that a delay only makes a gap smaller; at the start the least delayed of five readings counts now.

TestDelayedFirstReadingIsNoSuspension fails with one reading (300 ms reported).

--- a/lib/suspend/stopwatch_test.go
+++ b/lib/suspend/stopwatch_test.go
@@ -28,6 +28,24 @@
 	}
 }
 
+// Guards against a suspension that is reported because the first reading was delayed.
+func TestDelayedFirstReadingIsNoSuspension(t *testing.T) {
+	calls := 0
+	monitor, err := newMonitor(func() (time.Duration, time.Duration, error) {
+		calls++
+		if calls == 1 {
+			return time.Second, time.Second + 2*Shortest, nil
+		}
+		return 2 * time.Second, 2 * time.Second, nil
+	}, func(length time.Duration) { t.Errorf("suspension of %v reported", length) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := monitor.Check(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestStopwatchCountsMonotonicTimeAtLeast(t *testing.T) {
 	watch := Start()
 	before := time.Since(watch.began)
--- a/lib/suspend/suspend.go
+++ b/lib/suspend/suspend.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -15,9 +16,11 @@
 const (
 	// interval separates two comparisons of the clocks.
 	interval = 250 * time.Millisecond
-	// Shortest is the shortest suspension that is noticed. Clocks that are read one after the
-	// other differ by scheduling delays.
-	Shortest = 400 * time.Millisecond
+	// Shortest is the shortest suspension that is noticed. It is below the margins before
+	// bounds, the least of which is 300 ms.
+	Shortest = 150 * time.Millisecond
+	// readings is the number of comparisons at the start, of which the least delayed counts.
+	readings = 5
 )
 
 // clock returns the time since boot with suspensions, and without them.
@@ -39,11 +42,16 @@
 }
 
 func newMonitor(read clock, suspended func(length time.Duration)) (*Monitor, error) {
-	boot, monotonic, err := read()
-	if err != nil {
-		return nil, err
+	m := &Monitor{read: read, suspended: suspended, known: math.MinInt64}
+	for range readings {
+		boot, monotonic, err := read()
+		if err != nil {
+			return nil, err
+		}
+		// The monotonic clock is read last, so that a delay between makes the gap smaller.
+		m.known = max(m.known, boot-monotonic)
 	}
-	return &Monitor{read: read, suspended: suspended, known: boot - monotonic}, nil
+	return m, nil
 }
 
 // Check notices a suspension that has ended. It returns when suspended has.
