Bound the room that one report of an engine shows

Cause: an engine that comes back empty from a change of weights shows all its places free. The entries together fill them within one report, and it reads the prompts one after the other: 14 take 0.45 s. The bound on each entry's own prompts does not help, as one may always wait and 19 entries send.

--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -212,6 +212,7 @@
 	if config.Engine != nil {
 		settings.QueueLength = v.engineQueue(config)
 		settings.PromptsWaiting = v.promptsWaiting(config)
+		settings.RoomShown = v.promptsInTime(config) / max(config.Engine.UsualPrompt, 1)
 		settings.Senders = int(v.entryCount())
 		settings.RoomRetryAfter = v.objective(config.Name) / roomRetries
 	}
@@ -224,10 +225,14 @@
 // promptsWaiting returns this entry's share of the prompt tokens that an engine reads within
 // a part of the shortest objective of its routes. The caller holds the lock.
 func (v *view) promptsWaiting(config *catalog.Service) int64 {
-	objective := v.objective(config.Name)
-	inTime := promptPart * objective.Seconds() * config.Engine.PromptPerSecond
 	sending := max(len(v.entries), 1)
-	return int64(inTime / min(float64(sending), float64(senders.Unbounded)))
+	return int64(v.promptsInTime(config) / min(float64(sending), float64(senders.Unbounded)))
+}
+
+// promptsInTime returns the prompt tokens that an engine reads within a part of the shortest
+// objective of its routes. The caller holds the lock.
+func (v *view) promptsInTime(config *catalog.Service) float64 {
+	return promptPart * v.objective(config.Name).Seconds() * config.Engine.PromptPerSecond
 }
 
 // engineQueue returns the number of requests beyond its slots that an engine may hold. The
--- a/lib/routing/room.go
+++ b/lib/routing/room.go
@@ -21,7 +21,11 @@
 	}
 	taken := min(e.reported/e.capacity(), 1)
 	t.taken += takenSmoothing * (taken - t.taken)
-	part := max(e.capacity()+float64(t.settings.QueueLength)-e.reported, 0) / t.competitors(e)
+	room := max(e.capacity()+float64(t.settings.QueueLength)-e.reported, 0)
+	if t.settings.RoomShown > 0 {
+		room = min(room, t.settings.RoomShown)
+	}
+	part := room / t.competitors(e)
 	whole := math.Floor(part)
 	e.places = int32(whole)
 	if t.rng.Float64() < part-whole {
