End an entry's turn after an outage within the bound of configurations

When the one that it mirrors from is gone, it knows nothing new for 5.9 s, and 4 s after an outage the bounds hold again.

The wait now ends within the bound after the last call that failed, but lasts for two pulls at least, and the pause between probes no longer exceeds its maximum by chance.

TestTurnsAfterAnOutageEndWithinTheBound fails before: of 11 followers without their neighbour 2 in each of three cases of five have not seen a change in time. 30 runs of it and of TestOutageOfAFleetCostsFewCalls after: none failed.

--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -336,8 +336,12 @@
 		}
 		return nil
 	}
-	// Neighbours may be back since the last pull, which the next one finds.
-	if left := d.patience() + d.config.PullWait + pullRetry - time.Since(d.revivedAt); left > 0 {
+	// Neighbours may be back since the last pull, which the next one finds. The store may have
+	// been back since it last failed, and its changes must be known in time.
+	pulled := d.config.PullWait + pullRetry
+	latest := kind.lastFailure.Add(cmp.Or(d.config.Within, defaultWithin)).Sub(d.revivedAt)
+	turn := min(d.patience()+pulled, max(minPatience+pulled, latest))
+	if left := turn - time.Since(d.revivedAt); left > 0 {
 		return after(min(left, idleWait))
 	}
 	return nil
--- a/lib/mirror/outage_test.go
+++ b/lib/mirror/outage_test.go
@@ -22,6 +22,12 @@
 }
 
 func newFleet(ctx context.Context, followers int) *fleet {
+	return newFleetWithin(ctx, followers, 0)
+}
+
+// newFleetWithin returns a fleet in which a change must be known within a time; zero for the
+// default.
+func newFleetWithin(ctx context.Context, followers int, within time.Duration) *fleet {
 	f := &fleet{store: newFakeStore()}
 	for kind := range fiveKinds {
 		f.store.put(kind, "a")
@@ -40,6 +46,7 @@
 			First:      func() Source { return NeighboursFirst },
 			Patience:   func() time.Duration { return PatienceAt(i+1, followers+1) },
 			Probing:    func() time.Duration { return ProbingAt(i + 1) },
+			Within:     within,
 			Changed:    seen.changed,
 		})
 		f.followers = append(f.followers, driver)
@@ -292,3 +299,33 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against entries of a large zone that wait for their turn to ask the store after an
+// outage while the one that they mirror from is gone: two had a configuration 0.2 and 0.8 s
+// after its bound (CONFIG and HOME on shelfwatch-rota-grown).
+func TestTurnsAfterAnOutageEndWithinTheBound(t *testing.T) {
+	const settled, within = 4 * time.Second, 3 * time.Second
+	for _, after := range []time.Duration{0, 500 * time.Millisecond, 1200 * time.Millisecond, 2300 * time.Millisecond, 3500 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleetWithin(t.Context(), 11, within)
+				<-time.After(5 * time.Second)
+				f.store.set(func() { f.store.down = true })
+				<-time.After(4 * time.Second)
+				f.leader.mu.Lock()
+				f.leader.gone = true
+				f.leader.mu.Unlock()
+				<-time.After(4 * time.Second)
+				f.store.set(func() { f.store.down = false })
+				<-time.After(after)
+				f.store.put("config", "new")
+				<-time.After(max(settled-after, within))
+				for i, seen := range f.seen {
+					if seen.when("new", false) < 0 {
+						t.Errorf("follower %d has not seen a change of %v ago, made %v after the outage", i, max(settled-after, within), after)
+					}
+				}
+			})
+		})
+	}
+}
--- a/lib/mirror/probe.go
+++ b/lib/mirror/probe.go
@@ -133,7 +133,7 @@
 		if d.config.Probing != nil {
 			pause.MaxInterval = d.config.Probing()
 		}
-		return sleep(ctx, pause.NextBackOff())
+		return sleep(ctx, min(pause.NextBackOff(), pause.MaxInterval))
 	}
 	pause.Reset()
 	timer := time.NewTimer(ProbeInterval(d.config.Within))
