Let requests wait that begin within three quarters of the objective

Cause: with one place of queue engines that are nearly full have slots idle, since entries draw their parts of the room and some have used up their arrivals.

--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -24,8 +24,8 @@
 
 const (
 	// queuePart is the part of an objective within which a request that waits for a slot of an
-	// engine is to begin, as it does on average. Slots free at uneven times, and reports are old.
-	queuePart = 0.5
+	// engine is to begin. The rest is for slots that free late and reports that are old.
+	queuePart = 0.75
 	// plainQueue is the same for a plain service, whose requests take 30 to 60 ms.
 	plainQueue = 6
 	// refusalRetryAfter is when a refused caller may come back.
--- a/lib/catalog/engine_test.go
+++ b/lib/catalog/engine_test.go
@@ -13,8 +13,9 @@
 			Slots: 12, Step: 6730 * time.Microsecond, StepPerRequest: 22 * time.Microsecond, Stride: 7,
 			PromptPerSecond: 30_600, UsualPrompt: 965, UsualAnswer: 121,
 		}
-		Convey("one request may wait for 0.2 s, and three for 0.4 s", func() {
+		Convey("one request may wait for 0.2 s, two for 0.3 s, and three for 0.4 s", func() {
 			So(engine.Queue(200*time.Millisecond), ShouldEqual, 1)
+			So(engine.Queue(300*time.Millisecond), ShouldEqual, 2)
 			So(engine.Queue(400*time.Millisecond), ShouldEqual, 3)
 		})
 		Convey("none waits for less than a pass takes", func() {
--- a/lib/routing/overload_test.go
+++ b/lib/routing/overload_test.go
@@ -38,7 +38,7 @@
 	simFrom      = 4 * time.Second
 	simUntil     = 12 * time.Second
 	// The settings of the entries.
-	simQueue      = 1
+	simQueue      = 2
 	simRetryAfter = 300 * time.Millisecond
 )
 
@@ -351,7 +351,7 @@
 				// Those that are refused come back while they can be answered in time.
 				So(float64(s.inTime), ShouldBeGreaterThan, 0.9*float64(edge))
 				// The engines stay busy.
-				So(float64(s.inTime+s.late), ShouldBeGreaterThan, 0.9*s.carried())
+				So(float64(s.inTime+s.late), ShouldBeGreaterThan, 0.92*s.carried())
 			})
 		}
 	})
@@ -369,7 +369,7 @@
 		Convey("a load of 1.7 times what they carry does not fill their queues", func() {
 			s := newSimulation(8, 24, 1.7).run()
 			So(s.quantile(0.5), ShouldBeLessThan, simObjective*3/4)
-			So(float64(s.inTime+s.late), ShouldBeGreaterThan, 0.9*s.carried())
+			So(float64(s.inTime+s.late), ShouldBeGreaterThan, 0.92*s.carried())
 		})
 		Convey("a load of 0.7 times that is not refused", func() {
 			s := newSimulation(8, 24, 0.7).run()
