Do not fetch a version that a newer one follows at once

A version that is followed within the notice of a change-over, and is not whole yet, is dropped: a worker that took it would have to change again at once.

TestVersionNamedTogetherWithANewerOneIsNotFetched fails before: 2 versions are fetched.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -350,11 +350,16 @@
 			t.held = true
 			t.heldAt = time.Now()
 		}
-		list = append(list, rollout.Target{Version: t.version.number, Named: p.view.date(t.named), Held: t.held, HeldAt: t.heldAt})
+		list = append(list, p.describe(t))
 	}
 	return list
 }
 
+// describe describes a version to the decision.
+func (p *Process) describe(t *target) rollout.Target {
+	return rollout.Target{Version: t.version.number, Named: p.view.date(t.named), Held: t.held, HeldAt: t.heldAt}
+}
+
 // openResult is a version that was opened, or why it could not be.
 type openResult struct {
 	version *version
@@ -403,6 +408,19 @@
 	if len(p.targets) > keptVersions {
 		p.targets = p.targets[1:]
 	}
+	p.dropSuperseded()
+}
+
+// dropSuperseded stops to fetch versions that the newest one makes needless.
+func (p *Process) dropSuperseded() {
+	newest := p.describe(p.newest())
+	p.targets = slices.DeleteFunc(p.targets, func(t *target) bool {
+		if !p.changes.Supersedes(newest, p.describe(t)) {
+			return false
+		}
+		p.library.drop(t.version.number)
+		return true
+	})
 }
 
 // date takes over when the newest version was named, which a process that starts may learn
--- a/endpoint/hosted/weights.go
+++ b/endpoint/hosted/weights.go
@@ -172,14 +172,28 @@
 	l.versions = append(l.versions, opened)
 	slices.SortFunc(l.versions, func(a, b *version) int { return a.number - b.number })
 	for len(l.versions) > keptVersions {
-		oldest := l.versions[0]
-		oldest.distribution.Stop()
-		l.store.Remove(oldest.distribution.Replica().Digest())
-		l.versions = l.versions[1:]
-		l.log.Info("version dropped", zap.Int("version", oldest.number))
+		l.remove(0)
 	}
 }
 
+// drop ends the distribution of a version.
+func (l *library) drop(number int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if at := slices.IndexFunc(l.versions, func(v *version) bool { return v.number == number }); at >= 0 {
+		l.remove(at)
+	}
+}
+
+// remove drops the version at an index. The caller holds the lock.
+func (l *library) remove(at int) {
+	v := l.versions[at]
+	v.distribution.Stop()
+	l.store.Remove(v.distribution.Replica().Digest())
+	l.versions = slices.Delete(l.versions, at, at+1)
+	l.log.Info("version dropped", zap.Int("version", v.number))
+}
+
 // restore takes the chunks that lie at the worker and match the manifest.
 func (l *library) restore(ctx context.Context, replica *weights.Replica) {
 	manifest := replica.Manifest()
--- a/endpoint/hosted/weights_test.go
+++ b/endpoint/hosted/weights_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/smartystreets/goconvey/convey"
@@ -18,6 +19,7 @@
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/mirror"
+	"laburnumgw/lib/rollout"
 	"laburnumgw/lib/rpc"
 	"laburnumgw/platform"
 	"laburnumgw/standin/hosted"
@@ -30,6 +32,7 @@
 	library *library
 	view    *view
 	worker  *hosted.Worker
+	origin  *hosted.Origin
 	// spoil makes the origin's next manifests wrong, and reads counts them.
 	spoil atomic.Int32
 	reads atomic.Int32
@@ -39,6 +42,7 @@
 	t.Helper()
 	s := &site{worker: &hosted.Worker{ID: "w", Model: testModel}}
 	origin := &hosted.Origin{Model: testModel, Newest: 1}
+	s.origin = origin
 	originServer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !strings.Contains(r.URL.Path, "manifest") {
 			origin.ServeHTTP(w, r)
@@ -181,3 +185,36 @@
 		So(s.view.named("m").version, ShouldEqual, 3)
 	})
 }
+
+// Guards against two versions that share the links because both became known at the end of an
+// outage: each worker fetched both at once, and had the newer one 5 s later in place of 3 s.
+func TestVersionNamedTogetherWithANewerOneIsNotFetched(t *testing.T) {
+	for _, apart := range []struct {
+		time  time.Duration
+		kept  int
+		older string
+	}{{100 * time.Millisecond, 1, "dropped"}, {2 * time.Second, 2, "kept"}} {
+		t.Run(apart.older, func(t *testing.T) {
+			s := newSite(t)
+			p := &Process{
+				log: zap.NewNop(), view: s.view, library: s.library, openPause: newOpenPause(), changes: rollout.DefaultSettings(8 * time.Second),
+			}
+			heard := time.Now()
+			s.origin.SetNewest(2)
+			for number := 1; number <= 2; number++ {
+				opened, err := s.library.open(t.Context(), testModel.Name, number)
+				if err != nil {
+					t.Fatal(err)
+				}
+				p.finishOpen(openResult{version: opened, named: named{version: number, since: heard.Add(time.Duration(number) * apart.time)}})
+			}
+			if len(p.targets) != apart.kept || p.newest().version.number != 2 {
+				t.Errorf("%d versions are fetched, want %d", len(p.targets), apart.kept)
+			}
+			t.Cleanup(p.newest().version.distribution.Stop)
+			if held := s.library.get(1) != nil; held != (apart.kept == 2) {
+				t.Errorf("the older version is served: %v", held)
+			}
+		})
+	}
+}
--- a/lib/rollout/rollout.go
+++ b/lib/rollout/rollout.go
@@ -136,6 +136,12 @@
 	return decision
 }
 
+// Supersedes reports whether a version makes an older one needless, that was named so shortly
+// before that a worker would have to change over again at once. The links carry one copy only.
+func (s Settings) Supersedes(newer, older Target) bool {
+	return newer.Version > older.Version && !older.Held && newer.Named.Sub(older.Named) < s.Notice
+}
+
 // notice returns a wait that is to be announced, or zero while it is too long.
 func (s Settings) notice(wait time.Duration) time.Duration {
 	if wait > s.Notice {
