Log the parts of prompts at crashes, and count crashes of workers

Nothing told whether the requests that ended with a worker had anything in common, nor a crash from a lost connection. An attempt at a model worker that ends before its first event now logs the shared parts of its prompt, and the process beside a worker logs and counts a crash: its machine refuses connections although the worker had not stated that it is leaving.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -71,6 +72,7 @@
 	monitor         *suspend.Monitor
 	metrics         *metrics.Set
 	orders          *metrics.Counter
+	crashes         *metrics.Counter
 	log             *zap.Logger
 	rolloutSettings rollout.Settings
 
@@ -115,7 +117,7 @@
 	})
 	p := &Process{
 		settings: settings, view: v, worker: worker, conns: conns, log: log, metrics: set,
-		orders: set.NewCounter("laburnumgw_worker_orders_total"), rolloutSettings: rollout.DefaultSettings(settings.Bounds.VersionApply),
+		orders: set.NewCounter("laburnumgw_worker_orders_total"), crashes: set.NewCounter("laburnumgw_worker_crashes_total"), rolloutSettings: rollout.DefaultSettings(settings.Bounds.VersionApply),
 		library: newLibrary(v, worker, conns, set, log), grpc: grpc.NewServer(rpc.RecoveryOptions(log)...),
 		suspensions: make(chan time.Duration, 4), openBackoff: newOpenBackoff(),
 	}
@@ -282,6 +284,10 @@
 		if p.workerReporting {
 			p.log.Warn("worker state cannot be read", zap.Error(err))
 		}
+		if p.workerCrashed(err) {
+			p.crashes.Inc()
+			p.log.Warn("worker has crashed", zap.Int64("born", p.report.StartedAtMs))
+		}
 		p.workerReporting = false
 		return
 	}
@@ -297,6 +303,12 @@
 	p.sendReport()
 }
 
+// workerCrashed reports whether a failure to read the worker's state shows that the worker has
+// ended without notice: its machine refuses connections, and it did not state that it is leaving.
+func (p *Process) workerCrashed(err error) bool {
+	return p.workerReporting && !p.report.Leaving && errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // sendReport sends the worker's state to the entries. Around a switchover each report also
 // goes to the entries of other zones. Datagrams are not repeated, since the next report
 // replaces a lost one.
--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -224,13 +224,23 @@
 	c.service.table.AttemptFinished(tracked, result, time.Now())
 	c.view.mu.Unlock()
 	c.metrics.attempts.UpdateDuration(started)
+	var parts []string
+	if c.endedBeforeFirstEvent(ended) {
+		parts = c.in.PromptParts
+	}
 	c.logFor(ended.Outcome == laburnumgwv1.Outcome_OUTCOME_COMPLETE).Info("attempt ended", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
 		zap.Stringer("outcome", ended.Outcome), zap.Bool("sent", ended.Sent), zap.Int64("relayed", ended.RelayedBytes),
 		zap.Duration("duration", time.Since(started)), zap.Duration("first_event", c.firstEventWait), zap.Duration("weights_left", c.weightsLeft),
-		zap.Error(ended.Err))
+		zap.Strings("prompt_parts", parts), zap.Error(ended.Err))
 	return ended
 }
 
+// endedBeforeFirstEvent reports whether the connection of an attempt at a model worker ended before
+// the first event, although the worker had received the request.
+func (c *call) endedBeforeFirstEvent(ended retry.Attempt) bool {
+	return c.engine != nil && ended.Sent && ended.Outcome == laburnumgwv1.Outcome_OUTCOME_UNKNOWN && c.firstEventWait == 0
+}
+
 // exchange sends the request to one worker and relays its response.
 func (c *call) exchange(ctx context.Context, decision routing.Decision, tracked *routing.Attempt) (retry.Attempt, *laburnumgwv1.Load) {
 	sentAt := time.Now()
