--- a/soak/callers.go
+++ b/soak/callers.go
@@ -26,6 +26,8 @@
 	Status int
 	// Err is set when no complete response arrived.
 	Err error
+	// Deadly is set when the prompt holds the part on which workers crash.
+	Deadly bool
 	// Violation is set when a successful response breaks a guarantee of the system.
 	Violation error
 }
@@ -54,7 +56,7 @@
 		for _, kind := range []string{"chat", "book", "view"} {
 			c.done.Go(func() {
 				for n := 0; ctx.Err() == nil; n++ {
-					c.record(c.send(entry, kind, fmt.Sprintf("%d-%s-%d-%d", seed, kind, i, n)))
+					c.record(c.send(entry, kind, fmt.Sprintf("%d-%s-%d-%d", seed, kind, i, n), n))
 					time.Sleep(callerPause)
 				}
 			})
@@ -76,7 +78,7 @@
 	c.outcomes = append(c.outcomes, o)
 }
 
-func (c *Callers) send(entry *Process, kind, id string) (o Outcome) {
+func (c *Callers) send(entry *Process, kind, id string, n int) (o Outcome) {
 	o = Outcome{ID: id, Kind: kind, Entry: entry.Name, Sent: time.Now()}
 	defer func() { o.Ended = time.Now() }()
 	method, body := http.MethodPost, []byte("body-"+id)
@@ -93,7 +95,16 @@
 	// Without GetBody the HTTP client does not retry a request under the same id.
 	request.GetBody = nil
 	request.Host = host
-	hosted.SetRequestHeaders(request.Header, id, apiKey, "6000", "900,48")
+	if kind == "chat" {
+		parts := []string{systemPart, entry.Name}
+		if part := c.fleet.deadlyPartOf(n); part != "" {
+			o.Deadly = true
+			parts = append(parts, part)
+		}
+		hosted.SetRequestHeaders(request.Header, id, apiKey, "6000", "900,48", parts...)
+	} else {
+		hosted.SetRequestHeaders(request.Header, id, apiKey, "6000", "900,48")
+	}
 	response, err := c.client.Do(request)
 	if err != nil {
 		o.Err = err
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -70,6 +70,9 @@
 
 	storeProxies []*Proxy
 	servers      []*http.Server
+
+	mu         sync.Mutex
+	deadlyPart string
 }
 
 // ProxiedWorker is a worker together with the proxy that listens on its address.
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -37,24 +37,49 @@
 
 // Proxy forwards TCP connections to a server and injects faults into them.
 type Proxy struct {
-	listener net.Listener
-	target   string
+	address string
+	target  string
 
-	mu     sync.Mutex
-	mode   Mode
-	conns  map[net.Conn]struct{}
-	closed bool
+	mu sync.Mutex
+	// listener is nil while connections are refused.
+	listener net.Listener
+	mode     Mode
+	conns    map[net.Conn]struct{}
+	closed   bool
 }
 
 // NewProxy starts a proxy that listens on an address and forwards to a target.
 func NewProxy(address, target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", address)
+	p := &Proxy{address: address, target: target, conns: make(map[net.Conn]struct{})}
+	return p, p.Listen()
+}
+
+// Listen accepts connections, unless the proxy does so already or is closed.
+func (p *Proxy) Listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil || p.closed {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.address)
 	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, err)
+		return fmt.Errorf("listen on %s: %w", p.address, err)
+	}
+	p.listener = listener
+	go p.accept(listener)
+	return nil
+}
+
+// StopListening refuses connections from now on and resets the open ones, like a machine whose
+// server has ended.
+func (p *Proxy) StopListening() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil {
+		p.listener.Close()
+		p.listener = nil
 	}
-	p := &Proxy{listener: listener, target: target, conns: make(map[net.Conn]struct{})}
-	go p.accept()
-	return p, nil
+	p.resetAll()
 }
 
 // Set changes the mode. Refuse resets the open connections.
@@ -89,11 +114,10 @@
 
 // Close closes the proxy and resets its connections.
 func (p *Proxy) Close() {
+	p.StopListening()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.closed = true
-	p.resetAll()
-	p.mu.Unlock()
-	p.listener.Close()
 }
 
 func (p *Proxy) current() (Mode, bool) {
@@ -102,9 +126,9 @@
 	return p.mode, p.closed
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		caller, err := p.listener.Accept()
+		caller, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -21,8 +21,8 @@
 // Guards against outcomes without an end time, with which every check of a duration passes.
 func TestOutcomeHasAnEnd(t *testing.T) {
 	Convey("A request that fails has a start time and a later end time", t, func() {
-		c := &Callers{client: &http.Client{Transport: failingTransport{}}}
-		outcome := c.send(&Process{fleet: &Fleet{}}, "chat", "r1")
+		c := &Callers{fleet: &Fleet{}, client: &http.Client{Transport: failingTransport{}}}
+		outcome := c.send(&Process{fleet: &Fleet{}}, "chat", "r1", 0)
 		So(outcome.Err, ShouldNotBeNil)
 		So(outcome.Ended, ShouldHappenOnOrAfter, outcome.Sent)
 	})
--- a/standin/hosted/caller.go
+++ b/standin/hosted/caller.go
@@ -1,13 +1,20 @@
 package hosted
 
-import "net/http"
+import (
+	"net/http"
+	"strings"
+)
 
 // SetRequestHeaders sets the headers that the daemon reads on a caller's request.
-func SetRequestHeaders(header http.Header, id, key, deadlineMs, tokens string) {
+// parts are the shared parts of the prompt of a model request.
+func SetRequestHeaders(header http.Header, id, key, deadlineMs, tokens string, parts ...string) {
 	header.Set("X-Laburnumgw-Request-Id", id)
 	header.Set("X-Laburnumgw-Deadline-Ms", deadlineMs)
 	header.Set("X-Laburnumgw-Token-Counts", tokens)
 	header.Set("Authorization", "Token "+key)
+	if len(parts) > 0 {
+		header.Set("X-Laburnumgw-Prompt-Prefix", strings.Join(parts, ":40,")+":40,"+id+":820")
+	}
 }
 
 // ResponseHeaders holds the values of the headers of a response.
--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -110,6 +110,7 @@
 	// arrived since the first.
 	limits   []limitChange
 	arrivals []time.Time
+	deadly   deadlyPart
 }
 
 // Load makes a version the loaded one and stages all its chunks, for a worker that starts with weights.
@@ -245,6 +246,7 @@
 	id := r.Header.Get("X-Laburnumgw-Request-Id")
 	out.Header().Set("X-Laburnumgw-Request-Id", id)
 	w.countArrival(out.Header())
+	w.countDeadlyArrival(r.Header)
 	if r.Header.Get("X-Laburnumgw-Expect-Instance") != w.ID {
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -270,6 +272,9 @@
 	}
 	out.Header().Set("X-Laburnumgw-Weight-Versions", strconv.Itoa(version))
 	out.Header().Set("Content-Type", "text/event-stream")
+	if w.crashOn(r.Header) {
+		panic(http.ErrAbortHandler)
+	}
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for event := first + 1; event <= w.Events; event++ {
 		fmt.Fprintf(out, "id: %d\ndata: version %d\n\n", event, version)
