Find the part of prompts that crashes workers, and block it

Callers saw 503, 502 and cut streams for most model requests: requests with one part in their prompt crashed one worker after the other, 44 to 46 in 22 s, and with each the 10 to 16 requests beside it.

Cause: no rule reads the parts of a prompt, each entry sees one to three of the first five crashes and keeps what it sees to itself, and a request whose worker ended before its first event is sent to the next worker, whatever it may have done to the first.

Change: lib/quarantine, a state machine. Processes beside workers tell all entries of a crash, entries exchange the parts of the requests that were lost in it, and each decides from the evidence of all. Blocks are kept in the platform's store (kind blocked_parts), where operators see, add and delete them. A lost request is sent again only if its parts are cleared or its worker did not crash.

The test fixtures that list all kinds of objects list the new one too.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -38,6 +38,8 @@
 	// otherZoneReportEvery limits the reports to entries of other zones: only every third
 	// report goes to them, since traffic between zones is expensive.
 	otherZoneReportEvery = 3
+	// crashNotices is how often the crash of a worker is sent, since datagrams may be lost.
+	crashNotices = 2
 	// pullWait is how long an entry holds a pull request open until a mirrored object changes.
 	// When the store's last response to a neighbour is older than staleAfter, another neighbour
 	// is asked next.
@@ -89,7 +91,9 @@
 	loggedReason   rollout.Reason
 	// pollLoopStarted is when pollLoop started.
 	pollLoopStarted time.Time
-	openBackoff     *backoff.ExponentialBackOff
+	// crashNotices is how often the last crash of the worker is still to be sent.
+	crashNotices int
+	openBackoff  *backoff.ExponentialBackOff
 	// openRetry fires when the delay after a failed attempt to open a version has passed; nil
 	// while there is none.
 	openRetry <-chan time.Time
@@ -285,8 +289,9 @@
 			p.log.Warn("worker state cannot be read", zap.Error(err))
 		}
 		if p.workerCrashed(err) {
-			p.crashes.Inc()
-			p.log.Warn("worker has crashed", zap.Int64("born", p.report.StartedAtMs))
+			p.recordCrash()
+		} else {
+			p.sendCrash()
 		}
 		p.workerReporting = false
 		return
@@ -298,7 +303,12 @@
 	if report.Limit != p.report.Limit {
 		p.log.Info("limit in the worker's state", zap.Bool("stated", report.Limit.Kind == workerlimit.Limited), zap.Float64("per_second", report.Limit.PerSecond))
 	}
+	if p.workerReporting && !p.report.Leaving && p.report.StartedAtMs > 0 && report.StartedAtMs > p.report.StartedAtMs {
+		// It was back before the next poll.
+		p.recordCrash()
+	}
 	p.workerReporting = true
+	p.crashNotices = 0
 	p.report = report
 	p.sendReport()
 }
@@ -309,6 +319,30 @@
 	return p.workerReporting && !p.report.Leaving && errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// recordCrash records that the known start of the worker has crashed, and tells the entries.
+func (p *Process) recordCrash() {
+	p.crashes.Inc()
+	p.log.Warn("worker has crashed", zap.Int64("born", p.report.StartedAtMs))
+	p.crashNotices = crashNotices
+	p.sendCrash()
+}
+
+// sendCrash tells all entries that the worker has crashed, again with each poll until it was sent
+// crashNotices times.
+func (p *Process) sendCrash() {
+	if p.crashNotices == 0 {
+		return
+	}
+	p.crashNotices--
+	data, err := proto.Marshal(&laburnumgwv1.WorkerReport{Address: p.settings.Worker, Born: p.report.StartedAtMs, Crashed: true})
+	if err != nil {
+		p.log.Error("crash of the worker cannot be encoded", zap.Error(err))
+		return
+	}
+	sameZone, otherZones := p.view.entryAddresses()
+	p.sendTo(slices.Concat(sameZone, otherZones), data)
+}
+
 // sendReport sends the worker's state to the entries. Around a switchover each report also
 // goes to the entries of other zones. Datagrams are not repeated, since the next report
 // replaces a lost one.
@@ -329,7 +363,12 @@
 	if p.sequence%otherZoneReportEvery == 0 || p.switching || p.switchoverIn > 0 {
 		receivers = slices.Concat(targets.sameZone, targets.otherZones)
 	}
-	for _, entry := range receivers {
+	p.sendTo(receivers, data)
+}
+
+// sendTo sends a datagram to entries.
+func (p *Process) sendTo(entries []string, data []byte) {
+	for _, entry := range entries {
 		address, err := net.ResolveUDPAddr("udp", entry)
 		if err != nil {
 			continue
--- /dev/null
+++ b/entry/hosted/blocks.go
@@ -0,0 +1,187 @@
+package hosted
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"laburnumgw/lib/mirror"
+	"laburnumgw/lib/quarantine"
+	"laburnumgw/lib/rendezvous"
+	"laburnumgw/platform"
+)
+
+const (
+	// blockWriters is the number of entries that write a block to the store. Each waits
+	// blockWriterPause longer than the one that ranks before it, and writes only if the store
+	// does not list the block by then.
+	blockWriters     = 4
+	blockWriterPause = 2 * time.Second
+	// blockWriteRetry is added to that pause before an entry writes the same block again.
+	blockWriteRetry = 5 * time.Second
+	// trialTimeout bounds the call in which a trial is recorded.
+	trialTimeout = 500 * time.Millisecond
+	// automaticReason is the reason of blocks that were found by crashes.
+	automaticReason = "workers crashed on it"
+)
+
+// blockStore writes blocks to the store.
+type blockStore interface {
+	Create(ctx context.Context, kind, name string, value any) error
+	Replace(ctx context.Context, kind, name string, value any, revision int64) (int64, error)
+	Delete(ctx context.Context, kind, name string, revision int64) error
+}
+
+// storedBlock is an object of platform.KindBlockedParts.
+type storedBlock struct {
+	platform.BlockedPart
+	name     string
+	revision int64
+}
+
+// blockChanged applies a change of a block in the store, by an operator or another entry. The
+// caller holds the lock.
+func (v *view) blockChanged(change mirror.Change) {
+	stored, err := platform.DecodeBlockedPart(change.Object.Name, change.Object.Value)
+	if err != nil {
+		v.log.Warn("blocked part ignored", zap.String("name", change.Object.Name), zap.Error(err))
+		return
+	}
+	known := v.quarantine.Blocks()
+	block := quarantine.Block{Parts: stored.Parts}
+	now := time.Now()
+	if change.Deleted {
+		delete(v.storedBlocks, block.Name())
+		v.quarantine.Release(block.Name(), now)
+	} else {
+		v.storedBlocks[block.Name()] = storedBlock{stored, change.Object.Name, change.Object.Revision}
+		v.quarantine.SetBlock(stored.Parts, stored.Workspaces, now)
+		v.quarantine.RecordTrials(block.Name(), stored.Trials, now)
+	}
+	v.logBlocks(known)
+	v.wakeQuarantine()
+}
+
+// storeBlocks writes the blocks that the store does not list, and deletes those that were
+// released, so that they outlast all entries and operators see them.
+func (v *view) storeBlocks(ctx context.Context) {
+	for _, write := range v.pendingBlockWrites(time.Now()) {
+		if err := write(ctx); err != nil {
+			v.log.Warn("block not written to the store", zap.Error(err))
+		}
+	}
+}
+
+// pendingBlockWrites returns the calls of the store for which it is this entry's turn.
+func (v *view) pendingBlockWrites(now time.Time) []func(context.Context) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var writes []func(context.Context) error
+	if v.blockStore == nil || !v.listedKinds[platform.KindBlockedParts] {
+		return nil
+	}
+	for _, b := range v.quarantine.Blocks() {
+		stored, listed := v.storedBlocks[b.Name()]
+		upToDate := listed && !b.Released && len(stored.Workspaces) == len(b.Workspaces)
+		if upToDate || (b.Released && !listed) || now.Before(v.blockedAt[b.Name()].Add(v.blockWriterDelay(b.Name()))) {
+			continue
+		}
+		v.blockedAt[b.Name()] = now.Add(blockWriteRetry)
+		writes = append(writes, v.blockWrite(b, stored, listed))
+	}
+	return writes
+}
+
+// blockWriterDelay returns how long after a change of a block this entry writes it. The caller
+// holds the lock.
+func (v *view) blockWriterDelay(name string) time.Duration {
+	names := []string{v.settings.VM}
+	for other := range v.entries {
+		if other != v.settings.VM {
+			names = append(names, other)
+		}
+	}
+	rank := slices.Index(rendezvous.Rank("block/"+name, names), v.settings.VM)
+	if rank >= blockWriters {
+		return time.Duration(rank) * time.Hour
+	}
+	return time.Duration(rank) * blockWriterPause
+}
+
+// blockWrite returns the call that brings the store in line with a block. The caller holds the
+// lock.
+func (v *view) blockWrite(b quarantine.Block, stored storedBlock, listed bool) func(context.Context) error {
+	store := v.blockStore
+	switch {
+	case b.Released:
+		return func(ctx context.Context) error {
+			return store.Delete(ctx, platform.KindBlockedParts, stored.name, stored.revision)
+		}
+	case listed:
+		changed := stored.BlockedPart
+		changed.Workspaces = b.Workspaces
+		return func(ctx context.Context) error {
+			_, err := store.Replace(ctx, platform.KindBlockedParts, stored.name, changed, stored.revision)
+			return err
+		}
+	}
+	value := platform.BlockedPart{Parts: b.Parts, Workspaces: b.Workspaces, Reason: automaticReason}
+	return func(ctx context.Context) error { return store.Create(ctx, platform.KindBlockedParts, b.Name(), value) }
+}
+
+// claimTrial reports whether the request may be sent although its prompt holds a blocked part. Of
+// all entries only the one that records the trial in the store may send it.
+func (c *call) claimTrial(block quarantine.Block) bool {
+	stored, store := c.view.dueTrial(block.Name())
+	if store == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(c.r.Context(), trialTimeout)
+	defer cancel()
+	claimed := stored.BlockedPart
+	claimed.Trials++
+	revision, err := store.Replace(ctx, platform.KindBlockedParts, stored.name, claimed, stored.revision)
+	if err != nil {
+		c.log.Warn("trial of a blocked part not recorded", zap.Strings("parts", block.Parts), zap.Error(err))
+		return false
+	}
+	c.log.Warn("blocked part is tried", zap.String("request", c.in.ID), zap.Strings("parts", block.Parts), zap.Int("trial", claimed.Trials))
+	c.trial = &storedBlock{claimed, stored.name, revision}
+	return true
+}
+
+// dueTrial returns the stored block of which a trial is due, or a nil store.
+func (v *view) dueTrial(name string) (storedBlock, blockStore) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	stored, listed := v.storedBlocks[name]
+	if !listed || v.blockStore == nil || !v.quarantine.ClaimTrial(name, time.Now()) {
+		return storedBlock{}, nil
+	}
+	return stored, v.blockStore
+}
+
+// trialSurvived records that the request of a trial has begun to write. After the last trial the
+// block ends.
+func (c *call) trialSurvived() {
+	trial := c.trial
+	if trial == nil {
+		return
+	}
+	c.trial = nil
+	store := c.view.blockStore
+	trial.Survived++
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.r.Context()), trialTimeout)
+	defer cancel()
+	var err error
+	if trial.Survived >= quarantine.MaxTrials {
+		err = store.Delete(ctx, platform.KindBlockedParts, trial.name, trial.revision)
+	} else {
+		_, err = store.Replace(ctx, platform.KindBlockedParts, trial.name, trial.BlockedPart, trial.revision)
+	}
+	if err != nil {
+		c.log.Warn("result of a trial not recorded", zap.Strings("parts", trial.Parts), zap.Error(err))
+	}
+}
--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -100,6 +100,10 @@
 	relayedBytes  int64
 	lastEventID   string
 	weightVersion int
+	// began is set once the current attempt has begun to write, and trial while the request is a
+	// trial of a blocked part.
+	began bool
+	trial *storedBlock
 	// firstEventWait is how long the last attempt waited for its first event, zero for none.
 	// weightsLeft is how long requests could still start on the weights when it was sent, zero
 	// for no bound.
@@ -146,6 +150,9 @@
 
 // Pick implements dispatch.Target.
 func (c *call) Pick(number uint32, digest string, tried []string) (routing.Decision, error) {
+	if err := c.refuseBlocked(); err != nil {
+		return routing.Decision{}, err
+	}
 	query := c.query(number, digest, tried)
 	decision, err := c.pick(query)
 	var cause *routing.NoEndpointError
@@ -210,7 +217,7 @@
 // Attempt implements dispatch.Target.
 func (c *call) Attempt(ctx context.Context, decision routing.Decision, number uint32) retry.Attempt {
 	started := time.Now()
-	c.attempts, c.firstEventWait, c.weightsLeft = number, 0, 0
+	c.attempts, c.began, c.firstEventWait, c.weightsLeft = number, false, 0, 0
 	tracked := c.tracked
 	ended, load := c.exchange(ctx, decision, &tracked)
 	result := routing.Result{Outcome: ended.Outcome, Sent: ended.Sent, Load: load}
@@ -224,6 +231,7 @@
 	c.service.table.AttemptFinished(tracked, result, time.Now())
 	c.view.mu.Unlock()
 	c.metrics.attempts.UpdateDuration(started)
+	ended.MayHaveCrashed = c.recordCrash(ctx, decision, ended)
 	var parts []string
 	if c.endedBeforeFirstEvent(ended) {
 		parts = c.in.PromptParts
@@ -231,14 +239,14 @@
 	c.logFor(ended.Outcome == laburnumgwv1.Outcome_OUTCOME_COMPLETE).Info("attempt ended", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
 		zap.Stringer("outcome", ended.Outcome), zap.Bool("sent", ended.Sent), zap.Int64("relayed", ended.RelayedBytes),
 		zap.Duration("duration", time.Since(started)), zap.Duration("first_event", c.firstEventWait), zap.Duration("weights_left", c.weightsLeft),
-		zap.Strings("prompt_parts", parts), zap.Error(ended.Err))
+		zap.Strings("prompt_parts", parts), zap.Bool("may_have_crashed", ended.MayHaveCrashed), zap.Error(ended.Err))
 	return ended
 }
 
 // endedBeforeFirstEvent reports whether the connection of an attempt at a model worker ended before
 // the first event, although the worker had received the request.
 func (c *call) endedBeforeFirstEvent(ended retry.Attempt) bool {
-	return c.engine != nil && ended.Sent && ended.Outcome == laburnumgwv1.Outcome_OUTCOME_UNKNOWN && c.firstEventWait == 0
+	return c.engine != nil && ended.Sent && ended.Outcome == laburnumgwv1.Outcome_OUTCOME_UNKNOWN && !c.began
 }
 
 // exchange sends the request to one worker and relays its response.
@@ -281,8 +289,10 @@
 		c.weightVersion = workerResponse.WeightVersion
 		c.view.loadReceived(c.service, tracked, load)
 		err = c.relayStream(response, workerResponse, firstEvent, c.workerTimeout(decision.VM), func() {
-			c.firstEventWait = time.Since(sentAt)
+			c.began, c.firstEventWait = true, time.Since(sentAt)
 			c.view.attemptAccepted(c.service, tracked)
+			c.view.requestBegan(c.in.PromptParts)
+			c.trialSurvived()
 		})
 		load = nil // outdated: it was sent with the head of the stream
 	default:
--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -129,7 +129,7 @@
 	v := newView(settings, metrics, zap.NewNop())
 	v.rng = rand.New(rand.NewPCG(1, xxhash.Sum64String(vm)))
 	d.front = &frontend{view: v, conns: workerconn.NewPoolWith(d.dial), buffers: newResponseBuffers(64), metrics: metrics, log: zap.NewNop(), detail: zap.NewNop()}
-	for _, kind := range []string{platform.KindEntries, platform.KindEvacuations} {
+	for _, kind := range []string{platform.KindEntries, platform.KindEvacuations, platform.KindBlockedParts} {
 		v.applyChanges(kind, nil)
 	}
 	d.put(platform.KindConfig, "main", testConfig)
--- a/entry/hosted/metrics.go
+++ b/entry/hosted/metrics.go
@@ -19,6 +19,8 @@
 	// and lent those that this entry lent to others.
 	borrowed *metrics.Counter
 	lent     *metrics.Counter
+	// blockedRequests counts the requests that were refused for a blocked part of their prompt.
+	blockedRequests *metrics.Counter
 }
 
 func newEntryMetrics() *entryMetrics {
@@ -32,6 +34,8 @@
 		duration:  set.NewHistogram("laburnumgw_entry_request_duration_seconds"),
 		borrowed:  set.NewCounter("laburnumgw_entry_limit_borrowed_total"),
 		lent:      set.NewCounter("laburnumgw_entry_limit_lent_total"),
+
+		blockedRequests: set.NewCounter("laburnumgw_entry_blocked_requests_total"),
 	}
 }
 
--- a/entry/hosted/neighbours_test.go
+++ b/entry/hosted/neighbours_test.go
@@ -35,7 +35,7 @@
 			name := fmt.Sprintf("front-%d-%d", zone, i)
 			v := newView(&platform.Settings{VM: name, Zone: fmt.Sprint("zone-", zone)}, newEntryMetrics(), zap.NewNop())
 			v.snapshot.Store(catalog.NewSnapshot(1, catalog.Limits{}, nil, nil, nil, false))
-			for _, kind := range []string{platform.KindEntries, platform.KindWorkers, platform.KindVersions, platform.KindEvacuations} {
+			for _, kind := range []string{platform.KindEntries, platform.KindWorkers, platform.KindVersions, platform.KindEvacuations, platform.KindBlockedParts} {
 				v.listedKinds[kind] = true
 			}
 			views[addressOf(name)] = v
--- /dev/null
+++ b/entry/hosted/parts.go
@@ -0,0 +1,300 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"slices"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/dispatch"
+	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/quarantine"
+	"laburnumgw/lib/retry"
+	"laburnumgw/lib/routing"
+)
+
+const (
+	// partsInterval is the pause between two comparisons with another entry while a crash is
+	// recent, and between two checks of what the store lists. partsStep is the resolution of
+	// what is due earlier.
+	partsInterval = time.Second
+	partsStep     = 20 * time.Millisecond
+	// crashWait is how long a lost request waits to learn whether its worker has crashed. The
+	// process beside the worker notices within its report interval.
+	crashWait = 400 * time.Millisecond
+	// evidenceEntries is the number of entries that a starting process, or one that was cut off,
+	// asks for what they know.
+	evidenceEntries = 3
+)
+
+// requestBegan records that a request has begun to write at a worker.
+func (v *view) requestBegan(parts []string) {
+	if len(parts) == 0 {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.quarantine.Began(parts, time.Now())
+}
+
+// workerCrashed records that a start of a worker has ended without notice.
+func (v *view) workerCrashed(start quarantine.Start, from string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	w := v.listedStart(start)
+	if w == nil || w.Leaving || v.departures.Contains(w.ID, w.StartedAtMs) {
+		return // it has left, or is leaving
+	}
+	if v.quarantine.Crashed(start, w.Zone, time.Now()) {
+		v.log.Warn("worker has crashed", zap.String("vm", w.ID), zap.String("address", start.Address), zap.Int64("born", start.StartedAtMs),
+			zap.String("told_by", from))
+		v.wakeQuarantine()
+	}
+}
+
+// listedStart returns the listed worker of a start, or nil. The caller holds the lock.
+func (v *view) listedStart(start quarantine.Start) *worker {
+	for _, w := range v.byAddress[start.Address] {
+		if w.StartedAtMs == start.StartedAtMs {
+			return w
+		}
+	}
+	return nil
+}
+
+func (v *view) wakeQuarantine() {
+	select {
+	case v.quarantineWake <- struct{}{}:
+	default:
+	}
+}
+
+// lostConnection reports whether an attempt ended because the worker's end of the connection was
+// closed.
+func lostConnection(err error) bool {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, io.ErrClosedPipe} {
+		if errors.Is(err, cause) {
+			return !errors.Is(err, os.ErrDeadlineExceeded)
+		}
+	}
+	return false
+}
+
+// recordCrash records what an attempt that has ended tells about a crash of its worker, and
+// returns whether the request may have caused it.
+func (c *call) recordCrash(ctx context.Context, decision routing.Decision, ended retry.Attempt) bool {
+	start := quarantine.Start{Address: decision.Address, StartedAtMs: c.trackedWorker}
+	if c.engine != nil && !ended.Sent && errors.Is(ended.Err, syscall.ECONNREFUSED) {
+		c.view.workerCrashed(start, "its machine")
+	}
+	if !c.endedBeforeFirstEvent(ended) || !lostConnection(ended.Err) || len(c.in.PromptParts) == 0 {
+		return false
+	}
+	c.view.requestLost(start, c.in.PromptParts, c.workspaceName())
+	return c.mayHaveCrashed(ctx, start)
+}
+
+// requestLost records a request whose connection ended before it began to write.
+func (v *view) requestLost(start quarantine.Start, parts []string, workspace string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.quarantine.Lost(start, parts, workspace, time.Now())
+	v.wakeQuarantine()
+}
+
+// mayHaveCrashed reports whether a lost request may have crashed its worker. Unless requests with
+// each of its parts have begun lately, it waits until it is known what happened to the worker.
+func (c *call) mayHaveCrashed(ctx context.Context, start quarantine.Start) bool {
+	lostAt := time.Now()
+	for waited := time.Duration(0); ; waited += partsStep {
+		cleared, crashed, alive := c.view.suspicionOf(start, c.in.PromptParts, lostAt)
+		switch {
+		case cleared, alive:
+			return false
+		case crashed:
+			return true
+		case waited >= crashWait || !dispatch.Sleep(ctx, partsStep):
+			return false
+		}
+	}
+}
+
+// suspicionOf returns whether the parts of a lost request are cleared, and whether its worker is
+// known to have crashed, or to have reported since the request was lost.
+func (v *view) suspicionOf(start quarantine.Start, parts []string, lostAt time.Time) (cleared, crashed, alive bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	w := v.listedStart(start)
+	alive = w != nil && w.report.StartedAtMs == w.StartedAtMs && w.reportedAt.After(lostAt)
+	return v.quarantine.Cleared(parts, time.Now()), v.quarantine.HasCrashed(start), alive
+}
+
+// refuseBlocked returns an error when the prompt of the request holds a blocked part.
+func (c *call) refuseBlocked() error {
+	if c.engine == nil || len(c.in.PromptParts) == 0 {
+		return nil
+	}
+	block, retryAfter, blocked := c.view.blockOf(c.in.PromptParts, c.workspaceName())
+	if !blocked || c.claimTrial(block) {
+		return nil
+	}
+	c.metrics.blockedRequests.Inc()
+	c.log.Info("prompt holds a blocked part", zap.String("request", c.in.ID), zap.Strings("blocked", block.Parts),
+		zap.String("workspace", c.workspaceName()))
+	return errkind.New(errkind.NotRun, "change the prompt, or ask an operator to clear the part",
+		"workers crash on part %s of the prompt, which is blocked", block.Name()).WithRetryAfter(retryAfter)
+}
+
+// blockOf returns the block that refuses a request and the time after which the caller may return.
+func (v *view) blockOf(parts []string, workspace string) (quarantine.Block, time.Duration, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	block, blocked := v.quarantine.Match(parts, workspace)
+	if !blocked {
+		return block, 0, false
+	}
+	return block, v.quarantine.RetryAfter(block.Name(), time.Now()), true
+}
+
+// blocksInForce returns the number of blocks.
+func (v *view) blocksInForce() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.quarantine.InForce()
+}
+
+// runQuarantine exchanges evidence with other entries and keeps the blocks in the store, until the
+// context ends. receivesStoreState reports whether this process is in touch with the store.
+func (v *view) runQuarantine(ctx context.Context, receivesStoreState func() bool) {
+	ticker := time.NewTicker(partsInterval)
+	defer ticker.Stop()
+	inTouch := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-v.quarantineWake:
+			for v.advanceQuarantine() {
+				if !dispatch.Sleep(ctx, partsStep) {
+					return
+				}
+			}
+			continue
+		case <-ticker.C:
+		}
+		v.advanceQuarantine()
+		wasInTouch := inTouch
+		inTouch = receivesStoreState()
+		v.compareEvidence(ctx, inTouch && !wasInTouch)
+		if inTouch {
+			v.storeBlocks(ctx)
+		}
+	}
+}
+
+// advanceQuarantine sends the messages that are due. It reports whether more will be due soon.
+func (v *view) advanceQuarantine() bool {
+	v.mu.Lock()
+	known := v.quarantine.Blocks()
+	messages := v.quarantine.Advance(time.Now())
+	v.logBlocks(known)
+	pending := v.quarantine.Pending()
+	peers := v.partPeers
+	v.mu.Unlock()
+	if peers == nil {
+		return pending
+	}
+	for _, m := range messages {
+		for _, datagram := range splitEvidence(m) {
+			peers.AnnounceEvidence(datagram)
+		}
+	}
+	return pending
+}
+
+// logBlocks logs the blocks that have changed. The caller holds the lock.
+func (v *view) logBlocks(before []quarantine.Block) {
+	after := v.quarantine.Blocks()
+	if len(after) == 0 {
+		return
+	}
+	known := make(map[string]quarantine.Block, len(before))
+	for _, b := range before {
+		known[b.Name()] = b
+	}
+	for _, b := range after {
+		if old, ok := known[b.Name()]; ok && old.Epoch == b.Epoch && len(old.Workspaces) == len(b.Workspaces) {
+			continue
+		}
+		message := "part of prompts is blocked"
+		if b.Released {
+			message = "part of prompts is released"
+		}
+		v.blockedAt[b.Name()] = time.Now()
+		v.log.Warn(message, zap.Strings("parts", b.Parts), zap.Strings("workspaces", b.Workspaces), zap.Uint64("epoch", b.Epoch))
+	}
+}
+
+// mergeEvidence applies what another entry knows. The caller holds the lock.
+func (v *view) mergeEvidence(evidence *laburnumgwv1.PartEvidence) {
+	known := v.quarantine.Blocks()
+	v.quarantine.Merge(readEvidence(evidence), time.Now())
+	v.logBlocks(known)
+	if v.quarantine.Pending() {
+		v.wakeQuarantine()
+	}
+}
+
+// compareEvidence asks other entries for what they know: one while a crash is recent, and several
+// when this process was out of touch, as it may have missed announcements.
+func (v *view) compareEvidence(ctx context.Context, wasCutOff bool) {
+	v.mu.Lock()
+	active := v.quarantine.Active(time.Now())
+	v.mu.Unlock()
+	count := 0
+	switch {
+	case wasCutOff:
+		count = evidenceEntries
+	case active:
+		count = 1
+	}
+	if count == 0 {
+		return
+	}
+	addresses := v.otherAddresses()
+	v.shuffle(addresses)
+	for _, address := range addresses[:min(count, len(addresses))] {
+		v.fetchEvidence(ctx, address)
+	}
+}
+
+func (v *view) shuffle(addresses []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	slices.Sort(addresses)
+	v.rng.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+}
+
+// fetchEvidence asks another entry for what it knows about parts of prompts.
+func (v *view) fetchEvidence(ctx context.Context, address string) {
+	v.mu.Lock()
+	peers := v.partPeers
+	v.mu.Unlock()
+	if peers == nil {
+		return
+	}
+	evidence, err := peers.ListPartEvidence(ctx, address)
+	if err != nil {
+		v.log.Debug("evidence not received from entry", zap.String("entry", address), zap.Error(err))
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.mergeEvidence(evidence)
+}
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -89,6 +89,7 @@
 	metrics := newEntryMetrics()
 	metrics.set.NewGauge("laburnumgw_log_lines_dropped", func() float64 { return float64(bounded.Dropped()) })
 	v := newView(settings, metrics, log)
+	v.blockStore = store
 	p := &Process{
 		settings: settings, view: v, store: store, conns: conns, log: log,
 		frontend: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), buffers: newResponseBuffers(settings.MemoryMB), metrics: metrics, log: log, detail: log.Named(telemetry.DetailName)},
@@ -101,7 +102,7 @@
 	p.mirror = mirror.NewDriver(mirror.Config{
 		Kinds: map[string]bool{
 			platform.KindConfig: false, platform.KindWorkers: true, platform.KindEvacuations: false,
-			platform.KindVersions: false, platform.KindEntries: false,
+			platform.KindVersions: false, platform.KindEntries: false, platform.KindBlockedParts: false,
 		},
 		Store: store, SeedKind: platform.KindEntries, SeedNeighbours: rpcmirror.NewSeedClient(conns, settings.SeedAddresses()), Neighbours: rpcmirror.NewClient(conns, v.neighbours), PreferredSource: v.source, PullWait: pullTimeout, StaleAfter: v.staleAfter,
 		StartupWait: v.startupWait, MaxProbePause: v.maxProbePause, MaxNeighbourStoreAge: v.holdOff, PropagationBound: settings.Bounds.ShortestPropagationBound(), SeedWait: seedWait(settings), DetectSuspension: p.checkSuspension, OnChange: v.applyChanges, Log: log,
@@ -110,6 +111,8 @@
 	laburnumgwv1.RegisterMirrorServer(p.grpc, &rpcmirror.Server{Driver: p.mirror})
 	laburnumgwv1.RegisterDeparturesServer(p.grpc, &departuresServer{view: v})
 	laburnumgwv1.RegisterWorkerLimitsServer(p.grpc, &limitsServer{view: v})
+	laburnumgwv1.RegisterPromptPartsServer(p.grpc, &promptPartsServer{view: v})
+	metrics.set.NewGauge("laburnumgw_entry_blocked_parts", func() float64 { return float64(v.blocksInForce()) })
 	metrics.set.NewGauge("laburnumgw_entry_limited_workers", func() float64 { return float64(v.limitedWorkers()) })
 	return p, nil
 }
@@ -141,6 +144,7 @@
 	go p.register(running)
 	go p.learnFromEntries(running)
 	go p.view.refreshLimits(running)
+	go p.view.runQuarantine(running, p.mirror.ReceivesStoreState)
 	go reload.Watch(running, os.Getenv(platform.SettingsVariable), hangups, p.reload)
 	go func() {
 		if err := p.monitor.Run(running); err != nil {
@@ -195,6 +199,7 @@
 	p.view.mu.Lock()
 	p.view.announceDeparture = p.announceDeparture(reports)
 	p.view.limitPeers = processPeers{p, reports}
+	p.view.partPeers = processPeers{p, reports}
 	p.view.mu.Unlock()
 	go p.readReports(reports)
 	return callers, nil
@@ -241,8 +246,8 @@
 }
 
 // learnFromEntries asks other entries for what the store does not tell at a start: how long the
-// versions have been named, which workers have stated that they are leaving, and which have
-// stated a limit. A version of unknown age is treated as one that was named long ago.
+// versions have been named, which workers have stated that they are leaving, which have stated a
+// limit, and on which parts of prompts workers crash. A version of unknown age is treated as one that was named long ago.
 func (p *Process) learnFromEntries(ctx context.Context) {
 	for !p.mirror.HasSynced() {
 		if !dispatch.Sleep(ctx, startPollInterval) {
@@ -259,6 +264,7 @@
 		p.fetchDepartures(ctx, address)
 		if responded < limitsEntries {
 			p.view.fetchLimits(ctx, address)
+			p.view.fetchEvidence(ctx, address)
 		}
 		responded++
 		if p.view.applyVersionAges(ages) {
--- a/entry/hosted/reports.go
+++ b/entry/hosted/reports.go
@@ -10,11 +10,12 @@
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/catalog"
 	"laburnumgw/lib/departure"
+	"laburnumgw/lib/quarantine"
 	"laburnumgw/platform"
 )
 
 // maxReportBytes bounds the datagram of a report.
-const maxReportBytes = 1 << 10
+const maxReportBytes = 2 << 10
 
 // readReports applies the datagrams of endpoint processes and of other
 // entries.
@@ -30,7 +31,7 @@
 	}
 }
 
-// applyDatagram applies a report of a worker, or a departure or a limit announced by another entry.
+// applyDatagram applies a report or the crash of a worker, or what another entry has announced.
 func (v *view) applyDatagram(data []byte) {
 	var report laburnumgwv1.WorkerReport
 	if err := proto.Unmarshal(data, &report); err != nil {
@@ -49,6 +50,16 @@
 		v.mergeLimit(limit, "another entry")
 		return
 	}
+	if evidence := report.GetEvidence(); evidence != nil {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.mergeEvidence(evidence)
+		return
+	}
+	if report.GetCrashed() {
+		v.workerCrashed(quarantine.Start{Address: report.GetAddress(), StartedAtMs: report.GetBorn()}, "the process beside it")
+		return
+	}
 	if min(report.GetQueued(), report.GetRunning(), report.GetClosesInMs(), report.GetVersion()) < 0 {
 		v.log.Warn("report with a negative number ignored", zap.String("address", report.GetAddress()))
 		return
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -16,6 +16,7 @@
 	"laburnumgw/lib/departure"
 	"laburnumgw/lib/dispatch"
 	"laburnumgw/lib/mirror"
+	"laburnumgw/lib/quarantine"
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/routing"
 	"laburnumgw/lib/senders"
@@ -104,6 +105,16 @@
 	announcing map[string]bool
 	// limitsInForce is signalled when a limit has changed.
 	limitsInForce chan struct{}
+	// quarantine finds the parts of prompts on which workers crash. quarantineWake is signalled
+	// when it has something to do, and partPeers is nil while the process does not listen.
+	quarantine     *quarantine.Tracker
+	quarantineWake chan struct{}
+	partPeers      partPeers
+	// blockStore writes blocks to the store, which lists storedBlocks; both by the names of the
+	// blocks. blockedAt is when a block last changed, or was last written.
+	blockStore   blockStore
+	storedBlocks map[string]storedBlock
+	blockedAt    map[string]time.Time
 }
 
 // service is the state of one service.
@@ -133,12 +144,15 @@
 }
 
 func newView(settings *platform.Settings, metrics *entryMetrics, log *zap.Logger) *view {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &view{
-		settings: settings, log: log, metrics: metrics, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		settings: settings, log: log, metrics: metrics, rng: rng,
 		services: make(map[string]*service), workers: make(map[string]*worker), byAddress: make(map[string][]*worker), entries: make(map[string]platform.Entry),
 		outOfService: make(map[string]bool), versions: make(map[string][]namedVersion),
 		listedKinds: make(map[string]bool), departures: departure.NewSet(),
 		limits: workerlimit.NewSet(), announcing: make(map[string]bool), limitsInForce: make(chan struct{}, 1),
+		quarantine: quarantine.New(rng.Uint64(), rng), quarantineWake: make(chan struct{}, 1),
+		storedBlocks: make(map[string]storedBlock), blockedAt: make(map[string]time.Time),
 	}
 }
 
@@ -158,6 +172,8 @@
 			v.versionChanged(change)
 		case platform.KindEntries:
 			v.entryChanged(change)
+		case platform.KindBlockedParts:
+			v.blockChanged(change)
 		}
 	}
 	v.listedKinds[kind] = true
@@ -560,7 +576,7 @@
 // knowsAll is ready for callers that hold the lock.
 func (v *view) knowsAll() bool {
 	return v.snapshot.Load() != nil && v.listedKinds[platform.KindWorkers] && v.listedKinds[platform.KindEntries] && v.listedKinds[platform.KindVersions] &&
-		v.listedKinds[platform.KindEvacuations]
+		v.listedKinds[platform.KindEvacuations] && v.listedKinds[platform.KindBlockedParts]
 }
 
 // service returns the state of a service with its engine, or nil.
--- /dev/null
+++ b/lib/quarantine/quarantine.go
@@ -0,0 +1,318 @@
+// Package quarantine finds the parts of prompts on which workers crash, and blocks them.
+//
+// Each entry sees few of the crashes, so entries exchange what they saw: for each start of a
+// worker that crashed, the parts of the requests that were lost there before they began to
+// write. A part that is in several crashes, and with which hardly any request has begun since,
+// is blocked. Requests that share its caller, route or other parts are not.
+//
+// Tracker is a state machine without I/O. What it knows only grows, or is ordered by an epoch, so
+// that all entries end up with the same in whatever order messages arrive. It is not safe for
+// concurrent use.
+package quarantine
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// minCrashes is the number of crashes after which a part is blocked, and
+	// minCrashesOfKnownPart the same for a part with which at least knownPartRequests requests had
+	// begun before. Crashes in one availability zone within sameCauseTime count as one: workers of a
+	// zone that end together may do so for another reason than one request each.
+	minCrashes            = 3
+	sameCauseTime         = 250 * time.Millisecond
+	minCrashesOfKnownPart = 5
+	knownPartRequests     = 4
+	// maxBegunPerCrash is the number of requests with a part for each of its crashes, all of them
+	// counted, that may have begun since the first. Above it, the part is cleared.
+	maxBegunPerCrash = 2
+	// verdictDelay is the time from the last missing evidence to the block of a part. Within it
+	// entries announce the requests with the part that have begun.
+	verdictDelay = 300 * time.Millisecond
+	// maxAnnounceDelay bounds the random delay of that announcement. An entry that hears of enough
+	// such requests meanwhile says nothing.
+	maxAnnounceDelay = 150 * time.Millisecond
+	// announceFactor is the multiple of the requests that clear a part up to which entries announce
+	// more: some of the messages are lost.
+	announceFactor = 2
+	// repeatDelay is the time after which a message is sent once more, as it may be lost.
+	repeatDelay = 150 * time.Millisecond
+	// lostTime is how long a lost request waits to be told apart from one of a lost connection.
+	lostTime = 10 * time.Second
+	// activeTime is how long entries compare what they know after they heard of a crash.
+	activeTime = 30 * time.Second
+)
+
+// Bounds of the state.
+const (
+	maxCrashes            = 128
+	maxSuspectsPerCrash   = 64
+	maxWorkspacesPerPart  = 4
+	maxLostStarts         = 256
+	maxBlocks             = 256
+	maxPartsPerBlock      = 8
+	maxCountingEntries    = 64
+	maxOutgoing           = 512
+	historyPartsPerPeriod = 4096
+	historyPeriod         = 30 * time.Second
+)
+
+// Start identifies a start of a worker.
+type Start struct {
+	Address string
+	// StartedAtMs is in milliseconds since 1970 UTC.
+	StartedAtMs int64
+}
+
+// Suspect is a part of the prompt of a request that was lost in a crash, and the workspaces of
+// such requests.
+type Suspect struct {
+	Part       string
+	Workspaces []string
+}
+
+// Crash is what is known of a crash of a worker.
+type Crash struct {
+	Start Start
+	// Zone is the availability zone of the worker.
+	Zone string
+	// Age is how long the sender of a message has known of the crash.
+	Age      time.Duration
+	Suspects []Suspect
+}
+
+// Counts are the requests with a part that began at an entry before and after it first heard of
+// a crash with the part.
+type Counts struct {
+	Part          string
+	Entry         uint64
+	Before, Since int64
+}
+
+// Block refuses requests whose prompt holds all of its parts. It has more than one part while
+// these have only occurred together.
+type Block struct {
+	// Parts are sorted.
+	Parts []string
+	// Workspaces are those whose requests are refused; empty for all. A workspace cannot block a
+	// part for others by itself.
+	Workspaces []string
+	// Epoch orders blocks and releases of the same parts.
+	Epoch uint64
+	// Released is set when the block has ended.
+	Released bool
+}
+
+// Name returns the name of the block, which follows from its parts.
+func (b Block) Name() string { return strings.Join(b.Parts, ".") }
+
+// applies reports whether the block refuses a request.
+func (b Block) applies(parts []string, workspace string) bool {
+	if b.Released || (len(b.Workspaces) > 0 && !slices.Contains(b.Workspaces, workspace)) {
+		return false
+	}
+	return containsAll(parts, b.Parts)
+}
+
+// covers reports whether the block refuses all requests that other refuses.
+func (b Block) covers(other Block) bool {
+	if b.Released || !containsAll(other.Parts, b.Parts) {
+		return false
+	}
+	return len(b.Workspaces) == 0 || (len(other.Workspaces) > 0 && containsAll(b.Workspaces, other.Workspaces))
+}
+
+// valid reports whether a block that another process has sent makes sense.
+func (b Block) valid() bool {
+	return len(b.Parts) > 0 && len(b.Parts) <= maxPartsPerBlock && !slices.Contains(b.Parts, "") &&
+		slices.IsSorted(b.Parts) && len(b.Workspaces) <= maxWorkspacesPerPart
+}
+
+func containsAll(all, some []string) bool {
+	return !slices.ContainsFunc(some, func(item string) bool { return !slices.Contains(all, item) })
+}
+
+// Message is what entries tell one another.
+type Message struct {
+	Crashes []Crash
+	Counts  []Counts
+	Blocks  []Block
+}
+
+// Tracker holds what an entry knows about the parts of prompts.
+type Tracker struct {
+	entry   uint64
+	rng     *rand.Rand
+	history history
+	// lost holds the parts of the requests that were lost at a start of a worker which is not
+	// known to have crashed, and crashedAt the starts that are.
+	lost      map[Start]*lostRequests
+	lostOrder []Start
+	crashedAt map[Start]crashTime
+	crashes   map[Start]*crash
+	// crashOrder holds the crashes in the order in which they became known.
+	crashOrder []Start
+	parts      map[string]*part
+	blocks     map[string]Block
+	outgoing   []outgoing
+	// lastCrashAt is when a crash last became known.
+	lastCrashAt time.Time
+	// changed is set when there is new evidence, and decideAt when evidence becomes ripe; zero
+	// for never.
+	changed  bool
+	decideAt time.Time
+	trials   map[string]*trial
+}
+
+// lostRequests are the suspects of a start that is not known to have crashed.
+type lostRequests struct {
+	at       time.Time
+	suspects []Suspect
+}
+
+// crash holds the suspects of a crash by their part.
+type crash struct {
+	crashTime
+	suspects map[string]*suspicion
+}
+
+// crashTime is when and where a worker crashed.
+type crashTime struct {
+	at   time.Time
+	zone string
+}
+
+type suspicion struct {
+	workspaces []string
+	// released is set for the crashes that were known when a block of the part was released.
+	released bool
+}
+
+// part is a suspected part.
+type part struct {
+	// own are the requests that began at this entry, announced those of them that other entries
+	// were told, and counts those that other entries have announced.
+	own, announced Counts
+	counts         map[uint64]Counts
+	// announceAt is when own is announced; zero for no plan.
+	announceAt time.Time
+	// ripeAt is when the evidence became sufficient; zero while it is not.
+	ripeAt time.Time
+}
+
+// outgoing is a message with the time at which it is sent.
+type outgoing struct {
+	at      time.Time
+	message Message
+}
+
+// New returns a tracker of an entry. The identity must differ between the starts of all entries.
+func New(entry uint64, rng *rand.Rand) *Tracker {
+	return &Tracker{
+		entry: entry, rng: rng, history: newHistory(), lost: make(map[Start]*lostRequests), crashedAt: make(map[Start]crashTime),
+		crashes: make(map[Start]*crash), parts: make(map[string]*part), blocks: make(map[string]Block), trials: make(map[string]*trial),
+	}
+}
+
+// Match returns the block that refuses a request.
+func (t *Tracker) Match(parts []string, workspace string) (Block, bool) {
+	if len(t.blocks) == 0 || len(parts) == 0 {
+		return Block{}, false
+	}
+	for _, b := range t.blocks {
+		if b.applies(parts, workspace) {
+			return b, true
+		}
+	}
+	return Block{}, false
+}
+
+// Blocks returns the blocks and the releases in the order of their names.
+func (t *Tracker) Blocks() []Block {
+	list := make([]Block, 0, len(t.blocks))
+	for _, b := range t.blocks {
+		list = append(list, b)
+	}
+	slices.SortFunc(list, func(a, b Block) int { return cmp.Compare(a.Name(), b.Name()) })
+	return list
+}
+
+// InForce returns the number of blocks that have not ended.
+func (t *Tracker) InForce() int {
+	count := 0
+	for _, b := range t.blocks {
+		if !b.Released {
+			count++
+		}
+	}
+	return count
+}
+
+// Active reports whether a crash became known recently, so that entries should compare what they
+// know.
+func (t *Tracker) Active(now time.Time) bool {
+	return !t.lastCrashAt.IsZero() && now.Sub(t.lastCrashAt) < activeTime
+}
+
+// Pending reports whether Advance has something to do soon. It must be called now and then in any
+// case.
+func (t *Tracker) Pending() bool {
+	if t.changed || !t.decideAt.IsZero() || len(t.outgoing) > 0 {
+		return true
+	}
+	for _, p := range t.parts {
+		if !p.announceAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// Advance decides on blocks and returns the messages that are due.
+func (t *Tracker) Advance(now time.Time) []Message {
+	t.forgetLost(now)
+	t.planAnnouncements(now)
+	t.decide(now)
+	var due []Message
+	t.outgoing = slices.DeleteFunc(t.outgoing, func(o outgoing) bool {
+		if o.at.After(now) {
+			return false
+		}
+		due = append(due, o.message)
+		return true
+	})
+	return due
+}
+
+// send plans a message for now and once more after repeatDelay.
+func (t *Tracker) send(message Message, now time.Time) {
+	for _, at := range []time.Time{now, now.Add(repeatDelay)} {
+		if len(t.outgoing) < maxOutgoing {
+			t.outgoing = append(t.outgoing, outgoing{at, message})
+		}
+	}
+}
+
+// State returns all that another entry may need to know.
+func (t *Tracker) State(now time.Time) Message {
+	message := Message{Blocks: t.Blocks()}
+	for _, start := range t.crashOrder {
+		message.Crashes = append(message.Crashes, t.crashes[start].message(start, now))
+	}
+	for _, p := range t.parts {
+		if p.own.Before+p.own.Since > 0 {
+			message.Counts = append(message.Counts, p.own)
+		}
+		for _, counts := range p.counts {
+			message.Counts = append(message.Counts, counts)
+		}
+	}
+	slices.SortFunc(message.Counts, func(a, b Counts) int {
+		return cmp.Or(cmp.Compare(a.Part, b.Part), cmp.Compare(a.Entry, b.Entry))
+	})
+	return message
+}
--- a/lib/retry/plan.go
+++ b/lib/retry/plan.go
@@ -64,6 +64,9 @@
 	RelayedBytes int64
 	// VersionDigest is the digest of the response's header, empty without one.
 	VersionDigest string
+	// MayHaveCrashed is set when the request may have crashed its endpoint. It is not sent to
+	// another one.
+	MayHaveCrashed bool
 	// RetryAfter is the time that the endpoint asked for.
 	RetryAfter time.Duration
 	// Err describes the failure for the final response.
@@ -287,6 +290,9 @@
 	if s.inProgress {
 		return Respond, "an earlier attempt with the same key is still running"
 	}
+	if a.MayHaveCrashed {
+		return Respond, "the request may have crashed its endpoint"
+	}
 	if s.relayed {
 		return s.nextStreamAction()
 	}
