Send nothing to a worker that is known to have crashed

A start of a worker that has crashed, by the process beside it or by a refused connection, now counts as dead until another start is listed, the worker reports on, or 10 s have passed.

TestCrashedWorkerGetsNoRequests fails without the check (13 of 20 requests sent to the crashed worker).

--- a/entry/hosted/parts.go
+++ b/entry/hosted/parts.go
@@ -28,6 +28,9 @@
 	// crashWait is how long a lost request waits to learn whether its worker has crashed. The
 	// process beside the worker notices within its report interval.
 	crashWait = 400 * time.Millisecond
+	// crashedTime is how long a start of a worker that has crashed gets no requests. The platform
+	// removes its entry within 3.6 s.
+	crashedTime = 10 * time.Second
 	// evidenceEntries is the number of entries that a starting process, or one that was cut off,
 	// asks for what they know.
 	evidenceEntries = 3
@@ -51,6 +54,11 @@
 	if w == nil || w.Leaving || v.departures.Contains(w.ID, w.StartedAtMs) {
 		return // it has left, or is leaving
 	}
+	if !w.crashed {
+		w.crashed = true
+		v.updateRouting(w)
+		time.AfterFunc(crashedTime, func() { v.forgetCrash(start) })
+	}
 	if v.quarantine.Crashed(start, w.Zone, time.Now()) {
 		v.log.Warn("worker has crashed", zap.String("vm", w.ID), zap.String("address", start.Address), zap.Int64("born", start.StartedAtMs),
 			zap.String("told_by", from))
@@ -58,6 +66,17 @@
 	}
 }
 
+// forgetCrash lets a start of a worker get requests again that is still listed long after its
+// crash.
+func (v *view) forgetCrash(start quarantine.Start) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if w := v.listedStart(start); w != nil && w.crashed {
+		w.crashed = false
+		v.updateRouting(w)
+	}
+}
+
 // listedStart returns the listed worker of a start, or nil. The caller holds the lock.
 func (v *view) listedStart(start quarantine.Start) *worker {
 	for _, w := range v.byAddress[start.Address] {
--- a/entry/hosted/parts_test.go
+++ b/entry/hosted/parts_test.go
@@ -105,6 +105,43 @@
 	}
 }
 
+// Guards against requests that are sent to a worker that is known to have crashed, each of which
+// costs an attempt, and against a worker that gets nothing after a false notice.
+func TestCrashedWorkerGetsNoRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		after  func(d *deployment)
+		serves bool
+	}{
+		"at once": {func(*deployment) {}, false},
+		"when it reports on": {func(d *deployment) {
+			d.front.view.applyReport("w1", 2, catalog.Report{StartedAtMs: 1, Weights: catalog.Weights{Model: "m", Version: 1, To: 16}})
+		}, true},
+		"long after": {func(*deployment) { <-time.After(crashedTime + time.Second) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T, d *deployment) {
+				d.worker("llm", "w1", 1, streamsWhole)
+				d.worker("llm", "w2", 1, streamsWhole)
+				d.front.view.workerCrashed(quarantine.Start{Address: "w1", StartedAtMs: 1}, "test")
+				c.after(d)
+				sentTo := make(map[string]int)
+				for range 20 {
+					<-time.After(100 * time.Millisecond)
+					if got := d.askWith(t, "aa:40,cc:1"); got.status != http.StatusOK {
+						t.Errorf("response %+v", got)
+					}
+				}
+				for _, a := range d.arrived() {
+					sentTo[a.worker]++
+				}
+				if (sentTo["w1"] > 0) != c.serves {
+					t.Errorf("requests by worker: %v", sentTo)
+				}
+			})
+		})
+	}
+}
+
 // fakeBlocks is a store of blocks.
 type fakeBlocks struct {
 	mu      sync.Mutex
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -137,6 +137,9 @@
 	// misdirected is set when a request to the worker was refused as misdirected, until the entry
 	// in the list changes.
 	misdirected bool
+	// crashed is set when this start of the worker has crashed, until another start is listed, the
+	// worker reports on, or crashedTime has passed.
+	crashed bool
 	// share is this entry's share of the rate that the worker can handle. shareValid is cleared
 	// when it must be computed again.
 	share      senders.Share
@@ -330,6 +333,7 @@
 		v.workers[id] = known
 	}
 	wasLeaving, wasVersion := known.Leaving, known.Weights.Version
+	known.crashed = known.crashed && known.StartedAtMs == decoded.StartedAtMs
 	v.unindex(known)
 	known.Worker = decoded
 	known.misdirected = false
@@ -511,11 +515,11 @@
 	}
 }
 
-// replaced reports whether the entry of a worker in the list is outdated: a request was refused
-// as misdirected, or another worker, or a later incarnation of the same one, has taken the
+// replaced reports whether the entry of a worker in the list is outdated: the worker has crashed, a
+// request was refused as misdirected, or another worker, or a later incarnation of the same one, has taken the
 // address. The caller holds the lock.
 func (v *view) replaced(w *worker) bool {
-	if w.misdirected || w.report.StartedAtMs > w.StartedAtMs {
+	if w.misdirected || w.crashed || w.report.StartedAtMs > w.StartedAtMs {
 		return true
 	}
 	return slices.ContainsFunc(v.byAddress[w.Address], func(other *worker) bool { return other.StartedAtMs > w.StartedAtMs })
@@ -556,6 +560,7 @@
 		w.reportSequence = sequence
 		w.report = report
 		w.reportedAt = time.Now()
+		w.crashed = w.crashed && report.StartedAtMs != w.StartedAtMs
 		if report.Leaving && report.StartedAtMs == w.StartedAtMs {
 			v.addDeparture(departure.Departure{VM: w.ID, StartedAtMs: w.StartedAtMs}, "the process beside it")
 		}
