Tell a whole stream without length and chunks from one that broke off

On routes that may be resumed every stream that ended with its connection was taken for broken off, and resumed or cut, even a whole one. On the others one that ended inside an event, or before the first, was passed on as complete.

Cause: the wait for the next bytes reported the end of the connection as an error before the read could tell whether the body was complete, and without that wait the read took any end for a complete body.

Now the end of an unmarked stream is left to the read. It is complete if it ends after an event and the worker accepts a connection, or is leaving: a worker that crashes ends its connections in an orderly way as well.

The stand-in connection of the tests that refuses now returns the error of a refused connection.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -85,10 +85,11 @@
 	firstEventTimer *time.Timer
 
 	// tracked is the current attempt in the routing table. trackedWorker is the start of its
-	// worker, and reportAge the age of the worker's last report when it was chosen.
-	tracked       routing.Attempt
-	trackedWorker int64
-	reportAge     time.Duration
+	// worker at trackedAddress, and reportAge the age of the worker's last report when it was chosen.
+	tracked        routing.Attempt
+	trackedWorker  int64
+	trackedAddress string
+	reportAge      time.Duration
 
 	// headSent is set once the head of the response was sent to the caller.
 	headSent bool
@@ -193,7 +194,7 @@
 		return decision, err //nolint:wrapcheck // the error describes the refusal
 	}
 	c.tracked = c.service.table.AttemptSent(decision, query, now)
-	c.trackedWorker = 0
+	c.trackedWorker, c.trackedAddress = 0, decision.Address
 	c.reportAge = c.view.reportAge(decision.VM)
 	if w := c.view.workers[decision.VM]; w != nil {
 		c.trackedWorker = w.StartedAtMs
@@ -231,7 +232,7 @@
 	c.service.table.AttemptFinished(tracked, result, time.Now())
 	c.view.mu.Unlock()
 	c.metrics.attempts.UpdateDuration(started)
-	ended.MayHaveCrashed = c.recordCrash(ctx, decision, ended)
+	ended.MayHaveCrashed = c.recordCrash(ctx, ended)
 	var parts []string
 	if c.endedBeforeFirstEvent(ended) {
 		parts = c.in.PromptParts
--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -5,13 +5,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -54,6 +54,8 @@
 	net.Conn
 	request *http.Request
 	body    []byte
+	// crash closes the connection, and has the worker refuse others.
+	crash func()
 }
 
 // head writes the head of a response.
@@ -163,7 +165,7 @@
 		`"models":[{"name":"m","version":%d}],"layers":{"from":0,"target":16,"version":%d},"sequence":4}`, service, id, state, version, version)
 }
 
-var errRefusedByPeer = errors.New("connection refused")
+var errRefusedByPeer = fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
 
 func (d *deployment) dial(_ context.Context, _, address string) (net.Conn, error) {
 	d.mu.Lock()
@@ -196,7 +198,7 @@
 		d.mu.Lock()
 		d.arrivals = append(d.arrivals, arrival{address, request.Header, request.Method, request.RequestURI, string(body), time.Now()})
 		d.mu.Unlock()
-		respond(&workerExchange{Conn: conn, request: request, body: body})
+		respond(&workerExchange{Conn: conn, request: request, body: body, crash: func() { conn.Close() }})
 	}
 }
 
--- a/entry/hosted/parts.go
+++ b/entry/hosted/parts.go
@@ -16,7 +16,6 @@
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/quarantine"
 	"laburnumgw/lib/retry"
-	"laburnumgw/lib/routing"
 )
 
 const (
@@ -50,10 +49,10 @@
 func (v *view) workerCrashed(start quarantine.Start, from string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	w := v.listedStart(start)
-	if w == nil || w.Leaving || v.departures.Contains(w.ID, w.StartedAtMs) {
-		return // it has left, or is leaving
+	if v.hasLeft(start) {
+		return
 	}
+	w := v.listedStart(start)
 	if !w.crashed {
 		w.crashed = true
 		v.updateRouting(w)
@@ -66,6 +65,19 @@
 	}
 }
 
+// leaving reports whether a start of a worker has left, or is leaving.
+func (v *view) leaving(start quarantine.Start) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.hasLeft(start)
+}
+
+// hasLeft is leaving for callers that hold the lock.
+func (v *view) hasLeft(start quarantine.Start) bool {
+	w := v.listedStart(start)
+	return w == nil || w.Leaving || v.departures.Contains(w.ID, w.StartedAtMs)
+}
+
 // forgetCrash lets a start of a worker get requests again that is still listed long after its
 // crash.
 func (v *view) forgetCrash(start quarantine.Start) {
@@ -107,8 +119,8 @@
 
 // recordCrash records what an attempt that has ended tells about a crash of its worker, and
 // returns whether the request may have caused it.
-func (c *call) recordCrash(ctx context.Context, decision routing.Decision, ended retry.Attempt) bool {
-	start := quarantine.Start{Address: decision.Address, StartedAtMs: c.trackedWorker}
+func (c *call) recordCrash(ctx context.Context, ended retry.Attempt) bool {
+	start := quarantine.Start{Address: c.trackedAddress, StartedAtMs: c.trackedWorker}
 	if c.engine != nil && !ended.Sent && errors.Is(ended.Err, syscall.ECONNREFUSED) {
 		c.view.workerCrashed(start, "its machine")
 	}
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -2,15 +2,18 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/quarantine"
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/workerconn"
 	"laburnumgw/platform"
@@ -106,6 +109,9 @@
 		n, err := response.Body.Read(buffer[:])
 		pending = append(pending, buffer[:n]...)
 		if errors.Is(err, io.EOF) {
+			if !response.EndMarked() && c.isBrokenOff(pending, onFirstEvent == nil) {
+				return fmt.Errorf("%w: %w", errTruncated, io.ErrUnexpectedEOF)
+			}
 			if err := c.sendEvents(response, pending); err != nil {
 				return err
 			}
@@ -132,6 +138,25 @@
 	}
 }
 
+// isBrokenOff reports whether a stream that has ended with its connection is incomplete. It must
+// end after an event, and its worker must not have crashed.
+func (c *call) isBrokenOff(pending []byte, hasEvents bool) bool {
+	if lastEventEnd(pending) < len(pending) || (len(pending) == 0 && !hasEvents) {
+		return true
+	}
+	start := quarantine.Start{Address: c.trackedAddress, StartedAtMs: c.trackedWorker}
+	if c.view.leaving(start) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(c.r.Context(), crashWait)
+	defer cancel()
+	if errors.Is(c.conns.Check(ctx, start.Address), syscall.ECONNREFUSED) {
+		c.view.workerCrashed(start, "its machine")
+		return true
+	}
+	return false
+}
+
 // lastEventEnd returns the end of the last complete event, or zero without one.
 func lastEventEnd(data []byte) int {
 	at := bytes.LastIndex(data, []byte("\n\n"))
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -344,7 +344,24 @@
 // Await waits for the next bytes of the body. The timeout counts from since, when these
 // bytes were first expected, so that a worker that sends single bytes does not extend it.
 func (r *Response) Await(timeout TimeoutFunc, since time.Time) error {
-	return r.conn.await(timeout, since)
+	if err := r.conn.await(timeout, since); !errors.Is(err, io.EOF) {
+		return err
+	}
+	// The next read tells whether the body is complete.
+	return nil
+}
+
+// Check opens a connection to an address and closes it.
+func (p *Pool) Check(ctx context.Context, address string) error {
+	p.mu.Lock()
+	p.opened++
+	p.mu.Unlock()
+	opened, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("connect to worker: %w", err)
+	}
+	opened.Close()
+	return nil
 }
 
 // Finish ends a response whose body was read to its end, and keeps the connection if it can
@@ -354,7 +371,7 @@
 		return
 	}
 	r.closed = true
-	if !r.stop() || r.Close || r.conn.keepAlive < 0 || r.conn.reader.Buffered() > 0 || !r.bodyEndMarked() {
+	if !r.stop() || r.Close || r.conn.keepAlive < 0 || r.conn.reader.Buffered() > 0 || !r.EndMarked() {
 		r.conn.Close()
 		return
 	}
@@ -380,9 +397,9 @@
 	r.Finish(keepAlive)
 }
 
-// bodyEndMarked reports whether a length or a transfer encoding marks the end of the body,
+// EndMarked reports whether a length or a transfer encoding marks the end of the body,
 // so that another response may follow on the connection.
-func (r *Response) bodyEndMarked() bool {
+func (r *Response) EndMarked() bool {
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
