--- a/standin/hosted/store.go
+++ b/standin/hosted/store.go
@@ -130,11 +130,30 @@
 		s.list(w, kind)
 	case r.Method == http.MethodPost || r.Method == http.MethodPut:
 		s.put(w, r, kind, name)
+	case r.Method == http.MethodDelete:
+		s.remove(w, r, kind, name)
 	default:
 		w.WriteHeader(http.StatusMethodNotAllowed)
 	}
 }
 
+// remove deletes an object, if it has the revision that the call names.
+func (s *Store) remove(w http.ResponseWriter, r *http.Request, kind, name string) {
+	s.mu.Lock()
+	stored, exists := s.objects[kind][name]
+	s.mu.Unlock()
+	expected := r.URL.Query().Get("revision")
+	switch {
+	case !exists:
+		w.WriteHeader(http.StatusNotFound)
+	case expected != "" && expected != strconv.FormatInt(stored.Metadata.Revision, 10):
+		respond(w, http.StatusConflict, stored)
+	default:
+		s.Delete(kind, name)
+		respond(w, http.StatusOK, stored)
+	}
+}
+
 func (s *Store) list(w http.ResponseWriter, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -196,6 +215,8 @@
 		respond(w, http.StatusConflict, stored)
 	case r.Method == http.MethodPut && !exists:
 		w.WriteHeader(http.StatusNotFound)
+	case r.Method == http.MethodPut && object.Metadata.Revision != 0 && object.Metadata.Revision != stored.Metadata.Revision:
+		respond(w, http.StatusConflict, stored)
 	case r.Method == http.MethodPut && name != object.Metadata.Name:
 		w.WriteHeader(http.StatusBadRequest)
 	case exists && string(stored.Specification) == string(object.Specification):
