--- a/soak/crash.go
+++ b/soak/crash.go
@@ -6,6 +6,8 @@
 )
 
 const (
+	// deadlyPart is the part on which workers crash in random runs.
+	deadlyPart = "91bd3f06"
 	// systemPart is the first part of the prompts of all model requests.
 	systemPart = "5c1e07a2"
 	// deadlyEvery is the number of model requests of a caller of which one holds the deadly part.
@@ -79,3 +81,21 @@
 	slices.SortFunc(late, time.Time.Compare)
 	return late
 }
+
+// checkDeadlyPart compares the requests with the deadly part that reached workers with the rule.
+// Only entries outside all faults are bound by it.
+func (r *run) checkDeadlyPart(violation func(format string, args ...any)) {
+	late := slices.DeleteFunc(r.fleet.DeadlyArrivalsAfterBound(), func(at time.Time) bool { return !r.entriesBound(at) })
+	if len(late) > maxDeadlyArrivals {
+		violation("%d requests with the deadly part reached workers after %d crashes", len(late), len(r.fleet.Crashes()))
+	}
+}
+
+// entriesBound reports whether no fault but a crash on the deadly part was in force, or had just
+// ended, at a time.
+func (r *run) entriesBound(at time.Time) bool {
+	crashes := r.fleet.Crashes()
+	return !slices.ContainsFunc(r.faultWindows, func(w window) bool {
+		return !slices.Contains(crashes, w.from) && !at.Before(w.from) && at.Before(w.to.Add(settleWindow))
+	})
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -44,6 +44,8 @@
 	version            int
 	configVersion      int
 	versionPublishedAt time.Time
+	// deadly is set once workers crash on deadlyPart.
+	deadly bool
 	// workerFaults holds the faults of the network before a worker, by its name.
 	workerFaults map[string][]window
 
@@ -137,7 +139,7 @@
 func (r *run) injectFault() {
 	lasts := time.Duration(500+r.rng.IntN(2500)) * time.Millisecond
 	all := append(append([]*Process{}, r.fleet.Entries...), r.fleet.Endpoints...)
-	switch r.rng.IntN(12) {
+	switch r.rng.IntN(13) {
 	case 0:
 		p := pick(r.rng, all)
 		r.recordFault(lasts, "kill %s for %s", p.Name, lasts)
@@ -181,6 +183,12 @@
 		r.leave(pick(r.rng, r.fleet.PlainWorkers))
 	case 11:
 		r.limit(pick(r.rng, r.fleet.workers()), pick(r.rng, []string{"0", "0.4", "1", "2.5", "6", "NaN"}), 2*lasts)
+	case 12:
+		if !r.deadly {
+			r.deadly = true
+			r.result.Faults = append(r.result.Faults, "workers crash on a part of prompts")
+			r.fleet.SetDeadlyPart(deadlyPart)
+		}
 	case 9:
 		proxy := pick(r.rng, r.fleet.workers()).Proxy
 		r.recordFault(0, "connections of a worker are reset")
@@ -312,6 +320,10 @@
 		}
 		return total
 	}
+	for _, at := range r.fleet.Crashes() {
+		r.faultWindows = append(r.faultWindows, window{at, at.Add(workerRestartTime)})
+	}
+	r.checkDeadlyPart(violation)
 	for _, o := range outcomes {
 		r.result.Requests++
 		if o.Status == http.StatusOK && o.Err == nil {
@@ -365,7 +377,7 @@
 // another entry meanwhile.
 func (r *run) countFaultFree(outcomes []Outcome) (total, served int) {
 	for _, o := range outcomes {
-		if !r.faultFree(o.Sent, o.Ended) || r.refusedByRestart(o) {
+		if o.Deadly || !r.faultFree(o.Sent, o.Ended) || r.refusedByRestart(o) {
 			continue
 		}
 		total++
