Log the era of the store, and lists that are ignored as too old

Nothing told which state the store had come back with, nor that the copy ignored it. Stores state in Store-Era how often they came back from an older copy; a process logs when it rises, and the mirror logs a list whose revision is lower than its copy's.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -125,6 +125,7 @@
 		library: newLibrary(v, worker, conns, set, log), grpc: grpc.NewServer(rpc.RecoveryOptions(log)...),
 		suspensions: make(chan time.Duration, 4), openBackoff: newOpenBackoff(),
 	}
+	store.OnEra(func(era int64) { log.Info("store states an era", zap.Int64("era", era)) })
 	monitor, err := suspend.NewMonitor(p.handleSuspension)
 	if err != nil {
 		return nil, fmt.Errorf("start detection of machine suspensions: %w", err)
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -419,6 +419,10 @@
 		if err != nil {
 			return err
 		}
+		if revision < after {
+			d.config.Log.Warn("list of the store is older than the copy, and ignored", zap.String("kind", name),
+				zap.Int64("revision", revision), zap.Int64("known", after))
+		}
 		d.apply(name, kind, func(now time.Time) []Change { return kind.applyStoreList(objects, revision, asked, now) })
 		d.recordStoreResponse(0)
 		return nil
