--- a/soak/callers.go
+++ b/soak/callers.go
@@ -94,7 +94,7 @@
 	}
 	// Without GetBody the HTTP client does not retry a request under the same id.
 	request.GetBody = nil
-	request.Host = host
+	request.Host = Host
 	if kind == "chat" {
 		parts := []string{systemPart, entry.Name}
 		if part := c.fleet.deadlyPartOf(n); part != "" {
@@ -159,3 +159,22 @@
 	}
 	return nil
 }
+
+// Ask sends one request on a plain route to an entry and returns the status, or zero without a
+// response.
+func (f *Fleet) Ask(entry *Process, route string) int {
+	request, err := http.NewRequest(http.MethodGet, "http://"+entry.Frontend()+"/"+route+"/x", nil)
+	if err != nil {
+		return 0
+	}
+	request.Host = Host
+	hosted.SetRequestHeaders(request.Header, "ask", apiKey, "2000", "")
+	client := http.Client{Timeout: 3 * time.Second}
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -40,7 +40,8 @@
 	modelService = "llm"
 	plainService = "desk"
 	apiKey       = "key"
-	host         = "soak.example"
+	// Host is the host of all routes.
+	Host = "soak.example"
 )
 
 // Options configure a fleet.
@@ -218,7 +219,7 @@
 func (f *Fleet) Config(version int, origin string) map[string]any {
 	route := func(name, kind, service string, timeout, attempts int) map[string]any {
 		return map[string]any{
-			"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": timeout, "target_latency_ms": 400,
+			"name": name, "host": Host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": timeout, "target_latency_ms": 400,
 			"priority": 1, "service": service, "attempts": attempts, "resumable": kind == "streaming", "gap_target_ms": 300,
 		}
 	}
--- a/standin/hosted/store.go
+++ b/standin/hosted/store.go
@@ -5,7 +5,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,11 +41,53 @@
 	changed  chan struct{}
 	down     bool
 	calls    int
+	// era is stated in all responses. It rises with each Restore.
+	era int
+}
+
+// Backup is a copy of the objects of a store.
+type Backup struct {
+	revision int64
+	objects  map[string]map[string]Object
+}
+
+// Backup returns a copy of all objects.
+func (s *Store) Backup() Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Backup{s.revision, cloneObjects(s.objects)}
+}
+
+// Restore replaces all objects by an earlier copy. Its later revisions are given out again, and
+// its history is lost.
+func (s *Store) Restore(backup Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.objects = backup.revision, cloneObjects(backup.objects)
+	s.history, s.oldest = nil, backup.revision
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func cloneObjects(objects map[string]map[string]Object) map[string]map[string]Object {
+	copied := make(map[string]map[string]Object, len(objects))
+	for kind, byName := range objects {
+		copied[kind] = maps.Clone(byName)
+	}
+	return copied
+}
+
+// Names returns the names of the objects of a kind, sorted.
+func (s *Store) Names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.objects[kind]))
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{})}
+	return &Store{revision: 1, era: 1, objects: make(map[string]map[string]Object), changed: make(chan struct{})}
 }
 
 // Put writes an object. It panics when the value has no JSON form.
@@ -119,6 +163,7 @@
 	s.mu.Lock()
 	s.calls++
 	down := s.down
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
 	s.mu.Unlock()
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/-/objects/"), "/")
 	switch {
@@ -169,6 +214,9 @@
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		events := []event{}
@@ -177,7 +225,7 @@
 				events = append(events, e)
 			}
 		}
-		revision, changed, compacted, down := s.revision, s.changed, after < s.oldest, s.down
+		revision, changed, compacted, down := s.revision, s.changed, after < s.oldest || after > s.revision || s.era != era, s.down
 		s.mu.Unlock()
 		switch {
 		case down:
