Order states of the store by its era first

Callers saw 404 for routes that had been added, and were served by services of older configurations: after the store had come back from an older copy, no change was in force any more.

Cause: revisions order two states of the store in many places, and count from an earlier number again after a restore. The copies of all kinds ignored every list until the store had passed their old revision.

A revision now holds the era in its upper bits, joined where platform/ reads a response, so that each comparison compares the eras first, between neighbours too. What was in force stays, object by object, until it is written again or 10 s have passed; values that their writers count are never replaced by older ones; workers that had gone are not believed to be back. Responses without an era, of an earlier one, or of two are refused. docs/design.md 3.13 has the rest.

TestRestoredStore, TestFleetFollowsARestoredStore, TestStartAfterARestoreAdoptsWhatNeighboursKnow and TestErasPassBetweenNeighbours fail when their parts of the mend are taken out.

The fake store of lib/mirror's tests compares the numbers of revisions in its watches, as a real one does.

--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -78,7 +78,7 @@
 		}
 		snapshot, err := platform.DecodeConfig(value)
 		if err != nil {
-			v.log.Error("configuration ignored; the one in force stays", zap.Int64("revision", change.Object.Revision), zap.Error(err))
+			v.log.Error("configuration ignored; the one in force stays", zap.String("revision", mirror.FormatRevision(change.Object.Revision)), zap.Error(err))
 			return
 		}
 		v.snapshot = snapshot
@@ -105,7 +105,7 @@
 			namedAt = time.Now()
 		}
 		v.versions[model] = namedVersion{version, namedAt, v.totalSuspended}
-		v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision))
+		v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.String("revision", mirror.FormatRevision(change.Object.Revision)))
 	case platform.KindEntries:
 		v.targets = nil
 		entry, err := platform.DecodeEntry(name, value)
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -105,6 +105,7 @@
 			platform.KindConfig: false, platform.KindWorkers: true, platform.KindEvacuations: false,
 			platform.KindVersions: false, platform.KindEntries: false, platform.KindBlockedParts: false,
 		},
+		OwnKinds: []string{platform.KindEntries, platform.KindBlockedParts}, Older: platform.Older,
 		Store: store, SeedKind: platform.KindEntries, SeedNeighbours: rpcmirror.NewSeedClient(conns, settings.SeedAddresses()), Neighbours: rpcmirror.NewClient(conns, v.neighbours), PreferredSource: v.source, PullWait: pullTimeout, StaleAfter: v.staleAfter,
 		StartupWait: v.startupWait, MaxProbePause: v.maxProbePause, MaxNeighbourStoreAge: v.holdOff, PropagationBound: settings.Bounds.ShortestPropagationBound(), SeedWait: seedWait(settings), DetectSuspension: p.checkSuspension, OnChange: v.applyChanges, Log: log,
 	})
--- a/entry/hosted/versions.go
+++ b/entry/hosted/versions.go
@@ -60,7 +60,7 @@
 		defer v.scheduleRetirement(model, version-1, skipped)
 	}
 	v.versions[model] = append(list, namedVersion{version, namedAt, change.Object.Name, change.Object.Revision, assumed})
-	v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.Int64("revision", change.Object.Revision),
+	v.log.Info("version named", zap.String("model", model), zap.Int("version", version), zap.String("revision", mirror.FormatRevision(change.Object.Revision)),
 		zap.Duration("known", time.Since(namedAt)), zap.Bool("assumed", assumed))
 	v.scheduleRetirement(model, version, namedAt)
 }
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -191,7 +191,7 @@
 	}
 	next, err := platform.DecodeConfig(change.Object.Value)
 	if err != nil {
-		v.log.Error("configuration ignored; the one in force stays", zap.Int64("revision", change.Object.Revision), zap.Error(err))
+		v.log.Error("configuration ignored; the one in force stays", zap.String("revision", mirror.FormatRevision(change.Object.Revision)), zap.Error(err))
 		return
 	}
 	if current := v.snapshot.Load(); current != nil && next.Version < current.Version {
@@ -205,7 +205,7 @@
 		}
 	}
 	v.snapshot.Store(next)
-	v.log.Info("configuration in force", zap.Int64("version", next.Version), zap.Int64("revision", change.Object.Revision))
+	v.log.Info("configuration in force", zap.Int64("version", next.Version), zap.String("revision", mirror.FormatRevision(change.Object.Revision)))
 	v.updateAllRouting()
 }
 
@@ -342,7 +342,7 @@
 	v.byAddress[known.Address] = append(v.byAddress[known.Address], known)
 	if isNew || wasLeaving != decoded.Leaving || wasVersion != decoded.Weights.Version {
 		v.log.Info("worker changed", zap.String("vm", id), zap.String("service", decoded.Service), zap.String("zone", decoded.Zone),
-			zap.Bool("leaving", decoded.Leaving), zap.Int("weights", decoded.Weights.Version), zap.Int64("revision", change.Object.Revision))
+			zap.Bool("leaving", decoded.Leaving), zap.Int("weights", decoded.Weights.Version), zap.String("revision", mirror.FormatRevision(change.Object.Revision)))
 	}
 	for _, w := range v.byAddress[known.Address] {
 		v.updateRouting(w)
@@ -359,7 +359,7 @@
 	for _, w := range v.byAddress[known.Address] {
 		v.updateRouting(w)
 	}
-	v.log.Info("worker is gone", zap.String("vm", known.ID), zap.String("service", known.Service), zap.Int64("revision", revision))
+	v.log.Info("worker is gone", zap.String("vm", known.ID), zap.String("service", known.Service), zap.String("revision", mirror.FormatRevision(revision)))
 }
 
 // unindex removes a worker from the index of addresses.
@@ -379,7 +379,7 @@
 		state.table.SetZones(zones)
 	}
 	v.log.Info("availability zone changed", zap.String("zone", change.Object.Name), zap.Bool("out", !change.Deleted),
-		zap.Int64("revision", change.Object.Revision))
+		zap.String("revision", mirror.FormatRevision(change.Object.Revision)))
 }
 
 func (v *view) zones() []routing.Zone {
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -86,7 +89,17 @@
 type Config struct {
 	// Kinds lists the kinds to mirror; objects of those with true expire while the store is
 	// down.
-	Kinds      map[string]bool
+	Kinds map[string]bool
+	// OwnKinds lists those of them that this system writes. After the store came back from an
+	// older copy, their objects stay until they are written again.
+	OwnKinds []string
+	// Older reports whether the first of two values of an object is known to be older than the
+	// second; nil when values have no order of their own.
+	Older func(kind string, first, second json.RawMessage) bool
+	// OnRestore is called when a kind is first known in a higher era, with that era: the store
+	// came back from an older copy, and may lack what this process has written. It must not
+	// block.
+	OnRestore  func(era int64)
 	Store      Store
 	Neighbours Neighbours
 	// SeedKind is the kind that names the neighbours; empty for none.
@@ -162,6 +175,8 @@
 	// neighbourConfirmedAt is the time of the store's last response that a neighbour has
 	// passed on.
 	neighbourConfirmedAt time.Time
+	// restoredEra is the era in which the store last came back from an older copy; zero for none.
+	restoredEra int64
 	// watchCancels holds the function that ends the watch of a kind.
 	watchCancels map[string]context.CancelFunc
 }
@@ -177,7 +192,12 @@
 	d := &Driver{config: config, instance: rand.Uint64(), kinds: make(map[string]*Kind), changed: make(chan struct{}), sourceChanged: make(chan struct{}), watchCancels: make(map[string]context.CancelFunc),
 		reachable: true, recovered: make(chan struct{}), probeRequests: make(chan struct{}, 1), probedRevisions: make(chan int64)}
 	for name, expires := range config.Kinds {
-		d.kinds[name] = NewKind(expires)
+		kind := NewKind(expires)
+		kind.restore.keepsMissing = slices.Contains(config.OwnKinds, name)
+		if config.Older != nil {
+			kind.restore.older = func(first, second json.RawMessage) bool { return config.Older(name, first, second) }
+		}
+		d.kinds[name] = kind
 	}
 	return d
 }
@@ -419,15 +439,22 @@
 		if err != nil {
 			return err
 		}
+		if EraOf(revision) < EraOf(after) {
+			return fmt.Errorf("%w: list at revision %s, copy at %s", ErrEarlierEra, FormatRevision(revision), FormatRevision(after))
+		}
 		if revision < after {
 			d.config.Log.Warn("list of the store is older than the copy, and ignored", zap.String("kind", name),
-				zap.Int64("revision", revision), zap.Int64("known", after))
+				zap.String("revision", FormatRevision(revision)), zap.String("known", FormatRevision(after)))
 		}
 		d.apply(name, kind, func(now time.Time) []Change { return kind.applyStoreList(objects, revision, asked, now) })
 		d.recordStoreResponse(0)
 		return nil
 	case resume:
-		if _, err := d.config.Store.Revision(ctx); err != nil {
+		revision, err := d.config.Store.Revision(ctx)
+		if err == nil {
+			err = checkEra(revision, after)
+		}
+		if err != nil {
 			return err
 		}
 		d.apply(name, kind, func(now time.Time) []Change { return kind.ApplyEvents(nil, after, now) })
@@ -436,6 +463,9 @@
 	}
 	asked := suspend.Start()
 	events, revision, err := d.config.Store.Watch(ctx, name, after, watchWait)
+	if err == nil {
+		err = checkEra(revision, after)
+	}
 	if err != nil {
 		return err
 	}
@@ -460,6 +490,18 @@
 	return nil
 }
 
+// checkEra compares the era of a response that tells what has changed after a revision with that of
+// the revision. In a later one the history is lost.
+func checkEra(revision, after int64) error {
+	switch era, known := EraOf(revision), EraOf(after); {
+	case era > known:
+		return ErrHistoryLost
+	case era < known:
+		return fmt.Errorf("%w: response at revision %s, copy at %s", ErrEarlierEra, FormatRevision(revision), FormatRevision(after))
+	}
+	return nil
+}
+
 // applyStoreList applies the full list of a revision. The kind was complete when the list
 // was requested.
 func (k *Kind) applyStoreList(objects []Object, revision int64, asked suspend.Stopwatch, now time.Time) []Change {
@@ -473,9 +515,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	before, known := kind.Sequence(), kind.HasSynced()
+	before, known, era := kind.Sequence(), kind.HasSynced(), EraOf(kind.Revision())
 	d.logRecovery(name, kind, now)
 	changes := change(now)
+	if known && EraOf(kind.Revision()) > era {
+		d.restored(EraOf(kind.Revision()))
+	}
 	if kind.Sequence() != before || known != kind.HasSynced() {
 		close(d.changed)
 		d.changed = make(chan struct{})
@@ -485,6 +530,18 @@
 	}
 }
 
+// restored records that the store came back from an older copy. The caller holds the lock.
+func (d *Driver) restored(era int64) {
+	if era <= d.restoredEra {
+		return
+	}
+	d.restoredEra = era
+	d.config.Log.Warn("store came back from an older copy; what was in force stays until it is written again", zap.Int64("era", era))
+	if d.config.OnRestore != nil {
+		d.config.OnRestore(era)
+	}
+}
+
 // detectSuspension lets a suspension of the machine be handled before a response is applied
 // that may have lain unread during it.
 func (d *Driver) detectSuspension() {
@@ -509,7 +566,7 @@
 func (d *Driver) logRecovery(name string, kind *Kind, now time.Time) {
 	if outage := kind.OutageDuration(now); outage > 0 {
 		d.config.Log.Info("source of the mirror regained", zap.String("kind", name), zap.Duration("outage", outage),
-			zap.Int64("revision", kind.Revision()))
+			zap.String("revision", FormatRevision(kind.Revision())))
 	}
 }
 
@@ -519,7 +576,7 @@
 	now := time.Now()
 	if kind.OutageDuration(now) == 0 {
 		d.config.Log.Warn("store does not answer; the mirrored state stays in force", zap.String("kind", name),
-			zap.Int64("revision", kind.Revision()), zap.Error(err))
+			zap.String("revision", FormatRevision(kind.Revision())), zap.Error(err))
 	}
 	kind.MarkFailed(now)
 	d.markUnreachable()
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -28,10 +28,14 @@
 // the store keeps.
 var ErrHistoryLost = errors.New("the store no longer has the history after this revision")
 
+// ErrEarlierEra is returned when the store responds with a state from before it came back from an
+// older copy.
+var ErrEarlierEra = errors.New("response of the store is of an earlier era")
+
 // Object is one object of a kind.
 type Object struct {
 	Name string `json:"name"`
-	// Revision is that of the object's last change.
+	// Revision is that of the object's last change; see NewRevision.
 	Revision int64           `json:"revision"`
 	Value    json.RawMessage `json:"value"`
 	// LearnedAt is when this process, or the process that reported the object, learned of
@@ -68,6 +72,8 @@
 	// retained holds objects that were deleted during or just after an outage and are kept
 	// for the grace time.
 	retained map[string]Object
+	// restore is what is kept after the store came back from an older copy.
+	restore restore
 	// sequence counts the changes of this copy. changeSequence holds the sequence number of
 	// each object's last change, and removals lists the objects that were removed after
 	// floorSequence.
@@ -104,7 +110,7 @@
 // NewKind returns an empty mirror of a kind. expires states whether its objects expire by
 // themselves while the store is down.
 func NewKind(expires bool) *Kind {
-	return &Kind{expires: expires, objects: make(map[string]Object), retained: make(map[string]Object), changeSequence: make(map[string]int64)}
+	return &Kind{expires: expires, restore: newRestore(), objects: make(map[string]Object), retained: make(map[string]Object), changeSequence: make(map[string]int64)}
 }
 
 // HasSynced reports whether the kind was listed at least once.
@@ -119,9 +125,8 @@
 // Objects returns the objects sorted by name, retained ones included.
 func (k *Kind) Objects() []Object {
 	all := maps.Clone(k.objects)
-	for name, object := range k.retained {
-		all[name] = object
-	}
+	maps.Copy(all, k.retained)
+	maps.Copy(all, k.restore.missing)
 	return slices.SortedFunc(maps.Values(all), func(a, b Object) int { return strings.Compare(a.Name, b.Name) })
 }
 
@@ -130,7 +135,10 @@
 	if object, ok := k.objects[name]; ok {
 		return object, true
 	}
-	object, ok := k.retained[name]
+	if object, ok := k.retained[name]; ok {
+		return object, true
+	}
+	object, ok := k.restore.missing[name]
 	return object, ok
 }
 
@@ -213,7 +221,7 @@
 func (k *Kind) ShiftForSuspension(length time.Duration) {
 	k.completeAt = k.completeAt.Add(-length)
 	k.lastFailure = k.lastFailure.Add(-length)
-	for _, objects := range []map[string]Object{k.objects, k.retained} {
+	for _, objects := range []map[string]Object{k.objects, k.retained, k.restore.missing} {
 		for name, object := range objects {
 			if !object.LearnedAt.IsZero() {
 				object.LearnedAt = object.LearnedAt.Add(-length)
@@ -287,22 +295,34 @@
 	if first {
 		k.floorRevision = revision
 	}
+	isRestored := k.isRestored(revision)
+	if isRestored {
+		k.beginRestore(now)
+	}
 	k.synced = true
 	k.revision = revision
 	var changes []Change
 	present := make(map[string]bool, len(objects))
 	for _, object := range objects {
 		present[object.Name] = true
+		if k.defers(object) {
+			continue
+		}
 		if !first && object.LearnedAt.IsZero() {
 			object.LearnedAt = earliest
 		}
 		changes = k.set(changes, object)
 	}
 	for _, name := range slices.Sorted(maps.Keys(k.objects)) {
-		if !present[name] {
+		switch {
+		case present[name]:
+		case isRestored:
+			k.keepMissing(name)
+		default:
 			changes = k.remove(changes, name, now)
 		}
 	}
+	k.dropDeferred(present)
 	return changes
 }
 
@@ -328,12 +348,13 @@
 	return changes
 }
 
-// Tick removes the retained objects once the grace time is over.
+// Tick removes the retained objects once the grace time is over, and ends what is kept after a
+// restore.
 func (k *Kind) Tick(now time.Time) []Change {
+	changes := k.endRestore(now)
 	if len(k.retained) == 0 || k.Recovering(now) {
-		return nil
+		return changes
 	}
-	var changes []Change
 	for _, name := range slices.Sorted(maps.Keys(k.retained)) {
 		changes = append(changes, Change{Object: k.retained[name], Deleted: true})
 		k.recordRemoval(name)
@@ -342,23 +363,38 @@
 	return changes
 }
 
-// set stores an object unless the same or a newer revision of it is known.
+// set stores an object unless the same or a newer revision of it is known. In a later era it may be
+// as it was, or as the older copy has it.
 func (k *Kind) set(changes []Change, object Object) []Change {
-	old, ok := k.objects[object.Name]
+	old, ok := k.Get(object.Name)
 	if ok && old.Revision >= object.Revision {
 		return changes
 	}
+	isSame := ok && EraOf(old.Revision) < EraOf(object.Revision) && string(old.Value) == string(object.Value)
+	mayBeOlder := ok && (EraOf(old.Revision) < EraOf(object.Revision) || !k.restore.until.IsZero())
+	if isSame || (mayBeOlder && k.restore.isOlder(object.Value, old.Value)) {
+		object.Value, object.LearnedAt = old.Value, old.LearnedAt
+		isSame = true
+	}
 	kept, wasRetained := k.retained[object.Name]
 	delete(k.retained, object.Name)
+	delete(k.restore.missing, object.Name)
+	delete(k.restore.deferred, object.Name)
 	k.objects[object.Name] = object
 	k.recordChange(object.Name)
-	if wasRetained && string(kept.Value) == string(object.Value) {
+	if isSame || (wasRetained && string(kept.Value) == string(object.Value)) {
 		return changes
 	}
 	return append(changes, Change{Object: object, LastCompleteAt: k.completeAt})
 }
 
 func (k *Kind) remove(changes []Change, name string, now time.Time) []Change {
+	delete(k.restore.deferred, name)
+	if missing, ok := k.restore.missing[name]; ok {
+		delete(k.restore.missing, name)
+		k.recordRemoval(name)
+		return append(changes, Change{Object: missing, Deleted: true})
+	}
 	object, ok := k.objects[name]
 	if !ok {
 		return changes
--- a/lib/mirror/mirror_test.go
+++ b/lib/mirror/mirror_test.go
@@ -122,12 +122,12 @@
 		down, stalled, changed := f.down, f.stalled || f.stalledKind == kind, f.changed
 		var events []Event
 		for _, o := range f.objects[kind] {
-			if o.Revision > after {
+			if NumberOf(o.Revision) > NumberOf(after) {
 				events = append(events, Event{Object: o})
 			}
 		}
 		for name, revision := range f.removed[kind] {
-			if revision > after {
+			if NumberOf(revision) > NumberOf(after) {
 				events = append(events, Event{Object: object(name, revision), Deleted: true})
 			}
 		}
--- a/lib/mirror/probe.go
+++ b/lib/mirror/probe.go
@@ -25,6 +25,7 @@
 			continue
 		}
 		d.storeResponded()
+		d.endWatchesOfEarlierEra(revision)
 		d.markComplete(revision, asked)
 		d.recordStoreResponse(0)
 		select {
@@ -34,6 +35,19 @@
 	}
 }
 
+// endWatchesOfEarlierEra ends the watches when the store came back from an older copy: they wait for
+// changes after a revision that means another state now.
+func (d *Driver) endWatchesOfEarlierEra(revision int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, kind := range d.kinds {
+		if kind.HasSynced() && EraOf(kind.Revision()) < EraOf(revision) {
+			d.cancelWatches()
+			return
+		}
+	}
+}
+
 // verifyAll compares the revisions that probes have seen with those that the watches have
 // delivered. It runs apart from the probes, because long lists would delay them and
 // neighbours rely on the age of the last one.
@@ -112,7 +126,7 @@
 		return changes
 	})
 	if changed {
-		d.config.Log.Warn("watch was behind the store", zap.String("kind", name), zap.Int64("revision", before))
+		d.config.Log.Warn("watch was behind the store", zap.String("kind", name), zap.String("revision", FormatRevision(before)))
 		d.cancelWatch(name)
 	}
 }
--- a/lib/mirror/pull.go
+++ b/lib/mirror/pull.go
@@ -205,6 +205,7 @@
 	if d.config.Neighbours == nil {
 		return
 	}
+	d.adoptNewer(ctx)
 	for ctx.Err() == nil {
 		if !d.neighboursKnown() {
 			sleep(ctx, startupCheckInterval)
@@ -248,6 +249,35 @@
 	}
 }
 
+// adoptNewer asks a neighbour once whether it knows newer values than a process that has read the
+// store itself at its start. The store may have come back from an older copy.
+func (d *Driver) adoptNewer(ctx context.Context) {
+	for {
+		if d.preferredSource() == NeighboursFirst || d.wantsNeighbours() {
+			return
+		}
+		if d.HasSynced() {
+			break
+		}
+		if !sleep(ctx, startupCheckInterval) {
+			return
+		}
+	}
+	everything := Cursor{Sequences: make(map[string]int64, len(d.kinds))}
+	for name := range d.kinds {
+		everything.Sequences[name] = -1
+	}
+	pulled, err := d.config.Neighbours.Pull(ctx, everything, 0)
+	if err != nil {
+		return // most likely there is none
+	}
+	for _, state := range pulled.States {
+		if kind := d.kinds[state.Kind]; kind != nil {
+			d.apply(state.Kind, kind, func(time.Time) []Change { return kind.Adopt(state.Objects) })
+		}
+	}
+}
+
 // servedByStore reports whether the store itself serves all kinds to this process. A
 // neighbour that still retains removed objects is then of no use.
 func (d *Driver) servedByStore() bool {
@@ -305,7 +335,7 @@
 			return changes
 		})
 		d.config.Log.Info("state taken over from a neighbour without the store", zap.String("kind", state.Kind),
-			zap.Int64("revision", state.Revision), zap.Duration("age", pulled.StoreResponseAge))
+			zap.String("revision", FormatRevision(state.Revision)), zap.Duration("age", pulled.StoreResponseAge))
 	}
 }
 
--- a/lib/mirror/rpcmirror/rpcmirror.go
+++ b/lib/mirror/rpcmirror/rpcmirror.go
@@ -39,9 +39,11 @@
 	started := suspend.Start()
 	complete := s.Driver.CompletenessAges() // before the states are read, which may hold more
 	wait := min(time.Duration(request.GetWaitMs())*time.Millisecond, maxWait)
-	states := s.Driver.WaitForChanges(ctx, mirror.Cursor{
-		Instance: request.GetInstance(), Sequences: request.GetKnown(), Revisions: request.GetRevisions(),
-	}, wait)
+	known := mirror.Cursor{Instance: request.GetInstance(), Sequences: request.GetKnown(), Revisions: make(map[string]int64, len(request.GetRevisions()))}
+	for kind, number := range request.GetRevisions() {
+		known.Revisions[kind] = mirror.NewRevision(request.GetEras()[kind], number)
+	}
+	states := s.Driver.WaitForChanges(ctx, known, wait)
 	response := &laburnumgwv1.PullResponse{ConfirmedMsAgo: s.Driver.StoreResponseAge().Milliseconds(), Direct: s.Driver.ReceivesStoreState(), Instance: s.Driver.Instance(),
 		SoundMs: s.Driver.StoreAvailableFor().Milliseconds()}
 	response.CompleteMsAgo = make(map[string]int64)
@@ -50,11 +52,11 @@
 	}
 	for _, state := range states {
 		kind := &laburnumgwv1.KindState{
-			Kind: state.Kind, Revision: state.Revision, Sequence: state.Sequence, Full: state.Full, Removed: state.Removed,
+			Kind: state.Kind, Revision: mirror.NumberOf(state.Revision), Era: mirror.EraOf(state.Revision), Sequence: state.Sequence, Full: state.Full, Removed: state.Removed,
 		}
 		for _, object := range state.Objects {
 			kind.Objects = append(kind.Objects, &laburnumgwv1.MirroredObject{
-				Name: object.Name, Revision: object.Revision, Value: object.Value, KnownMs: knownMs(object),
+				Name: object.Name, Revision: mirror.NumberOf(object.Revision), Era: mirror.EraOf(object.Revision), Value: object.Value, KnownMs: knownMs(object),
 			})
 		}
 		response.Kinds = append(response.Kinds, kind)
@@ -116,7 +118,7 @@
 	for _, state := range response.GetKinds() {
 		for _, object := range state.GetObjects() {
 			if object.GetKnownMs() > 0 {
-				ages = append(ages, ObjectAge{object.GetName(), object.GetRevision(), transit + time.Duration(object.GetKnownMs())*time.Millisecond})
+				ages = append(ages, ObjectAge{object.GetName(), mirror.NewRevision(object.GetEra(), object.GetRevision()), transit + time.Duration(object.GetKnownMs())*time.Millisecond})
 			}
 		}
 	}
@@ -168,10 +170,14 @@
 
 func (c *Client) pull(ctx context.Context, address string, since mirror.Cursor, wait time.Duration) (mirror.PullResult, error) {
 	call := suspend.Start()
-	response, err := rpc.Call(ctx, c.conns, address, wait+pullSlack, laburnumgwv1.NewMirrorClient, laburnumgwv1.MirrorClient.Pull,
-		&laburnumgwv1.PullRequest{
-			Instance: since.Instance, Known: since.Sequences, Revisions: since.Revisions, WaitMs: int32(wait.Milliseconds()),
-		})
+	request := &laburnumgwv1.PullRequest{
+		Instance: since.Instance, Known: since.Sequences, WaitMs: int32(wait.Milliseconds()),
+		Revisions: make(map[string]int64, len(since.Revisions)), Eras: make(map[string]int64, len(since.Revisions)),
+	}
+	for kind, revision := range since.Revisions {
+		request.Revisions[kind], request.Eras[kind] = mirror.NumberOf(revision), mirror.EraOf(revision)
+	}
+	response, err := rpc.Call(ctx, c.conns, address, wait+pullSlack, laburnumgwv1.NewMirrorClient, laburnumgwv1.MirrorClient.Pull, request)
 	if err != nil {
 		return mirror.PullResult{}, fmt.Errorf("pull from %s: %w", address, err)
 	}
@@ -185,11 +191,11 @@
 	}
 	for _, kind := range response.GetKinds() {
 		state := mirror.State{
-			Kind: kind.GetKind(), Revision: kind.GetRevision(), Sequence: kind.GetSequence(), Full: kind.GetFull(), Removed: kind.GetRemoved(),
+			Kind: kind.GetKind(), Revision: mirror.NewRevision(kind.GetEra(), kind.GetRevision()), Sequence: kind.GetSequence(), Full: kind.GetFull(), Removed: kind.GetRemoved(),
 		}
 		for _, object := range kind.GetObjects() {
 			state.Objects = append(state.Objects, mirror.Object{
-				Name: object.GetName(), Revision: object.GetRevision(), Value: object.GetValue(), LearnedAt: learnedAt(object, reportedAt),
+				Name: object.GetName(), Revision: mirror.NewRevision(object.GetEra(), object.GetRevision()), Value: object.GetValue(), LearnedAt: learnedAt(object, reportedAt),
 			})
 		}
 		pulled.States = append(pulled.States, state)
--- a/lib/mirror/rpcmirror/rpcmirror_test.go
+++ b/lib/mirror/rpcmirror/rpcmirror_test.go
@@ -146,3 +146,49 @@
 		t.Errorf("known for %v, the response was given %v ago", ages[0].Age, since)
 	}
 }
+
+// eraStore is a store in a later era whose watches never end.
+type eraStore struct{ oneObject }
+
+func (s eraStore) List(context.Context, string) ([]mirror.Object, int64, error) {
+	return []mirror.Object{{Name: "main", Revision: mirror.NewRevision(3, 5), Value: s.value}}, mirror.NewRevision(3, 7), nil
+}
+
+func (s eraStore) Revision(context.Context) (int64, error) { return mirror.NewRevision(3, 7), nil }
+
+// Guards against eras that are lost between neighbours, and against a server that compares the
+// numbers of a caller's revisions alone.
+func TestErasPassBetweenNeighbours(t *testing.T) {
+	driver := mirror.NewDriver(mirror.Config{
+		Kinds: map[string]bool{"config": false}, Store: eraStore{oneObject{json.RawMessage(`{}`)}}, Log: zap.NewNop(),
+		OnChange: func(string, []mirror.Change) {},
+	})
+	go driver.Run(t.Context())
+	for !driver.HasSynced() {
+		<-time.After(time.Millisecond)
+	}
+	server := &Server{Driver: driver}
+	for name, c := range map[string]struct {
+		request *laburnumgwv1.PullRequest
+		objects int
+	}{
+		"everything":              {&laburnumgwv1.PullRequest{Known: map[string]int64{"config": -1}}, 1},
+		"after an earlier era":    {&laburnumgwv1.PullRequest{Known: map[string]int64{"config": -1}, Revisions: map[string]int64{"config": 900}, Eras: map[string]int64{"config": 2}}, 1},
+		"after a store without":   {&laburnumgwv1.PullRequest{Known: map[string]int64{"config": -1}, Revisions: map[string]int64{"config": 900}}, 1},
+		"after the same revision": {&laburnumgwv1.PullRequest{Known: map[string]int64{"config": -1}, Revisions: map[string]int64{"config": 7}, Eras: map[string]int64{"config": 3}}, 0},
+	} {
+		response, err := server.Pull(t.Context(), c.request)
+		if err != nil || len(response.GetKinds()) != 1 {
+			t.Fatalf("%s: %v, %v", name, response, err)
+		}
+		state := response.GetKinds()[0]
+		if state.GetEra() != 3 || state.GetRevision() != 7 || len(state.GetObjects()) != c.objects {
+			t.Errorf("%s: %v", name, state)
+		}
+		for _, object := range state.GetObjects() {
+			if object.GetEra() != 3 || object.GetRevision() != 5 {
+				t.Errorf("%s: %v", name, object)
+			}
+		}
+	}
+}
