Soak: have the store come back from an older copy

Operators and workers write again what was lost a second later. At the end of a run a route is added, which each entry must serve within 2 s, and the store must list each entry.

--- a/e2e/restored_test.go
+++ b/e2e/restored_test.go
@@ -6,28 +6,11 @@
 	"slices"
 	"testing"
 	"time"
-
-	"laburnumgw/soak"
 )
 
 // restoredNetwork is the second byte of the loopback addresses.
 const restoredNetwork = 35
 
-// configWithRoutes returns the configuration of a version with additional routes to the plain
-// service.
-func configWithRoutes(f *soak.Fleet, version int, names ...string) map[string]any {
-	config := f.Config(version, f.OriginAddress())
-	routes := config["routes"].([]any)
-	for _, name := range names {
-		routes = append(routes, map[string]any{
-			"name": name, "host": soak.Host, "path_prefix": "/" + name + "/", "kind": "safe", "timeout_ms": 1200, "target_latency_ms": 400,
-			"priority": 1, "service": "desk", "attempts": 2,
-		})
-	}
-	config["routes"] = routes
-	return config
-}
-
 // Guards against a store that comes back from an older copy and is taken for one whose state is
 // outdated: its revisions count from an earlier number again, so that confirmed changes are not put in force, and what
 // the system itself had written is missing for good.
@@ -54,7 +37,7 @@
 	f.Store.Put("entries", f.Entries[0].Name, map[string]any{"zone": f.Entries[0].Zone, "address": f.Entries[0].IP + ":8300"})
 	f.Store.Put("blocked_parts", "0bad", map[string]any{"parts": []string{"0bad"}})
 	for version := 2; version <= 6; version++ {
-		f.Store.Put("config", "main", configWithRoutes(f, version, "second"))
+		f.Store.Put("config", "main", f.ConfigWithRoutes(version, "second"))
 	}
 	w.until("an added route is served", serves(http.StatusOK, "second"))
 
@@ -70,7 +53,7 @@
 		}
 	}
 	for version := 7; version <= 8; version++ {
-		f.Store.Put("config", "main", configWithRoutes(f, version, "second", fmt.Sprint("added-", version)))
+		f.Store.Put("config", "main", f.ConfigWithRoutes(version, "second", fmt.Sprint("added-", version)))
 		confirmedAt := time.Now()
 		inForce := serves(http.StatusOK, fmt.Sprint("added-", version))
 		for !inForce() {
@@ -79,7 +62,7 @@
 			}
 		}
 	}
-	f.Store.Put("config", "main", configWithRoutes(f, 9))
+	f.Store.Put("config", "main", f.ConfigWithRoutes(9))
 	w.until("a dropped route is not served", serves(http.StatusNotFound, "second"))
 	w.until("all entries are registered again", func() bool { return len(entryNames()) == len(f.Entries) })
 	w.until("a block is stored again", func() bool { return slices.Contains(f.Store.Names("blocked_parts"), "0bad") })
--- a/soak/run.go
+++ b/soak/run.go
@@ -49,7 +49,10 @@
 	// workerFaults holds the faults of the network before a worker, by its name.
 	workerFaults map[string][]window
 
-	mu               sync.Mutex
+	// mu also guards version and configVersion, which timers read.
+	mu sync.Mutex
+	// restoring is set while the store is to come back from a copy.
+	restoring        bool
 	departurePending bool
 	departures       []departure
 	// limited is the worker that states a limit, or nil.
@@ -104,6 +107,8 @@
 	r.endFaults()
 	time.Sleep(faultFreeEnd)
 	outcomes := callers.Stop()
+	r.awaitRestore()
+	r.checkChanges()
 	r.check(outcomes)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -139,7 +144,7 @@
 func (r *run) injectFault() {
 	lasts := time.Duration(500+r.rng.IntN(2500)) * time.Millisecond
 	all := append(append([]*Process{}, r.fleet.Entries...), r.fleet.Endpoints...)
-	switch r.rng.IntN(13) {
+	switch r.rng.IntN(14) {
 	case 0:
 		p := pick(r.rng, all)
 		r.recordFault(lasts, "kill %s for %s", p.Name, lasts)
@@ -169,20 +174,26 @@
 		r.fleet.Store.Compact()
 	case 7:
 		if time.Since(r.versionPublishedAt) > versionBound+settleWindow {
+			r.mu.Lock()
 			r.version++
+			r.mu.Unlock()
 			r.versionPublishedAt = time.Now()
 			r.result.Faults = append(r.result.Faults, fmt.Sprintf("version %d is named", r.version))
 			r.fleet.Origin.SetNewest(r.version)
 			r.fleet.PublishVersion(r.version)
 		}
 	case 8:
+		r.mu.Lock()
 		r.configVersion++
+		r.mu.Unlock()
 		r.result.Faults = append(r.result.Faults, fmt.Sprintf("configuration %d", r.configVersion))
 		r.fleet.Store.Put("config", "main", r.fleet.Config(r.configVersion, r.fleet.OriginAddress()))
 	case 10:
 		r.leave(pick(r.rng, r.fleet.PlainWorkers))
 	case 11:
 		r.limit(pick(r.rng, r.fleet.workers()), pick(r.rng, []string{"0", "0.4", "1", "2.5", "6", "NaN"}), 2*lasts)
+	case 13:
+		r.restoreStore(2 * lasts)
 	case 12:
 		if !r.deadly {
 			r.deadly = true
