--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -114,10 +114,10 @@
 
 // Close closes the proxy and resets its connections.
 func (p *Proxy) Close() {
-	p.StopListening()
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.closed = true
+	p.mu.Unlock()
+	p.StopListening()
 }
 
 func (p *Proxy) current() (Mode, bool) {
