Keep a worker that is listed again after an outage

Comparing revisions with retained objects too, as the order by eras did, left an object that the store listed again at the same revision among those that go at the end of the grace time. Found by reading; the case in TestRestoredStore fails without this change.

--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -366,17 +366,23 @@
 // set stores an object unless the same or a newer revision of it is known. In a later era it may be
 // as it was, or as the older copy has it.
 func (k *Kind) set(changes []Change, object Object) []Change {
-	old, ok := k.Get(object.Name)
+	old, ok := k.objects[object.Name]
+	if !ok {
+		old, ok = k.restore.missing[object.Name]
+	}
 	if ok && old.Revision >= object.Revision {
 		return changes
 	}
+	kept, wasRetained := k.retained[object.Name]
+	if !ok {
+		old, ok = kept, wasRetained
+	}
 	isSame := ok && EraOf(old.Revision) < EraOf(object.Revision) && string(old.Value) == string(object.Value)
 	mayBeOlder := ok && (EraOf(old.Revision) < EraOf(object.Revision) || !k.restore.until.IsZero())
 	if isSame || (mayBeOlder && k.restore.isOlder(object.Value, old.Value)) {
 		object.Value, object.LearnedAt = old.Value, old.LearnedAt
 		isSame = true
 	}
-	kept, wasRetained := k.retained[object.Name]
 	delete(k.retained, object.Name)
 	delete(k.restore.missing, object.Name)
 	delete(k.restore.deferred, object.Name)
--- a/lib/mirror/restore_test.go
+++ b/lib/mirror/restore_test.go
@@ -114,6 +114,15 @@
 		So(countOf(k, "own"), ShouldEqual, "1")
 		So(k.ApplyEvents([]Event{{Object: valued("own", NewRevision(2, 21), 1), Deleted: true}}, NewRevision(2, 21), start), ShouldHaveLength, 1)
 	})
+	Convey("A worker that was retained after an outage stays when it is listed again", t, func() {
+		k := restorable(true, false, valued("w", NewRevision(1, 5), 5))
+		k.MarkFailed(start)
+		k.ApplyList(nil, NewRevision(1, 31), start.Add(expiryOutage+time.Second))
+		So(countOf(k, "w"), ShouldEqual, "5")
+		k.ApplyList([]Object{valued("w", NewRevision(1, 5), 5)}, NewRevision(1, 32), start.Add(expiryOutage+2*time.Second))
+		So(k.Tick(start.Add(time.Minute)), ShouldBeEmpty)
+		So(countOf(k, "w"), ShouldEqual, "5")
+	})
 	Convey("A worker that had gone is not believed to be back because the copy lists it", t, func() {
 		k := restorable(true, false, valued("gone", NewRevision(1, 5), 5), valued("other", NewRevision(1, 6), 1))
 		k.ApplyEvents([]Event{{Object: object("gone", NewRevision(1, 31)), Deleted: true}}, NewRevision(1, 31), start)
