Write a block to the store as soon as it is made

Up to a second passed until the next check of what the store lists. Had all entries been killed within it, the block would have been forgotten.

--- a/entry/hosted/parts.go
+++ b/entry/hosted/parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"syscall"
@@ -216,6 +217,9 @@
 					return
 				}
 			}
+			if inTouch {
+				v.storeBlocks(ctx)
+			}
 			continue
 		case <-ticker.C:
 		}
@@ -268,6 +272,7 @@
 			message = "part of prompts is released"
 		}
 		v.blockedAt[b.Name()] = time.Now()
+		maps.DeleteFunc(v.blockedAt, func(name string, _ time.Time) bool { return !v.quarantine.Knows(name) })
 		v.log.Warn(message, zap.Strings("parts", b.Parts), zap.Strings("workspaces", b.Workspaces), zap.Uint64("epoch", b.Epoch))
 	}
 }
--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -241,6 +241,12 @@
 	return list
 }
 
+// Knows reports whether there is a block of a name, or a release.
+func (t *Tracker) Knows(name string) bool {
+	_, ok := t.blocks[name]
+	return ok
+}
+
 // InForce returns the number of blocks that have not ended.
 func (t *Tracker) InForce() int {
 	count := 0
--- a/lib/quarantine/verdict.go
+++ b/lib/quarantine/verdict.go
@@ -254,18 +254,19 @@
 	t.changed = true
 }
 
-// dropBlocks keeps the blocks within their bound. Releases go first.
+// dropBlocks keeps the blocks within their bound. Releases go first, then blocks in the order of
+// their names.
 func (t *Tracker) dropBlocks(newest string) {
 	if len(t.blocks) <= maxBlocks {
 		return
 	}
-	oldest := ""
+	dropped := ""
 	for name, b := range t.blocks {
-		known := t.blocks[oldest]
-		if name != newest && (oldest == "" || (b.Released && !known.Released) || (b.Released == known.Released && name < oldest)) {
-			oldest = name
+		known := t.blocks[dropped]
+		if name != newest && (dropped == "" || (b.Released && !known.Released) || (b.Released == known.Released && name < dropped)) {
+			dropped = name
 		}
 	}
-	delete(t.blocks, oldest)
-	delete(t.trials, oldest)
+	delete(t.blocks, dropped)
+	delete(t.trials, dropped)
 }
