--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -490,18 +490,6 @@
 	return nil
 }
 
-// checkEra compares the era of a response that tells what has changed after a revision with that of
-// the revision. In a later one the history is lost.
-func checkEra(revision, after int64) error {
-	switch era, known := EraOf(revision), EraOf(after); {
-	case era > known:
-		return ErrHistoryLost
-	case era < known:
-		return fmt.Errorf("%w: response at revision %s, copy at %s", ErrEarlierEra, FormatRevision(revision), FormatRevision(after))
-	}
-	return nil
-}
-
 // applyStoreList applies the full list of a revision. The kind was complete when the list
 // was requested.
 func (k *Kind) applyStoreList(objects []Object, revision int64, asked suspend.Stopwatch, now time.Time) []Change {
@@ -530,18 +518,6 @@
 	}
 }
 
-// restored records that the store came back from an older copy. The caller holds the lock.
-func (d *Driver) restored(era int64) {
-	if era <= d.restoredEra {
-		return
-	}
-	d.restoredEra = era
-	d.config.Log.Warn("store came back from an older copy; what was in force stays until it is written again", zap.Int64("era", era))
-	if d.config.OnRestore != nil {
-		d.config.OnRestore(era)
-	}
-}
-
 // detectSuspension lets a suspension of the machine be handled before a response is applied
 // that may have lain unread during it.
 func (d *Driver) detectSuspension() {
--- a/lib/mirror/restore.go
+++ b/lib/mirror/restore.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // restoreGrace is how long the state from before a restore stays in force where the store does not
@@ -114,3 +117,27 @@
 	}
 	return changes
 }
+
+// checkEra compares the era of a response that tells what has changed after a revision with that of
+// the revision. In a later one the history is lost.
+func checkEra(revision, after int64) error {
+	switch era, known := EraOf(revision), EraOf(after); {
+	case era > known:
+		return ErrHistoryLost
+	case era < known:
+		return fmt.Errorf("%w: response at revision %s, copy at %s", ErrEarlierEra, FormatRevision(revision), FormatRevision(after))
+	}
+	return nil
+}
+
+// restored records that the store came back from an older copy. The caller holds the lock.
+func (d *Driver) restored(era int64) {
+	if era <= d.restoredEra {
+		return
+	}
+	d.restoredEra = era
+	d.config.Log.Warn("store came back from an older copy; what was in force stays until it is written again", zap.Int64("era", era))
+	if d.config.OnRestore != nil {
+		d.config.OnRestore(era)
+	}
+}
