Remove a retained object that another neighbour has removed

A copy that holds an object which its source retained after an outage, and then switches to a neighbour that had removed it already, kept the object: it was told only of removals at higher revisions than its own. Such a worker stayed listed for good.

It is told of all remembered removals now.

TestRetainedObjectGoesWithAnotherNeighbour fails without the change.

--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -166,7 +166,8 @@
 
 // ChangesAfterRevision returns what has changed after a revision of the store, for a copy
 // that was made from another source. It returns all objects when the removals since that
-// revision are not known.
+// revision are not known. Removals are returned whatever their revision: the copy may hold an
+// object that its source retained, and that was removed here at an earlier revision.
 func (k *Kind) ChangesAfterRevision(revision int64) (objects []Object, removed []string, full bool) {
 	if revision < k.floorRevision {
 		return k.Objects(), nil, true
@@ -177,7 +178,7 @@
 		}
 	}
 	for _, r := range k.removals {
-		if _, back := k.changeSequence[r.name]; r.revision > revision && !back {
+		if _, back := k.changeSequence[r.name]; !back {
 			removed = append(removed, r.name)
 		}
 	}
--- a/lib/mirror/outage_test.go
+++ b/lib/mirror/outage_test.go
@@ -331,3 +331,36 @@
 		})
 	}
 }
+
+// Guards against an object that stays for good in a copy that switches to another neighbour: the
+// first one retained it after an outage, the second had removed it already.
+func TestRetainedObjectGoesWithAnotherNeighbour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		full := State{Kind: "workers", Revision: 9, Sequence: 4, Full: true, Objects: []Object{object("retained", 5), object("w", 6)}}
+		other := NewKind(true)
+		other.ApplyList([]Object{object("retained", 5), object("w", 6)}, 6, time.Now())
+		other.ApplyEvents([]Event{{Object: object("retained", 5), Deleted: true}}, 9, time.Now())
+		objects, removed, isFull := other.ChangesAfterRevision(9)
+		switched := State{Kind: "workers", Revision: 9, Sequence: 2, Full: isFull, Objects: objects, Removed: removed}
+		driver := NewDriver(Config{
+			Kinds: map[string]bool{"workers": true}, Store: store, Log: zap.NewNop(), PullWait: 300 * time.Millisecond,
+			Neighbours: &scriptedNeighbour{results: []PullResult{
+				{Instance: 1, StoreReachable: true, StoreAvailableFor: time.Minute, States: []State{full}},
+				{Instance: 2, StoreReachable: true, StoreAvailableFor: time.Minute, States: []State{switched}},
+			}},
+			StaleAfter:      func() time.Duration { return time.Minute },
+			PreferredSource: func() Source { return NeighboursFirst }, OnChange: func(string, []Change) {},
+		})
+		go driver.pull(t.Context())
+		<-time.After(time.Second)
+		driver.mu.Lock()
+		defer driver.mu.Unlock()
+		if _, kept := driver.kinds["workers"].Get("retained"); kept {
+			t.Error("object is kept that the new neighbour has removed")
+		}
+		if _, kept := driver.kinds["workers"].Get("w"); !kept {
+			t.Error("object is lost that the new neighbour has")
+		}
+	})
+}
