--- a/e2e/rollout_test.go
+++ b/e2e/rollout_test.go
@@ -68,7 +68,8 @@
 				}
 				if err != nil || !response.Done || len(response.Fingerprints) != 1 || !known {
 					mu.Lock()
-					bad = append(bad, fmt.Sprintf("caller %d chat %d: status %d kind %q fingerprints %v error %v", caller, i, response.Status, response.ErrorKind, response.Fingerprints, err))
+					bad = append(bad, fmt.Sprintf("caller %d chat %d at %s: status %d kind %q fingerprints %v error %v, response %.500s",
+						caller, i, time.Now().Format(time.RFC3339Nano), response.Status, response.ErrorKind, response.Fingerprints, err, response.Body))
 					mu.Unlock()
 				}
 			}
