--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -161,8 +161,8 @@
 	outgoing   []outgoing
 	// lastCrashAt is when a crash last became known.
 	lastCrashAt time.Time
-	// changed is set when there is new evidence, and decideAt when evidence becomes ripe; zero
-	// for never.
+	// changed is set when there is new evidence. decideAt is when the evidence against a part will
+	// have been sufficient for verdictDelay; zero for never.
 	changed  bool
 	decideAt time.Time
 	trials   map[string]*trial
@@ -200,8 +200,8 @@
 	counts         map[uint64]Counts
 	// announceAt is when own is announced; zero for no plan.
 	announceAt time.Time
-	// ripeAt is when the evidence became sufficient; zero while it is not.
-	ripeAt time.Time
+	// sufficientSince is when the evidence became sufficient; zero while it is not.
+	sufficientSince time.Time
 }
 
 // outgoing is a message with the time at which it is sent.
--- a/lib/quarantine/verdict.go
+++ b/lib/quarantine/verdict.go
@@ -27,12 +27,12 @@
 	if c.before >= knownPartRequests {
 		needed = minCrashesOfKnownPart
 	}
-	return c.moments() >= needed && !c.isCleared()
+	return c.separateCrashes() >= needed && !c.isCleared()
 }
 
-// moments returns the number of crashes, of which those in one availability zone that are close
-// together count as one.
-func (c candidate) moments() int {
+// separateCrashes returns the number of crashes, of which those in one availability zone that are
+// close together count as one.
+func (c candidate) separateCrashes() int {
 	crashes := slices.SortedFunc(slices.Values(c.crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
 	count := 0
 	last := make(map[string]time.Time)
@@ -53,7 +53,7 @@
 	}
 	t.changed = false
 	crashes := slices.Collect(maps.Values(t.crashes))
-	t.updateRipeness(t.candidates(crashes), now)
+	t.updateSufficiency(t.candidates(crashes), now)
 	for {
 		candidates := t.candidates(crashes)
 		best := t.best(candidates, now)
@@ -87,18 +87,18 @@
 	return list
 }
 
-// updateRipeness records since when the evidence against each part suffices, and when to decide
+// updateSufficiency records since when the evidence against each part suffices, and when to decide
 // on the next one.
-func (t *Tracker) updateRipeness(candidates map[string]candidate, now time.Time) {
+func (t *Tracker) updateSufficiency(candidates map[string]candidate, now time.Time) {
 	t.decideAt = time.Time{}
 	for name, p := range t.parts {
 		switch sufficient := candidates[name].isSufficient(); {
 		case !sufficient:
-			p.ripeAt = time.Time{}
-		case p.ripeAt.IsZero():
-			p.ripeAt = now
+			p.sufficientSince = time.Time{}
+		case p.sufficientSince.IsZero():
+			p.sufficientSince = now
 		}
-		if at := p.ripeAt.Add(verdictDelay); !p.ripeAt.IsZero() && at.After(now) && (t.decideAt.IsZero() || at.Before(t.decideAt)) {
+		if at := p.sufficientSince.Add(verdictDelay); !p.sufficientSince.IsZero() && at.After(now) && (t.decideAt.IsZero() || at.Before(t.decideAt)) {
 			t.decideAt = at
 		}
 	}
@@ -111,7 +111,7 @@
 	for _, name := range slices.Sorted(maps.Keys(candidates)) {
 		c := candidates[name]
 		p := t.parts[name]
-		if !c.isSufficient() || p.ripeAt.IsZero() || now.Sub(p.ripeAt) < verdictDelay {
+		if !c.isSufficient() || p.sufficientSince.IsZero() || now.Sub(p.sufficientSince) < verdictDelay {
 			continue
 		}
 		if best == nil || cmp.Or(cmp.Compare(len(best.crashes), len(c.crashes)), cmp.Compare(c.since, best.since), cmp.Compare(c.before, best.before)) < 0 {
