--- a/lib/quarantine/fleet_test.go
+++ b/lib/quarantine/fleet_test.go
@@ -271,6 +271,9 @@
 				}
 			})
 		},
+		"rolling restart of workers": func(f *fleet) {
+			f.every(200*time.Millisecond, func(n int) { f.end(f.workers[n%len(f.workers)], false) })
+		},
 		"random crashes": func(f *fleet) {
 			f.every(300*time.Millisecond, func(int) { f.end(f.workers[f.rng.IntN(len(f.workers))], true) })
 		},
