Count only the requests with parts that may be blocked

Each message about parts had the requests with all suspects summed up, a third of the processor time of the simulated fleets. Parts in fewer crashes than a block needs are passed over. The simulation, like an entry, advances a tracker only when something is due: 35 s of processor time instead of 58 s for the package's tests.

--- a/lib/quarantine/fleet_test.go
+++ b/lib/quarantine/fleet_test.go
@@ -106,6 +106,9 @@
 // advance lets the entries decide and send their messages.
 func (f *fleet) advance() {
 	for i, t := range f.entries {
+		if !t.Pending() && f.now.UnixMilli()%1000 != 0 {
+			continue
+		}
 		for _, message := range t.Advance(f.now) {
 			for j := range f.entries {
 				if j != i {
--- a/lib/quarantine/verdict.go
+++ b/lib/quarantine/verdict.go
@@ -66,22 +66,21 @@
 	}
 }
 
-// candidates returns the parts that are suspects in some crashes, by name.
+// candidates returns the parts that are suspects in at least minCrashes of some crashes, by name.
 func (t *Tracker) candidates(crashes []*crash) map[string]candidate {
-	list := make(map[string]candidate)
+	crashesOf := make(map[string][]*crash)
 	for _, c := range crashes {
 		for name, s := range c.suspects {
-			if s.released || t.parts[name] == nil {
-				continue
-			}
-			found, ok := list[name]
-			if !ok {
-				p := t.parts[name]
-				found.name = name
-				found.before, found.since = p.total(p.own)
+			if !s.released {
+				crashesOf[name] = append(crashesOf[name], c)
 			}
-			found.crashes = append(found.crashes, c)
-			list[name] = found
+		}
+	}
+	list := make(map[string]candidate)
+	for name, crashes := range crashesOf {
+		if p := t.parts[name]; p != nil && len(crashes) >= minCrashes {
+			before, since := p.total(p.own)
+			list[name] = candidate{name, crashes, before, since}
 		}
 	}
 	return list
