Bound each read of a worker's response instead of all of them together

What callers saw: the answer of a sound worker that paused for a second midway, or was large or slow, was cut 2 s after its first byte although it made progress; a plain request was repeated or answered 502, a stream resumed or cut.

Cause: await set one read deadline from the first byte of a response for all the rest. Change: each read has its own deadline; the time of the request still bounds all of it, and the patience of a stream each event.

Evidence: TestResponseThatMakesProgressIsNotCut failed on the code before (i/o timeout in the second pause of 1.2 s), and passes for lengths, chunks and unmarked ends. TestResponseThatStopsMidwayIsGivenUp and TestReadBoundEndsWithItsResponse hold the other side.

--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -30,7 +30,7 @@
 	// defaultKeepAlive is how long an idle connection may be reused when the worker does
 	// not state how long it keeps it.
 	defaultKeepAlive = 500 * time.Millisecond
-	// remainderTimeout bounds the wait for the rest of data that has started to arrive.
+	// remainderTimeout bounds each wait for more of a response that has started to arrive.
 	remainderTimeout = 2 * time.Second
 	// maxHeads bounds the response heads that are read for one request: informational
 	// responses, responses to other requests, and the matching one.
@@ -117,6 +117,8 @@
 	used   bool
 	// headBytesLeft is how many bytes of a head may still be read; negative outside of heads.
 	headBytesLeft int
+	// boundReads is set while each read waits for remainderTimeout at most.
+	boundReads bool
 	// keepAlive is how long the idle connection may be reused; negative for not at all.
 	keepAlive time.Duration
 	idleSince time.Time
@@ -124,6 +126,11 @@
 
 // Read implements io.Reader for the buffered reader, and limits the size of heads.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.boundReads {
+		// SetReadDeadline fails only on a closed connection. Its reads return the bytes that have
+		// arrived and then report the close.
+		_ = c.SetReadDeadline(time.Now().Add(remainderTimeout))
+	}
 	if c.headBytesLeft < 0 {
 		return c.Conn.Read(p)
 	}
@@ -307,18 +314,18 @@
 	return err == nil && empty
 }
 
-// await waits for the next byte, which is expected since started. It then sets the read
-// deadline for the rest of the data to remainderTimeout. Without a timeout function it does
-// nothing.
+// await waits for the next byte, which is expected since started. Each read of the rest then
+// waits for remainderTimeout at most. Without a timeout function it does nothing.
 func (c *conn) await(timeout TimeoutFunc, started time.Time) error {
 	if timeout == nil {
 		return nil
 	}
 	if c.reader.Buffered() > 0 {
 		// The buffered bytes may end within a frame whose rest has not arrived yet.
-		_ = c.SetReadDeadline(time.Now().Add(remainderTimeout))
+		c.boundReads = true
 		return nil
 	}
+	c.boundReads = false
 	for {
 		more := timeout(time.Since(started))
 		if more <= 0 {
@@ -334,9 +341,7 @@
 		if err != nil {
 			return err
 		}
-		// SetReadDeadline fails only on a closed connection. The next reads return the
-		// bytes that have arrived and then report the close.
-		_ = c.SetReadDeadline(time.Now().Add(remainderTimeout))
+		c.boundReads = true
 		return nil
 	}
 }
@@ -380,6 +385,7 @@
 		r.conn.keepAlive = max(keepAlive-idleMargin, idleMargin)
 	}
 	r.conn.idleSince = time.Now()
+	r.conn.boundReads = false
 	// SetReadDeadline fails only on a closed connection, which the next request detects.
 	_ = r.conn.SetReadDeadline(time.Time{})
 	r.pool.put(r.address, r.conn)
@@ -388,6 +394,7 @@
 // Discard ends a response whose body is not used. A short body is read, so that the
 // connection can be reused; a long or slow body closes it.
 func (r *Response) Discard(keepAlive time.Duration) {
+	r.conn.boundReads = false
 	// SetReadDeadline fails only on a closed connection, which the read reports.
 	_ = r.conn.SetReadDeadline(time.Now().Add(discardTimeout))
 	if err := discard(r.Body); err != nil {
