Give each retry planner its own random source

No effect on callers was seen; it was found by looking for state that requests and changes of the configuration share. The planners of all services drew random numbers from the view's source under their own locks, while the routing drew from it under the view's. A torn state repeats or skews numbers; it can't end a process.

Evidence: TestRequestsAndChangesShareNoStateUnlocked, requests of eight callers beside configurations, reloaded settings, changes of workers and entries, and reports without pause, reports data races under go test -race on the code before (math/rand/v2 PCG, in Pick), and none now. It also shows that none of the maps of the view is written without its lock.

--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -226,7 +226,7 @@
 			v.log.Error("service cannot be routed", zap.String("service", config.Name), zap.Error(err))
 			return
 		}
-		state = &service{table: table, loop: dispatch.NewLoop(retry.NewPlanner(retry.Settings{}, budget, v.rng), budget)}
+		state = &service{table: table, loop: dispatch.NewLoop(retry.NewPlanner(retry.Settings{}, budget, v.newRand()), budget)}
 		v.services[config.Name] = state
 		state.table.SetZones(v.zones())
 	}
@@ -237,6 +237,9 @@
 	state.loop.Configure(0, v.budget())
 }
 
+// newRand returns a random source for a state that another lock guards. The caller holds the lock.
+func (v *view) newRand() *rand.Rand { return rand.New(rand.NewPCG(v.rng.Uint64(), v.rng.Uint64())) }
+
 // budget returns this entry's share of the retry budget.
 func (v *view) budget() retry.BudgetSettings {
 	bounds := v.settings.Bounds
