--- a/entry/hosted/silence_test.go
+++ b/entry/hosted/silence_test.go
@@ -9,14 +9,9 @@
 	"laburnumgw/lib/catalog"
 )
 
-// Guards against a request of a sound worker that is silent for a second and goes on: its stream was
-// cut with a closed connection after three gaps, its plain requests were repeated after three
-// objectives, and the worker was ejected. Neither the worker nor the process beside it sends
-// anything while it is silent.
-func TestSilenceOfASecondEndsNothing(t *testing.T) {
-	const silence = 1200 * time.Millisecond
-	// Changes of the configuration while the worker is silent must not end its requests either.
-	changes := map[string]func(s *callerServer){
+// silentChanges returns changes of the state of an entry that must end no request.
+func silentChanges() map[string]func(s *callerServer) {
+	return map[string]func(s *callerServer){
 		"no change": func(*callerServer) {},
 		"route to another": func(s *callerServer) {
 			s.put("config", "main", newerConfig("9", `"service":"llm"`, `"service":"desk"`))
@@ -35,7 +30,15 @@
 			s.put("config", "main", newerConfig("9", `"idle_timeout_ms":15000`, `"idle_timeout_ms":1000`))
 		},
 	}
-	for name, change := range changes {
+}
+
+// Guards against a request of a sound worker that is silent for a second and goes on: its stream was
+// cut with a closed connection after three gaps, its plain requests were repeated after three
+// objectives, and the worker was ejected. Neither the worker nor the process beside it sends
+// anything while it is silent.
+func TestSilenceOfASecondEndsNothing(t *testing.T) {
+	const silence = 1200 * time.Millisecond
+	for name, change := range silentChanges() {
 		for _, other := range []bool{false, true} {
 			t.Run(name+map[bool]string{false: ", alone", true: ", another one comes"}[other], func(t *testing.T) {
 				withCallers(t, func(t *testing.T, s *callerServer) {
