A worker's status below 100 is a failure of the worker

What callers saw: a faulty worker that sent the status 000 to 099 with its seal had the caller's connection closed without an answer, since net/http panics when it is told to write such a status.

The response now fails when it is read: a repeatable request goes to another worker, any other is answered 502. TestStatusThatIsNoneIsAFailureOfTheWorker got a closed connection in all six cases before.

--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -50,6 +50,9 @@
 // requests.
 var ErrUnrelatedResponse = errors.New("connection delivers responses to other requests")
 
+// ErrInvalidStatus is returned when a response has a status below 100, which no server can send on.
+var ErrInvalidStatus = errors.New("status of the response is invalid")
+
 // Request is one request on the wire.
 type Request struct {
 	Method string
@@ -238,7 +241,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		if response.StatusCode < 100 {
+			return nil, fmt.Errorf("%w: %d", ErrInvalidStatus, response.StatusCode)
+		}
+		if response.StatusCode < 200 {
 			continue
 		}
 		if matches(response, firstRequest) {
