Answer a request whose handler panics

What callers would see: any panic of the handler, whatever its cause, closed the caller's connection without an answer. A panic while the end of an attempt was recorded left the view locked, and every later request waiting.

A middleware answers 502, which promises nothing, without the headers of the worker's response that may have been copied; it closes the connection if the answer has begun. The end of an attempt is recorded under a deferred unlock. laburnumgw_entry_panics_total counts. No panic is known to have happened.

TestPanicOfTheHandlerIsAnswered got a closed connection before (provoked by removing a part of the entry's state), and 0 counted.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -217,9 +217,7 @@
 		result.Outcome = laburnumgwv1.Outcome_OUTCOME_UNSPECIFIED
 		result.Sent = true
 	}
-	c.view.mu.Lock()
-	c.service.table.AttemptFinished(tracked, result, time.Now())
-	c.view.mu.Unlock()
+	c.view.attemptFinished(c.service, tracked, result)
 	c.metrics.attempts.UpdateDuration(started)
 	ended.MayHaveCrashed = c.recordCrash(ctx, ended)
 	var parts []string
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -64,6 +64,7 @@
 func (f *frontend) handler() http.Handler {
 	stack := negroni.New()
 	stack.Use(drain.CloseWhileLeaving(f.leaving.Load))
+	stack.UseFunc(f.answerPanics)
 	stack.UseFunc(closeAfterChunkedBody)
 	stack.UseHandlerFunc(f.serve)
 	return stack
--- a/entry/hosted/metrics.go
+++ b/entry/hosted/metrics.go
@@ -21,6 +21,8 @@
 	lent     *metrics.Counter
 	// blockedRequests counts the requests that were refused for a blocked part of their prompt.
 	blockedRequests *metrics.Counter
+	// panics counts the requests whose handler panicked.
+	panics *metrics.Counter
 }
 
 func newEntryMetrics() *entryMetrics {
@@ -36,6 +38,7 @@
 		lent:      set.NewCounter("laburnumgw_entry_limit_lent_total"),
 
 		blockedRequests: set.NewCounter("laburnumgw_entry_blocked_requests_total"),
+		panics:          set.NewCounter("laburnumgw_entry_panics_total"),
 	}
 }
 
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -457,6 +457,13 @@
 	state.table.AttemptAccepted(attempt)
 }
 
+// attemptFinished records the end of an attempt.
+func (v *view) attemptFinished(state *service, attempt routing.Attempt, result routing.Result) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	state.table.AttemptFinished(attempt, result, time.Now())
+}
+
 // handleSuspension moves the times from which bounds and ages count back by the length of a suspension,
 // which the monotonic clock does not count.
 func (v *view) handleSuspension(length time.Duration) {
