A refusal does not wait for the body of its request

What callers saw: a request that is refused before its body is read (no route, unknown key, no service, too large) got its refusal only when the body had come, and none if it did not: net/http reads up to 256 KB of it before it writes a response on a connection that is kept, without a deadline. A change of the configuration that drops a route or a key makes such refusals.

Bodies that have arrived keep their connection (TestRefusalKeepsTheConnectionOfACompleteBody).

--- a/entry/hosted/callers_harness_test.go
+++ b/entry/hosted/callers_harness_test.go
@@ -96,7 +96,7 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return callerResponse{status: response.StatusCode, header: response.Header, body: string(body), cut: err != nil, took: time.Since(started)}
+	return callerResponse{status: response.StatusCode, header: response.Header, body: string(body), cut: err != nil, last: response.Close, took: time.Since(started)}
 }
 
 // ask sends a request and reads its response.
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -102,6 +102,7 @@
 	c, err := f.accept(w, r, started)
 	if err != nil {
 		reason := string(errkind.Of(err))
+		endUnreadBody(w, r)
 		f.refuse(w, c, err)
 		f.metrics.countResponse(reason, started)
 		f.log.Info("request refused", zap.String("request", c.in.ID), zap.String("host", r.Host), zap.String("reason", reason), zap.Error(err))
--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -214,7 +214,9 @@
 	header http.Header
 	body   string
 	// cut is set when the connection was closed before the response was complete.
-	cut  bool
+	cut bool
+	// last is set when the response announces the end of its connection.
+	last bool
 	took time.Duration
 }
 
