A body that has not arrived in time is not a bad request

What callers saw: a proper request whose body stopped or was slow on its way was answered 400 when its time was over, after which no caller comes back, and the connection was kept although the rest of the body could still arrive on it.

It has not been run, so the answer is 503, and the connection ends.

--- a/entry/hosted/body_test.go
+++ b/entry/hosted/body_test.go
@@ -80,6 +80,25 @@
 	})
 }
 
+// Guards against a body that stops arriving and is called a bad request, after which callers do not
+// come back: it has not been run, and the answer says so when its time is over.
+func TestBodyThatStopsArrivingIsNotRun(t *testing.T) {
+	for body, text := range map[string]string{"length": "Content-Length: 100\r\n\r\nbbb", "chunks": "Transfer-Encoding: chunked\r\n\r\n3\r\nbbb\r\n"} {
+		t.Run(body, func(t *testing.T) {
+			withCallers(t, func(t *testing.T, s *callerServer) {
+				s.worker("desk", "d1", 0, done)
+				conn := s.connect()
+				started := time.Now()
+				conn.send(strings.TrimSuffix(requestText(http.MethodPost, "/book/x", "", deadlineHeader, "700"), "\r\n") + text)
+				got := conn.receive()
+				if got.cut || got.status != http.StatusServiceUnavailable || time.Since(started) != 700*time.Millisecond || len(s.arrived()) != 0 {
+					t.Errorf("response after %v: %+v", time.Since(started), got)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a slow body that is cut although its request has time left.
 func TestSlowBodyIsServed(t *testing.T) {
 	withCallers(t, func(t *testing.T, s *callerServer) {
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -220,6 +221,13 @@
 	if errors.As(err, &large) {
 		return errkind.New(errkind.TooLarge, "send a smaller body", "body exceeds %d bytes", limit)
 	}
+	if err != nil {
+		// The rest of the body may still arrive, and is no request.
+		c.w.Header().Set("Connection", "close")
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return errkind.Wrap(err, errkind.NotRun, "send the complete body sooner", "body has not arrived in time")
+	}
 	if err != nil {
 		return errkind.Wrap(err, errkind.BadRequest, "send the complete body", "body cannot be read")
 	}
