Read a worker's response while the rest of a long body is still being written

What callers saw: a worker that answered before it had read a long body, and read on later or never, or closed its connection after the answer, had its answer lost: the request was written whole before the response was read. Callers got 502 or 504, or a repeat at another worker, in place of the answer.

What exceeds 16 KB is now written in the background while the response is awaited. The patience for a worker counts from the end of the write. The connection is kept only if all of the request was written, so that no other bytes take the place of the rest of its body.

--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -161,6 +161,7 @@
 	pool    *Pool
 	address string
 	conn    *conn
+	upload  *upload
 	stop    func() bool
 	closed  bool
 }
@@ -187,7 +188,7 @@
 		}
 		return nil, sent, err
 	}
-	n, err := c.Write(r.encode())
+	upload, n, err := c.startUpload(r.encode())
 	if err != nil && n == 0 && c.used && ctx.Err() == nil {
 		// The worker has closed the reused connection, and no byte was sent on it.
 		stop()
@@ -197,14 +198,14 @@
 	if err != nil {
 		return fail(n > 0, fmt.Errorf("send request: %w", err))
 	}
-	if err := c.await(r.ResponseTimeout, time.Now()); err != nil {
+	if err := c.await(upload.timeout(r.ResponseTimeout), time.Now()); err != nil {
 		return fail(true, fmt.Errorf("wait for response: %w", err))
 	}
 	head, err := c.readResponse(r, matches) //nolint:bodyclose // the caller ends the response
 	if err != nil {
 		return fail(true, fmt.Errorf("read response: %w", err))
 	}
-	return &Response{Response: head, pool: p, address: address, conn: c, stop: stop}, true, nil
+	return &Response{Response: head, pool: p, address: address, conn: c, upload: upload, stop: stop}, true, nil
 }
 
 // encode returns the bytes of a request.
@@ -381,7 +382,7 @@
 		return
 	}
 	r.closed = true
-	if !r.stop() || r.Close || r.conn.keepAlive < 0 || r.conn.reader.Buffered() > 0 || !r.EndMarked() {
+	if !r.stop() || r.Close || r.conn.keepAlive < 0 || r.conn.reader.Buffered() > 0 || !r.EndMarked() || !r.upload.complete() {
 		r.conn.Close()
 		return
 	}
