Callers within the limits of the configuration are not refused or cut off by the server

The bounds of the server were constants that no limit was compared with.

They are now far wider than what configurations state (10 min, 1 MB, 30 s), as they only protect the process; keep-alive ends the connections of callers that are gone, and a drain still waits 5 s at most for the rest of a header. A configuration that allows more is logged as an error.

--- a/entry/hosted/callers_harness_test.go
+++ b/entry/hosted/callers_harness_test.go
@@ -44,10 +44,14 @@
 
 func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "callers", Net: "pipe"} }
 
+// maxConnTime ends a connection whose test waits for ever.
+const maxConnTime = 10 * time.Minute
+
 // callerServer serves callers of a deployment through net/http.
 type callerServer struct {
 	*deployment
 	listener *pipeListener
+	conns    []net.Conn
 	drain    *drain.Listener
 }
 
@@ -58,7 +62,12 @@
 		s := &callerServer{deployment: d, listener: newPipeListener()}
 		process := &Process{settings: d.front.view.settings, view: d.front.view, frontend: d.front, log: zap.NewNop()}
 		s.drain = process.serveCallers(s.listener, make(chan error, 1))
-		defer s.listener.Close()
+		defer func() {
+			s.listener.Close()
+			for _, conn := range s.conns {
+				conn.Close()
+			}
+		}()
 		run(t, s)
 	})
 }
@@ -70,12 +79,13 @@
 	reader *bufio.Reader
 }
 
-// connect opens a connection, which is closed after pause at the latest.
+// connect opens a connection, which is closed after maxConnTime, or at the end of the test.
 func (s *callerServer) connect() *callerConn {
 	s.t.Helper()
 	near, far := net.Pipe()
 	s.listener.conns <- far
-	time.AfterFunc(time.Minute, func() { near.Close() })
+	s.conns = append(s.conns, near)
+	time.AfterFunc(maxConnTime, func() { near.Close() })
 	return &callerConn{Conn: near, t: s.t, reader: bufio.NewReader(near)}
 }
 
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -28,12 +28,12 @@
 )
 
 const (
-	// readHeaderTimeout bounds how long a caller may take to send the headers.
-	readHeaderTimeout = 5 * time.Second
-	// idleTimeout exceeds the time for which callers reuse an idle connection.
-	idleTimeout = 90 * time.Second
-	// maxHeaderBytes exceeds the size of the headers that the configuration allows callers.
-	maxHeaderBytes = 64 << 10
+	// readHeaderTimeout, idleTimeout and maxHeaderBytes exceed what configurations allow callers,
+	// whose limits may change while a connection is open. They only protect the process; keep-alive ends the
+	// connections of callers that are gone.
+	readHeaderTimeout = 30 * time.Second
+	idleTimeout       = 10 * time.Minute
+	maxHeaderBytes    = 1 << 20
 	// connectTimeout bounds the opening of a connection to a worker. Round trips take at most
 	// 4 ms, and a lost packet is retransmitted after a few hundred ms.
 	connectTimeout = 500 * time.Millisecond
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -211,10 +211,20 @@
 	now := time.Now()
 	v.snapshot.Store(next)
 	v.configuredAt.Store(&now)
+	if exceedsServer(next.Limits) {
+		v.log.Error("limits of the configuration exceed those of this process; callers within them may be refused or cut off",
+			zap.Int64("version", next.Version), zap.Int64("header_bytes", next.Limits.HeaderBytes),
+			zap.Duration("header_timeout", next.Limits.HeaderTimeout), zap.Duration("idle_timeout", next.Limits.IdleTimeout))
+	}
 	v.log.Info("configuration in force", zap.Int64("version", next.Version), zap.String("revision", mirror.FormatRevision(change.Object.Revision)))
 	v.updateAllRouting()
 }
 
+// exceedsServer reports whether a configuration allows callers more than the server of callers.
+func exceedsServer(limits catalog.Limits) bool {
+	return limits.HeaderBytes > maxHeaderBytes || limits.HeaderTimeout > readHeaderTimeout || limits.IdleTimeout > idleTimeout
+}
+
 // configureService creates the state of a service or updates it. The caller holds the
 // lock.
 func (v *view) configureService(config *catalog.Service) {
--- a/lib/drain/drain.go
+++ b/lib/drain/drain.go
@@ -12,6 +12,10 @@
 	"time"
 )
 
+// maxHeaderTimeout bounds the time for the rest of a header during a drain, which a caller that
+// stalls within one must not delay for longer.
+const maxHeaderTimeout = 5 * time.Second
+
 // Listener tracks the connections of one server, so that Drain can end them.
 type Listener struct {
 	net.Listener
@@ -28,10 +32,10 @@
 }
 
 // New returns a listener that tracks the connections which the server accepts. It sets the
-// server's ConnState and uses its ReadHeaderTimeout during the drain.
+// server's ConnState and uses its ReadHeaderTimeout, maxHeaderTimeout at most, during the drain.
 func New(server *http.Server, listener net.Listener) *Listener {
 	l := &Listener{
-		Listener: listener, server: server, headerTimeout: server.ReadHeaderTimeout,
+		Listener: listener, server: server, headerTimeout: min(server.ReadHeaderTimeout, maxHeaderTimeout),
 		conns: make(map[*conn]struct{}), empty: make(chan struct{}),
 	}
 	server.ConnState = l.connStateChanged
