A plain answer without a marked end that ends in a crash is not complete

What callers saw: the half of a plain answer that had neither a length nor chunks, with 200 and a length of ours, when its worker crashed midway: the kernel closes the connection of a process that has ended as if the answer were whole. Streams were checked for that, plain answers were not.

Both now ask whether the machine of the worker refuses connections; one that is leaving, or is not listed any more, is not asked.

--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -36,6 +36,9 @@
 	if err != nil {
 		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", fmt.Errorf("%w: %w", errTruncated, err))
 	}
+	if !response.EndMarked() && c.endedInCrash() {
+		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", fmt.Errorf("%w: %w", errTruncated, io.ErrUnexpectedEOF))
+	}
 	response.Finish(workerResponse.KeepAlive)
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	switch {
@@ -144,6 +147,12 @@
 	if lastEventEnd(pending) < len(pending) || (len(pending) == 0 && !hasEvents) {
 		return true
 	}
+	return c.endedInCrash()
+}
+
+// endedInCrash reports whether the worker of a response that has ended with its connection has
+// crashed, so that the response may be incomplete.
+func (c *call) endedInCrash() bool {
 	start := quarantine.Start{Address: c.trackedAddress, StartedAtMs: c.trackedWorker}
 	if c.view.leaving(start) {
 		return false
--- a/entry/hosted/unmarked_end_test.go
+++ b/entry/hosted/unmarked_end_test.go
@@ -80,3 +80,51 @@
 		})
 	}
 }
+
+// Guards against a plain answer without length and chunks that its worker's crash has cut short, and
+// that is passed on as complete.
+func TestPlainResponseThatEndsInACrashIsBrokenOff(t *testing.T) {
+	for name, c := range map[string]struct {
+		crash     bool
+		target    string
+		status    int
+		body      string
+		arrivals  int
+		isListed  bool
+		isLeaving bool
+	}{
+		"whole, safe":                 {target: "/view/x", status: http.StatusOK, body: "half", arrivals: 1, isListed: true},
+		"whole, unsafe":               {target: "/book/x", status: http.StatusOK, body: "half", arrivals: 1, isListed: true},
+		"crash, safe":                 {crash: true, target: "/view/x", status: http.StatusOK, body: "done", arrivals: 2, isListed: true},
+		"crash, unsafe":               {crash: true, target: "/book/x", status: http.StatusBadGateway, arrivals: 1, isListed: true},
+		"end of one that leaves":      {crash: true, target: "/book/x", status: http.StatusOK, body: "half", arrivals: 1, isListed: true, isLeaving: true},
+		"end of one not listed":       {crash: true, target: "/book/x", status: http.StatusOK, body: "half", arrivals: 1},
+		"end of one not listed, safe": {crash: true, target: "/view/x", status: http.StatusOK, body: "half", arrivals: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCallers(t, func(t *testing.T, s *callerServer) {
+				s.worker("desk", "d1", 0, func(e *workerExchange) {
+					s.worker("desk", "d2", 0, done)
+					switch {
+					case c.isLeaving:
+						s.put("servers", "d1", workerEntry("desk", "d1", "draining", 0))
+					case !c.isListed:
+						s.remove("servers", "d1")
+					}
+					e.head(http.StatusOK, sealHeader, "seal")
+					fmt.Fprint(e, "half")
+					if c.crash {
+						s.mu.Lock()
+						s.refused["d1"] = true
+						s.mu.Unlock()
+					}
+					e.Close()
+				})
+				got := s.connect().ask(requestText(http.MethodPost, c.target, "b", deadlineHeader, "2500"))
+				if got.cut || got.status != c.status || (c.body != "" && got.body != c.body) || len(s.arrived()) != c.arrivals {
+					t.Errorf("response %+v, %d arrivals", got, len(s.arrived()))
+				}
+			})
+		})
+	}
+}
