--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,7 @@
 func (f *frontend) handler() http.Handler {
 	stack := negroni.New()
 	stack.Use(drain.CloseWhileLeaving(f.leaving.Load))
+	stack.UseFunc(f.answerPanics)
 	stack.UseFunc(closeAfterChunkedBody)
 	stack.UseHandlerFunc(f.serve)
 	return stack
@@ -101,6 +103,7 @@
 	c, err := f.accept(w, r, started)
 	if err != nil {
 		reason := string(errkind.Of(err))
+		endUnreadBody(w, r)
 		f.refuse(w, c, err)
 		f.metrics.countResponse(reason, started)
 		f.log.Info("request refused", zap.String("request", c.in.ID), zap.String("host", r.Host), zap.String("reason", reason), zap.Error(err))
@@ -218,6 +221,13 @@
 	if errors.As(err, &large) {
 		return errkind.New(errkind.TooLarge, "send a smaller body", "body exceeds %d bytes", limit)
 	}
+	if err != nil {
+		// The rest of the body may still arrive, and is no request.
+		c.w.Header().Set("Connection", "close")
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return errkind.Wrap(err, errkind.NotRun, "send the complete body sooner", "body has not arrived in time")
+	}
 	if err != nil {
 		return errkind.Wrap(err, errkind.BadRequest, "send the complete body", "body cannot be read")
 	}
