Stand-in workers fall silent, and may leave the end of a response unmarked

A sound worker may send nothing for a second or so, before the head, between events, amid a plain body and in its reports, and then go on where it stopped. Plain responses come in two parts, so that a silence can fall between them. Every n-th response may have neither a length nor chunks and end with its connection.

--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -93,9 +93,12 @@
 	Zone    string
 	Address string
 	Model   Model
-	// EventGap is the time between the events of a stream.
+	// EventGap is the time between the events of a stream, or the parts of a plain response.
 	EventGap time.Duration
 	Events   int
+	// UnmarkedEvery is the number of responses of which one has neither a length nor chunks and
+	// ends with its connection; zero for none.
+	UnmarkedEvery int
 
 	mu sync.Mutex
 	// restarts counts the starts after the first.
@@ -108,9 +111,10 @@
 	violations []error
 	// limits are the changes of the stated limit, and arrivals the times of the requests that
 	// arrived since the first.
-	limits   []limitChange
-	arrivals []time.Time
-	deadly   deadlyPart
+	limits    []limitChange
+	arrivals  []time.Time
+	deadly    deadlyPart
+	responses responses
 }
 
 // Load makes a version the loaded one and stages all its chunks, for a worker that starts with weights.
@@ -185,6 +189,9 @@
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.URL.Path == "/-/report":
+		if w.awaitSilence(r.Context()) != nil {
+			return
+		}
 		respond(out, http.StatusOK, w.state())
 	case r.URL.Path == "/-/order":
 		w.order(out, r)
@@ -267,7 +274,7 @@
 	w.mu.Unlock()
 	out.Header().Set("X-Laburnumgw-Server-Seal", "seal-"+w.ID)
 	if w.Model.Name == "" {
-		fmt.Fprintf(out, "%s %s %s", r.Method, r.RequestURI, body)
+		w.respondPlain(out, r, body)
 		return
 	}
 	out.Header().Set("X-Laburnumgw-Weight-Versions", strconv.Itoa(version))
@@ -275,8 +282,12 @@
 	if w.crashOn(r.Header) {
 		panic(http.ErrAbortHandler)
 	}
+	w.leaveUnmarked(out.Header())
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for event := first + 1; event <= w.Events; event++ {
+		if w.awaitSilence(r.Context()) != nil {
+			return
+		}
 		fmt.Fprintf(out, "id: %d\ndata: version %d\n\n", event, version)
 		if err := http.NewResponseController(out).Flush(); err != nil {
 			return
