Soak: silent workers, changes of the configuration and a check for lost requests

Random runs draw series of silences, changes of the configuration of all kinds (routes moved and split, timeouts, workspaces, the idle timeout) and SIGHUP, which overlap. None of them excuses a request that its entry has read and that ends without a complete answer, nor a second run at another worker. Requests to an entry that has not been ready since its planned restart no longer count as failures: the platform sends it no callers.

TestAnswerCheckFails, TestStartingEntryDoesNotCount and TestChangesOfTheConfiguration guard the checks and the draws.

--- a/cmd/laburnumsoak/main.go
+++ b/cmd/laburnumsoak/main.go
@@ -25,7 +25,9 @@
 	Duration time.Duration `long:"duration" default:"20s" description:"length of a run"`
 	Entries  int           `long:"entries" default:"3" description:"entry processes"`
 	Models   int           `long:"models" default:"6" description:"model workers with their processes"`
-	Plain    int           `long:"plain" default:"3" description:"plain workers"`
+	Plain    int           `long:"plain" default:"3" description:"workers of each of the two plain services"`
+	Network  int           `long:"network" default:"10" description:"second byte of the loopback addresses of the first of the parallel seeds"`
+	Planned  bool          `long:"planned" description:"only planned work and silent workers, no faults"`
 }
 
 func main() {
@@ -58,7 +60,7 @@
 	results := make([]soak.Result, o.Seeds)
 	networks := make(chan int, o.Parallel)
 	for i := range o.Parallel {
-		networks <- 10 + i
+		networks <- o.Network + i
 	}
 	var group errgroup.Group
 	group.SetLimit(o.Parallel)
@@ -72,7 +74,7 @@
 				return fmt.Errorf("create directory: %w", err)
 			}
 			result, err := soak.Run(soak.Options{
-				Binary: o.Binary, Dir: dir, Network: network, Entries: o.Entries, Models: o.Models, Plain: o.Plain, Model: soak.SmallModel(),
+				Binary: o.Binary, Dir: dir, Network: network, Entries: o.Entries, Models: o.Models, Plain: o.Plain, Model: soak.SmallModel(), PlannedOnly: o.Planned,
 			}, seed, o.Duration)
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -55,8 +55,15 @@
 	Network int
 	Entries int
 	Models  int
-	Plain   int
-	Model   hosted.Model
+	// Plain is the number of workers of each of the two plain services.
+	Plain int
+	Model hosted.Model
+	// PlannedOnly restricts a run to planned work and silent workers, so that no fault excuses
+	// a lost request.
+	PlannedOnly bool
+	// UnmarkedEvery is the number of responses of a worker of which one ends with its connection;
+	// zero for none.
+	UnmarkedEvery int
 }
 
 // Fleet is a running deployment.
@@ -72,8 +79,10 @@
 	storeProxies []*Proxy
 	servers      []*http.Server
 
+	// mu also guards settings.
 	mu         sync.Mutex
 	deadlyPart string
+	settings   settings
 }
 
 // ProxiedWorker is a worker together with the proxy that listens on its address.
@@ -121,7 +130,7 @@
 // Start starts a fleet. Two thirds of the model workers hold version 1. The others hold no
 // weights, like workers that join later.
 func Start(options Options) (*Fleet, error) {
-	f := &Fleet{Options: options, Store: hosted.NewStore(), Origin: &hosted.Origin{Model: options.Model, Newest: 1}}
+	f := &Fleet{Options: options, Store: hosted.NewStore(), Origin: &hosted.Origin{Model: options.Model, Newest: 1}, settings: newSettings()}
 	if err := f.startStandins(); err != nil {
 		return nil, errors.Join(err, f.Stop())
 	}
@@ -162,7 +171,11 @@
 	for i := range f.Models {
 		w := &hosted.Worker{
 			ID: fmt.Sprintf("m-%d", i), Service: modelService, Zone: zoneOf(i), Address: fmt.Sprintf("%s:%d", f.ip(2, i), workerPort),
-			Model: f.Model, Events: 8, EventGap: 20 * time.Millisecond,
+			Model: f.Model, Events: 8, EventGap: 20 * time.Millisecond, UnmarkedEvery: f.UnmarkedEvery,
+		}
+		if f.PlannedOnly {
+			// Long streams are more often amid a silence.
+			w.EventGap *= 3
 		}
 		if i%3 != 2 {
 			w.Load(1)
@@ -173,8 +186,14 @@
 		}
 		f.ModelWorkers = append(f.ModelWorkers, m)
 	}
-	for i := range f.Plain {
-		w := &hosted.Worker{ID: fmt.Sprintf("p-%d", i), Service: plainService, Zone: zoneOf(i), Address: fmt.Sprintf("%s:%d", f.ip(3, i), workerPort)}
+	for i := range 2 * f.Plain {
+		w := &hosted.Worker{
+			ID: fmt.Sprintf("p-%d", i), Service: plainService, Zone: zoneOf(i), Address: fmt.Sprintf("%s:%d", f.ip(3, i), workerPort),
+			EventGap: 5 * time.Millisecond, UnmarkedEvery: f.UnmarkedEvery,
+		}
+		if i >= f.Plain {
+			w.Service = annexService
+		}
 		m, err := f.startWorker(w)
 		if err != nil {
 			return err
@@ -217,16 +236,21 @@
 
 // Config returns the configuration object of a version, with the address of the origin.
 func (f *Fleet) Config(version int, origin string) map[string]any {
+	s := f.currentSettings()
 	route := func(name, kind, service string, timeout, attempts int) map[string]any {
-		return map[string]any{
+		config := map[string]any{
 			"name": name, "host": Host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": timeout, "target_latency_ms": 400,
 			"priority": 1, "service": service, "attempts": attempts, "resumable": kind == "streaming", "gap_target_ms": 300,
 		}
+		if b, ok := s.plainRoutes[name]; ok {
+			b.applyTo(config)
+		}
+		return config
 	}
 	return map[string]any{
 		"version": version,
 		"routes": []any{
-			route("chat", "streaming", modelService, 6000, 2), route("book", "unsafe", plainService, 1200, 1), route("view", "safe", plainService, 1200, 2),
+			route("chat", "streaming", modelService, s.chatTimeout, 2), route("book", "unsafe", plainService, s.plainTimeout, 1), route("view", "safe", plainService, s.plainTimeout, 2),
 		},
 		"services": []any{
 			map[string]any{
@@ -236,10 +260,11 @@
 				},
 			},
 			map[string]any{"name": plainService, "health_path": "/health", "connection_limit": 100},
+			map[string]any{"name": annexService, "health_path": "/health", "connection_limit": 100},
 			map[string]any{"name": "weights", "origin": origin, "zone": "a", "link_mbps": 400.0, "connection_limit": 48},
 		},
-		"limits":  map[string]any{"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "ws", "api_keys": []string{apiKey}, "priority": 1}},
+		"limits":  map[string]any{"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": s.idleTimeout},
+		"tenants": s.tenants(),
 	}
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -44,8 +44,15 @@
 	version            int
 	configVersion      int
 	versionPublishedAt time.Time
+	// starts holds the time from each start after a planned restart until the entry is ready, by its
+	// name. mu guards it.
+	starts map[string][]window
 	// deadly is set once workers crash on deadlyPart.
 	deadly bool
+	// settings are those of the configuration that was drawn last, and silencedAt holds the start of
+	// the last silence of each worker.
+	settings   settings
+	silencedAt map[string]time.Time
 	// workerFaults holds the faults of the network before a worker, by its name.
 	workerFaults map[string][]window
 
@@ -81,6 +88,10 @@
 	// limitSettle is the time after a fault of the network before a worker in which requests that
 	// it held back may arrive.
 	limitSettle = time.Second
+	// plannedEvery is the number of disruptions of which one is planned work or a silence.
+	plannedEvery = 4
+	// unmarkedEvery is the number of responses of a worker of which one ends with its connection.
+	unmarkedEvery = 5
 	// No faults are injected during faultFreeStart and faultFreeEnd, so that requests are
 	// served at the start and at the end of a run.
 	faultFreeStart = time.Second
@@ -89,19 +100,24 @@
 
 // Run starts a fleet and runs one seed on it for about the duration.
 func Run(options Options, seed uint64, duration time.Duration) (result Result, err error) {
+	options.UnmarkedEvery = unmarkedEvery
 	fleet, err := Start(options)
 	if err != nil {
 		return Result{Seed: seed}, err
 	}
 	defer func() { err = errors.Join(err, fleet.Stop()) }()
-	r := &run{fleet: fleet, rng: rand.New(rand.NewPCG(seed, 7)), result: Result{Seed: seed}, plannedRestarts: make(map[string][]window), workerFaults: make(map[string][]window), version: 1, configVersion: 1}
+	r := &run{fleet: fleet, rng: rand.New(rand.NewPCG(seed, 7)), result: Result{Seed: seed}, plannedRestarts: make(map[string][]window), workerFaults: make(map[string][]window), starts: make(map[string][]window), settings: newSettings(), silencedAt: make(map[string]time.Time), version: 1, configVersion: 1}
 	if err := fleet.AwaitReady(readyTimeout); err != nil {
 		return r.result, err
 	}
 	callers := fleet.StartCallers(seed)
 	time.Sleep(faultFreeStart)
 	for end := time.Now().Add(duration - faultFreeStart - faultFreeEnd); time.Now().Before(end); {
-		r.injectFault()
+		if options.PlannedOnly || r.rng.IntN(plannedEvery) == 0 {
+			r.injectPlanned()
+		} else {
+			r.injectFault()
+		}
 		time.Sleep(time.Duration(200+r.rng.IntN(1200)) * time.Millisecond)
 	}
 	r.endFaults()
@@ -173,21 +189,9 @@
 		r.recordFault(0, "history of the store is dropped")
 		r.fleet.Store.Compact()
 	case 7:
-		if time.Since(r.versionPublishedAt) > versionBound+settleWindow {
-			r.mu.Lock()
-			r.version++
-			r.mu.Unlock()
-			r.versionPublishedAt = time.Now()
-			r.result.Faults = append(r.result.Faults, fmt.Sprintf("version %d is named", r.version))
-			r.fleet.Origin.SetNewest(r.version)
-			r.fleet.PublishVersion(r.version)
-		}
+		r.publishVersion()
 	case 8:
-		r.mu.Lock()
-		r.configVersion++
-		r.mu.Unlock()
-		r.result.Faults = append(r.result.Faults, fmt.Sprintf("configuration %d", r.configVersion))
-		r.fleet.Store.Put("config", "main", r.fleet.Config(r.configVersion, r.fleet.OriginAddress()))
+		r.changeConfig()
 	case 10:
 		r.leave(pick(r.rng, r.fleet.PlainWorkers))
 	case 11:
@@ -207,6 +211,20 @@
 	}
 }
 
+// publishVersion names a new version of the weights, unless the last one may not be in force yet.
+func (r *run) publishVersion() {
+	if time.Since(r.versionPublishedAt) <= versionBound+settleWindow {
+		return
+	}
+	r.mu.Lock()
+	r.version++
+	r.mu.Unlock()
+	r.versionPublishedAt = time.Now()
+	r.result.Faults = append(r.result.Faults, fmt.Sprintf("version %d is named", r.version))
+	r.fleet.Origin.SetNewest(r.version)
+	r.fleet.PublishVersion(r.version)
+}
+
 func (r *run) injectProxyFault(proxy *Proxy, what string, lasts time.Duration) {
 	mode := pick(r.rng, []Mode{Delay, Silence, OneWay, Refuse})
 	r.recordFault(lasts, "%s: %s for %s", what, mode, lasts)
@@ -221,7 +239,10 @@
 	now := time.Now()
 	r.plannedRestarts[p.Name] = append(r.plannedRestarts[p.Name], window{now, now.Add(stopGracePeriod + settleWindow)})
 	p.Signal(syscall.SIGTERM)
-	time.AfterFunc(stopGracePeriod, func() { r.replace(p, asked) })
+	time.AfterFunc(stopGracePeriod, func() {
+		r.replace(p, asked)
+		r.awaitStarted(p)
+	})
 }
 
 // replace kills the instance that was asked to stop and starts the process again, unless
@@ -270,7 +291,7 @@
 func (r *run) limit(m *ProxiedWorker, header string, lasts time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.limited != nil || (r.departurePending && m.Service == plainService) {
+	if r.limited != nil || (r.departurePending && m.Service != modelService) {
 		return
 	}
 	r.limited = m
@@ -335,6 +356,7 @@
 		r.faultWindows = append(r.faultWindows, window{at, at.Add(workerRestartTime)})
 	}
 	r.checkDeadlyPart(violation)
+	r.checkAnswers(outcomes, runs, violation)
 	for _, o := range outcomes {
 		r.result.Requests++
 		if o.Status == http.StatusOK && o.Err == nil {
@@ -384,11 +406,11 @@
 
 // countFaultFree counts the requests outside all faults, and those of them that were served.
 // The requests that end during faultFreeStart are always among them. Requests whose connection
-// is refused during a planned restart do not count: the users' platform sends callers to
-// another entry meanwhile.
+// is refused during a planned restart, or that reach an entry which has just started, do not count:
+// the users' platform sends callers to another entry until an entry is ready.
 func (r *run) countFaultFree(outcomes []Outcome) (total, served int) {
 	for _, o := range outcomes {
-		if o.Deadly || !r.faultFree(o.Sent, o.Ended) || r.refusedByRestart(o) {
+		if o.Deadly || !r.faultFree(o.Sent, o.Ended) || r.refusedByRestart(o) || r.starting(o) {
 			continue
 		}
 		total++
--- /dev/null
+++ b/soak/silence_test.go
@@ -0,0 +1,98 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Guards against a check of lost requests and of repeats that passes on every run, or that counts
+// what a fault explains.
+func TestAnswerCheckFails(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	fault := []window{{start.Add(-time.Second), start}}
+	for name, c := range map[string]struct {
+		faults []window
+		err    error
+		status int
+		took   time.Duration
+		runs   int
+		deadly bool
+		want   int
+	}{
+		"a complete answer":                         {nil, nil, 200, time.Second, 1, false, 0},
+		"a refusal":                                 {nil, nil, 503, time.Second, 0, false, 0},
+		"a stream that is cut":                      {nil, io.ErrUnexpectedEOF, 200, time.Second, 1, false, 1},
+		"a stream that is cut after a fault":        {fault, io.ErrUnexpectedEOF, 200, time.Second, 1, false, 0},
+		"no answer to a request that was forwarded": {nil, io.EOF, 0, 10 * time.Millisecond, 1, false, 1},
+		"no answer to a request that was read":      {nil, io.EOF, 0, time.Second, 0, false, 1},
+		"a close that crosses the request":          {nil, io.EOF, 0, 10 * time.Millisecond, 0, false, 0},
+		"a refused connection of a restarted entry": {nil, syscall.ECONNREFUSED, 0, time.Second, 0, false, 0},
+		"two runs":                          {nil, nil, 200, time.Second, 2, false, 1},
+		"two runs after a fault":            {fault, nil, 200, time.Second, 2, false, 0},
+		"two runs and a cut":                {nil, io.ErrUnexpectedEOF, 200, time.Second, 2, false, 2},
+		"a cut stream with the deadly part": {nil, io.ErrUnexpectedEOF, 200, time.Second, 1, true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &run{faultWindows: c.faults, plannedRestarts: map[string][]window{"front-0": {{start, start.Add(time.Second)}}}}
+			outcome := Outcome{ID: "r", Entry: "front-0", Sent: start, Ended: start.Add(c.took), Status: c.status, Err: c.err, Deadly: c.deadly}
+			violations := 0
+			r.checkAnswers([]Outcome{outcome}, func(string) int { return c.runs }, func(string, ...any) { violations++ })
+			if violations != c.want {
+				t.Errorf("%d violations, want %d", violations, c.want)
+			}
+		})
+	}
+}
+
+// Guards against an entry that starts after a planned restart and counts as failing before the
+// platform would send it callers, and against one that is excused once it is ready.
+func TestStartingEntryDoesNotCount(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	r := &run{starts: map[string][]window{"front-0": {{start, start.Add(time.Second)}}}}
+	for after, counted := range map[time.Duration]int{-time.Millisecond: 1, 0: 0, 999 * time.Millisecond: 0, time.Second: 1} {
+		outcome := Outcome{Entry: "front-0", Sent: start.Add(after), Ended: start.Add(after), Status: http.StatusServiceUnavailable}
+		if total, _ := r.countFaultFree([]Outcome{outcome}); total != counted {
+			t.Errorf("sent %s after the start: counted %d, want %d", after, total, counted)
+		}
+	}
+}
+
+// Guards against draws that leave a kind of change out, or that alter the settings of an earlier
+// version of the configuration.
+func TestChangesOfTheConfiguration(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 7))
+	first := newSettings()
+	config := func(s settings) string {
+		f := &Fleet{Options: Options{Model: SmallModel()}, settings: s}
+		return fmt.Sprint(f.Config(1, "origin"))
+	}
+	before := config(first)
+	drawn := make(map[string]bool)
+	for range 200 {
+		next, _ := first.change(rng)
+		drawn["timeout"] = drawn["timeout"] || next.plainTimeout != first.plainTimeout
+		drawn["chat timeout"] = drawn["chat timeout"] || next.chatTimeout != first.chatTimeout
+		drawn["idle timeout"] = drawn["idle timeout"] || next.idleTimeout != first.idleTimeout
+		drawn["workspace"] = drawn["workspace"] || next.workspaces != first.workspaces
+		for name, b := range next.plainRoutes {
+			drawn[name+" moved"] = drawn[name+" moved"] || b.service == annexService
+			drawn[name+" split"] = drawn[name+" split"] || b.annexShare > 0
+		}
+		if fmt.Sprint(next) != fmt.Sprint(first) && config(next) == before {
+			t.Errorf("settings %v are not in the configuration", next)
+		}
+		if config(first) != before {
+			t.Fatalf("settings %v altered those that they came from", next)
+		}
+	}
+	for kind, was := range drawn {
+		if !was {
+			t.Errorf("no change drawn: %s", kind)
+		}
+	}
+}
