Give a silent worker up only if its request can be sent to another one

What callers saw: a stream that had been resumed once, or had no other worker of its weights or no retry budget, ended with a closed connection once its worker was silent for longer than the patience (1.5 to 2 s), 0.4 s before its caller would have left; a plain request ended with 502 with time left. Nothing could take the place of the answer, so that ending it gained nothing.

When the patience is over, the entry now asks whether a repeat is possible (attempts, budget, a worker that may take it) and waits on if not: until the deadline, or for streams until the caller has left for certain.

TestSilenceEndsNothingThatCannotBeRepeated failed in its five cases without the check.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -69,6 +69,9 @@
 	body      []byte
 	deadline  time.Time
 	attempts  uint32
+	// tried names the workers of earlier attempts. sentAttempts counts those that were sent.
+	tried        []string
+	sentAttempts int
 	// firstEventTimer ends the request unless the first event arrives before; nil for routes
 	// that do not stream.
 	firstEventTimer *time.Timer
@@ -219,6 +222,10 @@
 	}
 	c.view.attemptFinished(c.service, tracked, result)
 	c.metrics.attempts.UpdateDuration(started)
+	c.tried = append(c.tried, decision.VM)
+	if ended.Sent {
+		c.sentAttempts++
+	}
 	ended.MayHaveCrashed = c.recordCrash(ctx, ended)
 	var parts []string
 	if c.endedBeforeFirstEvent(ended) {
@@ -276,7 +283,7 @@
 	case c.route.Kind == catalog.Stream && response.StatusCode == http.StatusOK:
 		c.weightVersion = workerResponse.WeightVersion
 		c.view.loadReceived(c.service, tracked, load)
-		err = c.relayStream(response, workerResponse, firstEvent, c.workerTimeout(decision.VM), func() {
+		err = c.relayStream(response, workerResponse, firstEvent, c.workerTimeout(decision), func() {
 			c.began, c.firstEventWait = true, time.Since(sentAt)
 			c.view.attemptAccepted(c.service, tracked)
 			c.view.requestBegan(c.in.PromptParts)
@@ -331,22 +338,24 @@
 
 // workerTimeout returns how long to wait for a worker that sends nothing, or nil for no limit
 // when the request must not be repeated. A model worker that reports is alive and only busy, so
-// it gets most of the time that callers wait.
-func (c *call) workerTimeout(vm string) workerconn.TimeoutFunc {
+// it gets most of the time that callers wait. While the request can't be sent to another worker, it
+// is waited for until the caller has left for certain.
+func (c *call) workerTimeout(decision routing.Decision) workerconn.TimeoutFunc {
 	if !c.route.Repeatable() {
 		return nil
 	}
-	first := silencePatience(c.route)
-	last := first
+	patience, busy, end := silencePatience(c.route), time.Duration(0), time.Until(c.deadline)
 	if c.route.Kind == catalog.Stream {
-		last = c.route.CallerEventTimeout() - firstEventReserve
+		busy, end = c.route.CallerEventTimeout()-firstEventReserve, c.route.CallerEventTimeout()+firstEventReserve
 	}
 	return func(waited time.Duration) time.Duration {
 		switch {
-		case waited < first:
-			return first - waited
-		case waited < last && c.view.reporting(vm):
-			return min(last-waited, reportPollInterval)
+		case waited < patience:
+			return patience - waited
+		case waited < busy && c.view.reporting(decision.VM):
+			return min(busy-waited, reportPollInterval)
+		case waited < end && !c.canRepeat(decision):
+			return min(end-waited, reportPollInterval)
 		}
 		return 0
 	}
@@ -355,7 +364,7 @@
 // firstEventTimeout is workerTimeout for the head and the first event of a response. A request
 // must not start on weights after their bound, so the wait ends there at the latest.
 func (c *call) firstEventTimeout(decision routing.Decision) workerconn.TimeoutFunc {
-	timeout := c.workerTimeout(decision.VM)
+	timeout := c.workerTimeout(decision)
 	engine := c.engine
 	if engine == nil {
 		return timeout
--- a/entry/hosted/callers_harness_test.go
+++ b/entry/hosted/callers_harness_test.go
@@ -140,3 +140,10 @@
 		d.put("config", "main", newerConfig(strconv.Itoa(20+number), `"service":"llm"`, []string{`"service":"desk"`, `"service":"llm"`}[number%2]))
 	}
 }
+
+// withoutRetryBudget leaves the entry no retries.
+func (d *deployment) withoutRetryBudget() {
+	bounds := &d.front.view.settings.Bounds
+	bounds.RetryRatio, bounds.RetrySlack = 0.001, 0.01
+	d.put("config", "main", testConfig)
+}
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -124,7 +124,7 @@
 	}
 	ended, err := c.service.loop.Run(ctx, retry.Request{
 		Idempotent: c.route.Repeatable(), Resumable: c.route.Resumable, Deadline: c.deadline,
-		MaxSent: max(1, c.route.Attempts), RetryAfter: unroutedRetryAfter,
+		MaxSent: c.maxSent(), RetryAfter: unroutedRetryAfter,
 	}, c)
 	reason := c.finish(ctx, ended, err)
 	f.metrics.countResponse(reason, started)
--- a/entry/hosted/silence_test.go
+++ b/entry/hosted/silence_test.go
@@ -177,3 +177,84 @@
 		}
 	})
 }
+
+// Guards against an answer that is ended for the silence of its worker although nothing can take its
+// place: a stream that was resumed once was cut with a closed connection when its second worker
+// was silent for longer than a worker is waited for otherwise, and so was one without another worker.
+func TestSilenceEndsNothingThatCannotBeRepeated(t *testing.T) {
+	// Longer than silencePatience, and shorter than callers wait.
+	const silence = 2300 * time.Millisecond
+	pausing := func(e *workerExchange) {
+		e.stream(1)
+		e.events(1, 2)
+		<-time.After(silence)
+		e.events(3, 4)
+		e.end()
+	}
+	closing := func(e *workerExchange) { e.stream(1); e.events(1, 2); e.Close() }
+	resumed := func(e *workerExchange) {
+		e.stream(1)
+		<-time.After(silence)
+		e.events(3, 4)
+		e.end()
+	}
+	for name, c := range map[string]struct {
+		prepare  func(s *callerServer)
+		request  string
+		body     string
+		arrivals int
+	}{
+		"stream, only worker": {
+			func(s *callerServer) { s.worker("llm", "w1", 1, pausing) },
+			requestText(http.MethodPost, "/chat/x", "p", deadlineHeader, "6000"), events(1, 4), 1,
+		},
+		"stream, the other worker has other weights": {
+			func(s *callerServer) {
+				s.worker("llm", "w1", 1, func(e *workerExchange) {
+					s.worker("llm", "w2", 2, closing)
+					pausing(e)
+				})
+			},
+			requestText(http.MethodPost, "/chat/x", "p", deadlineHeader, "6000"), events(1, 4), 1,
+		},
+		"stream, last attempt": {
+			func(s *callerServer) {
+				s.worker("llm", "w1", 1, func(e *workerExchange) {
+					s.worker("llm", "w2", 1, resumed)
+					s.worker("llm", "w3", 1, resumed)
+					closing(e)
+				})
+			},
+			requestText(http.MethodPost, "/chat/x", "p", deadlineHeader, "6000"), events(1, 4), 2,
+		},
+		"stream, no retry budget": {
+			func(s *callerServer) {
+				s.withoutRetryBudget()
+				s.worker("llm", "w1", 1, func(e *workerExchange) {
+					s.worker("llm", "w2", 1, closing)
+					pausing(e)
+				})
+			},
+			requestText(http.MethodPost, "/chat/x", "p", deadlineHeader, "6000"), events(1, 4), 1,
+		},
+		"plain, only worker": {
+			func(s *callerServer) {
+				s.put("config", "main", newerConfig("8", `"timeout_ms":1200`, `"timeout_ms":6000`))
+				s.worker("desk", "d1", 0, func(e *workerExchange) {
+					<-time.After(2 * silence)
+					done(e)
+				})
+			},
+			requestText(http.MethodGet, "/view/x", "", deadlineHeader, "6000"), "done", 1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCallers(t, func(t *testing.T, s *callerServer) {
+				c.prepare(s)
+				if got := s.connect().ask(c.request); got.cut || got.body != c.body || len(s.arrived()) != c.arrivals {
+					t.Errorf("response %+v, %d arrivals", got, len(s.arrived()))
+				}
+			})
+		})
+	}
+}
--- a/entry/hosted/waits_test.go
+++ b/entry/hosted/waits_test.go
@@ -38,9 +38,7 @@
 	}{
 		"retry budget": {
 			func(s *callerServer) {
-				bounds := &s.front.view.settings.Bounds
-				bounds.RetryRatio, bounds.RetrySlack = 0.001, 0.01
-				s.put("config", "main", testConfig)
+				s.withoutRetryBudget()
 				s.worker("desk", "d1", 0, closes)
 				s.worker("desk", "d2", 0, closes)
 			},
--- a/lib/dispatch/dispatch.go
+++ b/lib/dispatch/dispatch.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// AllowsRetry reports whether the retry budget allows a retry now.
+func (l *Loop) AllowsRetry(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.budget.AllowsRetry(now)
+}
+
 func (l *Loop) next(state *retry.State, ended retry.Attempt) retry.Next {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/lib/retry/budget.go
+++ b/lib/retry/budget.go
@@ -65,6 +65,12 @@
 	b.current(now).firstAttempts++
 }
 
+// AllowsRetry reports whether the budget allows a retry, without counting one.
+func (b *Budget) AllowsRetry(now time.Time) bool {
+	b.current(now)
+	return b.allows(0)
+}
+
 // TryRetry counts a retry and returns true when the budget allows it.
 func (b *Budget) TryRetry(now time.Time) bool { return b.tryRetry(0, now) }
 
