Repeat a stream without an event before the entry gives it up

What callers saw: on a route of streams with an objective of 0.2 s or less, a request whose worker went dark was answered 504 after 1.8 s, without an attempt at another worker; with longer objectives the repeat had 0.2 s less than the objective.

Cause: silencePatience counted back from the time for which callers wait, but the entry ends a stream without an event firstEventReserve before that: 1.8 s after its start, while the patience was 1.85 s for an objective of 150 ms.

Change: it counts back from the end of the entry's own wait, and leaves the objective, 0.2 s at least. It stays 1.5 s at least, so that an objective of 0.5 s without long gaps leaves a repeat 0.3 s.

TestStreamIsRepeatedBeforeItsCallerGivesUp got 504 before for objectives of 100, 150 and 200 ms, and passes on.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -27,6 +27,9 @@
 	bufferedShare    = 0.25
 	// detailEvery is the number of routing decisions of which one is logged with all candidates.
 	detailEvery = 64
+	// minSilencePatience outlasts the silence of a sound worker. It is less than the time for which the
+	// entry waits for an event on any route.
+	minSilencePatience = 1500 * time.Millisecond
 	// reportPollInterval is the pause between two checks whether an unresponsive worker still
 	// reports.
 	reportPollInterval = 200 * time.Millisecond
@@ -323,10 +326,10 @@
 
 // silencePatience returns how long a worker that neither sends anything nor reports is waited for
 // before a repeatable request is sent to another one. Sound workers fall silent for a second or so, so
-// that it is as long as callers of a stream wait, less the objective, within which the repeat has to
-// begin. That is 1.5 s at least.
+// that it is as long as the entry waits for an event of a stream, less the objective, or firstEventReserve,
+// within which the repeat has to begin. It is minSilencePatience at least.
 func silencePatience(route *catalog.Route) time.Duration {
-	return route.CallerEventTimeout() - route.Objective
+	return max(minSilencePatience, route.CallerEventTimeout()-firstEventReserve-max(route.Objective, firstEventReserve))
 }
 
 // workerTimeout returns how long to wait for a worker that sends nothing, or nil for no limit
