Do not bound the rest of a response of which only the first byte is bounded

What callers would see: a stream that must not be resumed, on weights with a bound on the start of requests, cut when its sound worker was silent for 2 s, where it otherwise has all of its time.

Cause: only the wait for its first event has a timeout function; the next waits have none, for which await did nothing, so that the bound on each read stayed from the first event. Before it was one deadline of 2 s for all the rest.

Change: without a timeout function await takes the bound away.

--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -322,9 +322,14 @@
 }
 
 // await waits for the next byte, which is expected since started. Each read of the rest then
-// waits for remainderTimeout at most. Without a timeout function it does nothing.
+// waits for remainderTimeout at most. Without a timeout function it does not wait, and reads have no bound.
 func (c *conn) await(timeout TimeoutFunc, started time.Time) error {
 	if timeout == nil {
+		if c.boundReads {
+			c.boundReads = false
+			// On a closed connection, on which this fails, the read reports the close.
+			_ = c.SetReadDeadline(time.Time{})
+		}
 		return nil
 	}
 	if c.reader.Buffered() > 0 {
