Stand-in workers crash on whole requests, and the soak draws them

A stand-in worker crashes on a trigger: a part of prompts, as before, or a whole request (path, workspace, body), of which a share may survive. Workers have triggers in common, which count the arrivals and crashes at all of them, so that bounds over a service are checked in one place. A crashed worker runs nothing until it has recovered, and a plain one takes 10 ms for a request in the soak, so that a crash loses the requests beside it.

Callers of the soak repeat the deadly request under new ids at all entries, with a length and in chunks, and send sound ones that differ in the body or the workspace alone. The check of the bound covers parts (five crashes) and requests of all three routes (three crashes).

--- a/e2e/deadly_part_test.go
+++ b/e2e/deadly_part_test.go
@@ -38,7 +38,7 @@
 	fifth := f.Crashes()[4]
 	w.until("the bound has passed for some time", func() bool { return time.Since(fifth) > 2*settleTime+watched })
 	outcomes := callers.Stop()
-	late := f.DeadlyArrivalsAfterBound()
+	late := f.DeadlyArrivalsAfterBound("part")
 	t.Logf("%d crashes; %d requests with the part after the bound", len(f.Crashes()), len(late))
 	if len(late) > maxLate {
 		t.Errorf("%d requests with the deadly part reached workers later than the bound, %d are allowed", len(late), maxLate)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -26,8 +26,9 @@
 	Status int
 	// Err is set when no complete response arrived.
 	Err error
-	// Deadly is set when the prompt holds the part on which workers crash.
-	Deadly bool
+	// Deadly is set when workers crash on the request, and NearlyDeadly when it differs from a
+	// deadly one in its body or its workspace alone.
+	Deadly, NearlyDeadly bool
 	// Violation is set when a successful response breaks a guarantee of the system.
 	Violation error
 }
@@ -53,7 +54,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	c := &Callers{fleet: f, stop: stop, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}}
 	for i, entry := range f.Entries {
-		for _, kind := range []string{"chat", "book", "view"} {
+		for _, kind := range []string{kindChat, kindBook, kindView} {
 			c.done.Go(func() {
 				for n := 0; ctx.Err() == nil; n++ {
 					c.record(c.send(entry, kind, fmt.Sprintf("%d-%s-%d-%d", seed, kind, i, n), n))
@@ -78,33 +79,72 @@
 	c.outcomes = append(c.outcomes, o)
 }
 
+// message is a request of a caller.
+type message struct {
+	id, kind, method, path, body, key string
+	// chunked is set for a body without a length.
+	chunked bool
+	// parts are the shared parts of the prompt.
+	parts []string
+}
+
+// newMessage returns the n-th request of a caller, and the deadly part or request in it.
+func (f *Fleet) newMessage(entry *Process, kind, id string, n int) (m message, isDeadly, isNearlyDeadly bool) {
+	m = message{id: id, kind: kind, method: http.MethodPost, path: "/" + kind + "/" + id, body: "body-" + id, key: apiKey}
+	if kind == kindView {
+		m.method, m.body = http.MethodGet, ""
+	}
+	if kind == kindChat {
+		m.parts = []string{systemPart, entry.Name}
+		if part := f.deadlyPartOf(n); part != "" {
+			m.parts = append(m.parts, part)
+			return m, true, false
+		}
+	}
+	v := f.variantOf(kind, n)
+	if v == unrelated {
+		return m, false, false
+	}
+	// Every other one comes without a length.
+	m.chunked = m.body != "" && n/deadlyEvery%2 == 1
+	m.path = deadlyPath(kind)
+	if v != otherBody {
+		m.body = deadlyBody(kind)
+	}
+	if v == otherWorkspace {
+		m.key = otherKey
+	}
+	return m, v == identical, v != identical
+}
+
+// httpRequest returns the request as the HTTP client sends it.
+func (m message) httpRequest(ctx context.Context, entry *Process) (*http.Request, error) {
+	var body io.Reader = strings.NewReader(m.body)
+	if m.chunked {
+		body = io.MultiReader(body)
+	}
+	request, err := http.NewRequestWithContext(ctx, m.method, "http://"+entry.Frontend()+m.path, body)
+	if err != nil {
+		return nil, fmt.Errorf("request %s: %w", m.id, err)
+	}
+	// Without GetBody the HTTP client does not retry a request under the same id.
+	request.GetBody = nil
+	request.Host = Host
+	hosted.SetRequestHeaders(request.Header, m.id, m.key, "6000", "900,48", m.parts...)
+	return request, nil
+}
+
 func (c *Callers) send(entry *Process, kind, id string, n int) (o Outcome) {
-	o = Outcome{ID: id, Kind: kind, Entry: entry.Name, Sent: time.Now()}
+	m, isDeadly, isNearlyDeadly := c.fleet.newMessage(entry, kind, id, n)
+	o = Outcome{ID: id, Kind: kind, Entry: entry.Name, Sent: time.Now(), Deadly: isDeadly, NearlyDeadly: isNearlyDeadly}
 	defer func() { o.Ended = time.Now() }()
-	method, body := http.MethodPost, []byte("body-"+id)
-	if kind == "view" {
-		method, body = http.MethodGet, nil
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), 7*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+entry.Frontend()+"/"+kind+"/"+id, bytes.NewReader(body))
+	request, err := m.httpRequest(ctx, entry)
 	if err != nil {
 		o.Err = err
 		return o
 	}
-	// Without GetBody the HTTP client does not retry a request under the same id.
-	request.GetBody = nil
-	request.Host = Host
-	if kind == "chat" {
-		parts := []string{systemPart, entry.Name}
-		if part := c.fleet.deadlyPartOf(n); part != "" {
-			o.Deadly = true
-			parts = append(parts, part)
-		}
-		hosted.SetRequestHeaders(request.Header, id, apiKey, "6000", "900,48", parts...)
-	} else {
-		hosted.SetRequestHeaders(request.Header, id, apiKey, "6000", "900,48")
-	}
 	response, err := c.client.Do(request)
 	if err != nil {
 		o.Err = err
@@ -115,22 +155,22 @@
 	data, err := io.ReadAll(response.Body)
 	o.Err = err
 	if err == nil && o.Status == http.StatusOK {
-		o.Violation = c.check(kind, id, method, body, response.Header, data)
+		o.Violation = m.check(response.Header, data)
 	}
 	return o
 }
 
 // check compares a complete success response with what the worker must have sent.
-func (c *Callers) check(kind, id, method string, body []byte, header http.Header, data []byte) error {
+func (m message) check(header http.Header, data []byte) error {
 	headers := hosted.ReadResponseHeaders(header)
-	if headers.RequestID != id {
+	if headers.RequestID != m.id {
 		return fmt.Errorf("answer belongs to request %q", headers.RequestID)
 	}
 	if !headers.Sealed {
 		return errors.New("success without the worker's proof")
 	}
-	if kind != "chat" {
-		if want := fmt.Sprintf("%s /%s/%s %s", method, kind, id, body); string(data) != want {
+	if m.kind != kindChat {
+		if want := fmt.Sprintf("%s %s %s", m.method, m.path, m.body); string(data) != want {
 			return fmt.Errorf("body %q, want %q", data, want)
 		}
 		return nil
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -27,6 +27,8 @@
 	versionBound = 8 * time.Second
 	// settleWindow is the time after the end of a fault from which time bounds hold again.
 	settleWindow = 3 * time.Second
+	// plainRunTime is the time that a plain worker takes for a request.
+	plainRunTime = 10 * time.Millisecond
 	// The ports are the same for all processes, since each has its own IP address.
 	workerPort       = 8100
 	frontendPort     = 8200
@@ -39,11 +41,21 @@
 const (
 	modelService = "llm"
 	plainService = "desk"
+	workspace    = "ws"
 	apiKey       = "key"
+	// otherKey is the key of another workspace.
+	otherKey = "other-key"
 	// Host is the host of all routes.
 	Host = "soak.example"
 )
 
+// Kinds of requests, each with a route of its name.
+const (
+	kindChat = "chat"
+	kindBook = "book"
+	kindView = "view"
+)
+
 // Options configure a fleet.
 type Options struct {
 	// Binary is the path of the daemon.
@@ -74,6 +86,7 @@
 
 	mu         sync.Mutex
 	deadlyPart string
+	deadly     []*deadly
 }
 
 // ProxiedWorker is a worker together with the proxy that listens on its address.
@@ -174,7 +187,7 @@
 		f.ModelWorkers = append(f.ModelWorkers, m)
 	}
 	for i := range f.Plain {
-		w := &hosted.Worker{ID: fmt.Sprintf("p-%d", i), Service: plainService, Zone: zoneOf(i), Address: fmt.Sprintf("%s:%d", f.ip(3, i), workerPort)}
+		w := &hosted.Worker{ID: fmt.Sprintf("p-%d", i), Service: plainService, Zone: zoneOf(i), Address: fmt.Sprintf("%s:%d", f.ip(3, i), workerPort), RunTime: plainRunTime}
 		m, err := f.startWorker(w)
 		if err != nil {
 			return err
@@ -226,7 +239,7 @@
 	return map[string]any{
 		"version": version,
 		"routes": []any{
-			route("chat", "streaming", modelService, 6000, 2), route("book", "unsafe", plainService, 1200, 1), route("view", "safe", plainService, 1200, 2),
+			route(kindChat, "streaming", modelService, 6000, 2), route(kindBook, "unsafe", plainService, 1200, 1), route(kindView, "safe", plainService, 1200, 2),
 		},
 		"services": []any{
 			map[string]any{
@@ -238,8 +251,11 @@
 			map[string]any{"name": plainService, "health_path": "/health", "connection_limit": 100},
 			map[string]any{"name": "weights", "origin": origin, "zone": "a", "link_mbps": 400.0, "connection_limit": 48},
 		},
-		"limits":  map[string]any{"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "ws", "api_keys": []string{apiKey}, "priority": 1}},
+		"limits": map[string]any{"header_bytes": 16384, "body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{
+			map[string]any{"name": workspace, "api_keys": []string{apiKey}, "priority": 1},
+			map[string]any{"name": "other", "api_keys": []string{otherKey}, "priority": 1},
+		},
 	}
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -44,8 +44,6 @@
 	version            int
 	configVersion      int
 	versionPublishedAt time.Time
-	// deadly is set once workers crash on deadlyPart.
-	deadly bool
 	// workerFaults holds the faults of the network before a worker, by its name.
 	workerFaults map[string][]window
 
@@ -195,11 +193,7 @@
 	case 13:
 		r.restoreStore(2 * lasts)
 	case 12:
-		if !r.deadly {
-			r.deadly = true
-			r.result.Faults = append(r.result.Faults, "workers crash on a part of prompts")
-			r.fleet.SetDeadlyPart(deadlyPart)
-		}
+		r.makeDeadly()
 	case 9:
 		proxy := pick(r.rng, r.fleet.workers()).Proxy
 		r.recordFault(0, "connections of a worker are reset")
@@ -332,9 +326,9 @@
 		return total
 	}
 	for _, at := range r.fleet.Crashes() {
-		r.faultWindows = append(r.faultWindows, window{at, at.Add(workerRestartTime)})
+		r.faultWindows = append(r.faultWindows, window{at, at.Add(RestartTime)})
 	}
-	r.checkDeadlyPart(violation)
+	r.checkDeadly(violation)
 	for _, o := range outcomes {
 		r.result.Requests++
 		if o.Status == http.StatusOK && o.Err == nil {
@@ -343,10 +337,10 @@
 		if o.Violation != nil {
 			violation("%s at %s: %w", o.ID, o.Entry, o.Violation)
 		}
-		if o.Kind == "book" && runs(o.ID) > 1 {
+		if o.Kind == kindBook && runs(o.ID) > 1 {
 			violation("%s ran %d times", o.ID, runs(o.ID))
 		}
-		if o.Kind == "book" && (o.Status == http.StatusServiceUnavailable || o.Status == http.StatusTooManyRequests) && runs(o.ID) > 0 {
+		if o.Kind == kindBook && (o.Status == http.StatusServiceUnavailable || o.Status == http.StatusTooManyRequests) && runs(o.ID) > 0 {
 			violation("%s was answered %d and ran", o.ID, o.Status)
 		}
 		if (o.Status == http.StatusUnauthorized || o.Status == http.StatusNotFound) && o.Err == nil {
--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -22,7 +22,7 @@
 func TestOutcomeHasAnEnd(t *testing.T) {
 	Convey("A request that fails has a start time and a later end time", t, func() {
 		c := &Callers{fleet: &Fleet{}, client: &http.Client{Transport: failingTransport{}}}
-		outcome := c.send(&Process{fleet: &Fleet{}}, "chat", "r1", 0)
+		outcome := c.send(&Process{fleet: &Fleet{}}, kindChat, "r1", 0)
 		So(outcome.Err, ShouldNotBeNil)
 		So(outcome.Ended, ShouldHappenOnOrAfter, outcome.Sent)
 	})
--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -96,6 +96,8 @@
 	// EventGap is the time between the events of a stream.
 	EventGap time.Duration
 	Events   int
+	// RunTime is the time that a plain worker takes for a request.
+	RunTime time.Duration
 
 	mu sync.Mutex
 	// restarts counts the starts after the first.
@@ -110,7 +112,11 @@
 	// arrived since the first.
 	limits   []limitChange
 	arrivals []time.Time
-	deadly   deadlyPart
+	// triggers are the kinds of requests on which the worker crashes, and onCrash ends its
+	// connections. crashed is set until it has recovered.
+	triggers []*Trigger
+	onCrash  func()
+	crashed  bool
 }
 
 // Load makes a version the loaded one and stages all its chunks, for a worker that starts with weights.
@@ -246,13 +252,18 @@
 	id := r.Header.Get("X-Laburnumgw-Request-Id")
 	out.Header().Set("X-Laburnumgw-Request-Id", id)
 	w.countArrival(out.Header())
-	w.countDeadlyArrival(r.Header)
+	body, _ := io.ReadAll(r.Body) // a request whose body is cut off gets a response all the same
+	run := newRun(r, body)
+	w.countDeadlyArrival(run)
 	if r.Header.Get("X-Laburnumgw-Expect-Instance") != w.ID {
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	body, _ := io.ReadAll(r.Body) // a request whose body is cut off gets a response all the same
 	w.mu.Lock()
+	if w.crashed {
+		w.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	version := w.version
 	if expected := r.Header.Get("X-Laburnumgw-Expect-Version"); expected != "" && expected != strconv.Itoa(version) {
 		w.mu.Unlock()
@@ -266,15 +277,18 @@
 	w.lastRun = time.Now()
 	w.mu.Unlock()
 	out.Header().Set("X-Laburnumgw-Server-Seal", "seal-"+w.ID)
+	if w.Model.Name == "" {
+		time.Sleep(w.RunTime)
+	}
+	if w.crashOn(run) {
+		panic(http.ErrAbortHandler)
+	}
 	if w.Model.Name == "" {
 		fmt.Fprintf(out, "%s %s %s", r.Method, r.RequestURI, body)
 		return
 	}
 	out.Header().Set("X-Laburnumgw-Weight-Versions", strconv.Itoa(version))
 	out.Header().Set("Content-Type", "text/event-stream")
-	if w.crashOn(r.Header) {
-		panic(http.ErrAbortHandler)
-	}
 	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for event := first + 1; event <= w.Events; event++ {
 		fmt.Fprintf(out, "id: %d\ndata: version %d\n\n", event, version)
