laburnumctl part handles blocked whole requests; explain names the block that refused one

`part list` tells blocked requests from blocked parts, `part block` and `part release` take the name of a request as logs print it. A mistyped name is an error: it was hashed like the ID of a part, so that the object blocked nothing. `explain` states which block refused a request.

--- a/ctl/part.go
+++ b/ctl/part.go
@@ -19,15 +19,15 @@
 	Store   string `long:"store" env:"LABURNUMCTL_STORE" value-name:"HOST:PORT" required:"yes" description:"address of the users' platform's store"`
 }
 
-// partArgument is the positional argument of commands that change one part.
+// partArgument is the positional argument of commands that change one block.
 type partArgument struct {
-	Part string `positional-arg-name:"PART" required:"yes" description:"ID of the part, as in the prompts"`
+	Part string `positional-arg-name:"NAME" required:"yes" description:"ID of the part, as in the prompts, or name of the request, as in the logs"`
 }
 
-// addPart adds the commands for parts of prompts on which workers crash.
+// addPart adds the commands for parts of prompts and whole requests on which workers crash.
 func addPart(parser *flags.Parser, session *Session) error {
-	command, err := parser.AddCommand("part", "See, block and release parts of prompts",
-		"Shows and changes the parts of prompts whose requests all entries on the users' platform refuse.", &struct{}{})
+	command, err := parser.AddCommand("part", "See, block and release parts of prompts and whole requests",
+		"Shows and changes what all entries on the users' platform refuse: requests whose prompt holds a part, and whole requests (one path, workspace and body), which are named request- and 32 digits.", &struct{}{})
 	if err != nil {
 		return err
 	}
@@ -36,9 +36,9 @@
 		name, short, long string
 		data              any
 	}{
-		{"list", "Show the blocked parts", "Lists the blocked parts with their workspaces and trials.", &partListCommand{partStore: store}},
-		{"block", "Block a part", "Has all entries refuse requests whose prompt holds a part.", &partBlockCommand{partStore: store}},
-		{"release", "Release a part", "Ends the block of a part. Crashes known so far do not count again.", &partReleaseCommand{partStore: store}},
+		{"list", "Show what is blocked", "Lists the blocked parts and requests with their workspaces and trials.", &partListCommand{partStore: store}},
+		{"block", "Block a part or a request", "Has all entries refuse requests whose prompt holds a part, or one whole request.", &partBlockCommand{partStore: store}},
+		{"release", "Release a part or a request", "Ends a block. Crashes known so far do not count again.", &partReleaseCommand{partStore: store}},
 	} {
 		if _, err := command.AddCommand(c.name, c.short, c.long, c.data); err != nil {
 			return err
@@ -47,33 +47,48 @@
 	return nil
 }
 
-// blockedPart is a blocked part as the commands print it.
+// blockedPart is a block as the commands print it.
 type blockedPart struct {
 	Name     string `json:"name"`
+	Kind     string `json:"kind"`
 	Revision int64  `json:"revision"`
 	platform.BlockedPart
 }
 
-// read returns the blocked parts. Objects that cannot be read are listed with the error as reason.
+// Kinds of blocks. One that cannot be read has none.
+const (
+	kindPart    = "part"
+	kindRequest = "request"
+)
+
+func blockKind(b platform.BlockedPart) string {
+	if b.IsRequest() {
+		return kindRequest
+	}
+	return kindPart
+}
+
+// read returns the blocks. Objects that cannot be read are listed with the error as reason.
 func (s *partStore) read(ctx context.Context) ([]blockedPart, error) {
 	objects, _, err := platform.NewStore(s.Store).List(ctx, platform.KindBlockedParts)
 	if err != nil {
-		return nil, errkind.Wrap(err, errkind.Unavailable, "check --store", "blocked parts cannot be read")
+		return nil, errkind.Wrap(err, errkind.Unavailable, "check --store", "blocks cannot be read")
 	}
 	list := make([]blockedPart, 0, len(objects))
 	for _, object := range objects {
 		decoded, err := platform.DecodeBlockedPart(object.Name, object.Value)
+		kind := blockKind(decoded)
 		if err != nil {
-			decoded.Reason = err.Error()
+			decoded.Reason, kind = err.Error(), ""
 		}
-		list = append(list, blockedPart{object.Name, object.Revision, decoded})
+		list = append(list, blockedPart{object.Name, kind, object.Revision, decoded})
 	}
 	return list, nil
 }
 
 type partListCommand struct{ partStore }
 
-// Execute lists the blocked parts.
+// Execute lists the blocks.
 func (c *partListCommand) Execute([]string) error {
 	ctx, cancel := c.session.Context()
 	defer cancel()
@@ -81,13 +96,17 @@
 	if err != nil {
 		return err
 	}
-	table := Table{Header: []string{"NAME", "PARTS", "WORKSPACES", "TRIALS", "SURVIVED", "REASON"}, Summary: fmt.Sprintf("%d blocked", len(list))}
+	table := Table{Header: []string{"NAME", "KIND", "PARTS", "WORKSPACES", "TRIALS", "SURVIVED", "REASON"}, Summary: fmt.Sprintf("%d blocked", len(list))}
 	for _, b := range list {
 		workspaces := "all"
 		if len(b.Workspaces) > 0 {
 			workspaces = strings.Join(b.Workspaces, ",")
 		}
-		table.Rows = append(table.Rows, []string{b.Name, strings.Join(b.Parts, ","), workspaces, fmt.Sprint(b.Trials), fmt.Sprint(b.Survived), b.Reason})
+		parts := strings.Join(b.Parts, ",")
+		if b.Kind == kindRequest {
+			parts, workspaces = "-", "its own"
+		}
+		table.Rows = append(table.Rows, []string{b.Name, b.Kind, parts, workspaces, fmt.Sprint(b.Trials), fmt.Sprint(b.Survived), b.Reason})
 	}
 	return c.session.Output().Print(list, table)
 }
@@ -99,16 +118,29 @@
 	Args       partArgument `positional-args:"yes"`
 }
 
-// Execute blocks a part.
+var errOwnWorkspace = errors.New("a request is of one workspace, which its name stands for")
+
+// Execute blocks a part or a request.
 func (c *partBlockCommand) Execute([]string) error {
 	ctx, cancel := c.session.Context()
 	defer cancel()
-	name := platform.PartName(c.Args.Part)
+	name, err := platform.BlockName(c.Args.Part)
+	if err != nil {
+		return err //nolint:wrapcheck // the error names the argument
+	}
 	block := platform.BlockedPart{Parts: []string{name}, Workspaces: c.Workspaces, Reason: strings.TrimSpace(c.session.Operator() + ": " + c.Reason)}
+	kind := blockKind(block)
+	if kind == kindRequest && len(c.Workspaces) > 0 {
+		return errkind.Wrap(errOwnWorkspace, errkind.Invalid, "omit --workspace", "block %s", name)
+	}
 	if err := platform.NewStore(c.Store).Put(ctx, platform.KindBlockedParts, name, block); err != nil {
-		return fmt.Errorf("block part %s: %w", name, err)
+		return fmt.Errorf("block %s %s: %w", kind, name, err)
+	}
+	summary := kind + " " + name + " is blocked"
+	if kind == kindRequest {
+		summary = name + " is blocked"
 	}
-	return c.session.Output().Print(blockedPart{Name: name, BlockedPart: block}, Table{Summary: "part " + name + " is blocked"})
+	return c.session.Output().Print(blockedPart{Name: name, Kind: kind, BlockedPart: block}, Table{Summary: summary})
 }
 
 type partReleaseCommand struct {
@@ -116,9 +148,9 @@
 	Args partArgument `positional-args:"yes"`
 }
 
-var errNotBlocked = errors.New("part is not blocked")
+var errNotBlocked = errors.New("it is not blocked")
 
-// Execute releases the blocks with a name, or of a part alone.
+// Execute releases the blocks with a name, or of a part or request alone.
 func (c *partReleaseCommand) Execute([]string) error {
 	ctx, cancel := c.session.Context()
 	defer cancel()
@@ -126,7 +158,7 @@
 	if err != nil {
 		return err
 	}
-	name := platform.PartName(c.Args.Part)
+	name, nameErr := platform.BlockName(c.Args.Part)
 	released := 0
 	for _, b := range list {
 		if b.Name != c.Args.Part && !slices.Equal(b.Parts, []string{name}) {
@@ -137,7 +169,10 @@
 		}
 		released++
 	}
-	if released == 0 {
+	switch {
+	case released == 0 && nameErr != nil:
+		return nameErr //nolint:wrapcheck // the error names the argument
+	case released == 0:
 		return errkind.Wrap(errNotBlocked, errkind.NotFound, "see part list", "release %s", c.Args.Part)
 	}
 	return c.session.Output().Print(map[string]int{"released": released}, Table{Summary: fmt.Sprintf("%s is released", c.Args.Part)})
--- a/lib/explain/explain.go
+++ b/lib/explain/explain.go
@@ -76,14 +76,25 @@
 	"bad_request":     "the request could not be read",
 }
 
+// blockRefusal explains a refusal by the names that are blocked.
+func blockRefusal(names string) string {
+	if strings.HasPrefix(names, "request-") {
+		return "workers crash on this path, workspace and body, which is blocked as " + names + "; part release ends that"
+	}
+	return "workers crash on a part of its prompt, which is blocked as " + strings.ReplaceAll(names, " ", ".") + "; part release ends that"
+}
+
 // cause explains the logged reason of the request's end. For a request that is not complete
-// it adds the last attempt and the last failure to choose an endpoint.
+// it adds the last attempt and the last failure to choose an endpoint, or the block that refused it.
 func cause(steps []Step) string {
 	if len(steps) == 0 {
 		return "no line of these logs names the request; add the logs of the other entries"
 	}
 	reason, attempt, refusal := "", "", ""
 	for _, step := range steps {
+		if names := step.Fields["blocked"]; names != "" {
+			refusal = blockRefusal(strings.Trim(names, "[]"))
+		}
 		switch step.Message {
 		case "request ended", "request refused":
 			reason = step.Fields["reason"]
--- a/lib/explain/explain_test.go
+++ b/lib/explain/explain_test.go
@@ -26,12 +26,20 @@
 {"level":"warn","ts":"2026-02-07T16:49:15.4Z","node":"front-b","msg":"no endpoint chosen","request":"r4","attempt":2,"error":"no endpoint is eligible for model \"llm\" among 6: 6 other_version"}
 {"level":"info","ts":"2026-02-07T16:49:15.4Z","node":"front-b","msg":"request ended","request":"r4","reason":"stream_cut","attempts":1}`
 
+// blockedLog holds the lines of two requests that were refused, for parts of their prompt and as a
+// whole. r6 was lost before it was blocked.
+const blockedLog = `{"level":"info","ts":"2026-02-07T16:49:16.1Z","node":"front-b","msg":"prompt holds a blocked part","request":"r5","blocked":["12ca9047f126","a1979a9a31e"],"workspace":"ws"}
+{"level":"info","ts":"2026-02-07T16:49:16.1Z","node":"front-b","msg":"request ended","request":"r5","reason":"not_run","attempts":0}
+{"level":"info","ts":"2026-02-07T16:49:16.2Z","node":"front-b","msg":"attempt ended","request":"r6","attempt":1,"vm":"w1","outcome":"OUTCOME_UNKNOWN","duration":20,"error":"wait for response: EOF"}
+{"level":"info","ts":"2026-02-07T16:49:16.3Z","node":"front-b","msg":"request is blocked","request":"r6","blocked":["request-0123456789abcdef0123456789abcdef"],"workspace":"ws"}
+{"level":"info","ts":"2026-02-07T16:49:16.3Z","node":"front-b","msg":"request ended","request":"r6","reason":"outcome_unknown","attempts":1}`
+
 // Guards against a timeline that mixes the lines of several requests, is not in the order of
 // time, or does not name the cause.
 func TestTimelines(t *testing.T) {
 	golden := goldie.New(t)
-	for name, id := range map[string]string{"refused": "r1", "lost": "r3", "cut": "r4"} {
-		timeline, err := Read(id, strings.NewReader(refusedLog), strings.NewReader(lostLog+"\n"+cutLog))
+	for name, id := range map[string]string{"refused": "r1", "lost": "r3", "cut": "r4", "blocked_part": "r5", "blocked_request": "r6"} {
+		timeline, err := Read(id, strings.NewReader(refusedLog), strings.NewReader(lostLog+"\n"+cutLog+"\n"+blockedLog))
 		if err != nil {
 			t.Fatal(err)
 		}
