Failing test: a whole request on a model route, whose prompt parts sound requests share

The test of a request that crashes workers covers a model route too: nine workers, a chat that crashes them, and sound chats that share the parts of its prompt and differ in the body or the workspace alone. In the soak a quarter of the runs may survive.

--- a/e2e/deadly_request_test.go
+++ b/e2e/deadly_request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,15 +13,17 @@
 const (
 	deadlySafeNetwork   = 35
 	deadlyUnsafeNetwork = 36
+	deadlyModelNetwork  = 37
 )
 
-// Guards against a whole request that crashes one worker of a plain service after the other, each
-// time callers repeat it under another id at any entry: together the entries must find it and refuse
-// it, and serve the requests that share its path, its caller or its body.
+// Guards against a whole request that crashes one worker after the other, each time callers repeat
+// it under another id at any entry: together the entries must find it and refuse it, and serve the
+// requests that share its path, its caller, its body or the parts of its prompt.
 func TestRequestThatCrashesWorkersIsBlocked(t *testing.T) {
 	bin := buildPrograms(t)
 	t.Run("safe", func(t *testing.T) { checkRequestIsBlocked(t, bin, deadlySafeNetwork, "view") })
 	t.Run("not idempotent", func(t *testing.T) { checkRequestIsBlocked(t, bin, deadlyUnsafeNetwork, "book") })
+	t.Run("model", func(t *testing.T) { checkRequestIsBlocked(t, bin, deadlyModelNetwork, "chat") })
 }
 
 func checkRequestIsBlocked(t *testing.T, bin string, network int, kind string) {
@@ -39,13 +42,19 @@
 	)
 	options := soakOptions(t, bin, network)
 	options.Entries, options.Models, options.Plain = 6, 0, 3
+	if kind == "chat" {
+		options.Models = 9
+	}
 	f := startHosted(t, options)
 	w := &system{t: t}
+	w.until("empty workers are filled", func() bool {
+		return !slices.ContainsFunc(f.ModelWorkers, func(m *soak.ProxiedWorker) bool { return m.Version() != 1 })
+	})
 	callers := f.StartCallers(1)
 	startedAt := time.Now()
 	w.until("callers are served", func() bool { return time.Since(startedAt) > time.Second })
-	f.SetDeadlyRequest(kind, firstPause)
-	w.until("all workers have crashed", func() bool { return len(f.Crashes()) >= 3 })
+	f.SetDeadlyRequest(kind, firstPause, 0)
+	w.until("three workers have crashed", func() bool { return len(f.Crashes()) >= 3 })
 	f.SetDeadlyInterval(kind, laterPause)
 	first, second, third := f.Crashes()[0], f.Crashes()[1], f.Crashes()[2]
 	bound := third.Add(settleTime)
@@ -80,8 +89,12 @@
 	}
 	calm := func(o soak.Outcome) bool { return o.Sent.After(bound) }
 	nearlyDeadly := func(o soak.Outcome) bool { return calm(o) && o.NearlyDeadly }
-	for what, counts := range map[string]func(soak.Outcome) bool{"while two of three workers are down": twoDown, "after the bound": calm, "like the deadly one": nearlyDeadly} {
-		sound, served := countSound(outcomes, counts)
+	spans := map[string]func(soak.Outcome) bool{"after the bound": calm, "like the deadly one": nearlyDeadly}
+	if kind != "chat" {
+		spans["while two of three workers are down"] = twoDown
+	}
+	for what, counts := range spans {
+		sound, served := countSound(outcomes, func(o soak.Outcome) bool { return (o.Kind == "chat") == (kind == "chat") && counts(o) })
 		t.Logf("%d of %d sound requests %s served", served, sound, what)
 		if sound == 0 || float64(served) < minServedShare*float64(sound) {
 			t.Errorf("only %d of %d sound requests %s were served", served, sound, what)
@@ -109,10 +122,10 @@
 	}
 }
 
-// countSound returns how many of the sound requests of plain routes there are, and were served.
+// countSound returns how many sound requests there are, and were served.
 func countSound(outcomes []soak.Outcome, counts func(soak.Outcome) bool) (sound, served int) {
 	for _, o := range outcomes {
-		if o.Kind == "chat" || o.Deadly || !counts(o) {
+		if o.Deadly || !counts(o) {
 			continue
 		}
 		sound++
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -108,6 +108,9 @@
 	// Every other one comes without a length.
 	m.chunked = m.body != "" && n/deadlyEvery%2 == 1
 	m.path = deadlyPath(kind)
+	if kind == kindChat {
+		m.parts = []string{systemPart, topicPart}
+	}
 	if v != otherBody {
 		m.body = deadlyBody(kind)
 	}
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -12,6 +13,8 @@
 	deadlyPart = "91bd3f06"
 	// systemPart is the first part of the prompts of all model requests.
 	systemPart = "5c1e07a2"
+	// topicPart is a part that a deadly prompt shares with those like it.
+	topicPart = "c3d40f19"
 	// deadlyEvery is the number of requests of a caller of which one is deadly.
 	deadlyEvery = 4
 	// RestartTime is how long a crashed worker is away.
@@ -48,11 +51,12 @@
 }
 
 // SetDeadlyRequest makes all workers of a route crash on a whole request, which callers at all
-// entries repeat under new ids, with the given time between two of them at least.
-func (f *Fleet) SetDeadlyRequest(kind string, interval time.Duration) {
+// entries repeat under new ids, with the given time between two of them at least. A share of the
+// runs survives.
+func (f *Fleet) SetDeadlyRequest(kind string, interval time.Duration, survivalShare float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	trigger := hosted.CrashOnRequest(deadlyPath(kind), workspace, deadlyBody(kind))
+	trigger := hosted.CrashOnRequest(deadlyPath(kind), workspace, deadlyBody(kind)).Surviving(survivalShare)
 	f.addDeadly(&deadly{Trigger: trigger, kind: kind, minCrashes: minRequestCrashes, interval: interval})
 }
 
@@ -208,8 +212,9 @@
 		r.result.Faults = append(r.result.Faults, "workers crash on a part of prompts")
 		r.fleet.SetDeadlyPart(deadlyPart)
 	default:
-		r.result.Faults = append(r.result.Faults, "workers crash on a whole request of "+kind)
-		r.fleet.SetDeadlyRequest(kind, deadlyInterval)
+		survivalShare := pick(r.rng, []float64{0, 0.25})
+		r.result.Faults = append(r.result.Faults, fmt.Sprintf("workers crash on a whole request of %s; %g survive", kind, survivalShare))
+		r.fleet.SetDeadlyRequest(kind, deadlyInterval, survivalShare)
 	}
 }
 
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,7 +40,7 @@
 				f := &Fleet{ModelWorkers: []*ProxiedWorker{model}, PlainWorkers: []*ProxiedWorker{plain}, Store: hosted.NewStore()}
 				f.SetDeadlyPart(deadlyPart)
 				for _, kind := range []string{kindChat, kindBook, kindView} {
-					f.SetDeadlyRequest(kind, 0)
+					f.SetDeadlyRequest(kind, 0, 0)
 				}
 				ask := func() {
 					w := plain
@@ -102,7 +103,7 @@
 	if _, isDeadly, isNearly := f.newMessage(entry, kindBook, "r", int(identical)); isDeadly || isNearly {
 		t.Error("a request is deadly before workers crash on any")
 	}
-	f.SetDeadlyRequest(kindBook, time.Hour)
+	f.SetDeadlyRequest(kindBook, time.Hour, 0)
 	framings := make(map[bool]int)
 	for n := range 4 * deadlyEvery {
 		m, isDeadly, isNearly := f.newMessage(entry, kindBook, "r", n)
@@ -117,6 +118,13 @@
 	if len(framings) != 1 {
 		t.Errorf("%d deadly requests within the interval, want 1", len(framings))
 	}
+	f.SetDeadlyRequest(kindChat, 0, 0)
+	for n, want := range map[int]bool{int(identical): true, int(otherBody): false, int(otherWorkspace): false} {
+		m, isDeadly, isNearly := f.newMessage(entry, kindChat, "r", n)
+		if isDeadly != want || isNearly == want || !slices.Equal(m.parts, []string{systemPart, topicPart}) {
+			t.Errorf("request %d: deadly %t, nearly %t, parts %v", n, isDeadly, isNearly, m.parts)
+		}
+	}
 	f.SetDeadlyInterval(kindBook, 0)
 	for n := range 4 * deadlyEvery {
 		m, isDeadly, _ := f.newMessage(entry, kindBook, "r", n)
