--- a/soak/changes.go
+++ b/soak/changes.go
@@ -37,7 +37,7 @@
 
 func newSettings() settings {
 	return settings{
-		plainRoutes: map[string]backends{"book": {service: plainService}, "view": {service: plainService}},
+		plainRoutes: map[string]backends{kindBook: {service: plainService}, kindView: {service: plainService}},
 		chatTimeout: 6000, plainTimeout: 1200, idleTimeout: 15000,
 	}
 }
@@ -45,7 +45,7 @@
 // change returns the settings after one random change, and describes it.
 func (s settings) change(rng *rand.Rand) (settings, string) {
 	s.plainRoutes = maps.Clone(s.plainRoutes)
-	route := pick(rng, []string{"book", "view"})
+	route := pick(rng, []string{kindBook, kindView})
 	switch rng.IntN(5) {
 	case 0:
 		s.plainRoutes[route] = backends{service: pick(rng, []string{plainService, annexService})}
@@ -77,7 +77,10 @@
 
 // tenants returns the workspaces with their keys.
 func (s settings) tenants() []any {
-	all := []any{map[string]any{"name": "ws", "api_keys": []string{apiKey}, "priority": 1}}
+	all := []any{
+		map[string]any{"name": workspace, "api_keys": []string{apiKey}, "priority": 1},
+		map[string]any{"name": "other", "api_keys": []string{otherKey}, "priority": 1},
+	}
 	for i := range s.workspaces {
 		all = append(all, map[string]any{"name": fmt.Sprintf("ws-%d", i), "api_keys": []string{fmt.Sprintf("%s-%d", apiKey, i)}, "priority": 1})
 	}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -27,6 +27,8 @@
 	versionBound = 8 * time.Second
 	// settleWindow is the time after the end of a fault from which time bounds hold again.
 	settleWindow = 3 * time.Second
+	// plainRunTime is the time that a plain worker takes for a request.
+	plainRunTime = 10 * time.Millisecond
 	// The ports are the same for all processes, since each has its own IP address.
 	workerPort       = 8100
 	frontendPort     = 8200
@@ -39,11 +41,21 @@
 const (
 	modelService = "llm"
 	plainService = "desk"
+	workspace    = "ws"
 	apiKey       = "key"
+	// otherKey is the key of another workspace.
+	otherKey = "other-key"
 	// Host is the host of all routes.
 	Host = "soak.example"
 )
 
+// Kinds of requests, each with a route of its name.
+const (
+	kindChat = "chat"
+	kindBook = "book"
+	kindView = "view"
+)
+
 // Options configure a fleet.
 type Options struct {
 	// Binary is the path of the daemon.
@@ -83,6 +95,7 @@
 	mu         sync.Mutex
 	deadlyPart string
 	settings   settings
+	deadly     []*deadly
 }
 
 // ProxiedWorker is a worker together with the proxy that listens on its address.
@@ -189,7 +202,7 @@
 	for i := range 2 * f.Plain {
 		w := &hosted.Worker{
 			ID: fmt.Sprintf("p-%d", i), Service: plainService, Zone: zoneOf(i), Address: fmt.Sprintf("%s:%d", f.ip(3, i), workerPort),
-			EventGap: 5 * time.Millisecond, UnmarkedEvery: f.UnmarkedEvery,
+			RunTime: plainRunTime, EventGap: 5 * time.Millisecond, UnmarkedEvery: f.UnmarkedEvery,
 		}
 		if i >= f.Plain {
 			w.Service = annexService
@@ -250,7 +263,7 @@
 	return map[string]any{
 		"version": version,
 		"routes": []any{
-			route("chat", "streaming", modelService, s.chatTimeout, 2), route("book", "unsafe", plainService, s.plainTimeout, 1), route("view", "safe", plainService, s.plainTimeout, 2),
+			route(kindChat, "streaming", modelService, s.chatTimeout, 2), route(kindBook, "unsafe", plainService, s.plainTimeout, 1), route(kindView, "safe", plainService, s.plainTimeout, 2),
 		},
 		"services": []any{
 			map[string]any{
--- a/soak/run.go
+++ b/soak/run.go
@@ -47,8 +47,6 @@
 	// starts holds the time from each start after a planned restart until the entry is ready, by its
 	// name. mu guards it.
 	starts map[string][]window
-	// deadly is set once workers crash on deadlyPart.
-	deadly bool
 	// settings are those of the configuration that was drawn last, and silencedAt holds the start of
 	// the last silence of each worker.
 	settings   settings
@@ -199,11 +197,7 @@
 	case 13:
 		r.restoreStore(2 * lasts)
 	case 12:
-		if !r.deadly {
-			r.deadly = true
-			r.result.Faults = append(r.result.Faults, "workers crash on a part of prompts")
-			r.fleet.SetDeadlyPart(deadlyPart)
-		}
+		r.makeDeadly()
 	case 9:
 		proxy := pick(r.rng, r.fleet.workers()).Proxy
 		r.recordFault(0, "connections of a worker are reset")
@@ -353,9 +347,9 @@
 		return total
 	}
 	for _, at := range r.fleet.Crashes() {
-		r.faultWindows = append(r.faultWindows, window{at, at.Add(workerRestartTime)})
+		r.faultWindows = append(r.faultWindows, window{at, at.Add(RestartTime)})
 	}
-	r.checkDeadlyPart(violation)
+	r.checkDeadly(violation)
 	r.checkAnswers(outcomes, runs, violation)
 	for _, o := range outcomes {
 		r.result.Requests++
@@ -365,10 +359,10 @@
 		if o.Violation != nil {
 			violation("%s at %s: %w", o.ID, o.Entry, o.Violation)
 		}
-		if o.Kind == "book" && runs(o.ID) > 1 {
+		if o.Kind == kindBook && runs(o.ID) > 1 {
 			violation("%s ran %d times", o.ID, runs(o.ID))
 		}
-		if o.Kind == "book" && (o.Status == http.StatusServiceUnavailable || o.Status == http.StatusTooManyRequests) && runs(o.ID) > 0 {
+		if o.Kind == kindBook && (o.Status == http.StatusServiceUnavailable || o.Status == http.StatusTooManyRequests) && runs(o.ID) > 0 {
 			violation("%s was answered %d and ran", o.ID, o.Status)
 		}
 		if (o.Status == http.StatusUnauthorized || o.Status == http.StatusNotFound) && o.Err == nil {
