Entries notice the crash of a worker of a plain service

Cause: an entry learnt of a crash from the process beside a worker, or from a refused connection to a model worker. Workers of plain services have no such process, and their refusals were not looked at.

An entry that is refused a connection, or whose request lost its connection and that is refused the next one, now knows that the start of the worker has crashed; other entries learn it with the evidence. The mark ends when the machine accepts a connection again, so that a wrong one costs a second or so. Lost, reset and slow connections alone mark nobody.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -101,7 +101,7 @@
 	relayedBytes  int64
 	lastEventID   string
 	weightVersion int
-	// began is set once the current attempt has begun to write, and trial while the request is a
+	// began is set once the current attempt has begun to write a stream, or its response is complete, and trial while the request is a
 	// trial of a blocked part.
 	began bool
 	trial *storedBlock
@@ -234,7 +234,7 @@
 	c.metrics.attempts.UpdateDuration(started)
 	ended.MayHaveCrashed = c.recordCrash(ctx, ended)
 	var parts []string
-	if c.endedBeforeFirstEvent(ended) {
+	if c.endedBeforeResponse(ended) {
 		parts = c.in.PromptParts
 	}
 	c.logFor(ended.Outcome == laburnumgwv1.Outcome_OUTCOME_COMPLETE).Info("attempt ended", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
@@ -244,10 +244,10 @@
 	return ended
 }
 
-// endedBeforeFirstEvent reports whether the connection of an attempt at a model worker ended before
-// the first event, although the worker had received the request.
-func (c *call) endedBeforeFirstEvent(ended retry.Attempt) bool {
-	return c.engine != nil && ended.Sent && ended.Outcome == laburnumgwv1.Outcome_OUTCOME_UNKNOWN && !c.began
+// endedBeforeResponse reports whether an attempt ended before the first event of its stream, or before
+// its response was complete, although the worker had received the request.
+func (c *call) endedBeforeResponse(ended retry.Attempt) bool {
+	return ended.Sent && ended.Outcome == laburnumgwv1.Outcome_OUTCOME_UNKNOWN && !c.began
 }
 
 // exchange sends the request to one worker and relays its response.
--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -131,6 +131,7 @@
 	v := newView(settings, metrics, zap.NewNop())
 	v.rng = rand.New(rand.NewPCG(1, xxhash.Sum64String(vm)))
 	d.front = &frontend{view: v, conns: workerconn.NewPoolWith(d.dial), buffers: newResponseBuffers(64), metrics: metrics, log: zap.NewNop(), detail: zap.NewNop()}
+	v.checkConnection = d.front.conns.Check
 	for _, kind := range []string{platform.KindEntries, platform.KindEvacuations, platform.KindBlockedParts} {
 		v.applyChanges(kind, nil)
 	}
--- a/entry/hosted/parts.go
+++ b/entry/hosted/parts.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"maps"
-	"os"
 	"slices"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,7 +12,6 @@
 	"laburnumgw/lib/dispatch"
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/quarantine"
-	"laburnumgw/lib/retry"
 )
 
 const (
@@ -25,12 +20,6 @@
 	// what is due earlier.
 	partsInterval = time.Second
 	partsStep     = 20 * time.Millisecond
-	// crashWait is how long a lost request waits to learn whether its worker has crashed. The
-	// process beside the worker notices within its report interval.
-	crashWait = 400 * time.Millisecond
-	// crashedTime is how long a start of a worker that has crashed gets no requests. The platform
-	// removes its entry within 3.6 s.
-	crashedTime = 10 * time.Second
 	// evidenceEntries is the number of entries that a starting process, or one that was cut off,
 	// asks for what they know.
 	evidenceEntries = 3
@@ -46,60 +35,6 @@
 	v.quarantine.Began(parts, time.Now())
 }
 
-// workerCrashed records that a start of a worker has ended without notice.
-func (v *view) workerCrashed(start quarantine.Start, from string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.hasLeft(start) {
-		return
-	}
-	w := v.listedStart(start)
-	if !w.crashed {
-		w.crashed = true
-		v.updateRouting(w)
-		time.AfterFunc(crashedTime, func() { v.forgetCrash(start) })
-	}
-	if v.quarantine.Crashed(start, w.Zone, time.Now()) {
-		v.log.Warn("worker has crashed", zap.String("vm", w.ID), zap.String("address", start.Address), zap.Int64("born", start.StartedAtMs),
-			zap.String("told_by", from))
-		v.wakeQuarantine()
-	}
-}
-
-// leaving reports whether a start of a worker has left, or is leaving.
-func (v *view) leaving(start quarantine.Start) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.hasLeft(start)
-}
-
-// hasLeft is leaving for callers that hold the lock.
-func (v *view) hasLeft(start quarantine.Start) bool {
-	w := v.listedStart(start)
-	return w == nil || w.Leaving || v.departures.Contains(w.ID, w.StartedAtMs)
-}
-
-// forgetCrash lets a start of a worker get requests again that is still listed long after its
-// crash.
-func (v *view) forgetCrash(start quarantine.Start) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if w := v.listedStart(start); w != nil && w.crashed {
-		w.crashed = false
-		v.updateRouting(w)
-	}
-}
-
-// listedStart returns the listed worker of a start, or nil. The caller holds the lock.
-func (v *view) listedStart(start quarantine.Start) *worker {
-	for _, w := range v.byAddress[start.Address] {
-		if w.StartedAtMs == start.StartedAtMs {
-			return w
-		}
-	}
-	return nil
-}
-
 func (v *view) wakeQuarantine() {
 	select {
 	case v.quarantineWake <- struct{}{}:
@@ -107,66 +42,6 @@
 	}
 }
 
-// lostConnection reports whether an attempt ended because the worker's end of the connection was
-// closed.
-func lostConnection(err error) bool {
-	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, io.ErrClosedPipe} {
-		if errors.Is(err, cause) {
-			return !errors.Is(err, os.ErrDeadlineExceeded)
-		}
-	}
-	return false
-}
-
-// recordCrash records what an attempt that has ended tells about a crash of its worker, and
-// returns whether the request may have caused it.
-func (c *call) recordCrash(ctx context.Context, ended retry.Attempt) bool {
-	start := quarantine.Start{Address: c.trackedAddress, StartedAtMs: c.trackedWorker}
-	if c.engine != nil && !ended.Sent && errors.Is(ended.Err, syscall.ECONNREFUSED) {
-		c.view.workerCrashed(start, "its machine")
-	}
-	if !c.endedBeforeFirstEvent(ended) || !lostConnection(ended.Err) || len(c.in.PromptParts) == 0 {
-		return false
-	}
-	c.view.requestLost(start, c.in.PromptParts, c.workspaceName())
-	return c.mayHaveCrashed(ctx, start)
-}
-
-// requestLost records a request whose connection ended before it began to write.
-func (v *view) requestLost(start quarantine.Start, parts []string, workspace string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.quarantine.Lost(start, parts, workspace, time.Now())
-	v.wakeQuarantine()
-}
-
-// mayHaveCrashed reports whether a lost request may have crashed its worker. Unless requests with
-// each of its parts have begun lately, it waits until it is known what happened to the worker.
-func (c *call) mayHaveCrashed(ctx context.Context, start quarantine.Start) bool {
-	lostAt := time.Now()
-	for waited := time.Duration(0); ; waited += partsStep {
-		cleared, crashed, alive := c.view.suspicionOf(start, c.in.PromptParts, lostAt)
-		switch {
-		case cleared, alive:
-			return false
-		case crashed:
-			return true
-		case waited >= crashWait || !dispatch.Sleep(ctx, partsStep):
-			return false
-		}
-	}
-}
-
-// suspicionOf returns whether the parts of a lost request are cleared, and whether its worker is
-// known to have crashed, or to have reported since the request was lost.
-func (v *view) suspicionOf(start quarantine.Start, parts []string, lostAt time.Time) (cleared, crashed, alive bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	w := v.listedStart(start)
-	alive = w != nil && w.report.StartedAtMs == w.StartedAtMs && w.reportedAt.After(lostAt)
-	return v.quarantine.Cleared(parts, time.Now()), v.quarantine.HasCrashed(start), alive
-}
-
 // refuseBlocked returns an error when the prompt of the request holds a blocked part.
 func (c *call) refuseBlocked() error {
 	if c.engine == nil || len(c.in.PromptParts) == 0 {
@@ -280,7 +155,9 @@
 // mergeEvidence applies what another entry knows. The caller holds the lock.
 func (v *view) mergeEvidence(evidence *laburnumgwv1.PartEvidence) {
 	known := v.quarantine.Blocks()
-	v.quarantine.Merge(readEvidence(evidence), time.Now())
+	message := readEvidence(evidence)
+	v.quarantine.Merge(message, time.Now())
+	v.markCrashed(message.Crashes)
 	v.logBlocks(known)
 	if v.quarantine.Pending() {
 		v.wakeQuarantine()
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -37,6 +36,7 @@
 		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", fmt.Errorf("%w: %w", errTruncated, err))
 	}
 	response.Finish(workerResponse.KeepAlive)
+	c.began = true
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	switch {
 	case meansNotRun(buffered.status):
@@ -148,9 +148,7 @@
 	if c.view.leaving(start) {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(c.r.Context(), crashWait)
-	defer cancel()
-	if errors.Is(c.conns.Check(ctx, start.Address), syscall.ECONNREFUSED) {
+	if errors.Is(c.view.connect(c.r.Context(), start.Address), syscall.ECONNREFUSED) {
 		c.view.workerCrashed(start, "its machine")
 		return true
 	}
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"context"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -110,6 +111,10 @@
 	quarantine     *quarantine.Tracker
 	quarantineWake chan struct{}
 	partPeers      partPeers
+	// checkConnection opens a connection to a worker and closes it.
+	checkConnection func(ctx context.Context, address string) error
+	// checking holds the starts of workers for which that is under way.
+	checking map[quarantine.Start]bool
 	// blockStore writes blocks to the store, which lists storedBlocks; both by the names of the
 	// blocks. blockedAt is when a block last changed, or was last written, and rewriting names those
 	// to write to a store that came back from an older copy.
@@ -157,7 +162,7 @@
 		listedKinds: make(map[string]bool), departures: departure.NewSet(),
 		limits: workerlimit.NewSet(), announcing: make(map[string]bool), limitsInForce: make(chan struct{}, 1),
 		quarantine: quarantine.New(rng.Uint64(), rng), quarantineWake: make(chan struct{}, 1),
-		storedBlocks: make(map[string]storedBlock), blockedAt: make(map[string]time.Time), rewriting: make(map[string]bool),
+		storedBlocks: make(map[string]storedBlock), blockedAt: make(map[string]time.Time), rewriting: make(map[string]bool), checking: make(map[quarantine.Start]bool),
 	}
 }
 
