--- a/entry/hosted/blocks.go
+++ b/entry/hosted/blocks.go
@@ -50,7 +50,7 @@
 		return
 	}
 	known := v.quarantine.Blocks()
-	block := quarantine.Block{Parts: stored.Parts}
+	block := quarantine.Block{Names: stored.Parts}
 	now := time.Now()
 	if change.Deleted {
 		delete(v.storedBlocks, block.Name())
@@ -129,7 +129,7 @@
 			return err
 		}
 	}
-	name, value := b.Name(), platform.BlockedPart{Parts: b.Parts, Workspaces: b.Workspaces, Reason: automaticReason}
+	name, value := b.Name(), platform.BlockedPart{Parts: b.Names, Workspaces: b.Workspaces, Reason: automaticReason}
 	if listed {
 		name, value = stored.name, stored.BlockedPart
 	}
@@ -162,7 +162,7 @@
 	v.rewriting[name] = true
 }
 
-// claimTrial reports whether the request may be sent although its prompt holds a blocked part. Of
+// claimTrial reports whether the request may be sent although it is blocked. Of
 // all entries only the one that records the trial in the store may send it.
 func (c *call) claimTrial(block quarantine.Block) bool {
 	stored, store := c.view.dueTrial(block.Name())
@@ -175,10 +175,10 @@
 	claimed.Trials++
 	revision, err := store.Replace(ctx, platform.KindBlockedParts, stored.name, claimed, stored.revision)
 	if err != nil {
-		c.log.Warn("trial of a blocked part not recorded", zap.Strings("parts", block.Parts), zap.Error(err))
+		c.log.Warn("trial of a blocked part not recorded", zap.Strings("parts", block.Names), zap.Error(err))
 		return false
 	}
-	c.log.Warn("blocked part is tried", zap.String("request", c.in.ID), zap.Strings("parts", block.Parts), zap.Int("trial", claimed.Trials))
+	c.log.Warn("blocked part is tried", zap.String("request", c.in.ID), zap.Strings("parts", block.Names), zap.Int("trial", claimed.Trials))
 	c.trial = &storedBlock{claimed, stored.name, revision}
 	return true
 }
--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -101,8 +101,10 @@
 	relayedBytes  int64
 	lastEventID   string
 	weightVersion int
+	// name is the name of the whole request, empty until it is needed.
+	name string
 	// began is set once the current attempt has begun to write a stream, or its response is complete, and trial while the request is a
-	// trial of a blocked part.
+	// trial of a block.
 	began bool
 	trial *storedBlock
 	// firstEventWait is how long the last attempt waited for its first event, zero for none.
@@ -234,13 +236,14 @@
 	c.metrics.attempts.UpdateDuration(started)
 	ended.MayHaveCrashed = c.recordCrash(ctx, ended)
 	var parts []string
+	name := ""
 	if c.endedBeforeResponse(ended) {
-		parts = c.in.PromptParts
+		parts, name = c.in.PromptParts, c.requestName()
 	}
 	c.logFor(ended.Outcome == laburnumgwv1.Outcome_OUTCOME_COMPLETE).Info("attempt ended", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
 		zap.Stringer("outcome", ended.Outcome), zap.Bool("sent", ended.Sent), zap.Int64("relayed", ended.RelayedBytes),
 		zap.Duration("duration", time.Since(started)), zap.Duration("first_event", c.firstEventWait), zap.Duration("weights_left", c.weightsLeft),
-		zap.Strings("prompt_parts", parts), zap.Bool("may_have_crashed", ended.MayHaveCrashed), zap.Error(ended.Err))
+		zap.Strings("prompt_parts", parts), zap.String("request_name", name), zap.Bool("may_have_crashed", ended.MayHaveCrashed), zap.Error(ended.Err))
 	return ended
 }
 
@@ -290,10 +293,9 @@
 		c.weightVersion = workerResponse.WeightVersion
 		c.view.loadReceived(c.service, tracked, load)
 		err = c.relayStream(response, workerResponse, firstEvent, c.workerTimeout(decision.VM), func() {
-			c.began, c.firstEventWait = true, time.Since(sentAt)
+			c.firstEventWait = time.Since(sentAt)
 			c.view.attemptAccepted(c.service, tracked)
-			c.view.requestBegan(c.in.PromptParts)
-			c.trialSurvived()
+			c.responseBegan()
 		})
 		load = nil // outdated: it was sent with the head of the stream
 	default:
--- a/entry/hosted/crashes.go
+++ b/entry/hosted/crashes.go
@@ -27,6 +27,15 @@
 	crashCheckInterval = time.Second
 )
 
+// crashChecks are the checks whether workers accept connections.
+type crashChecks struct {
+	// connect opens a connection to a worker and closes it.
+	connect func(ctx context.Context, address string) error
+	// running holds the starts that are being checked after a lost request, with the channels that are closed
+	// at the end.
+	running map[quarantine.Start]chan struct{}
+}
+
 // workerCrashed records that a start of a worker has ended without notice.
 func (v *view) workerCrashed(start quarantine.Start, from string) {
 	v.mu.Lock()
@@ -110,28 +119,43 @@
 func (v *view) connect(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, crashWait)
 	defer cancel()
-	return v.checkConnection(ctx, address)
+	return v.checks.connect(ctx, address)
 }
 
 // checkCrash finds out whether a worker without a process beside it has crashed, after a request to
 // it lost its connection.
-func (v *view) checkCrash(start quarantine.Start) {
+func (v *view) checkCrash(start quarantine.Start) bool {
 	v.mu.Lock()
-	known := v.checking[start] || v.hasLeft(start) || v.quarantine.HasCrashed(start)
-	if !known {
-		v.checking[start] = true
+	crashed, checking := v.quarantine.HasCrashed(start), v.checks.running[start]
+	if crashed || v.hasLeft(start) {
+		v.mu.Unlock()
+		return crashed
 	}
-	v.mu.Unlock()
-	if known {
-		return
+	isFirst := checking == nil
+	if isFirst {
+		checking = make(chan struct{})
+		v.checks.running[start] = checking
 	}
-	err := v.connect(context.Background(), start.Address)
-	v.mu.Lock()
-	delete(v.checking, start)
 	v.mu.Unlock()
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if !isFirst {
+		<-checking
+		return v.hasCrashed(start)
+	}
+	if errors.Is(v.connect(context.Background(), start.Address), syscall.ECONNREFUSED) {
 		v.workerCrashed(start, "its machine")
 	}
+	v.mu.Lock()
+	delete(v.checks.running, start)
+	v.mu.Unlock()
+	close(checking)
+	return v.hasCrashed(start)
+}
+
+// hasCrashed reports whether a start of a worker is known to have crashed.
+func (v *view) hasCrashed(start quarantine.Start) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.quarantine.HasCrashed(start)
 }
 
 // listedStart returns the listed worker of a start, or nil. The caller holds the lock.
@@ -165,30 +189,31 @@
 	if !c.endedBeforeResponse(ended) || !lostConnection(ended.Err) {
 		return false
 	}
-	if c.engine == nil {
-		go c.view.checkCrash(start)
+	c.view.requestLost(start, c.names(), c.workspaceName())
+	if c.engine != nil {
+		return c.mayHaveCrashed(ctx, start)
 	}
-	if len(c.in.PromptParts) == 0 {
+	if cleared, _, _ := c.suspicion(start, time.Now()); cleared || !c.route.Repeatable() {
+		go c.view.checkCrash(start)
 		return false
 	}
-	c.view.requestLost(start, c.in.PromptParts, c.workspaceName())
-	return c.mayHaveCrashed(ctx, start)
+	return c.view.checkCrash(start)
 }
 
-// requestLost records a request whose connection ended before it began to write.
-func (v *view) requestLost(start quarantine.Start, parts []string, workspace string) {
+// requestLost records a request whose connection ended before it had begun.
+func (v *view) requestLost(start quarantine.Start, names []string, workspace string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.quarantine.Lost(start, parts, workspace, time.Now())
+	v.quarantine.Lost(start, names, workspace, time.Now())
 	v.wakeQuarantine()
 }
 
-// mayHaveCrashed reports whether a lost request may have crashed its worker. Unless requests with
-// each of its parts have begun lately, it waits until it is known what happened to the worker.
+// mayHaveCrashed reports whether a request that was lost at a model worker may have crashed it. Unless
+// the request is cleared, it waits until it is known what happened to the worker.
 func (c *call) mayHaveCrashed(ctx context.Context, start quarantine.Start) bool {
 	lostAt := time.Now()
 	for waited := time.Duration(0); ; waited += partsStep {
-		cleared, crashed, alive := c.view.suspicionOf(start, c.in.PromptParts, lostAt)
+		cleared, crashed, alive := c.suspicion(start, lostAt)
 		switch {
 		case cleared, alive:
 			return false
@@ -200,12 +225,18 @@
 	}
 }
 
-// suspicionOf returns whether the parts of a lost request are cleared, and whether its worker is
-// known to have crashed, or to have reported since the request was lost.
-func (v *view) suspicionOf(start quarantine.Start, parts []string, lostAt time.Time) (cleared, crashed, alive bool) {
+// suspicion returns whether the lost request is cleared, and whether its worker is known to have
+// crashed, or to have reported since the request was lost. A request is cleared when requests with each of
+// the parts of its prompt have begun lately, and the whole request was not lost in another crash, or has
+// begun lately.
+func (c *call) suspicion(start quarantine.Start, lostAt time.Time) (cleared, crashed, alive bool) {
+	name, v := c.requestName(), c.view
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	w := v.listedStart(start)
 	alive = w != nil && w.report.StartedAtMs == w.StartedAtMs && w.reportedAt.After(lostAt)
-	return v.quarantine.Cleared(parts, time.Now()), v.quarantine.HasCrashed(start), alive
+	now := time.Now()
+	cleared = v.quarantine.Cleared(c.in.PromptParts, now) &&
+		(!v.quarantine.SuspectedElsewhere(start, name) || v.quarantine.Cleared([]string{name}, now))
+	return cleared, v.quarantine.HasCrashed(start), alive
 }
--- a/entry/hosted/crashes_test.go
+++ b/entry/hosted/crashes_test.go
@@ -133,7 +133,7 @@
 			e.Close()
 		})
 		var checks int
-		d.front.view.checkConnection = func(context.Context, string) error {
+		d.front.view.checks.connect = func(context.Context, string) error {
 			<-time.After(time.Millisecond)
 			d.mu.Lock()
 			defer d.mu.Unlock()
--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -44,7 +44,7 @@
  {"name":"llm","health_path":"/health","connection_limit":400,"cold_start_s":3,"cold_per_s":36,"engine":{"slots":16,"layers":16,"chunks":48,"chunk_bytes":49152,"step_ms":6.73,"per_seq_ms":0.02,"stride":6,"read_per_s":30600,"models":[{"name":"m","warm_s":0.3}],"usual":{"prompt":964,"answer":119}}},
  {"name":"desk","health_path":"/health","connection_limit":100}],
 "limits":{"header_bytes":16384,"body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"ws","api_keys":["key"],"priority":1}]}`
+"tenants":[{"name":"ws","api_keys":["key","second"],"priority":1},{"name":"other","api_keys":["other"],"priority":1}]}`
 
 // workerScript responds to the requests that one worker receives.
 type workerScript func(w *workerExchange)
@@ -131,7 +131,7 @@
 	v := newView(settings, metrics, zap.NewNop())
 	v.rng = rand.New(rand.NewPCG(1, xxhash.Sum64String(vm)))
 	d.front = &frontend{view: v, conns: workerconn.NewPoolWith(d.dial), buffers: newResponseBuffers(64), metrics: metrics, log: zap.NewNop(), detail: zap.NewNop()}
-	v.checkConnection = d.front.conns.Check
+	v.checks.connect = d.front.conns.Check
 	for _, kind := range []string{platform.KindEntries, platform.KindEvacuations, platform.KindBlockedParts} {
 		v.applyChanges(kind, nil)
 	}
@@ -252,6 +252,12 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
+	return d.askRequest(request, target, fields...)
+}
+
+// askRequest is ask for a request that was made.
+func (d *deployment) askRequest(request *http.Request, target string, fields ...string) callerResponse {
+	d.t.Helper()
 	request.RequestURI = target
 	request.Header.Set(idHeader, "r1")
 	request.Header.Set("Authorization", "Token key")
--- a/entry/hosted/part_peers.go
+++ b/entry/hosted/part_peers.go
@@ -69,10 +69,10 @@
 		evidence.Crashes = append(evidence.Crashes, crashMessage(c))
 	}
 	for _, counts := range m.Counts {
-		evidence.Counts = append(evidence.Counts, &laburnumgwv1.PartCounts{Part: counts.Part, Entry: counts.Entry, Before: counts.Before, Since: counts.Since})
+		evidence.Counts = append(evidence.Counts, &laburnumgwv1.PartCounts{Part: counts.Name, Entry: counts.Entry, Before: counts.Before, Since: counts.Since})
 	}
 	for _, b := range m.Blocks {
-		evidence.Blocks = append(evidence.Blocks, &laburnumgwv1.PartBlock{Parts: b.Parts, Workspaces: b.Workspaces, Epoch: b.Epoch, Released: b.Released})
+		evidence.Blocks = append(evidence.Blocks, &laburnumgwv1.PartBlock{Parts: b.Names, Workspaces: b.Workspaces, Epoch: b.Epoch, Released: b.Released})
 	}
 	return evidence
 }
@@ -80,7 +80,7 @@
 func crashMessage(c quarantine.Crash) *laburnumgwv1.WorkerCrash {
 	message := &laburnumgwv1.WorkerCrash{Address: c.Start.Address, Born: c.Start.StartedAtMs, Zone: c.Zone, AgeMs: c.Age.Milliseconds()}
 	for _, s := range c.Suspects {
-		message.Suspects = append(message.Suspects, &laburnumgwv1.SuspectedPart{Part: s.Part, Workspaces: s.Workspaces})
+		message.Suspects = append(message.Suspects, &laburnumgwv1.SuspectedPart{Part: s.Name, Workspaces: s.Workspaces})
 	}
 	return message
 }
@@ -93,15 +93,15 @@
 			Start: quarantine.Start{Address: c.GetAddress(), StartedAtMs: c.GetBorn()}, Zone: c.GetZone(), Age: time.Duration(c.GetAgeMs()) * time.Millisecond,
 		}
 		for _, s := range c.GetSuspects() {
-			crash.Suspects = append(crash.Suspects, quarantine.Suspect{Part: s.GetPart(), Workspaces: s.GetWorkspaces()})
+			crash.Suspects = append(crash.Suspects, quarantine.Suspect{Name: s.GetPart(), Workspaces: s.GetWorkspaces()})
 		}
 		m.Crashes = append(m.Crashes, crash)
 	}
 	for _, counts := range evidence.GetCounts() {
-		m.Counts = append(m.Counts, quarantine.Counts{Part: counts.GetPart(), Entry: counts.GetEntry(), Before: counts.GetBefore(), Since: counts.GetSince()})
+		m.Counts = append(m.Counts, quarantine.Counts{Name: counts.GetPart(), Entry: counts.GetEntry(), Before: counts.GetBefore(), Since: counts.GetSince()})
 	}
 	for _, b := range evidence.GetBlocks() {
-		m.Blocks = append(m.Blocks, quarantine.Block{Parts: b.GetParts(), Workspaces: b.GetWorkspaces(), Epoch: b.GetEpoch(), Released: b.GetReleased()})
+		m.Blocks = append(m.Blocks, quarantine.Block{Names: b.GetParts(), Workspaces: b.GetWorkspaces(), Epoch: b.GetEpoch(), Released: b.GetReleased()})
 	}
 	return m
 }
--- a/entry/hosted/parts.go
+++ b/entry/hosted/parts.go
@@ -10,7 +10,6 @@
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/dispatch"
-	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/quarantine"
 )
 
@@ -25,16 +24,6 @@
 	evidenceEntries = 3
 )
 
-// requestBegan records that a request has begun to write at a worker.
-func (v *view) requestBegan(parts []string) {
-	if len(parts) == 0 {
-		return
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.quarantine.Began(parts, time.Now())
-}
-
 func (v *view) wakeQuarantine() {
 	select {
 	case v.quarantineWake <- struct{}{}:
@@ -42,40 +31,6 @@
 	}
 }
 
-// refuseBlocked returns an error when the prompt of the request holds a blocked part.
-func (c *call) refuseBlocked() error {
-	if c.engine == nil || len(c.in.PromptParts) == 0 {
-		return nil
-	}
-	block, retryAfter, blocked := c.view.blockOf(c.in.PromptParts, c.workspaceName())
-	if !blocked || c.claimTrial(block) {
-		return nil
-	}
-	c.metrics.blockedRequests.Inc()
-	c.log.Info("prompt holds a blocked part", zap.String("request", c.in.ID), zap.Strings("blocked", block.Parts),
-		zap.String("workspace", c.workspaceName()))
-	return errkind.New(errkind.NotRun, "change the prompt, or ask an operator to clear the part",
-		"workers crash on part %s of the prompt, which is blocked", block.Name()).WithRetryAfter(retryAfter)
-}
-
-// blockOf returns the block that refuses a request and the time after which the caller may return.
-func (v *view) blockOf(parts []string, workspace string) (quarantine.Block, time.Duration, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	block, blocked := v.quarantine.Match(parts, workspace)
-	if !blocked {
-		return block, 0, false
-	}
-	return block, v.quarantine.RetryAfter(block.Name(), time.Now()), true
-}
-
-// blocksInForce returns the number of blocks.
-func (v *view) blocksInForce() int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.quarantine.InForce()
-}
-
 // runQuarantine exchanges evidence with other entries and keeps the blocks in the store, until the
 // context ends. receivesStoreState reports whether this process is in touch with the store.
 func (v *view) runQuarantine(ctx context.Context, receivesStoreState func() bool) {
@@ -142,13 +97,16 @@
 		if old, ok := known[b.Name()]; ok && old.Epoch == b.Epoch && len(old.Workspaces) == len(b.Workspaces) {
 			continue
 		}
-		message := "part of prompts is blocked"
+		what, state := "part of prompts", "blocked"
+		if quarantine.IsRequestName(b.Name()) {
+			what = "whole request"
+		}
 		if b.Released {
-			message = "part of prompts is released"
+			state = "released"
 		}
 		v.blockedAt[b.Name()] = time.Now()
 		maps.DeleteFunc(v.blockedAt, func(name string, _ time.Time) bool { return !v.quarantine.Knows(name) })
-		v.log.Warn(message, zap.Strings("parts", b.Parts), zap.Strings("workspaces", b.Workspaces), zap.Uint64("epoch", b.Epoch))
+		v.log.Warn(what+" is "+state, zap.Strings("parts", b.Names), zap.Strings("workspaces", b.Workspaces), zap.Uint64("epoch", b.Epoch))
 	}
 }
 
--- a/entry/hosted/parts_test.go
+++ b/entry/hosted/parts_test.go
@@ -252,6 +252,7 @@
 // function calls with a delay.
 type partFleet struct {
 	entries []*deployment
+	service string
 	store   *fakeBlocks
 
 	mu    sync.Mutex
@@ -292,7 +293,11 @@
 }
 
 func newPartFleet(t *testing.T, entries, workers int) *partFleet {
-	f := &partFleet{conns: make(map[string][]*workerExchange), born: make(map[string]int64), silent: make(map[*deployment]bool),
+	return newCrashFleet(t, "llm", entries, workers)
+}
+
+func newCrashFleet(t *testing.T, service string, entries, workers int) *partFleet {
+	f := &partFleet{service: service, conns: make(map[string][]*workerExchange), born: make(map[string]int64), silent: make(map[*deployment]bool),
 		store: &fakeBlocks{objects: make(map[string]platform.BlockedPart)}}
 	f.store.created = func(name string) {
 		for _, d := range f.entries {
@@ -327,8 +332,8 @@
 // list lists the current start of a worker at all entries.
 func (f *partFleet) list(worker string) {
 	for _, d := range f.entries {
-		d.put(platform.KindWorkers, worker, fmt.Sprintf(`{"service":"llm","address":%q,"zone":"a","slots":16,"state":"ready","cold_remaining_ms":0,"born":%d,`+
-			`"models":[{"name":"m","version":1}],"layers":{"from":0,"target":16,"version":1},"sequence":4}`, worker, f.born[worker]))
+		d.put(platform.KindWorkers, worker, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","slots":16,"state":"ready","cold_remaining_ms":0,"born":%d,`+
+			`"models":[{"name":"m","version":1}],"layers":{"from":0,"target":16,"version":1},"sequence":4}`, f.service, worker, f.born[worker]))
 	}
 }
 
@@ -336,7 +341,7 @@
 	f.mu.Lock()
 	born := f.born[worker]
 	f.conns[worker] = append(f.conns[worker], e)
-	deadly := e.request.Header.Get(prefixHeader) == "aa:40,"+deadlyPart+":9,cc:1"
+	deadly := e.request.Header.Get(prefixHeader) == "aa:40,"+deadlyPart+":9,cc:1" || string(e.body) == deadlyPart
 	if deadly {
 		f.arrivals = append(f.arrivals, time.Now())
 	}
@@ -350,13 +355,15 @@
 		e.Close()
 	case deadly:
 		f.crash(worker)
+	case f.service == "desk":
+		answers(e)
 	default:
 		streamsWhole(e)
 	}
 }
 
-// crash ends the connections of a worker. Entries learn of it 100 ms later, and of its next start
-// after 3 s.
+// crash ends the connections of a worker. Entries learn of it 100 ms later if there is a process
+// beside it, and of its next start after 3 s.
 func (f *partFleet) crash(worker string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -372,7 +379,7 @@
 		d.refused[worker] = true
 		d.mu.Unlock()
 		time.AfterFunc(100*time.Millisecond, func() {
-			if !f.silent[d] {
+			if !f.silent[d] && f.service == "llm" {
 				d.front.view.workerCrashed(start, "test")
 			}
 		})
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -98,7 +98,7 @@
 		settings: settings, view: v, store: store, conns: conns, log: log, restored: make(chan struct{}, 1),
 		frontend: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), buffers: newResponseBuffers(settings.MemoryMB), metrics: metrics, log: log, detail: log.Named(telemetry.DetailName)},
 	}
-	v.checkConnection = p.frontend.conns.Check
+	v.checks.connect = p.frontend.conns.Check
 	store.OnEra(func(era int64) { log.Info("store states an era", zap.Int64("era", era)) })
 	monitor, err := suspend.NewMonitor(p.handleSuspension)
 	if err != nil {
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -36,7 +36,7 @@
 		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", fmt.Errorf("%w: %w", errTruncated, err))
 	}
 	response.Finish(workerResponse.KeepAlive)
-	c.began = true
+	c.responseBegan()
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	switch {
 	case meansNotRun(buffered.status):
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"context"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -106,15 +105,12 @@
 	announcing map[string]bool
 	// limitsInForce is signalled when a limit has changed.
 	limitsInForce chan struct{}
-	// quarantine finds the parts of prompts on which workers crash. quarantineWake is signalled
+	// quarantine finds the requests on which workers crash. quarantineWake is signalled
 	// when it has something to do, and partPeers is nil while the process does not listen.
 	quarantine     *quarantine.Tracker
 	quarantineWake chan struct{}
 	partPeers      partPeers
-	// checkConnection opens a connection to a worker and closes it.
-	checkConnection func(ctx context.Context, address string) error
-	// checking holds the starts of workers for which that is under way.
-	checking map[quarantine.Start]bool
+	checks         crashChecks
 	// blockStore writes blocks to the store, which lists storedBlocks; both by the names of the
 	// blocks. blockedAt is when a block last changed, or was last written, and rewriting names those
 	// to write to a store that came back from an older copy.
@@ -161,8 +157,8 @@
 		outOfService: make(map[string]bool), versions: make(map[string][]namedVersion),
 		listedKinds: make(map[string]bool), departures: departure.NewSet(),
 		limits: workerlimit.NewSet(), announcing: make(map[string]bool), limitsInForce: make(chan struct{}, 1),
-		quarantine: quarantine.New(rng.Uint64(), rng), quarantineWake: make(chan struct{}, 1),
-		storedBlocks: make(map[string]storedBlock), blockedAt: make(map[string]time.Time), rewriting: make(map[string]bool), checking: make(map[quarantine.Start]bool),
+		quarantine: quarantine.New(rng.Uint64(), rng), quarantineWake: make(chan struct{}, 1), checks: crashChecks{running: make(map[quarantine.Start]chan struct{})},
+		storedBlocks: make(map[string]storedBlock), blockedAt: make(map[string]time.Time), rewriting: make(map[string]bool),
 	}
 }
 
--- a/lib/quarantine/evidence.go
+++ b/lib/quarantine/evidence.go
@@ -7,24 +7,31 @@
 	"time"
 )
 
-// Began records that a request has begun to write at a worker.
-func (t *Tracker) Began(parts []string, now time.Time) {
-	for _, name := range parts {
-		t.history.add(name, now)
-		if p := t.parts[name]; p != nil {
-			p.own.Since++
+// Began records that a request has begun at a worker.
+func (t *Tracker) Began(names []string, now time.Time) {
+	for _, name := range names {
+		t.historyOf(name).add(name, now)
+		p := t.tallies[name]
+		if p == nil {
+			continue
+		}
+		p.own.Since++
+		if IsRequestName(name) && t.crashCount(name) >= minCrashes {
+			// It may tell the request apart from another one that was lost in the same crashes.
+			t.planAnnouncement(p, now)
+			t.changed = true
 		}
 	}
 }
 
-// Lost records a request whose connection to a worker ended before the request began to write.
+// Lost records a request whose connection to a worker ended before the request had begun.
 // That is evidence only if the worker has crashed.
-func (t *Tracker) Lost(start Start, parts []string, workspace string, now time.Time) {
-	if len(parts) == 0 {
+func (t *Tracker) Lost(start Start, names []string, workspace string, now time.Time) {
+	if len(names) == 0 {
 		return
 	}
-	suspects := make([]Suspect, 0, len(parts))
-	for _, name := range parts {
+	suspects := make([]Suspect, 0, len(names))
+	for _, name := range names {
 		suspects = append(suspects, Suspect{name, []string{workspace}})
 	}
 	if _, crashed := t.crashedAt[start]; crashed {
@@ -41,9 +48,10 @@
 			t.lostOrder = t.lostOrder[1:]
 		}
 	}
+	lost.lastAt = now
 	for _, suspect := range suspects {
-		known := slices.ContainsFunc(lost.suspects, func(s Suspect) bool { return s.Part == suspect.Part && s.Workspaces[0] == workspace })
-		if !known && len(lost.suspects) < maxSuspectsPerCrash {
+		known := slices.ContainsFunc(lost.suspects, func(s Suspect) bool { return s.Name == suspect.Name && s.Workspaces[0] == workspace })
+		if !known && len(lost.suspects) < maxPartsPerCrash+maxRequestsPerCrash {
 			lost.suspects = append(lost.suspects, suspect)
 		}
 	}
@@ -55,6 +63,11 @@
 	if _, known := t.crashedAt[start]; known {
 		return false
 	}
+	lost := t.lost[start]
+	if lost != nil && lost.lastAt.Before(at) {
+		// The connections ended with the worker.
+		at = lost.lastAt
+	}
 	t.crashedAt[start] = crashTime{at, zone}
 	if at.After(t.lastCrashAt) {
 		t.lastCrashAt = at
@@ -62,7 +75,7 @@
 	if len(t.crashedAt) > 2*maxCrashes {
 		maps.DeleteFunc(t.crashedAt, func(other Start, _ crashTime) bool { return other != start && t.crashes[other] == nil })
 	}
-	if lost := t.lost[start]; lost != nil {
+	if lost != nil {
 		t.forget(start)
 		t.addOwnEvidence(start, lost.suspects, at)
 	}
@@ -108,7 +121,7 @@
 	for _, suspect := range suspects {
 		if c.add(suspect) {
 			isNew = true
-			t.suspected(suspect.Part, now)
+			t.suspected(suspect.Name, now)
 		}
 	}
 	t.changed = t.changed || isNew
@@ -117,17 +130,21 @@
 
 // add adds a suspect and reports whether that is new.
 func (c *crash) add(suspect Suspect) bool {
-	known := c.suspects[suspect.Part]
+	known := c.suspects[suspect.Name]
 	if known == nil {
-		if suspect.Part == "" || len(c.suspects) >= maxSuspectsPerCrash {
+		isRequest := IsRequestName(suspect.Name)
+		if suspect.Name == "" || (isRequest && c.requests >= maxRequestsPerCrash) || (!isRequest && len(c.suspects)-c.requests >= maxPartsPerCrash) {
 			return false
 		}
+		if isRequest {
+			c.requests++
+		}
 		known = &suspicion{}
-		c.suspects[suspect.Part] = known
+		c.suspects[suspect.Name] = known
 	}
 	before := len(known.workspaces)
 	for _, workspace := range suspect.Workspaces {
-		if len(known.workspaces) < maxWorkspacesPerPart && !slices.Contains(known.workspaces, workspace) {
+		if len(known.workspaces) < maxWorkspacesPerName && !slices.Contains(known.workspaces, workspace) {
 			known.workspaces = append(known.workspaces, workspace)
 		}
 	}
@@ -144,7 +161,7 @@
 	return message
 }
 
-// dropOldCrashes forgets the oldest crash beyond the bound, and the parts that are suspected for
+// dropOldCrashes forgets the oldest crash beyond the bound, and the names that are suspected for
 // no other one.
 func (t *Tracker) dropOldCrashes() {
 	if len(t.crashOrder) <= maxCrashes {
@@ -157,12 +174,12 @@
 	delete(t.crashedAt, oldest)
 	for name := range dropped.suspects {
 		if t.crashCount(name) == 0 {
-			delete(t.parts, name)
+			delete(t.tallies, name)
 		}
 	}
 }
 
-// crashCount returns the number of crashes in which a part is a suspect.
+// crashCount returns the number of crashes in which a name is a suspect.
 func (t *Tracker) crashCount(name string) int {
 	count := 0
 	for _, c := range t.crashes {
@@ -173,45 +190,61 @@
 	return count
 }
 
-// suspected records that there is new evidence against a part, and plans to announce the
+// SuspectedElsewhere reports whether a name is a suspect of the crash of another start.
+func (t *Tracker) SuspectedElsewhere(start Start, name string) bool {
+	for other, c := range t.crashes {
+		if s := c.suspects[name]; s != nil && !s.released && other != start {
+			return true
+		}
+	}
+	return false
+}
+
+// suspected records that there is new evidence against a name, and plans to announce the
 // requests with it that began at this entry.
 func (t *Tracker) suspected(name string, now time.Time) {
-	p := t.parts[name]
+	p := t.tallies[name]
 	if p == nil {
-		p = &part{counts: make(map[uint64]Counts), own: Counts{Part: name, Entry: t.entry, Before: t.history.count(name, now)}}
-		t.parts[name] = p
+		p = &tally{counts: make(map[uint64]Counts), own: Counts{Name: name, Entry: t.entry, Before: t.historyOf(name).count(name, now)}}
+		t.tallies[name] = p
+	}
+	if t.crashCount(name) >= minCrashes-1 {
+		t.planAnnouncement(p, now)
 	}
-	if p.announceAt.IsZero() && t.crashCount(name) >= minCrashes-1 {
+}
+
+func (t *Tracker) planAnnouncement(p *tally, now time.Time) {
+	if p.announceAt.IsZero() {
 		p.announceAt = now.Add(time.Duration(t.rng.Int64N(int64(maxAnnounceDelay))))
 	}
 }
 
-// planAnnouncements announces the requests with suspected parts that began at this entry, unless
+// planAnnouncements announces the requests with suspected names that began at this entry, unless
 // the others have told of enough.
 func (t *Tracker) planAnnouncements(now time.Time) {
 	var counts []Counts
-	for name, p := range t.parts {
+	for name, p := range t.tallies {
 		if p.announceAt.IsZero() || p.announceAt.After(now) {
 			continue
 		}
 		p.announceAt = time.Time{}
 		before, since := p.total(p.announced)
 		tellsSince := p.own.Since > p.announced.Since && since <= announceFactor*maxBegun(t.crashCount(name))
-		tellsBefore := p.own.Before > p.announced.Before && before < announceFactor*knownPartRequests
+		tellsBefore := p.own.Before > p.announced.Before && before < announceFactor*knownRequests
 		if tellsSince || tellsBefore {
 			p.announced = p.own
 			counts = append(counts, p.own)
 		}
 	}
 	if len(counts) > 0 {
-		slices.SortFunc(counts, func(a, b Counts) int { return cmp.Compare(a.Part, b.Part) })
+		slices.SortFunc(counts, func(a, b Counts) int { return cmp.Compare(a.Name, b.Name) })
 		t.send(Message{Counts: counts}, now)
 	}
 }
 
-// total returns the requests with the part that began at all entries, with the given ones for
+// total returns the requests with the name that began at all entries, with the given ones for
 // this entry.
-func (p *part) total(own Counts) (before, since int64) {
+func (p *tally) total(own Counts) (before, since int64) {
 	before, since = own.Before, own.Since
 	for _, counts := range p.counts {
 		before += counts.Before
@@ -242,7 +275,7 @@
 
 // mergeCounts applies the counts of another entry, which only grow.
 func (t *Tracker) mergeCounts(counts Counts) {
-	p := t.parts[counts.Part]
+	p := t.tallies[counts.Name]
 	if p == nil || counts.Entry == t.entry || min(counts.Before, counts.Since) < 0 {
 		return
 	}
@@ -250,7 +283,7 @@
 	if !ok && len(p.counts) >= maxCountingEntries {
 		return
 	}
-	known.Part, known.Entry = counts.Part, counts.Entry
+	known.Name, known.Entry = counts.Name, counts.Entry
 	known.Before = min(max(known.Before, counts.Before), maxCount)
 	known.Since = min(max(known.Since, counts.Since), maxCount)
 	p.counts[counts.Entry] = known
@@ -260,23 +293,31 @@
 // maxCount bounds a count of another entry, so that sums do not overflow.
 const maxCount = 1 << 40
 
-// Cleared reports whether requests with each of these parts have begun lately, so that one that
+// Cleared reports whether requests with each of these names have begun lately, so that one that
 // was lost in a crash did not cause it.
-func (t *Tracker) Cleared(parts []string, now time.Time) bool {
-	for _, name := range parts {
-		crashes, begun := t.crashCount(name), t.history.count(name, now)
-		if p := t.parts[name]; p != nil && crashes > 0 {
+func (t *Tracker) Cleared(names []string, now time.Time) bool {
+	for _, name := range names {
+		crashes, begun := t.crashCount(name), t.historyOf(name).count(name, now)
+		if p := t.tallies[name]; p != nil && crashes > 0 {
 			_, begun = p.total(p.own)
 			crashes++
 		}
-		if begun < max(knownPartRequests, maxBegun(crashes)) {
+		if begun < max(knownRequests, maxBegun(crashes)) {
 			return false
 		}
 	}
 	return true
 }
 
-// history counts the requests with each part that began in the current and the last period.
+// historyOf returns the history of the kind of a name.
+func (t *Tracker) historyOf(name string) *history {
+	if IsRequestName(name) {
+		return &t.requests
+	}
+	return &t.parts
+}
+
+// history counts the requests with each name that began in the current and the last period.
 type history struct {
 	current, last map[string]int64
 	periodStart   time.Time
@@ -287,7 +328,7 @@
 }
 
 func (h *history) rotate(now time.Time) {
-	if elapsed := now.Sub(h.periodStart); elapsed >= historyPeriod || len(h.current) >= historyPartsPerPeriod {
+	if elapsed := now.Sub(h.periodStart); elapsed >= historyPeriod || len(h.current) >= historyNamesPerPeriod {
 		h.last, h.current, h.periodStart = h.current, make(map[string]int64), now
 		if elapsed >= 2*historyPeriod {
 			clear(h.last)
--- a/lib/quarantine/fleet_test.go
+++ b/lib/quarantine/fleet_test.go
@@ -17,8 +17,10 @@
 	events  []simEvent
 	entries []*Tracker
 	// cut holds the entries that get and send no messages.
-	cut     map[int]bool
-	workers []*simWorker
+	cut map[int]bool
+	// restartedAt holds when each entry was last restarted.
+	restartedAt map[int]time.Time
+	workers     []*simWorker
 	// loss is the share of messages that are lost.
 	loss float64
 	// perSecond is the rate of requests, deadlyShare the part of them that hold deadlyPart, and
@@ -28,6 +30,9 @@
 	deadlyArrivals                    []time.Time
 	sound, soundRefused               int
 	messages                          int
+	// plain is set for a service whose requests have no parts and whose workers have no process
+	// beside them.
+	plain *plainService
 }
 
 type simEvent struct {
@@ -48,6 +53,9 @@
 	parts     []string
 	workspace string
 	ended     bool
+	// deadly and attempts are those of a plain service.
+	deadly   bool
+	attempts int
 }
 
 const (
@@ -59,7 +67,7 @@
 
 func newFleet(seed uint64, entries, workers int) *fleet {
 	f := &fleet{
-		rng: rand.New(rand.NewPCG(seed, uint64(entries))), now: time.Unix(1_000_000, 0), cut: make(map[int]bool),
+		rng: rand.New(rand.NewPCG(seed, uint64(entries))), now: time.Unix(1_000_000, 0), cut: make(map[int]bool), restartedAt: make(map[int]time.Time),
 		perSecond: 220, deadlyShare: 0.02,
 	}
 	for i := range entries {
@@ -83,7 +91,11 @@
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(time.Millisecond) {
 		for n := f.perSecond / 1000; f.rng.Float64() < n; n-- {
-			f.request()
+			if f.plain != nil {
+				f.plainRequest()
+			} else {
+				f.request()
+			}
 		}
 		due := make([]simEvent, 0, 8)
 		f.events = slices.DeleteFunc(f.events, func(e simEvent) bool {
@@ -187,6 +199,10 @@
 // end ends a worker, which is back later. Entries get a notice when the process beside it still
 // runs.
 func (f *fleet) end(w *simWorker, noticed bool) {
+	if f.plain != nil {
+		f.endPlain(w, noticed)
+		return
+	}
 	start := Start{w.address, w.start}
 	w.down = true
 	for _, r := range w.waiting {
@@ -211,7 +227,7 @@
 
 // restart replaces an entry by one that knows what another one tells it.
 func (f *fleet) restart(i int) {
-	f.entries[i] = f.tracker(i)
+	f.entries[i], f.restartedAt[i] = f.tracker(i), f.now
 	f.entries[i].Merge(f.entries[(i+1)%len(f.entries)].State(f.now), f.now)
 }
 
@@ -235,7 +251,7 @@
 	var names []string
 	for _, t := range f.entries {
 		for _, b := range t.Blocks() {
-			if !slices.Contains(b.Parts, deadlyPart) {
+			if !slices.Contains(b.Names, deadlyPart) {
 				names = append(names, b.Name())
 			}
 		}
--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -1,9 +1,13 @@
-// Package quarantine finds the parts of prompts on which workers crash, and blocks them.
+// Package quarantine finds the requests on which workers crash, and blocks them: by a part of their
+// prompt, or as a whole when it is always the same request that comes again.
 //
 // Each entry sees few of the crashes, so entries exchange what they saw: for each start of a
-// worker that crashed, the parts of the requests that were lost there before they began to
-// write. A part that is in several crashes, and with which hardly any request has begun since,
-// is blocked. Requests that share its caller, route or other parts are not.
+// worker that crashed, the names of the requests that were lost there before they had begun. A
+// request has the names of the parts of its prompt and one of its own. A name that is in several
+// crashes, and with which hardly any request has begun since, is blocked. Requests that share its
+// caller, route or other parts are not.
+//
+// A request has begun when its stream has had its first event, or its response is complete.
 //
 // Tracker is a state machine without I/O. What it knows only grows, or is ordered by an epoch, so
 // that all entries end up with the same in whatever order messages arrive. It is not safe for
@@ -19,19 +23,19 @@
 )
 
 const (
-	// minCrashes is the number of crashes after which a part is blocked, and
-	// minCrashesOfKnownPart the same for a part with which at least knownPartRequests requests had
+	// minCrashes is the number of crashes after which a name is blocked, and
+	// minCrashesOfKnown the same for one with which at least knownRequests requests had
 	// begun before. Crashes in one availability zone within sameCauseTime count as one: workers of a
 	// zone that end together may do so for another reason than one request each.
-	minCrashes            = 3
-	sameCauseTime         = 250 * time.Millisecond
-	minCrashesOfKnownPart = 5
-	knownPartRequests     = 4
-	// maxBegunPerCrash is the number of requests with a part for each of its crashes, all of them
-	// counted, that may have begun since the first. Above it, the part is cleared.
+	minCrashes        = 3
+	sameCauseTime     = 250 * time.Millisecond
+	minCrashesOfKnown = 5
+	knownRequests     = 4
+	// maxBegunPerCrash is the number of requests with a name for each of its crashes, all of them
+	// counted, that may have begun since the first. Above it, the name is cleared.
 	maxBegunPerCrash = 2
-	// verdictDelay is the time from the last missing evidence to the block of a part. Within it
-	// entries announce the requests with the part that have begun.
+	// verdictDelay is the time from the last missing evidence to the block of a name. Within it
+	// entries announce the requests with the name that have begun.
 	verdictDelay = 300 * time.Millisecond
 	// maxAnnounceDelay bounds the random delay of that announcement. An entry that hears of enough
 	// such requests meanwhile says nothing.
@@ -50,14 +54,15 @@
 // Bounds of the state.
 const (
 	maxCrashes            = 128
-	maxSuspectsPerCrash   = 64
-	maxWorkspacesPerPart  = 4
+	maxPartsPerCrash      = 64
+	maxRequestsPerCrash   = 128
+	maxWorkspacesPerName  = 4
 	maxLostStarts         = 256
 	maxBlocks             = 256
-	maxPartsPerBlock      = 8
+	maxNamesPerBlock      = 8
 	maxCountingEntries    = 64
 	maxOutgoing           = 512
-	historyPartsPerPeriod = 4096
+	historyNamesPerPeriod = 4096
 	historyPeriod         = 30 * time.Second
 )
 
@@ -68,10 +73,9 @@
 	StartedAtMs int64
 }
 
-// Suspect is a part of the prompt of a request that was lost in a crash, and the workspaces of
-// such requests.
+// Suspect is a name of a request that was lost in a crash, and the workspaces of such requests.
 type Suspect struct {
-	Part       string
+	Name       string
 	Workspaces []string
 }
 
@@ -85,42 +89,42 @@
 	Suspects []Suspect
 }
 
-// Counts are the requests with a part that began at an entry before and after it first heard of
-// a crash with the part.
+// Counts are the requests with a name that began at an entry before and after it first heard of
+// a crash with the name.
 type Counts struct {
-	Part          string
+	Name          string
 	Entry         uint64
 	Before, Since int64
 }
 
-// Block refuses requests whose prompt holds all of its parts. It has more than one part while
-// these have only occurred together.
+// Block refuses requests that have all of its names: one whole request, or those whose prompt holds
+// all of some parts, which have only occurred together.
 type Block struct {
-	// Parts are sorted.
-	Parts []string
+	// Names are sorted.
+	Names []string
 	// Workspaces are those whose requests are refused; empty for all. A workspace cannot block a
 	// part for others by itself.
 	Workspaces []string
-	// Epoch orders blocks and releases of the same parts.
+	// Epoch orders blocks and releases of the same names.
 	Epoch uint64
 	// Released is set when the block has ended.
 	Released bool
 }
 
-// Name returns the name of the block, which follows from its parts.
-func (b Block) Name() string { return strings.Join(b.Parts, ".") }
+// Name returns the name of the block, which follows from the names that it holds.
+func (b Block) Name() string { return strings.Join(b.Names, ".") }
 
 // applies reports whether the block refuses a request.
-func (b Block) applies(parts []string, workspace string) bool {
+func (b Block) applies(names []string, workspace string) bool {
 	if b.Released || (len(b.Workspaces) > 0 && !slices.Contains(b.Workspaces, workspace)) {
 		return false
 	}
-	return containsAll(parts, b.Parts)
+	return containsAll(names, b.Names)
 }
 
 // covers reports whether the block refuses all requests that other refuses.
 func (b Block) covers(other Block) bool {
-	if b.Released || !containsAll(other.Parts, b.Parts) {
+	if b.Released || !containsAll(other.Names, b.Names) {
 		return false
 	}
 	return len(b.Workspaces) == 0 || (len(other.Workspaces) > 0 && containsAll(b.Workspaces, other.Workspaces))
@@ -128,8 +132,9 @@
 
 // valid reports whether a block that another process has sent makes sense.
 func (b Block) valid() bool {
-	return len(b.Parts) > 0 && len(b.Parts) <= maxPartsPerBlock && !slices.Contains(b.Parts, "") &&
-		slices.IsSorted(b.Parts) && len(b.Workspaces) <= maxWorkspacesPerPart
+	isWholeRequest := slices.ContainsFunc(b.Names, IsRequestName)
+	return len(b.Names) > 0 && len(b.Names) <= maxNamesPerBlock && !slices.Contains(b.Names, "") &&
+		(!isWholeRequest || len(b.Names) == 1) && slices.IsSorted(b.Names) && len(b.Workspaces) <= maxWorkspacesPerName
 }
 
 func containsAll(all, some []string) bool {
@@ -143,12 +148,14 @@
 	Blocks  []Block
 }
 
-// Tracker holds what an entry knows about the parts of prompts.
+// Tracker holds what an entry knows about the requests on which workers may crash.
 type Tracker struct {
-	entry   uint64
-	rng     *rand.Rand
-	history history
-	// lost holds the parts of the requests that were lost at a start of a worker which is not
+	entry uint64
+	rng   *rand.Rand
+	// parts and requests are the histories of the two kinds of names, so that neither pushes
+	// the other one out.
+	parts, requests history
+	// lost holds the names of the requests that were lost at a start of a worker which is not
 	// known to have crashed, and crashedAt the starts that are.
 	lost      map[Start]*lostRequests
 	lostOrder []Start
@@ -156,12 +163,12 @@
 	crashes   map[Start]*crash
 	// crashOrder holds the crashes in the order in which they became known.
 	crashOrder []Start
-	parts      map[string]*part
+	tallies    map[string]*tally
 	blocks     map[string]Block
 	outgoing   []outgoing
 	// lastCrashAt is when a crash last became known.
 	lastCrashAt time.Time
-	// changed is set when there is new evidence. decideAt is when the evidence against a part will
+	// changed is set when there is new evidence. decideAt is when the evidence against a name will
 	// have been sufficient for verdictDelay; zero for never.
 	changed  bool
 	decideAt time.Time
@@ -170,14 +177,17 @@
 
 // lostRequests are the suspects of a start that is not known to have crashed.
 type lostRequests struct {
-	at       time.Time
-	suspects []Suspect
+	// at and lastAt are when the first and the last of them was lost.
+	at, lastAt time.Time
+	suspects   []Suspect
 }
 
-// crash holds the suspects of a crash by their part.
+// crash holds the suspects of a crash by their name.
 type crash struct {
 	crashTime
 	suspects map[string]*suspicion
+	// requests is the number of whole requests among them.
+	requests int
 }
 
 // crashTime is when and where a worker crashed.
@@ -188,12 +198,12 @@
 
 type suspicion struct {
 	workspaces []string
-	// released is set for the crashes that were known when a block of the part was released.
+	// released is set for the crashes that were known when a block of the name was released.
 	released bool
 }
 
-// part is a suspected part.
-type part struct {
+// tally counts the requests with a suspected name.
+type tally struct {
 	// own are the requests that began at this entry, announced those of them that other entries
 	// were told, and counts those that other entries have announced.
 	own, announced Counts
@@ -213,18 +223,18 @@
 // New returns a tracker of an entry. The identity must differ between the starts of all entries.
 func New(entry uint64, rng *rand.Rand) *Tracker {
 	return &Tracker{
-		entry: entry, rng: rng, history: newHistory(), lost: make(map[Start]*lostRequests), crashedAt: make(map[Start]crashTime),
-		crashes: make(map[Start]*crash), parts: make(map[string]*part), blocks: make(map[string]Block), trials: make(map[string]*trial),
+		entry: entry, rng: rng, parts: newHistory(), requests: newHistory(), lost: make(map[Start]*lostRequests), crashedAt: make(map[Start]crashTime),
+		crashes: make(map[Start]*crash), tallies: make(map[string]*tally), blocks: make(map[string]Block), trials: make(map[string]*trial),
 	}
 }
 
 // Match returns the block that refuses a request.
-func (t *Tracker) Match(parts []string, workspace string) (Block, bool) {
-	if len(t.blocks) == 0 || len(parts) == 0 {
+func (t *Tracker) Match(names []string, workspace string) (Block, bool) {
+	if len(t.blocks) == 0 || len(names) == 0 {
 		return Block{}, false
 	}
 	for _, b := range t.blocks {
-		if b.applies(parts, workspace) {
+		if b.applies(names, workspace) {
 			return b, true
 		}
 	}
@@ -258,6 +268,16 @@
 	return count
 }
 
+// BlocksRequests reports whether a whole request is blocked, so that Match needs the names of others.
+func (t *Tracker) BlocksRequests() bool {
+	for _, b := range t.blocks {
+		if !b.Released && IsRequestName(b.Names[0]) {
+			return true
+		}
+	}
+	return false
+}
+
 // Active reports whether a crash became known recently, so that entries should compare what they
 // know.
 func (t *Tracker) Active(now time.Time) bool {
@@ -270,7 +290,7 @@
 	if t.changed || !t.decideAt.IsZero() || len(t.outgoing) > 0 {
 		return true
 	}
-	for _, p := range t.parts {
+	for _, p := range t.tallies {
 		if !p.announceAt.IsZero() {
 			return true
 		}
@@ -309,7 +329,7 @@
 	for _, start := range t.crashOrder {
 		message.Crashes = append(message.Crashes, t.crashes[start].message(start, now))
 	}
-	for _, p := range t.parts {
+	for _, p := range t.tallies {
 		if p.own.Before+p.own.Since > 0 {
 			message.Counts = append(message.Counts, p.own)
 		}
@@ -318,7 +338,7 @@
 		}
 	}
 	slices.SortFunc(message.Counts, func(a, b Counts) int {
-		return cmp.Or(cmp.Compare(a.Part, b.Part), cmp.Compare(a.Entry, b.Entry))
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Entry, b.Entry))
 	})
 	return message
 }
--- a/lib/quarantine/quarantine_test.go
+++ b/lib/quarantine/quarantine_test.go
@@ -237,24 +237,24 @@
 			if n%2 == 0 {
 				tracker.Crashed(Start{fmt.Sprint("w", n), 1}, "a", when)
 			}
-			tracker.MergeBlock(Block{Parts: []string{fmt.Sprint("blocked-", n)}, Epoch: 1})
+			tracker.MergeBlock(Block{Names: []string{fmt.Sprint("blocked-", n)}, Epoch: 1})
 			tracker.Advance(when)
 		}
 		So(len(tracker.crashes), ShouldBeLessThanOrEqualTo, maxCrashes)
-		So(len(tracker.parts), ShouldBeLessThanOrEqualTo, maxCrashes*maxSuspectsPerCrash)
+		So(len(tracker.tallies), ShouldBeLessThanOrEqualTo, maxCrashes*(maxPartsPerCrash+maxRequestsPerCrash))
 		So(len(tracker.lost), ShouldBeLessThanOrEqualTo, maxLostStarts)
 		So(len(tracker.blocks), ShouldBeLessThanOrEqualTo, maxBlocks)
-		So(len(tracker.history.current), ShouldBeLessThanOrEqualTo, historyPartsPerPeriod+32)
+		So(len(tracker.parts.current), ShouldBeLessThanOrEqualTo, historyNamesPerPeriod+32)
 		So(len(tracker.outgoing), ShouldBeLessThanOrEqualTo, maxOutgoing)
 	})
 	Convey("Messages without sense change nothing", t, func() {
 		tracker := newTracker(1)
 		tracker.Merge(Message{
 			Crashes: []Crash{{}, {Start: Start{"w", 1}, Age: -time.Hour, Suspects: []Suspect{{}}}},
-			Counts:  []Counts{{Part: "x", Entry: 2, Since: -1}},
-			Blocks:  []Block{{}, {Parts: []string{""}, Epoch: 1}, {Parts: []string{"b", "a"}, Epoch: 1}, {Parts: []string{"x"}, Epoch: 1 << 63}},
+			Counts:  []Counts{{Name: "x", Entry: 2, Since: -1}},
+			Blocks:  []Block{{}, {Names: []string{""}, Epoch: 1}, {Names: []string{"b", "a"}, Epoch: 1}, {Names: []string{"x"}, Epoch: 1 << 63}},
 		}, at(0))
 		So(tracker.Blocks(), ShouldBeEmpty)
-		So(tracker.parts, ShouldBeEmpty)
+		So(tracker.tallies, ShouldBeEmpty)
 	})
 }
--- a/lib/quarantine/trial.go
+++ b/lib/quarantine/trial.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// MaxTrials is the number of requests with a blocked part that are let through to find out
-	// whether it still crashes workers. The block ends when all of them have survived.
+	// MaxTrials is the number of blocked requests that are let through to find out
+	// whether they still crash workers. The block ends when all of them have survived.
 	MaxTrials = 2
 	// firstTrialAfter is the time from when this process learned of a block to its first trial.
 	// Each further trial is trialBackoff times as far from the one before.
--- a/lib/quarantine/verdict.go
+++ b/lib/quarantine/verdict.go
@@ -7,33 +7,40 @@
 	"time"
 )
 
-// maxBegun returns the number of requests with a part that may have begun since the first of a
+// maxBegun returns the number of requests with a name that may have begun since the first of a
 // number of crashes.
 func maxBegun(crashes int) int64 { return maxBegunPerCrash * int64(crashes) }
 
-// candidate is a part that may have caused crashes that nothing else explains.
+// candidate is a name whose requests may have caused crashes that nothing else explains.
 type candidate struct {
 	name          string
 	crashes       []*crash
 	before, since int64
 }
 
-// isCleared reports whether too many requests with the part have begun.
+// isCleared reports whether too many requests with the name have begun.
 func (c candidate) isCleared() bool { return c.since > maxBegun(len(c.crashes)) }
 
+// isKnown reports whether requests with the name had begun before the crashes.
+func (c candidate) isKnown() bool { return c.before >= knownRequests }
+
 // isSufficient reports whether the evidence suffices for a block.
 func (c candidate) isSufficient() bool {
 	needed := minCrashes
-	if c.before >= knownPartRequests {
-		needed = minCrashesOfKnownPart
+	if c.isKnown() {
+		needed = minCrashesOfKnown
 	}
 	return c.separateCrashes() >= needed && !c.isCleared()
 }
 
 // separateCrashes returns the number of crashes, of which those in one availability zone that are
-// close together count as one.
+// close together count as one. All of them count for a whole request that is new: such a request is
+// hardly at several workers at the moment when a zone is lost.
 func (c candidate) separateCrashes() int {
 	crashes := slices.SortedFunc(slices.Values(c.crashes), func(a, b *crash) int { return a.at.Compare(b.at) })
+	if IsRequestName(c.name) && !c.isKnown() {
+		return len(c.crashes)
+	}
 	count := 0
 	last := make(map[string]time.Time)
 	for _, crashed := range crashes {
@@ -45,8 +52,8 @@
 	return count
 }
 
-// decide blocks the parts against which the evidence suffices. It starts from all crashes each
-// time: more evidence may show that one of several parts causes the crashes alone.
+// decide blocks the names against which the evidence suffices. It starts from all crashes each
+// time: more evidence may show that one of several names causes the crashes alone.
 func (t *Tracker) decide(now time.Time) {
 	if !t.changed && (t.decideAt.IsZero() || now.Before(t.decideAt)) {
 		return
@@ -60,13 +67,15 @@
 		if best == nil {
 			return
 		}
-		found := Block{Parts: inseparable(*best, candidates), Workspaces: workspacesOf(*best)}
-		t.block(found, now)
-		crashes = slices.DeleteFunc(crashes, func(c *crash) bool { return c.hasAll(found.Parts) })
+		found := Block{Names: inseparable(*best, candidates), Workspaces: workspacesOf(*best)}
+		if !isTied(*best, candidates) {
+			t.block(found, now)
+		}
+		crashes = slices.DeleteFunc(crashes, func(c *crash) bool { return c.hasAll(found.Names) })
 	}
 }
 
-// candidates returns the parts that are suspects in at least minCrashes of some crashes, by name.
+// candidates returns the names that are suspects in at least minCrashes of some crashes, by name.
 func (t *Tracker) candidates(crashes []*crash) map[string]candidate {
 	crashesOf := make(map[string][]*crash)
 	for _, c := range crashes {
@@ -78,7 +87,7 @@
 	}
 	list := make(map[string]candidate)
 	for name, crashes := range crashesOf {
-		if p := t.parts[name]; p != nil && len(crashes) >= minCrashes {
+		if p := t.tallies[name]; p != nil && len(crashes) >= minCrashes {
 			before, since := p.total(p.own)
 			list[name] = candidate{name, crashes, before, since}
 		}
@@ -86,11 +95,11 @@
 	return list
 }
 
-// updateSufficiency records since when the evidence against each part suffices, and when to decide
+// updateSufficiency records since when the evidence against each name suffices, and when to decide
 // on the next one.
 func (t *Tracker) updateSufficiency(candidates map[string]candidate, now time.Time) {
 	t.decideAt = time.Time{}
-	for name, p := range t.parts {
+	for name, p := range t.tallies {
 		switch sufficient := candidates[name].isSufficient(); {
 		case !sufficient:
 			p.sufficientSince = time.Time{}
@@ -103,40 +112,77 @@
 	}
 }
 
-// best returns the part that explains most crashes, or nil when the evidence suffices against
-// none.
+// best returns the name that explains most crashes, or nil when the evidence suffices against
+// none. A whole request goes before the parts of its prompt that explain no more: it refuses less.
 func (t *Tracker) best(candidates map[string]candidate, now time.Time) *candidate {
 	var best *candidate
 	for _, name := range slices.Sorted(maps.Keys(candidates)) {
 		c := candidates[name]
-		p := t.parts[name]
+		p := t.tallies[name]
 		if !c.isSufficient() || p.sufficientSince.IsZero() || now.Sub(p.sufficientSince) < verdictDelay {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(len(best.crashes), len(c.crashes)), cmp.Compare(c.since, best.since), cmp.Compare(c.before, best.before)) < 0 {
+		if best == nil || c.compare(*best) > 0 {
 			best = &c
 		}
 	}
 	return best
 }
 
-// inseparable returns the part and those that were in each of its crashes as well and are not
-// cleared, sorted.
+// compare orders candidates by how well they explain the crashes.
+func (c candidate) compare(other candidate) int {
+	return cmp.Or(cmp.Compare(len(c.crashes), len(other.crashes)), cmp.Compare(other.since, c.since), cmp.Compare(other.before, c.before),
+		compareBool(IsRequestName(c.name), IsRequestName(other.name)))
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// isTied reports whether a whole request explains the crashes no better than another one that was
+// lost in the same. The next crash, or a response, will tell them apart.
+func isTied(best candidate, candidates map[string]candidate) bool {
+	if !IsRequestName(best.name) {
+		return false
+	}
+	for name, other := range candidates {
+		if name != best.name && IsRequestName(name) && other.compare(best) == 0 && best.alwaysWith(name) {
+			return true
+		}
+	}
+	return false
+}
+
+// alwaysWith reports whether another name is a suspect in each of the crashes.
+func (c candidate) alwaysWith(name string) bool {
+	return !slices.ContainsFunc(c.crashes, func(crashed *crash) bool { return !crashed.hasAll([]string{name}) })
+}
+
+// inseparable returns the name and, if it is a part, the parts that were in each of its crashes as
+// well and are not cleared, sorted. No request has the names of two whole requests.
 func inseparable(best candidate, candidates map[string]candidate) []string {
-	parts := []string{best.name}
+	names := []string{best.name}
+	if IsRequestName(best.name) {
+		return names
+	}
 	for _, name := range slices.Sorted(maps.Keys(candidates)) {
 		other := candidates[name]
-		together := len(other.crashes) >= len(best.crashes) && !slices.ContainsFunc(best.crashes, func(c *crash) bool { return !c.hasAll([]string{name}) })
-		if name != best.name && together && !other.isCleared() && len(parts) < maxPartsPerBlock {
-			parts = append(parts, name)
+		if name != best.name && !IsRequestName(name) && best.alwaysWith(name) && !other.isCleared() && len(names) < maxNamesPerBlock {
+			names = append(names, name)
 		}
 	}
-	slices.Sort(parts)
-	return parts
+	slices.Sort(names)
+	return names
 }
 
-// workspacesOf returns the workspaces whose requests were lost with a part, or none for all when
-// there is more than one.
+// workspacesOf returns the workspaces whose requests were lost with a name, or none for all when
+// there is more than one, or when the whole request came without a workspace.
 func workspacesOf(c candidate) []string {
 	var workspaces []string
 	for _, crashed := range c.crashes {
@@ -146,15 +192,15 @@
 			}
 		}
 	}
-	if len(workspaces) > 1 {
+	if len(workspaces) > 1 || (IsRequestName(c.name) && slices.Contains(workspaces, "")) {
 		return nil
 	}
 	return workspaces
 }
 
-// hasAll reports whether all parts are suspects in the crash.
-func (c *crash) hasAll(parts []string) bool {
-	return !slices.ContainsFunc(parts, func(name string) bool {
+// hasAll reports whether all names are suspects in the crash.
+func (c *crash) hasAll(names []string) bool {
+	return !slices.ContainsFunc(names, func(name string) bool {
 		s := c.suspects[name]
 		return s == nil || s.released
 	})
@@ -202,7 +248,7 @@
 	}
 	t.blocks[b.Name()] = b
 	if b.Released {
-		t.releaseEvidence(b.Parts)
+		t.releaseEvidence(b.Names)
 	}
 	t.dropBlocks(b.Name())
 	return true
@@ -213,8 +259,8 @@
 
 // SetBlock puts the block that an operator has written in force, for all workspaces when none is
 // named.
-func (t *Tracker) SetBlock(parts, workspaces []string, now time.Time) bool {
-	b := Block{Parts: slices.Sorted(slices.Values(parts)), Workspaces: workspaces, Epoch: 1}
+func (t *Tracker) SetBlock(names, workspaces []string, now time.Time) bool {
+	b := Block{Names: slices.Sorted(slices.Values(names)), Workspaces: workspaces, Epoch: 1}
 	if known, ok := t.blocks[b.Name()]; ok {
 		b.Epoch = known.Epoch
 		if known.Released {
@@ -228,7 +274,7 @@
 	return changed
 }
 
-// Release ends a block. The crashes that are known so far do not count against its parts any
+// Release ends a block. The crashes that are known so far do not count against its names any
 // more.
 func (t *Tracker) Release(name string, now time.Time) bool {
 	b, ok := t.blocks[name]
@@ -242,9 +288,9 @@
 	return true
 }
 
-func (t *Tracker) releaseEvidence(parts []string) {
+func (t *Tracker) releaseEvidence(names []string) {
 	for _, c := range t.crashes {
-		for _, name := range parts {
+		for _, name := range names {
 			if s := c.suspects[name]; s != nil {
 				s.released = true
 			}
