--- a/entry/hosted/crashes_test.go
+++ b/entry/hosted/crashes_test.go
@@ -147,6 +147,8 @@
 		}
 		callers.Wait()
 		<-time.After(time.Second)
+		d.mu.Lock()
+		defer d.mu.Unlock()
 		if checks != 1 || d.knowsCrash("w1") {
 			t.Errorf("%d checks, crash known: %t", checks, d.knowsCrash("w1"))
 		}
