--- a/entry/hosted/requests_test.go
+++ b/entry/hosted/requests_test.go
@@ -68,6 +68,46 @@
 	}
 }
 
+// Guards against a deadly request that callers without a key repeat, and that is not found because it has no
+// workspace, or whose block holds for callers with one.
+func TestRequestWithoutAWorkspaceIsBlocked(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, d *deployment) {
+		d.put(platform.KindConfig, "main", strings.Replace(testConfig, `"kind":"safe"`, `"public":true,"kind":"safe"`, 1))
+		crash := func(e *workerExchange) {
+			if string(e.body) != deadlyPart {
+				answers(e)
+				return
+			}
+			worker := e.request.Header.Get(instanceHeader)
+			d.mu.Lock()
+			d.refused[worker] = true
+			d.mu.Unlock()
+			e.Close()
+		}
+		go d.front.view.runQuarantine(t.Context(), func() bool { return false })
+		for n := range 5 {
+			worker := fmt.Sprint("w", n)
+			d.worker("desk", worker, 0, crash)
+			d.ask(t.Context(), http.MethodPost, "/view/x", deadlyPart, deadlineHeader, "900", authorizationHeader, "")
+			<-time.After(time.Second)
+		}
+		if got := len(d.arrived()); got != 3 {
+			t.Errorf("%d deadly requests reached workers", got)
+		}
+		if got := d.ask(t.Context(), http.MethodPost, "/view/x", deadlyPart, authorizationHeader, ""); got.status != http.StatusServiceUnavailable {
+			t.Errorf("response %+v", got)
+		}
+		if got := d.ask(t.Context(), http.MethodPost, "/view/x", "b", authorizationHeader, ""); got.status != http.StatusOK {
+			t.Errorf("another body: %+v", got)
+		}
+		d.front.view.mu.Lock()
+		defer d.front.view.mu.Unlock()
+		if _, blocked := d.front.view.quarantine.Match([]string{quarantine.RequestName("a.example", "/view/x", "ws", []byte(deadlyPart))}, "ws"); blocked {
+			t.Error("the request of a workspace is blocked")
+		}
+	})
+}
+
 // unsized hides the length of a body.
 type unsized struct{ io.Reader }
 
