--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -96,8 +96,10 @@
 	relayedBytes  int64
 	lastEventID   string
 	weightVersion int
-	// began is set once the current attempt has begun to write, and trial while the request is a
-	// trial of a blocked part.
+	// name is the name of the whole request, empty until it is needed.
+	name string
+	// began is set once the current attempt has begun to write a stream, or its response is complete, and trial while the request is a
+	// trial of a block.
 	began bool
 	trial *storedBlock
 	// firstEventWait is how long the last attempt waited for its first event, zero for none.
@@ -231,20 +233,21 @@
 	}
 	ended.MayHaveCrashed = c.recordCrash(ctx, ended)
 	var parts []string
-	if c.endedBeforeFirstEvent(ended) {
-		parts = c.in.PromptParts
+	name := ""
+	if c.endedBeforeResponse(ended) {
+		parts, name = c.in.PromptParts, c.requestName()
 	}
 	c.logFor(ended.Outcome == laburnumgwv1.Outcome_OUTCOME_COMPLETE).Info("attempt ended", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
 		zap.Stringer("outcome", ended.Outcome), zap.Bool("sent", ended.Sent), zap.Int64("relayed", ended.RelayedBytes),
 		zap.Duration("duration", time.Since(started)), zap.Duration("first_event", c.firstEventWait), zap.Duration("weights_left", c.weightsLeft),
-		zap.Strings("prompt_parts", parts), zap.Bool("may_have_crashed", ended.MayHaveCrashed), zap.Error(ended.Err))
+		zap.Strings("prompt_parts", parts), zap.String("request_name", name), zap.Bool("may_have_crashed", ended.MayHaveCrashed), zap.Error(ended.Err))
 	return ended
 }
 
-// endedBeforeFirstEvent reports whether the connection of an attempt at a model worker ended before
-// the first event, although the worker had received the request.
-func (c *call) endedBeforeFirstEvent(ended retry.Attempt) bool {
-	return c.engine != nil && ended.Sent && ended.Outcome == laburnumgwv1.Outcome_OUTCOME_UNKNOWN && !c.began
+// endedBeforeResponse reports whether an attempt ended before the first event of its stream, or before
+// its response was complete, although the worker had received the request.
+func (c *call) endedBeforeResponse(ended retry.Attempt) bool {
+	return ended.Sent && ended.Outcome == laburnumgwv1.Outcome_OUTCOME_UNKNOWN && !c.began
 }
 
 // exchange sends the request to one worker and relays its response.
@@ -287,10 +290,9 @@
 		c.weightVersion = workerResponse.WeightVersion
 		c.view.loadReceived(c.service, tracked, load)
 		err = c.relayStream(response, workerResponse, firstEvent, c.workerTimeout(decision), func() {
-			c.began, c.firstEventWait = true, time.Since(sentAt)
+			c.firstEventWait = time.Since(sentAt)
 			c.view.attemptAccepted(c.service, tracked)
-			c.view.requestBegan(c.in.PromptParts)
-			c.trialSurvived()
+			c.responseBegan()
 		})
 		load = nil // outdated: it was sent with the head of the stream
 	default:
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -107,11 +107,12 @@
 	announcing map[string]bool
 	// limitsInForce is signalled when a limit has changed.
 	limitsInForce chan struct{}
-	// quarantine finds the parts of prompts on which workers crash. quarantineWake is signalled
+	// quarantine finds the requests on which workers crash. quarantineWake is signalled
 	// when it has something to do, and partPeers is nil while the process does not listen.
 	quarantine     *quarantine.Tracker
 	quarantineWake chan struct{}
 	partPeers      partPeers
+	checks         crashChecks
 	// blockStore writes blocks to the store, which lists storedBlocks; both by the names of the
 	// blocks. blockedAt is when a block last changed, or was last written, and rewriting names those
 	// to write to a store that came back from an older copy.
@@ -158,7 +159,7 @@
 		outOfService: make(map[string]bool), versions: make(map[string][]namedVersion),
 		listedKinds: make(map[string]bool), departures: departure.NewSet(),
 		limits: workerlimit.NewSet(), announcing: make(map[string]bool), limitsInForce: make(chan struct{}, 1),
-		quarantine: quarantine.New(rng.Uint64(), rng), quarantineWake: make(chan struct{}, 1),
+		quarantine: quarantine.New(rng.Uint64(), rng), quarantineWake: make(chan struct{}, 1), checks: crashChecks{running: make(map[quarantine.Start]chan struct{})},
 		storedBlocks: make(map[string]storedBlock), blockedAt: make(map[string]time.Time), rewriting: make(map[string]bool),
 	}
 }
