--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -86,6 +86,7 @@
 	case platform.KindWorkers:
 		worker, err := platform.DecodeWorker(name, value)
 		if change.Deleted || err != nil {
+			v.logIgnored(kind, change, err)
 			delete(v.workers, name)
 			return
 		}
@@ -93,6 +94,7 @@
 	case platform.KindVersions:
 		model, version, err := platform.DecodeVersion(name, value)
 		if change.Deleted || err != nil || v.versions[model].number >= version {
+			v.logIgnored(kind, change, err)
 			return
 		}
 		namedAt := change.Object.LearnedAt
@@ -110,6 +112,7 @@
 		v.targets = nil
 		entry, err := platform.DecodeEntry(name, value)
 		if change.Deleted || err != nil {
+			v.logIgnored(kind, change, err)
 			delete(v.entries, name)
 			return
 		}
@@ -117,6 +120,15 @@
 	}
 }
 
+// logIgnored logs a revision of an object that cannot be read.
+func (v *view) logIgnored(kind string, change mirror.Change, err error) {
+	if err == nil || change.Deleted {
+		return
+	}
+	v.log.Warn("object of the store ignored", zap.String("kind", kind), zap.String("name", change.Object.Name),
+		zap.String("revision", mirror.FormatRevision(change.Object.Revision)), zap.Error(err))
+}
+
 // addSuspension records a suspension of the machine, which the monotonic clock does not count.
 func (v *view) addSuspension(length time.Duration) {
 	v.mu.Lock()
--- a/entry/hosted/blocks.go
+++ b/entry/hosted/blocks.go
@@ -46,6 +46,7 @@
 func (v *view) blockChanged(change mirror.Change) {
 	stored, err := platform.DecodeBlockedPart(change.Object.Name, change.Object.Value)
 	if err != nil {
+		v.metrics.objectsIgnored(platform.KindBlockedParts).Inc()
 		v.log.Warn("blocked part ignored", zap.String("name", change.Object.Name), zap.Error(err))
 		return
 	}
--- a/entry/hosted/metrics.go
+++ b/entry/hosted/metrics.go
@@ -49,6 +49,11 @@
 	return fmt.Sprintf("laburnumgw_entry_limited_attempts_total{vm=%q}", vm)
 }
 
+// objectsIgnored counts the revisions of objects in the store that cannot be read.
+func (m *entryMetrics) objectsIgnored(kind string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("laburnumgw_store_objects_ignored_total{kind=%q}", kind))
+}
+
 // countResponse counts a final response by its reason.
 func (m *entryMetrics) countResponse(reason string, started time.Time) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("laburnumgw_entry_requests_total{reason=%q}", reason)).Inc()
--- a/entry/hosted/neighbours.go
+++ b/entry/hosted/neighbours.go
@@ -50,6 +50,7 @@
 	}
 	entry, err := platform.DecodeEntry(change.Object.Name, change.Object.Value)
 	if err != nil {
+		v.metrics.objectsIgnored(platform.KindEntries).Inc()
 		v.log.Warn("entry ignored", zap.String("entry", change.Object.Name), zap.Error(err))
 		return
 	}
--- a/entry/hosted/versions.go
+++ b/entry/hosted/versions.go
@@ -31,6 +31,7 @@
 	}
 	model, version, err := platform.DecodeVersion(change.Object.Name, change.Object.Value)
 	if err != nil {
+		v.metrics.objectsIgnored(platform.KindVersions).Inc()
 		v.log.Warn("version ignored", zap.Error(err))
 		return
 	}
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -193,6 +193,7 @@
 	}
 	next, err := platform.DecodeConfig(change.Object.Value)
 	if err != nil {
+		v.metrics.objectsIgnored(platform.KindConfig).Inc()
 		v.log.Error("configuration ignored; the one in force stays", zap.String("revision", mirror.FormatRevision(change.Object.Revision)), zap.Error(err))
 		return
 	}
@@ -317,8 +318,9 @@
 	known := v.workers[id]
 	decoded, err := platform.DecodeWorker(id, change.Object.Value)
 	if change.Deleted || err != nil {
-		if err != nil {
-			v.log.Warn("worker entry ignored", zap.String("vm", id), zap.Error(err))
+		if !change.Deleted {
+			v.metrics.objectsIgnored(platform.KindWorkers).Inc()
+			v.log.Warn("worker entry ignored", zap.String("vm", id), zap.String("revision", mirror.FormatRevision(change.Object.Revision)), zap.Error(err))
 		}
 		if known != nil {
 			v.removeWorker(known, change.Object.Revision)
--- a/standin/hosted/store.go
+++ b/standin/hosted/store.go
@@ -26,8 +26,8 @@
 }
 
 type event struct {
-	Object  Object `json:"object"`
-	Deleted bool   `json:"deleted"`
+	Object  Object
+	Deleted bool
 	kind    string
 }
 
@@ -202,11 +202,11 @@
 func (s *Store) list(w http.ResponseWriter, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	items := []Object{}
+	var items [][]byte
 	for _, object := range s.objects[kind] {
-		items = append(items, object)
+		items = append(items, object.encode())
 	}
-	respond(w, http.StatusOK, map[string]any{"items": items, "has_more": false, "current_rev": s.revision})
+	respondPage(w, "items", items, s.revision)
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -219,10 +219,10 @@
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		events := []event{}
+		var events [][]byte
 		for _, e := range s.history {
 			if e.kind == kind && e.Object.Metadata.Revision > after {
-				events = append(events, e)
+				events = append(events, e.encode())
 			}
 		}
 		revision, changed, compacted, down := s.revision, s.changed, after < s.oldest || after > s.revision || s.era != era, s.down
@@ -235,13 +235,13 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0:
-			respond(w, http.StatusOK, map[string]any{"events": events, "current_rev": revision})
+			respondPage(w, "events", events, revision)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			respond(w, http.StatusOK, map[string]any{"events": events, "current_rev": revision})
+			respondPage(w, "events", events, revision)
 			return
 		case <-r.Context().Done():
 			return
