Resumed streams: only later events continue them

Callers saw: other operators report an error's text, at times a whole head, amid a stream that had broken off, or a stream that ended as if it were complete. Here a status other than 200 was kept from the caller once the head had been sent, but any 200 with a seal and the same weights was taken for the rest of the stream: the text of an error (with a length and no event in it), an empty body of another type (a complete end too early), a head written twice (the second one reached the caller as an event), a worker that begins at the first event again. So was the part of an event at which a stream with a length or a last chunk ended.

Cause: relayStream sent whatever came up to an empty line, and the rest at a marked end, without looking whether it was an event that follows the last one.

Change: a response that resumes a stream must have the type of the stream, and each of its events an id after the last one that was sent. In any event stream, what does not start like an event, and an end inside an event, break it off. Events that come with the end of the body pass the same checks. relayBuffered asks first whether the head was sent.

--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -39,14 +39,14 @@
 	response.Finish(workerResponse.KeepAlive)
 	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	switch {
+	case c.headSent:
+		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_FAILED, true, "", errWorkerFailed)
 	case meansNotRun(buffered.status):
 		// The worker ran the request, although callers take its status as "not run".
 		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_FAILED, true, "", errWorkerFailed)
 	case buffered.status >= http.StatusInternalServerError && c.route.Repeatable():
 		c.lastFailure = buffered
 		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_FAILED, true, "", errWorkerFailed)
-	case c.headSent:
-		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_FAILED, true, "", errWorkerFailed)
 	}
 	if err := c.sendBuffered(buffered); err != nil {
 		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", err)
@@ -98,6 +98,11 @@
 // relayStream relays the complete events of a stream as they arrive, and calls onFirstEvent
 // after the first read that completes an event. It returns nil when the stream is complete.
 func (c *call) relayStream(response *workerconn.Response, workerResponse platform.WorkerResponse, first, next workerconn.TimeoutFunc, onFirstEvent func()) error {
+	contentType := response.Header.Get("Content-Type")
+	if c.headSent && isEventStream(contentType) != isEventStream(c.w.Header().Get("Content-Type")) {
+		return fmt.Errorf("%w: its type is %q", errNotContinued, contentType)
+	}
+	check := &eventCheck{resumes: c.headSent, lastID: c.lastEventID}
 	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
 	defer streamBuffers.Put(buffer)
 	var pending []byte
@@ -108,7 +113,28 @@
 		}
 		n, err := response.Body.Read(buffer[:])
 		pending = append(pending, buffer[:n]...)
+		if end := lastEventEnd(pending); end > 0 {
+			accepted, foreign := end, error(nil)
+			if check.resumes || isEventStream(contentType) {
+				accepted, foreign = check.accept(pending[:end])
+			}
+			if err := c.sendEvents(response, pending[:accepted]); err != nil {
+				return err
+			}
+			if accepted > 0 && onFirstEvent != nil {
+				onFirstEvent()
+				onFirstEvent = nil
+			}
+			if foreign != nil {
+				return fmt.Errorf("%w: %w", errTruncated, foreign)
+			}
+			pending = append(pending[:0], pending[end:]...)
+			timeout, since = next, time.Now()
+		}
 		if errors.Is(err, io.EOF) {
+			if response.EndMarked() && len(pending) > 0 && (check.resumes || isEventStream(contentType)) {
+				return fmt.Errorf("%w: it ends inside an event", errTruncated)
+			}
 			if !response.EndMarked() && c.isBrokenOff(pending, onFirstEvent == nil) {
 				return fmt.Errorf("%w: %w", errTruncated, io.ErrUnexpectedEOF)
 			}
@@ -118,17 +144,6 @@
 			response.Finish(workerResponse.KeepAlive)
 			return c.ensureHeadSent(response)
 		}
-		if end := lastEventEnd(pending); end > 0 {
-			if err := c.sendEvents(response, pending[:end]); err != nil {
-				return err
-			}
-			pending = append(pending[:0], pending[end:]...)
-			if onFirstEvent != nil {
-				onFirstEvent()
-				onFirstEvent = nil
-			}
-			timeout, since = next, time.Now()
-		}
 		if err != nil {
 			return fmt.Errorf("%w: %w", errTruncated, err)
 		}
