--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -180,7 +181,18 @@
 	}
 	near, far := net.Pipe()
 	go d.serve(address, far, respond)
-	return near, nil
+	return pipeEnd{near}, nil
+}
+
+// pipeEnd is an end of a pipe that takes deadlines also after the other end was closed, as a TCP
+// connection does.
+type pipeEnd struct{ net.Conn }
+
+func (p pipeEnd) SetReadDeadline(at time.Time) error {
+	if err := p.Conn.SetReadDeadline(at); !errors.Is(err, io.ErrClosedPipe) {
+		return err
+	}
+	return nil
 }
 
 func (d *deployment) serve(address string, conn net.Conn, respond workerScript) {
