Kept connections: an earlier refusal is not the answer to a repeat

Callers saw: other operators report 'not run, try again' for requests that a worker had run or was running, after a faulty worker had written an earlier refusal once more on a kept connection. Here a refusal was matched by its request id alone. A repeat with the same id on the connection on which it had been refused took the old refusal for its answer: 503, while the worker ran it. On a new connection a refusal without an id was believed also after a response to another request, for requests that must run at most once too.

Change: a connection remembers the ids that were refused on it, at most 32, and is not used for a request with one of them; after more refusals it is closed. After a response to another request, one without an id is not taken any more: the outcome is unknown. Other requests go on using the kept connection. Requests that must run at most once have had a connection of their own before.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -255,7 +255,7 @@
 	sentAt := time.Now()
 	firstEvent := c.firstEventTimeout(decision)
 	request := &workerconn.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, ResponseTimeout: firstEvent,
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, ID: c.in.ID, ResponseTimeout: firstEvent,
 		NewConnection: !c.route.Repeatable(),
 		Header:        platform.WorkerHeader(c.forwarded, c.forward(decision)),
 	}
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -39,6 +40,8 @@
 	// only to reuse its connection. A faulty worker may send bytes without end.
 	maxHeadBytes      = 64 << 10
 	maxDiscardedBytes = 16 << 10
+	// maxRefusals bounds the refusals whose IDs a connection remembers.
+	maxRefusals = 32
 	// discardTimeout bounds the wait for a body that is read only to reuse its connection.
 	discardTimeout = 250 * time.Millisecond
 )
@@ -58,6 +61,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// ID identifies the request. It is not sent on a connection on which a request with the same
+	// ID was refused: the worker may write that refusal once more. Empty for none.
+	ID string
 	// ResponseTimeout bounds the wait for the first byte of the response; nil for no bound.
 	ResponseTimeout TimeoutFunc
 	// NewConnection sends the request on a newly opened connection. A worker may close an idle
@@ -76,7 +82,8 @@
 var ErrUnresponsive = errors.New("worker is unresponsive")
 
 // ResponseMatcher reports whether a response belongs to the request that was sent.
-// firstRequest is set on a connection that has carried no other request.
+// firstRequest is set on a connection that has carried no other request, up to the first response
+// that does not belong to it.
 type ResponseMatcher func(response *http.Response, firstRequest bool) bool
 
 // Pool keeps idle connections for reuse, by address.
@@ -117,6 +124,8 @@
 	used   bool
 	// headBytesLeft is how many bytes of a head may still be read; negative outside of heads.
 	headBytesLeft int
+	// refused holds the IDs of the requests that were refused on the connection.
+	refused []string
 	// keepAlive is how long the idle connection may be reused; negative for not at all.
 	keepAlive time.Duration
 	idleSince time.Time
@@ -151,6 +160,7 @@
 	pool    *Pool
 	address string
 	conn    *conn
+	id      string
 	stop    func() bool
 	closed  bool
 }
@@ -160,7 +170,7 @@
 // ResponseTimeout grants no time. The end of the context closes the connection. The caller
 // must end the response with Finish, Discard or Abort.
 func (p *Pool) Send(ctx context.Context, address string, r *Request, matches ResponseMatcher) (response *Response, sent bool, err error) {
-	c, err := p.take(ctx, address, r.NewConnection)
+	c, err := p.take(ctx, address, r)
 	if err != nil {
 		return nil, false, err
 	}
@@ -194,7 +204,7 @@
 	if err != nil {
 		return fail(true, fmt.Errorf("read response: %w", err))
 	}
-	return &Response{Response: head, pool: p, address: address, conn: c, stop: stop}, true, nil
+	return &Response{Response: head, pool: p, address: address, conn: c, id: r.ID, stop: stop}, true, nil
 }
 
 // encode returns the bytes of a request.
@@ -238,6 +248,7 @@
 			return response, nil
 		}
 		c.keepAlive = -1
+		firstRequest = false
 		if err := discard(response.Body); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrUnrelatedResponse, err)
 		}
@@ -256,20 +267,24 @@
 }
 
 // take returns a reusable idle connection, or a new one.
-func (p *Pool) take(ctx context.Context, address string, newConnection bool) (*conn, error) {
+func (p *Pool) take(ctx context.Context, address string, r *Request) (*conn, error) {
 	now := time.Now()
 	p.mu.Lock()
-	for !newConnection && len(p.idle[address]) > 0 {
+	for !r.NewConnection {
 		list := p.idle[address]
-		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
+		at := lastUsable(list, r.ID)
+		if at < 0 {
+			break
+		}
+		c := list[at]
+		p.idle[address] = slices.Delete(list, at, at+1)
 		if now.Sub(c.idleSince) < c.keepAlive && c.reusable() {
 			p.mu.Unlock()
 			return c, nil
 		}
 		c.Close()
 	}
-	if !newConnection {
+	if len(p.idle[address]) == 0 {
 		delete(p.idle, address)
 	}
 	p.opened++
@@ -283,6 +298,17 @@
 	return c, nil
 }
 
+// lastUsable returns the index of the last connection on which no request with an ID was refused, or
+// -1 without one.
+func lastUsable(idle []*conn, id string) int {
+	for at := len(idle) - 1; at >= 0; at-- {
+		if id == "" || !slices.Contains(idle[at].refused, id) {
+			return at
+		}
+	}
+	return -1
+}
+
 // reusable reports whether an idle connection is open and has nothing to read. Bytes that
 // arrive on an idle connection belong to no request.
 func (c *conn) reusable() bool {
@@ -385,9 +411,15 @@
 	r.pool.put(r.address, r.conn)
 }
 
-// Discard ends a response whose body is not used. A short body is read, so that the
-// connection can be reused; a long or slow body closes it.
+// Discard ends a response that refuses the request, and whose body is not used. A short body
+// is read, so that the connection can be reused for requests with other IDs; a long or slow body
+// closes it, and so does the refusal after maxRefusals others.
 func (r *Response) Discard(keepAlive time.Duration) {
+	if len(r.conn.refused) == maxRefusals {
+		r.Abort()
+		return
+	}
+	r.conn.refused = append(r.conn.refused, r.id)
 	// SetReadDeadline fails only on a closed connection, which the read reports.
 	_ = r.conn.SetReadDeadline(time.Now().Add(discardTimeout))
 	if err := discard(r.Body); err != nil {
--- a/lib/workerconn/pool_test.go
+++ b/lib/workerconn/pool_test.go
@@ -197,3 +197,29 @@
 		<-closed
 	})
 }
+
+// Guards against connections that are not kept any more after refusals, and against a request that
+// is sent where a request with its id was refused: the worker may write that refusal once more.
+func TestConnectionIsKeptForOtherRequestsAfterARefusal(t *testing.T) {
+	respond := func(conn net.Conn, _ int, r *http.Request) { reply(conn, r.Header.Get("Id"), "") }
+	refused := func(t *testing.T, pool *Pool, id string) {
+		t.Helper()
+		response, _, err := pool.Send(t.Context(), "worker", &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {id}}, ID: id}, matchesID(id))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Discard(time.Minute)
+	}
+	withPeer(t, respond, func(t *testing.T, pool *Pool, p *peer) {
+		for i := range maxRefusals {
+			refused(t, pool, fmt.Sprint(i))
+		}
+		if p.dialed != 1 {
+			t.Errorf("%d connections for %d refusals, want 1", p.dialed, maxRefusals)
+		}
+		refused(t, pool, "0")
+		if p.dialed != 2 {
+			t.Errorf("%d connections, want a second one for the id that was refused on the first", p.dialed)
+		}
+	})
+}
