--- a/entry/hosted/metrics.go
+++ b/entry/hosted/metrics.go
@@ -57,6 +57,11 @@
 	return m.set.GetOrCreateCounter(fmt.Sprintf("laburnumgw_entry_cut_responses_total{reason=%q}", reason))
 }
 
+// objectsIgnored counts the revisions of objects in the store that cannot be read.
+func (m *entryMetrics) objectsIgnored(kind string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("laburnumgw_store_objects_ignored_total{kind=%q}", kind))
+}
+
 // countResponse counts a final response by its reason.
 func (m *entryMetrics) countResponse(reason string, started time.Time) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("laburnumgw_entry_requests_total{reason=%q}", reason)).Inc()
