--- a/lib/quarantine/request.go
+++ b/lib/quarantine/request.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// RequestPrefix is the start of the name of a whole request, which RequestDigits hexadecimal
-	// digits of its digest follow.
+	// RequestPrefix is the start of the name of a whole request.
 	RequestPrefix = "request-"
+	// RequestDigits is the number of hexadecimal digits that follow it.
 	RequestDigits = 2 * requestBytes
 	// requestBytes is the length of a request's digest. Nobody finds two requests with the same one,
 	// so that no caller can have the request of another one blocked.
