Entries go on reading reports after a failed read

Callers could see: an entry whose socket failed one read received no report of any worker until it was restarted. It chose workers by the list alone, gave busy ones up as silent, and did not hear of departures, limits and crashes that others announce.

Cause: readReports returned on the first error.

Change: it ends when the socket is closed; after another error it reads on, 50 ms later, and logs the first failure and the recovery.

Evidence: TestReportsAreReadAfterAFailedRead (20 failed reads, then a report) failed before: the report was not applied.

--- a/entry/hosted/reports.go
+++ b/entry/hosted/reports.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"errors"
 	"net"
 	"time"
 
@@ -17,16 +18,30 @@
 // maxReportBytes bounds the datagram of a report.
 const maxReportBytes = 2 << 10
 
+// readRetryPause separates two attempts to read reports after a failed one.
+const readRetryPause = 50 * time.Millisecond
+
 // readReports applies the datagrams of endpoint processes and of other
-// entries.
+// entries until the socket is closed.
 func (p *Process) readReports(socket net.PacketConn) {
 	buffer := make([]byte, maxReportBytes)
+	failing := false
 	for {
 		n, _, err := socket.ReadFrom(buffer)
-		if err != nil {
-			p.log.Error("reading reports failed; no reports of workers are received until a restart", zap.Error(err))
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
+		case err != nil:
+			if !failing {
+				p.log.Error("reports cannot be read", zap.Error(err))
+			}
+			failing = true
+			time.Sleep(readRetryPause)
+			continue
+		case failing:
+			p.log.Info("reports are read again")
 		}
+		failing = false
 		p.view.applyDatagram(buffer[:n])
 	}
 }
