--- a/e2e/deadly_request_test.go
+++ b/e2e/deadly_request_test.go
@@ -11,7 +11,7 @@
 
 // Second bytes of the loopback addresses.
 const (
-	deadlySafeNetwork   = 35
+	deadlySafeNetwork   = 38
 	deadlyUnsafeNetwork = 36
 	deadlyModelNetwork  = 37
 )
--- a/entry/hosted/change_race_test.go
+++ b/entry/hosted/change_race_test.go
@@ -64,7 +64,7 @@
 		d.front.view.reconfigure(&next)
 	})
 	change(func(number int) {
-		d.front.view.applyReport("w1", uint64(number), catalog.Report{StartedAtMs: 1, Weights: catalog.Weights{Model: "m", Version: 1, To: 16}})
+		d.front.view.applyReport(workerAddress("w1"), uint64(number), catalog.Report{StartedAtMs: 1, Weights: catalog.Weights{Model: "m", Version: 1, To: 16}})
 		d.front.view.staleAfter()
 		d.front.view.limitedWorkers()
 	})
--- a/entry/hosted/crashes_test.go
+++ b/entry/hosted/crashes_test.go
@@ -29,7 +29,7 @@
 func (d *deployment) knowsCrash(worker string) bool {
 	d.front.view.mu.Lock()
 	defer d.front.view.mu.Unlock()
-	return d.front.view.quarantine.HasCrashed(quarantine.Start{Address: worker, StartedAtMs: 1})
+	return d.front.view.quarantine.HasCrashed(quarantine.Start{Address: workerAddress(worker), StartedAtMs: 1})
 }
 
 // Guards against crashes of workers without a process beside them of which nobody learns: a refused
@@ -84,7 +84,7 @@
 	told := func(d *deployment, age time.Duration) {
 		d.front.view.mu.Lock()
 		defer d.front.view.mu.Unlock()
-		d.front.view.mergeEvidence(&laburnumgwv1.PartEvidence{Crashes: []*laburnumgwv1.WorkerCrash{{Address: "w1", Born: 1, AgeMs: age.Milliseconds()}}})
+		d.front.view.mergeEvidence(&laburnumgwv1.PartEvidence{Crashes: []*laburnumgwv1.WorkerCrash{{Address: workerAddress("w1"), Born: 1, AgeMs: age.Milliseconds()}}})
 	}
 	for name, c := range map[string]struct {
 		before    func(d *deployment)
@@ -96,7 +96,7 @@
 		"told of long ago":        {func(d *deployment) { told(d, time.Hour) }, 3, true},
 		"told wrongly by another": {func(d *deployment) { told(d, 0) }, 0, false},
 		"told wrongly by a refusal": {func(d *deployment) {
-			d.front.view.workerCrashed(quarantine.Start{Address: "w1", StartedAtMs: 1}, "test")
+			d.front.view.workerCrashed(quarantine.Start{Address: workerAddress("w1"), StartedAtMs: 1}, "test")
 		}, 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/entry/hosted/requests_test.go
+++ b/entry/hosted/requests_test.go
@@ -163,7 +163,7 @@
 						d.mu.Unlock()
 						e.Close()
 						if c.target == "/chat/x" {
-							d.front.view.workerCrashed(quarantine.Start{Address: worker, StartedAtMs: 1}, "test")
+							d.front.view.workerCrashed(quarantine.Start{Address: workerAddress(worker), StartedAtMs: 1}, "test")
 						}
 						return
 					}
@@ -247,8 +247,8 @@
 					t.Logf("%d crashes, %d arrivals, %d of %d sound requests served", len(f.crashes), len(f.arrivals), served, sound)
 					<-time.After(time.Minute)
 					for _, d := range f.entries {
-						for address := range d.scripts {
-							d.front.conns.Forget(address)
+						for id := range d.scripts {
+							d.front.conns.Forget(workerAddress(id))
 						}
 					}
 				})
