Bound the time for a header during a drain wherever it began

What operators would see: a process that is stopped waits up to 30 s, or to the end of its grace time, and then reports that requests still ran, when a caller has opened a connection without sending a request, or stalls within a header. No request is lost by it.

Change: the listener follows whether a connection is within a header: from its acceptance, or the first bytes after a response, until the server clears the deadline. Such connections get the bound at the start of a drain, and any later deadline of theirs is limited to it.

TestDrainDoesNotWaitForAStalledHeader failed before in its five cases (30 s in four, over a minute after a single byte). TestDrainBoundsNothingButHeaders, sound before, holds the other side: it fails when the bound is set on requests whose header has been read.

--- a/lib/drain/drain.go
+++ b/lib/drain/drain.go
@@ -20,8 +20,7 @@
 type Listener struct {
 	net.Listener
 	server *http.Server
-	// headerTimeout bounds the time for the rest of a header whose first bytes arrived on an
-	// idle connection during the drain.
+	// headerTimeout bounds the time for a header during the drain; zero for no bound.
 	headerTimeout time.Duration
 
 	mu       sync.Mutex
@@ -58,7 +57,7 @@
 		}
 		return nil, err //nolint:wrapcheck // the server checks the errors of its listener
 	}
-	c := &conn{Conn: accepted, listener: l}
+	c := &conn{Conn: accepted, listener: l, inHeader: true}
 	l.conns[c] = struct{}{}
 	return c, nil
 }
@@ -73,12 +72,12 @@
 	defer l.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		c.idle = true
+		c.idle, c.active = true, false
 		if l.draining {
 			c.expire()
 		}
 	case http.StateActive:
-		c.idle = false
+		c.idle, c.inHeader, c.active = false, false, true
 	case http.StateClosed, http.StateHijacked:
 		delete(l.conns, c)
 		l.closeIfEmpty()
@@ -122,8 +121,11 @@
 	}
 	l.draining = true
 	for c := range l.conns {
-		if c.idle {
+		switch {
+		case c.idle:
 			c.expire()
+		case c.inHeader:
+			c.boundHeader()
 		}
 	}
 	l.closeIfEmpty()
@@ -139,6 +141,9 @@
 	listener *Listener
 	// idle is set from the end of a response until the first bytes of the next request.
 	idle bool
+	// inHeader is set until the server has read the header of a request, the wait for its first bytes on a
+	// new connection included, and active from the call of the handler to the end of the response.
+	inHeader, active bool
 }
 
 // expiredDeadline is a read deadline in the past, which makes reads fail at once.
@@ -151,6 +156,14 @@
 	_ = c.Conn.SetReadDeadline(expiredDeadline)
 }
 
+// boundHeader bounds the time for the rest of a header. The caller holds the lock.
+func (c *conn) boundHeader() {
+	if c.listener.headerTimeout > 0 {
+		// The error is ignored: a closed connection has no deadlines.
+		_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.headerTimeout))
+	}
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -160,21 +173,31 @@
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	if c.idle {
-		c.idle = false
+		c.idle, c.inHeader = false, true
 		if c.listener.draining {
-			_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.headerTimeout))
+			c.boundHeader()
 		}
 	}
 	return n, err //nolint:wrapcheck // the server checks the errors of its connections
 }
 
 // SetReadDeadline implements net.Conn. The server uses it to bound the wait for the next
-// request, which must stay ended during the drain.
+// request, which must stay ended during the drain, and the time for a header. It clears the
+// deadline once it has read the header, before it calls the handler.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	if c.idle && c.listener.draining {
-		t = expiredDeadline
+	switch {
+	case c.idle:
+		if c.listener.draining {
+			t = expiredDeadline
+		}
+	case !c.active:
+		c.inHeader = !t.IsZero()
+		latest := time.Now().Add(c.listener.headerTimeout)
+		if c.inHeader && c.listener.draining && c.listener.headerTimeout > 0 && t.After(latest) {
+			t = latest
+		}
 	}
 	return c.Conn.SetReadDeadline(t) //nolint:wrapcheck // passes on the error of the connection
 }
