Hold no lock across a panic on the path of a request

No panic is known to have happened.

Change: the other sections on that path unlock with a defer too.

--- a/entry/hosted/departures.go
+++ b/entry/hosted/departures.go
@@ -50,18 +50,21 @@
 // responseStatesLeaving records that a response states that its worker is leaving, and announces
 // it to the other entries.
 func (v *view) responseStatesLeaving(vm string) {
+	if d, isNew := v.recordLeaving(vm); isNew && v.announceDeparture != nil {
+		v.announceDeparture(d)
+	}
+}
+
+// recordLeaving records that a listed worker is leaving, and reports whether that was unknown.
+func (v *view) recordLeaving(vm string) (d departure.Departure, isNew bool) {
 	v.mu.Lock()
+	defer v.mu.Unlock()
 	w := v.workers[vm]
 	if w == nil {
-		v.mu.Unlock()
-		return
-	}
-	d := departure.Departure{VM: vm, StartedAtMs: w.StartedAtMs}
-	isNew := v.addDeparture(d, "its answer")
-	v.mu.Unlock()
-	if isNew && v.announceDeparture != nil {
-		v.announceDeparture(d)
+		return d, false
 	}
+	d = departure.Departure{VM: vm, StartedAtMs: w.StartedAtMs}
+	return d, v.addDeparture(d, "its answer")
 }
 
 // announceDeparture returns a function that sends a departure to all other entries. An entry
--- a/entry/hosted/limits.go
+++ b/entry/hosted/limits.go
@@ -45,26 +45,31 @@
 // limitStated records what a response states about the limit of a worker, to which the request
 // was sent at sentAt, and announces a change to the other entries.
 func (v *view) limitStated(vm string, startedAtMs int64, statement workerlimit.Statement, sentAt time.Time) {
+	if known, peers := v.recordLimit(vm, startedAtMs, statement, sentAt); peers != nil {
+		peers.Announce(known)
+		time.AfterFunc(announceRepeat, func() { v.repeatAnnouncement(vm) })
+	}
+}
+
+// recordLimit records what a response states about the limit of a worker. It returns the other
+// entries if a change is to be announced to them.
+func (v *view) recordLimit(vm string, startedAtMs int64, statement workerlimit.Statement, sentAt time.Time) (workerlimit.Limit, limitPeers) {
 	v.mu.Lock()
+	defer v.mu.Unlock()
 	w := v.workers[vm]
 	if w != nil && statement.Kind == workerlimit.Unusable && !w.limit.unreadable {
 		w.limit.unreadable = true
 		v.log.Warn("limit of a worker cannot be read", zap.String("vm", vm))
 	}
 	known, changed := v.limits.Observe(vm, startedAtMs, statement, sentAt, time.Now())
-	announce := changed && v.limitPeers != nil && !v.announcing[vm]
 	if changed {
 		v.limitChanged(known, "its response")
 	}
-	if announce {
-		v.announcing[vm] = true
-	}
-	peers := v.limitPeers
-	v.mu.Unlock()
-	if announce {
-		peers.Announce(known)
-		time.AfterFunc(announceRepeat, func() { v.repeatAnnouncement(vm) })
+	if !changed || v.limitPeers == nil || v.announcing[vm] {
+		return known, nil
 	}
+	v.announcing[vm] = true
+	return known, v.limitPeers
 }
 
 // repeatAnnouncement announces the limit of a worker once more, as it is known now: the first
--- a/entry/hosted/panic_test.go
+++ b/entry/hosted/panic_test.go
@@ -55,3 +55,40 @@
 		})
 	})
 }
+
+// Guards against an entry that hangs since a panic left a lock held: the next requests, or all of a service, waited
+// for ever.
+func TestPanicLeavesNoLockHeld(t *testing.T) {
+	for name, fail := range map[string]func(v *view) (restore func()){
+		"limits": func(v *view) func() {
+			limits := v.limits
+			v.limits = nil
+			return func() { v.limits = limits }
+		},
+		"departures": func(v *view) func() {
+			departures := v.departures
+			v.departures = nil
+			return func() { v.departures = departures }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCallers(t, func(t *testing.T, s *callerServer) {
+				var restore func()
+				s.worker("desk", "d1", 0, func(e *workerExchange) {
+					if restore == nil {
+						restore = fail(s.front.view)
+					}
+					e.head(http.StatusOK, sealHeader, "seal", leavingHeader, "1", "Content-Length", "0")
+				})
+				if got := s.connect().ask(requestText(http.MethodPost, "/book/x", "b")); got.status != http.StatusBadGateway {
+					t.Errorf("response %+v", got)
+				}
+				restore()
+				if !s.front.view.mu.TryLock() {
+					t.Fatal("the lock of the view is held")
+				}
+				s.front.view.mu.Unlock()
+			})
+		})
+	}
+}
--- a/lib/dispatch/dispatch.go
+++ b/lib/dispatch/dispatch.go
@@ -47,9 +47,7 @@
 // when the response is complete.
 func (l *Loop) Run(ctx context.Context, request retry.Request, target Target) (retry.Attempt, error) {
 	state := retry.NewState(request)
-	l.mu.Lock()
-	l.budget.FirstAttempt(time.Now())
-	l.mu.Unlock()
+	l.countFirst()
 	var tried []string
 	var ended retry.Attempt
 	digest := ""
@@ -73,6 +71,12 @@
 	}
 }
 
+func (l *Loop) countFirst() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budget.FirstAttempt(time.Now())
+}
+
 func (l *Loop) next(state *retry.State, ended retry.Attempt) retry.Next {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -92,12 +96,16 @@
 		if next.Action != retry.Wait {
 			return next
 		}
-		l.mu.Lock()
-		next = l.planner.NextAfterWait(state, time.Now())
-		l.mu.Unlock()
+		next = l.nextAfterWait(state)
 	}
 }
 
+func (l *Loop) nextAfterWait(state *retry.State) retry.Next {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.planner.NextAfterWait(state, time.Now())
+}
+
 // Sleep waits and reports whether the time passed before the context was cancelled.
 func Sleep(ctx context.Context, wait time.Duration) bool {
 	if wait <= 0 {
