Do not invite the body of a request that is refused

What callers saw: one that waits for "100 Continue" before it sends a body was invited to send it, and then refused, when its route, key or service is not known.

Cause: since a refusal reads the rest of the body, and the first read of such a body makes net/http send "100 Continue".

Change: the body of a request with Expect is not read; the connection ends after the refusal.

TestRefusalInvitesNoBody got 100 before the 404, and passes on.

--- a/entry/hosted/unread_body.go
+++ b/entry/hosted/unread_body.go
@@ -26,7 +26,9 @@
 	}
 	// A connection without deadlines is closed already.
 	control := http.NewResponseController(w)
-	if w.Header().Get("Connection") != "close" && r.ContentLength <= maxUnreadBody {
+	// A read would invite the body of a caller that waits for "100 Continue".
+	waits := r.Header.Get("Expect") != ""
+	if w.Header().Get("Connection") != "close" && r.ContentLength <= maxUnreadBody && !waits {
 		_ = control.SetReadDeadline(time.Now().Add(unreadBodyWait))
 		if _, err := io.CopyN(io.Discard, r.Body, maxUnreadBody+1); errors.Is(err, io.EOF) {
 			_ = control.SetReadDeadline(time.Time{})
