--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -326,9 +326,16 @@
 
 // silencePatience returns how long a worker that neither sends anything nor reports is waited for
 // before a repeatable request is sent to another one. Sound workers fall silent for a second or so, so
-// that it is as long as the entry waits for an event of a stream, less the objective, or firstEventReserve,
-// within which the repeat has to begin. It is minSilencePatience at least.
+// that it is as long as callers of a stream wait, less the objective, within which the repeat has to
+// begin. That is 1.5 s at least.
 func silencePatience(route *catalog.Route) time.Duration {
+	return route.CallerEventTimeout() - route.Objective
+}
+
+// firstEventPatience is silencePatience before the first event of a stream, for which the entry waits
+// firstEventReserve less than callers. It leaves the repeat the objective, or firstEventReserve, unless
+// minSilencePatience is longer.
+func firstEventPatience(route *catalog.Route) time.Duration {
 	return max(minSilencePatience, route.CallerEventTimeout()-firstEventReserve-max(route.Objective, firstEventReserve))
 }
 
@@ -336,10 +343,14 @@
 // when the request must not be repeated. A model worker that reports is alive and only busy, so
 // it gets most of the time that callers wait.
 func (c *call) workerTimeout(vm string) workerconn.TimeoutFunc {
+	return c.patientTimeout(vm, silencePatience(c.route))
+}
+
+// patientTimeout is workerTimeout with a patience for a worker that does not report.
+func (c *call) patientTimeout(vm string, first time.Duration) workerconn.TimeoutFunc {
 	if !c.route.Repeatable() {
 		return nil
 	}
-	first := silencePatience(c.route)
 	last := first
 	if c.route.Kind == catalog.Stream {
 		last = c.route.CallerEventTimeout() - firstEventReserve
@@ -359,6 +370,9 @@
 // must not start on weights after their bound, so the wait ends there at the latest.
 func (c *call) firstEventTimeout(decision routing.Decision) workerconn.TimeoutFunc {
 	timeout := c.workerTimeout(decision.VM)
+	if c.route.Kind == catalog.Stream && c.relayedBytes == 0 {
+		timeout = c.patientTimeout(decision.VM, firstEventPatience(c.route))
+	}
 	engine := c.engine
 	if engine == nil {
 		return timeout
