--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -335,9 +335,16 @@
 
 // silencePatience returns how long a worker that neither sends anything nor reports is waited for
 // before a repeatable request is sent to another one. Sound workers fall silent for a second or so, so
-// that it is as long as the entry waits for an event of a stream, less the objective, or firstEventReserve,
-// within which the repeat has to begin. It is minSilencePatience at least.
+// that it is as long as callers of a stream wait, less the objective, within which the repeat has to
+// begin. That is 1.5 s at least.
 func silencePatience(route *catalog.Route) time.Duration {
+	return route.CallerEventTimeout() - route.Objective
+}
+
+// firstEventPatience is silencePatience before the first event of a stream, for which the entry waits
+// firstEventReserve less than callers. It leaves the repeat the objective, or firstEventReserve, unless
+// minSilencePatience is longer.
+func firstEventPatience(route *catalog.Route) time.Duration {
 	return max(minSilencePatience, route.CallerEventTimeout()-firstEventReserve-max(route.Objective, firstEventReserve))
 }
 
@@ -346,10 +353,15 @@
 // it gets most of the time that callers wait. While the request can't be sent to another worker, it
 // is waited for until the caller has left for certain.
 func (c *call) workerTimeout(decision routing.Decision) workerconn.TimeoutFunc {
+	return c.patientTimeout(decision, silencePatience(c.route))
+}
+
+// patientTimeout is workerTimeout with a patience for a worker that does not report.
+func (c *call) patientTimeout(decision routing.Decision, patience time.Duration) workerconn.TimeoutFunc {
 	if !c.route.Repeatable() {
 		return nil
 	}
-	patience, busy, end := silencePatience(c.route), time.Duration(0), time.Until(c.deadline)
+	busy, end := time.Duration(0), time.Until(c.deadline)
 	if c.route.Kind == catalog.Stream {
 		busy, end = c.route.CallerEventTimeout()-firstEventReserve, c.route.CallerEventTimeout()+firstEventReserve
 	}
@@ -370,6 +382,9 @@
 // must not start on weights after their bound, so the wait ends there at the latest.
 func (c *call) firstEventTimeout(decision routing.Decision) workerconn.TimeoutFunc {
 	timeout := c.workerTimeout(decision)
+	if c.route.Kind == catalog.Stream && c.relayedBytes == 0 {
+		timeout = c.patientTimeout(decision, firstEventPatience(c.route))
+	}
 	engine := c.engine
 	if engine == nil {
 		return timeout
