Bound the patience for a silent worker by two seconds

What callers saw: on routes with an objective and gaps of 0.5 s, a stream at a worker that had gone dark was answered 504 at the end of its 2.5 s, without an attempt at another worker.

Cause: the patience grew with the time for which callers of a route wait, to 3.3 s there, although a second or so is all that has to be outlasted.

It is 2 s at most now. TestStreamOfAPatientRouteIsRepeatedInTime got 504 before.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -27,6 +27,9 @@
 	bufferedShare    = 0.25
 	// detailEvery is the number of routing decisions of which one is logged with all candidates.
 	detailEvery = 64
+	// maxSilencePatience bounds the patience for a silent worker on routes whose callers wait longer, so
+	// that a request at a worker that has gone dark is repeated in time.
+	maxSilencePatience = 2 * time.Second
 	// minSilencePatience outlasts the silence of a sound worker. It is less than the time for which the
 	// entry waits for an event on any route.
 	minSilencePatience = 1500 * time.Millisecond
@@ -334,16 +337,17 @@
 // silencePatience returns how long a worker that neither sends anything nor reports is waited for
 // before a repeatable request is sent to another one. Sound workers fall silent for a second or so, so
 // that it is as long as callers of a stream wait, less the objective, within which the repeat has to
-// begin. That is 1.5 s at least.
+// begin. That is 1.5 s at least, and maxSilencePatience at most.
 func silencePatience(route *catalog.Route) time.Duration {
-	return route.CallerEventTimeout() - route.Objective
+	return min(maxSilencePatience, route.CallerEventTimeout()-route.Objective)
 }
 
 // firstEventPatience is silencePatience before the first event of a stream, for which the entry waits
 // firstEventReserve less than callers. It leaves the repeat the objective, or firstEventReserve, unless
 // minSilencePatience is longer.
 func firstEventPatience(route *catalog.Route) time.Duration {
-	return max(minSilencePatience, route.CallerEventTimeout()-firstEventReserve-max(route.Objective, firstEventReserve))
+	left := route.CallerEventTimeout() - firstEventReserve - max(route.Objective, firstEventReserve)
+	return min(maxSilencePatience, max(minSilencePatience, left))
 }
 
 // workerTimeout returns how long to wait for a worker that sends nothing, or nil for no limit
--- a/entry/hosted/silence_test.go
+++ b/entry/hosted/silence_test.go
@@ -166,6 +166,22 @@
 	}
 }
 
+// Guards against a patience that grows with the time for which callers of a route wait: a stream at a
+// worker that had gone dark was answered 504 at the end of its time, without an attempt at another one.
+func TestStreamOfAPatientRouteIsRepeatedInTime(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, d *deployment) {
+		d.put("config", "main", newerConfig("8", `"target_latency_ms":400`, `"target_latency_ms":500`, `"gap_target_ms":300`, `"gap_target_ms":500`))
+		respond := func(e *workerExchange) { e.stream(1); e.events(1, 1); e.end() }
+		d.worker("llm", "w1", 1, func(*workerExchange) { <-time.After(time.Minute) })
+		d.worker("llm", "w2", 1, respond)
+		for range 6 {
+			if got := d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "2500"); got.status != http.StatusOK {
+				t.Errorf("response %+v", got)
+			}
+		}
+	})
+}
+
 // Guards against a closed connection in place of the rest of an answer: a stream whose worker was
 // silent for a second after its first events was cut, since no other worker had its weights.
 func TestBegunStreamOutlastsTheSilenceOfItsWorker(t *testing.T) {
