--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -33,7 +33,7 @@
 	// connections of callers that are gone.
 	readHeaderTimeout = 30 * time.Second
 	idleTimeout       = 10 * time.Minute
-	maxHeaderBytes    = 1 << 20
+	maxHeaderBytes    = 256 << 10
 	// connectTimeout bounds the opening of a connection to a worker. Round trips take at most
 	// 4 ms, and a lost packet is retransmitted after a few hundred ms.
 	connectTimeout = 500 * time.Millisecond
