--- a/Makefile
+++ b/Makefile
@@ -13,9 +13,13 @@
 KNOWN_RED := $(shell sed -n 's/^- \(Test[A-Za-z0-9_]*\):.*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
+# Tests whose check is the race detector's.
+RACE := TestRequestsAndChangesShareNoStateUnlocked
+
 test: build
 	go test -count=1 -timeout 30m $(SKIP) $$(go list ./... | grep -v /e2e)
 	go test -count=1 -timeout 30m $(SKIP) ./e2e
+	go test -race -count=1 -timeout 10m -run '^($(RACE))$$' ./entry/hosted
 
 lint:
 	golangci-lint run ./...
