Await the counts of a part before it is blocked beside a blocked request

Callers would see: sound requests of all callers refused for an hour, because a later crash lost one of them.

Cause: a part of a deadly request is suspected in the request's three crashes, and its delay of 300 ms runs out while the request explains them. One more crash with the part, for whatever reason, made it the name with most crashes, and it was blocked at once. Entries announce the requests with a part that began only when it is suspected anew, so each judged by counts from before the third crash. One entry of few requests was enough.

The delay of a part that other names explain begins anew with the next evidence. TestPartIsNotBlockedOnOldCounts failed before, in a fleet of three entries of which one had begun 50 requests with the part.

--- a/lib/quarantine/request_test.go
+++ b/lib/quarantine/request_test.go
@@ -163,3 +163,28 @@
 		})
 	})
 }
+
+// Guards against blocking a part that sound requests share in the first crash after a deadly request with it was
+// blocked, before other entries have told how many requests with the part began since.
+func TestPartIsNotBlockedOnOldCounts(t *testing.T) {
+	Convey("Given a blocked request, the part of which has begun at one entry with many others", t, func() {
+		fleet := []*Tracker{newTracker(1), newTracker(2), newTracker(3)}
+		deadly, sound := wholeRequest("deadly"), wholeRequest("sound")
+		for n := range 3 {
+			when := at(time.Duration(n) * time.Second)
+			crashOf(n, when, "a", []string{"p", deadly}, fleet[n%2])
+			exchange(when, when.Add(900*time.Millisecond), fleet...)
+		}
+		for range 50 {
+			fleet[2].Began([]string{"p"}, at(2950*time.Millisecond))
+		}
+		Convey("a crash in which it was lost as well blocks it at no entry", func() {
+			crashOf(3, at(3*time.Second), "b", []string{"p", sound}, fleet[0])
+			exchange(at(3*time.Second), at(3900*time.Millisecond), fleet...)
+			for _, tracker := range fleet {
+				So(blocks(tracker, "a", "p", deadly), ShouldBeTrue)
+				So(blocks(tracker, "b", "p", sound), ShouldBeFalse)
+			}
+		})
+	})
+}
--- a/lib/quarantine/verdict.go
+++ b/lib/quarantine/verdict.go
@@ -60,21 +60,35 @@
 	}
 	t.changed = false
 	crashes := slices.Collect(maps.Values(t.crashes))
-	t.updateSufficiency(t.candidates(crashes), now)
+	all := t.candidates(crashes)
+	t.updateSufficiency(all, now)
+	var explained []string
 	for {
 		candidates := t.candidates(crashes)
 		best := t.best(candidates, now)
 		if best == nil {
+			t.awaitCounts(all, explained, now)
 			return
 		}
 		found := Block{Names: inseparable(*best, candidates), Workspaces: workspacesOf(*best)}
 		if !isTied(*best, candidates) {
 			t.block(found, now)
 		}
+		explained = append(explained, found.Names...)
 		crashes = slices.DeleteFunc(crashes, func(c *crash) bool { return c.hasAll(found.Names) })
 	}
 }
 
+// awaitCounts has the delay begin anew for parts whose crashes other names explain. Entries announce the requests
+// with a part only when it is suspected again, so that after the next crash the counts are old.
+func (t *Tracker) awaitCounts(candidates map[string]candidate, explained []string, now time.Time) {
+	for name, c := range candidates {
+		if !IsRequestName(name) && t.isDue(c, now) && !slices.Contains(explained, name) {
+			t.tallies[name].sufficientSince = time.Time{}
+		}
+	}
+}
+
 // candidates returns the names that are suspects in at least minCrashes of some crashes, by name.
 func (t *Tracker) candidates(crashes []*crash) map[string]candidate {
 	crashesOf := make(map[string][]*crash)
@@ -118,8 +132,7 @@
 	var best *candidate
 	for _, name := range slices.Sorted(maps.Keys(candidates)) {
 		c := candidates[name]
-		p := t.tallies[name]
-		if !c.isSufficient() || p.sufficientSince.IsZero() || now.Sub(p.sufficientSince) < verdictDelay {
+		if !t.isDue(c, now) {
 			continue
 		}
 		if best == nil || c.compare(*best) > 0 {
@@ -145,6 +158,12 @@
 	return -1
 }
 
+// isDue reports whether the evidence against a name has sufficed for verdictDelay.
+func (t *Tracker) isDue(c candidate, now time.Time) bool {
+	since := t.tallies[c.name].sufficientSince
+	return c.isSufficient() && !since.IsZero() && now.Sub(since) >= verdictDelay
+}
+
 // isTied reports whether a whole request explains the crashes no better than another one that was
 // lost in the same. The next crash, or a response, will tell them apart.
 func isTied(best candidate, candidates map[string]candidate) bool {
