Block a request rather than a part that sound ones share with it

Cause: a part collects the requests lost beside the deadly one, and a name's crashes were counted without asking whether another name already explains most of them. The class is that of judging by sums.

A part with which requests have begun since the first crash is blocked only if the crashes without a request that holds it suffice. Which parts a request holds is known where it was lost; other entries take over that one's block. A part with which nothing has begun is blocked as before. TestRequestIsBlockedRatherThanItsPart failed before; TestTwoDeadlyRequestsAreBothBlocked passed before as well, it shows that the rule hides neither of two.

--- a/lib/quarantine/evidence.go
+++ b/lib/quarantine/evidence.go
@@ -30,6 +30,7 @@
 	if len(names) == 0 {
 		return
 	}
+	t.recordParts(names)
 	suspects := make([]Suspect, 0, len(names))
 	for _, name := range names {
 		suspects = append(suspects, Suspect{name, []string{workspace}})
@@ -57,6 +58,20 @@
 	}
 }
 
+// recordParts records which parts a lost request holds, whose names stand before its own.
+func (t *Tracker) recordParts(names []string) {
+	i := slices.IndexFunc(names, IsRequestName)
+	if i < 0 {
+		return
+	}
+	if len(t.partsOf) >= maxKnownRequests {
+		maps.DeleteFunc(t.partsOf, func(name string, _ []string) bool { return t.tallies[name] == nil })
+	}
+	if len(t.partsOf) < maxKnownRequests {
+		t.partsOf[names[i]] = append(make([]string, 0, len(names)-1), names[:i]...)
+	}
+}
+
 // Crashed records that a start of a worker has crashed at a time in an availability zone. It
 // reports whether that is new.
 func (t *Tracker) Crashed(start Start, zone string, at time.Time) bool {
@@ -175,6 +190,7 @@
 	for name := range dropped.suspects {
 		if t.crashCount(name) == 0 {
 			delete(t.tallies, name)
+			delete(t.partsOf, name)
 		}
 	}
 }
--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -62,6 +62,7 @@
 	maxNamesPerBlock      = 8
 	maxCountingEntries    = 64
 	maxOutgoing           = 512
+	maxKnownRequests      = 4096
 	historyNamesPerPeriod = 4096
 	historyPeriod         = 30 * time.Second
 )
@@ -164,8 +165,10 @@
 	// crashOrder holds the crashes in the order in which they became known.
 	crashOrder []Start
 	tallies    map[string]*tally
-	blocks     map[string]Block
-	outgoing   []outgoing
+	// partsOf holds the names of the parts of the whole requests that were lost at this entry.
+	partsOf  map[string][]string
+	blocks   map[string]Block
+	outgoing []outgoing
 	// lastCrashAt is when a crash last became known.
 	lastCrashAt time.Time
 	// changed is set when there is new evidence. decideAt is when the evidence against a name will
@@ -224,7 +227,8 @@
 func New(entry uint64, rng *rand.Rand) *Tracker {
 	return &Tracker{
 		entry: entry, rng: rng, parts: newHistory(), requests: newHistory(), lost: make(map[Start]*lostRequests), crashedAt: make(map[Start]crashTime),
-		crashes: make(map[Start]*crash), tallies: make(map[string]*tally), blocks: make(map[string]Block), trials: make(map[string]*trial),
+		crashes: make(map[Start]*crash), tallies: make(map[string]*tally), partsOf: make(map[string][]string),
+		blocks: make(map[string]Block), trials: make(map[string]*trial),
 	}
 }
 
--- a/lib/quarantine/request_test.go
+++ b/lib/quarantine/request_test.go
@@ -188,3 +188,59 @@
 		})
 	})
 }
+
+// Guards against a part that sound requests share and that is blocked for all callers in the place of the one request
+// that crashes workers.
+func TestRequestIsBlockedRatherThanItsPart(t *testing.T) {
+	deadly, sound := wholeRequest("deadly"), wholeRequest("sound")
+	Convey("Given a blocked request, and sound ones with its part, of which one has begun and one is lost in a later crash", t, func() {
+		fleet := []*Tracker{newTracker(1), newTracker(2), newTracker(3)}
+		for n := range 3 {
+			when := at(time.Duration(n) * time.Second)
+			crashOf(n, when, "a", []string{"p", deadly}, fleet[n%2])
+			exchange(when, when.Add(900*time.Millisecond), fleet...)
+		}
+		fleet[2].Began([]string{"p", sound}, at(2950*time.Millisecond))
+		crashOf(3, at(3*time.Second), "b", []string{"p", sound}, fleet[2])
+		exchange(at(3*time.Second), at(3900*time.Millisecond), fleet...)
+		Convey("the request is blocked, and the part is not", func() {
+			for _, tracker := range fleet {
+				So(blocks(tracker, "a", "p", deadly), ShouldBeTrue)
+				So(blocks(tracker, "b", "p", sound), ShouldBeFalse)
+			}
+		})
+		Convey("the part is blocked once other requests with it explain as many crashes", func() {
+			for n := 4; n < 6; n++ {
+				when := at(time.Duration(n) * time.Second)
+				crashOf(n, when, "a", []string{"p", wholeRequest(fmt.Sprint(n))}, fleet[0])
+				exchange(when, when.Add(900*time.Millisecond), fleet...)
+			}
+			So(blocks(fleet[1], "a", "p", wholeRequest("third")), ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against one of two deadly requests of a service that hides the other one, whether each is lost in the
+// crashes of the other or not.
+func TestTwoDeadlyRequestsAreBothBlocked(t *testing.T) {
+	first, second := wholeRequest("first"), wholeRequest("second")
+	for name, lost := range map[string][][]string{
+		"in turn":           {{first}, {second}, {first}, {second}, {first}, {second}},
+		"at first together": {{first, second}, {first, second}, {first, second}, {first}, {second}, {second}, {second}},
+	} {
+		Convey("Given two deadly requests, "+name, t, func() {
+			fleet := []*Tracker{newTracker(1), newTracker(2), newTracker(3)}
+			for n, names := range lost {
+				when := at(time.Duration(n) * time.Second)
+				for i, name := range names {
+					crashOf(n, when, "a", []string{name}, fleet[(n+i)%len(fleet)])
+				}
+				exchange(when, when.Add(900*time.Millisecond), fleet...)
+			}
+			for _, tracker := range fleet {
+				So(blocks(tracker, "a", first), ShouldBeTrue)
+				So(blocks(tracker, "a", second), ShouldBeTrue)
+			}
+		})
+	}
+}
--- a/lib/quarantine/verdict.go
+++ b/lib/quarantine/verdict.go
@@ -70,8 +70,12 @@
 			t.awaitCounts(all, explained, now)
 			return
 		}
+		isUnclear := false
+		if cause := t.requestBehind(*best, candidates, now); cause != nil {
+			best, isUnclear = cause, !t.knowsParts(cause.name)
+		}
 		found := Block{Names: inseparable(*best, candidates), Workspaces: workspacesOf(*best)}
-		if !isTied(*best, candidates) {
+		if !isUnclear && !isTied(*best, candidates) {
 			t.block(found, now)
 		}
 		explained = append(explained, found.Names...)
@@ -164,6 +168,34 @@
 	return c.isSufficient() && !since.IsZero() && now.Sub(since) >= verdictDelay
 }
 
+// requestBehind returns the whole request because of which a part may be suspected that sound requests
+// hold as well: some have begun, and the crashes without the request do not suffice against the part.
+// An entry at which the request was not lost leaves the decision to those that know its parts.
+func (t *Tracker) requestBehind(part candidate, candidates map[string]candidate, now time.Time) *candidate {
+	if IsRequestName(part.name) || part.since == 0 {
+		return nil
+	}
+	var behind *candidate
+	for _, name := range slices.Sorted(maps.Keys(candidates)) {
+		c := candidates[name]
+		if !IsRequestName(name) || !t.isDue(c, now) || !c.alwaysWith(part.name) || (t.knowsParts(name) && !t.holds(name, part.name)) {
+			continue
+		}
+		rest := part
+		rest.crashes = slices.DeleteFunc(slices.Clone(part.crashes), func(crashed *crash) bool { return crashed.hasAll([]string{name}) })
+		if !rest.isSufficient() && (behind == nil || c.compare(*behind) > 0) {
+			behind = &c
+		}
+	}
+	return behind
+}
+
+// holds reports whether a whole request that was lost at this entry holds a part.
+func (t *Tracker) holds(request, part string) bool { return slices.Contains(t.partsOf[request], part) }
+
+// knowsParts reports whether a whole request was lost at this entry, so that its parts are known.
+func (t *Tracker) knowsParts(request string) bool { return t.partsOf[request] != nil }
+
 // isTied reports whether a whole request explains the crashes no better than another one that was
 // lost in the same. The next crash, or a response, will tell them apart.
 func isTied(best candidate, candidates map[string]candidate) bool {
