Block no sound request that was lost beside a deadly part

Callers would see: a sound prompt that its caller sends again into three crashes by a deadly part, no two prompts of which are alike, was refused for an hour, while the part went on to its fourth crash.

Cause: with equal evidence a whole request goes before a part, since it refuses less. That is right only for a part that the request holds, and nothing asked whether it does.

A request waits beside a part that explains as much and that it is not known to hold; the next crash, or a response, tells them apart. A request's own parts do not count, so that the entries at which it was lost decide as before. TestSoundRequestBesideADeadlyPart failed before.

--- a/lib/quarantine/request_test.go
+++ b/lib/quarantine/request_test.go
@@ -220,6 +220,37 @@
 	})
 }
 
+// Guards against a sound request that is blocked in the place of a deadly part.
+func TestSoundRequestBesideADeadlyPart(t *testing.T) {
+	sound := wholeRequest("sound")
+	Convey("Given a deadly part, the requests with which differ, beside a sound request without it in three crashes", t, func() {
+		fleet := []*Tracker{newTracker(1), newTracker(2), newTracker(3)}
+		crash := func(n int) {
+			when := at(time.Duration(n) * time.Second)
+			crashOf(n, when, "a", []string{"x", wholeRequest(fmt.Sprint(n))}, fleet[n%2])
+			if n < 3 {
+				crashOf(n, when, "a", []string{"s", sound}, fleet[2])
+			}
+			exchange(when, when.Add(900*time.Millisecond), fleet...)
+		}
+		for n := range 3 {
+			crash(n)
+		}
+		Convey("the sound request is not blocked", func() {
+			for _, tracker := range fleet {
+				So(blocks(tracker, "a", sound), ShouldBeFalse)
+			}
+		})
+		Convey("the next crash blocks the part, and no more", func() {
+			crash(3)
+			for _, tracker := range fleet {
+				So(blocks(tracker, "a", "x", wholeRequest("9")), ShouldBeTrue)
+				So(blocks(tracker, "a", "s", sound), ShouldBeFalse)
+			}
+		})
+	})
+}
+
 // Guards against one of two deadly requests of a service that hides the other one, whether each is lost in the
 // crashes of the other or not.
 func TestTwoDeadlyRequestsAreBothBlocked(t *testing.T) {
--- a/lib/quarantine/verdict.go
+++ b/lib/quarantine/verdict.go
@@ -75,7 +75,7 @@
 			best, isUnclear = cause, !t.knowsParts(cause.name)
 		}
 		found := Block{Names: inseparable(*best, candidates), Workspaces: workspacesOf(*best)}
-		if !isUnclear && !isTied(*best, candidates) {
+		if !isUnclear && !t.isTied(*best, candidates) {
 			t.block(found, now)
 		}
 		explained = append(explained, found.Names...)
@@ -197,13 +197,18 @@
 func (t *Tracker) knowsParts(request string) bool { return t.partsOf[request] != nil }
 
 // isTied reports whether a whole request explains the crashes no better than another one that was
-// lost in the same. The next crash, or a response, will tell them apart.
-func isTied(best candidate, candidates map[string]candidate) bool {
+// lost in all of them, or than a part that it is not known to hold. The next crash, or a response, will tell them
+// apart.
+func (t *Tracker) isTied(best candidate, candidates map[string]candidate) bool {
 	if !IsRequestName(best.name) {
 		return false
 	}
 	for name, other := range candidates {
-		if name != best.name && IsRequestName(name) && other.compare(best) == 0 && best.alwaysWith(name) {
+		if name == best.name || t.holds(best.name, name) || !best.alwaysWith(name) {
+			continue
+		}
+		other.name = best.name // of a request and a part neither goes before
+		if other.isSufficient() && other.compare(best) >= 0 {
 			return true
 		}
 	}
