Keep repeated suspects when a crash has too many

Callers would see: a request that crashes workers comes through again and again while many different ones are lost beside it.

Cause: a crash keeps the first 128 requests and 64 parts that were lost in it, and an entry the first 192 names that it lost at a worker. A deadly request that comes later in each crash is never a suspect. On model routes each lost request has a name and a part of its own, so that some 60 to 90 requests waiting at one worker are enough.

Each entry keeps the start at which a name was first lost, for 4,096 to 8,192 names. One that is lost at another start too takes the place of one that is not, in what waits for the crash and in the crash itself. The first crash may still not count, so that the block comes one crash later. TestManyRequestsLostInCrashes (1,250 different requests in each of eight crashes) failed before.

--- a/lib/quarantine/evidence.go
+++ b/lib/quarantine/evidence.go
@@ -52,8 +52,17 @@
 	lost.lastAt = now
 	for _, suspect := range suspects {
 		known := slices.ContainsFunc(lost.suspects, func(s Suspect) bool { return s.Name == suspect.Name && s.Workspaces[0] == workspace })
-		if !known && len(lost.suspects) < maxPartsPerCrash+maxRequestsPerCrash {
+		if known {
+			continue
+		}
+		isRepeated := t.lostElsewhere(suspect.Name, start)
+		switch {
+		case len(lost.suspects) < maxPartsPerCrash+maxRequestsPerCrash:
 			lost.suspects = append(lost.suspects, suspect)
+		case isRepeated:
+			if i := slices.IndexFunc(lost.suspects, func(s Suspect) bool { return !t.lostElsewhere(s.Name, start) }); i >= 0 {
+				lost.suspects[i] = suspect
+			}
 		}
 	}
 }
@@ -134,6 +143,9 @@
 	}
 	isNew := false
 	for _, suspect := range suspects {
+		if t.lostElsewhere(suspect.Name, start) && c.isFull(suspect.Name) {
+			t.dropSingle(c, start, IsRequestName(suspect.Name))
+		}
 		if c.add(suspect) {
 			isNew = true
 			t.suspected(suspect.Name, now)
@@ -147,11 +159,10 @@
 func (c *crash) add(suspect Suspect) bool {
 	known := c.suspects[suspect.Name]
 	if known == nil {
-		isRequest := IsRequestName(suspect.Name)
-		if suspect.Name == "" || (isRequest && c.requests >= maxRequestsPerCrash) || (!isRequest && len(c.suspects)-c.requests >= maxPartsPerCrash) {
+		if suspect.Name == "" || c.isFull(suspect.Name) {
 			return false
 		}
-		if isRequest {
+		if IsRequestName(suspect.Name) {
 			c.requests++
 		}
 		known = &suspicion{}
@@ -166,6 +177,49 @@
 	return len(known.workspaces) > before
 }
 
+// isFull reports whether the crash has no place for another name of the kind.
+func (c *crash) isFull(name string) bool {
+	switch {
+	case c.suspects[name] != nil:
+		return false
+	case IsRequestName(name):
+		return c.requests >= maxRequestsPerCrash
+	}
+	return len(c.suspects)-c.requests >= maxPartsPerCrash
+}
+
+// lostElsewhere records that a request with a name was lost at a start of a worker, and reports whether
+// one was lost at another start lately. Such names are kept when a crash has too many suspects.
+func (t *Tracker) lostElsewhere(name string, start Start) bool {
+	if known, ok := t.lostAt[name]; ok {
+		return known != start
+	}
+	if known, ok := t.lastLostAt[name]; ok {
+		return known != start
+	}
+	if len(t.lostAt) >= historyNamesPerPeriod {
+		t.lostAt, t.lastLostAt = make(map[string]Start), t.lostAt
+	}
+	t.lostAt[name] = start
+	return false
+}
+
+// dropSingle forgets a suspect of a crash that is in no other one.
+func (t *Tracker) dropSingle(c *crash, start Start, isRequest bool) {
+	for _, name := range slices.Sorted(maps.Keys(c.suspects)) {
+		if IsRequestName(name) != isRequest || t.crashCount(name) > 1 || t.lostElsewhere(name, start) {
+			continue
+		}
+		delete(c.suspects, name)
+		delete(t.tallies, name)
+		delete(t.partsOf, name)
+		if isRequest {
+			c.requests--
+		}
+		return
+	}
+}
+
 func (c *crash) message(start Start, now time.Time) Crash {
 	message := Crash{Start: start, Zone: c.zone, Age: now.Sub(c.at)}
 	for _, name := range slices.Sorted(maps.Keys(c.suspects)) {
--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -166,9 +166,12 @@
 	crashOrder []Start
 	tallies    map[string]*tally
 	// partsOf holds the names of the parts of the whole requests that were lost at this entry.
-	partsOf  map[string][]string
-	blocks   map[string]Block
-	outgoing []outgoing
+	partsOf map[string][]string
+	// lostAt and lastLostAt hold the first start of a worker at which requests with each name were lost, of
+	// the current and the last names.
+	lostAt, lastLostAt map[string]Start
+	blocks             map[string]Block
+	outgoing           []outgoing
 	// lastCrashAt is when a crash last became known.
 	lastCrashAt time.Time
 	// changed is set when there is new evidence. decideAt is when the evidence against a name will
@@ -227,7 +230,7 @@
 func New(entry uint64, rng *rand.Rand) *Tracker {
 	return &Tracker{
 		entry: entry, rng: rng, parts: newHistory(), requests: newHistory(), lost: make(map[Start]*lostRequests), crashedAt: make(map[Start]crashTime),
-		crashes: make(map[Start]*crash), tallies: make(map[string]*tally), partsOf: make(map[string][]string),
+		crashes: make(map[Start]*crash), tallies: make(map[string]*tally), partsOf: make(map[string][]string), lostAt: make(map[string]Start),
 		blocks: make(map[string]Block), trials: make(map[string]*trial),
 	}
 }
--- a/lib/quarantine/request_test.go
+++ b/lib/quarantine/request_test.go
@@ -275,3 +275,39 @@
 		})
 	}
 }
+
+// Guards against evidence that grows without bound, and against a caller that hides its deadly request among many
+// others that are lost in the same crashes.
+func TestManyRequestsLostInCrashes(t *testing.T) {
+	Convey("Given a deadly request among 1,250 others, all different, in each of eight crashes", t, func() {
+		fleet := []*Tracker{newTracker(1), newTracker(2)}
+		deadly, messages := wholeRequest("deadly"), 0
+		for n := range 8 {
+			when := at(time.Duration(n) * time.Second)
+			start := Start{fmt.Sprint("w", n), 1}
+			for i := range 1251 {
+				name := deadly
+				if i != 1000 {
+					name = wholeRequest(fmt.Sprint(n, "/", i))
+				}
+				fleet[0].Lost(start, []string{name}, "ws", when)
+			}
+			fleet[0].Crashed(start, "a", when)
+			messages += len(fleet[0].Advance(when))
+			exchange(when, when.Add(900*time.Millisecond), fleet...)
+		}
+		Convey("what is kept and sent is bounded", func() {
+			So(messages, ShouldEqual, 8)
+			for _, tracker := range fleet {
+				So(len(tracker.tallies), ShouldBeLessThanOrEqualTo, 8*maxRequestsPerCrash)
+				So(len(tracker.partsOf), ShouldBeLessThanOrEqualTo, maxKnownRequests)
+				So(len(tracker.lostAt)+len(tracker.lastLostAt), ShouldBeLessThanOrEqualTo, 2*historyNamesPerPeriod)
+			}
+		})
+		Convey("it is blocked", func() {
+			for _, tracker := range fleet {
+				So(blocks(tracker, "ws", deadly), ShouldBeTrue)
+			}
+		})
+	})
+}
