--- a/lib/quarantine/request_test.go
+++ b/lib/quarantine/request_test.go
@@ -163,3 +163,151 @@
 		})
 	})
 }
+
+// Guards against blocking a part that sound requests share in the first crash after a deadly request with it was
+// blocked, before other entries have told how many requests with the part began since.
+func TestPartIsNotBlockedOnOldCounts(t *testing.T) {
+	Convey("Given a blocked request, the part of which has begun at one entry with many others", t, func() {
+		fleet := []*Tracker{newTracker(1), newTracker(2), newTracker(3)}
+		deadly, sound := wholeRequest("deadly"), wholeRequest("sound")
+		for n := range 3 {
+			when := at(time.Duration(n) * time.Second)
+			crashOf(n, when, "a", []string{"p", deadly}, fleet[n%2])
+			exchange(when, when.Add(900*time.Millisecond), fleet...)
+		}
+		for range 50 {
+			fleet[2].Began([]string{"p"}, at(2950*time.Millisecond))
+		}
+		Convey("a crash in which it was lost as well blocks it at no entry", func() {
+			crashOf(3, at(3*time.Second), "b", []string{"p", sound}, fleet[0])
+			exchange(at(3*time.Second), at(3900*time.Millisecond), fleet...)
+			for _, tracker := range fleet {
+				So(blocks(tracker, "a", "p", deadly), ShouldBeTrue)
+				So(blocks(tracker, "b", "p", sound), ShouldBeFalse)
+			}
+		})
+	})
+}
+
+// Guards against a part that sound requests share and that is blocked for all callers in the place of the one request
+// that crashes workers.
+func TestRequestIsBlockedRatherThanItsPart(t *testing.T) {
+	deadly, sound := wholeRequest("deadly"), wholeRequest("sound")
+	Convey("Given a blocked request, and sound ones with its part, of which one has begun and one is lost in a later crash", t, func() {
+		fleet := []*Tracker{newTracker(1), newTracker(2), newTracker(3)}
+		for n := range 3 {
+			when := at(time.Duration(n) * time.Second)
+			crashOf(n, when, "a", []string{"p", deadly}, fleet[n%2])
+			exchange(when, when.Add(900*time.Millisecond), fleet...)
+		}
+		fleet[2].Began([]string{"p", sound}, at(2950*time.Millisecond))
+		crashOf(3, at(3*time.Second), "b", []string{"p", sound}, fleet[2])
+		exchange(at(3*time.Second), at(3900*time.Millisecond), fleet...)
+		Convey("the request is blocked, and the part is not", func() {
+			for _, tracker := range fleet {
+				So(blocks(tracker, "a", "p", deadly), ShouldBeTrue)
+				So(blocks(tracker, "b", "p", sound), ShouldBeFalse)
+			}
+		})
+		Convey("the part is blocked once other requests with it explain as many crashes", func() {
+			for n := 4; n < 6; n++ {
+				when := at(time.Duration(n) * time.Second)
+				crashOf(n, when, "a", []string{"p", wholeRequest(fmt.Sprint(n))}, fleet[0])
+				exchange(when, when.Add(900*time.Millisecond), fleet...)
+			}
+			So(blocks(fleet[1], "a", "p", wholeRequest("third")), ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against a sound request that is blocked in the place of a deadly part.
+func TestSoundRequestBesideADeadlyPart(t *testing.T) {
+	sound := wholeRequest("sound")
+	Convey("Given a deadly part, the requests with which differ, beside a sound request without it in three crashes", t, func() {
+		fleet := []*Tracker{newTracker(1), newTracker(2), newTracker(3)}
+		crash := func(n int) {
+			when := at(time.Duration(n) * time.Second)
+			crashOf(n, when, "a", []string{"x", wholeRequest(fmt.Sprint(n))}, fleet[n%2])
+			if n < 3 {
+				crashOf(n, when, "a", []string{"s", sound}, fleet[2])
+			}
+			exchange(when, when.Add(900*time.Millisecond), fleet...)
+		}
+		for n := range 3 {
+			crash(n)
+		}
+		Convey("the sound request is not blocked", func() {
+			for _, tracker := range fleet {
+				So(blocks(tracker, "a", sound), ShouldBeFalse)
+			}
+		})
+		Convey("the next crash blocks the part, and no more", func() {
+			crash(3)
+			for _, tracker := range fleet {
+				So(blocks(tracker, "a", "x", wholeRequest("9")), ShouldBeTrue)
+				So(blocks(tracker, "a", "s", sound), ShouldBeFalse)
+			}
+		})
+	})
+}
+
+// Guards against one of two deadly requests of a service that hides the other one, whether each is lost in the
+// crashes of the other or not.
+func TestTwoDeadlyRequestsAreBothBlocked(t *testing.T) {
+	first, second := wholeRequest("first"), wholeRequest("second")
+	for name, lost := range map[string][][]string{
+		"in turn":           {{first}, {second}, {first}, {second}, {first}, {second}},
+		"at first together": {{first, second}, {first, second}, {first, second}, {first}, {second}, {second}, {second}},
+	} {
+		Convey("Given two deadly requests, "+name, t, func() {
+			fleet := []*Tracker{newTracker(1), newTracker(2), newTracker(3)}
+			for n, names := range lost {
+				when := at(time.Duration(n) * time.Second)
+				for i, name := range names {
+					crashOf(n, when, "a", []string{name}, fleet[(n+i)%len(fleet)])
+				}
+				exchange(when, when.Add(900*time.Millisecond), fleet...)
+			}
+			for _, tracker := range fleet {
+				So(blocks(tracker, "a", first), ShouldBeTrue)
+				So(blocks(tracker, "a", second), ShouldBeTrue)
+			}
+		})
+	}
+}
+
+// Guards against evidence that grows without bound, and against a caller that hides its deadly request among many
+// others that are lost in the same crashes.
+func TestManyRequestsLostInCrashes(t *testing.T) {
+	Convey("Given a deadly request among 1,250 others, all different, in each of eight crashes", t, func() {
+		fleet := []*Tracker{newTracker(1), newTracker(2)}
+		deadly, messages := wholeRequest("deadly"), 0
+		for n := range 8 {
+			when := at(time.Duration(n) * time.Second)
+			start := Start{fmt.Sprint("w", n), 1}
+			for i := range 1251 {
+				name := deadly
+				if i != 1000 {
+					name = wholeRequest(fmt.Sprint(n, "/", i))
+				}
+				fleet[0].Lost(start, []string{name}, "ws", when)
+			}
+			fleet[0].Crashed(start, "a", when)
+			messages += len(fleet[0].Advance(when))
+			exchange(when, when.Add(900*time.Millisecond), fleet...)
+		}
+		Convey("what is kept and sent is bounded", func() {
+			So(messages, ShouldEqual, 8)
+			for _, tracker := range fleet {
+				So(len(tracker.tallies), ShouldBeLessThanOrEqualTo, 8*maxRequestsPerCrash)
+				So(len(tracker.partsOf), ShouldBeLessThanOrEqualTo, maxKnownRequests)
+				So(len(tracker.lostAt)+len(tracker.lastLostAt), ShouldBeLessThanOrEqualTo, 2*historyNamesPerPeriod)
+			}
+		})
+		Convey("it is blocked", func() {
+			for _, tracker := range fleet {
+				So(blocks(tracker, "ws", deadly), ShouldBeTrue)
+			}
+		})
+	})
+}
--- a/lib/quarantine/verdict.go
+++ b/lib/quarantine/verdict.go
@@ -60,21 +60,39 @@
 	}
 	t.changed = false
 	crashes := slices.Collect(maps.Values(t.crashes))
-	t.updateSufficiency(t.candidates(crashes), now)
+	all := t.candidates(crashes)
+	t.updateSufficiency(all, now)
+	var explained []string
 	for {
 		candidates := t.candidates(crashes)
 		best := t.best(candidates, now)
 		if best == nil {
+			t.awaitCounts(all, explained, now)
 			return
 		}
+		isUnclear := false
+		if cause := t.requestBehind(*best, candidates, now); cause != nil {
+			best, isUnclear = cause, !t.knowsParts(cause.name)
+		}
 		found := Block{Names: inseparable(*best, candidates), Workspaces: workspacesOf(*best)}
-		if !isTied(*best, candidates) {
+		if !isUnclear && !t.isTied(*best, candidates) {
 			t.block(found, now)
 		}
+		explained = append(explained, found.Names...)
 		crashes = slices.DeleteFunc(crashes, func(c *crash) bool { return c.hasAll(found.Names) })
 	}
 }
 
+// awaitCounts has the delay begin anew for parts whose crashes other names explain. Entries announce the requests
+// with a part only when it is suspected again, so that after the next crash the counts are old.
+func (t *Tracker) awaitCounts(candidates map[string]candidate, explained []string, now time.Time) {
+	for name, c := range candidates {
+		if !IsRequestName(name) && t.isDue(c, now) && !slices.Contains(explained, name) {
+			t.tallies[name].sufficientSince = time.Time{}
+		}
+	}
+}
+
 // candidates returns the names that are suspects in at least minCrashes of some crashes, by name.
 func (t *Tracker) candidates(crashes []*crash) map[string]candidate {
 	crashesOf := make(map[string][]*crash)
@@ -118,8 +136,7 @@
 	var best *candidate
 	for _, name := range slices.Sorted(maps.Keys(candidates)) {
 		c := candidates[name]
-		p := t.tallies[name]
-		if !c.isSufficient() || p.sufficientSince.IsZero() || now.Sub(p.sufficientSince) < verdictDelay {
+		if !t.isDue(c, now) {
 			continue
 		}
 		if best == nil || c.compare(*best) > 0 {
@@ -145,14 +162,53 @@
 	return -1
 }
 
+// isDue reports whether the evidence against a name has sufficed for verdictDelay.
+func (t *Tracker) isDue(c candidate, now time.Time) bool {
+	since := t.tallies[c.name].sufficientSince
+	return c.isSufficient() && !since.IsZero() && now.Sub(since) >= verdictDelay
+}
+
+// requestBehind returns the whole request because of which a part may be suspected that sound requests
+// hold as well: some have begun, and the crashes without the request do not suffice against the part.
+// An entry at which the request was not lost leaves the decision to those that know its parts.
+func (t *Tracker) requestBehind(part candidate, candidates map[string]candidate, now time.Time) *candidate {
+	if IsRequestName(part.name) || part.since == 0 {
+		return nil
+	}
+	var behind *candidate
+	for _, name := range slices.Sorted(maps.Keys(candidates)) {
+		c := candidates[name]
+		if !IsRequestName(name) || !t.isDue(c, now) || !c.alwaysWith(part.name) || (t.knowsParts(name) && !t.holds(name, part.name)) {
+			continue
+		}
+		rest := part
+		rest.crashes = slices.DeleteFunc(slices.Clone(part.crashes), func(crashed *crash) bool { return crashed.hasAll([]string{name}) })
+		if !rest.isSufficient() && (behind == nil || c.compare(*behind) > 0) {
+			behind = &c
+		}
+	}
+	return behind
+}
+
+// holds reports whether a whole request that was lost at this entry holds a part.
+func (t *Tracker) holds(request, part string) bool { return slices.Contains(t.partsOf[request], part) }
+
+// knowsParts reports whether a whole request was lost at this entry, so that its parts are known.
+func (t *Tracker) knowsParts(request string) bool { return t.partsOf[request] != nil }
+
 // isTied reports whether a whole request explains the crashes no better than another one that was
-// lost in the same. The next crash, or a response, will tell them apart.
-func isTied(best candidate, candidates map[string]candidate) bool {
+// lost in all of them, or than a part that it is not known to hold. The next crash, or a response, will tell them
+// apart.
+func (t *Tracker) isTied(best candidate, candidates map[string]candidate) bool {
 	if !IsRequestName(best.name) {
 		return false
 	}
 	for name, other := range candidates {
-		if name != best.name && IsRequestName(name) && other.compare(best) == 0 && best.alwaysWith(name) {
+		if name == best.name || t.holds(best.name, name) || !best.alwaysWith(name) {
+			continue
+		}
+		other.name = best.name // of a request and a part neither goes before
+		if other.isSufficient() && other.compare(best) >= 0 {
 			return true
 		}
 	}
