Do not write a block that another one covers, and end it with that one

What operators saw: beside the block of a part, at times, a second object for the same part together with one that was always with it. Releasing the part alone left the other in force.

Cause: an entry that has heard of fewer requests decides on the parts together, a moment before the block of the part alone reaches it. Both were kept, and each was written.

A block that another one covers is not written now, and ends when that one is released, unless the store lists it.

TestBlockThatAnotherCoversIsNotWritten saw both objects, and 503 after the release, before.

--- a/entry/hosted/blocks.go
+++ b/entry/hosted/blocks.go
@@ -56,6 +56,7 @@
 	if change.Deleted {
 		delete(v.storedBlocks, block.Name())
 		v.quarantine.Release(block.Name(), now)
+		v.releaseUnlisted(block, now)
 	} else {
 		v.storedBlocks[block.Name()] = storedBlock{stored, change.Object.Name, change.Object.Revision}
 		v.quarantine.SetBlock(stored.Parts, stored.Workspaces, now)
@@ -65,6 +66,16 @@
 	v.wakeQuarantine()
 }
 
+// releaseUnlisted ends the blocks that a released one had covered, which were therefore not written to the
+// store. Operators could not see them. The caller holds the lock.
+func (v *view) releaseUnlisted(released quarantine.Block, now time.Time) {
+	for _, b := range v.quarantine.Blocks() {
+		if _, listed := v.storedBlocks[b.Name()]; !listed && !b.Released && b.Holds(released.Names) {
+			v.quarantine.Release(b.Name(), now)
+		}
+	}
+}
+
 // storeBlocks writes the blocks that the store does not list, and deletes those that were
 // released, so that they outlast all entries and operators see them.
 func (v *view) storeBlocks(ctx context.Context) {
@@ -86,7 +97,7 @@
 	for _, b := range v.quarantine.Blocks() {
 		stored, listed := v.storedBlocks[b.Name()]
 		upToDate := listed && !b.Released && len(stored.Workspaces) == len(b.Workspaces) && !v.rewriting[b.Name()]
-		if upToDate || (b.Released && !listed) || now.Before(v.blockedAt[b.Name()].Add(v.blockWriterDelay(b.Name()))) {
+		if upToDate || (!listed && (b.Released || v.quarantine.IsCovered(b))) || now.Before(v.blockedAt[b.Name()].Add(v.blockWriterDelay(b.Name()))) {
 			continue
 		}
 		v.blockedAt[b.Name()] = now.Add(blockWriteRetry)
--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -115,6 +115,9 @@
 // Name returns the name of the block, which follows from the names that it holds.
 func (b Block) Name() string { return strings.Join(b.Names, ".") }
 
+// Holds reports whether the block has all of some names.
+func (b Block) Holds(names []string) bool { return containsAll(b.Names, names) }
+
 // applies reports whether the block refuses a request.
 func (b Block) applies(names []string, workspace string) bool {
 	if b.Released || (len(b.Workspaces) > 0 && !slices.Contains(b.Workspaces, workspace)) {
@@ -264,6 +267,16 @@
 	return ok
 }
 
+// IsCovered reports whether another block refuses all requests that a block refuses.
+func (t *Tracker) IsCovered(b Block) bool {
+	for name, other := range t.blocks {
+		if name != b.Name() && other.covers(b) {
+			return true
+		}
+	}
+	return false
+}
+
 // InForce returns the number of blocks that have not ended.
 func (t *Tracker) InForce() int {
 	count := 0
