Allow no retries beyond the ratio where the retry budget has no slack

What workers would see: with retry_budget_slack = 0 each entry repeated up to 3 requests a second beyond the ratio (BUDGET). No deployment at hand states 0.

Cause: the share of a slack of zero is zero, which the budget takes for "not set".

TestRetryBudgetWithoutSlack was allowed a retry before.

--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -256,10 +256,15 @@
 func (v *view) budget() retry.BudgetSettings {
 	bounds := v.settings.Bounds
 	window := max(bounds.RetryWindow.Seconds(), 1)
-	return retry.BudgetSettings{
+	budget := retry.BudgetSettings{
 		Ratio:     max(budgetShare*bounds.RetryRatio, 0.001),
 		PerSecond: budgetShare * bounds.RetrySlack / window / v.entryCount(),
 	}
+	if budget.PerSecond <= 0 {
+		// Zero stands for the default.
+		budget.PerSecond = -1
+	}
+	return budget
 }
 
 func (v *view) routingSettings(config *catalog.Service) routing.Settings {
