An entry that starts without the store asks others for blocks

Callers would see: an entry that starts while the store is away sends a request on that all others refuse, and loses a worker to it, before it compares evidence.

Cause: entries were asked only when the store, or a neighbour that passes it on, came into reach, or after a crash became known. A starting entry in an outage of the store had neither. A block that was found in the outage is in no copy of the store.

An entry asks three others until one has responded, then as before. TestEntryThatStartsWithoutTheStoreAsksForBlocks failed before.

--- a/entry/hosted/parts.go
+++ b/entry/hosted/parts.go
@@ -36,7 +36,7 @@
 func (v *view) runQuarantine(ctx context.Context, receivesStoreState func() bool) {
 	ticker := time.NewTicker(partsInterval)
 	defer ticker.Stop()
-	inTouch := false
+	inTouch, hasAsked := false, false
 	for {
 		select {
 		case <-ctx.Done():
@@ -56,7 +56,9 @@
 		v.advanceQuarantine()
 		wasInTouch := inTouch
 		inTouch = receivesStoreState()
-		v.compareEvidence(ctx, inTouch && !wasInTouch)
+		if v.compareEvidence(ctx, !hasAsked || (inTouch && !wasInTouch)) {
+			hasAsked = true
+		}
 		if inTouch {
 			v.storeBlocks(ctx)
 		}
@@ -123,8 +125,8 @@
 }
 
 // compareEvidence asks other entries for what they know: one while a crash is recent, and several
-// when this process was out of touch, as it may have missed announcements.
-func (v *view) compareEvidence(ctx context.Context, wasCutOff bool) {
+// when this process was out of touch, as it may have missed announcements. It reports whether any responded.
+func (v *view) compareEvidence(ctx context.Context, wasCutOff bool) bool {
 	v.mu.Lock()
 	active := v.quarantine.Active(time.Now())
 	v.mu.Unlock()
@@ -136,13 +138,17 @@
 		count = 1
 	}
 	if count == 0 {
-		return
+		return false
 	}
+	hasResponse := false
 	addresses := v.otherAddresses()
 	v.shuffle(addresses)
 	for _, address := range addresses[:min(count, len(addresses))] {
-		v.fetchEvidence(ctx, address)
+		if v.fetchEvidence(ctx, address) {
+			hasResponse = true
+		}
 	}
+	return hasResponse
 }
 
 func (v *view) shuffle(addresses []string) {
@@ -152,20 +158,21 @@
 	v.rng.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 }
 
-// fetchEvidence asks another entry for what it knows about parts of prompts.
-func (v *view) fetchEvidence(ctx context.Context, address string) {
+// fetchEvidence asks another entry for what it knows about parts of prompts, and reports whether it responded.
+func (v *view) fetchEvidence(ctx context.Context, address string) bool {
 	v.mu.Lock()
 	peers := v.partPeers
 	v.mu.Unlock()
 	if peers == nil {
-		return
+		return false
 	}
 	evidence, err := peers.ListPartEvidence(ctx, address)
 	if err != nil {
 		v.log.Debug("evidence not received from entry", zap.String("entry", address), zap.Error(err))
-		return
+		return false
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.mergeEvidence(evidence)
+	return true
 }
--- a/entry/hosted/parts_test.go
+++ b/entry/hosted/parts_test.go
@@ -475,3 +475,27 @@
 		}
 	})
 }
+
+// Guards against an entry that starts while the store is away and sends on what all others refuse.
+func TestEntryThatStartsWithoutTheStoreAsksForBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &partFleet{silent: make(map[*deployment]bool)}
+		for i := range 2 {
+			d := newEntryDeployment(t, entryName(i), "a")
+			f.entries = append(f.entries, d)
+			d.front.view.partPeers = &fleetPartPeers{f, d}
+		}
+		known, starting := f.entries[0].front.view, f.entries[1].front.view
+		known.mu.Lock()
+		known.quarantine.SetBlock([]string{"0bad"}, nil, time.Now())
+		known.mu.Unlock()
+		go starting.runQuarantine(t.Context(), func() bool { return false })
+		<-time.After(5 * time.Second)
+		limits := &limitFleet{t: t, entries: f.entries}
+		limits.listEntries(f.entries...)
+		<-time.After(2 * time.Second)
+		if _, _, blocked := starting.blockOf([]string{"0bad"}, "ws"); !blocked {
+			t.Error("the entry does not know the block")
+		}
+	})
+}
