Write a block of several parts later than one of a part alone

Cause: the block of both was written at once, although the counts that tell the parts apart may still be on their way. It is in force at once, as before, and written 2 s later; by then the block of the part alone covers it.

--- a/entry/hosted/blocks.go
+++ b/entry/hosted/blocks.go
@@ -19,6 +19,9 @@
 	// does not list the block by then.
 	blockWriters     = 4
 	blockWriterPause = 2 * time.Second
+	// jointBlockDelay is added to it for a block of several parts: mostly a crash or the counts of other
+	// entries soon tell which of them causes the crashes.
+	jointBlockDelay = 2 * time.Second
 	// blockWriteRetry is added to that pause before an entry writes the same block again.
 	blockWriteRetry = 5 * time.Second
 	// trialTimeout bounds the call in which a trial is recorded.
@@ -97,7 +100,7 @@
 	for _, b := range v.quarantine.Blocks() {
 		stored, listed := v.storedBlocks[b.Name()]
 		upToDate := listed && !b.Released && len(stored.Workspaces) == len(b.Workspaces) && !v.rewriting[b.Name()]
-		if upToDate || (!listed && (b.Released || v.quarantine.IsCovered(b))) || now.Before(v.blockedAt[b.Name()].Add(v.blockWriterDelay(b.Name()))) {
+		if upToDate || (!listed && (b.Released || v.quarantine.IsCovered(b))) || now.Before(v.blockedAt[b.Name()].Add(v.blockWriterDelay(b))) {
 			continue
 		}
 		v.blockedAt[b.Name()] = now.Add(blockWriteRetry)
@@ -108,18 +111,22 @@
 
 // blockWriterDelay returns how long after a change of a block this entry writes it. The caller
 // holds the lock.
-func (v *view) blockWriterDelay(name string) time.Duration {
+func (v *view) blockWriterDelay(b quarantine.Block) time.Duration {
 	names := []string{v.settings.VM}
 	for other := range v.entries {
 		if other != v.settings.VM {
 			names = append(names, other)
 		}
 	}
-	rank := slices.Index(rendezvous.Rank("block/"+name, names), v.settings.VM)
+	rank := slices.Index(rendezvous.Rank("block/"+b.Name(), names), v.settings.VM)
 	if rank >= blockWriters {
 		return time.Duration(rank) * time.Hour
 	}
-	return time.Duration(rank) * blockWriterPause
+	delay := time.Duration(rank) * blockWriterPause
+	if len(b.Names) > 1 {
+		delay += jointBlockDelay
+	}
+	return delay
 }
 
 // blockWrite returns the call that brings the store in line with a block. The caller holds the
