--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -4,7 +4,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -131,26 +130,6 @@
 	decisions int
 }
 
-// worker is a listed worker with its last report.
-type worker struct {
-	catalog.Worker
-	report     catalog.Report
-	reportedAt time.Time
-	// reportSequence orders the reports of one incarnation of the worker.
-	reportSequence uint64
-	limit          workerLimit
-	// misdirected is set when a request to the worker was refused as misdirected, until the entry
-	// in the list changes.
-	misdirected bool
-	// crashed is set when this start of the worker has crashed, until another start is listed, the
-	// worker reports on, or crashedTime has passed.
-	crashed bool
-	// share is this entry's share of the rate that the worker can handle. shareValid is cleared
-	// when it must be computed again.
-	share      senders.Share
-	shareValid bool
-}
-
 func newView(settings *platform.Settings, metrics *entryMetrics, log *zap.Logger) *view {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &view{
@@ -336,69 +315,6 @@
 	state.table.SetShare(w.ID, share)
 }
 
-func (v *view) workerChanged(change mirror.Change) {
-	id := change.Object.Name
-	known := v.workers[id]
-	decoded, err := platform.DecodeWorker(id, change.Object.Value)
-	if change.Deleted || err != nil {
-		if !change.Deleted {
-			v.metrics.objectsIgnored(platform.KindWorkers).Inc()
-			v.log.Warn("worker entry ignored", zap.String("vm", id), zap.String("revision", mirror.FormatRevision(change.Object.Revision)), zap.Error(err))
-		}
-		if known != nil {
-			v.removeWorker(known, change.Object.Revision)
-		}
-		return
-	}
-	if known != nil && known.Service != decoded.Service {
-		v.removeWorker(known, change.Object.Revision)
-		known = nil
-	}
-	isNew := known == nil
-	if isNew {
-		known = &worker{}
-		v.workers[id] = known
-	}
-	wasLeaving, wasVersion := known.Leaving, known.Weights.Version
-	known.crashed = known.crashed && known.StartedAtMs == decoded.StartedAtMs
-	v.unindex(known)
-	known.Worker = decoded
-	known.misdirected = false
-	known.shareValid = false
-	known.limit.shareValid = false
-	v.byAddress[known.Address] = append(v.byAddress[known.Address], known)
-	if isNew || wasLeaving != decoded.Leaving || wasVersion != decoded.Weights.Version {
-		v.log.Info("worker changed", zap.String("vm", id), zap.String("service", decoded.Service), zap.String("zone", decoded.Zone),
-			zap.Bool("leaving", decoded.Leaving), zap.Int("weights", decoded.Weights.Version), zap.String("revision", mirror.FormatRevision(change.Object.Revision)))
-	}
-	for _, w := range v.byAddress[known.Address] {
-		v.updateRouting(w)
-	}
-}
-
-func (v *view) removeWorker(known *worker, revision int64) {
-	delete(v.workers, known.ID)
-	v.metrics.set.UnregisterMetric(limitedAttemptsName(known.ID))
-	v.unindex(known)
-	if state := v.services[known.Service]; state != nil {
-		state.table.Remove(known.ID)
-	}
-	for _, w := range v.byAddress[known.Address] {
-		v.updateRouting(w)
-	}
-	v.log.Info("worker is gone", zap.String("vm", known.ID), zap.String("service", known.Service), zap.String("revision", mirror.FormatRevision(revision)))
-}
-
-// unindex removes a worker from the index of addresses.
-func (v *view) unindex(known *worker) {
-	others := slices.DeleteFunc(v.byAddress[known.Address], func(w *worker) bool { return w == known })
-	if len(others) == 0 {
-		delete(v.byAddress, known.Address)
-		return
-	}
-	v.byAddress[known.Address] = others
-}
-
 func (v *view) evacuationChanged(change mirror.Change) {
 	v.outOfService[change.Object.Name] = !change.Deleted
 	zones := v.zones()
@@ -417,36 +333,6 @@
 	return zones
 }
 
-// reporting reports whether the endpoint process of a worker has sent a report recently.
-func (v *view) reporting(vm string) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	w := v.workers[vm]
-	return w != nil && w.report.StartedAtMs == w.StartedAtMs && time.Since(w.reportedAt) < aliveReportAge
-}
-
-// reportAge returns the age of a worker's last report, zero when there was none. The
-// caller holds the lock.
-func (v *view) reportAge(vm string) time.Duration {
-	if w := v.workers[vm]; w != nil && !w.reportedAt.IsZero() {
-		return time.Since(w.reportedAt)
-	}
-	return 0
-}
-
-// markMisdirected records that a request to a worker was refused as misdirected: another worker
-// is at its address, or it has other weights than expected. The next change of its entry in the
-// list makes it usable again.
-func (v *view) markMisdirected(vm string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if w := v.workers[vm]; w != nil {
-		w.misdirected = true
-		v.updateRouting(w)
-	}
-	v.log.Warn("worker refused the request as misdirected", zap.String("vm", vm))
-}
-
 // pauseWorker records that a worker wants no requests from this entry for a while. It returns
 // how long no worker of the service accepts requests from this entry.
 func (v *view) pauseWorker(state *service, vm string, pause time.Duration) time.Duration {
@@ -549,40 +435,6 @@
 	}
 }
 
-// replaced reports whether the entry of a worker in the list is outdated: the worker has crashed, a
-// request was refused as misdirected, or another worker, or a later incarnation of the same one, has taken the
-// address. The caller holds the lock.
-func (v *view) replaced(w *worker) bool {
-	if w.misdirected || w.crashed || w.report.StartedAtMs > w.StartedAtMs {
-		return true
-	}
-	return slices.ContainsFunc(v.byAddress[w.Address], func(other *worker) bool { return other.StartedAtMs > w.StartedAtMs })
-}
-
-// switchoverAt returns when a worker will be ordered to load other weights, or the zero time
-// without a plan or a recent report.
-func (w *worker) switchoverAt(now time.Time) time.Time {
-	if w.report.SwitchoverIn == 0 || w.report.StartedAtMs != w.StartedAtMs || now.Sub(w.reportedAt) >= reportStaleness {
-		return time.Time{}
-	}
-	return w.reportedAt.Add(w.report.SwitchoverIn)
-}
-
-func (v *view) describeEngine(w *worker, engine *catalog.Engine, report *laburnumgwv1.ReportRequest, now time.Time) {
-	weights := w.Weights
-	if w.report.StartedAtMs == w.StartedAtMs && now.Sub(w.reportedAt) < reportStaleness {
-		weights = w.report.Weights
-		report.Load.InFlight = int32(w.report.Running)
-		report.Load.Queued = int32(w.report.Queued)
-		if w.report.Busy {
-			report.Load.Limit = 0
-		}
-	}
-	if weights.Complete(engine.Layers) && weights.Version >= v.requiredVersion(engine.Model, now) {
-		report.Serving = map[string]string{w.Service: strconv.Itoa(weights.Version)}
-	}
-}
-
 // applyReport applies the report of the endpoint process of a worker.
 func (v *view) applyReport(address string, sequence uint64, report catalog.Report) {
 	v.mu.Lock()
