Test broken streams whose next worker fails, between real programs

Stand-in workers break their streams off, at an event's edge or inside one, and answer those that are resumed with a failure, a refusal or a text of status 200.

--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -116,6 +116,7 @@
 	limits    []limitChange
 	arrivals  []time.Time
 	responses responses
+	breaks    Breaks
 	// triggers are the kinds of requests on which the worker crashes, and onCrash ends its
 	// connections. crashed is set until it has recovered.
 	triggers []*Trigger
@@ -297,8 +298,13 @@
 	out.Header().Set("X-Laburnumgw-Weight-Versions", strconv.Itoa(version))
 	out.Header().Set("Content-Type", "text/event-stream")
 	w.leaveUnmarked(out.Header())
-	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for event := first + 1; event <= w.Events; event++ {
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	breaks := w.currentBreaks()
+	if breaks.failResumed(out, after) {
+		return
+	}
+	for event := after + 1; event <= w.Events; event++ {
+		breaks.breakOff(out, after+1, event)
 		if w.awaitSilence(r.Context()) != nil {
 			return
 		}
