Give the end of a request in one place

What callers saw: a worker was told of the request's own time budget, also where the entry that waits for it stops sooner, and went on working for a caller that gets nothing.

Cause: each part of an entry looked at the request's deadline. Nothing bounded a request by the end of a planned stop.

Change: lib/timelimit gives the end of a request from its time budget and the planned stop of its process. The forwarded time budget, the wait for a silent worker, and the planner's decision on another attempt ask there. The stop states its phases, the end of the requests and of their responses.

Requests that still run at the end are not ended yet.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -14,6 +14,7 @@
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/routing"
+	"laburnumgw/lib/timelimit"
 	"laburnumgw/lib/workerconn"
 	"laburnumgw/lib/workerlimit"
 	"laburnumgw/platform"
@@ -73,7 +74,7 @@
 	engine    *catalog.Engine
 	forwarded http.Header
 	body      []byte
-	deadline  time.Time
+	limits    timelimit.Limits
 	attempts  uint32
 	// tried names the workers of earlier attempts. sentAttempts counts those that were sent.
 	tried        []string
@@ -162,13 +163,13 @@
 	}
 	if err != nil {
 		c.log.Warn("no endpoint chosen", zap.String("request", c.in.ID), zap.Uint32("attempt", number),
-			zap.Int64("config", c.snapshot.Version), zap.Duration("left", time.Until(c.deadline)), zap.Error(err))
+			zap.Int64("config", c.snapshot.Version), zap.Duration("left", c.limits.Left(time.Now())), zap.Error(err))
 		return decision, err
 	}
 	fields := []zap.Field{zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
 		zap.String("zone", decision.Zone), zap.String("reason", string(decision.Reason)), zap.String("weights", decision.VersionDigest),
 		zap.Float64("load", decision.Load), zap.Int("eligible", decision.EligibleCount), zap.Int("pool", decision.PoolSize),
-		zap.Int64("config", c.snapshot.Version), zap.Duration("left", time.Until(c.deadline)), zap.Duration("report_age", c.reportAge)}
+		zap.Int64("config", c.snapshot.Version), zap.Duration("left", c.limits.Left(time.Now())), zap.Duration("report_age", c.reportAge)}
 	if query.Detail {
 		fields = append(fields, zap.Any("candidates", decision.Candidates))
 	}
@@ -327,7 +328,7 @@
 // forward returns the headers that are added to a request for a worker. An interrupted stream is
 // resumed after the last event that reached the caller, on the same weights.
 func (c *call) forward(decision routing.Decision) platform.ForwardHeaders {
-	f := platform.ForwardHeaders{Worker: decision.VM, Workspace: c.workspaceName(), Deadline: time.Until(c.deadline)}
+	f := platform.ForwardHeaders{Worker: decision.VM, Workspace: c.workspaceName(), Deadline: c.limits.Left(time.Now())}
 	if c.relayedBytes > 0 {
 		f.LastEventID = c.lastEventID
 		// The digest of a decision is always a decimal version number.
@@ -365,7 +366,7 @@
 	if !c.route.Repeatable() {
 		return nil
 	}
-	busy, end := time.Duration(0), time.Until(c.deadline)
+	busy, end := time.Duration(0), c.limits.Left(time.Now())
 	if c.route.Kind == catalog.Stream {
 		busy, end = c.route.CallerEventTimeout()-firstEventReserve, c.route.CallerEventTimeout()+firstEventReserve
 	}
--- a/entry/hosted/callers_harness_test.go
+++ b/entry/hosted/callers_harness_test.go
@@ -11,9 +11,11 @@
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
 
 	"laburnumgw/lib/drain"
 	"laburnumgw/lib/mirror"
+	"laburnumgw/lib/rpc"
 )
 
 // pipeListener is a listener whose connections are pipes in memory, so that the server of callers
@@ -53,6 +55,7 @@
 	listener *pipeListener
 	conns    []net.Conn
 	drain    *drain.Listener
+	process  *Process
 }
 
 // withCallers runs a test in virtual time against the server of callers.
@@ -60,8 +63,10 @@
 	t.Helper()
 	inVirtualTime(t, func(t *testing.T, d *deployment) {
 		s := &callerServer{deployment: d, listener: newPipeListener()}
-		process := &Process{settings: d.front.view.settings, view: d.front.view, frontend: d.front, log: zap.NewNop()}
-		s.drain = process.serveCallers(s.listener, make(chan error, 1))
+		s.process = &Process{
+			settings: d.front.view.settings, view: d.front.view, frontend: d.front, grpc: grpc.NewServer(), conns: rpc.NewPlainPool(), log: zap.NewNop(),
+		}
+		s.drain = s.process.serveCallers(s.listener, make(chan error, 1))
 		defer func() {
 			s.listener.Close()
 			for _, conn := range s.conns {
--- a/entry/hosted/cut.go
+++ b/entry/hosted/cut.go
@@ -32,8 +32,8 @@
 		zap.String("request", c.in.ID), zap.String("reason", reason), zap.Bool("head_sent", c.headSent), zap.Int64("relayed", c.relayedBytes),
 		zap.Duration("held", time.Since(c.started)), zap.Bool("reused_connection", c.reusedConn),
 	}
-	if !c.deadline.IsZero() {
-		fields = append(fields, zap.Duration("left", time.Until(c.deadline)))
+	if end, cause := c.limits.End(); !end.IsZero() {
+		fields = append(fields, zap.Duration("left", time.Until(end)), zap.String("limit", string(cause)))
 	}
 	if c.snapshot != nil {
 		fields = append(fields, zap.Int64("config", c.snapshot.Version))
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"github.com/urfave/negroni/v3"
@@ -18,6 +17,7 @@
 	"laburnumgw/lib/drain"
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/retry"
+	"laburnumgw/lib/timelimit"
 	"laburnumgw/lib/workerconn"
 	"laburnumgw/platform"
 )
@@ -56,15 +56,16 @@
 	metrics *entryMetrics
 	log     *zap.Logger
 	// detail logs the steps of requests that succeed.
-	detail  *zap.Logger
-	leaving atomic.Bool
+	detail *zap.Logger
+	// shutdown is the planned stop of the process.
+	shutdown *timelimit.Shutdown
 }
 
 // handler returns the HTTP handler with its middleware. Paths reach the workers exactly
 // as they were sent, so no multiplexer cleans them.
 func (f *frontend) handler() http.Handler {
 	stack := negroni.New()
-	stack.Use(drain.CloseWhileLeaving(f.leaving.Load))
+	stack.Use(drain.CloseWhileLeaving(f.shutdown.IsStopping))
 	stack.UseFunc(f.answerPanics)
 	stack.UseFunc(closeAfterChunkedBody)
 	stack.UseHandlerFunc(f.serve)
@@ -79,7 +80,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		if f.leaving.Load() || !f.view.ready() {
+		if f.shutdown.IsStopping() || !f.view.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -109,7 +110,7 @@
 		f.log.Info("request refused", zap.String("request", c.in.ID), zap.String("host", r.Host), zap.String("reason", reason), zap.Error(err))
 		return
 	}
-	ctx, cancel := context.WithDeadlineCause(r.Context(), c.deadline, errTimeout)
+	ctx, cancel := context.WithDeadlineCause(r.Context(), c.limits.Deadline, errTimeout)
 	defer cancel()
 	ctx, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
@@ -119,11 +120,11 @@
 	}
 	// A caller that does not read must not hold the exchange longer than its deadline.
 	writes := http.NewResponseController(w)
-	if err := writes.SetWriteDeadline(c.deadline.Add(writeGrace)); err != nil {
+	if err := writes.SetWriteDeadline(c.limits.Deadline.Add(writeGrace)); err != nil {
 		f.log.Warn("write deadline not set", zap.String("request", c.in.ID), zap.Error(err))
 	}
 	ended, err := c.service.loop.Run(ctx, retry.Request{
-		Idempotent: c.route.Repeatable(), Resumable: c.route.Resumable, Deadline: c.deadline,
+		Idempotent: c.route.Repeatable(), Resumable: c.route.Resumable, Deadline: c.limits.Deadline, Shutdown: f.shutdown,
 		MaxSent: c.maxSent(), RetryAfter: unroutedRetryAfter,
 	}, c)
 	reason := c.finish(ctx, ended, err)
@@ -174,7 +175,7 @@
 	}
 	c.workspace = workspace
 	c.regions = catalog.AllowedRegions(c.route, workspace)
-	c.deadline = started.Add(deadline(in.Deadline, c.route.Timeout))
+	c.limits = timelimit.Limits{Deadline: started.Add(deadline(in.Deadline, c.route.Timeout)), Shutdown: f.shutdown}
 	c.serviceName = c.route.Choose(f.view.random())
 	c.service, c.engine = f.view.service(c.serviceName)
 	if c.service == nil {
@@ -213,7 +214,7 @@
 	if c.r.ContentLength == 0 {
 		return nil
 	}
-	if err := http.NewResponseController(c.w).SetReadDeadline(c.deadline); err != nil {
+	if err := http.NewResponseController(c.w).SetReadDeadline(c.limits.Deadline); err != nil {
 		return fmt.Errorf("set the read deadline of the body: %w", err)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -23,6 +23,7 @@
 	"laburnumgw/lib/rpc"
 	"laburnumgw/lib/suspend"
 	"laburnumgw/lib/telemetry"
+	"laburnumgw/lib/timelimit"
 	"laburnumgw/lib/workerconn"
 	"laburnumgw/platform"
 )
@@ -42,6 +43,9 @@
 	leaveWait = 2500 * time.Millisecond
 	// stopMargin is the part of the grace time that is kept for the end of the process.
 	stopMargin = 500 * time.Millisecond
+	// answerReserve is the part before it in which the responses of requests that still run are
+	// written.
+	answerReserve = 200 * time.Millisecond
 	// pullTimeout bounds one pull of changes, and so the time in which an entry notices that its
 	// upstream has terminated.
 	pullTimeout = 300 * time.Millisecond
@@ -96,7 +100,7 @@
 	v.blockStore = store
 	p := &Process{
 		settings: settings, view: v, store: store, conns: conns, log: log, restored: make(chan struct{}, 1),
-		frontend: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), buffers: newResponseBuffers(settings.MemoryMB), metrics: metrics, log: log, detail: log.Named(telemetry.DetailName)},
+		frontend: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), buffers: newResponseBuffers(settings.MemoryMB), metrics: metrics, log: log, detail: log.Named(telemetry.DetailName), shutdown: new(timelimit.Shutdown)},
 	}
 	v.checks.connect = p.frontend.conns.Check
 	store.OnEra(func(era int64) { log.Info("store states an era", zap.Int64("era", era)) })
@@ -346,13 +350,21 @@
 	}
 }
 
+// stopSchedule returns the times of a planned stop that begins now.
+func stopSchedule(now time.Time, grace time.Duration) timelimit.Schedule {
+	end := now.Add(max(grace, leaveWait+2*stopMargin) - stopMargin)
+	return timelimit.Schedule{Drain: now.Add(leaveWait), RequestsEnd: end.Add(-answerReserve), ProcessEnd: end}
+}
+
 // stop reports that the entry is leaving, serves on until the platform and the callers had the
 // time to leave, and then completes the running requests.
 func (p *Process) stop(callers *drain.Listener, left <-chan time.Time) error {
+	schedule := stopSchedule(time.Now(), p.settings.Bounds.Grace)
 	p.log.Info("entry is leaving", zap.Duration("leave_wait", leaveWait))
-	p.frontend.leaving.Store(true)
+	p.frontend.shutdown.Begin(schedule)
 	<-left
-	ctx, cancel := context.WithTimeout(context.Background(), max(p.settings.Bounds.Grace-leaveWait-stopMargin, stopMargin))
+	p.frontend.shutdown.Drain()
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.ProcessEnd)
 	defer cancel()
 	err := callers.Drain(ctx)
 	p.grpc.Stop()
--- a/entry/hosted/stop_test.go
+++ b/entry/hosted/stop_test.go
@@ -193,7 +193,7 @@
 		s.send(conn, requestOf("r1", "/view/1"))
 		s.expect(conn, "request before the stop", false)
 		s.beginStop()
-		for !s.front.leaving.Load() {
+		for !s.front.shutdown.IsStopping() {
 			// The stop sets leaving first.
 			continue
 		}
--- a/lib/retry/plan.go
+++ b/lib/retry/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/timelimit"
 )
 
 // DefaultMaxAttempts bounds the attempts of one request, the first one included.
@@ -46,6 +47,8 @@
 	// Resumable streams can continue after the tokens already relayed.
 	Resumable bool
 	Deadline  time.Time
+	// Shutdown is the planned stop of the process, whose end bounds the attempts like Deadline; nil for none.
+	Shutdown *timelimit.Shutdown
 	// MaxSent bounds the attempts that are sent to an endpoint; zero for no bound other
 	// than the planner's MaxAttempts. Attempts that were never sent do not count.
 	MaxSent int
@@ -54,6 +57,12 @@
 	RetryAfter time.Duration
 }
 
+// end returns when the request has to be over.
+func (r *Request) end() time.Time {
+	end, _ := timelimit.Limits{Deadline: r.Deadline, Shutdown: r.Shutdown}.End()
+	return end
+}
+
 // Attempt is the end of one attempt.
 type Attempt struct {
 	Outcome laburnumgwv1.Outcome
@@ -174,7 +183,7 @@
 }
 
 func (p *Planner) proceed(s *State, after time.Duration, now time.Time) Next {
-	if !now.Add(after).Before(s.request.Deadline) {
+	if !now.Add(after).Before(s.request.end()) {
 		p.removeWaiting(s)
 		return s.giveUp("the deadline leaves no time for another attempt")
 	}
@@ -198,7 +207,7 @@
 		return s.giveUp("the retry budget is used up")
 	}
 	if s.waitUntil.IsZero() {
-		s.waitUntil = now.Add(min(maxWait, s.request.Deadline.Sub(now)/2))
+		s.waitUntil = now.Add(min(maxWait, s.request.end().Sub(now)/2))
 	}
 	after := waitInterval/2 + time.Duration(p.rng.Int64N(int64(waitInterval)))
 	if now.Add(after).After(s.waitUntil) {
