Answer the requests that run at the end of a planned stop

What callers saw: a request that still ran at its worker at the end of the grace time got nothing. The entry reported "requests still ran at the end of the grace time" and its end closed the connection, also of requests that may run once at most. A stream was cut wherever its bytes were.

Cause: nothing ended an exchange when the process has to end. The wait for a crash verdict and for the writing of a response had no such bound either.

The connection to the worker is closed and nothing is sent again. What has not begun is answered 502, or 503 if it was not run; a stream ends after a whole event without the end of its response. The listener bounds header, body and response by the same stop, and does not count a connection that is answered and lingers for its caller.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -433,12 +433,16 @@
 // the log and the metrics.
 func (c *call) finish(ctx context.Context, ended retry.Attempt, err error) string {
 	cause := context.Cause(ctx)
+	stopped := errors.Is(cause, errStopping)
 	switch {
 	case err == nil:
 		return "complete"
-	case cause != nil && !errors.Is(cause, errTimeout):
+	case cause != nil && !stopped && !errors.Is(cause, errTimeout):
 		c.incomplete = true
 		return "caller_left"
+	case c.headSent && stopped:
+		c.incomplete = true
+		return "stopped"
 	case c.headSent:
 		c.incomplete = true
 		return "stream_cut"
@@ -455,7 +459,10 @@
 		return "timeout"
 	}
 	c.refuse(c.w, c, err)
-	if ended.Err != nil && errors.Is(ended.Err, errNotSealed) {
+	switch {
+	case stopped:
+		return "stopped"
+	case ended.Err != nil && errors.Is(ended.Err, errNotSealed):
 		return "not_sealed"
 	}
 	return "outcome_unknown"
--- a/entry/hosted/crashes.go
+++ b/entry/hosted/crashes.go
@@ -123,32 +123,36 @@
 }
 
 // checkCrash finds out whether a worker without a process beside it has crashed, after a request to
-// it lost its connection.
-func (v *view) checkCrash(start quarantine.Start) bool {
+// it lost its connection. It does not wait longer than the context.
+func (v *view) checkCrash(ctx context.Context, start quarantine.Start) bool {
 	v.mu.Lock()
 	crashed, checking := v.quarantine.HasCrashed(start), v.checks.running[start]
 	if crashed || v.hasLeft(start) {
 		v.mu.Unlock()
 		return crashed
 	}
-	isFirst := checking == nil
-	if isFirst {
+	if checking == nil {
 		checking = make(chan struct{})
 		v.checks.running[start] = checking
+		go v.runCrashCheck(start, checking)
 	}
 	v.mu.Unlock()
-	if !isFirst {
-		<-checking
-		return v.hasCrashed(start)
+	select {
+	case <-checking:
+	case <-ctx.Done():
 	}
+	return v.hasCrashed(start)
+}
+
+// runCrashCheck is a check of checkCrash.
+func (v *view) runCrashCheck(start quarantine.Start, checked chan struct{}) {
 	if errors.Is(v.connect(context.Background(), start.Address), syscall.ECONNREFUSED) {
 		v.workerCrashed(start, "its machine")
 	}
 	v.mu.Lock()
 	delete(v.checks.running, start)
 	v.mu.Unlock()
-	close(checking)
-	return v.hasCrashed(start)
+	close(checked)
 }
 
 // hasCrashed reports whether a start of a worker is known to have crashed.
@@ -194,10 +198,10 @@
 		return c.mayHaveCrashed(ctx, start)
 	}
 	if cleared, _, _ := c.suspicion(start, time.Now()); cleared || !c.route.Repeatable() {
-		go c.view.checkCrash(start)
+		go c.view.checkCrash(context.Background(), start)
 		return false
 	}
-	return c.view.checkCrash(start)
+	return c.view.checkCrash(ctx, start)
 }
 
 // requestLost records a request whose connection ended before it had begun.
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -56,9 +56,8 @@
 	metrics *entryMetrics
 	log     *zap.Logger
 	// detail logs the steps of requests that succeed.
-	detail *zap.Logger
-	// shutdown is the planned stop of the process.
-	shutdown *timelimit.Shutdown
+	detail   *zap.Logger
+	shutdown *shutdown
 }
 
 // handler returns the HTTP handler with its middleware. Paths reach the workers exactly
@@ -112,8 +111,9 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.limits.Deadline, errTimeout)
 	defer cancel()
-	ctx, giveUp := context.WithCancelCause(ctx)
+	ctx, giveUp := f.shutdown.bound(ctx)
 	defer giveUp(nil)
+	c.r = r.WithContext(ctx)
 	if c.route.Kind == catalog.Stream {
 		c.firstEventTimer = time.AfterFunc(c.route.CallerEventTimeout()-firstEventReserve, func() { giveUp(errTimeout) })
 		defer c.firstEventTimer.Stop()
@@ -124,7 +124,7 @@
 		f.log.Warn("write deadline not set", zap.String("request", c.in.ID), zap.Error(err))
 	}
 	ended, err := c.service.loop.Run(ctx, retry.Request{
-		Idempotent: c.route.Repeatable(), Resumable: c.route.Resumable, Deadline: c.limits.Deadline, Shutdown: f.shutdown,
+		Idempotent: c.route.Repeatable(), Resumable: c.route.Resumable, Deadline: c.limits.Deadline, Shutdown: c.limits.Shutdown,
 		MaxSent: c.maxSent(), RetryAfter: unroutedRetryAfter,
 	}, c)
 	reason := c.finish(ctx, ended, err)
@@ -175,7 +175,7 @@
 	}
 	c.workspace = workspace
 	c.regions = catalog.AllowedRegions(c.route, workspace)
-	c.limits = timelimit.Limits{Deadline: started.Add(deadline(in.Deadline, c.route.Timeout)), Shutdown: f.shutdown}
+	c.limits = timelimit.Limits{Deadline: started.Add(deadline(in.Deadline, c.route.Timeout)), Shutdown: &f.shutdown.Shutdown}
 	c.serviceName = c.route.Choose(f.view.random())
 	c.service, c.engine = f.view.service(c.serviceName)
 	if c.service == nil {
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -100,7 +100,7 @@
 	v.blockStore = store
 	p := &Process{
 		settings: settings, view: v, store: store, conns: conns, log: log, restored: make(chan struct{}, 1),
-		frontend: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), buffers: newResponseBuffers(settings.MemoryMB), metrics: metrics, log: log, detail: log.Named(telemetry.DetailName), shutdown: new(timelimit.Shutdown)},
+		frontend: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), buffers: newResponseBuffers(settings.MemoryMB), metrics: metrics, log: log, detail: log.Named(telemetry.DetailName), shutdown: newShutdown()},
 	}
 	v.checks.connect = p.frontend.conns.Check
 	store.OnEra(func(era int64) { log.Info("store states an era", zap.Int64("era", era)) })
@@ -353,7 +353,7 @@
 // stopSchedule returns the times of a planned stop that begins now.
 func stopSchedule(now time.Time, grace time.Duration) timelimit.Schedule {
 	end := now.Add(max(grace, leaveWait+2*stopMargin) - stopMargin)
-	return timelimit.Schedule{Drain: now.Add(leaveWait), RequestsEnd: end.Add(-answerReserve), ProcessEnd: end}
+	return timelimit.Schedule{Drain: now.Add(leaveWait), RequestsEnd: end.Add(-answerReserve), ResponsesEnd: end.Add(-answerReserve / 2), ProcessEnd: end}
 }
 
 // stop reports that the entry is leaving, serves on until the platform and the callers had the
@@ -361,9 +361,10 @@
 func (p *Process) stop(callers *drain.Listener, left <-chan time.Time) error {
 	schedule := stopSchedule(time.Now(), p.settings.Bounds.Grace)
 	p.log.Info("entry is leaving", zap.Duration("leave_wait", leaveWait))
-	p.frontend.shutdown.Begin(schedule)
+	p.frontend.shutdown.begin(schedule)
 	<-left
 	p.frontend.shutdown.Drain()
+	callers.EndAt(schedule.RequestsEnd, schedule.ResponsesEnd)
 	ctx, cancel := context.WithDeadline(context.Background(), schedule.ProcessEnd)
 	defer cancel()
 	err := callers.Drain(ctx)
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -165,18 +165,20 @@
 	return c.endedInCrash()
 }
 
-// endedInCrash reports whether the worker of a response that has ended with its connection has
+// endedInCrash reports whether the worker of a response that has ended with its connection may have
 // crashed, so that the response may be incomplete.
 func (c *call) endedInCrash() bool {
 	start := quarantine.Start{Address: c.trackedAddress, StartedAtMs: c.trackedWorker}
 	if c.view.leaving(start) {
 		return false
 	}
-	if errors.Is(c.view.connect(c.r.Context(), start.Address), syscall.ECONNREFUSED) {
+	ctx := c.r.Context()
+	if errors.Is(c.view.connect(ctx, start.Address), syscall.ECONNREFUSED) {
 		c.view.workerCrashed(start, "its machine")
 		return true
 	}
-	return false
+	// The end of the request leaves it unknown.
+	return ctx.Err() != nil
 }
 
 // lastEventEnd returns the end of the last complete event, or zero without one.
--- a/lib/drain/drain.go
+++ b/lib/drain/drain.go
@@ -26,6 +26,8 @@
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
 	draining bool
+	// readsEnd and writesEnd bound the reads and the writes of the connections; zero for no bound.
+	readsEnd, writesEnd time.Time
 	// empty is closed when the drain has started and no connection is left.
 	empty chan struct{}
 }
@@ -97,6 +99,22 @@
 	}
 }
 
+// EndAt bounds the reading of headers and bodies, and the writing of responses. It is called before
+// Drain. A body is bounded only if the handler sets a read deadline for it: without one, a read serves
+// the server to notice that the caller leaves.
+func (l *Listener) EndAt(reads, writes time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readsEnd, l.writesEnd = reads, writes
+	for c := range l.conns {
+		// The errors are ignored: a closed connection has no deadlines.
+		_ = c.Conn.SetWriteDeadline(c.boundedWrite(c.writeDeadline))
+		if c.active && !c.readDeadline.IsZero() {
+			_ = c.Conn.SetReadDeadline(c.boundedRead(c.readDeadline))
+		}
+	}
+}
+
 // Drain stops accepting connections, ends those that wait for a request, and waits for the
 // others, each of which ends with its response. The handler must send the header
 // Connection: close with it, see CloseWhileLeaving.
@@ -108,8 +126,24 @@
 	case <-l.empty:
 		return nil
 	case <-ctx.Done():
-		return fmt.Errorf("wait for connections: %w", ctx.Err())
 	}
+	if count := l.unanswered(); count > 0 {
+		return fmt.Errorf("wait for %d connections: %w", count, ctx.Err())
+	}
+	return nil
+}
+
+// unanswered returns the number of connections on which a response is not complete.
+func (l *Listener) unanswered() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count := 0
+	for c := range l.conns {
+		if !c.answered {
+			count++
+		}
+	}
+	return count
 }
 
 // startDrain closes the listener and ends the connections that wait for a request.
@@ -144,6 +178,11 @@
 	// inHeader is set until the server has read the header of a request, the wait for its first bytes on a
 	// new connection included, and active from the call of the handler to the end of the response.
 	inHeader, active bool
+	// readDeadline and writeDeadline are the deadlines that the server or the handler has set.
+	readDeadline, writeDeadline time.Time
+	// answered is set when the response is sent and the connection is kept open only for its caller to
+	// read it.
+	answered bool
 }
 
 // expiredDeadline is a read deadline in the past, which makes reads fail at once.
@@ -158,10 +197,31 @@
 
 // boundHeader bounds the time for the rest of a header. The caller holds the lock.
 func (c *conn) boundHeader() {
-	if c.listener.headerTimeout > 0 {
+	latest := c.listener.readsEnd
+	if timeout := c.listener.headerTimeout; timeout > 0 {
+		latest = c.boundedRead(time.Now().Add(timeout))
+	}
+	if !latest.IsZero() {
 		// The error is ignored: a closed connection has no deadlines.
-		_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.headerTimeout))
+		_ = c.Conn.SetReadDeadline(latest)
+	}
+}
+
+// boundedRead returns a read deadline, readsEnd at the latest. The caller holds the lock.
+func (c *conn) boundedRead(t time.Time) time.Time {
+	if end := c.listener.readsEnd; !end.IsZero() && t.After(end) {
+		return end
 	}
+	return t
+}
+
+// boundedWrite returns a write deadline, which may be zero, writesEnd at the latest. The caller holds
+// the lock.
+func (c *conn) boundedWrite(t time.Time) time.Time {
+	if end := c.listener.writesEnd; !end.IsZero() && (t.IsZero() || t.After(end)) {
+		return end
+	}
+	return t
 }
 
 // Read implements net.Conn.
@@ -199,11 +259,31 @@
 			t = latest
 		}
 	}
-	return c.Conn.SetReadDeadline(t) //nolint:wrapcheck // passes on the error of the connection
+	c.readDeadline = t
+	return c.Conn.SetReadDeadline(c.boundedRead(t)) //nolint:wrapcheck // passes on the error of the connection
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.writeDeadline = t
+	return c.Conn.SetWriteDeadline(c.boundedWrite(t)) //nolint:wrapcheck // passes on the error of the connection
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
 }
 
 // CloseWrite lets the server send a response to a caller that is still sending.
 func (c *conn) CloseWrite() error {
+	c.listener.mu.Lock()
+	c.answered = true
+	c.listener.mu.Unlock()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite() //nolint:wrapcheck // passes on the error of the connection
 	}
--- a/lib/timelimit/shutdown.go
+++ b/lib/timelimit/shutdown.go
@@ -22,9 +22,9 @@
 type Schedule struct {
 	// Drain is when the process stops accepting connections.
 	Drain time.Time
-	// RequestsEnd is when the requests that still run are ended, and ProcessEnd when their responses
-	// have to be written.
-	RequestsEnd, ProcessEnd time.Time
+	// RequestsEnd is when the requests that still run are ended, ResponsesEnd when their responses have
+	// to be written, and ProcessEnd when the process ends.
+	RequestsEnd, ResponsesEnd, ProcessEnd time.Time
 }
 
 // Shutdown is the planned stop of a process. It is safe for concurrent use. The zero value and nil are
