A reset that the write of the request finds cuts the response

What callers would get: 200 with a short body, framed as whole (MIXED). A worker answers without length and chunks while it still receives a long request, and resets the connection midway.

Cause: the system reports a reset once, to a read or to a write, and the end of the connection from then on. When the write in the background took it, the read found an orderly end, by which such an answer is whole.

At that end the write is stopped and asked for its error. After an orderly end by the worker a reset is reported as EPIPE, so that an answer of a worker which has not read all of the request stays whole.

--- /dev/null
+++ b/lib/workerconn/body.go
@@ -0,0 +1,51 @@
+package workerconn
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+)
+
+// errReset marks a response without length and chunks whose connection was reset before its end.
+var errReset = fmt.Errorf("connection was reset: %w", io.ErrUnexpectedEOF)
+
+// body is the body of a response.
+type body struct {
+	io.ReadCloser
+	response *Response
+}
+
+// checkBody replaces the body of a response by one that is not complete if its connection was reset.
+func (r *Response) checkBody() {
+	if r.Body != http.NoBody && !r.EndMarked() {
+		r.Body = &body{ReadCloser: r.Body, response: r}
+	}
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.response.uploadWasReset() {
+		err = errReset
+	}
+	return n, err //nolint:wrapcheck // a reader returns errors unchanged
+}
+
+// uploadWasReset ends the write of the request and reports whether it has found a reset of the connection. The
+// system reports a reset once, to a read or to a write, and the end of the connection from then on.
+func (r *Response) uploadWasReset() bool {
+	// It fails only on a closed connection, on which a write ends by itself.
+	_ = r.conn.SetWriteDeadline(time.Now())
+	<-r.upload.done
+	// After an orderly end, a reset is reported as EPIPE.
+	for _, harmless := range []error{nil, os.ErrDeadlineExceeded, syscall.EPIPE, io.ErrClosedPipe} {
+		if errors.Is(r.upload.err, harmless) {
+			return false
+		}
+	}
+	return true
+}
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -215,7 +215,9 @@
 	if err != nil {
 		return fail(true, fmt.Errorf("read response: %w", err))
 	}
-	return &Response{Response: head, pool: p, address: address, conn: c, upload: upload, id: r.ID, stop: stop}, true, nil
+	response = &Response{Response: head, pool: p, address: address, conn: c, upload: upload, id: r.ID, stop: stop}
+	response.checkBody()
+	return response, true, nil
 }
 
 // encode returns the bytes of a request.
