State the end of a connection with each response that it cuts

What callers would see: a request that crashes its worker amid the head or the trailers of the response is not counted as lost in a crash, and a worker without a process beside it is not known to have crashed. So a deadly request is found later.

Cause: the parser reports a part of a status line or of a field's name as malformed, and a trailer that ends early with an error of its own, in place of the end of the connection. Whether a crash was noticed depended on the byte.

The connection remembers how it ended, and the errors of heads and bodies state that.

TestCrashAtAnyByteOfAResponseIsNoticed failed before from the first byte on ("H": crash not known), and TestResponseThatEndsAtAnyByteIsNotWhole named another error. No response that ended early was taken as whole before, at any byte, by a close or a reset, on new and kept connections: TestResponseThatEndsAtAnyByteReachesNoCaller and TestStreamThatEndsAtAnyByteOfAHeadIsNotComplete passed already.

--- a/lib/workerconn/body.go
+++ b/lib/workerconn/body.go
@@ -13,23 +13,20 @@
 // errReset marks a response without length and chunks whose connection was reset before its end.
 var errReset = fmt.Errorf("connection was reset: %w", io.ErrUnexpectedEOF)
 
-// body is the body of a response.
+// body is the body of a response. Its errors state whether the connection has ended.
 type body struct {
 	io.ReadCloser
 	response *Response
 }
 
-// checkBody replaces the body of a response by one that is not complete if its connection was reset.
-func (r *Response) checkBody() {
-	if r.Body != http.NoBody && !r.EndMarked() {
-		r.Body = &body{ReadCloser: r.Body, response: r}
-	}
-}
-
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF && b.response.uploadWasReset() {
+	switch {
+	case err == nil:
+	case !errors.Is(err, io.EOF):
+		err = b.response.conn.explain(err)
+	case b.ReadCloser != http.NoBody && !b.response.EndMarked() && b.response.uploadWasReset():
 		err = errReset
 	}
 	return n, err //nolint:wrapcheck // a reader returns errors unchanged
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -127,6 +127,8 @@
 	used   bool
 	// headBytesLeft is how many bytes of a head may still be read; negative outside of heads.
 	headBytesLeft int
+	// endedBy is the end of the connection as a read has found it; nil before.
+	endedBy error
 	// boundReads is set while each read waits for remainderTimeout at most.
 	boundReads bool
 	// refused holds the IDs of the requests that were refused on the connection.
@@ -144,16 +146,37 @@
 		_ = c.SetReadDeadline(time.Now().Add(remainderTimeout))
 	}
 	if c.headBytesLeft < 0 {
-		return c.Conn.Read(p)
+		return c.read(p)
 	}
 	if c.headBytesLeft == 0 {
 		return 0, ErrHeadTooLarge
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.headBytesLeft)])
+	n, err := c.read(p[:min(len(p), c.headBytesLeft)])
 	c.headBytesLeft -= n
 	return n, err
 }
 
+// read reads from the connection and records its end.
+func (c *conn) read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		c.endedBy = io.ErrUnexpectedEOF
+	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+		c.endedBy = err
+	}
+	return n, err
+}
+
+// explain adds the end of the connection to the error of a response that is not complete. What was read until
+// then may be malformed for no other reason.
+func (c *conn) explain(err error) error {
+	if c.endedBy == nil || errors.Is(err, c.endedBy) {
+		return err
+	}
+	return fmt.Errorf("%w: %w", c.endedBy, err)
+}
+
 // abort closes the connection with a TCP reset, which discards bytes that the worker has
 // not read. A worker on a suspended VM then never reads the request.
 func (c *conn) abort() {
@@ -216,7 +239,7 @@
 		return fail(true, fmt.Errorf("read response: %w", err))
 	}
 	response = &Response{Response: head, pool: p, address: address, conn: c, upload: upload, id: r.ID, stop: stop}
-	response.checkBody()
+	response.Body = &body{ReadCloser: head.Body, response: response}
 	return response, true, nil
 }
 
@@ -252,7 +275,7 @@
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		c.headBytesLeft = -1
 		if err != nil {
-			return nil, err
+			return nil, c.explain(err)
 		}
 		if response.StatusCode < 100 {
 			return nil, fmt.Errorf("%w: %d", ErrInvalidStatus, response.StatusCode)
@@ -266,7 +289,7 @@
 		c.keepAlive = -1
 		firstRequest = false
 		if err := discard(response.Body); err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrUnrelatedResponse, err)
+			return nil, fmt.Errorf("%w: %w", ErrUnrelatedResponse, c.explain(err))
 		}
 	}
 	return nil, ErrUnrelatedResponse
