A reset that the write of a request finds cuts the response of an endpoint

What callers would get: 200 with a short body for a response without length and chunks that its endpoint has reset, while the endpoint process still wrote a long request.

Cause: as for the client of workers, in the client of net/http: the write takes the error of the connection, and the read finds an orderly end. Connections to the endpoint now report a reset to reads also when a write has found it. The rule by which a write's error tells a reset from an orderly end moves to lib/dial, and the client of workers uses it from there.

--- a/endpoint/backend.go
+++ b/endpoint/backend.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -18,6 +19,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/dial"
 	"laburnumgw/lib/errkind"
 )
 
@@ -97,7 +99,9 @@
 // net/http repeats a request with an Idempotency-Key on its own when a reused
 // connection breaks, which could run a non-idempotent request twice.
 func newBackend(base string) *backend {
-	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: 64 << 10}
+	// A response without length and chunks is complete at the end of its connection, unless that is a reset.
+	connect := dial.ReportingResets(new(net.Dialer).DialContext)
+	transport := &http.Transport{DialContext: connect, DisableKeepAlives: true, MaxResponseHeaderBytes: 64 << 10}
 	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &backend{base: base, http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
 }
--- a/lib/dial/dial.go
+++ b/lib/dial/dial.go
@@ -1,5 +1,5 @@
 // Package dial opens connections with a timeout that grows with each failure to connect to
-// an address.
+// an address, and tells resets of connections from orderly ends.
 package dial
 
 import (
--- a/lib/workerconn/body.go
+++ b/lib/workerconn/body.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"syscall"
 	"time"
+
+	"laburnumgw/lib/dial"
 )
 
 // errReset marks a response without length and chunks whose connection was reset before its end.
@@ -32,17 +32,11 @@
 	return n, err //nolint:wrapcheck // a reader returns errors unchanged
 }
 
-// uploadWasReset ends the write of the request and reports whether it has found a reset of the connection. The
-// system reports a reset once, to a read or to a write, and the end of the connection from then on.
+// uploadWasReset ends the write of the request and reports whether it has found a reset of the connection, of which
+// a read then finds only the end.
 func (r *Response) uploadWasReset() bool {
 	// It fails only on a closed connection, on which a write ends by itself.
 	_ = r.conn.SetWriteDeadline(time.Now())
 	<-r.upload.done
-	// After an orderly end, a reset is reported as EPIPE.
-	for _, harmless := range []error{nil, os.ErrDeadlineExceeded, syscall.EPIPE, io.ErrClosedPipe} {
-		if errors.Is(r.upload.err, harmless) {
-			return false
-		}
-	}
-	return true
+	return dial.FoundReset(r.upload.err)
 }
