Workers of the soak and of e2e close connections within heads

The worker stand-in sends a part of the head of a response and closes or resets the connection, at another byte each time, after it has run the request or accepted the order. The soak draws such times at random and checks what callers see as before: no success that is not whole, and no 503 for a booking that ran.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -45,6 +45,9 @@
 	outcomes []Outcome
 }
 
+// streamEvents is the number of events of a whole stream.
+const streamEvents = 8
+
 // callerPause is the time between two requests of one caller.
 const callerPause = 40 * time.Millisecond
 
@@ -183,7 +186,6 @@
 
 // checkStream checks that every event arrived once, in order and from one version.
 func checkStream(data []byte, version string) error {
-	const events = 8
 	next := 1
 	lines := bufio.NewScanner(bytes.NewReader(data))
 	for lines.Scan() {
@@ -197,8 +199,8 @@
 			return fmt.Errorf("stream of version %s holds %q", version, value)
 		}
 	}
-	if next != events+1 {
-		return fmt.Errorf("stream ended as complete after %d of %d events", next-1, events)
+	if next != streamEvents+1 {
+		return fmt.Errorf("stream ended as complete after %d of %d events", next-1, streamEvents)
 	}
 	return nil
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -184,7 +184,7 @@
 	for i := range f.Models {
 		w := &hosted.Worker{
 			ID: fmt.Sprintf("m-%d", i), Service: modelService, Zone: zoneOf(i), Address: fmt.Sprintf("%s:%d", f.ip(2, i), workerPort),
-			Model: f.Model, Events: 8, EventGap: 20 * time.Millisecond, UnmarkedEvery: f.UnmarkedEvery,
+			Model: f.Model, Events: streamEvents, EventGap: 20 * time.Millisecond, UnmarkedEvery: f.UnmarkedEvery,
 		}
 		if f.PlannedOnly {
 			// Long streams are more often amid a silence.
--- a/soak/run.go
+++ b/soak/run.go
@@ -158,7 +158,7 @@
 func (r *run) injectFault() {
 	lasts := time.Duration(500+r.rng.IntN(2500)) * time.Millisecond
 	all := append(append([]*Process{}, r.fleet.Entries...), r.fleet.Endpoints...)
-	switch r.rng.IntN(14) {
+	switch r.rng.IntN(15) {
 	case 0:
 		p := pick(r.rng, all)
 		r.recordFault(lasts, "kill %s for %s", p.Name, lasts)
@@ -198,6 +198,8 @@
 		r.restoreStore(2 * lasts)
 	case 12:
 		r.makeDeadly()
+	case 14:
+		r.breakHeads(pick(r.rng, r.fleet.workers()), lasts)
 	case 9:
 		proxy := pick(r.rng, r.fleet.workers()).Proxy
 		r.recordFault(0, "connections of a worker are reset")
@@ -311,6 +313,7 @@
 	}
 	for _, m := range r.fleet.workers() {
 		m.Proxy.Set(Pass)
+		endBreaks(m)
 	}
 	r.fleet.Store.SetDown(false)
 	r.endLimit()
--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -117,6 +117,9 @@
 	arrivals  []time.Time
 	responses responses
 	breaks    Breaks
+	// heads is how heads are broken off. headsDue counts the responses that may be, headsBroken those that were.
+	heads                 HeadBreaks
+	headsDue, headsBroken int
 	// triggers are the kinds of requests on which the worker crashes, and onCrash ends its
 	// connections. crashed is set until it has recovered.
 	triggers []*Trigger
@@ -199,9 +202,13 @@
 		if w.awaitSilence(r.Context()) != nil {
 			return
 		}
-		respond(out, http.StatusOK, w.state())
+		if !w.breakHead(out, "200 OK", false) {
+			respond(out, http.StatusOK, w.state())
+		}
 	case r.URL.Path == "/-/order":
-		w.order(out, r)
+		if status := w.order(r); !w.breakHead(out, fmt.Sprint(status, " ", http.StatusText(status)), false) {
+			out.WriteHeader(status)
+		}
 	case strings.HasPrefix(r.URL.Path, "/-/stage-"):
 		w.stage(out, r)
 	default:
@@ -229,7 +236,8 @@
 	_, _ = out.Write(data) // it fails only when the caller has disconnected
 }
 
-func (w *Worker) order(out http.ResponseWriter, r *http.Request) {
+// order executes an order and returns the status of the response.
+func (w *Worker) order(r *http.Request) int {
 	var order struct {
 		Operation    string `json:"operation"`
 		Version      int    `json:"version"`
@@ -237,14 +245,12 @@
 		Precondition int    `json:"precondition"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&order); err != nil || order.Operation != "start" || order.SwitchMode != "wait" {
-		out.WriteHeader(http.StatusBadRequest)
-		return
+		return http.StatusBadRequest
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if order.Precondition != w.sequence {
-		out.WriteHeader(http.StatusConflict)
-		return
+		return http.StatusConflict
 	}
 	for i := range w.Model.Chunks {
 		if string(w.staged[i]) != string(w.Model.Chunk(order.Version, i)) {
@@ -253,7 +259,7 @@
 	}
 	w.sequence++
 	w.version = order.Version
-	out.WriteHeader(http.StatusAccepted)
+	return http.StatusAccepted
 }
 
 func (w *Worker) serve(out http.ResponseWriter, r *http.Request) {
@@ -291,6 +297,10 @@
 	if w.crashOn(run) {
 		panic(http.ErrAbortHandler)
 	}
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if w.breakHead(out, "200 OK", after > 0) {
+		return
+	}
 	if w.Model.Name == "" {
 		w.respondPlain(out, r, body)
 		return
@@ -298,7 +308,6 @@
 	out.Header().Set("X-Laburnumgw-Weight-Versions", strconv.Itoa(version))
 	out.Header().Set("Content-Type", "text/event-stream")
 	w.leaveUnmarked(out.Header())
-	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	breaks := w.currentBreaks()
 	if breaks.failResumed(out, after) {
 		return
