Refuse late requests of a planned stop that might outlast the entry

What callers saw: in a planned stop of one entry, in calm, requests that came late in the grace on connections that had been silent were taken, passed on and cut at its end, among them requests that may run once at most.

Cause: a request was accepted at any moment of the stop. Neither its header, nor its body, nor an attempt was compared with what was left of the grace.

Change: while the entry leaves, a request is accepted if its expected time fits before the end of the requests; once it drains, only if its whole time budget does. The expected time has to fit again after the body has arrived and before each attempt, a resumed stream included.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -155,6 +155,9 @@
 	if err := c.refuseBlocked(); err != nil {
 		return routing.Decision{}, err
 	}
+	if err := c.ensureFits(); err != nil {
+		return routing.Decision{}, err
+	}
 	query := c.query(number, digest, tried)
 	decision, err := c.pick(query)
 	var cause *routing.NoEndpointError
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -186,7 +186,13 @@
 	if _, ok := c.forwarded["User-Agent"]; !ok {
 		c.forwarded["User-Agent"] = nil
 	}
-	return c, c.readBody(snapshot.Limits)
+	if err := c.admit(); err != nil {
+		return c, err
+	}
+	if err := c.readBody(snapshot.Limits); err != nil {
+		return c, err
+	}
+	return c, c.ensureFits()
 }
 
 // deadline returns the time that a request has: the caller's or the route's, whichever is
@@ -226,6 +232,10 @@
 		// The rest of the body may still arrive, and is no request.
 		c.w.Header().Set("Connection", "close")
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.fits() {
+		c.metrics.refusedAtStop.Inc()
+		return refusedAtStop()
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return errkind.Wrap(err, errkind.NotRun, "send the complete body sooner", "body has not arrived in time")
 	}
--- a/entry/hosted/metrics.go
+++ b/entry/hosted/metrics.go
@@ -21,6 +21,8 @@
 	lent     *metrics.Counter
 	// blockedRequests counts the requests that were refused for a blocked part of their prompt.
 	blockedRequests *metrics.Counter
+	// refusedAtStop counts the requests that were refused because they might have outlasted the entry.
+	refusedAtStop *metrics.Counter
 	// panics counts the requests whose handler panicked.
 	panics *metrics.Counter
 }
@@ -38,6 +40,7 @@
 		lent:      set.NewCounter("laburnumgw_entry_limit_lent_total"),
 
 		blockedRequests: set.NewCounter("laburnumgw_entry_blocked_requests_total"),
+		refusedAtStop:   set.NewCounter("laburnumgw_entry_refused_at_stop_total"),
 		panics:          set.NewCounter("laburnumgw_entry_panics_total"),
 	}
 }
--- a/entry/hosted/patience.go
+++ b/entry/hosted/patience.go
@@ -15,7 +15,7 @@
 // canRepeat reports whether the request could be sent to another worker if the current attempt were
 // given up: otherwise waiting on is all that can bring an answer.
 func (c *call) canRepeat(current routing.Decision) bool {
-	if c.sentAttempts+1 >= c.maxSent() || c.attempts >= retry.DefaultMaxAttempts || !c.service.loop.AllowsRetry(time.Now()) {
+	if c.sentAttempts+1 >= c.maxSent() || c.attempts >= retry.DefaultMaxAttempts || !c.service.loop.AllowsRetry(time.Now()) || !c.fits() {
 		return false
 	}
 	digest := ""
--- a/lib/explain/explain.go
+++ b/lib/explain/explain.go
@@ -64,6 +64,7 @@
 var reasons = map[string]string{
 	"complete":        "the caller received the complete response",
 	"caller_left":     "the caller disconnected before the response was complete",
+	"stopped":         "the entry stopped before the response was complete",
 	"stream_cut":      "the response stream broke and could not be resumed on the same weights; the connection was closed so that the response does not look complete",
 	"worker_failed":   "the worker ran the request and returned a failure of its own",
 	"not_run":         "the request was not run; the response told the caller when to retry",
