End a planned stop within a short grace time

What callers saw: with a grace time of 3 s or less, the entry was killed before its planned stop had ended, with requests at their workers.

Cause: callers got 2.5 s to leave, whatever the grace time, and at least 0.5 s followed.

Change: callers have 2.5 s or a third of the grace time, whichever is less, and the reserves for responses and for the end of the process are a twelfth each at most, so that requests run until the last sixth. With the grace time of 8 s nothing changes.

Failed before: TestPlannedStopEndsWithinAShortGrace with 0.5, 1, 2 and 3 s (the stop took 2.8 s), TestScheduleOfAPlannedStopFitsItsGrace below 4.2 s.

--- a/entry/hosted/late_requests_test.go
+++ b/entry/hosted/late_requests_test.go
@@ -26,7 +26,7 @@
 	s.front.view.settings.Bounds.Grace = grace
 	p := &plannedStop{begun: time.Now(), ended: make(chan error, 1)}
 	go func() {
-		err := s.process.stop(s.drain, time.After(leaveWait))
+		err := s.process.stop(s.drain, time.After(leaveWait(grace)))
 		p.took = time.Since(p.begun)
 		p.ended <- err
 	}()
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -38,14 +38,17 @@
 	// connectTimeout bounds the opening of a connection to a worker. Round trips take at most
 	// 4 ms, and a lost packet is retransmitted after a few hundred ms.
 	connectTimeout = 500 * time.Millisecond
-	// leaveWait is the time in which the platform notices that an entry is leaving: it probes
-	// the readiness every second and takes an entry out after two failed probes.
-	leaveWait = 2500 * time.Millisecond
-	// stopMargin is the part of the grace time that is kept for the end of the process.
-	stopMargin = 500 * time.Millisecond
-	// answerReserve is the part before it in which the responses of requests that still run are
-	// written.
-	answerReserve = 200 * time.Millisecond
+	// maxLeaveWait is the time in which the platform notices that an entry is leaving: it probes
+	// the readiness every second and takes an entry out after two failed probes. maxLeaveShare bounds
+	// it where the grace time is short.
+	maxLeaveWait  = 2500 * time.Millisecond
+	maxLeaveShare = 3
+	// stopMargin is the part of the grace time that is kept for the end of the process, and
+	// answerReserve the part before it in which the responses of requests that still run are written.
+	// Each takes a twelfth of the grace time at most: the platform lets requests run until its last sixth.
+	stopMargin     = 500 * time.Millisecond
+	answerReserve  = 200 * time.Millisecond
+	maxMarginShare = 12
 	// pullTimeout bounds one pull of changes, and so the time in which an entry notices that its
 	// upstream has terminated.
 	pullTimeout = 300 * time.Millisecond
@@ -168,7 +171,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	return p.stop(callers, time.After(leaveWait))
+	return p.stop(callers, time.After(leaveWait(p.settings.Bounds.Grace)))
 }
 
 // listen opens all listeners. It returns the one for callers.
@@ -352,15 +355,20 @@
 
 // stopSchedule returns the times of a planned stop that begins now.
 func stopSchedule(now time.Time, grace time.Duration) timelimit.Schedule {
-	end := now.Add(max(grace, leaveWait+2*stopMargin) - stopMargin)
-	return timelimit.Schedule{Drain: now.Add(leaveWait), RequestsEnd: end.Add(-answerReserve), ResponsesEnd: end.Add(-answerReserve / 2), ProcessEnd: end}
+	end := now.Add(grace - min(stopMargin, grace/maxMarginShare))
+	reserve := min(answerReserve, grace/maxMarginShare)
+	return timelimit.Schedule{Drain: now.Add(leaveWait(grace)), RequestsEnd: end.Add(-reserve), ResponsesEnd: end.Add(-reserve / 2), ProcessEnd: end}
 }
 
+// leaveWait returns the time in which callers leave.
+func leaveWait(grace time.Duration) time.Duration { return min(maxLeaveWait, grace/maxLeaveShare) }
+
 // stop reports that the entry is leaving, serves on until the platform and the callers had the
 // time to leave, and then completes the running requests.
 func (p *Process) stop(callers *drain.Listener, left <-chan time.Time) error {
-	schedule := stopSchedule(time.Now(), p.settings.Bounds.Grace)
-	p.log.Info("entry is leaving", zap.Duration("leave_wait", leaveWait))
+	now := time.Now()
+	schedule := stopSchedule(now, p.settings.Bounds.Grace)
+	p.log.Info("entry is leaving", zap.Duration("leave_wait", schedule.Drain.Sub(now)), zap.Duration("requests_end", schedule.RequestsEnd.Sub(now)))
 	p.frontend.shutdown.begin(schedule)
 	<-left
 	p.frontend.shutdown.Drain()
