Count requests that may run on old weights

An operator could not tell a request that was given up at the bound of its weights, and that its worker may still run, from one that was given up for another reason, nor a worker whose weights are older than the entry believed from a sound one. Two warnings and two counters name them, and each attempt's line has the version that served it.

TestRequestsThatMayRunOnOldWeightsAreCounted covers both.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -109,6 +109,9 @@
 	// weightsLeft is how long requests could still start on the weights when it was sent, zero
 	// for no bound.
 	firstEventWait, weightsLeft time.Duration
+	// servedVersion is the version of the weights in the head of the last attempt's response, zero
+	// without one.
+	servedVersion int
 	// lastFailure is the last failure response of a worker, sent to the caller when no later
 	// attempt gives a better response.
 	lastFailure *bufferedResponse
@@ -218,7 +221,7 @@
 // Attempt implements dispatch.Target.
 func (c *call) Attempt(ctx context.Context, decision routing.Decision, number uint32) retry.Attempt {
 	started := time.Now()
-	c.attempts, c.began, c.firstEventWait, c.weightsLeft = number, false, 0, 0
+	c.attempts, c.began, c.firstEventWait, c.weightsLeft, c.servedVersion = number, false, 0, 0, 0
 	tracked := c.tracked
 	ended, load := c.exchange(ctx, decision, &tracked)
 	result := routing.Result{Outcome: ended.Outcome, Sent: ended.Sent, Load: load}
@@ -234,6 +237,9 @@
 	if ended.Sent {
 		c.sentAttempts++
 	}
+	if ctx.Err() == nil {
+		c.recordWeights(decision, ended, time.Since(started))
+	}
 	ended.MayHaveCrashed = c.recordCrash(ctx, ended)
 	var parts []string
 	name := ""
@@ -242,7 +248,7 @@
 	}
 	c.logFor(ended.Outcome == laburnumgwv1.Outcome_OUTCOME_COMPLETE).Info("attempt ended", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
 		zap.Stringer("outcome", ended.Outcome), zap.Bool("sent", ended.Sent), zap.Int64("relayed", ended.RelayedBytes),
-		zap.Duration("duration", time.Since(started)), zap.Duration("first_event", c.firstEventWait), zap.Duration("weights_left", c.weightsLeft),
+		zap.Duration("duration", time.Since(started)), zap.Duration("first_event", c.firstEventWait), zap.Duration("weights_left", c.weightsLeft), zap.Int("weights_served", c.servedVersion),
 		zap.Strings("prompt_parts", parts), zap.String("request_name", name), zap.Bool("may_have_crashed", ended.MayHaveCrashed), zap.Error(ended.Err))
 	return ended
 }
@@ -269,6 +275,9 @@
 	defer response.Abort()
 	workerResponse := platform.ParseWorkerResponse(response.StatusCode, response.Header)
 	load := loadOf(workerResponse.Load)
+	if workerResponse.Sealed {
+		c.servedVersion = workerResponse.WeightVersion
+	}
 	if workerResponse.Leaving && !workerResponse.Misdirected {
 		c.view.responseStatesLeaving(decision.VM)
 	}
--- a/entry/hosted/metrics.go
+++ b/entry/hosted/metrics.go
@@ -23,6 +23,11 @@
 	blockedRequests *metrics.Counter
 	// panics counts the requests whose handler panicked.
 	panics *metrics.Counter
+	// abandonedStarts counts the requests that were given up at the bound of their weights while
+	// they waited at a worker, and olderWeights the responses on older weights than those for which the
+	// worker was chosen.
+	abandonedStarts *metrics.Counter
+	olderWeights    *metrics.Counter
 }
 
 func newEntryMetrics() *entryMetrics {
@@ -39,6 +44,8 @@
 
 		blockedRequests: set.NewCounter("laburnumgw_entry_blocked_requests_total"),
 		panics:          set.NewCounter("laburnumgw_entry_panics_total"),
+		abandonedStarts: set.NewCounter("laburnumgw_entry_abandoned_starts_total"),
+		olderWeights:    set.NewCounter("laburnumgw_entry_older_weights_total"),
 	}
 }
 
--- a/entry/hosted/versions.go
+++ b/entry/hosted/versions.go
@@ -1,12 +1,15 @@
 package hosted
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/mirror/rpcmirror"
+	"laburnumgw/lib/retry"
+	"laburnumgw/lib/routing"
 	"laburnumgw/platform"
 )
 
@@ -144,3 +147,23 @@
 	}
 	return required
 }
+
+// recordWeights counts and logs an attempt that was given up at the bound of its weights, and may
+// still start at its worker, or that older weights than expected have served.
+func (c *call) recordWeights(decision routing.Decision, ended retry.Attempt, lasted time.Duration) {
+	if c.engine == nil || !ended.Sent {
+		return
+	}
+	fields := []zap.Field{zap.String("request", c.in.ID), zap.String("vm", decision.VM), zap.String("weights", decision.VersionDigest),
+		zap.Duration("report_age", c.reportAge)}
+	if c.weightsLeft > 0 && !c.began && lasted >= c.weightsLeft {
+		c.metrics.abandonedStarts.Inc()
+		c.log.Warn("request given up at the bound of its weights", append(fields, zap.Duration("waited", lasted))...)
+	}
+	// The digest of a decision is always a decimal version number.
+	expected, _ := strconv.Atoi(decision.VersionDigest)
+	if c.servedVersion > 0 && c.servedVersion < expected {
+		c.metrics.olderWeights.Inc()
+		c.log.Warn("worker responded on older weights than expected", append(fields, zap.Int("served", c.servedVersion))...)
+	}
+}
