Stop sending to old weights before a silence can outlast their bound

Callers got answers of weights whose bound had passed: a request was sent to old weights up to 0.9 s before their bound, its worker fell silent for a second or so, which sound workers do, and began the request after the bound. The entry had closed the connection 0.3 s before the bound, but some workers run what was closed while it waited.

The entry now sends nothing to older weights from 1.8 s before their bound on: the patience that outlasts the silence of a sound worker, and 0.3 s for the lateness of a date.

--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -40,11 +40,11 @@
 	// objective takes capacity and is late for certain.
 	capacityRetryDivisor = 8
 	// versionMargin is how long before the bound of a version older weights get no more
-	// requests: most requests start within 400 ms, the others are given up at startMargin, and a
-	// version may be learned 200 ms after it was named.
-	versionMargin = startMargin + 600*time.Millisecond
+	// requests. A sound worker may fall silent just after it has got one, and some run a request
+	// whose connection was closed meanwhile.
+	versionMargin = startMargin + minSilencePatience
 	// startMargin is how long before the bound a request that waits at a worker with older
-	// weights is given up.
+	// weights is given up. A version may be learned 200 ms after it was named.
 	startMargin = 300 * time.Millisecond
 	// reportStaleness is the age from which on a worker's report is not used any more.
 	reportStaleness = 2 * time.Second
