Stop sending to old weights by the wait that is known of the worker

Callers got answers of weights whose bound had passed. The entry stops sending to old weights a constant time before their bound. At a slow or overloaded worker a request waits longer than that before it begins, and a worker that runs what was closed meanwhile begins it after the bound.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -88,6 +88,7 @@
 	trackedWorker  int64
 	trackedAddress string
 	reportAge      time.Duration
+	startWait      startWait
 
 	// headSent is set once the head of the response was sent to the caller.
 	headSent bool
@@ -108,7 +109,8 @@
 	// firstEventWait is how long the last attempt waited for its first event, zero for none.
 	// weightsLeft is how long requests could still start on the weights when it was sent, zero
 	// for no bound.
-	firstEventWait, weightsLeft time.Duration
+	// expectedWait is how long requests were expected to wait at the worker then.
+	firstEventWait, weightsLeft, expectedWait time.Duration
 	// servedVersion is the version of the weights in the head of the last attempt's response, zero
 	// without one.
 	servedVersion int
@@ -199,8 +201,12 @@
 	c.tracked = c.service.table.AttemptSent(decision, query, now)
 	c.trackedWorker, c.trackedAddress = 0, decision.Address
 	c.reportAge = c.view.reportAge(decision.VM)
+	c.startWait = startWait{}
 	if w := c.view.workers[decision.VM]; w != nil {
 		c.trackedWorker = w.StartedAtMs
+		if c.engine != nil {
+			c.startWait = c.view.startWaitBegins(w, now)
+		}
 		if c.service.table.HasLimit(decision.VM) {
 			c.metrics.limitedAttempts(decision.VM).Inc()
 		}
@@ -221,7 +227,7 @@
 // Attempt implements dispatch.Target.
 func (c *call) Attempt(ctx context.Context, decision routing.Decision, number uint32) retry.Attempt {
 	started := time.Now()
-	c.attempts, c.began, c.firstEventWait, c.weightsLeft, c.servedVersion = number, false, 0, 0, 0
+	c.attempts, c.began, c.firstEventWait, c.weightsLeft, c.expectedWait, c.servedVersion = number, false, 0, 0, 0, 0
 	tracked := c.tracked
 	ended, load := c.exchange(ctx, decision, &tracked)
 	result := routing.Result{Outcome: ended.Outcome, Sent: ended.Sent, Load: load}
@@ -232,6 +238,7 @@
 		result.Sent = true
 	}
 	c.view.attemptFinished(c.service, tracked, result)
+	c.view.startWaitEnded(c.startWait, ended.Sent && ended.Outcome != laburnumgwv1.Outcome_OUTCOME_NOT_RUN)
 	c.metrics.attempts.UpdateDuration(started)
 	c.tried = append(c.tried, decision.VM)
 	if ended.Sent {
@@ -248,7 +255,7 @@
 	}
 	c.logFor(ended.Outcome == laburnumgwv1.Outcome_OUTCOME_COMPLETE).Info("attempt ended", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
 		zap.Stringer("outcome", ended.Outcome), zap.Bool("sent", ended.Sent), zap.Int64("relayed", ended.RelayedBytes),
-		zap.Duration("duration", time.Since(started)), zap.Duration("first_event", c.firstEventWait), zap.Duration("weights_left", c.weightsLeft), zap.Int("weights_served", c.servedVersion),
+		zap.Duration("duration", time.Since(started)), zap.Duration("first_event", c.firstEventWait), zap.Duration("weights_left", c.weightsLeft), zap.Duration("expected_wait", c.expectedWait), zap.Int("weights_served", c.servedVersion),
 		zap.Strings("prompt_parts", parts), zap.String("request_name", name), zap.Bool("may_have_crashed", ended.MayHaveCrashed), zap.Error(ended.Err))
 	return ended
 }
@@ -262,9 +269,9 @@
 // exchange sends the request to one worker and relays its response.
 func (c *call) exchange(ctx context.Context, decision routing.Decision, tracked *routing.Attempt) (retry.Attempt, *laburnumgwv1.Load) {
 	sentAt := time.Now()
-	firstEvent := c.firstEventTimeout(decision)
+	firstEvent, sendUntil := c.firstEventTimeout(decision)
 	request := &workerconn.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, ID: c.in.ID, ResponseTimeout: firstEvent,
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, ID: c.in.ID, ResponseTimeout: firstEvent, SendUntil: sendUntil,
 		NewConnection: !c.route.Repeatable(),
 		Header:        platform.WorkerHeader(c.forwarded, c.forward(decision)),
 	}
@@ -304,6 +311,7 @@
 		err = c.relayStream(response, workerResponse, firstEvent, c.workerTimeout(decision), func() {
 			c.firstEventWait = time.Since(sentAt)
 			c.view.attemptAccepted(c.service, tracked)
+			c.view.startWaitEnded(c.startWait, true)
 			c.responseBegan()
 		})
 		load = nil // outdated: it was sent with the head of the stream
@@ -392,21 +400,17 @@
 }
 
 // firstEventTimeout is workerTimeout for the head and the first event of a response. A request
-// must not start on weights after their bound, so the wait ends there at the latest.
-func (c *call) firstEventTimeout(decision routing.Decision) workerconn.TimeoutFunc {
+// must not start on weights after their bound, so the wait ends there at the latest, and the request is not
+// sent from sendUntil on.
+func (c *call) firstEventTimeout(decision routing.Decision) (bounded workerconn.TimeoutFunc, sendUntil time.Time) {
 	timeout := c.workerTimeout(decision)
 	if c.route.Kind == catalog.Stream && c.relayedBytes == 0 {
 		timeout = c.patientTimeout(decision, firstEventPatience(c.route))
 	}
-	engine := c.engine
-	if engine == nil {
-		return timeout
-	}
-	// The digest of a decision is always a decimal version number.
-	version, _ := strconv.Atoi(decision.VersionDigest)
-	left, bounded := c.view.startTimeLeft(engine.Model, version)
-	if !bounded {
-		return timeout
+	sendUntil, expected, left, hasBound := c.sendLimits(decision)
+	c.expectedWait = expected
+	if !hasBound {
+		return timeout, time.Time{}
 	}
 	c.weightsLeft = left
 	end := time.Now().Add(left)
@@ -416,7 +420,7 @@
 			more = min(more, timeout(time.Since(end.Add(-left))))
 		}
 		return more
-	}
+	}, sendUntil
 }
 
 // owns reports whether a response belongs to this request. A response without a request id that
--- /dev/null
+++ b/entry/hosted/start_waits.go
@@ -0,0 +1,88 @@
+package hosted
+
+import (
+	"strconv"
+	"time"
+
+	"laburnumgw/lib/routing"
+)
+
+// startWait is a request that waits at a worker, as the estimate of its waits knows it.
+type startWait struct {
+	vm          string
+	startedAtMs int64
+	number      uint64
+}
+
+// startWaitBegins records that a request is sent to a worker with an engine. The caller holds the lock.
+func (v *view) startWaitBegins(w *worker, now time.Time) startWait {
+	number := w.waits.Sent(now)
+	v.updateSendUntil(w, now)
+	return startWait{w.ID, w.StartedAtMs, number}
+}
+
+// startWaitEnded records that a request has begun or was given up, or, with known unset, that it has told
+// nothing about how long requests wait. It has no effect on a request that does not wait any more.
+func (v *view) startWaitEnded(s startWait, known bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	w := v.workers[s.vm]
+	if w == nil || w.StartedAtMs != s.startedAtMs {
+		return
+	}
+	now := time.Now()
+	if !known {
+		w.waits.Forget(s.number)
+	} else if wait := w.waits.Ended(s.number, now); wait > 0 {
+		if state := v.services[w.Service]; state != nil {
+			state.waits.Observe(wait, now)
+		}
+	}
+	v.updateSendUntil(w, now)
+}
+
+// updateSendUntil passes on to the routing until when requests to a worker begin before the bound of
+// its weights. The caller holds the lock.
+func (v *view) updateSendUntil(w *worker, now time.Time) {
+	if state := v.services[w.Service]; state != nil && state.config.Engine != nil {
+		state.table.SetSendUntil(w.ID, v.sendUntil(w, w.currentWeights(now).Version, now))
+	}
+}
+
+// sendUntil returns until when requests may be sent to a worker that begin on a version before its
+// bound, or the zero time without a bound. The caller holds the lock.
+func (v *view) sendUntil(w *worker, version int, now time.Time) time.Time {
+	state := v.services[w.Service]
+	if state == nil || state.config.Engine == nil {
+		return time.Time{}
+	}
+	bound, bounded := v.startBound(state.config.Engine.Model, version)
+	if !bounded {
+		return time.Time{}
+	}
+	waits := &w.waits
+	if !waits.Known(now) {
+		waits = &state.waits
+	}
+	return waits.SendUntil(bound, versionMargin-startMargin, now)
+}
+
+// sendLimits returns until when a request may be sent for a decision (the zero time without a bound), how
+// long requests are expected to wait at its worker, and how long they may still start on its weights.
+func (c *call) sendLimits(decision routing.Decision) (until time.Time, expected, left time.Duration, bounded bool) {
+	v := c.view
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if c.engine == nil {
+		return time.Time{}, 0, 0, false
+	}
+	// The digest of a decision is always a decimal version number.
+	version, _ := strconv.Atoi(decision.VersionDigest)
+	now := time.Now()
+	bound, bounded := v.startBound(c.engine.Model, version)
+	w := v.workers[decision.VM]
+	if w == nil {
+		return time.Time{}, 0, bound.Sub(now), bounded
+	}
+	return v.sendUntil(w, version, now), w.waits.Expected(now), bound.Sub(now), bounded
+}
--- a/entry/hosted/versions.go
+++ b/entry/hosted/versions.go
@@ -124,17 +124,15 @@
 	}
 }
 
-// startTimeLeft returns how long requests may still start on a version of a model. It reports
-// false while no newer version was named.
-func (v *view) startTimeLeft(model string, version int) (time.Duration, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
+// startBound returns until when requests may start on a version of a model. It reports false while
+// no newer version was named. The caller holds the lock.
+func (v *view) startBound(model string, version int) (time.Time, bool) {
 	for _, named := range v.versions[model] {
 		if named.number > version {
-			return time.Until(named.namedAt.Add(v.settings.Bounds.VersionApply - startMargin)), true
+			return named.namedAt.Add(v.settings.Bounds.VersionApply - startMargin), true
 		}
 	}
-	return 0, false
+	return time.Time{}, false
 }
 
 // requiredVersion returns the oldest version of a model that may get requests.
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -19,6 +19,7 @@
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/routing"
 	"laburnumgw/lib/senders"
+	"laburnumgw/lib/startwait"
 	"laburnumgw/lib/workerlimit"
 	"laburnumgw/platform"
 )
@@ -128,6 +129,8 @@
 	loop   *dispatch.Loop
 	// decisions counts the routing decisions.
 	decisions int
+	// waits are the waits of the requests that this entry has sent to all workers.
+	waits startwait.Estimator
 }
 
 func newView(settings *platform.Settings, metrics *entryMetrics, log *zap.Logger) *view {
@@ -381,6 +384,10 @@
 	}
 	for _, w := range v.workers {
 		w.reportedAt = w.reportedAt.Add(-length)
+		w.waits.Suspended(length)
+	}
+	for _, state := range v.services {
+		state.waits.Suspended(length)
 	}
 	v.updateAllRouting()
 	v.rescheduleRetirements()
@@ -425,6 +432,7 @@
 	}
 	state.table.ReportReceived(report, now)
 	state.table.SetClosing(w.ID, w.switchoverAt(now))
+	v.updateSendUntil(w, now)
 	v.updateShare(state, w)
 	v.updateLimit(w)
 	if v.replaced(w) {
@@ -447,11 +455,15 @@
 		w.report = report
 		w.reportedAt = time.Now()
 		w.crashed = w.crashed && report.StartedAtMs != w.StartedAtMs
+		state := v.services[w.Service]
+		if state != nil && state.config.Engine != nil && report.StartedAtMs == w.StartedAtMs {
+			w.waits.Observe(state.config.Engine.StartWait(report.Queued, report.Running), w.reportedAt)
+		}
 		if report.Leaving && report.StartedAtMs == w.StartedAtMs {
 			v.addDeparture(departure.Departure{VM: w.ID, StartedAtMs: w.StartedAtMs}, "the process beside it")
 		}
 		v.updateRouting(w)
-		if state := v.services[w.Service]; state != nil && report.StartedAtMs == w.StartedAtMs {
+		if state != nil && report.StartedAtMs == w.StartedAtMs {
 			state.table.ShareFreeCapacity(w.ID)
 		}
 	}
--- a/entry/hosted/workers.go
+++ b/entry/hosted/workers.go
@@ -11,6 +11,7 @@
 	"laburnumgw/lib/catalog"
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/senders"
+	"laburnumgw/lib/startwait"
 	"laburnumgw/platform"
 )
 
@@ -32,6 +33,8 @@
 	// when it must be computed again.
 	share      senders.Share
 	shareValid bool
+	// waits are the waits of the requests that this entry has sent to this start of the worker.
+	waits startwait.Estimator
 }
 
 func (v *view) workerChanged(change mirror.Change) {
@@ -58,7 +61,10 @@
 		v.workers[id] = known
 	}
 	wasLeaving, wasVersion := known.Leaving, known.Weights.Version
-	known.crashed = known.crashed && known.StartedAtMs == decoded.StartedAtMs
+	if known.StartedAtMs != decoded.StartedAtMs {
+		known.crashed = false
+		known.waits = startwait.Estimator{}
+	}
 	v.unindex(known)
 	known.Worker = decoded
 	known.misdirected = false
@@ -140,16 +146,28 @@
 // switchoverAt returns when a worker will be ordered to load other weights, or the zero time
 // without a plan or a recent report.
 func (w *worker) switchoverAt(now time.Time) time.Time {
-	if w.report.SwitchoverIn == 0 || w.report.StartedAtMs != w.StartedAtMs || now.Sub(w.reportedAt) >= reportStaleness {
+	if w.report.SwitchoverIn == 0 || !w.hasReport(now) {
 		return time.Time{}
 	}
 	return w.reportedAt.Add(w.report.SwitchoverIn)
 }
 
+// hasReport reports whether the worker's last report is of its listed start and not stale.
+func (w *worker) hasReport(now time.Time) bool {
+	return w.report.StartedAtMs == w.StartedAtMs && now.Sub(w.reportedAt) < reportStaleness
+}
+
+// currentWeights returns the weights of the worker as they are known.
+func (w *worker) currentWeights(now time.Time) catalog.Weights {
+	if w.hasReport(now) {
+		return w.report.Weights
+	}
+	return w.Weights
+}
+
 func (v *view) describeEngine(w *worker, engine *catalog.Engine, report *laburnumgwv1.ReportRequest, now time.Time) {
-	weights := w.Weights
-	if w.report.StartedAtMs == w.StartedAtMs && now.Sub(w.reportedAt) < reportStaleness {
-		weights = w.report.Weights
+	weights := w.currentWeights(now)
+	if w.hasReport(now) {
 		report.Load.InFlight = int32(w.report.Running)
 		report.Load.Queued = int32(w.report.Queued)
 		if w.report.Busy {
--- a/lib/catalog/catalog.go
+++ b/lib/catalog/catalog.go
@@ -147,6 +147,17 @@
 	return max(0, int((maxWait-e.timeToFirstEvent(int(e.MeanPromptTokens)))/max(interval, 1)))
 }
 
+// StartWait estimates how long a request of mean size waits for its first event at an engine with a
+// number of waiting and running requests.
+func (e *Engine) StartWait(queued, running int) time.Duration {
+	first := e.timeToFirstEvent(int(e.MeanPromptTokens))
+	if e.Slots <= 0 || queued+running < e.Slots {
+		return first
+	}
+	ahead := queued + running - e.Slots + 1
+	return first + time.Duration(ahead)*e.Duration(0, 0)/time.Duration(e.Slots)
+}
+
 // Origin is the server from which weights are downloaded.
 type Origin struct {
 	Address  string
--- a/lib/catalog/engine_test.go
+++ b/lib/catalog/engine_test.go
@@ -21,6 +21,14 @@
 		Convey("no request may wait when the bound is shorter than a pass", func() {
 			So(engine.MaxQueueLength(50*time.Millisecond), ShouldEqual, 0)
 		})
+		Convey("a request waits for a pass while a slot is free, and then longer for each one ahead of it", func() {
+			So(engine.StartWait(0, 11), ShouldEqual, engine.StartWait(0, 0))
+			for queued := range 20 {
+				wait, longer := engine.StartWait(queued, 12), engine.StartWait(queued+1, 12)
+				So(longer, ShouldBeGreaterThan, wait)
+				So(engine.MaxQueueLength(longer), ShouldBeGreaterThan, queued)
+			}
+		})
 		Convey("more requests may wait with more slots, since slots free up more often", func() {
 			engine.Slots = 48
 			So(engine.MaxQueueLength(200*time.Millisecond), ShouldBeBetween, 3, 7)
@@ -28,5 +36,6 @@
 	})
 	Convey("An engine without configured figures allows no queue", t, func() {
 		So((&Engine{}).MaxQueueLength(time.Second), ShouldEqual, 0)
+		So((&Engine{}).StartWait(5, 5), ShouldEqual, 0)
 	})
 }
--- a/lib/routing/closing_test.go
+++ b/lib/routing/closing_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -99,3 +100,36 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+// Guards against a request that an endpoint gets after the time from which on it would begin too late, also
+// one that resumes a stream on the same weights or probes an ejected endpoint.
+func TestEndpointGetsNothingThatWouldBeginTooLate(t *testing.T) {
+	Convey("Given a worker with an end of sending and one without", t, func() {
+		table := newEngineTable(2, Settings{})
+		table.SetSendUntil("vm0", epoch.Add(time.Second))
+		pick := func(digest string, now time.Time) map[string]int {
+			picked := make(map[string]int)
+			for range 50 {
+				decision, err := table.Pick(&Request{Model: "m", VersionDigest: digest, Idempotent: true}, now)
+				So(err, ShouldBeNil)
+				picked[decision.VM]++
+			}
+			return picked
+		}
+		for _, digest := range []string{"", "1"} {
+			So(pick(digest, epoch.Add(time.Second-1))["vm0"], ShouldBeGreaterThan, 0)
+			So(pick(digest, epoch.Add(time.Second))["vm0"], ShouldEqual, 0)
+		}
+		Convey("it is the only one left, and the refusal says why", func() {
+			table.Remove("vm1")
+			_, err := table.Pick(&Request{Model: "m"}, epoch.Add(time.Second))
+			var cause *NoEndpointError
+			So(errors.As(err, &cause), ShouldBeTrue)
+			So(cause.Count(FilterLateStart), ShouldEqual, 1)
+		})
+		Convey("it gets requests again without one, and after a restart", func() {
+			table.SetSendUntil("vm0", time.Time{})
+			So(pick("", epoch.Add(2*time.Second))["vm0"], ShouldBeGreaterThan, 0)
+		})
+	})
+}
--- a/lib/routing/endpoint.go
+++ b/lib/routing/endpoint.go
@@ -41,6 +41,9 @@
 	// closesAt is the time at which the endpoint plans to stop serving for a while; zero
 	// for no such plan.
 	closesAt time.Duration
+	// sendUntil is the time from which on requests would not begin before the bound of the
+	// endpoint's weights; zero for no bound.
+	sendUntil time.Duration
 	// pausedUntil is the time until which the endpoint has asked this entry to send no
 	// requests; zero for no pause. trialRunning is set while one request tries the endpoint
 	// afterwards.
@@ -105,6 +108,7 @@
 	e.incarnation = incarnation
 	e.leaving = false
 	e.closesAt = 0
+	e.sendUntil = 0
 	e.pausedUntil = 0
 	e.trialRunning = false
 	e.stated = nil
--- a/lib/routing/errors.go
+++ b/lib/routing/errors.go
@@ -15,7 +15,7 @@
 }
 
 // maxFilters is the number of filters.
-const maxFilters = 17
+const maxFilters = 18
 
 // FilterCounts lists the filters that removed endpoints, in the order of application.
 type FilterCounts struct {
--- a/lib/routing/query.go
+++ b/lib/routing/query.go
@@ -112,6 +112,10 @@
 			q.recordRemoval(FilterVersion, e)
 			continue
 		}
+		if e.sendUntil != 0 && now >= e.sendUntil {
+			q.recordRemoval(FilterLateStart, e)
+			continue
+		}
 		if e.current(now) {
 			sum += e.othersLoad
 			current++
--- a/lib/routing/table.go
+++ b/lib/routing/table.go
@@ -266,6 +266,19 @@
 	}
 }
 
+// SetSendUntil sets the time from which on an endpoint gets no requests, because they would not
+// begin before the bound of its weights; a zero time removes it.
+func (t *Table) SetSendUntil(vm string, at time.Time) {
+	e := t.endpoints[vm]
+	if e == nil {
+		return
+	}
+	e.sendUntil = 0
+	if !at.IsZero() {
+		e.sendUntil = max(t.elapsed(at), 1)
+	}
+}
+
 // SetAdapters replaces the adapters that are loaded on an endpoint.
 func (t *Table) SetAdapters(vm string, adapters []string) {
 	if e := t.endpoints[vm]; e != nil {
--- /dev/null
+++ b/lib/startwait/startwait.go
@@ -0,0 +1,129 @@
+// Package startwait estimates how long a request waits at a worker before it begins, from the
+// requests that an entry has sent there and from what the worker reports.
+package startwait
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// halfWindow is half of the time for which a wait counts. An entry among many sends to a
+	// worker once in a few seconds.
+	halfWindow = 3 * time.Second
+	// headroom is the multiple of the longest known wait that a request is expected to wait at
+	// most: the queue grows while a request waits in it.
+	headroom = 1.5
+)
+
+// Estimator holds the waits at one worker, or at all workers of a service. The zero value knows
+// none. It is not safe for concurrent use.
+type Estimator struct {
+	// peaks are the longest waits of the current and the previous half of the window; negative or
+	// zero for none. halfFrom is the start of the current one.
+	peaks    [2]time.Duration
+	halfFrom time.Time
+	// waiting holds the requests that were sent and have not begun, in order; sent counts all.
+	waiting []request
+	sent    uint64
+}
+
+// request is a request that waits.
+type request struct {
+	number uint64
+	sentAt time.Time
+}
+
+// Sent records that a request was sent, and returns its number.
+func (e *Estimator) Sent(now time.Time) uint64 {
+	e.sent++
+	e.waiting = append(e.waiting, request{e.sent, now})
+	return e.sent
+}
+
+// Ended records that a request has begun or was given up, and returns how long it has waited. It
+// returns zero for a request that does not wait.
+func (e *Estimator) Ended(number uint64, now time.Time) time.Duration {
+	sentAt, ok := e.remove(number)
+	if !ok {
+		return 0
+	}
+	wait := now.Sub(sentAt)
+	e.Observe(wait, now)
+	return wait
+}
+
+// Forget removes a request that tells nothing about the wait, because it was refused or never
+// reached the worker.
+func (e *Estimator) Forget(number uint64) { e.remove(number) }
+
+func (e *Estimator) remove(number uint64) (sentAt time.Time, ok bool) {
+	i := slices.IndexFunc(e.waiting, func(r request) bool { return r.number == number })
+	if i < 0 {
+		return time.Time{}, false
+	}
+	sentAt = e.waiting[i].sentAt
+	e.waiting = slices.Delete(e.waiting, i, i+1)
+	return sentAt, true
+}
+
+// Observe records a wait.
+func (e *Estimator) Observe(wait time.Duration, now time.Time) {
+	e.advance(now)
+	e.peaks[0] = max(e.peaks[0], wait, 1)
+}
+
+func (e *Estimator) advance(now time.Time) {
+	switch age := now.Sub(e.halfFrom); {
+	case age >= 2*halfWindow:
+		e.peaks = [2]time.Duration{}
+		e.halfFrom = now
+	case age >= halfWindow:
+		e.peaks = [2]time.Duration{0, e.peaks[0]}
+		e.halfFrom = e.halfFrom.Add(halfWindow)
+	}
+}
+
+// Suspended records that the machine was suspended, which the monotonic clock does not count: what
+// waits has waited longer, and what is known is older.
+func (e *Estimator) Suspended(length time.Duration) {
+	for i := range e.waiting {
+		e.waiting[i].sentAt = e.waiting[i].sentAt.Add(-length)
+	}
+	e.halfFrom = e.halfFrom.Add(-length)
+}
+
+// Known reports whether anything is known about the wait.
+func (e *Estimator) Known(now time.Time) bool {
+	return len(e.waiting) > 0 || e.longest(now) > 0
+}
+
+// longest returns the longest wait within the window.
+func (e *Estimator) longest(now time.Time) time.Duration {
+	e.advance(now)
+	return max(e.peaks[0], e.peaks[1])
+}
+
+// Expected returns how long a request that is sent now is expected to wait at most.
+func (e *Estimator) Expected(now time.Time) time.Duration {
+	wait := e.longest(now)
+	if len(e.waiting) > 0 {
+		wait = max(wait, now.Sub(e.waiting[0].sentAt))
+	}
+	return time.Duration(headroom * float64(wait))
+}
+
+// SendUntil returns until when a request may be sent that is to begin before a bound, if nothing
+// more is heard of the worker. It is at least floor before the bound.
+func (e *Estimator) SendUntil(bound time.Time, floor time.Duration, now time.Time) time.Time {
+	until := bound.Add(-max(floor, time.Duration(headroom*float64(e.longest(now)))))
+	if len(e.waiting) == 0 {
+		return until
+	}
+	// A request waits on while the bound comes closer.
+	oldest := e.waiting[0].sentAt
+	if waits := oldest.Add(time.Duration(float64(bound.Sub(oldest)) / (1 + headroom))); waits.Before(until) {
+		return waits
+	}
+	return until
+}
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -69,6 +69,9 @@
 	ID string
 	// ResponseTimeout bounds the wait for the first byte of the response; nil for no bound.
 	ResponseTimeout TimeoutFunc
+	// SendUntil is the time from which on the request is not sent any more; zero for none. Opening a
+	// connection may take until then.
+	SendUntil time.Time
 	// NewConnection sends the request on a newly opened connection. A worker may close an idle
 	// connection just when a request is sent on it, and the outcome of that request is then
 	// unknown.
@@ -80,6 +83,9 @@
 // with ErrUnresponsive.
 type TimeoutFunc func(waited time.Duration) (more time.Duration)
 
+// ErrNotSentInTime is returned when a request was not sent before its SendUntil.
+var ErrNotSentInTime = errors.New("request was not sent in time")
+
 // ErrUnresponsive is returned when a worker sends nothing until its TimeoutFunc
 // ends the wait.
 var ErrUnresponsive = errors.New("worker is unresponsive")
@@ -185,6 +191,10 @@
 	if err != nil {
 		return nil, false, err
 	}
+	if !r.SendUntil.IsZero() && !time.Now().Before(r.SendUntil) {
+		c.Close()
+		return nil, false, ErrNotSentInTime
+	}
 	if r.ResponseTimeout != nil && r.ResponseTimeout(0) <= 0 {
 		c.Close()
 		return nil, false, fmt.Errorf("not sent: %w", ErrUnresponsive)
--- a/lib/workerconn/pool_test.go
+++ b/lib/workerconn/pool_test.go
@@ -180,6 +180,32 @@
 	})
 }
 
+// Guards against a request that is sent after its end of sending, because opening the connection took so
+// long.
+func TestRequestIsNotSentAfterItsEndOfSending(t *testing.T) {
+	withPeer(t, func(conn net.Conn, _ int, r *http.Request) { reply(conn, r.Header.Get("Id"), "ok") }, func(t *testing.T, pool *Pool, p *peer) {
+		send := func(until time.Time) (bool, error) {
+			request := &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {"a"}}, SendUntil: until, NewConnection: true}
+			response, sent, err := pool.Send(t.Context(), "worker", request, matchesID("a"))
+			if err == nil {
+				response.Abort()
+			}
+			return sent, err
+		}
+		if sent, err := send(time.Now().Add(time.Second)); !sent || err != nil {
+			t.Errorf("sent %v before the end, with %v", sent, err)
+		}
+		connect := pool.dial
+		pool.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			<-time.After(time.Second)
+			return connect(ctx, network, address)
+		}
+		if sent, err := send(time.Now().Add(time.Second)); sent || !errors.Is(err, ErrNotSentInTime) {
+			t.Errorf("sent %v after the end, with %v", sent, err)
+		}
+	})
+}
+
 // Guards against a worker that continues for a caller that has disconnected.
 func TestEndOfTheContextClosesTheConnection(t *testing.T) {
 	closed := make(chan struct{})
