Do not count a worker as failing for requests that were not sent in time

Callers were refused although sound workers had room: while new connections opened slowly, attempts that were not sent any more, because the weights would have been out of time, counted as failures of their workers, which were ejected for seconds and longer, also on their new weights.

Such an attempt says nothing about its worker. TestWorkerIsNotEjectedForRequestsThatWereNotSent failed before: all four workers were ejected.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -237,6 +237,9 @@
 		result.Outcome = laburnumgwv1.Outcome_OUTCOME_UNSPECIFIED
 		result.Sent = true
 	}
+	if errors.Is(ended.Err, workerconn.ErrNotSentInTime) {
+		result.Outcome = laburnumgwv1.Outcome_OUTCOME_UNSPECIFIED
+	}
 	c.view.attemptFinished(c.service, tracked, result)
 	c.view.startWaitEnded(c.startWait, ended.Sent && ended.Outcome != laburnumgwv1.Outcome_OUTCOME_NOT_RUN)
 	c.metrics.attempts.UpdateDuration(started)
--- a/entry/hosted/version_paths_test.go
+++ b/entry/hosted/version_paths_test.go
@@ -79,3 +79,33 @@
 		})
 	}
 }
+
+// Guards against a sound worker that is ejected because requests were not sent to it in time: opening
+// connections had taken until its weights were out of time.
+func TestWorkerIsNotEjectedForRequestsThatWereNotSent(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, d *deployment) {
+		workers := []string{"w1", "w2", "w3", "w4"}
+		for _, id := range workers {
+			d.worker("llm", id, 1, streamScript(1))
+		}
+		d.version(2)
+		d.connecting = 400 * time.Millisecond
+		<-time.After(d.front.view.settings.Bounds.VersionApply - versionMargin - 200*time.Millisecond)
+		var asking sync.WaitGroup
+		for range 40 {
+			asking.Go(func() { d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000") })
+		}
+		asking.Wait()
+		if sent := len(d.arrived()); sent != 0 {
+			t.Errorf("%d requests sent", sent)
+		}
+		v := d.front.view
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		for _, status := range v.services["llm"].table.Status() {
+			if status.Ejected {
+				t.Errorf("%s is ejected", status.VM)
+			}
+		}
+	})
+}
