Name the weights to workers that may have started again with older ones

Callers could get answers of weights whose bound had passed from a worker that had started again under its name and had loaded older weights than are listed. The entry goes by the list where no report of the process beside the worker tells more, and named the version on resumed streams only.

Where some weights are out of time and no report of the last second tells the worker's weights, each request names the version. A worker with another one refuses it as not run and gets none until its entry in the list changes. With reports nothing changes, so that a change of versions refuses no more requests than before.

TestWorkerWithOlderWeightsThanListedRunsNothing: on the code before, the requests ran on version 1 after its bound. TestChangeOfVersionsRefusesNoRequests guards the other side.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -345,11 +345,14 @@
 }
 
 // forward returns the headers that are added to a request for a worker. An interrupted stream is
-// resumed after the last event that reached the caller, on the same weights.
+// resumed after the last event that reached the caller, on the same weights. The weights are named as well
+// where the worker must not run the request on older ones, which it may have.
 func (c *call) forward(decision routing.Decision) platform.ForwardHeaders {
 	f := platform.ForwardHeaders{Worker: decision.VM, Workspace: c.workspaceName(), Deadline: time.Until(c.deadline)}
 	if c.relayedBytes > 0 {
 		f.LastEventID = c.lastEventID
+	}
+	if c.relayedBytes > 0 || (c.engine != nil && c.view.mayHaveRetiredWeights(decision.VM, c.engine.Model)) {
 		// The digest of a decision is always a decimal version number.
 		f.WeightVersion, _ = strconv.Atoi(decision.VersionDigest)
 	}
--- /dev/null
+++ b/entry/hosted/version_belief_test.go
@@ -0,0 +1,92 @@
+package hosted
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+)
+
+const expectVersionHeader = "X-Laburnumgw-Expect-Version"
+
+// servesVersion responds on a version of the weights, and refuses requests that expect another one.
+func servesVersion(version int) workerScript {
+	return func(e *workerExchange) {
+		if expected := e.request.Header.Get(expectVersionHeader); expected != "" && expected != strconv.Itoa(version) {
+			e.head(http.StatusMisdirectedRequest, "Content-Length", "0")
+			return
+		}
+		streamScript(version)(e)
+	}
+}
+
+// reportWeights sends a report of a worker to an entry.
+func (d *deployment) reportWeights(id string, version int, sequence uint64) {
+	data, err := proto.Marshal(&laburnumgwv1.WorkerReport{
+		Address: workerAddress(id), Born: 1, Model: "m", Version: int32(version), LayersTo: 16, Sequence: sequence,
+	})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.front.view.applyDatagram(data)
+}
+
+// Guards against a request that begins on weights that are out of time at a worker that has started
+// again under its name and has loaded older weights than are listed, while nobody reports.
+func TestWorkerWithOlderWeightsThanListedRunsNothing(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, d *deployment) {
+		d.version(2)
+		<-time.After(d.front.view.settings.Bounds.VersionApply)
+		d.worker("llm", "w1", 2, servesVersion(1))
+		if version := d.servedVersion(); version != 0 {
+			t.Errorf("served on version %d", version)
+		}
+		d.worker("llm", "w2", 2, servesVersion(2))
+		for range 3 {
+			if version := d.servedVersion(); version != 2 {
+				t.Errorf("served on version %d beside a sound worker", version)
+			}
+		}
+		// Its entry in the list changes when it has loaded the weights again.
+		d.put("servers", "w2", workerEntry("llm", "w2", "draining", 2))
+		d.front.conns.Forget(workerAddress("w1"))
+		d.worker("llm", "w1", 3, servesVersion(3))
+		if version := d.servedVersion(); version != 3 {
+			t.Errorf("served on version %d after a change of its entry", version)
+		}
+	})
+}
+
+// Guards against requests that are refused during a change of versions, because the weights that a worker
+// must have were named although newer ones, or older ones whose bound has not passed, may serve them.
+func TestChangeOfVersionsRefusesNoRequests(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, d *deployment) {
+		d.worker("llm", "w1", 1, servesVersion(1))
+		d.version(2)
+		serve := func(version int) {
+			d.mu.Lock()
+			d.scripts["w1"] = servesVersion(version)
+			d.mu.Unlock()
+			d.front.conns.Forget(workerAddress("w1"))
+		}
+		expect := func(when string, version int) {
+			t.Helper()
+			if got := d.servedVersion(); got != version {
+				t.Errorf("%s: version %d", when, got)
+			}
+		}
+		expect("before the worker has changed over", 1)
+		serve(2)
+		expect("before the entry knows that it has", 2)
+		<-time.After(d.front.view.settings.Bounds.VersionApply)
+		d.reportWeights("w1", 2, 1)
+		expect("after the bound, with a report", 2)
+		d.version(3)
+		serve(3)
+		expect("before the entry knows of the next change, with a report", 3)
+	})
+}
--- a/entry/hosted/versions.go
+++ b/entry/hosted/versions.go
@@ -135,6 +135,17 @@
 	return time.Time{}, false
 }
 
+// mayHaveRetiredWeights reports whether a worker may have weights that are out of time although others are
+// listed, because it has started again since: no recent report tells its weights, and some are out of time.
+func (v *view) mayHaveRetiredWeights(vm, model string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := time.Now()
+	w := v.workers[vm]
+	reported := w != nil && w.hasReport(now) && now.Sub(w.reportedAt) < aliveReportAge
+	return !reported && v.requiredVersion(model, now) > 1
+}
+
 // requiredVersion returns the oldest version of a model that may get requests.
 func (v *view) requiredVersion(model string, now time.Time) int {
 	required := 0
