Take the end of the wait on old weights from the limits of a request

lib/timelimit gives the earliest end of a request; the bound on its beginning now lives there as well instead of beside it. A worker that is removed from the list between the choice and the send keeps its bound, too. No change of behaviour otherwise; the package's tests pass.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -414,17 +414,18 @@
 	if c.route.Kind == catalog.Stream && c.relayedBytes == 0 {
 		timeout = c.patientTimeout(decision, firstEventPatience(c.route))
 	}
-	sendUntil, expected, left, hasBound := c.sendLimits(decision)
+	bound, sendUntil, expected := c.startLimits(decision)
 	c.expectedWait = expected
-	if !hasBound {
+	if bound.IsZero() {
 		return timeout, time.Time{}
 	}
-	c.weightsLeft = left
-	end := time.Now().Add(left)
+	now := time.Now()
+	c.weightsLeft = bound.Sub(now)
+	end := c.limits.StartBy(bound)
 	return func(time.Duration) time.Duration {
 		more := time.Until(end)
 		if timeout != nil {
-			more = min(more, timeout(time.Since(end.Add(-left))))
+			more = min(more, timeout(time.Since(now)))
 		}
 		return more
 	}, sendUntil
--- a/entry/hosted/start_waits.go
+++ b/entry/hosted/start_waits.go
@@ -67,22 +67,25 @@
 	return waits.SendUntil(bound, versionMargin-startMargin, now)
 }
 
-// sendLimits returns until when a request may be sent for a decision (the zero time without a bound), how
-// long requests are expected to wait at its worker, and how long they may still start on its weights.
-func (c *call) sendLimits(decision routing.Decision) (until time.Time, expected, left time.Duration, bounded bool) {
+// startLimits returns until when a request may begin on the weights of a decision and until when it may be
+// sent for that, the zero time without a bound, and how long requests are expected to wait at the worker.
+func (c *call) startLimits(decision routing.Decision) (bound, sendUntil time.Time, expected time.Duration) {
 	v := c.view
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if c.engine == nil {
-		return time.Time{}, 0, 0, false
+		return time.Time{}, time.Time{}, 0
 	}
 	// The digest of a decision is always a decimal version number.
 	version, _ := strconv.Atoi(decision.VersionDigest)
 	now := time.Now()
 	bound, bounded := v.startBound(c.engine.Model, version)
 	w := v.workers[decision.VM]
-	if w == nil {
-		return time.Time{}, 0, bound.Sub(now), bounded
+	switch {
+	case w != nil:
+		return bound, v.sendUntil(w, version, now), w.waits.Expected(now)
+	case bounded:
+		return bound, bound.Add(startMargin - versionMargin), 0
 	}
-	return v.sendUntil(w, version, now), w.waits.Expected(now), bound.Sub(now), bounded
+	return time.Time{}, time.Time{}, 0
 }
