--- a/entry/hosted/version_belief_test.go
+++ b/entry/hosted/version_belief_test.go
@@ -90,3 +90,27 @@
 		expect("before the entry knows of the next change, with a report", 3)
 	})
 }
+
+// Guards against a bound that counts anew when a version is written again to a store that came back from
+// an older copy.
+func TestVersionThatIsWrittenAgainKeepsItsBound(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, d *deployment) {
+		d.worker("llm", "w1", 1, servesVersion(1))
+		d.version(2)
+		named := time.Now()
+		<-time.After(5 * time.Second)
+		const nextEra = 1 << 40
+		d.rev += nextEra
+		d.version(2)
+		d.front.view.applyVersionAge("m", d.rev, 0)
+		bound := d.front.view.settings.Bounds.VersionApply
+		<-time.After(time.Until(named.Add(bound - versionMargin - time.Millisecond)))
+		if version := d.servedVersion(); version != 1 {
+			t.Errorf("version %d before the bound", version)
+		}
+		<-time.After(2 * time.Millisecond)
+		if version := d.servedVersion(); version != 0 {
+			t.Errorf("version %d after the bound", version)
+		}
+	})
+}
