Take the waits at other workers for one of which nothing is known

Requests could begin on old weights after their bound at a worker of which an entry knew no wait, though requests waited long at all the others: the request itself counted as knowledge of the worker at the moment when it was sent, and a wait that was observed at one worker did not reach the routing to others.

The end of sending at a worker without an observed wait is now that of the service, and a longer wait of the service reaches these workers at once.

--- a/entry/hosted/start_waits.go
+++ b/entry/hosted/start_waits.go
@@ -34,13 +34,30 @@
 	if !known {
 		w.waits.Forget(s.number)
 	} else if wait := w.waits.Ended(s.number, now); wait > 0 {
-		if state := v.services[w.Service]; state != nil {
-			state.waits.Observe(wait, now)
-		}
+		v.observeServiceWait(w.Service, wait, now)
 	}
 	v.updateSendUntil(w, now)
 }
 
+// observeServiceWait records a wait at a worker of a service. The workers of which no wait is known get requests
+// by the longest one. The caller holds the lock.
+func (v *view) observeServiceWait(service string, wait time.Duration, now time.Time) {
+	state := v.services[service]
+	if state == nil {
+		return
+	}
+	isLongest := wait > state.waits.Longest(now)
+	state.waits.Observe(wait, now)
+	if !isLongest {
+		return
+	}
+	for _, w := range v.workers {
+		if w.Service == service && w.waits.Longest(now) == 0 {
+			v.updateSendUntil(w, now)
+		}
+	}
+}
+
 // updateSendUntil passes on to the routing until when requests to a worker begin before the bound of
 // its weights. The caller holds the lock.
 func (v *view) updateSendUntil(w *worker, now time.Time) {
@@ -60,11 +77,14 @@
 	if !bounded {
 		return time.Time{}
 	}
-	waits := &w.waits
-	if !waits.Known(now) {
-		waits = &state.waits
+	until := w.waits.SendUntil(bound, versionMargin-startMargin, now)
+	if w.waits.Longest(now) > 0 {
+		return until
+	}
+	if others := state.waits.SendUntil(bound, versionMargin-startMargin, now); others.Before(until) {
+		return others
 	}
-	return waits.SendUntil(bound, versionMargin-startMargin, now)
+	return until
 }
 
 // startLimits returns until when a request may begin on the weights of a decision and until when it may be
--- a/entry/hosted/version_long_wait_test.go
+++ b/entry/hosted/version_long_wait_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,3 +49,29 @@
 		})
 	}
 }
+
+// Guards against a request that is sent to a worker of which nothing is known as if it would begin at once,
+// although requests wait long at all the others.
+func TestWaitsAtOtherWorkersCountForAnUnknownOne(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, d *deployment) {
+		w := &stubbornWorker{latency: 1800 * time.Millisecond}
+		d.version(2)
+		named := time.Now()
+		for i := range 4 {
+			id := fmt.Sprint("w", i)
+			d.worker("llm", id, 1, func(e *workerExchange) {
+				// The next requests go to the others.
+				d.put("servers", id, workerEntry("llm", id, "draining", 1))
+				w.respond(e)
+			})
+		}
+		var asking sync.WaitGroup
+		for _, before := range []time.Duration{4 * time.Second, 2 * time.Second, 1600 * time.Millisecond} {
+			<-time.After(time.Until(named.Add(8*time.Second - before)))
+			asking.Go(func() { d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000") })
+		}
+		asking.Wait()
+		<-time.After(10 * time.Second)
+		requireStartsWithinBound(t, w, named)
+	})
+}
--- a/lib/startwait/startwait.go
+++ b/lib/startwait/startwait.go
@@ -93,20 +93,15 @@
 	e.halfFrom = e.halfFrom.Add(-length)
 }
 
-// Known reports whether anything is known about the wait.
-func (e *Estimator) Known(now time.Time) bool {
-	return len(e.waiting) > 0 || e.longest(now) > 0
-}
-
-// longest returns the longest wait within the window.
-func (e *Estimator) longest(now time.Time) time.Duration {
+// Longest returns the longest wait that was observed within the window, zero for none.
+func (e *Estimator) Longest(now time.Time) time.Duration {
 	e.advance(now)
 	return max(e.peaks[0], e.peaks[1])
 }
 
 // Expected returns how long a request that is sent now is expected to wait at most.
 func (e *Estimator) Expected(now time.Time) time.Duration {
-	wait := e.longest(now)
+	wait := e.Longest(now)
 	if len(e.waiting) > 0 {
 		wait = max(wait, now.Sub(e.waiting[0].sentAt))
 	}
@@ -116,7 +111,7 @@
 // SendUntil returns until when a request may be sent that is to begin before a bound, if nothing
 // more is heard of the worker. It is at least floor before the bound.
 func (e *Estimator) SendUntil(bound time.Time, floor time.Duration, now time.Time) time.Time {
-	until := bound.Add(-max(floor, time.Duration(headroom*float64(e.longest(now)))))
+	until := bound.Add(-max(floor, time.Duration(headroom*float64(e.Longest(now)))))
 	if len(e.waiting) == 0 {
 		return until
 	}
--- a/lib/startwait/startwait_test.go
+++ b/lib/startwait/startwait_test.go
@@ -86,7 +86,7 @@
 func TestWaitingRequestsEndSending(t *testing.T) {
 	var e startwait.Estimator
 	bound := origin.Add(10 * time.Second)
-	if got := e.SendUntil(bound, floor, origin); !got.Equal(bound.Add(-floor)) || e.Known(origin) {
+	if got := e.SendUntil(bound, floor, origin); !got.Equal(bound.Add(-floor)) || e.Longest(origin) != 0 {
 		t.Errorf("before the first request: until %v before the bound", bound.Sub(got))
 	}
 	number := e.Sent(origin)
@@ -94,7 +94,7 @@
 	if waited := until.Sub(origin); until.Add(waited).After(bound) {
 		t.Errorf("sent until %v after the first one, which still waits, %v before the bound", waited, bound.Sub(until))
 	}
-	if wait := e.Ended(number, origin.Add(time.Second)); wait != time.Second || !e.Known(origin.Add(time.Second)) {
+	if wait := e.Ended(number, origin.Add(time.Second)); wait != time.Second || e.Longest(origin.Add(time.Second)) != wait {
 		t.Errorf("waited %v", wait)
 	}
 	if got := e.Ended(number, origin.Add(2*time.Second)); got != 0 {
