Stop sending to old weights 1.5 s before their bound

What remains open is a silence of more than 1.2 s just after a request that was sent at the last moment by an entry that dates the version late by 0.3 s as well. The tests of silences up to 1.5 s and of long waits pass unchanged.

--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -43,7 +43,7 @@
 	// versionMargin is how long before the bound of a version older weights get no more
 	// requests. A sound worker may fall silent just after it has got one, and some run a request
 	// whose connection was closed meanwhile.
-	versionMargin = startMargin + minSilencePatience
+	versionMargin = minSilencePatience
 	// startMargin is how long before the bound a request that waits at a worker with older
 	// weights is given up. A version may be learned 200 ms after it was named.
 	startMargin = 300 * time.Millisecond
