Have workers of the soak run requests that were closed while they waited

The stand-in worker began each request at once and dropped those whose callers had left, so that no run could show a request that begins on old weights after their bound.

--- a/soak/changes.go
+++ b/soak/changes.go
@@ -135,7 +135,7 @@
 
 // injectPlanned starts planned work, or silences sound workers. No entry may lose a request by it.
 func (r *run) injectPlanned() {
-	switch r.rng.IntN(8) {
+	switch r.rng.IntN(9) {
 	case 0, 1:
 		r.silence()
 	case 2, 3:
@@ -148,6 +148,8 @@
 		r.restart(pick(r.rng, r.fleet.Entries))
 	case 7:
 		r.leave(pick(r.rng, r.fleet.PlainWorkers))
+	case 8:
+		r.keepWaiting(0)
 	}
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -44,6 +44,7 @@
 	version            int
 	configVersion      int
 	versionPublishedAt time.Time
+	namings            []naming
 	// starts holds the time from each start after a planned restart until the entry is ready, by its
 	// name. mu guards it.
 	starts map[string][]window
@@ -219,6 +220,10 @@
 	r.result.Faults = append(r.result.Faults, fmt.Sprintf("version %d is named", r.version))
 	r.fleet.Origin.SetNewest(r.version)
 	r.fleet.PublishVersion(r.version)
+	r.namings = append(r.namings, naming{r.version, time.Now()})
+	if r.rng.IntN(2) == 0 {
+		r.keepWaiting(time.Duration(r.rng.Int64N(int64(versionBound))))
+	}
 }
 
 func (r *run) injectProxyFault(proxy *Proxy, what string, lasts time.Duration) {
@@ -353,6 +358,7 @@
 		r.faultWindows = append(r.faultWindows, window{at, at.Add(RestartTime)})
 	}
 	r.checkDeadly(violation)
+	r.checkVersions(violation)
 	r.checkAnswers(outcomes, runs, violation)
 	for _, o := range outcomes {
 		r.result.Requests++
--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -117,6 +117,9 @@
 	arrivals  []time.Time
 	responses responses
 	breaks    Breaks
+	// waits is how requests wait, and starts are their beginnings.
+	waits  Waits
+	starts []Start
 	// heads is how heads are broken off. headsDue counts the responses that may be, headsBroken those that were.
 	heads                 HeadBreaks
 	headsDue, headsBroken int
@@ -284,6 +287,13 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	w.mu.Unlock()
+	if w.Model.Name != "" {
+		if err := w.awaitStart(r.Context(), id, version); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	w.mu.Lock()
 	if w.runs == nil {
 		w.runs = make(map[string]int)
 	}
