Do not silence workers of the soak that keep requests waiting

A wait alone is 1.1 s at most, so that m-3 was silent as well, and then ran what was closed, which no entry can prevent.

--- a/soak/run.go
+++ b/soak/run.go
@@ -49,7 +49,7 @@
 	// name. mu guards it.
 	starts map[string][]window
 	// settings are those of the configuration that was drawn last, and silencedAt holds the start of
-	// the last silence of each worker.
+	// the last silence of each worker, or the end of a time in which it keeps requests waiting.
 	settings   settings
 	silencedAt map[string]time.Time
 	// workerFaults holds the faults of the network before a worker, by its name.
--- a/soak/waits.go
+++ b/soak/waits.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxStartWait bounds how long requests wait at a model worker before they begin. It is less than the
-	// patience of entries for a worker that sends nothing, so that none is repeated.
+	// patience of entries for a worker that sends nothing, so that none is repeated and runs twice.
 	maxStartWait = 1100 * time.Millisecond
 	// minWaitTime and maxWaitTime bound for how long a model worker keeps requests waiting. It spans
 	// most of a change of versions.
@@ -24,14 +24,19 @@
 }
 
 // keepWaiting has up to half of the model workers keep requests waiting from some time on, as workers under
-// load do. Some of them run what was closed meanwhile.
+// load do. Some of them run what was closed meanwhile. None of them is silent as well, which would outlast the
+// patience of entries.
 func (r *run) keepWaiting(after time.Duration) {
 	workers := r.fleet.ModelWorkers
 	for range 1 + r.rng.IntN(max(len(workers)/2, 1)) {
-		m := pick(r.rng, workers)
+		m, from := pick(r.rng, workers), time.Now().Add(after)
+		if from.Sub(r.silencedAt[m.ID]) < maxSilence+silencePause {
+			continue
+		}
 		waits := hosted.Waits{Lasts: time.Duration(r.rng.Int64N(int64(maxStartWait))), RunsClosed: r.rng.IntN(2) == 0}
 		lasts := minWaitTime + time.Duration(r.rng.Int64N(int64(maxWaitTime-minWaitTime)))
 		r.result.Faults = append(r.result.Faults, fmt.Sprintf("%s keeps requests waiting in %s for %s: %+v", m.ID, after, lasts, waits))
+		r.silencedAt[m.ID] = from.Add(lasts)
 		time.AfterFunc(after, func() { m.SetWaits(waits) })
 		time.AfterFunc(after+lasts, func() { m.SetWaits(hosted.Waits{RunsClosed: waits.RunsClosed}) })
 	}
