--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -19,6 +19,7 @@
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/routing"
 	"laburnumgw/lib/senders"
+	"laburnumgw/lib/startwait"
 	"laburnumgw/lib/workerlimit"
 	"laburnumgw/platform"
 )
@@ -40,11 +41,11 @@
 	// objective takes capacity and is late for certain.
 	capacityRetryDivisor = 8
 	// versionMargin is how long before the bound of a version older weights get no more
-	// requests: most requests start within 400 ms, the others are given up at startMargin, and a
-	// version may be learned 200 ms after it was named.
-	versionMargin = startMargin + 600*time.Millisecond
+	// requests. A sound worker may fall silent just after it has got one, and some run a request
+	// whose connection was closed meanwhile.
+	versionMargin = minSilencePatience
 	// startMargin is how long before the bound a request that waits at a worker with older
-	// weights is given up.
+	// weights is given up. A version may be learned 200 ms after it was named.
 	startMargin = 300 * time.Millisecond
 	// reportStaleness is the age from which on a worker's report is not used any more.
 	reportStaleness = 2 * time.Second
@@ -128,6 +129,8 @@
 	loop   *dispatch.Loop
 	// decisions counts the routing decisions.
 	decisions int
+	// waits are the waits of the requests that this entry has sent to all workers.
+	waits startwait.Estimator
 }
 
 func newView(settings *platform.Settings, metrics *entryMetrics, log *zap.Logger) *view {
@@ -381,6 +384,10 @@
 	}
 	for _, w := range v.workers {
 		w.reportedAt = w.reportedAt.Add(-length)
+		w.waits.Suspended(length)
+	}
+	for _, state := range v.services {
+		state.waits.Suspended(length)
 	}
 	v.updateAllRouting()
 	v.rescheduleRetirements()
@@ -425,6 +432,7 @@
 	}
 	state.table.ReportReceived(report, now)
 	state.table.SetClosing(w.ID, w.switchoverAt(now))
+	v.updateSendUntil(w, now)
 	v.updateShare(state, w)
 	v.updateLimit(w)
 	if v.replaced(w) {
@@ -447,11 +455,15 @@
 		w.report = report
 		w.reportedAt = time.Now()
 		w.crashed = w.crashed && report.StartedAtMs != w.StartedAtMs
+		state := v.services[w.Service]
+		if state != nil && state.config.Engine != nil && report.StartedAtMs == w.StartedAtMs {
+			w.waits.Observe(state.config.Engine.StartWait(report.Queued, report.Running), w.reportedAt)
+		}
 		if report.Leaving && report.StartedAtMs == w.StartedAtMs {
 			v.addDeparture(departure.Departure{VM: w.ID, StartedAtMs: w.StartedAtMs}, "the process beside it")
 		}
 		v.updateRouting(w)
-		if state := v.services[w.Service]; state != nil && report.StartedAtMs == w.StartedAtMs {
+		if state != nil && report.StartedAtMs == w.StartedAtMs {
 			state.table.ShareFreeCapacity(w.ID)
 		}
 	}
--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -117,6 +117,9 @@
 	arrivals  []time.Time
 	responses responses
 	breaks    Breaks
+	// waits is how requests wait, and starts are their beginnings.
+	waits  Waits
+	starts []Start
 	// heads is how heads are broken off. headsDue counts the responses that may be, headsBroken those that were.
 	heads                 HeadBreaks
 	headsDue, headsBroken int
@@ -305,6 +308,9 @@
 		w.respondPlain(out, r, body)
 		return
 	}
+	if err := w.awaitStart(r.Context(), id, version); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 	out.Header().Set("X-Laburnumgw-Weight-Versions", strconv.Itoa(version))
 	out.Header().Set("Content-Type", "text/event-stream")
 	w.leaveUnmarked(out.Header())
