Bound requests at the product's entry by its planned stop

Cause: the entry looked at the deadline of a request only, and at none while it read the body.

Change: the context of each request ends with the requests' end of the stop, so that it is answered, a stream with an error event. Once the entry drains, a request is refused before its body is read unless its deadline lies within the stop. A body is read until the deadline at most, and answered 503. The context and the schedule are shared with the entry on the platform (lib/drain).

Failed before: e2e TestStoppingEntryAnswersLateRequests, with the real processes: the request that outlasts the stop was taken, the one without its body got no answer, the entry exited with status 1. entry/request_test.go follows the new argument and field.

--- /dev/null
+++ b/e2e/late_requests_test.go
@@ -0,0 +1,86 @@
+package e2e
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// lateConn is the connection of a caller that sends late.
+type lateConn struct {
+	net.Conn
+	t *testing.T
+}
+
+func dialEntry(t *testing.T, address string) *lateConn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return &lateConn{conn, t}
+}
+
+func (c *lateConn) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Error(err)
+	}
+}
+
+// expect reads a response, which must be complete, and announce the end of the connection if last is set.
+func (c *lateConn) expect(what string, status int, part string, last bool) {
+	c.t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		c.t.Errorf("%s: %v", what, err)
+		return
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != status || response.Close != last || !strings.Contains(string(body), part) {
+		c.t.Errorf("%s: status %d, last %v, ends with %q: %v", what, response.StatusCode, response.Close, body[max(0, len(body)-300):], err)
+	}
+}
+
+func lateChat(tokens int, deadline time.Duration) string {
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"stream":true,"messages":[{"role":"user","content":"late"}]}`, model, tokens)
+	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nX-Request-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
+		deadline.Milliseconds(), len(body), body)
+}
+
+// Guards against an entry that takes requests late in a planned stop, and exits while they run or while
+// their bodies are on the way, without an answer.
+func TestStoppingEntryAnswersLateRequests(t *testing.T) {
+	const leaveWait, stopTimeout = time.Second, 3 * time.Second
+	t.Setenv("LABURNUMGW_LEAVE_WAIT", leaveWait.String())
+	t.Setenv("LABURNUMGW_STOP_TIMEOUT", stopTimeout.String())
+	w := startSystem(t, 2, 1, 1, 50*time.Millisecond)
+	entry := w.Entries[0]
+	address := strings.TrimPrefix(entry.HTTP, "http://")
+	dial := func() *lateConn { return dialEntry(t, address) }
+	running, bodiless, outlasting, fitting := dial(), dial(), dial(), dial()
+	running.send(lateChat(2000, time.Minute))
+	long := lateChat(10, time.Minute)
+	bodiless.send(long[:len(long)-5])
+	w.until("the chat runs", func() bool { return w.inFlight() >= 1 })
+	begun := time.Now()
+	exited := make(chan error, 1)
+	go func() { exited <- entry.Terminate() }()
+	<-time.After(time.Until(begun.Add(leaveWait + 500*time.Millisecond)))
+	outlasting.send(long)
+	fitting.send(lateChat(5, time.Second))
+	outlasting.expect("request that might outlast the entry", http.StatusServiceUnavailable, `"run":"no"`, true)
+	fitting.expect("request that ends in time", http.StatusOK, "[DONE]", true)
+	bodiless.expect("request without its body", http.StatusServiceUnavailable, `"run":"no"`, true)
+	running.expect("stream at the end", http.StatusOK, "event: error", false)
+	if err := <-exited; err != nil || time.Since(begun) > leaveWait+stopTimeout+time.Second {
+		t.Errorf("entry exited after %v: %v", time.Since(begun), err)
+	}
+}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -59,9 +59,9 @@
 
 // run serves one request and returns the error for the caller, or nil.
 func (d *dispatcher) run(ctx context.Context, r *request, generation uint64, out responder) error {
-	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	ctx, cancel := context.WithDeadline(ctx, r.limits.Deadline)
 	defer cancel()
-	retryRequest := retry.Request{Idempotent: r.idempotent, Resumable: r.model != "", Deadline: r.deadline}
+	retryRequest := retry.Request{Idempotent: r.idempotent, Resumable: r.model != "", Deadline: r.limits.Deadline, Shutdown: r.limits.Shutdown}
 	last, err := d.loop.Run(ctx, retryRequest, &requestTarget{dispatcher: d, request: r, generation: generation, out: out})
 	return finalError(err, last)
 }
@@ -118,7 +118,7 @@
 		onLoad: func(load *laburnumgwv1.Load) { d.routes.loadReceived(tracked, load) }}
 	final, err := d.exchange(ctx, r, decision, &laburnumgwv1.ServeRequest{
 		RequestId: r.id, Attempt: number, Workspace: r.workspace, Priority: r.priority,
-		DeadlineMs: time.Until(r.deadline).Milliseconds(), Model: r.model, VersionDigest: decision.VersionDigest,
+		DeadlineMs: r.limits.Left(time.Now()).Milliseconds(), Model: r.model, VersionDigest: decision.VersionDigest,
 		Service: r.service, Method: r.method, Path: r.path, ContentType: r.contentType, Body: r.body,
 		Idempotent: r.idempotent, IdempotencyKey: r.idempotencyKey, ResumeTokens: tokens, ConfigGeneration: generation,
 	}, exchange)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -110,10 +110,13 @@
 
 func (p *Process) stop(httpServer *drain.Listener) error {
 	p.log.Info("entry is leaving", zap.Duration("leave_wait", p.settings.LeaveWait))
-	p.frontend.leaving.Store(true)
+	schedule := p.settings.stopSchedule(time.Now())
+	p.frontend.shutdown.Begin(schedule)
 	p.control.members.leave()
 	time.Sleep(p.settings.LeaveWait)
-	ctx, cancel := context.WithTimeout(context.Background(), p.settings.StopTimeout)
+	p.frontend.shutdown.Drain()
+	httpServer.EndAt(schedule.RequestsEnd, schedule.ResponsesEnd)
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.ProcessEnd)
 	defer cancel()
 	err := httpServer.Drain(ctx)
 	p.grpc.Stop()
--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -11,6 +11,7 @@
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/drain"
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/routing"
@@ -436,7 +437,7 @@
 // the log and the metrics.
 func (c *call) finish(ctx context.Context, ended retry.Attempt, err error) string {
 	cause := context.Cause(ctx)
-	stopped := errors.Is(cause, errStopping)
+	stopped := errors.Is(cause, drain.ErrStopping)
 	switch {
 	case err == nil:
 		return "complete"
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -17,7 +17,6 @@
 	"laburnumgw/lib/drain"
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/retry"
-	"laburnumgw/lib/timelimit"
 	"laburnumgw/lib/workerconn"
 	"laburnumgw/platform"
 )
@@ -57,7 +56,7 @@
 	log     *zap.Logger
 	// detail logs the steps of requests that succeed.
 	detail   *zap.Logger
-	shutdown *shutdown
+	shutdown *drain.Shutdown
 }
 
 // handler returns the HTTP handler with its middleware. Paths reach the workers exactly
@@ -111,7 +110,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.limits.Deadline, errTimeout)
 	defer cancel()
-	ctx, giveUp := f.shutdown.bound(ctx)
+	ctx, giveUp := f.shutdown.Bound(ctx)
 	defer giveUp(nil)
 	c.r = r.WithContext(ctx)
 	if c.route.Kind == catalog.Stream {
@@ -175,7 +174,7 @@
 	}
 	c.workspace = workspace
 	c.regions = catalog.AllowedRegions(c.route, workspace)
-	c.limits = timelimit.Limits{Deadline: started.Add(deadline(in.Deadline, c.route.Timeout)), Shutdown: &f.shutdown.Shutdown}
+	c.limits = f.shutdown.Limits(started.Add(deadline(in.Deadline, c.route.Timeout)))
 	c.serviceName = c.route.Choose(f.view.random())
 	c.service, c.engine = f.view.service(c.serviceName)
 	if c.service == nil {
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -103,7 +103,7 @@
 	v.blockStore = store
 	p := &Process{
 		settings: settings, view: v, store: store, conns: conns, log: log, restored: make(chan struct{}, 1),
-		frontend: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), buffers: newResponseBuffers(settings.MemoryMB), metrics: metrics, log: log, detail: log.Named(telemetry.DetailName), shutdown: newShutdown()},
+		frontend: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), buffers: newResponseBuffers(settings.MemoryMB), metrics: metrics, log: log, detail: log.Named(telemetry.DetailName), shutdown: drain.NewShutdown()},
 	}
 	v.checks.connect = p.frontend.conns.Check
 	store.OnEra(func(era int64) { log.Info("store states an era", zap.Int64("era", era)) })
@@ -369,7 +369,7 @@
 	now := time.Now()
 	schedule := stopSchedule(now, p.settings.Bounds.Grace)
 	p.log.Info("entry is leaving", zap.Duration("leave_wait", schedule.Drain.Sub(now)), zap.Duration("requests_end", schedule.RequestsEnd.Sub(now)))
-	p.frontend.shutdown.begin(schedule)
+	p.frontend.shutdown.Begin(schedule)
 	<-left
 	p.frontend.shutdown.Drain()
 	callers.EndAt(schedule.RequestsEnd, schedule.ResponsesEnd)
--- a/entry/hosted/shutdown.go
+++ b/entry/hosted/shutdown.go
@@ -2,50 +2,15 @@
 
 import (
 	"cmp"
-	"context"
-	"errors"
 	"time"
 
+	"laburnumgw/lib/drain"
 	"laburnumgw/lib/errkind"
-	"laburnumgw/lib/timelimit"
 )
 
 // stoppingRetryAfter is the time that a caller is told to wait which another entry can serve at once.
 const stoppingRetryAfter = 50 * time.Millisecond
 
-// errStopping ends an exchange that still runs when the entry stops.
-var errStopping = errors.New("the entry is stopping")
-
-// shutdown is the planned stop of an entry.
-type shutdown struct {
-	timelimit.Shutdown
-	// ending ends when the requests that still run have to end.
-	ending context.Context
-	end    context.CancelFunc
-}
-
-func newShutdown() *shutdown {
-	s := new(shutdown)
-	s.ending, s.end = context.WithCancel(context.Background())
-	return s
-}
-
-// begin begins the stop.
-func (s *shutdown) begin(schedule timelimit.Schedule) {
-	s.Begin(schedule)
-	time.AfterFunc(time.Until(schedule.RequestsEnd), s.end)
-}
-
-// bound returns a context that ends with a request, or with errStopping when the entry stops.
-func (s *shutdown) bound(ctx context.Context) (context.Context, context.CancelCauseFunc) {
-	ctx, giveUp := context.WithCancelCause(ctx)
-	release := context.AfterFunc(s.ending, func() { giveUp(errStopping) })
-	return ctx, func(cause error) {
-		release()
-		giveUp(cause)
-	}
-}
-
 // expected estimates how long the request runs at a worker.
 func (c *call) expected() time.Duration {
 	if c.engine != nil {
@@ -78,6 +43,6 @@
 }
 
 func refusedAtStop() error {
-	return errkind.Wrap(errStopping, errkind.NotRun, "repeat the request on another entry", "the request might outlast this entry").
+	return errkind.Wrap(drain.ErrStopping, errkind.NotRun, "repeat the request on another entry", "the request might outlast this entry").
 		WithRetryAfter(stoppingRetryAfter)
 }
--- a/entry/http.go
+++ b/entry/http.go
@@ -3,9 +3,9 @@
 import (
 	"crypto/rand"
 	"errors"
+	"fmt"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/urfave/negroni/v3"
@@ -22,11 +22,11 @@
 	dispatcher *dispatcher
 	metrics    *entryMetrics
 	log        *zap.Logger
-	leaving    atomic.Bool
+	shutdown   *drain.Shutdown
 }
 
 func newFrontend(c *control, d *dispatcher, metrics *entryMetrics, log *zap.Logger) *frontend {
-	return &frontend{control: c, dispatcher: d, metrics: metrics, log: log}
+	return &frontend{control: c, dispatcher: d, metrics: metrics, log: log, shutdown: drain.NewShutdown()}
 }
 
 // handler returns the HTTP handler with its middleware.
@@ -39,7 +39,7 @@
 	recovery.PrintStack = false
 	recovery.Logger = zapPrinter{f.log}
 	stack.Use(recovery)
-	stack.Use(drain.CloseWhileLeaving(f.leaving.Load))
+	stack.Use(drain.CloseWhileLeaving(f.shutdown.IsStopping))
 	stack.UseHandler(mux)
 	return stack
 }
@@ -56,7 +56,7 @@
 // health serves the health check of the load balancer. An entry that is leaving fails the
 // check but still serves requests.
 func (f *frontend) health(w http.ResponseWriter, _ *http.Request) {
-	if f.leaving.Load() || !f.ready() {
+	if f.shutdown.IsStopping() || !f.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -89,13 +89,25 @@
 		writeError(w, id, err)
 		return err.Kind
 	}
-	parsed, err := parseRequest(r, id, current.snapshot, started)
+	ctx, release := f.shutdown.Bound(r.Context())
+	defer release(nil)
+	parsed, err := parseRequest(r, id, current.snapshot, started, func(head *request) error {
+		head.limits = f.shutdown.Limits(head.limits.Deadline)
+		return f.acceptBody(w, head)
+	})
 	if err != nil {
+		if errkind.Is(err, errkind.NotRun) {
+			// The rest of the body may still arrive, and is no request.
+			w.Header().Set("Connection", "close")
+		}
 		writeError(w, id, err)
 		return errkind.Of(err)
 	}
+	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
+		f.log.Warn("read deadline not cleared", zap.String("request", id), zap.Error(err))
+	}
 	out := &httpResponder{w: w, id: id, limit: maxResponseBytes, started: started, metrics: f.metrics}
-	err = f.dispatcher.run(r.Context(), parsed, current.generation, out)
+	err = f.dispatcher.run(ctx, parsed, current.generation, out)
 	if err == nil {
 		return ""
 	}
@@ -105,6 +117,22 @@
 	return errkind.Of(err)
 }
 
+// stoppingRetryAfter is the time that a caller is told to wait which another entry can serve at once.
+const stoppingRetryAfter = 50 * time.Millisecond
+
+// acceptBody refuses a request that might outlast the entry, before its body is read, and bounds
+// the reading of the body.
+func (f *frontend) acceptBody(w http.ResponseWriter, head *request) error {
+	if !head.limits.Admits(time.Now(), 0) {
+		return errkind.Wrap(drain.ErrStopping, errkind.NotRun, "repeat the request on another entry", "the request might outlast this entry").
+			WithRetryAfter(stoppingRetryAfter)
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(head.limits.Deadline); err != nil {
+		return fmt.Errorf("set the read deadline of the body: %w", err)
+	}
+	return nil
+}
+
 // maxResponseBytes bounds the part of a response that is buffered until it is complete.
 const maxResponseBytes = 16 << 20
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,6 +14,7 @@
 
 	"laburnumgw/lib/config"
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/timelimit"
 )
 
 const (
@@ -46,7 +48,7 @@
 	id             string
 	workspace      string
 	priority       int32
-	deadline       time.Time
+	limits         timelimit.Limits
 	model          string
 	service        string
 	method         string
@@ -59,8 +61,9 @@
 	promptPrefix   string
 }
 
-// parseRequest validates a caller's request against the configuration.
-func parseRequest(r *http.Request, id string, snapshot *config.Snapshot, now time.Time) (*request, error) {
+// parseRequest validates a caller's request against the configuration. acceptBody is called before the
+// body is read.
+func parseRequest(r *http.Request, id string, snapshot *config.Snapshot, now time.Time, acceptBody func(*request) error) (*request, error) {
 	parsed := &request{
 		id:             id,
 		workspace:      r.Header.Get(headerWorkspace),
@@ -75,6 +78,9 @@
 	if err := parseHeaders(r, parsed, snapshot, now); err != nil {
 		return nil, err
 	}
+	if err := acceptBody(parsed); err != nil {
+		return nil, err
+	}
 	body, err := readBody(r)
 	if err != nil {
 		return nil, err
@@ -107,7 +113,7 @@
 		}
 		timeout = time.Duration(value) * time.Millisecond
 	}
-	parsed.deadline = now.Add(timeout)
+	parsed.limits.Deadline = now.Add(timeout)
 	if len(parsed.idempotencyKey) > maxKeyBytes {
 		return badHeader(headerIdempotencyKey, "(long)", fmt.Sprintf("use at most %d bytes", maxKeyBytes))
 	}
@@ -124,6 +130,9 @@
 	if errors.As(err, &tooLarge) {
 		return nil, errkind.New(errkind.TooLarge, "send a smaller body", "body exceeds %d bytes", maxBodyBytes)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, errkind.Wrap(err, errkind.NotRun, "send the complete body sooner", "body has not arrived in time").WithRetryAfter(time.Second)
+	}
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.BadRequest, "send the complete body", "body cannot be read")
 	}
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -40,7 +40,7 @@
 		for i := 0; i+1 < len(headers); i += 2 {
 			r.Header.Set(headers[i], headers[i+1])
 		}
-		return parseRequest(r, "id", snapshot, now)
+		return parseRequest(r, "id", snapshot, now, acceptAny)
 	}
 	Convey("A model request is idempotent and carries the workspace's priority", t, func() {
 		r, err := parse("POST", "/v1/chat/completions", `{"model":"rota","messages":[]}`, headerWorkspace, "shelf", headerDeadline, "250")
@@ -48,7 +48,7 @@
 		So(r.model, ShouldEqual, "rota")
 		So(r.idempotent, ShouldBeTrue)
 		So(r.priority, ShouldEqual, 3)
-		So(r.deadline, ShouldEqual, now.Add(250*time.Millisecond))
+		So(r.limits.Deadline, ShouldEqual, now.Add(250*time.Millisecond))
 	})
 	Convey("The service with the longest matching path prefix is chosen", t, func() {
 		r, err := parse("GET", "/bookings/prices/1", "")
@@ -98,7 +98,7 @@
 		r.Header.Set(headerIdempotencyKey, key)
 		r.Header.Set(headerDeadline, deadline)
 		r.Header.Set(headerPriority, priority)
-		parsed, err := parseRequest(r, "id", snapshot, time.Unix(0, 0))
+		parsed, err := parseRequest(r, "id", snapshot, time.Unix(0, 0), acceptAny)
 		if err != nil {
 			if errkind.Of(err) == "" {
 				t.Fatalf("error without a kind: %v", err)
@@ -126,3 +126,5 @@
 		So(recorder.Header().Get("Connection"), ShouldEqual, "close")
 	})
 }
+
+func acceptAny(*request) error { return nil }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"laburnumgw/lib/settings"
+	"laburnumgw/lib/timelimit"
 )
 
 // Settings configure an entry process.
@@ -19,6 +20,21 @@
 // maxRecentDecisions keeps the memory for recent decisions at a few tens of megabytes.
 const maxRecentDecisions = 100_000
 
+// answerReserve is the part of StopTimeout in which the responses of requests that still run are
+// written. It takes a sixth of it at most.
+const (
+	answerReserve    = 500 * time.Millisecond
+	maxAnswerReserve = 6
+)
+
+// stopSchedule returns the times of a planned stop that begins now.
+func (s *Settings) stopSchedule(now time.Time) timelimit.Schedule {
+	drain := now.Add(s.LeaveWait)
+	end := drain.Add(s.StopTimeout)
+	reserve := min(answerReserve, s.StopTimeout/maxAnswerReserve)
+	return timelimit.Schedule{Drain: drain, RequestsEnd: end.Add(-reserve), ResponsesEnd: end.Add(-reserve / 2), ProcessEnd: end}
+}
+
 // Validate returns all problems of the settings at once.
 func (s *Settings) Validate() error {
 	var check settings.Checker
