An acknowledged report covers the state that it carried

What callers saw: at times a few of 500 chats answered 503 not_run while a version is replaced (TestRolloutUnderLoad, beside load). An entry that misses a change sends requests for a version that the endpoint no longer serves. They are refused, and use up the retry budget.

Cause: the answer to a full report was taken to cover the state at the time of the answer. A change while the report was on its way was then sent with the next unconditional full report only, the 64th, half a minute to more than a minute later.

A report remembers the revision of the state that it carries.

--- a/lib/membership/endpoint.go
+++ b/lib/membership/endpoint.go
@@ -66,8 +66,8 @@
 	// Until failedUntil and refusedUntil, the entry is not selected.
 	failedUntil  time.Duration
 	refusedUntil time.Duration
-	// fullReportAcked is the revision of the load when the entry last acknowledged a full
-	// report.
+	// fullReportAcked is the revision of the load in the full report that the entry last
+	// acknowledged.
 	fullReportAcked uint64
 	leaveAcked      bool
 	responsive      bool
@@ -335,7 +335,7 @@
 	request.Shards = p.load.Shards
 	request.Models = p.load.Models
 	request.WeightsMemory = p.load.WeightsMemory
-	return ReportSend{To: t.peer, Request: request}
+	return ReportSend{To: t.peer, Request: request, revision: p.revision}
 }
 
 // currentLoad returns a copy of the load without the model versions.
@@ -364,8 +364,8 @@
 		t.failedUntil = 0
 		p.selectionStale = true
 	}
-	if send.Request.GetZone() != "" && send.Request.GetIncarnation().GetCounter() > 0 {
-		t.fullReportAcked = p.revision
+	if send.revision > 0 {
+		t.fullReportAcked = send.revision
 	}
 	if send.Request.GetLoad().GetLeaving() && incarnationOf(send.Request.GetIncarnation()) == p.incarnation {
 		t.leaveAcked = true
--- a/lib/membership/types.go
+++ b/lib/membership/types.go
@@ -147,6 +147,8 @@
 type ReportSend struct {
 	To      Peer
 	Request *pb.ReportRequest
+	// revision is the revision of the load that a full report carries; zero for other reports.
+	revision uint64
 }
 
 // Output holds the messages to send and the events to handle after a tick of an Entry.
