Reset the connection of an HTTP/1.0 caller whose stream is cut

Cause: a stream goes to HTTP/1.0 without chunks and ends with its connection. The entry closed the connection of a stream that it cut in order, as for HTTP/1.1, where the missing last chunk tells.

The users' callers speak HTTP/1.1.

--- a/entry/hosted/continued_stream_test.go
+++ b/entry/hosted/continued_stream_test.go
@@ -9,13 +9,14 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"laburnumgw/lib/workerconn"
 	"laburnumgw/platform"
 )
@@ -242,9 +243,14 @@
 			d.front.conns.Forget(address)
 		}
 	})
-	server := httptest.NewServer(d.front.handler())
-	t.Cleanup(server.Close)
-	s.entry = server.Listener.Addr().String()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	process := &Process{settings: d.front.view.settings, view: d.front.view, frontend: d.front, log: zap.NewNop()}
+	process.serveCallers(listener, make(chan error, 1))
+	t.Cleanup(func() { listener.Close() })
+	s.entry = listener.Addr().String()
 	return s
 }
 
--- a/entry/hosted/cut.go
+++ b/entry/hosted/cut.go
@@ -3,25 +3,47 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 )
 
-// connRequestsKey is the key of the number of requests on the connection of a caller.
-type connRequestsKey struct{}
+// connOfCallerKey is the key of the connection of a caller.
+type connOfCallerKey struct{}
 
-// withRequestCount is the ConnContext of the server of callers.
-func withRequestCount(ctx context.Context, _ net.Conn) context.Context {
-	return context.WithValue(ctx, connRequestsKey{}, new(atomic.Int64))
+// connOfCaller is the connection of a caller with the number of its requests.
+type connOfCaller struct {
+	net.Conn
+	requests atomic.Int64
+}
+
+// withCallerConn is the ConnContext of the server of callers.
+func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connOfCallerKey{}, &connOfCaller{Conn: conn})
 }
 
 // countConnRequest counts a request on its connection. It reports whether the connection has
 // carried another one before.
 func countConnRequest(ctx context.Context) (reused bool) {
-	count, ok := ctx.Value(connRequestsKey{}).(*atomic.Int64)
-	return ok && count.Add(1) > 1
+	caller, ok := ctx.Value(connOfCallerKey{}).(*connOfCaller)
+	return ok && caller.requests.Add(1) > 1
+}
+
+// resetUnmarked has the connection of a caller end with a reset if a close would look like the end of the
+// response: HTTP/1.0 has no chunks.
+func resetUnmarked(r *http.Request) {
+	if r.ProtoAtLeast(1, 1) {
+		return
+	}
+	caller, _ := r.Context().Value(connOfCallerKey{}).(*connOfCaller)
+	if caller == nil {
+		return
+	}
+	if tcp, ok := caller.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0) // it fails only on a closed connection
+	}
 }
 
 // logCut counts a response that was cut: its connection is closed although the response is not
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -134,6 +134,7 @@
 	if c.incomplete {
 		// Closing the connection keeps the part sent from looking complete.
 		c.logCut(reason)
+		resetUnmarked(r)
 		panic(http.ErrAbortHandler)
 	}
 	if err := writes.SetWriteDeadline(time.Time{}); err != nil {
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -216,7 +216,7 @@
 func (p *Process) serveCallers(listener net.Listener, failed chan<- error) *drain.Listener {
 	server := &http.Server{
 		Handler: p.frontend.handler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: withRequestCount, ErrorLog: zap.NewStdLog(p.log),
+		ConnContext: withCallerConn, ErrorLog: zap.NewStdLog(p.log),
 	}
 	callers := drain.New(server, listener)
 	go func() {
--- a/entry/hosted/recover.go
+++ b/entry/hosted/recover.go
@@ -26,6 +26,7 @@
 		f.log.Error("handler of a request panicked", zap.String("request", in.ID), zap.Any("panic", cause), zap.Stack("stack"))
 		if response, ok := w.(negroni.ResponseWriter); ok && response.Written() {
 			f.metrics.cutResponse("panic").Inc()
+			resetUnmarked(r)
 			panic(http.ErrAbortHandler)
 		}
 		// Headers of a worker's response must not stay in a response of the entry.
--- a/lib/drain/drain.go
+++ b/lib/drain/drain.go
@@ -209,3 +209,11 @@
 	}
 	return nil
 }
+
+// SetLinger lets the server reset a connection instead of closing it.
+func (c *conn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return tcp.SetLinger(sec) //nolint:wrapcheck // passes on the error of the connection
+	}
+	return nil
+}
