--- a/entry/hosted/versions.go
+++ b/entry/hosted/versions.go
@@ -1,12 +1,15 @@
 package hosted
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/mirror/rpcmirror"
+	"laburnumgw/lib/retry"
+	"laburnumgw/lib/routing"
 	"laburnumgw/platform"
 )
 
@@ -121,17 +124,26 @@
 	}
 }
 
-// startTimeLeft returns how long requests may still start on a version of a model. It reports
-// false while no newer version was named.
-func (v *view) startTimeLeft(model string, version int) (time.Duration, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
+// startBound returns until when requests may start on a version of a model. It reports false while
+// no newer version was named. The caller holds the lock.
+func (v *view) startBound(model string, version int) (time.Time, bool) {
 	for _, named := range v.versions[model] {
 		if named.number > version {
-			return time.Until(named.namedAt.Add(v.settings.Bounds.VersionApply - startMargin)), true
+			return named.namedAt.Add(v.settings.Bounds.VersionApply - startMargin), true
 		}
 	}
-	return 0, false
+	return time.Time{}, false
+}
+
+// mayHaveRetiredWeights reports whether a worker may have weights that are out of time although others are
+// listed, because it has started again since: no recent report tells its weights, and some are out of time.
+func (v *view) mayHaveRetiredWeights(vm, model string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := time.Now()
+	w := v.workers[vm]
+	reported := w != nil && w.hasReport(now) && now.Sub(w.reportedAt) < aliveReportAge
+	return !reported && v.requiredVersion(model, now) > 1
 }
 
 // requiredVersion returns the oldest version of a model that may get requests.
@@ -144,3 +156,23 @@
 	}
 	return required
 }
+
+// recordWeights counts and logs an attempt that was given up at the bound of its weights, and may
+// still start at its worker, or that older weights than expected have served.
+func (c *call) recordWeights(decision routing.Decision, ended retry.Attempt, lasted time.Duration) {
+	if c.engine == nil || !ended.Sent {
+		return
+	}
+	fields := []zap.Field{zap.String("request", c.in.ID), zap.String("vm", decision.VM), zap.String("weights", decision.VersionDigest),
+		zap.Duration("report_age", c.reportAge)}
+	if c.weightsLeft > 0 && !c.began && lasted >= c.weightsLeft {
+		c.metrics.abandonedStarts.Inc()
+		c.log.Warn("request given up at the bound of its weights", append(fields, zap.Duration("waited", lasted))...)
+	}
+	// The digest of a decision is always a decimal version number.
+	expected, _ := strconv.Atoi(decision.VersionDigest)
+	if c.servedVersion > 0 && c.servedVersion < expected {
+		c.metrics.olderWeights.Inc()
+		c.log.Warn("worker responded on older weights than expected", append(fields, zap.Int("served", c.servedVersion))...)
+	}
+}
