Compare the wait on old weights with the bound as it is known then

Callers could get answers of weights whose bound had passed: an entry compared the wait of a request, and the moment of its send, with the bound that it had known when it chose the worker. If the bound came closer afterwards, because the machine had been suspended, another entry had known the version for longer, the settings were reloaded or the version was named only then, the request waited on past it. One whose connection was still being opened was sent.

The wait now asks for the bound every 0.2 s, and the send when the connection is open. Requests that may not be repeated still have no bound if no newer version was named when they were sent.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -108,8 +108,8 @@
 	began bool
 	trial *storedBlock
 	// firstEventWait is how long the last attempt waited for its first event, zero for none.
-	// weightsLeft is how long requests could still start on the weights when it was sent, zero
-	// for no bound.
+	// weightsLeft is how long requests could still start on the weights when it was sent, by the bound
+	// as it is known now, zero for no bound.
 	// expectedWait is how long requests were expected to wait at the worker then.
 	firstEventWait, weightsLeft, expectedWait time.Duration
 	// servedVersion is the version of the weights in the head of the last attempt's response, zero
@@ -410,23 +410,32 @@
 }
 
 // firstEventTimeout is workerTimeout for the head and the first event of a response. A request
-// must not start on weights after their bound, so the wait ends there at the latest, and the request is not
-// sent from sendUntil on.
-func (c *call) firstEventTimeout(decision routing.Decision) (bounded workerconn.TimeoutFunc, sendUntil time.Time) {
+// must not start on weights after their bound, so the wait ends there at the latest, also when the bound has
+// come closer since, and the request is not sent any more when sendUntil has passed.
+func (c *call) firstEventTimeout(decision routing.Decision) (bounded workerconn.TimeoutFunc, sendUntil func() time.Time) {
 	timeout := c.workerTimeout(decision)
 	if c.route.Kind == catalog.Stream && c.relayedBytes == 0 {
 		timeout = c.patientTimeout(decision, firstEventPatience(c.route))
 	}
-	bound, sendUntil, expected := c.startLimits(decision)
+	if c.engine == nil {
+		return timeout, nil
+	}
+	bound, _, expected := c.startLimits(decision)
 	c.expectedWait = expected
-	if bound.IsZero() {
-		return timeout, time.Time{}
+	sendUntil = func() time.Time {
+		_, until, _ := c.startLimits(decision)
+		return until
+	}
+	if bound.IsZero() && timeout == nil {
+		return nil, sendUntil
 	}
 	now := time.Now()
-	c.weightsLeft = bound.Sub(now)
-	end := c.limits.StartBy(bound)
 	return func(time.Duration) time.Duration {
-		more := time.Until(end)
+		more := reportPollInterval
+		if bound, _, _ := c.startLimits(decision); !bound.IsZero() {
+			c.weightsLeft = bound.Sub(now)
+			more = min(more, time.Until(c.limits.StartBy(bound)))
+		}
 		if timeout != nil {
 			more = min(more, timeout(time.Since(now)))
 		}
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -69,9 +69,9 @@
 	ID string
 	// ResponseTimeout bounds the wait for the first byte of the response; nil for no bound.
 	ResponseTimeout TimeoutFunc
-	// SendUntil is the time from which on the request is not sent any more; zero for none. Opening a
-	// connection may take until then.
-	SendUntil time.Time
+	// SendUntil returns the time from which on the request is not sent any more, zero for none; nil for none.
+	// Opening a connection may take until then, and the time may have changed meanwhile.
+	SendUntil func() time.Time
 	// NewConnection sends the request on a newly opened connection. A worker may close an idle
 	// connection just when a request is sent on it, and the outcome of that request is then
 	// unknown.
@@ -214,9 +214,11 @@
 	if err != nil {
 		return nil, false, err
 	}
-	if !r.SendUntil.IsZero() && !time.Now().Before(r.SendUntil) {
-		c.Close()
-		return nil, false, ErrNotSentInTime
+	if r.SendUntil != nil {
+		if until := r.SendUntil(); !until.IsZero() && !time.Now().Before(until) {
+			c.Close()
+			return nil, false, ErrNotSentInTime
+		}
 	}
 	if r.ResponseTimeout != nil && r.ResponseTimeout(0) <= 0 {
 		c.Close()
--- a/lib/workerconn/pool_test.go
+++ b/lib/workerconn/pool_test.go
@@ -185,7 +185,7 @@
 func TestRequestIsNotSentAfterItsEndOfSending(t *testing.T) {
 	withPeer(t, func(conn net.Conn, _ int, r *http.Request) { reply(conn, r.Header.Get("Id"), "ok") }, func(t *testing.T, pool *Pool, p *peer) {
 		send := func(until time.Time) (bool, error) {
-			request := &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {"a"}}, SendUntil: until, NewConnection: true}
+			request := &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {"a"}}, SendUntil: func() time.Time { return until }, NewConnection: true}
 			response, sent, err := pool.Send(t.Context(), "worker", request, matchesID("a"))
 			if err == nil {
 				response.Abort()
