Forget the wait of a request whose handler panics

After a panic of the handler of a request for a model service, the request counted as waiting at its worker for as long as the worker lived. In each change of versions from then on, the worker got no requests until it had the new weights (begins_too_late), and callers 503 if there was no other.

The wait is now forgotten when the exchange panics. TestPanicLeavesNoRequestWaitingAtItsWorker: on the code before, a request one second after the naming got 503, and requests were expected to wait 91 s.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -233,7 +233,14 @@
 	started := time.Now()
 	c.attempts, c.began, c.firstEventWait, c.weightsLeft, c.expectedWait, c.servedVersion = number, false, 0, 0, 0, 0
 	tracked := c.tracked
+	exchanged := false
+	defer func() {
+		if !exchanged { // it panicked
+			c.view.startWaitEnded(c.startWait, false)
+		}
+	}()
 	ended, load := c.exchange(ctx, decision, &tracked)
+	exchanged = true
 	result := routing.Result{Outcome: ended.Outcome, Sent: ended.Sent, Load: load}
 	if ctx.Err() != nil {
 		// The caller disconnected or its timeout has passed, which says nothing about the
