Keep the waits at a worker that is listed again

A worker that is taken off the list and listed again, as when the store comes back from an older copy, gets a new estimate of its waits, whose numbers begin anew. The end of a request from before ended the wait of a request with the same number. The entry then took the worker for faster than it was, and sent to old weights closer to their bound than the wait allows.

A wait now belongs to the estimate that gave its number. TestWaitsOfAWorkerThatIsListedAgainAreKept: on the code before, 1.5 s were expected at a worker where a request had waited for 4 s.

--- a/entry/hosted/start_waits.go
+++ b/entry/hosted/start_waits.go
@@ -9,7 +9,7 @@
 
 // startWait is a request that waits at a worker, as the estimate of its waits knows it.
 type startWait struct {
-	vm          string
+	worker      *worker
 	startedAtMs int64
 	number      uint64
 }
@@ -18,7 +18,7 @@
 func (v *view) startWaitBegins(w *worker, now time.Time) startWait {
 	number := w.waits.Sent(now)
 	v.updateSendUntil(w, now)
-	return startWait{w.ID, w.StartedAtMs, number}
+	return startWait{w, w.StartedAtMs, number}
 }
 
 // startWaitEnded records that a request has begun or was given up, or, with known unset, that it has told
@@ -26,8 +26,8 @@
 func (v *view) startWaitEnded(s startWait, known bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	w := v.workers[s.vm]
-	if w == nil || w.StartedAtMs != s.startedAtMs {
+	w := s.worker
+	if w == nil || v.workers[w.ID] != w || w.StartedAtMs != s.startedAtMs {
 		return
 	}
 	now := time.Now()
