Do not take requests that were given up soon for short waits

Requests could begin on old weights after their bound at a worker where requests wait long: one that its caller or its own time had ended after 0.4 s counted as a wait of 0.4 s, so that the worker was one at which requests begin soon, and the waits at the others did not count.

Only a request that has begun, or a report, makes the wait at a worker known; one that was given up says that it is at least that long.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -242,7 +242,14 @@
 		result.Outcome = laburnumgwv1.Outcome_OUTCOME_UNSPECIFIED
 	}
 	c.view.attemptFinished(c.service, tracked, result)
-	c.view.startWaitEnded(c.startWait, ended.Sent && ended.Outcome != laburnumgwv1.Outcome_OUTCOME_NOT_RUN)
+	switch {
+	case !ended.Sent || ended.Outcome == laburnumgwv1.Outcome_OUTCOME_NOT_RUN:
+		c.view.startWaitEnded(c.startWait, waitUnknown)
+	case c.began:
+		c.view.startWaitEnded(c.startWait, waitBegun)
+	default:
+		c.view.startWaitEnded(c.startWait, waitGivenUp)
+	}
 	c.metrics.attempts.UpdateDuration(started)
 	c.tried = append(c.tried, decision.VM)
 	if ended.Sent {
@@ -315,7 +322,7 @@
 		err = c.relayStream(response, workerResponse, firstEvent, c.workerTimeout(decision), func() {
 			c.firstEventWait = time.Since(sentAt)
 			c.view.attemptAccepted(c.service, tracked)
-			c.view.startWaitEnded(c.startWait, true)
+			c.view.startWaitEnded(c.startWait, waitBegun)
 			c.responseBegan()
 		})
 		load = nil // outdated: it was sent with the head of the stream
--- a/entry/hosted/start_waits.go
+++ b/entry/hosted/start_waits.go
@@ -21,9 +21,19 @@
 	return startWait{w.ID, w.StartedAtMs, number}
 }
 
-// startWaitEnded records that a request has begun or was given up, or, with known unset, that it has told
-// nothing about how long requests wait. It has no effect on a request that does not wait any more.
-func (v *view) startWaitEnded(s startWait, known bool) {
+// startWaitEnd is how the wait of a request at a worker has ended.
+type startWaitEnd uint8
+
+const (
+	// waitUnknown is a request that the worker has not received, or has refused.
+	waitUnknown startWaitEnd = iota
+	waitGivenUp
+	waitBegun
+)
+
+// startWaitEnded records how the wait of a request has ended. It has no effect on a request that does not wait
+// any more.
+func (v *view) startWaitEnded(s startWait, end startWaitEnd) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	w := v.workers[s.vm]
@@ -31,16 +41,16 @@
 		return
 	}
 	now := time.Now()
-	if !known {
+	if end == waitUnknown {
 		w.waits.Forget(s.number)
-	} else if wait := w.waits.Ended(s.number, now); wait > 0 {
+	} else if wait := w.waits.Ended(s.number, end == waitBegun, now); wait > 0 {
 		v.observeServiceWait(w.Service, wait, now)
 	}
 	v.updateSendUntil(w, now)
 }
 
-// observeServiceWait records a wait at a worker of a service. The workers of which no wait is known get requests
-// by the longest one. The caller holds the lock.
+// observeServiceWait records a wait at a worker of a service. The workers at which none is known to have begun get
+// requests by the longest one. The caller holds the lock.
 func (v *view) observeServiceWait(service string, wait time.Duration, now time.Time) {
 	state := v.services[service]
 	if state == nil {
@@ -52,7 +62,7 @@
 		return
 	}
 	for _, w := range v.workers {
-		if w.Service == service && w.waits.Longest(now) == 0 {
+		if w.Service == service && !w.waits.Known(now) {
 			v.updateSendUntil(w, now)
 		}
 	}
@@ -78,7 +88,7 @@
 		return time.Time{}
 	}
 	until := w.waits.SendUntil(bound, versionMargin-startMargin, now)
-	if w.waits.Longest(now) > 0 {
+	if w.waits.Known(now) {
 		return until
 	}
 	if others := state.waits.SendUntil(bound, versionMargin-startMargin, now); others.Before(until) {
--- a/entry/hosted/version_long_wait_test.go
+++ b/entry/hosted/version_long_wait_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -75,3 +76,32 @@
 		requireStartsWithinBound(t, w, named)
 	})
 }
+
+// Guards against a worker that counts as one at which requests begin soon, because callers gave up
+// what waited there for a short time only.
+func TestRequestsThatWereGivenUpSoonSayNoWaitIsShort(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, d *deployment) {
+		w := &stubbornWorker{latency: 1800 * time.Millisecond}
+		d.version(2)
+		named := time.Now()
+		d.worker("llm", "w1", 1, w.respond)
+		var asking sync.WaitGroup
+		ask := func(before, stays time.Duration) {
+			<-time.After(time.Until(named.Add(8*time.Second - before)))
+			asking.Go(func() {
+				ctx, leave := context.WithTimeout(t.Context(), stays)
+				defer leave()
+				d.ask(ctx, http.MethodPost, "/chat/x", "p", deadlineHeader, "6000")
+			})
+		}
+		ask(6*time.Second, time.Minute)
+		asking.Wait()
+		d.put("servers", "w1", workerEntry("llm", "w1", "draining", 1))
+		d.worker("llm", "w2", 1, w.respond)
+		ask(3500*time.Millisecond, 300*time.Millisecond)
+		ask(1600*time.Millisecond, time.Minute)
+		asking.Wait()
+		<-time.After(10 * time.Second)
+		requireStartsWithinBound(t, w, named)
+	})
+}
--- a/lib/startwait/startwait.go
+++ b/lib/startwait/startwait.go
@@ -19,15 +19,22 @@
 // Estimator holds the waits at one worker, or at all workers of a service. The zero value knows
 // none. It is not safe for concurrent use.
 type Estimator struct {
-	// peaks are the longest waits of the current and the previous half of the window; negative or
-	// zero for none. halfFrom is the start of the current one.
-	peaks    [2]time.Duration
+	// halves are the observations of the current and the previous half of the window, and halfFrom is
+	// the start of the current one.
+	halves   [2]observations
 	halfFrom time.Time
 	// waiting holds the requests that were sent and have not begun, in order; sent counts all.
 	waiting []request
 	sent    uint64
 }
 
+// observations are the waits of some time.
+type observations struct {
+	// longest is the longest wait, and begun is set if a request has begun.
+	longest time.Duration
+	begun   bool
+}
+
 // request is a request that waits.
 type request struct {
 	number uint64
@@ -41,15 +48,19 @@
 	return e.sent
 }
 
-// Ended records that a request has begun or was given up, and returns how long it has waited. It
+// Ended records that a request has begun, or was given up before, and returns how long it has waited. It
 // returns zero for a request that does not wait.
-func (e *Estimator) Ended(number uint64, now time.Time) time.Duration {
+func (e *Estimator) Ended(number uint64, begun bool, now time.Time) time.Duration {
 	sentAt, ok := e.remove(number)
 	if !ok {
 		return 0
 	}
 	wait := now.Sub(sentAt)
-	e.Observe(wait, now)
+	if begun {
+		e.Observe(wait, now)
+	} else {
+		e.ObserveAtLeast(wait, now)
+	}
 	return wait
 }
 
@@ -69,17 +80,23 @@
 
 // Observe records a wait.
 func (e *Estimator) Observe(wait time.Duration, now time.Time) {
+	e.ObserveAtLeast(wait, now)
+	e.halves[0].begun = true
+}
+
+// ObserveAtLeast records a wait after which a request had not begun.
+func (e *Estimator) ObserveAtLeast(wait time.Duration, now time.Time) {
 	e.advance(now)
-	e.peaks[0] = max(e.peaks[0], wait, 1)
+	e.halves[0].longest = max(e.halves[0].longest, wait)
 }
 
 func (e *Estimator) advance(now time.Time) {
 	switch age := now.Sub(e.halfFrom); {
 	case age >= 2*halfWindow:
-		e.peaks = [2]time.Duration{}
+		e.halves = [2]observations{}
 		e.halfFrom = now
 	case age >= halfWindow:
-		e.peaks = [2]time.Duration{0, e.peaks[0]}
+		e.halves = [2]observations{{}, e.halves[0]}
 		e.halfFrom = e.halfFrom.Add(halfWindow)
 	}
 }
@@ -96,7 +113,14 @@
 // Longest returns the longest wait that was observed within the window, zero for none.
 func (e *Estimator) Longest(now time.Time) time.Duration {
 	e.advance(now)
-	return max(e.peaks[0], e.peaks[1])
+	return max(e.halves[0].longest, e.halves[1].longest)
+}
+
+// Known reports whether a request has begun within the window. Otherwise a request may wait longer
+// than all that were given up.
+func (e *Estimator) Known(now time.Time) bool {
+	e.advance(now)
+	return e.halves[0].begun || e.halves[1].begun
 }
 
 // Expected returns how long a request that is sent now is expected to wait at most.
--- a/lib/startwait/startwait_test.go
+++ b/lib/startwait/startwait_test.go
@@ -35,7 +35,7 @@
 		case event == 2:
 			e.Observe(wait, h.now)
 		case len(h.waiting) > 0 && event == 3:
-			e.Ended(h.waiting[pick], h.now)
+			e.Ended(h.waiting[pick], wait%2 == 0, h.now)
 		case len(h.waiting) > 0:
 			e.Forget(h.waiting[pick])
 		}
@@ -86,7 +86,7 @@
 func TestWaitingRequestsEndSending(t *testing.T) {
 	var e startwait.Estimator
 	bound := origin.Add(10 * time.Second)
-	if got := e.SendUntil(bound, floor, origin); !got.Equal(bound.Add(-floor)) || e.Longest(origin) != 0 {
+	if got := e.SendUntil(bound, floor, origin); !got.Equal(bound.Add(-floor)) || e.Longest(origin) != 0 || e.Known(origin) {
 		t.Errorf("before the first request: until %v before the bound", bound.Sub(got))
 	}
 	number := e.Sent(origin)
@@ -94,12 +94,19 @@
 	if waited := until.Sub(origin); until.Add(waited).After(bound) {
 		t.Errorf("sent until %v after the first one, which still waits, %v before the bound", waited, bound.Sub(until))
 	}
-	if wait := e.Ended(number, origin.Add(time.Second)); wait != time.Second || e.Longest(origin.Add(time.Second)) != wait {
+	if wait := e.Ended(number, false, origin.Add(time.Second)); wait != time.Second || e.Longest(origin.Add(time.Second)) != wait {
 		t.Errorf("waited %v", wait)
 	}
-	if got := e.Ended(number, origin.Add(2*time.Second)); got != 0 {
+	if got := e.Ended(number, true, origin.Add(2*time.Second)); got != 0 {
 		t.Errorf("a request that is not known waited %v", got)
 	}
+	if e.Known(origin.Add(2 * time.Second)) {
+		t.Error("the wait is known although no request has begun")
+	}
+	e.Observe(time.Millisecond, origin.Add(2*time.Second))
+	if !e.Known(origin.Add(4*time.Second)) || e.Known(origin.Add(9*time.Second)) {
+		t.Error("the wait is not known after a request has begun, or for good")
+	}
 }
 
 // Guards against waits that are known to be long being forgotten at once, or being remembered for good.
