--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -17,7 +17,6 @@
 	"laburnumgw/lib/drain"
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/retry"
-	"laburnumgw/lib/timelimit"
 	"laburnumgw/lib/workerconn"
 	"laburnumgw/platform"
 )
@@ -57,7 +56,7 @@
 	log     *zap.Logger
 	// detail logs the steps of requests that succeed.
 	detail   *zap.Logger
-	shutdown *shutdown
+	shutdown *drain.Shutdown
 }
 
 // handler returns the HTTP handler with its middleware. Paths reach the workers exactly
@@ -111,7 +110,7 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.limits.Deadline, errTimeout)
 	defer cancel()
-	ctx, giveUp := f.shutdown.bound(ctx)
+	ctx, giveUp := f.shutdown.Bound(ctx)
 	defer giveUp(nil)
 	c.r = r.WithContext(ctx)
 	if c.route.Kind == catalog.Stream {
@@ -135,6 +134,7 @@
 	if c.incomplete {
 		// Closing the connection keeps the part sent from looking complete.
 		c.logCut(reason)
+		resetUnmarked(r)
 		panic(http.ErrAbortHandler)
 	}
 	if err := writes.SetWriteDeadline(time.Time{}); err != nil {
@@ -175,7 +175,7 @@
 	}
 	c.workspace = workspace
 	c.regions = catalog.AllowedRegions(c.route, workspace)
-	c.limits = timelimit.Limits{Deadline: started.Add(deadline(in.Deadline, c.route.Timeout)), Shutdown: &f.shutdown.Shutdown}
+	c.limits = f.shutdown.Limits(started.Add(deadline(in.Deadline, c.route.Timeout)))
 	c.serviceName = c.route.Choose(f.view.random())
 	c.service, c.engine = f.view.service(c.serviceName)
 	if c.service == nil {
@@ -186,7 +186,13 @@
 	if _, ok := c.forwarded["User-Agent"]; !ok {
 		c.forwarded["User-Agent"] = nil
 	}
-	return c, c.readBody(snapshot.Limits)
+	if err := c.admit(); err != nil {
+		return c, err
+	}
+	if err := c.readBody(snapshot.Limits); err != nil {
+		return c, err
+	}
+	return c, c.ensureFits()
 }
 
 // deadline returns the time that a request has: the caller's or the route's, whichever is
@@ -226,6 +232,10 @@
 		// The rest of the body may still arrive, and is no request.
 		c.w.Header().Set("Connection", "close")
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.fits() {
+		c.metrics.refusedAtStop.Inc()
+		return refusedAtStop()
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return errkind.Wrap(err, errkind.NotRun, "send the complete body sooner", "body has not arrived in time")
 	}
--- a/entry/hosted/metrics.go
+++ b/entry/hosted/metrics.go
@@ -21,6 +21,8 @@
 	lent     *metrics.Counter
 	// blockedRequests counts the requests that were refused for a blocked part of their prompt.
 	blockedRequests *metrics.Counter
+	// refusedAtStop counts the requests that were refused because they might have outlasted the entry.
+	refusedAtStop *metrics.Counter
 	// panics counts the requests whose handler panicked.
 	panics *metrics.Counter
 	// abandonedStarts counts the requests that were given up at the bound of their weights while
@@ -43,6 +45,7 @@
 		lent:      set.NewCounter("laburnumgw_entry_limit_lent_total"),
 
 		blockedRequests: set.NewCounter("laburnumgw_entry_blocked_requests_total"),
+		refusedAtStop:   set.NewCounter("laburnumgw_entry_refused_at_stop_total"),
 		panics:          set.NewCounter("laburnumgw_entry_panics_total"),
 		abandonedStarts: set.NewCounter("laburnumgw_entry_abandoned_starts_total"),
 		olderWeights:    set.NewCounter("laburnumgw_entry_older_weights_total"),
