--- a/e2e/late_requests_test.go
+++ b/e2e/late_requests_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"laburnumgw/fleet"
 )
 
 // lateConn is the connection of a caller that sends late.
@@ -84,3 +86,41 @@
 		t.Errorf("entry exited after %v: %v", time.Since(begun), err)
 	}
 }
+
+// Guards against an endpoint process that exits while a booking runs, without a record of its outcome
+// and with the shards of its journal still held.
+func TestStoppingEndpointProcessRecordsRunningBookings(t *testing.T) {
+	const stopTimeout = 5 * time.Second
+	t.Setenv("LABURNUMGW_STOP_TIMEOUT", stopTimeout.String())
+	w := startSystem(t, 1, 1, 1, 5*time.Millisecond)
+	w.book("before", "monday")
+	if err := w.Backends[0].Terminate(); err != nil {
+		t.Log(err)
+	}
+	w.Backends[0].AddArgs("--delay=1m")
+	if err := w.Backends[0].Start(); err != nil {
+		t.Fatal(err)
+	}
+	w.until("the service has started", func() bool {
+		var runs map[string]int
+		return fleet.GetJSON(w.context(), w.Backends[0].HTTP+"/admin/runs", &runs) == nil
+	})
+	type answer struct {
+		response fleet.Response
+		err      error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		response, err := fleet.Book(w.context(), w.Entries[0], service, "running", "tuesday")
+		answered <- answer{response, err}
+	}()
+	w.until("the booking runs", func() bool { return w.runs()["running"] > 0 })
+	begun := time.Now()
+	process := w.Endpoints[len(w.Engines)]
+	if err := process.Terminate(); err != nil || time.Since(begun) > stopTimeout+3*time.Second {
+		t.Errorf("endpoint process exited after %v: %v", time.Since(begun), err)
+	}
+	if got := <-answered; got.err != nil || got.response.ErrorKind != "outcome_unknown" {
+		t.Errorf("running booking: status %d kind %q, %v", got.response.Status, got.response.ErrorKind, got.err)
+	}
+}
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -19,6 +19,7 @@
 	"laburnumgw/lib/configstore"
 	"laburnumgw/lib/configsync"
 	"laburnumgw/lib/configsync/driver"
+	"laburnumgw/lib/drain"
 	"laburnumgw/lib/journal"
 	"laburnumgw/lib/membership"
 	"laburnumgw/lib/mtls"
@@ -53,14 +54,14 @@
 	grpc     *grpc.Server
 	log      *zap.Logger
 	snapshot atomic.Pointer[config.Snapshot]
-	leaving  atomic.Bool
+	shutdown *drain.Shutdown
 }
 
 // New assembles an endpoint process.
 func New(s *Settings, keys *mtls.Keys, conns *rpc.Pool, store platform.Store, log *zap.Logger) (*Process, error) {
 	self := membership.Self{VM: s.VM, Zone: s.Zone, Region: s.Region, Address: s.Listen}
 	p := &Process{
-		settings: s, conns: conns, zones: &zoneState{}, metrics: newEndpointMetrics(), log: log,
+		settings: s, conns: conns, zones: &zoneState{}, metrics: newEndpointMetrics(), log: log, shutdown: drain.NewShutdown(),
 		gate: admission.NewGate(admission.Config{Limits: admissionLimits(config.Default().Limits)}),
 	}
 	p.reporter = newReporter(self, s.SeedPeers(), conns, p.load, log)
@@ -71,7 +72,7 @@
 	})
 	serve := &server{
 		vm: s.VM, zone: s.Zone, service: s.Service, serviceTimeout: s.ServiceTimeout, gate: p.gate, journal: p.journal,
-		zones: p.zones, metrics: p.metrics, log: log, currentLoad: p.pbLoad, ready: p.ready,
+		zones: p.zones, metrics: p.metrics, log: log, currentLoad: p.pbLoad, ready: p.ready, shutdown: p.shutdown,
 	}
 	if s.Engine != "" {
 		p.buildEngine(self, serve)
@@ -147,7 +148,7 @@
 		p.updateTransferRate()
 		p.weights.configure(bundle, snapshot)
 	}
-	if p.settings.Service != "" && !p.zones.isOut() && !p.leaving.Load() {
+	if p.settings.Service != "" && !p.zones.isOut() && !p.shutdown.IsStopping() {
 		p.journal.Claim(p.settings.Service)
 	}
 	p.reporter.setGeneration(bundle.GetGeneration())
@@ -222,7 +223,7 @@
 	load := p.gate.Load()
 	return &laburnumgwv1.Load{
 		InFlight: int32(load.InFlight), Queued: int32(load.Queued), Limit: int32(load.Limit), Cold: load.Cold,
-		Leaving: load.Leaving || p.leaving.Load(), ServiceTimeUs: load.ServiceTime.Microseconds(),
+		Leaving: load.Leaving || p.shutdown.IsStopping(), ServiceTimeUs: load.ServiceTime.Microseconds(),
 	}
 }
 
@@ -265,13 +266,16 @@
 }
 
 // stop announces to the entries that the process is leaving, waits for running requests to
-// end, and closes the journal, which releases its shards.
+// end, ends those that take too long with an unknown outcome, and closes the journal, which releases
+// its shards.
 func (p *Process) stop() error {
 	p.log.Info("endpoint process is leaving")
-	p.leaving.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), p.settings.StopTimeout)
+	schedule := p.settings.stopSchedule(time.Now())
+	p.shutdown.Begin(schedule)
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.ProcessEnd)
 	defer cancel()
 	p.reporter.leave(ctx)
+	p.shutdown.Drain()
 	drainErr := p.gate.Drain(ctx)
 	journalErr := p.journal.Close(ctx)
 	time.Sleep(finalReportDelay)
--- a/endpoint/serve.go
+++ b/endpoint/serve.go
@@ -10,6 +10,7 @@
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/admission"
+	"laburnumgw/lib/drain"
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/journal"
 )
@@ -46,6 +47,7 @@
 	metrics        *endpointMetrics
 	log            *zap.Logger
 	currentLoad    func() *laburnumgwv1.Load
+	shutdown       *drain.Shutdown
 	// ready reports whether the process has a configuration to act on.
 	ready func() bool
 }
@@ -107,6 +109,8 @@
 	deadline := time.Now().Add(time.Duration(request.GetDeadlineMs()) * time.Millisecond)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	ctx, release := s.shutdown.Bound(ctx)
+	defer release(nil)
 	c := call{
 		requestID: request.GetRequestId(), workspace: request.GetWorkspace(), method: request.GetMethod(), path: request.GetPath(),
 		contentType: request.GetContentType(), body: request.GetBody(), idempotencyKey: request.GetIdempotencyKey(),
@@ -186,7 +190,7 @@
 func (s *server) runOnce(ctx context.Context, request *laburnumgwv1.ServeRequest, c call, deadline time.Time, out *frameWriter) result {
 	return s.runAdmitted(ctx, request, deadline, func() result {
 		if c.idempotencyKey == "" {
-			runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.serviceTimeout)
+			runCtx, cancel := s.runContext(ctx)
 			defer cancel()
 			return s.backend.run(runCtx, c, out)
 		}
@@ -202,6 +206,16 @@
 	})
 }
 
+// runContext returns the context of a run that outlasts its caller.
+func (s *server) runContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, release := s.shutdown.Bound(context.WithoutCancel(ctx))
+	ctx, cancel := context.WithTimeout(ctx, s.serviceTimeout)
+	return ctx, func() {
+		cancel()
+		release(nil)
+	}
+}
+
 // bodyDigest returns the digest of the method, path and body, by which two different requests
 // with the same key are told apart.
 func bodyDigest(c call) journal.Digest {
@@ -252,7 +266,7 @@
 }
 
 func (s *server) runTicket(ctx context.Context, ticket *journal.Ticket, c call, out *frameWriter) result {
-	runCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.serviceTimeout)
+	runCtx, cancel := s.runContext(ctx)
 	defer cancel()
 	var response bufferedResponse
 	r := s.backend.run(runCtx, c, &response)
--- a/endpoint/settings.go
+++ b/endpoint/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"laburnumgw/lib/settings"
+	"laburnumgw/lib/timelimit"
 )
 
 const (
@@ -31,6 +32,20 @@
 	StopTimeout     time.Duration `long:"stop-timeout" env:"LABURNUMGW_STOP_TIMEOUT" default:"10m" description:"longest time that a stopping process waits for running requests"`
 }
 
+// closeReserve is the part of StopTimeout in which the outcomes of requests that still run are recorded
+// and the journal is closed. It takes a sixth of it at most.
+const (
+	closeReserve    = 2 * time.Second
+	maxCloseReserve = 6
+)
+
+// stopSchedule returns the times of a planned stop that begins now.
+func (s *Settings) stopSchedule(now time.Time) timelimit.Schedule {
+	end := now.Add(s.StopTimeout)
+	requestsEnd := end.Add(-min(closeReserve, s.StopTimeout/maxCloseReserve))
+	return timelimit.Schedule{Drain: now, RequestsEnd: requestsEnd, ResponsesEnd: end, ProcessEnd: end}
+}
+
 // Validate returns all problems of the settings at once.
 func (s *Settings) Validate() error {
 	var check settings.Checker
