Soak: requests late in a planned stop

Before each planned stop of an entry, silent connections are opened. A request comes on each at a random moment until SIGKILL, with a budget of 0.8 to 6 s, half of them with a body that comes up to 2 s later, and with workers that take up to 2 s longer (0.4 s where entries repeat). Each that was read has to get a complete answer, a 503 must not have run, a booking runs once, and the entry has to exit with status 0 within its grace time.

--- a/e2e/hosted_test.go
+++ b/e2e/hosted_test.go
@@ -17,6 +17,7 @@
 const (
 	faultFreeNetwork = 31
 	soakNetwork      = 32
+	plannedNetwork   = 48
 )
 
 func soakOptions(t *testing.T, bin string, network int) soak.Options {
@@ -108,3 +109,19 @@
 		t.Error(violation)
 	}
 }
+
+// Guards against requests that get no answer, and entries that are killed or fail, in planned stops
+// with requests at every moment of the grace time.
+func TestHostedSoakOfPlannedWork(t *testing.T) {
+	options := soakOptions(t, buildPrograms(t), plannedNetwork)
+	options.PlannedOnly = true
+	const seed, length = 1, 20 * time.Second
+	result, err := soak.Run(options, seed, length)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(result)
+	for _, violation := range result.Violations {
+		t.Error(violation)
+	}
+}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -29,6 +29,10 @@
 	// Deadly is set when workers crash on the request, and NearlyDeadly when it differs from a
 	// deadly one in its body or its workspace alone.
 	Deadly, NearlyDeadly bool
+	// Late is set for a request that was sent in a planned stop on a connection that had been silent.
+	Late bool
+	// Expired is set when a response had begun and its time budget ended before it was complete.
+	Expired bool
 	// Violation is set when a successful response breaks a guarantee of the system.
 	Violation error
 }
@@ -82,6 +86,8 @@
 // message is a request of a caller.
 type message struct {
 	id, kind, method, path, body, key string
+	// deadlineMs is the time budget.
+	deadlineMs string
 	// chunked is set for a body without a length.
 	chunked bool
 	// parts are the shared parts of the prompt.
@@ -90,7 +96,7 @@
 
 // newMessage returns the n-th request of a caller, and the deadly part or request in it.
 func (f *Fleet) newMessage(entry *Process, kind, id string, n int) (m message, isDeadly, isNearlyDeadly bool) {
-	m = message{id: id, kind: kind, method: http.MethodPost, path: "/" + kind + "/" + id, body: "body-" + id, key: apiKey}
+	m = message{id: id, kind: kind, method: http.MethodPost, path: "/" + kind + "/" + id, body: "body-" + id, key: apiKey, deadlineMs: "6000"}
 	if kind == kindView {
 		m.method, m.body = http.MethodGet, ""
 	}
@@ -133,7 +139,7 @@
 	// Without GetBody the HTTP client does not retry a request under the same id.
 	request.GetBody = nil
 	request.Host = Host
-	hosted.SetRequestHeaders(request.Header, m.id, m.key, "6000", "900,48", m.parts...)
+	hosted.SetRequestHeaders(request.Header, m.id, m.key, m.deadlineMs, "900,48", m.parts...)
 	return request, nil
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -53,6 +53,7 @@
 	silencedAt map[string]time.Time
 	// workerFaults holds the faults of the network before a worker, by its name.
 	workerFaults map[string][]window
+	callers      *Callers
 
 	// mu also guards version and configVersion, which timers read.
 	mu sync.Mutex
@@ -60,6 +61,8 @@
 	restoring        bool
 	departurePending bool
 	departures       []departure
+	// stops are the ends of planned stops.
+	stops []stop
 	// limited is the worker that states a limit, or nil.
 	limited *ProxiedWorker
 	// startErrors lists the errors of processes that could not be started again.
@@ -109,6 +112,7 @@
 		return r.result, err
 	}
 	callers := fleet.StartCallers(seed)
+	r.callers = callers
 	time.Sleep(faultFreeStart)
 	for end := time.Now().Add(duration - faultFreeStart - faultFreeEnd); time.Now().Before(end); {
 		if options.PlannedOnly || r.rng.IntN(plannedEvery) == 0 {
@@ -232,8 +236,11 @@
 	asked := p.Running()
 	now := time.Now()
 	r.plannedRestarts[p.Name] = append(r.plannedRestarts[p.Name], window{now, now.Add(stopGracePeriod + settleWindow)})
+	r.sendLate(p)
+	begun := time.Now()
 	p.Signal(syscall.SIGTERM)
 	time.AfterFunc(stopGracePeriod, func() {
+		r.recordStop(p, asked, begun)
 		r.replace(p, asked)
 		r.awaitStarted(p)
 	})
@@ -351,6 +358,7 @@
 	}
 	r.checkDeadly(violation)
 	r.checkAnswers(outcomes, runs, violation)
+	r.checkLate(outcomes, runs, violation)
 	for _, o := range outcomes {
 		r.result.Requests++
 		if o.Status == http.StatusOK && o.Err == nil {
@@ -404,7 +412,7 @@
 // the users' platform sends callers to another entry until an entry is ready.
 func (r *run) countFaultFree(outcomes []Outcome) (total, served int) {
 	for _, o := range outcomes {
-		if o.Deadly || !r.faultFree(o.Sent, o.Ended) || r.refusedByRestart(o) || r.starting(o) {
+		if o.Deadly || o.Late || !r.faultFree(o.Sent, o.Ended) || r.refusedByRestart(o) || r.starting(o) {
 			continue
 		}
 		total++
--- a/soak/silence.go
+++ b/soak/silence.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		took, times := o.Ended.Sub(o.Sent), runs(o.ID)
-		if o.Err != nil && !r.refusedByRestart(o) && (times > 0 || took > readTime) {
+		if o.Err != nil && !o.Expired && !r.refusedByRestart(o) && (times > 0 || took > readTime) {
 			violation("%s at %s got no complete answer after %s, status %d, and ran %d times: %w", o.ID, o.Entry, took, o.Status, times, o.Err)
 		}
 		if times > 1 {
--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -135,6 +135,22 @@
 	}
 }
 
+// SlowPath returns a path below a prefix for which a worker takes a time longer.
+func SlowPath(prefix string, extra time.Duration) string {
+	return fmt.Sprintf("%s%s%d/", prefix, slowSegment, extra.Milliseconds())
+}
+
+// slowSegment begins the segment of a path that holds the extra time in ms.
+const slowSegment = "slow-"
+
+// extraTime returns the extra time of a path.
+func extraTime(path string) time.Duration {
+	_, rest, _ := strings.Cut(path, "/"+slowSegment)
+	text, _, _ := strings.Cut(rest, "/")
+	ms, _ := strconv.Atoi(text) // zero without the segment
+	return time.Duration(ms) * time.Millisecond
+}
+
 // Restart starts the worker again under its name, without a limit and without accepted orders.
 func (w *Worker) Restart() {
 	w.SetLimit("")
@@ -288,6 +304,7 @@
 	if w.Model.Name == "" {
 		time.Sleep(w.RunTime)
 	}
+	time.Sleep(extraTime(r.URL.Path))
 	if w.crashOn(run) {
 		panic(http.ErrAbortHandler)
 	}
