--- a/entry/hosted/callers_harness_test.go
+++ b/entry/hosted/callers_harness_test.go
@@ -81,9 +81,15 @@
 
 // connect opens a connection, which is closed after maxConnTime, or at the end of the test.
 func (s *callerServer) connect() *callerConn {
+	s.t.Helper()
+	return s.connectThrough(func(conn net.Conn) net.Conn { return conn })
+}
+
+// connectThrough is connect with a change of the server's end.
+func (s *callerServer) connectThrough(change func(conn net.Conn) net.Conn) *callerConn {
 	s.t.Helper()
 	near, far := net.Pipe()
-	s.listener.conns <- far
+	s.listener.conns <- change(far)
 	s.conns = append(s.conns, near)
 	time.AfterFunc(maxConnTime, func() { near.Close() })
 	return &callerConn{Conn: near, t: s.t, reader: bufio.NewReader(near)}
