The revision of placements does not depend on their order

What operators would see: processes that hold the same placements query each other every 500 ms, for as long as their lists are in another order.

Cause: the revision is a hash over the list, and a process appends a placement that it learns later.

The list is sorted by model first; for lists in that order the hash stays what it was. TestRevisionDoesNotDependOnTheOrderOfPlacements failed before.

--- a/lib/configsync/revision.go
+++ b/lib/configsync/revision.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,14 +17,17 @@
 const revisionQueryInterval = 500 * time.Millisecond
 
 // Revision returns a hash of the placements of a bundle. Processes with the same revision
-// hold the same placements. It is 0 without placements.
+// hold the same placements, in any order. It is 0 without placements.
 func Revision(bundle *pb.ConfigBundle) uint64 {
 	if len(bundle.GetPlacements()) == 0 {
 		return 0
 	}
 	hash := xxhash.New()
 	var number [8]byte
-	for _, placement := range bundle.GetPlacements() {
+	placements := slices.SortedFunc(slices.Values(bundle.GetPlacements()), func(a, b *pb.Placement) int {
+		return strings.Compare(a.GetModel(), b.GetModel())
+	})
+	for _, placement := range placements {
 		_, _ = hash.WriteString(placement.GetModel())
 		for _, n := range []uint64{placement.GetFencing(), placement.GetGeneration()} {
 			binary.BigEndian.PutUint64(number[:], n)
--- a/lib/configsync/revision_test.go
+++ b/lib/configsync/revision_test.go
@@ -29,3 +29,13 @@
 		So(n.Tick(2*time.Second+revisionQueryInterval-1).Pulls, ShouldBeEmpty)
 	})
 }
+
+// Guards against processes that query each other without end, because they hold the same placements in another order.
+func TestRevisionDoesNotDependOnTheOrderOfPlacements(t *testing.T) {
+	Convey("Two placements have one revision in either order, and another one when one of them changes", t, func() {
+		a, b := &pb.Placement{Model: "a", Fencing: 1, Generation: 2}, &pb.Placement{Model: "b", Fencing: 3, Generation: 4}
+		revision := func(placements ...*pb.Placement) uint64 { return Revision(&pb.ConfigBundle{Placements: placements}) }
+		So(revision(b, a), ShouldEqual, revision(a, b))
+		So(revision(a, &pb.Placement{Model: "b", Fencing: 3, Generation: 5}), ShouldNotEqual, revision(a, b))
+	})
+}
