Count failed attempts at a manifest for one version

What operators would see: more reads of manifests from the origin, by machines that should have asked others, the later the version.

Cause: attempts in which no peer had the manifest yet were counted over all versions, and only a read from the origin set the count back.

TestFailedManifestAttemptsCountForOneVersion failed before: the origin was read at once for the second version.

--- a/endpoint/hosted/manifest.go
+++ b/endpoint/hosted/manifest.go
@@ -96,6 +96,9 @@
 		}
 		l.log.Debug("manifest not available from peer", zap.String("peer", address), zap.Error(err))
 	}
+	if l.manifestVersion != number {
+		l.manifestVersion, l.failedManifestAttempts = number, 0
+	}
 	l.failedManifestAttempts++
 	rank := slices.Index(ranked, l.transfer.Address)
 	if rank >= manifestReaders && l.failedManifestAttempts < maxPeerOnlyAttempts {
--- a/endpoint/hosted/weights.go
+++ b/endpoint/hosted/weights.go
@@ -50,8 +50,9 @@
 	transfer *transfer.Transfer
 	log      *zap.Logger
 
-	// failedManifestAttempts counts the attempts in which no peer returned the manifest, since
+	// failedManifestAttempts counts the attempts in which no peer returned the manifest of manifestVersion, since
 	// the last successful read of the origin. Only one attempt runs at a time.
+	manifestVersion        int
 	failedManifestAttempts int
 
 	mu sync.Mutex
