Bound the repeats of a withdrawal that meets conflicts

What operators would see: `laburnumctl model withdraw` calls the platform without a pause for as long as others change the version.

Cause: a conflict was repeated at once, past the loop that counts and paces the other errors. It now counts there as well.

TestWithdrawalRepeatsConflictsWithinABound failed before: 2,001 updates and no pause for 2,000 conflicts.

--- a/lib/configstore/client.go
+++ b/lib/configstore/client.go
@@ -77,8 +77,17 @@
 // waitOrFail waits before the call is repeated. It returns the call's error when the
 // error is permanent or the call has had maxAttempts attempts.
 func (r *retryLoop) waitOrFail(ctx context.Context, err error) error {
+	return r.wait(ctx, err, temporary(err))
+}
+
+// waitAfterConflict is waitOrFail for a call that reads the object again before it is repeated.
+func (r *retryLoop) waitAfterConflict(ctx context.Context, err error) error {
+	return r.wait(ctx, err, temporary(err) || errors.Is(err, platform.ErrConflict))
+}
+
+func (r *retryLoop) wait(ctx context.Context, err error, mayRepeat bool) error {
 	r.attempts++
-	if r.attempts >= maxAttempts || !temporary(err) {
+	if r.attempts >= maxAttempts || !mayRepeat {
 		return err
 	}
 	pause := r.backoff.NextBackOff()
--- a/lib/configstore/models.go
+++ b/lib/configstore/models.go
@@ -296,11 +296,8 @@
 		if err == nil {
 			return nil
 		}
-		if errors.Is(err, platform.ErrConflict) {
-			continue
-		}
-		if err := retries.waitOrFail(ctx, err); err != nil {
-			return err
+		if err := retries.waitAfterConflict(ctx, err); err != nil {
+			return fmt.Errorf("withdraw version %q of model %q: %w", version, model, err)
 		}
 	}
 }
