--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -237,7 +237,7 @@
 	exchanged := false
 	defer func() {
 		if !exchanged { // it panicked
-			c.view.startWaitEnded(c.startWait, false)
+			c.view.startWaitEnded(c.startWait, waitUnknown)
 		}
 	}()
 	ended, load := c.exchange(ctx, decision, &tracked)
