--- a/entry/hosted/version_listed_again_test.go
+++ b/entry/hosted/version_listed_again_test.go
@@ -11,12 +11,13 @@
 func TestWaitsOfAWorkerThatIsListedAgainAreKept(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T, d *deployment) {
 		d.put("config", "main", patientConfig)
-		waits := 2 * time.Second
-		respond := func(e *workerExchange) {
-			<-time.After(waits)
-			streamScript(1)(e)
+		waits := func(wait time.Duration) workerScript {
+			return func(e *workerExchange) {
+				<-time.After(wait)
+				streamScript(1)(e)
+			}
 		}
-		d.worker("llm", "w1", 1, respond)
+		d.worker("llm", "w1", 1, waits(2*time.Second))
 		done := make(chan struct{}, 2)
 		ask := func() {
 			d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "20000")
@@ -25,8 +26,7 @@
 		go ask()
 		<-time.After(time.Second)
 		d.remove("servers", "w1")
-		waits = 10 * time.Second
-		d.worker("llm", "w1", 1, respond)
+		d.worker("llm", "w1", 1, waits(10*time.Second))
 		go ask()
 		<-time.After(4 * time.Second)
 		v := d.front.view
--- a/entry/hosted/version_moved_bound_test.go
+++ b/entry/hosted/version_moved_bound_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -62,6 +63,7 @@
 				got := d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "20000")
 				<-time.After(time.Second)
 				close(reports)
+				synctest.Wait()
 				if late := ended.Sub(named) - c.bound; ended.IsZero() || late > 0 {
 					t.Errorf("given up %v after the bound: %s", late, fmt.Sprint(got.status, " ", got.took))
 				}
