--- a/entry/hosted/admission_at_stop_test.go
+++ b/entry/hosted/admission_at_stop_test.go
@@ -170,3 +170,25 @@
 		}
 	}
 }
+
+// Guards against a caller that is invited to send the body of a request which is refused, or waits for
+// "100 Continue" until the entry is gone.
+func TestLateRequestThatWaitsForContinueIsRefusedAtOnce(t *testing.T) {
+	for _, arrives := range []time.Duration{3 * time.Second, 7 * time.Second, 7250 * time.Millisecond} {
+		t.Run(arrives.String(), func(t *testing.T) {
+			withCallers(t, func(t *testing.T, s *callerServer) {
+				s.slowWorkers()
+				conn := s.connect()
+				stop := s.beginStop(stopGrace)
+				stop.wait(arrives)
+				conn.send(requestText(http.MethodPost, "/book/x", "", "Expect", "100-continue", "Content-Length", "10", deadlineHeader, "20000"))
+				got := conn.receive()
+				s.expectLate(got, http.StatusServiceUnavailable)
+				if got.took > 0 {
+					t.Errorf("refused after %v", got.took)
+				}
+				stop.expectStopped(t)
+			})
+		})
+	}
+}
