List a new entry once in a message

What operators would see: an entry that is new, restarted or leaving becomes known more slowly than meant: its zone's messages name it twice each, in half as many messages, and it more often takes the rotation to tell all.

Cause: entries of the own zone were listed in the first pass and again in the second, which holds those of other zones, and could be the next in the rotation besides. A message to the entry itself, which does not list it, counted too.

TestNewEntryIsListedOnceInAMessage failed before (twice in a message, 2 messages in place of 4). All tests of lib/membership and lib/configsync pass.

--- a/lib/membership/entries.go
+++ b/lib/membership/entries.go
@@ -392,16 +392,18 @@
 // are announced first.
 func (e *Entry) fullItems(vm string, sameZone bool) []*pb.EntryInfo {
 	var list []*pb.EntryInfo
+	var added []*entryRecord
 	add := func(record *entryRecord) {
-		record.announcementsLeft--
+		added = append(added, record)
 		if record.view.VM != vm {
+			record.announcementsLeft--
 			list = append(list, entryInfo(record, true))
 		}
 	}
 	for _, zoneFirst := range []bool{true, false} {
 		for _, record := range e.entryOrder {
-			local := record.view.Zone == e.self.Zone
-			if record.announcementsLeft > 0 && len(list) < maxNewItems && (!zoneFirst || local || !sameZone) {
+			isFirst := record.view.Zone == e.self.Zone || !sameZone
+			if record.announcementsLeft > 0 && len(list) < maxNewItems && isFirst == zoneFirst {
 				add(record)
 			}
 		}
@@ -409,7 +411,7 @@
 	for range len(e.entryOrder) {
 		e.nextFull = (e.nextFull + 1) % len(e.entryOrder)
 		record := e.entryOrder[e.nextFull]
-		if record.view.State == Alive && (!sameZone || record.view.Zone == e.self.Zone) {
+		if record.view.State == Alive && (!sameZone || record.view.Zone == e.self.Zone) && !slices.Contains(added, record) {
 			add(record)
 			break
 		}
