Report a change of the served versions at once

What callers saw: a few of 500 chats answered 503 not_run while a version is replaced (TestRolloutUnderLoad, in one of some ten runs beside load): "request ended after 1 attempts: the retry budget is used up: endpoint model-b-2 serves version X, not Y".

Cause: an endpoint process that begins to load a version wakes its reporter, but the state machine sent only what was due, up to half a second later and more with many entries. Until then entries sent requests to the engine, which refused them and looked idle, so that it got more. Each refusal takes from the retry budget, of which an entry among three has 10 and a tenth of the requests in 10 s, and a refused request does not wait for it.

A change of what is served makes the report to each entry due. TestChangeOfServedVersionsIsReportedAtOnce failed before.

--- a/lib/membership/change_test.go
+++ b/lib/membership/change_test.go
@@ -40,6 +40,31 @@
 	return response
 }
 
+// Guards against entries that send requests to an engine which has stopped serving a version, until its next report
+// is due: it refuses them, and looks idle.
+func TestChangeOfServedVersionsIsReportedAtOnce(t *testing.T) {
+	p, now := reportingEndpoint(t)
+	for _, serving := range []map[string]string{{}, {"rota": "v2"}, {}, {"rota": "v1"}} {
+		now += 10 * time.Millisecond
+		p.SetLoad(Load{Load: &pb.Load{}, Serving: serving})
+		if due := p.Next(); due > now {
+			t.Errorf("report of %v is due in %v", serving, due-now)
+		}
+		told := make(map[string]bool)
+		for _, send := range p.Tick(now) {
+			told[send.To.VM] = send.Request.GetZone() != "" && send.Request.GetServing()["rota"] == serving["rota"]
+			p.ReportResult(now+5*time.Millisecond, send, acknowledge(p, threeEntries))
+		}
+		if !told["entry-a"] || !told["entry-b"] || !told["entry-c"] {
+			t.Errorf("change to %v is reported to %v", serving, told)
+		}
+	}
+	p.SetLoad(Load{Load: &pb.Load{InFlight: 3}, Serving: map[string]string{"rota": "v1"}})
+	if due := p.Next(); due <= now {
+		t.Errorf("a report without a change of what is served is due at %v, at %v", due, now)
+	}
+}
+
 // Guards against a change that an entry learns half a minute late, because a report from before the change was acknowledged
 // after it.
 func TestReportInFlightHidesNoChange(t *testing.T) {
--- a/lib/membership/endpoint.go
+++ b/lib/membership/endpoint.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -129,11 +130,18 @@
 }
 
 // SetLoad sets the state that the next reports carry. A change that compact reports do
-// not cover makes the next report to each entry a full one.
+// not cover makes the next report to each entry a full one. A change of the served versions
+// makes it due at once.
 func (p *Endpoint) SetLoad(load Load) {
 	if !sameStatic(p.load, load) {
 		p.revision++
 	}
+	if !maps.Equal(p.load.Serving, load.Serving) {
+		// Entries that do not know send requests that are refused.
+		for _, t := range p.chosenTargets {
+			t.dueAt = 0
+		}
+	}
 	p.load = load
 }
 
