Name the weights to silent workers from the naming of a version on

Callers could get answers of weights whose bound had passed from a worker that had started again with older weights than are listed: a request that was sent before the older weights were out of use named no version, waited there, and began after their bound.

Cause: the version was named only from 1.5 s before the bound of the older weights on, while a request that is chosen for newer weights has no bound on its beginning at all. A request to a worker without a report of the last second now names its version whenever an older one has been replaced.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -371,9 +371,10 @@
 	if c.relayedBytes > 0 {
 		f.LastEventID = c.lastEventID
 	}
-	if c.relayedBytes > 0 || (c.engine != nil && c.view.mayHaveRetiredWeights(decision.VM, c.engine.Model)) {
-		// The digest of a decision is always a decimal version number.
-		f.WeightVersion, _ = strconv.Atoi(decision.VersionDigest)
+	// The digest of a decision is always a decimal version number.
+	version, _ := strconv.Atoi(decision.VersionDigest)
+	if c.relayedBytes > 0 || (c.engine != nil && c.view.mayHaveOlderWeights(decision.VM, c.engine.Model, version)) {
+		f.WeightVersion = version
 	}
 	return f
 }
--- a/entry/hosted/versions.go
+++ b/entry/hosted/versions.go
@@ -135,15 +135,17 @@
 	return time.Time{}, false
 }
 
-// mayHaveRetiredWeights reports whether a worker may have weights that are out of time although others are
-// listed, because it has started again since: no recent report tells its weights, and some are out of time.
-func (v *view) mayHaveRetiredWeights(vm, model string) bool {
+// mayHaveOlderWeights reports whether a worker may have weights that are out of time, or will be before a
+// request begins on them, although it was chosen for a version: it may have started again since, and no recent
+// report tells its weights.
+func (v *view) mayHaveOlderWeights(vm, model string, version int) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
 	w := v.workers[vm]
 	reported := w != nil && w.hasReport(now) && now.Sub(w.reportedAt) < aliveReportAge
-	return !reported && v.requiredVersion(model, now) > 1
+	_, olderBounded := v.startBound(model, version-1)
+	return !reported && version > 1 && olderBounded
 }
 
 // requiredVersion returns the oldest version of a model that may get requests.
