Resume streams in a planned stop while any time is left

Callers of a stream that broke off during a planned stop of their entry got it cut, although its last events would have come in time from another worker.

Cause: a resumed stream was measured by the expected time of the whole request. It is cut unless it is resumed, so that it is now resumed as long as any time is left; what does not end in time ends after a whole event.

--- a/entry/hosted/shutdown.go
+++ b/entry/hosted/shutdown.go
@@ -28,8 +28,14 @@
 	return refusedAtStop()
 }
 
-// fits reports whether the request can be expected to end before the entry stops, if it is sent now.
-func (c *call) fits() bool { return c.limits.Fits(time.Now(), c.expected()) }
+// fits reports whether the request can be expected to end before the entry stops, if it is sent now. A
+// stream that has begun is cut unless it is resumed, so that any part of the rest is a gain.
+func (c *call) fits() bool {
+	if c.relayedBytes > 0 {
+		return c.limits.Fits(time.Now(), 0)
+	}
+	return c.limits.Fits(time.Now(), c.expected())
+}
 
 // ensureFits refuses a request that cannot be expected to end before the entry stops.
 func (c *call) ensureFits() error {
