Serve first attempts before possible repeats under overload

Six crashes end at 7.8 s, and cold bounds, other weights or missing workers account for less than one in a hundred of the refusals after 12 s; 11 to 12 of 14 workers are refused for the entry's part of the free slots. Refused callers come back once, and a repeat was as likely to be accepted as a first attempt: with p (2 - p) = capacity / load, p is 0.49 at 1.35 times the capacity.

Callers repeat on new connections, so that a request on a kept connection is a first attempt. While an entry refuses such requests, it refuses those that are the first on their connection with twice that probability, and at most half. What it costs: callers that open a connection for each request can't be told from repeats, and keep half of the chance.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -143,6 +143,8 @@
 		query.Duration = engine.Duration(c.in.PromptTokens, c.in.ExpectedOutputTokens)
 		query.Tokens = c.tokens()
 		query.PromptTokens = int64(c.in.PromptTokens)
+		// Callers repeat refused requests on new connections.
+		query.MayRepeat = !c.reusedConn && number == 1
 	} else {
 		query.Service = c.serviceName
 	}
--- a/lib/routing/errors.go
+++ b/lib/routing/errors.go
@@ -15,7 +15,7 @@
 }
 
 // maxFilters is the number of filters.
-const maxFilters = 17
+const maxFilters = 18
 
 // FilterCounts lists the filters that removed endpoints, in the order of application.
 type FilterCounts struct {
@@ -87,7 +87,7 @@
 // mostlyFull reports whether more endpoints were removed because they are full, which may
 // change at any moment, than because they are still reading prompts, which takes longer.
 func (e *NoEndpointError) mostlyFull() bool {
-	return e.Count(FilterNoCapacity)+e.Count(FilterSlots) > e.Count(FilterPrompts)
+	return e.Count(FilterNoCapacity)+e.Count(FilterSlots)+e.Count(FilterYield) > e.Count(FilterPrompts)
 }
 
 func (t *Table) noEndpoint(q *query) error {
--- a/lib/routing/filters.go
+++ b/lib/routing/filters.go
@@ -24,6 +24,7 @@
 	FilterLimit            Filter = "limit_used_up"
 	FilterPrompts          Filter = "prompts_waiting"
 	FilterSlots            Filter = "places_used_up"
+	FilterYield            Filter = "yields_to_first_attempts"
 )
 
 // filter removes candidates.
--- a/lib/routing/overload_test.go
+++ b/lib/routing/overload_test.go
@@ -35,6 +35,7 @@
 	simNetworkDelay          = time.Millisecond
 	simColdBound             = 26.0 // requests that a cold engine sustains in a second
 	simEntrySkew             = 2.0  // ratio of the callers of the most used entry to those of the least used one
+	simNewConnections        = 0.13 // part of the first attempts that come on new connections
 	simCountFrom             = 4 * time.Second
 	simCountUntil            = 12 * time.Second
 	// The settings of the entries.
@@ -67,8 +68,13 @@
 	// simCountUntil; waits are the times to the first event of those that were sent.
 	arrived, inTime, late, refused int
 	waits                          []time.Duration
+	// kept and fresh count the first attempts of those calls on kept and on new connections.
+	kept, fresh simAttempts
 }
 
+// simAttempts counts attempts, and those of them that entries sent to engines.
+type simAttempts struct{ asked, sent int }
+
 type simEvent struct {
 	at    time.Duration
 	order int
@@ -109,6 +115,7 @@
 	arrivedAt, sentAt time.Duration
 	counted           bool
 	retried           bool
+	newConnection     bool
 	prompt            float64
 	passes            int
 	started           bool
@@ -249,6 +256,7 @@
 	if c.counted {
 		s.arrived++
 	}
+	c.newConnection = s.rng.Float64() < simNewConnections
 	s.send(c)
 	s.after(time.Duration(s.rng.ExpFloat64()/s.rate*float64(time.Second)), s.arrive)
 }
@@ -268,8 +276,9 @@
 // and at most half of it more.
 func (s *simulation) send(c *simCall) {
 	c.entry = s.entries[s.chooseEntry()]
-	request := &Request{Model: "m", PromptTokens: int64(c.prompt), Tokens: int64(simOutputTokens), Duration: time.Second}
+	request := &Request{Model: "m", PromptTokens: int64(c.prompt), Tokens: int64(simOutputTokens), Duration: time.Second, MayRepeat: c.newConnection || c.retried}
 	decision, err := c.entry.Pick(request, s.time())
+	s.countAttempt(c, err == nil)
 	if err != nil {
 		var refusal *errkind.Error
 		switch {
@@ -292,6 +301,21 @@
 	})
 }
 
+// countAttempt counts the first attempt of a call.
+func (s *simulation) countAttempt(c *simCall, sent bool) {
+	if !c.counted || c.retried {
+		return
+	}
+	count := &s.kept
+	if c.newConnection {
+		count = &s.fresh
+	}
+	count.asked++
+	if sent {
+		count.sent++
+	}
+}
+
 // pass runs one pass of an engine: it moves waiting calls into free slots, reads their prompts
 // and generates output for all running calls.
 func (s *simulation) pass(e *simEngine) {
--- a/lib/routing/pick.go
+++ b/lib/routing/pick.go
@@ -36,6 +36,7 @@
 		return q.decide(t, i, ReasonProbe), nil
 	}
 	reason := q.applyPoolFilters(t)
+	t.applyYield(q)
 	if len(q.candidates) == 0 {
 		return Decision{}, t.noEndpoint(q)
 	}
--- a/lib/routing/request.go
+++ b/lib/routing/request.go
@@ -22,6 +22,9 @@
 	// Idempotent requests may serve as probes of ejected endpoints at once, others after
 	// nonIdempotentProbeDelay.
 	Idempotent bool
+	// MayRepeat is set when the caller may have sent the request before, to an entry that refused
+	// it. Such a request yields to others where Settings.Senders is set.
+	MayRepeat bool
 	// Tokens estimates the work of the request; zero when unknown.
 	Tokens int64
 	// PromptTokens is the length of the prompt; zero when unknown.
--- a/lib/routing/table.go
+++ b/lib/routing/table.go
@@ -103,6 +103,7 @@
 	prefixes  *prefixIndex
 	// occupancy is the average share of occupied slots in the reports of all endpoints.
 	occupancy float64
+	yield     yield
 	query     query
 	// slab holds unused endpoints. Endpoints that are adjacent in memory are read faster by a
 	// decision.
