--- a/lib/routing/yield.go
+++ b/lib/routing/yield.go
@@ -3,6 +3,9 @@
 const (
 	// yieldSmoothing is the weight of one request in the average of refused first attempts.
 	yieldSmoothing = 0.02
+	// yieldGain is the probability that a possible repeat is refused for each part of the first
+	// attempts that are refused, up to maxYield.
+	yieldGain = 2.0
 	// maxYield leaves callers that open a connection for each request at least half of the chance
 	// of the others.
 	maxYield = 0.5
@@ -26,8 +29,8 @@
 }
 
 // probability returns the probability with which a possible repeat is refused although an endpoint
-// could take it: the share of the first attempts that are refused, up to maxYield.
-func (y *yield) probability() float64 { return min(y.refused, maxYield) }
+// could take it.
+func (y *yield) probability() float64 { return min(yieldGain*y.refused, maxYield) }
 
 // applyYield removes all candidates of a possible repeat that yields to first attempts.
 func (t *Table) applyYield(q *query) {
