Move the times of a planned stop by a suspension of the machine

Callers of requests that still ran got no answer when the machine of a stopping entry was suspended for some time: the entry was killed amid its stop.

Cause: the stop went by the monotonic clock, which does not count a suspension; the platform's grace time does. The detection of suspensions moved all other times. It now moves the schedule of the stop as well: the end of the requests, the deadlines of connections and the end of the process.

The product's own entry does not detect suspensions.

--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -369,13 +369,20 @@
 	now := time.Now()
 	schedule := stopSchedule(now, p.view.grace())
 	p.log.Info("entry is leaving", zap.Duration("leave_wait", schedule.Drain.Sub(now)), zap.Duration("requests_end", schedule.RequestsEnd.Sub(now)))
-	p.frontend.shutdown.Begin(schedule)
-	<-left
-	p.frontend.shutdown.Drain()
-	callers.EndAt(schedule.RequestsEnd, schedule.ResponsesEnd)
-	ctx, cancel := context.WithDeadline(context.Background(), schedule.ProcessEnd)
-	defer cancel()
-	err := callers.Drain(ctx)
+	shutdown := p.frontend.shutdown
+	p.view.onSuspension(shutdown.Suspended)
+	shutdown.Begin(schedule)
+	select {
+	case <-left:
+	case <-shutdown.Ended().Done():
+	}
+	shutdown.Drain()
+	bound := func(s timelimit.Schedule) { callers.EndAt(s.RequestsEnd, s.ResponsesEnd) }
+	shutdown.OnMove(bound)
+	if current, ok := shutdown.Schedule(); ok {
+		bound(current)
+	}
+	err := callers.Drain(shutdown.Ended())
 	p.grpc.Stop()
 	p.conns.Close()
 	p.log.Info("entry stopped", zap.Error(err))
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -75,6 +75,8 @@
 	snapshot atomic.Pointer[catalog.Snapshot]
 	// configuredAt is when the snapshot was put in force.
 	configuredAt atomic.Pointer[time.Time]
+	// suspended is called with the length of each suspension of the machine; nil for none.
+	suspended atomic.Pointer[func(length time.Duration)]
 
 	mu sync.Mutex
 	// configuring is the snapshot from which services are configured. It is put in force when
@@ -371,9 +373,19 @@
 	state.table.AttemptFinished(attempt, result, time.Now())
 }
 
+// onSuspension has a function called with the length of each later suspension.
+func (v *view) onSuspension(suspended func(length time.Duration)) { v.suspended.Store(&suspended) }
+
 // handleSuspension moves the times from which bounds and ages count back by the length of a suspension,
 // which the monotonic clock does not count.
 func (v *view) handleSuspension(length time.Duration) {
+	v.moveTimes(length)
+	if suspended := v.suspended.Load(); suspended != nil {
+		(*suspended)(length)
+	}
+}
+
+func (v *view) moveTimes(length time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.log.Warn("machine was suspended", zap.Duration("length", length))
--- a/lib/timelimit/shutdown.go
+++ b/lib/timelimit/shutdown.go
@@ -27,6 +27,11 @@
 	RequestsEnd, ResponsesEnd, ProcessEnd time.Time
 }
 
+// Earlier returns the schedule moved forward by some time.
+func (s Schedule) Earlier(by time.Duration) Schedule {
+	return Schedule{Drain: s.Drain.Add(-by), RequestsEnd: s.RequestsEnd.Add(-by), ResponsesEnd: s.ResponsesEnd.Add(-by), ProcessEnd: s.ProcessEnd.Add(-by)}
+}
+
 // Shutdown is the planned stop of a process. It is safe for concurrent use. The zero value and nil are
 // those of a process that serves.
 type Shutdown struct {
@@ -34,7 +39,7 @@
 	draining atomic.Bool
 }
 
-// Begin begins the stop.
+// Begin begins the stop, or replaces the schedule of one that has begun.
 func (s *Shutdown) Begin(schedule Schedule) { s.schedule.Store(&schedule) }
 
 // Drain ends the time in which callers leave.
@@ -54,6 +59,14 @@
 // IsStopping reports whether the stop has begun.
 func (s *Shutdown) IsStopping() bool { return s.Phase() != Serving }
 
+// Schedule returns the times of the stop. It reports false before the stop.
+func (s *Shutdown) Schedule() (schedule Schedule, stopping bool) {
+	if current := s.schedule.Load(); current != nil {
+		return *current, true
+	}
+	return Schedule{}, false
+}
+
 // RequestsEnd returns when the requests that still run are ended. It reports false before the stop.
 func (s *Shutdown) RequestsEnd() (end time.Time, stopping bool) {
 	if s == nil {
