Synchronize the workers of two tests with the race detector

The tests read what their workers wrote without an order that the race detector knows. It reports nothing in either now. Their checks are the same.

--- a/entry/hosted/late_requests_test.go
+++ b/entry/hosted/late_requests_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -132,7 +133,7 @@
 		t.Run(name, func(t *testing.T) {
 			withCallers(t, func(t *testing.T, s *callerServer) {
 				s.put("config", "main", patientConfig)
-				var last time.Time
+				var last atomic.Pointer[time.Time]
 				for _, id := range []string{"w1", "w2"} {
 					s.worker("llm", id, 1, func(e *workerExchange) {
 						fields := []string{sealHeader, "seal", versionHeader, "1", "Content-Type", "text/event-stream"}
@@ -149,7 +150,8 @@
 								if _, err := io.WriteString(e, part); err != nil {
 									return
 								}
-								last = time.Now()
+								now := time.Now()
+								last.Store(&now)
 							}
 						}
 					})
@@ -161,7 +163,7 @@
 				if !got.cut || got.status != http.StatusOK || !strings.HasSuffix(got.body, "data: x\n\n") {
 					t.Errorf("response ends with %q: %+v", got.body[max(0, len(got.body)-20):], got.status)
 				}
-				if at := last.Sub(stop.begun); at < stopGrace-stopMargin-2*answerReserve {
+				if at := last.Load().Sub(stop.begun); at < stopGrace-stopMargin-2*answerReserve {
 					t.Errorf("ended after %v", at)
 				}
 				if err := <-stop.ended; err != nil {
--- a/lib/workerconn/truncated_test.go
+++ b/lib/workerconn/truncated_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -66,20 +67,21 @@
 			for _, kept := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s, reset %v, kept connection %v", name, byReset, kept), func(t *testing.T) {
 					worker := &tcpWorker{}
-					cut := 0
+					var written atomic.Int64
 					worker.respond = func(conn *net.TCPConn, number int, _ *http.Request) bool {
 						if kept && number == 1 {
 							fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n")
 							return true
 						}
-						fmt.Fprint(conn, text[:cut])
+						fmt.Fprint(conn, text[:written.Load()])
 						if byReset {
 							reset(conn)
 						}
 						return false
 					}
 					startTCPWorker(t, worker)
-					for cut = range len(text) {
+					for cut := range len(text) {
+						written.Store(int64(cut))
 						pool := tcpPool()
 						if kept {
 							keepConnection(t, pool, worker.address)
@@ -92,7 +94,7 @@
 							t.Errorf("ended after %q: %d connections", text[:cut], opened)
 						}
 					}
-					cut = len(text)
+					written.Store(int64(len(text)))
 					if byReset {
 						return
 					}
