Tell answers that were given up for silence from those that broke off

A cut response did not tell whether the entry itself had given up a worker whose connection was open, which is what the hypotheses of the incident differ in. The log line names the number of such attempts and the end of the last one, and a counter counts them.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -80,6 +80,10 @@
 	// tried names the workers of earlier attempts. sentAttempts counts those that were sent.
 	tried        []string
 	sentAttempts int
+	// silentAttempts counts the attempts that were given up while their connection was open, because the worker
+	// sent nothing, and lastEnd is the end of the last attempt.
+	silentAttempts int
+	lastEnd        error
 	// firstEventTimer ends the request unless the first event arrives before; nil for routes
 	// that do not stream.
 	firstEventTimer *time.Timer
@@ -266,6 +270,11 @@
 	if ended.Sent {
 		c.sentAttempts++
 	}
+	c.lastEnd = ended.Err
+	if ctx.Err() == nil && ended.Sent && endedForSilence(ended.Err) {
+		c.silentAttempts++
+		c.metrics.silentAttempts.Inc()
+	}
 	if ctx.Err() == nil {
 		c.recordWeights(decision, ended, time.Since(started))
 	}
--- a/entry/hosted/cut.go
+++ b/entry/hosted/cut.go
@@ -53,6 +53,7 @@
 	fields := []zap.Field{
 		zap.String("request", c.in.ID), zap.String("reason", reason), zap.Bool("head_sent", c.headSent), zap.Int64("relayed", c.relayedBytes),
 		zap.Duration("held", time.Since(c.started)), zap.Bool("reused_connection", c.reusedConn),
+		zap.Uint32("attempts", c.attempts), zap.Int("silent_attempts", c.silentAttempts), zap.NamedError("last_attempt", c.lastEnd),
 	}
 	if end, cause := c.limits.End(); !end.IsZero() {
 		fields = append(fields, zap.Duration("left", time.Until(end)), zap.String("limit", string(cause)))
--- a/entry/hosted/cut_test.go
+++ b/entry/hosted/cut_test.go
@@ -66,3 +66,32 @@
 		}
 	})
 }
+
+// Guards against a cut response whose log can't tell a worker that was given up for its silence from one
+// that broke off: the first is the entry's decision, the second is not.
+func TestCutResponseIsLoggedWithTheSilenceOfItsWorker(t *testing.T) {
+	for name, c := range map[string]struct {
+		end    func(e *workerExchange)
+		silent int64
+	}{
+		"silent": {func(*workerExchange) { <-time.After(time.Minute) }, 1},
+		"closed": {func(e *workerExchange) { e.Close() }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCallers(t, func(t *testing.T, s *callerServer) {
+				logs := s.observe()
+				s.worker("llm", "w1", 1, func(e *workerExchange) { e.stream(1); e.events(1, 2); c.end(e) })
+				if got := s.connect().ask(requestText(http.MethodPost, "/chat/x", "p", deadlineHeader, "6000")); !got.cut {
+					t.Fatalf("stream is not cut: %+v", got)
+				}
+				fields := logs.FilterMessage("response cut").All()[0].ContextMap()
+				if fields["silent_attempts"] != c.silent || fields["attempts"] != uint32(1) || fields["last_attempt"] == nil {
+					t.Errorf("fields %v", fields)
+				}
+				if n := s.front.metrics.silentAttempts.Get(); int64(n) != c.silent {
+					t.Errorf("%d attempts counted", n)
+				}
+			})
+		})
+	}
+}
--- a/entry/hosted/metrics.go
+++ b/entry/hosted/metrics.go
@@ -30,6 +30,8 @@
 	// worker was chosen.
 	abandonedStarts *metrics.Counter
 	olderWeights    *metrics.Counter
+	// silentAttempts counts the attempts that were given up because their worker sent nothing.
+	silentAttempts *metrics.Counter
 }
 
 func newEntryMetrics() *entryMetrics {
@@ -49,6 +51,7 @@
 		panics:          set.NewCounter("laburnumgw_entry_panics_total"),
 		abandonedStarts: set.NewCounter("laburnumgw_entry_abandoned_starts_total"),
 		olderWeights:    set.NewCounter("laburnumgw_entry_older_weights_total"),
+		silentAttempts:  set.NewCounter("laburnumgw_entry_silent_attempts_total"),
 	}
 }
 
--- a/entry/hosted/patience.go
+++ b/entry/hosted/patience.go
@@ -1,14 +1,23 @@
 package hosted
 
 import (
+	"errors"
+	"os"
 	"slices"
 	"strconv"
 	"time"
 
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/routing"
+	"laburnumgw/lib/workerconn"
 )
 
+// endedForSilence reports whether an attempt was given up because its worker sent nothing, while the
+// connection was open.
+func endedForSilence(err error) bool {
+	return errors.Is(err, workerconn.ErrUnresponsive) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // maxSent returns the largest number of workers that the request is sent to.
 func (c *call) maxSent() int { return max(1, c.route.Attempts) }
 
