Ask another worker beside a silent one, and end the silent one only once it has begun

What callers saw: a stream that was cut, 502 or 504, although the worker of the request went on some tenths of a second later (LOST). Beside it, other workers refused, failed or had other weights, as they do under overload and around changes of the configuration.

Cause: the entry gave up a worker that had sent nothing for 1.5 to 2 s by closing its connection, and asked another one only then. Nothing led back. Class: a decision that cannot be undone, taken on the absence of a message, before its replacement is there.

Change: after the patience the request is sent to another worker as well (hedged attempt). Whichever begins first is relayed, the other one is ended then; if the second one fails, the first one is still waited for. It counts as a repeat in the attempts of the route and in the retry budget. The state of an attempt moves from the call to a type of its own, since two may run at once. The same holds for streams that have begun, first events and plain responses.

--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -80,7 +80,7 @@
 }
 
 // Attempt implements dispatch.Target.
-func (t *requestTarget) Attempt(ctx context.Context, decision routing.Decision, number uint32) retry.Attempt {
+func (t *requestTarget) Attempt(ctx context.Context, decision routing.Decision, number uint32, _ *dispatch.Hedges) retry.Attempt {
 	return t.attempt(ctx, t.request, decision, number, t.generation, t.out)
 }
 
--- /dev/null
+++ b/entry/hosted/attempt.go
@@ -0,0 +1,284 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/quarantine"
+	"laburnumgw/lib/retry"
+	"laburnumgw/lib/routing"
+	"laburnumgw/lib/workerconn"
+	"laburnumgw/lib/workerlimit"
+	"laburnumgw/platform"
+)
+
+// attempt is one attempt at a request. It may run beside another one of the same request, so that it changes
+// nothing of the call. Only what is relayed to the caller does.
+type attempt struct {
+	*call
+	decision routing.Decision
+	number   uint32
+	// ctx ends the attempt. sentAt is when it was handed to the connection pool. finished is set once its end
+	// was recorded.
+	ctx      context.Context
+	sentAt   time.Time
+	finished bool
+	// beside is set for an attempt that was sent beside a silent one.
+	beside bool
+
+	// tracked is the attempt in the routing table. startedAtMs is the start of its worker at address, and
+	// reportAge the age of the worker's last report when it was chosen.
+	tracked     routing.Attempt
+	startedAtMs int64
+	address     string
+	reportAge   time.Duration
+	startWait   startWait
+
+	// continues is set when the attempt goes on with a stream after lastEventID, on weightVersion.
+	// relayedBytes is how much of the stream the caller had then.
+	continues     bool
+	lastEventID   string
+	weightVersion int
+	relayedBytes  int64
+
+	// began is set once the worker has begun to write a stream, or its response is complete.
+	began bool
+	// firstEventWait is how long the attempt waited for its first event, zero for none.
+	// weightsLeft is how long requests could still start on the weights when it was sent, by the bound
+	// as it is known now, zero for no bound.
+	// expectedWait is how long requests were expected to wait at the worker then.
+	firstEventWait, weightsLeft, expectedWait time.Duration
+	// servedVersion is the version of the weights in the head of the response, zero without one.
+	servedVersion int
+	// failure is a complete response that reports a failure; nil for none.
+	failure *bufferedResponse
+	load    *laburnumgwv1.Load
+}
+
+// opened is what an attempt has brought before any of it was relayed: a stream with its first events, a
+// complete response, or the end of the attempt without either.
+type opened struct {
+	stream   *stream
+	buffered *bufferedResponse
+	// release returns the memory of buffered.
+	release func()
+	ended   retry.Attempt
+}
+
+// hasBegun reports whether there is something to relay.
+func (o *opened) hasBegun() bool { return o.stream != nil || o.buffered != nil }
+
+// close ends a response that is not relayed.
+func (o *opened) close() {
+	if o.stream != nil {
+		o.stream.close()
+	}
+	if o.release != nil {
+		o.release()
+	}
+}
+
+// start returns the worker of the attempt as the quarantine knows it.
+func (a *attempt) start() quarantine.Start {
+	return quarantine.Start{Address: a.address, StartedAtMs: a.startedAtMs}
+}
+
+// result returns the end of the attempt.
+func (a *attempt) result(outcome laburnumgwv1.Outcome, sent bool, version string, err error) retry.Attempt {
+	return retry.Attempt{Outcome: outcome, Sent: sent, RelayedBytes: a.relayedBytes, VersionDigest: version, Err: err}
+}
+
+// open sends the request to the worker and reads its response until it has begun.
+func (a *attempt) open(firstEvent workerconn.TimeoutFunc) opened {
+	request := &workerconn.Request{
+		Method: a.r.Method, Target: a.r.RequestURI, Host: a.r.Host, Body: a.body, ID: a.in.ID, ResponseTimeout: firstEvent, SendUntil: a.sendUntil(),
+		NewConnection: !a.route.Repeatable(),
+		Header:        platform.WorkerHeader(a.forwarded, a.forward()),
+	}
+	response, sent, err := a.conns.Send(a.ctx, a.decision.Address, request, a.owns)
+	if err != nil {
+		return opened{ended: a.result(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, sent, "", err)}
+	}
+	o := a.read(response, firstEvent)
+	if o.stream == nil {
+		response.Abort()
+	}
+	return o
+}
+
+// read reads a response until it has begun.
+func (a *attempt) read(response *workerconn.Response, firstEvent workerconn.TimeoutFunc) opened {
+	vm := a.decision.VM
+	workerResponse := platform.ParseWorkerResponse(response.StatusCode, response.Header)
+	load := loadOf(workerResponse.Load)
+	if workerResponse.Sealed {
+		a.servedVersion = workerResponse.WeightVersion
+	}
+	if workerResponse.Leaving && !workerResponse.Misdirected {
+		a.view.responseStatesLeaving(vm)
+	}
+	if a.statesLimit(workerResponse) {
+		a.view.limitStated(vm, a.startedAtMs, workerResponse.Limit, a.sentAt)
+	}
+	unknown := func(err error) opened {
+		return opened{ended: a.result(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", err)}
+	}
+	switch {
+	case workerResponse.Misdirected && !a.continues:
+		a.view.markMisdirected(vm)
+		return opened{ended: a.result(laburnumgwv1.Outcome_OUTCOME_NOT_RUN, true, "", errMisdirected)}
+	case workerResponse.NotExecuted:
+		response.Discard(workerResponse.KeepAlive)
+		refused := a.result(laburnumgwv1.Outcome_OUTCOME_NOT_RUN, true, "", errRefused)
+		refused.RetryAfter = a.view.pauseWorker(a.service, vm, workerResponse.RetryAfter)
+		a.load = load
+		return opened{ended: refused}
+	case !workerResponse.Sealed:
+		a.load = load
+		return unknown(errNotSealed)
+	case a.continues && response.StatusCode == http.StatusOK && workerResponse.WeightVersion != a.weightVersion:
+		// The worker changed its weights after it was chosen and did not refuse.
+		a.load = load
+		return unknown(errOtherWeights)
+	case a.route.Kind == catalog.Stream && response.StatusCode == http.StatusOK:
+		a.view.loadReceived(a.service, &a.tracked, load)
+		return a.openStream(response, workerResponse, firstEvent)
+	}
+	a.load = load
+	return a.buffer(response, workerResponse)
+}
+
+// openStream reads a stream up to its first events.
+func (a *attempt) openStream(response *workerconn.Response, workerResponse platform.WorkerResponse, firstEvent workerconn.TimeoutFunc) opened {
+	a.weightVersion = workerResponse.WeightVersion
+	s, err := a.newStream(response, workerResponse)
+	if err == nil {
+		s.first, err = s.next(firstEvent)
+	}
+	if err != nil && len(s.first.events) == 0 {
+		s.close()
+		return opened{ended: a.result(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, versionDigest(a.weightVersion), err)}
+	}
+	s.firstErr = err
+	return opened{stream: s}
+}
+
+// versionDigest returns a version of weights as the digest of a decision, empty without one.
+func versionDigest(version int) string {
+	if version == 0 {
+		return ""
+	}
+	return strconv.Itoa(version)
+}
+
+// buffer reads a response that is no stream to its end.
+func (a *attempt) buffer(response *workerconn.Response, workerResponse platform.WorkerResponse) opened {
+	body, release, err := a.buffers.readAll(response.Body)
+	if err == nil && !response.EndMarked() && a.endedInCrash() {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		release()
+		return opened{ended: a.result(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", fmt.Errorf("%w: %w", errTruncated, err))}
+	}
+	response.Finish(workerResponse.KeepAlive)
+	a.responseBegan()
+	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
+	switch {
+	case a.continues, meansNotRun(buffered.status):
+		// The worker ran the request, although callers take some statuses as "not run".
+	case buffered.status >= http.StatusInternalServerError && a.route.Repeatable():
+		a.failure = buffered
+	default:
+		return opened{buffered: buffered, release: release}
+	}
+	release()
+	return opened{ended: a.result(laburnumgwv1.Outcome_OUTCOME_FAILED, true, "", errWorkerFailed)}
+}
+
+// statesLimit reports whether a response tells about the limit of the worker. Another worker
+// says nothing about it, and without the seal a missing limit proves nothing.
+func (a *attempt) statesLimit(response platform.WorkerResponse) bool {
+	if response.Misdirected {
+		return false
+	}
+	return response.Sealed || response.NotExecuted || response.Limit.Kind == workerlimit.Limited
+}
+
+// forward returns the headers that are added to a request for a worker. An interrupted stream is
+// resumed after the last event that reached the caller, on the same weights. The weights are named as well
+// where the worker must not run the request on older ones, which it may have.
+func (a *attempt) forward() platform.ForwardHeaders {
+	f := platform.ForwardHeaders{Worker: a.decision.VM, Workspace: a.workspaceName(), Deadline: a.limits.Left(time.Now())}
+	if a.continues {
+		f.LastEventID = a.lastEventID
+	}
+	// The digest of a decision is always a decimal version number.
+	version, _ := strconv.Atoi(a.decision.VersionDigest)
+	if a.continues || (a.engine != nil && a.view.mayHaveOlderWeights(a.decision.VM, a.engine.Model, version)) {
+		f.WeightVersion = version
+	}
+	return f
+}
+
+// finish records the end of the attempt in the view, the metrics and the log. It waits for news of a crash when the
+// request was lost.
+func (a *attempt) finish(ended retry.Attempt) retry.Attempt {
+	if a.finished {
+		return ended
+	}
+	a.finished = true
+	requestEnded := a.r.Context().Err() != nil
+	result := routing.Result{Outcome: ended.Outcome, Sent: ended.Sent, Load: a.load}
+	if requestEnded {
+		// The caller disconnected or its timeout has passed, which says nothing about the
+		// endpoint.
+		result.Outcome = laburnumgwv1.Outcome_OUTCOME_UNSPECIFIED
+		result.Sent = true
+	}
+	superseded := a.superseded()
+	if superseded || errors.Is(ended.Err, workerconn.ErrNotSentInTime) {
+		result.Outcome = laburnumgwv1.Outcome_OUTCOME_UNSPECIFIED
+	}
+	a.view.attemptFinished(a.service, a.tracked, result)
+	switch {
+	case !ended.Sent || ended.Outcome == laburnumgwv1.Outcome_OUTCOME_NOT_RUN:
+		a.view.startWaitEnded(a.startWait, waitUnknown)
+	case a.began:
+		a.view.startWaitEnded(a.startWait, waitBegun)
+	default:
+		a.view.startWaitEnded(a.startWait, waitGivenUp)
+	}
+	a.metrics.attempts.UpdateDuration(a.sentAt)
+	if !requestEnded {
+		a.recordWeights(ended, time.Since(a.sentAt))
+	}
+	if !superseded {
+		ended.MayHaveCrashed = a.recordCrash(ended)
+	}
+	var parts []string
+	name := ""
+	if a.endedBeforeResponse(ended) {
+		parts, name = a.in.PromptParts, a.requestName()
+	}
+	a.logFor(ended.Outcome == laburnumgwv1.Outcome_OUTCOME_COMPLETE).Info("attempt ended", zap.String("request", a.in.ID), zap.Uint32("attempt", a.number), zap.String("vm", a.decision.VM),
+		zap.Stringer("outcome", ended.Outcome), zap.Bool("sent", ended.Sent), zap.Bool("hedge", a.beside), zap.Bool("superseded", superseded), zap.Int64("relayed", ended.RelayedBytes),
+		zap.Duration("duration", time.Since(a.sentAt)), zap.Duration("first_event", a.firstEventWait), zap.Duration("weights_left", a.weightsLeft), zap.Duration("expected_wait", a.expectedWait), zap.Int("weights_served", a.servedVersion),
+		zap.Strings("prompt_parts", parts), zap.String("request_name", name), zap.Bool("may_have_crashed", ended.MayHaveCrashed), zap.Error(ended.Err))
+	return ended
+}
+
+// endedBeforeResponse reports whether an attempt ended before the first event of its stream, or before
+// its response was complete, although the worker had received the request.
+func (a *attempt) endedBeforeResponse(ended retry.Attempt) bool {
+	return ended.Sent && ended.Outcome == laburnumgwv1.Outcome_OUTCOME_UNKNOWN && !a.began
+}
--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -4,20 +4,18 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/dispatch"
 	"laburnumgw/lib/drain"
 	"laburnumgw/lib/errkind"
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/routing"
 	"laburnumgw/lib/timelimit"
-	"laburnumgw/lib/workerconn"
-	"laburnumgw/lib/workerlimit"
 	"laburnumgw/platform"
 )
 
@@ -29,15 +27,6 @@
 	bufferedShare    = 0.25
 	// detailEvery is the number of routing decisions of which one is logged with all candidates.
 	detailEvery = 64
-	// maxSilencePatience bounds the patience for a silent worker on routes whose callers wait longer, so
-	// that a request at a worker that has gone dark is repeated in time.
-	maxSilencePatience = 2 * time.Second
-	// minSilencePatience outlasts the silence of a sound worker. It is less than the time for which the
-	// entry waits for an event on any route.
-	minSilencePatience = 1500 * time.Millisecond
-	// reportPollInterval is the pause between two checks whether an unresponsive worker still
-	// reports.
-	reportPollInterval = 200 * time.Millisecond
 )
 
 var (
@@ -77,9 +66,8 @@
 	body      []byte
 	limits    timelimit.Limits
 	attempts  uint32
-	// tried names the workers of earlier attempts. sentAttempts counts those that were sent.
-	tried        []string
-	sentAttempts int
+	// tried names the workers of earlier attempts.
+	tried []string
 	// silentAttempts counts the attempts that were given up while their connection was open, because the worker
 	// sent nothing, and lastEnd is the end of the last attempt.
 	silentAttempts int
@@ -88,13 +76,12 @@
 	// that do not stream.
 	firstEventTimer *time.Timer
 
-	// tracked is the current attempt in the routing table. trackedWorker is the start of its
-	// worker at trackedAddress, and reportAge the age of the worker's last report when it was chosen.
-	tracked        routing.Attempt
-	trackedWorker  int64
-	trackedAddress string
-	reportAge      time.Duration
-	startWait      startWait
+	// picked is the attempt at the worker that was chosen last, and hedge the one that was sent beside a
+	// silent attempt; nil for none. No other is sent before nextHedgeAt.
+	picked      *attempt
+	hedge       *hedge
+	hedges      *dispatch.Hedges
+	nextHedgeAt time.Time
 
 	// headSent is set once the head of the response was sent to the caller.
 	headSent bool
@@ -108,18 +95,8 @@
 	weightVersion int
 	// name is the name of the whole request, empty until it is needed.
 	name string
-	// began is set once the current attempt has begun to write a stream, or its response is complete, and trial while the request is a
-	// trial of a block.
-	began bool
+	// trial is set while the request is a trial of a block.
 	trial *storedBlock
-	// firstEventWait is how long the last attempt waited for its first event, zero for none.
-	// weightsLeft is how long requests could still start on the weights when it was sent, by the bound
-	// as it is known now, zero for no bound.
-	// expectedWait is how long requests were expected to wait at the worker then.
-	firstEventWait, weightsLeft, expectedWait time.Duration
-	// servedVersion is the version of the weights in the head of the last attempt's response, zero
-	// without one.
-	servedVersion int
 	// lastFailure is the last failure response of a worker, sent to the caller when no later
 	// attempt gives a better response.
 	lastFailure *bufferedResponse
@@ -182,7 +159,7 @@
 	fields := []zap.Field{zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
 		zap.String("zone", decision.Zone), zap.String("reason", string(decision.Reason)), zap.String("weights", decision.VersionDigest),
 		zap.Float64("load", decision.Load), zap.Int("eligible", decision.EligibleCount), zap.Int("pool", decision.PoolSize),
-		zap.Int64("config", c.snapshot.Version), zap.Duration("left", c.limits.Left(time.Now())), zap.Duration("report_age", c.reportAge)}
+		zap.Int64("config", c.snapshot.Version), zap.Duration("left", c.limits.Left(time.Now())), zap.Duration("report_age", c.picked.reportAge)}
 	if query.Detail {
 		fields = append(fields, zap.Any("candidates", decision.Candidates))
 	}
@@ -207,14 +184,15 @@
 	if err != nil {
 		return decision, err //nolint:wrapcheck // the error describes the refusal
 	}
-	c.tracked = c.service.table.AttemptSent(decision, query, now)
-	c.trackedWorker, c.trackedAddress = 0, decision.Address
-	c.reportAge = c.view.reportAge(decision.VM)
-	c.startWait = startWait{}
+	a := &attempt{
+		call: c, decision: decision, number: query.Attempt, tracked: c.service.table.AttemptSent(decision, query, now), address: decision.Address,
+		reportAge: c.view.reportAge(decision.VM), continues: c.relayedBytes > 0, lastEventID: c.lastEventID, weightVersion: c.weightVersion, relayedBytes: c.relayedBytes,
+	}
+	c.picked = a
 	if w := c.view.workers[decision.VM]; w != nil {
-		c.trackedWorker = w.StartedAtMs
+		a.startedAtMs = w.StartedAtMs
 		if c.engine != nil {
-			c.startWait = c.view.startWaitBegins(w, now)
+			a.startWait = c.view.startWaitBegins(w, now)
 		}
 		if c.service.table.HasLimit(decision.VM) {
 			c.metrics.limitedAttempts(decision.VM).Inc()
@@ -234,238 +212,48 @@
 }
 
 // Attempt implements dispatch.Target.
-func (c *call) Attempt(ctx context.Context, decision routing.Decision, number uint32) retry.Attempt {
-	started := time.Now()
-	c.attempts, c.began, c.firstEventWait, c.weightsLeft, c.expectedWait, c.servedVersion = number, false, 0, 0, 0, 0
-	tracked := c.tracked
-	exchanged := false
+func (c *call) Attempt(ctx context.Context, _ routing.Decision, _ uint32, hedges *dispatch.Hedges) retry.Attempt {
+	c.hedges = hedges
+	current := c.picked
+	defer c.dropHedge()
+	finished := false
 	defer func() {
-		if !exchanged { // it panicked
-			c.view.startWaitEnded(c.startWait, waitUnknown)
+		if !finished { // it panicked
+			c.view.startWaitEnded(current.startWait, waitUnknown)
 		}
 	}()
-	ended, load := c.exchange(ctx, decision, &tracked)
-	exchanged = true
-	result := routing.Result{Outcome: ended.Outcome, Sent: ended.Sent, Load: load}
-	if ctx.Err() != nil {
-		// The caller disconnected or its timeout has passed, which says nothing about the
-		// endpoint.
-		result.Outcome = laburnumgwv1.Outcome_OUTCOME_UNSPECIFIED
-		result.Sent = true
-	}
-	if errors.Is(ended.Err, workerconn.ErrNotSentInTime) {
-		result.Outcome = laburnumgwv1.Outcome_OUTCOME_UNSPECIFIED
-	}
-	c.view.attemptFinished(c.service, tracked, result)
-	switch {
-	case !ended.Sent || ended.Outcome == laburnumgwv1.Outcome_OUTCOME_NOT_RUN:
-		c.view.startWaitEnded(c.startWait, waitUnknown)
-	case c.began:
-		c.view.startWaitEnded(c.startWait, waitBegun)
-	default:
-		c.view.startWaitEnded(c.startWait, waitGivenUp)
-	}
-	c.metrics.attempts.UpdateDuration(started)
-	c.tried = append(c.tried, decision.VM)
-	if ended.Sent {
-		c.sentAttempts++
-	}
-	c.lastEnd = ended.Err
-	if ctx.Err() == nil && ended.Sent && endedForSilence(ended.Err) {
-		c.silentAttempts++
-		c.metrics.silentAttempts.Inc()
-	}
-	if ctx.Err() == nil {
-		c.recordWeights(decision, ended, time.Since(started))
-	}
-	ended.MayHaveCrashed = c.recordCrash(ctx, ended)
-	var parts []string
-	name := ""
-	if c.endedBeforeResponse(ended) {
-		parts, name = c.in.PromptParts, c.requestName()
-	}
-	c.logFor(ended.Outcome == laburnumgwv1.Outcome_OUTCOME_COMPLETE).Info("attempt ended", zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
-		zap.Stringer("outcome", ended.Outcome), zap.Bool("sent", ended.Sent), zap.Int64("relayed", ended.RelayedBytes),
-		zap.Duration("duration", time.Since(started)), zap.Duration("first_event", c.firstEventWait), zap.Duration("weights_left", c.weightsLeft), zap.Duration("expected_wait", c.expectedWait), zap.Int("weights_served", c.servedVersion),
-		zap.Strings("prompt_parts", parts), zap.String("request_name", name), zap.Bool("may_have_crashed", ended.MayHaveCrashed), zap.Error(ended.Err))
-	return ended
-}
-
-// endedBeforeResponse reports whether an attempt ended before the first event of its stream, or before
-// its response was complete, although the worker had received the request.
-func (c *call) endedBeforeResponse(ended retry.Attempt) bool {
-	return ended.Sent && ended.Outcome == laburnumgwv1.Outcome_OUTCOME_UNKNOWN && !c.began
-}
-
-// exchange sends the request to one worker and relays its response.
-func (c *call) exchange(ctx context.Context, decision routing.Decision, tracked *routing.Attempt) (retry.Attempt, *laburnumgwv1.Load) {
-	sentAt := time.Now()
-	firstEvent, sendUntil := c.firstEventTimeout(decision)
-	request := &workerconn.Request{
-		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Body: c.body, ID: c.in.ID, ResponseTimeout: firstEvent, SendUntil: sendUntil,
-		NewConnection: !c.route.Repeatable(),
-		Header:        platform.WorkerHeader(c.forwarded, c.forward(decision)),
-	}
-	response, sent, err := c.conns.Send(ctx, decision.Address, request, c.owns)
-	if err != nil {
-		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, sent, "", err), nil
-	}
-	defer response.Abort()
-	workerResponse := platform.ParseWorkerResponse(response.StatusCode, response.Header)
-	load := loadOf(workerResponse.Load)
-	if workerResponse.Sealed {
-		c.servedVersion = workerResponse.WeightVersion
-	}
-	if workerResponse.Leaving && !workerResponse.Misdirected {
-		c.view.responseStatesLeaving(decision.VM)
-	}
-	if c.statesLimit(workerResponse) {
-		c.view.limitStated(decision.VM, c.trackedWorker, workerResponse.Limit, sentAt)
-	}
-	switch {
-	case workerResponse.Misdirected && c.relayedBytes == 0:
-		c.view.markMisdirected(decision.VM)
-		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_NOT_RUN, true, "", errMisdirected), nil
-	case workerResponse.NotExecuted:
-		response.Discard(workerResponse.KeepAlive)
-		refused := c.attemptResult(laburnumgwv1.Outcome_OUTCOME_NOT_RUN, true, "", errRefused)
-		refused.RetryAfter = c.view.pauseWorker(c.service, decision.VM, workerResponse.RetryAfter)
-		return refused, load
-	case !workerResponse.Sealed:
-		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", errNotSealed), load
-	case c.relayedBytes > 0 && response.StatusCode == http.StatusOK && workerResponse.WeightVersion != c.weightVersion:
-		// The worker changed its weights after it was chosen and did not refuse.
-		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", errOtherWeights), load
-	case c.route.Kind == catalog.Stream && response.StatusCode == http.StatusOK:
-		c.weightVersion = workerResponse.WeightVersion
-		c.view.loadReceived(c.service, tracked, load)
-		err = c.relayStream(response, workerResponse, firstEvent, c.workerTimeout(decision), func() {
-			c.firstEventWait = time.Since(sentAt)
-			c.view.attemptAccepted(c.service, tracked)
-			c.view.startWaitEnded(c.startWait, waitBegun)
-			c.responseBegan()
-		})
-		load = nil // outdated: it was sent with the head of the stream
-	default:
-		return c.relayBuffered(response, workerResponse), load
-	}
-	version := ""
-	if c.weightVersion > 0 {
-		version = strconv.Itoa(c.weightVersion)
-	}
-	if err != nil {
-		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, version, err), load
-	}
-	return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_COMPLETE, true, version, nil), load
-}
-
-// statesLimit reports whether a response tells about the limit of the worker. Another worker
-// says nothing about it, and without the seal a missing limit proves nothing.
-func (c *call) statesLimit(response platform.WorkerResponse) bool {
-	if response.Misdirected {
-		return false
-	}
-	return response.Sealed || response.NotExecuted || response.Limit.Kind == workerlimit.Limited
-}
-
-func (c *call) attemptResult(outcome laburnumgwv1.Outcome, sent bool, version string, err error) retry.Attempt {
-	return retry.Attempt{Outcome: outcome, Sent: sent, RelayedBytes: c.relayedBytes, VersionDigest: version, Err: err}
-}
-
-// forward returns the headers that are added to a request for a worker. An interrupted stream is
-// resumed after the last event that reached the caller, on the same weights. The weights are named as well
-// where the worker must not run the request on older ones, which it may have.
-func (c *call) forward(decision routing.Decision) platform.ForwardHeaders {
-	f := platform.ForwardHeaders{Worker: decision.VM, Workspace: c.workspaceName(), Deadline: c.limits.Left(time.Now())}
-	if c.relayedBytes > 0 {
-		f.LastEventID = c.lastEventID
-	}
-	// The digest of a decision is always a decimal version number.
-	version, _ := strconv.Atoi(decision.VersionDigest)
-	if c.relayedBytes > 0 || (c.engine != nil && c.view.mayHaveOlderWeights(decision.VM, c.engine.Model, version)) {
-		f.WeightVersion = version
-	}
-	return f
-}
-
-// silencePatience returns how long a worker that neither sends anything nor reports is waited for
-// before a repeatable request is sent to another one. Sound workers fall silent for a second or so, so
-// that it is as long as callers of a stream wait, less the objective, within which the repeat has to
-// begin. That is 1.5 s at least, and maxSilencePatience at most.
-func silencePatience(route *catalog.Route) time.Duration {
-	return min(maxSilencePatience, route.CallerEventTimeout()-route.Objective)
-}
-
-// firstEventPatience is silencePatience before the first event of a stream, for which the entry waits
-// firstEventReserve less than callers. It leaves the repeat the objective, or firstEventReserve, unless
-// minSilencePatience is longer.
-func firstEventPatience(route *catalog.Route) time.Duration {
-	left := route.CallerEventTimeout() - firstEventReserve - max(route.Objective, firstEventReserve)
-	return min(maxSilencePatience, max(minSilencePatience, left))
-}
-
-// workerTimeout returns how long to wait for a worker that sends nothing, or nil for no limit
-// when the request must not be repeated. A model worker that reports is alive and only busy, so
-// it gets most of the time that callers wait. While the request can't be sent to another worker, it
-// is waited for until the caller has left for certain.
-func (c *call) workerTimeout(decision routing.Decision) workerconn.TimeoutFunc {
-	return c.patientTimeout(decision, silencePatience(c.route))
-}
-
-// patientTimeout is workerTimeout with a patience for a worker that does not report.
-func (c *call) patientTimeout(decision routing.Decision, patience time.Duration) workerconn.TimeoutFunc {
-	if !c.route.Repeatable() {
-		return nil
-	}
-	busy, end := time.Duration(0), c.limits.Left(time.Now())
-	if c.route.Kind == catalog.Stream {
-		busy, end = c.route.CallerEventTimeout()-firstEventReserve, c.route.CallerEventTimeout()+firstEventReserve
-	}
-	return func(waited time.Duration) time.Duration {
-		switch {
-		case waited < patience:
-			return patience - waited
-		case waited < busy && c.view.reporting(decision.VM):
-			return min(busy-waited, reportPollInterval)
-		case waited < end && !c.canRepeat(decision):
-			return min(end-waited, reportPollInterval)
+	c.attempts = current.number
+	current.ctx, current.sentAt = ctx, time.Now()
+	brought := current.open(current.firstEventTimeout())
+	for {
+		ended := c.relay(current, brought)
+		ended = current.finish(ended)
+		if c.hedge == nil || ctx.Err() != nil || !c.hedges.MayGoOn(ended) {
+			c.dropHedge()
+			c.record(current, ended)
+			finished = true
+			return ended
 		}
-		return 0
+		c.record(current, ended)
+		c.hedges.Ended(ended)
+		current, brought = c.adoptHedge()
 	}
 }
 
-// firstEventTimeout is workerTimeout for the head and the first event of a response. A request
-// must not start on weights after their bound, so the wait ends there at the latest, also when the bound has
-// come closer since, and the request is not sent any more when sendUntil has passed.
-func (c *call) firstEventTimeout(decision routing.Decision) (bounded workerconn.TimeoutFunc, sendUntil func() time.Time) {
-	timeout := c.workerTimeout(decision)
-	if c.route.Kind == catalog.Stream && c.relayedBytes == 0 {
-		timeout = c.patientTimeout(decision, firstEventPatience(c.route))
-	}
-	if c.engine == nil {
-		return timeout, nil
+// record records the end of an attempt in the call.
+func (c *call) record(a *attempt, ended retry.Attempt) {
+	c.tried = append(c.tried, a.decision.VM)
+	c.lastEnd = ended.Err
+	if a.failure != nil {
+		c.lastFailure = a.failure
 	}
-	bound, _, expected := c.startLimits(decision)
-	c.expectedWait = expected
-	sendUntil = func() time.Time {
-		_, until, _ := c.startLimits(decision)
-		return until
+	if a.began {
+		c.trialSurvived()
 	}
-	if bound.IsZero() && timeout == nil {
-		return nil, sendUntil
+	if c.r.Context().Err() == nil && !a.superseded() && ended.Sent && endedForSilence(ended.Err) {
+		c.silentAttempts++
+		c.metrics.silentAttempts.Inc()
 	}
-	now := time.Now()
-	return func(time.Duration) time.Duration {
-		more := reportPollInterval
-		if bound, _, _ := c.startLimits(decision); !bound.IsZero() {
-			c.weightsLeft = bound.Sub(now)
-			more = min(more, time.Until(c.limits.StartBy(bound)))
-		}
-		if timeout != nil {
-			more = min(more, timeout(time.Since(now)))
-		}
-		return more
-	}, sendUntil
 }
 
 // owns reports whether a response belongs to this request. A response without a request id that
--- a/entry/hosted/crashes.go
+++ b/entry/hosted/crashes.go
@@ -185,23 +185,23 @@
 
 // recordCrash records what an attempt that has ended tells about a crash of its worker, and
 // returns whether the request may have caused it.
-func (c *call) recordCrash(ctx context.Context, ended retry.Attempt) bool {
-	start := quarantine.Start{Address: c.trackedAddress, StartedAtMs: c.trackedWorker}
+func (a *attempt) recordCrash(ended retry.Attempt) bool {
+	start := a.start()
 	if !ended.Sent && errors.Is(ended.Err, syscall.ECONNREFUSED) {
-		c.view.workerCrashed(start, "its machine")
+		a.view.workerCrashed(start, "its machine")
 	}
-	if !c.endedBeforeResponse(ended) || !lostConnection(ended.Err) {
+	if !a.endedBeforeResponse(ended) || !lostConnection(ended.Err) {
 		return false
 	}
-	c.view.requestLost(start, c.names(), c.workspaceName())
-	if c.engine != nil {
-		return c.mayHaveCrashed(ctx, start)
+	a.view.requestLost(start, a.names(), a.workspaceName())
+	if a.engine != nil {
+		return a.mayHaveCrashed(a.ctx, start)
 	}
-	if cleared, _, _ := c.suspicion(start, time.Now()); cleared || !c.route.Repeatable() {
-		go c.view.checkCrash(context.Background(), start)
+	if cleared, _, _ := a.suspicion(start, time.Now()); cleared || !a.route.Repeatable() {
+		go a.view.checkCrash(context.Background(), start)
 		return false
 	}
-	return c.view.checkCrash(ctx, start)
+	return a.view.checkCrash(a.ctx, start)
 }
 
 // requestLost records a request whose connection ended before it had begun.
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -124,7 +124,7 @@
 	}
 	ended, err := c.service.loop.Run(ctx, retry.Request{
 		Idempotent: c.route.Repeatable(), Resumable: c.route.Resumable, Deadline: c.limits.Deadline, Shutdown: c.limits.Shutdown,
-		MaxSent: c.maxSent(), RetryAfter: unroutedRetryAfter,
+		MaxSent: max(1, c.route.Attempts), RetryAfter: unroutedRetryAfter,
 	}, c)
 	reason := c.finish(ctx, ended, err)
 	f.metrics.countResponse(reason, started)
--- a/entry/hosted/metrics.go
+++ b/entry/hosted/metrics.go
@@ -32,6 +32,10 @@
 	olderWeights    *metrics.Counter
 	// silentAttempts counts the attempts that were given up because their worker sent nothing.
 	silentAttempts *metrics.Counter
+	// hedges counts the requests that were sent to another worker beside a silent one, and hedgesRelayed
+	// those whose response was relayed.
+	hedges        *metrics.Counter
+	hedgesRelayed *metrics.Counter
 }
 
 func newEntryMetrics() *entryMetrics {
@@ -52,6 +56,8 @@
 		abandonedStarts: set.NewCounter("laburnumgw_entry_abandoned_starts_total"),
 		olderWeights:    set.NewCounter("laburnumgw_entry_older_weights_total"),
 		silentAttempts:  set.NewCounter("laburnumgw_entry_silent_attempts_total"),
+		hedges:          set.NewCounter("laburnumgw_entry_hedges_total"),
+		hedgesRelayed:   set.NewCounter("laburnumgw_entry_hedges_relayed_total"),
 	}
 }
 
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -12,7 +12,6 @@
 	"time"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
-	"laburnumgw/lib/quarantine"
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/workerconn"
 	"laburnumgw/platform"
@@ -27,36 +26,6 @@
 
 var streamBuffers = sync.Pool{New: func() any { return new([streamBufferBytes]byte) }}
 
-// relayBuffered buffers a response until it is complete, then decides whether it is sent to the
-// caller.
-func (c *call) relayBuffered(response *workerconn.Response, workerResponse platform.WorkerResponse) retry.Attempt {
-	body, release, err := c.buffers.readAll(response.Body)
-	defer release()
-	if err != nil {
-		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", fmt.Errorf("%w: %w", errTruncated, err))
-	}
-	if !response.EndMarked() && c.endedInCrash() {
-		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", fmt.Errorf("%w: %w", errTruncated, io.ErrUnexpectedEOF))
-	}
-	response.Finish(workerResponse.KeepAlive)
-	c.responseBegan()
-	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
-	switch {
-	case c.headSent:
-		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_FAILED, true, "", errWorkerFailed)
-	case meansNotRun(buffered.status):
-		// The worker ran the request, although callers take its status as "not run".
-		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_FAILED, true, "", errWorkerFailed)
-	case buffered.status >= http.StatusInternalServerError && c.route.Repeatable():
-		c.lastFailure = buffered
-		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_FAILED, true, "", errWorkerFailed)
-	}
-	if err := c.sendBuffered(buffered); err != nil {
-		return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", err)
-	}
-	return c.attemptResult(laburnumgwv1.Outcome_OUTCOME_COMPLETE, true, "", nil)
-}
-
 // meansNotRun reports whether callers take a status as "not run".
 func meansNotRun(status int) bool {
 	switch status {
@@ -98,87 +67,193 @@
 	}
 }
 
-// relayStream relays the complete events of a stream as they arrive, and calls onFirstEvent
-// after the first read that completes an event. It returns nil when the stream is complete.
-func (c *call) relayStream(response *workerconn.Response, workerResponse platform.WorkerResponse, first, next workerconn.TimeoutFunc, onFirstEvent func()) error {
-	contentType := response.Header.Get("Content-Type")
-	if c.headSent && isEventStream(contentType) != isEventStream(c.w.Header().Get("Content-Type")) {
-		return fmt.Errorf("%w: its type is %q", errNotContinued, contentType)
+// piece is what one read of a stream has brought.
+type piece struct {
+	// events are complete events. They are valid until the next read.
+	events []byte
+	// last is set when the stream is complete after them.
+	last bool
+}
+
+// stream is the response of an attempt that writes events.
+type stream struct {
+	a              *attempt
+	response       *workerconn.Response
+	workerResponse platform.WorkerResponse
+	isEvents       bool
+	check          *eventCheck
+	buffer         *[streamBufferBytes]byte
+	// pending holds what was read: consumed bytes that were returned, and bytes that follow them.
+	pending  []byte
+	consumed int
+	// readErr is the result of the last read, which counts once all events before it were returned.
+	readErr   error
+	hasEvents bool
+	// first is what was read before the stream was relayed, and firstErr the error behind it.
+	first    piece
+	firstErr error
+}
+
+// newStream returns the stream of a response. It fails if the response does not go on with the
+// stream that the caller has.
+func (a *attempt) newStream(response *workerconn.Response, workerResponse platform.WorkerResponse) (*stream, error) {
+	s := &stream{
+		a: a, response: response, workerResponse: workerResponse, isEvents: isEventStream(response.Header.Get("Content-Type")),
+		check: &eventCheck{resumes: a.continues, lastID: a.lastEventID}, buffer: streamBuffers.Get().(*[streamBufferBytes]byte),
 	}
-	check := &eventCheck{resumes: c.headSent, lastID: c.lastEventID}
-	buffer := streamBuffers.Get().(*[streamBufferBytes]byte)
-	defer streamBuffers.Put(buffer)
-	var pending []byte
-	timeout, since := first, time.Now()
-	for {
-		if err := response.Await(timeout, since); err != nil {
-			return fmt.Errorf("%w: %w", errTruncated, err)
-		}
-		n, err := response.Body.Read(buffer[:])
-		pending = append(pending, buffer[:n]...)
-		if end := lastEventEnd(pending); end > 0 {
-			accepted, foreign := end, error(nil)
-			if check.resumes || isEventStream(contentType) {
-				accepted, foreign = check.accept(pending[:end])
-			}
-			if err := c.sendEvents(response, pending[:accepted]); err != nil {
-				return err
-			}
-			if accepted > 0 && onFirstEvent != nil {
-				onFirstEvent()
-				onFirstEvent = nil
-			}
-			if foreign != nil {
-				return fmt.Errorf("%w: %w", errTruncated, foreign)
-			}
-			pending = append(pending[:0], pending[end:]...)
-			timeout, since = next, time.Now()
-		}
-		if errors.Is(err, io.EOF) {
-			if response.EndMarked() && len(pending) > 0 && (check.resumes || isEventStream(contentType)) {
-				return fmt.Errorf("%w: it ends inside an event", errTruncated)
-			}
-			if !response.EndMarked() && c.isBrokenOff(pending, onFirstEvent == nil) {
-				return fmt.Errorf("%w: %w", errTruncated, io.ErrUnexpectedEOF)
-			}
-			if err := c.sendEvents(response, pending); err != nil {
-				return err
-			}
-			response.Finish(workerResponse.KeepAlive)
-			return c.ensureHeadSent(response)
+	if a.continues && s.isEvents != isEventStream(a.w.Header().Get("Content-Type")) {
+		return s, fmt.Errorf("%w: its type is %q", errNotContinued, response.Header.Get("Content-Type"))
+	}
+	return s, nil
+}
+
+// next reads until an event is complete, or the stream. Events before an error are returned with it.
+func (s *stream) next(timeout workerconn.TimeoutFunc) (piece, error) {
+	s.pending = append(s.pending[:0], s.pending[s.consumed:]...)
+	s.consumed = 0
+	since := time.Now()
+	for s.readErr == nil {
+		if err := s.response.Await(timeout, since); err != nil {
+			return piece{}, fmt.Errorf("%w: %w", errTruncated, err)
 		}
-		if err != nil {
-			return fmt.Errorf("%w: %w", errTruncated, err)
+		n, err := s.response.Body.Read(s.buffer[:])
+		s.readErr = err
+		s.pending = append(s.pending, s.buffer[:n]...)
+		if end := lastEventEnd(s.pending); end > 0 {
+			return s.accept(end)
 		}
-		if len(pending) > maxEventBytes {
-			return fmt.Errorf("%w: event exceeds %d bytes", errTruncated, maxEventBytes)
+		if err == nil && len(s.pending) > maxEventBytes {
+			return piece{}, fmt.Errorf("%w: event exceeds %d bytes", errTruncated, maxEventBytes)
 		}
 	}
+	if !errors.Is(s.readErr, io.EOF) {
+		return piece{}, fmt.Errorf("%w: %w", errTruncated, s.readErr)
+	}
+	return s.end()
+}
+
+// accept returns the events up to an end, as far as they belong to the stream.
+func (s *stream) accept(end int) (piece, error) {
+	accepted, foreign := end, error(nil)
+	if s.check.resumes || s.isEvents {
+		accepted, foreign = s.check.accept(s.pending[:end])
+	}
+	s.consumed = end
+	if accepted > 0 && !s.hasEvents {
+		s.hasEvents = true
+		s.a.firstEventWait = time.Since(s.a.sentAt)
+	}
+	if foreign != nil {
+		foreign = fmt.Errorf("%w: %w", errTruncated, foreign)
+	}
+	return piece{events: s.pending[:accepted]}, foreign
+}
+
+// end returns the rest of a stream whose end was read.
+func (s *stream) end() (piece, error) {
+	if s.response.EndMarked() && len(s.pending) > 0 && (s.check.resumes || s.isEvents) {
+		return piece{}, fmt.Errorf("%w: it ends inside an event", errTruncated)
+	}
+	if !s.response.EndMarked() && s.isBrokenOff() {
+		return piece{}, fmt.Errorf("%w: %w", errTruncated, io.ErrUnexpectedEOF)
+	}
+	s.consumed = len(s.pending)
+	return piece{s.pending, true}, nil
 }
 
 // isBrokenOff reports whether a stream that has ended with its connection is incomplete. It must
 // end after an event, and its worker must not have crashed.
-func (c *call) isBrokenOff(pending []byte, hasEvents bool) bool {
-	if lastEventEnd(pending) < len(pending) || (len(pending) == 0 && !hasEvents) {
+func (s *stream) isBrokenOff() bool {
+	if lastEventEnd(s.pending) < len(s.pending) || (len(s.pending) == 0 && !s.hasEvents) {
 		return true
 	}
-	return c.endedInCrash()
+	return s.a.endedInCrash()
+}
+
+// recordBegin records that the stream has had its first event.
+func (s *stream) recordBegin() {
+	if s.a.began || !s.hasEvents {
+		return
+	}
+	s.a.view.attemptAccepted(s.a.service, &s.a.tracked)
+	s.a.view.startWaitEnded(s.a.startWait, waitBegun)
+	s.a.responseBegan()
+}
+
+// close ends a stream, and its connection unless the stream is complete.
+func (s *stream) close() {
+	if s.buffer != nil {
+		streamBuffers.Put(s.buffer)
+		s.buffer = nil
+	}
+	s.response.Abort()
 }
 
 // endedInCrash reports whether the worker of a response that has ended with its connection may have
 // crashed, so that the response may be incomplete.
-func (c *call) endedInCrash() bool {
-	start := quarantine.Start{Address: c.trackedAddress, StartedAtMs: c.trackedWorker}
-	if c.view.leaving(start) {
+func (a *attempt) endedInCrash() bool {
+	start := a.start()
+	if a.view.leaving(start) {
 		return false
 	}
-	ctx := c.r.Context()
-	if errors.Is(c.view.connect(ctx, start.Address), syscall.ECONNREFUSED) {
-		c.view.workerCrashed(start, "its machine")
+	if errors.Is(a.view.connect(a.ctx, start.Address), syscall.ECONNREFUSED) {
+		a.view.workerCrashed(start, "its machine")
 		return true
 	}
 	// The end of the request leaves it unknown.
-	return ctx.Err() != nil
+	return a.ctx.Err() != nil
+}
+
+// relay relays what an attempt has brought to the caller, and then what follows.
+func (c *call) relay(a *attempt, o opened) retry.Attempt {
+	switch {
+	case o.buffered != nil:
+		defer o.close()
+		c.dropHedge()
+		defer c.trialSurvived()
+		if err := c.sendBuffered(o.buffered); err != nil {
+			return a.result(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", err)
+		}
+		return a.result(laburnumgwv1.Outcome_OUTCOME_COMPLETE, true, "", nil)
+	case o.stream != nil:
+		defer o.close()
+		err := c.relayStream(a, o.stream)
+		outcome := laburnumgwv1.Outcome_OUTCOME_COMPLETE
+		if err != nil {
+			outcome = laburnumgwv1.Outcome_OUTCOME_UNKNOWN
+		}
+		return c.relayed(outcome, err)
+	}
+	return o.ended
+}
+
+// relayed returns the end of an attempt by what the caller has of its stream.
+func (c *call) relayed(outcome laburnumgwv1.Outcome, err error) retry.Attempt {
+	return retry.Attempt{Outcome: outcome, Sent: true, RelayedBytes: c.relayedBytes, VersionDigest: versionDigest(c.weightVersion), Err: err}
+}
+
+// relayStream relays the complete events of a stream as they arrive. It returns nil when the stream is
+// complete.
+func (c *call) relayStream(a *attempt, s *stream) error {
+	c.weightVersion = a.weightVersion
+	timeout := a.eventTimeout()
+	for next, err := s.first, s.firstErr; ; next, err = s.next(timeout) {
+		if len(next.events) > 0 || next.last {
+			c.dropHedge()
+			if err := c.sendEvents(s.response, next.events); err != nil {
+				return err
+			}
+			s.recordBegin()
+			c.trialSurvived()
+		}
+		if err != nil {
+			return err
+		}
+		if next.last {
+			s.response.Finish(s.workerResponse.KeepAlive)
+			return c.ensureHeadSent(s.response)
+		}
+	}
 }
 
 // lastEventEnd returns the end of the last complete event, or zero without one.
--- a/entry/hosted/suspects.go
+++ b/entry/hosted/suspects.go
@@ -27,14 +27,13 @@
 
 // responseBegan records that the request has begun at a worker: its stream has had its first event, or
 // its response is complete.
-func (c *call) responseBegan() {
-	c.began = true
-	names := c.in.PromptParts
-	if len(c.body) <= maxNamedBodyBytes || c.view.crashIsRecent() {
-		names = c.names()
+func (a *attempt) responseBegan() {
+	a.began = true
+	names := a.in.PromptParts
+	if len(a.body) <= maxNamedBodyBytes || a.view.crashIsRecent() {
+		names = a.names()
 	}
-	c.view.requestBegan(names)
-	c.trialSurvived()
+	a.view.requestBegan(names)
 }
 
 // crashIsRecent reports whether a crash of a worker became known lately.
@@ -59,14 +58,7 @@
 
 // refuseBlocked returns an error when the request, or a part of its prompt, is blocked.
 func (c *call) refuseBlocked() error {
-	names := c.in.PromptParts
-	if c.view.blocksRequests() {
-		names = c.names()
-	}
-	if len(names) == 0 {
-		return nil
-	}
-	block, retryAfter, blocked := c.view.blockOf(names, c.workspaceName())
+	block, retryAfter, blocked := c.block()
 	if !blocked || c.claimTrial(block) {
 		return nil
 	}
@@ -85,6 +77,18 @@
 		"workers crash on part %s of the prompt, which is blocked", block.Name()).WithRetryAfter(retryAfter)
 }
 
+// block returns the block that refuses the request and the time after which the caller may return.
+func (c *call) block() (quarantine.Block, time.Duration, bool) {
+	names := c.in.PromptParts
+	if c.view.blocksRequests() {
+		names = c.names()
+	}
+	if len(names) == 0 {
+		return quarantine.Block{}, 0, false
+	}
+	return c.view.blockOf(names, c.workspaceName())
+}
+
 // blocksRequests reports whether a whole request is blocked.
 func (v *view) blocksRequests() bool {
 	v.mu.Lock()
--- a/entry/hosted/versions.go
+++ b/entry/hosted/versions.go
@@ -9,7 +9,6 @@
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/mirror/rpcmirror"
 	"laburnumgw/lib/retry"
-	"laburnumgw/lib/routing"
 	"laburnumgw/platform"
 )
 
@@ -161,20 +160,20 @@
 
 // recordWeights counts and logs an attempt that was given up at the bound of its weights, and may
 // still start at its worker, or that older weights than expected have served.
-func (c *call) recordWeights(decision routing.Decision, ended retry.Attempt, lasted time.Duration) {
-	if c.engine == nil || !ended.Sent {
+func (a *attempt) recordWeights(ended retry.Attempt, lasted time.Duration) {
+	if a.engine == nil || !ended.Sent {
 		return
 	}
-	fields := []zap.Field{zap.String("request", c.in.ID), zap.String("vm", decision.VM), zap.String("weights", decision.VersionDigest),
-		zap.Duration("report_age", c.reportAge)}
-	if c.weightsLeft > 0 && !c.began && lasted >= c.weightsLeft {
-		c.metrics.abandonedStarts.Inc()
-		c.log.Warn("request given up at the bound of its weights", append(fields, zap.Duration("waited", lasted))...)
+	fields := []zap.Field{zap.String("request", a.in.ID), zap.String("vm", a.decision.VM), zap.String("weights", a.decision.VersionDigest),
+		zap.Duration("report_age", a.reportAge)}
+	if a.weightsLeft > 0 && !a.began && lasted >= a.weightsLeft {
+		a.metrics.abandonedStarts.Inc()
+		a.log.Warn("request given up at the bound of its weights", append(fields, zap.Duration("waited", lasted))...)
 	}
 	// The digest of a decision is always a decimal version number.
-	expected, _ := strconv.Atoi(decision.VersionDigest)
-	if c.servedVersion > 0 && c.servedVersion < expected {
-		c.metrics.olderWeights.Inc()
-		c.log.Warn("worker responded on older weights than expected", append(fields, zap.Int("served", c.servedVersion))...)
+	expected, _ := strconv.Atoi(a.decision.VersionDigest)
+	if a.servedVersion > 0 && a.servedVersion < expected {
+		a.metrics.olderWeights.Inc()
+		a.log.Warn("worker responded on older weights than expected", append(fields, zap.Int("served", a.servedVersion))...)
 	}
 }
--- a/lib/dispatch/dispatch.go
+++ b/lib/dispatch/dispatch.go
@@ -16,8 +16,9 @@
 	// Pick chooses an endpoint for an attempt. The digest is the version that must
 	// serve it, empty for any; tried names the VMs of earlier attempts.
 	Pick(number uint32, digest string, tried []string) (routing.Decision, error)
-	// Attempt sends the request and relays the response.
-	Attempt(ctx context.Context, decision routing.Decision, number uint32) retry.Attempt
+	// Attempt sends the request and relays the response. It may send the request to further
+	// endpoints while one is silent, as hedges allow, and returns the attempt that ended last.
+	Attempt(ctx context.Context, decision routing.Decision, number uint32, hedges *Hedges) retry.Attempt
 	// Retrying is called after each decision to send the request again, before the wait
 	// for the next attempt.
 	Retrying(decision routing.Decision, number uint32, ended retry.Attempt, next retry.Next)
@@ -48,15 +49,17 @@
 func (l *Loop) Run(ctx context.Context, request retry.Request, target Target) (retry.Attempt, error) {
 	state := retry.NewState(request)
 	l.countFirst()
-	var tried []string
+	hedges := &Hedges{loop: l, state: state}
 	var ended retry.Attempt
 	digest := ""
-	for number := uint32(1); ; number++ {
-		decision, err := target.Pick(number, digest, tried)
+	for {
+		number := uint32(state.Attempts() + 1)
+		decision, err := target.Pick(number, digest, hedges.tried)
 		if err != nil {
 			return ended, state.NoEndpoint(err).Err
 		}
-		ended = target.Attempt(ctx, decision, number)
+		hedges.tried = append(hedges.tried, decision.VM)
+		ended = target.Attempt(ctx, decision, number, hedges)
 		next := l.next(state, ended)
 		if next.Action == retry.Respond {
 			return ended, next.Err
@@ -66,7 +69,6 @@
 		if next.Action == retry.Respond {
 			return ended, next.Err
 		}
-		tried = append(tried, decision.VM)
 		digest = next.VersionDigest
 	}
 }
--- a/lib/dispatch/dispatch_test.go
+++ b/lib/dispatch/dispatch_test.go
@@ -31,7 +31,7 @@
 	return routing.Decision{}, nil
 }
 
-func (failingTarget) Attempt(context.Context, routing.Decision, uint32) retry.Attempt {
+func (failingTarget) Attempt(context.Context, routing.Decision, uint32, *dispatch.Hedges) retry.Attempt {
 	return retry.Attempt{Outcome: laburnumgwv1.Outcome_OUTCOME_UNKNOWN, Sent: true, Err: errors.New("no response")}
 }
 
--- a/lib/retry/plan.go
+++ b/lib/retry/plan.go
@@ -96,6 +96,8 @@
 	unknown bool
 	// inProgress is set when an earlier attempt with the same key is running.
 	inProgress bool
+	// mayHaveCrashed is set when the request may have crashed an endpoint.
+	mayHaveCrashed bool
 	// action is what follows once the budget allows it. When mayWait is set, it waits for
 	// the budget until waitUntil.
 	action     Action
@@ -169,7 +171,7 @@
 	if action == Respond {
 		return s.giveUp(cause)
 	}
-	if s.attempts >= p.settings.MaxAttempts || (s.request.MaxSent > 0 && s.sent >= s.request.MaxSent) {
+	if p.attemptsUsedUp(s) {
 		return s.giveUp("the attempts are used up")
 	}
 	s.action = action
@@ -177,6 +179,11 @@
 	return p.proceed(s, p.delay(s, action), now)
 }
 
+// attemptsUsedUp reports whether no further attempt may be sent.
+func (p *Planner) attemptsUsedUp(s *State) bool {
+	return s.attempts >= p.settings.MaxAttempts || (s.request.MaxSent > 0 && s.sent >= s.request.MaxSent)
+}
+
 // NextAfterWait repeats the decision of a request that waited for the retry budget.
 func (p *Planner) NextAfterWait(s *State, now time.Time) Next {
 	return p.proceed(s, 0, now)
@@ -276,6 +283,7 @@
 		s.sent++
 	}
 	s.lastErr = a.Err
+	s.mayHaveCrashed = s.mayHaveCrashed || a.MayHaveCrashed
 	s.retryAfter = max(s.retryAfter, a.RetryAfter)
 	if a.RelayedBytes > 0 && !s.relayed {
 		s.relayed = true
@@ -299,7 +307,7 @@
 	if s.inProgress {
 		return Respond, "an earlier attempt with the same key is still running"
 	}
-	if a.MayHaveCrashed {
+	if s.mayHaveCrashed {
 		return Respond, "the request may have crashed its endpoint"
 	}
 	if s.relayed {
