Wait for a worker that is silent amid its answer as long as before it

What callers saw: a closed connection, or 502, when a sound worker was silent for 2 s or longer within the bytes of a body, of an event or of the end of a stream, although it went on.

Cause: each read of a response that had begun to arrive was bounded to 2 s, whatever the route's callers wait and whether another worker could take the request.

Change: the wait for more of a response is decided as the wait for its beginning: after the patience another worker is asked beside it, and the wait ends when that one has begun, when callers have left, or with the request's time. lib/workerconn takes the decision as a function; without one the 2 s stay.

--- a/entry/hosted/attempt.go
+++ b/entry/hosted/attempt.go
@@ -44,11 +44,11 @@
 	startWait   startWait
 
 	// continues is set when the attempt goes on with a stream after lastEventID, on weightVersion.
-	// relayedBytes is how much of the stream the caller had then.
-	continues     bool
-	lastEventID   string
-	weightVersion int
-	relayedBytes  int64
+	// continuesEvents is set when that is a series of events, and relayedBytes is how much of it the caller had then.
+	continues, continuesEvents bool
+	lastEventID                string
+	weightVersion              int
+	relayedBytes               int64
 
 	// began is set once the worker has begun to write a stream, or its response is complete.
 	began bool
@@ -100,7 +100,7 @@
 // open sends the request to the worker and reads its response until it has begun.
 func (a *attempt) open(firstEvent workerconn.TimeoutFunc) opened {
 	request := &workerconn.Request{
-		Method: a.r.Method, Target: a.r.RequestURI, Host: a.r.Host, Body: a.body, ID: a.in.ID, ResponseTimeout: firstEvent, SendUntil: a.sendUntil(),
+		Method: a.r.Method, Target: a.r.RequestURI, Host: a.r.Host, Body: a.body, ID: a.in.ID, ResponseTimeout: firstEvent, RemainderTimeout: a.remainderTimeout(), SendUntil: a.sendUntil(),
 		NewConnection: !a.route.Repeatable(),
 		Header:        platform.WorkerHeader(a.forwarded, a.forward()),
 	}
--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -188,6 +188,9 @@
 		call: c, decision: decision, number: query.Attempt, tracked: c.service.table.AttemptSent(decision, query, now), address: decision.Address,
 		reportAge: c.view.reportAge(decision.VM), continues: c.relayedBytes > 0, lastEventID: c.lastEventID, weightVersion: c.weightVersion, relayedBytes: c.relayedBytes,
 	}
+	if a.continues {
+		a.continuesEvents = isEventStream(c.w.Header().Get("Content-Type"))
+	}
 	c.picked = a
 	if w := c.view.workers[decision.VM]; w != nil {
 		a.startedAtMs = w.StartedAtMs
--- a/entry/hosted/hedge.go
+++ b/entry/hosted/hedge.go
@@ -14,8 +14,8 @@
 )
 
 var (
-	// errSuperseded ends a hedge when another attempt has begun to respond.
-	errSuperseded = errors.New("another attempt has begun to respond")
+	// errSuperseded ends a hedge when another attempt has begun to respond, or the request is over.
+	errSuperseded = errors.New("the request goes on without this attempt")
 	// errAttemptPanicked ends a hedge whose code panicked.
 	errAttemptPanicked = errors.New("attempt panicked")
 )
@@ -31,7 +31,7 @@
 	brought opened
 }
 
-// superseded reports whether the attempt was ended because another one has begun to respond.
+// superseded reports whether the attempt was ended because the request goes on, or is over, without it.
 func (a *attempt) superseded() bool {
 	return a.beside && errors.Is(context.Cause(a.ctx), errSuperseded)
 }
--- a/entry/hosted/patience.go
+++ b/entry/hosted/patience.go
@@ -48,7 +48,7 @@
 // silenceEnd returns how long a worker that sends nothing is waited for in any case: until the request is over, or
 // until the caller of a stream has left for certain.
 func (a *attempt) silenceEnd() time.Duration {
-	if a.route.Kind == catalog.Stream {
+	if a.route.Kind == catalog.Stream && a.route.Repeatable() {
 		return a.route.CallerEventTimeout() + firstEventReserve
 	}
 	return a.limits.Left(time.Now())
@@ -107,6 +107,16 @@
 	return a.untilBound(func(waited time.Duration) time.Duration { return min(end-waited, reportPollInterval) })
 }
 
+// remainderTimeout returns how long to wait for more of a response that has begun to arrive. A worker may fall
+// silent amid a head, a body or an event as well.
+func (a *attempt) remainderTimeout() workerconn.TimeoutFunc {
+	if timeout := a.eventTimeout(); timeout != nil && !a.beside {
+		return timeout
+	}
+	end := a.silenceEnd()
+	return func(waited time.Duration) time.Duration { return end - waited }
+}
+
 // untilBound ends a wait for a response to begin at the bound of the weights, after which a request must
 // not start on them, also when the bound has come closer since.
 func (a *attempt) untilBound(timeout workerconn.TimeoutFunc) workerconn.TimeoutFunc {
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -101,7 +101,7 @@
 		a: a, response: response, workerResponse: workerResponse, isEvents: isEventStream(response.Header.Get("Content-Type")),
 		check: &eventCheck{resumes: a.continues, lastID: a.lastEventID}, buffer: streamBuffers.Get().(*[streamBufferBytes]byte),
 	}
-	if a.continues && s.isEvents != isEventStream(a.w.Header().Get("Content-Type")) {
+	if a.continues && s.isEvents != a.continuesEvents {
 		return s, fmt.Errorf("%w: its type is %q", errNotContinued, response.Header.Get("Content-Type"))
 	}
 	return s, nil
--- a/entry/hosted/silence_replacement_test.go
+++ b/entry/hosted/silence_replacement_test.go
@@ -262,3 +262,50 @@
 		}
 	})
 }
+
+// Guards against an answer that is ended for a silence amid its bytes: each read of a response that had begun
+// to arrive was bounded to 2 s, so that a sound worker that was silent for longer within a head, a body or an event
+// lost its answer, with a closed connection for streams.
+func TestSilenceAmidTheBytesOfAnAnswerEndsNothing(t *testing.T) {
+	const silence = 2300 * time.Millisecond
+	const head = "HTTP/1.1 200 OK\r\n" + idHeader + ": r1\r\n" + sealHeader + ": seal\r\n" + versionHeader + ": 1\r\n"
+	const streamHead = head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct {
+		plain        bool
+		before, rest string
+		body         string
+	}{
+		"plain, head":            {true, head, "Content-Length: 4\r\n\r\ndone", "done"},
+		"plain, body":            {true, head + "Content-Length: 4\r\n\r\ndo", "ne", "done"},
+		"plain, chunked body":    {true, head + "Transfer-Encoding: chunked\r\n\r\n2\r\ndo\r\n2", "\r\nne\r\n0\r\n\r\n", "done"},
+		"stream, event":          {false, streamHead + "d\r\nid: 1\ndata: x", "\r\n2\r\n\n\n\r\n0\r\n\r\n", events(1, 1)},
+		"stream, second event":   {false, streamHead + "f\r\nid: 1\ndata: x\n\n\r\nf\r\nid: 2", "\ndata: x\n\n\r\n0\r\n\r\n", events(1, 2)},
+		"stream, before its end": {false, streamHead + "f\r\nid: 1\ndata: x\n\n\r\n0\r\n", "\r\n", events(1, 1)},
+	} {
+		for _, alone := range []bool{true, false} {
+			t.Run(name+map[bool]string{true: ", only worker", false: ", the other one refuses"}[alone], func(t *testing.T) {
+				withCallers(t, func(t *testing.T, s *callerServer) {
+					s.put("config", "main", newerConfig("8", `"timeout_ms":1200`, `"timeout_ms":6000`, `"target_latency_ms":400`, `"target_latency_ms":700`))
+					service, target := "llm", "/chat/x"
+					if c.plain {
+						service, target = "desk", "/view/x"
+					}
+					s.worker(service, "w1", 1, func(e *workerExchange) {
+						if !alone {
+							s.worker(service, "w2", 1, func(e *workerExchange) {
+								e.head(http.StatusServiceUnavailable, notRunHeader, "1", "Content-Length", "0")
+							})
+						}
+						fmt.Fprint(e, c.before)
+						<-time.After(silence)
+						fmt.Fprint(e, c.rest)
+					})
+					got := s.connect().ask(requestText(http.MethodGet, target, "", deadlineHeader, "6000"))
+					if got.cut || got.status != http.StatusOK || got.body != c.body {
+						t.Errorf("response %+v, %d arrivals", got, len(s.arrived()))
+					}
+				})
+			})
+		}
+	}
+}
--- a/lib/workerconn/endless_test.go
+++ b/lib/workerconn/endless_test.go
@@ -48,7 +48,7 @@
 			}, func(t *testing.T, pool *Pool, _ *peer) {
 				started := time.Now()
 				_, sent, err := exchange(t, pool, "a", false)
-				if err == nil || !sent || time.Since(started) > remainderTimeout {
+				if err == nil || !sent || time.Since(started) > defaultRemainderTimeout {
 					t.Errorf("sent %v, error %v after %v", sent, err, time.Since(started))
 				}
 				if n := written.Load(); n > 2*maxHeadBytes {
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -31,8 +31,9 @@
 	// defaultKeepAlive is how long an idle connection may be reused when the worker does
 	// not state how long it keeps it.
 	defaultKeepAlive = 500 * time.Millisecond
-	// remainderTimeout bounds each wait for more of a response that has started to arrive.
-	remainderTimeout = 2 * time.Second
+	// defaultRemainderTimeout bounds each wait for more of a response that has started to arrive, unless
+	// the request has a RemainderTimeout.
+	defaultRemainderTimeout = 2 * time.Second
 	// maxHeads bounds the response heads that are read for one request: informational
 	// responses, responses to other requests, and the matching one.
 	maxHeads = 3
@@ -69,6 +70,9 @@
 	ID string
 	// ResponseTimeout bounds the wait for the first byte of the response; nil for no bound.
 	ResponseTimeout TimeoutFunc
+	// RemainderTimeout bounds each wait for more of a response that has started to arrive, after a
+	// ResponseTimeout or an Await with a timeout; nil for 2 s.
+	RemainderTimeout TimeoutFunc
 	// SendUntil returns the time from which on the request is not sent any more, zero for none; nil for none.
 	// Opening a connection may take until then, and the time may have changed meanwhile.
 	SendUntil func() time.Time
@@ -135,8 +139,9 @@
 	headBytesLeft int
 	// endedBy is the end of the connection as a read has found it; nil before.
 	endedBy error
-	// boundReads is set while each read waits for remainderTimeout at most.
-	boundReads bool
+	// remainderTimeout bounds each read while boundReads is set.
+	remainderTimeout TimeoutFunc
+	boundReads       bool
 	// refused holds the IDs of the requests that were refused on the connection.
 	refused []string
 	// keepAlive is how long the idle connection may be reused; negative for not at all.
@@ -146,11 +151,6 @@
 
 // Read implements io.Reader for the buffered reader, and limits the size of heads.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.boundReads {
-		// SetReadDeadline fails only on a closed connection. Its reads return the bytes that have
-		// arrived and then report the close.
-		_ = c.SetReadDeadline(time.Now().Add(remainderTimeout))
-	}
 	if c.headBytesLeft < 0 {
 		return c.read(p)
 	}
@@ -164,7 +164,7 @@
 
 // read reads from the connection and records its end.
 func (c *conn) read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.readBound(p)
 	switch {
 	case errors.Is(err, io.EOF):
 		c.endedBy = io.ErrUnexpectedEOF
@@ -174,6 +174,25 @@
 	return n, err
 }
 
+// readBound reads from the connection, for as long as remainderTimeout allows while boundReads is set.
+func (c *conn) readBound(p []byte) (int, error) {
+	if !c.boundReads {
+		return c.Conn.Read(p)
+	}
+	for started := time.Now(); ; {
+		more := c.remainderTimeout(time.Since(started))
+		if more <= 0 {
+			return 0, fmt.Errorf("rest of the response: %w", os.ErrDeadlineExceeded)
+		}
+		// SetReadDeadline fails only on a closed connection. Its reads return the bytes that have
+		// arrived and then report the close.
+		_ = c.SetReadDeadline(time.Now().Add(more))
+		if n, err := c.Conn.Read(p); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+	}
+}
+
 // explain adds the end of the connection to the error of a response that is not complete. What was read until
 // then may be malformed for no other reason.
 func (c *conn) explain(err error) error {
@@ -224,6 +243,10 @@
 		c.Close()
 		return nil, false, fmt.Errorf("not sent: %w", ErrUnresponsive)
 	}
+	c.remainderTimeout = r.RemainderTimeout
+	if c.remainderTimeout == nil {
+		c.remainderTimeout = func(waited time.Duration) time.Duration { return defaultRemainderTimeout - waited }
+	}
 	stop := context.AfterFunc(ctx, c.abort)
 	fail := func(sent bool, err error) (*Response, bool, error) {
 		stop()
@@ -385,7 +408,7 @@
 }
 
 // await waits for the next byte, which is expected since started. Each read of the rest then
-// waits for remainderTimeout at most. Without a timeout function it does not wait, and reads have no bound.
+// waits as long as remainderTimeout allows. Without a timeout function it does not wait, and reads have no bound.
 func (c *conn) await(timeout TimeoutFunc, started time.Time) error {
 	if timeout == nil {
 		if c.boundReads {
--- a/lib/workerconn/progress_test.go
+++ b/lib/workerconn/progress_test.go
@@ -63,7 +63,7 @@
 	}, func(t *testing.T, pool *Pool, _ *peer) {
 		started := time.Now()
 		_, err := readPatiently(t, pool)
-		if took := time.Since(started); !errors.Is(err, os.ErrDeadlineExceeded) || took != remainderTimeout {
+		if took := time.Since(started); !errors.Is(err, os.ErrDeadlineExceeded) || took != defaultRemainderTimeout {
 			t.Errorf("%v after %v", err, took)
 		}
 		<-time.After(time.Minute)
@@ -75,7 +75,7 @@
 func TestReadBoundEndsWithItsResponse(t *testing.T) {
 	withPeer(t, func(conn net.Conn, number int, r *http.Request) {
 		if number == 2 {
-			<-time.After(2 * remainderTimeout)
+			<-time.After(2 * defaultRemainderTimeout)
 		}
 		reply(conn, r.Header.Get("Id"), "ok")
 	}, func(t *testing.T, pool *Pool, p *peer) {
