Explain: name silent workers and the attempts beside them

The cause named the last attempt of the log, which is one that was ended because the request went on without it, where two attempts were open at the end. The test failed: it named attempt 2 at w2 in place of attempt 1.

--- a/lib/explain/explain.go
+++ b/lib/explain/explain.go
@@ -91,7 +91,7 @@
 	if len(steps) == 0 {
 		return "no line of these logs names the request; add the logs of the other entries"
 	}
-	reason, attempt, refusal, cut := "", "", "", ""
+	reason, attempt, silence, refusal, cut := "", "", "", "", ""
 	for _, step := range steps {
 		if names := step.Fields["blocked"]; names != "" {
 			refusal = blockRefusal(strings.Trim(names, "[]"))
@@ -99,7 +99,12 @@
 		switch step.Message {
 		case "request ended", "request refused":
 			reason = step.Fields["reason"]
+		case "worker is silent; the request is sent to another one as well":
+			silence = fmt.Sprintf("%s was silent, so %s was asked as well", step.Fields["silent"], step.Fields["vm"])
 		case "attempt ended":
+			if step.Fields["superseded"] == "true" {
+				continue
+			}
 			attempt = fmt.Sprintf("attempt %s at %s ended with %s after %s ms", step.Fields["attempt"], step.Fields["vm"],
 				step.Fields["outcome"], step.Fields["duration"])
 			if problem := step.Fields["error"]; problem != "" {
@@ -119,7 +124,7 @@
 		parts = append(parts, "the end of the request is not in these logs")
 	}
 	if reason != "complete" {
-		for _, detail := range []string{attempt, refusal, cut} {
+		for _, detail := range []string{attempt, silence, refusal, cut} {
 			if detail != "" {
 				parts = append(parts, detail)
 			}
--- a/lib/explain/explain_test.go
+++ b/lib/explain/explain_test.go
@@ -68,3 +68,20 @@
 		So(timeline.Cause, ShouldContainSubstring, "closed after 300 ms with 5700 ms left, under configuration 17, 120 ms after configuration 19 came in force")
 	})
 }
+
+// Guards against a cause that names an attempt which was ended because another one went on, in place of the one
+// that ended the request, and that does not tell of silent workers.
+func TestCauseOfARequestWithHedgedAttempts(t *testing.T) {
+	Convey("The cause names the attempt that ended the request and the silent workers", t, func() {
+		const log = `{"level":"info","ts":"2026-02-07T16:49:17.1Z","node":"front-b","msg":"endpoint chosen","request":"r7","attempt":1,"vm":"w1"}
+{"level":"info","ts":"2026-02-07T16:49:19.1Z","node":"front-b","msg":"worker is silent; the request is sent to another one as well","request":"r7","attempt":2,"silent":"w1","vm":"w2","resume":true}
+{"level":"info","ts":"2026-02-07T16:49:19.5Z","node":"front-b","msg":"attempt ended","request":"r7","attempt":1,"vm":"w1","outcome":"OUTCOME_UNKNOWN","duration":2400,"error":"answer was cut off: unexpected EOF"}
+{"level":"info","ts":"2026-02-07T16:49:19.5Z","node":"front-b","msg":"attempt ended","request":"r7","attempt":2,"vm":"w2","outcome":"OUTCOME_UNKNOWN","hedge":true,"superseded":true,"duration":400,"error":"the request goes on without this attempt"}
+{"level":"info","ts":"2026-02-07T16:49:19.5Z","node":"front-b","msg":"request ended","request":"r7","reason":"stream_cut","attempts":2}`
+		timeline, err := Read("r7", strings.NewReader(log))
+		So(err, ShouldBeNil)
+		So(timeline.Cause, ShouldContainSubstring, "attempt 1 at w1 ended with OUTCOME_UNKNOWN after 2400 ms")
+		So(timeline.Cause, ShouldContainSubstring, "w1 was silent, so w2 was asked as well")
+		So(timeline.Cause, ShouldNotContainSubstring, "goes on without")
+	})
+}
