Explain: give an unknown reason as it was logged

A reason that explain did not know, such as one of a newer entry, was reported as 'the end of the request is not in these logs', although it is.

--- a/lib/explain/explain.go
+++ b/lib/explain/explain.go
@@ -118,9 +118,13 @@
 		}
 	}
 	var parts []string
-	if text, ok := reasons[reason]; ok {
+	text, known := reasons[reason]
+	switch {
+	case known:
 		parts = append(parts, reason+": "+text)
-	} else {
+	case reason != "":
+		parts = append(parts, reason)
+	default:
 		parts = append(parts, "the end of the request is not in these logs")
 	}
 	if reason != "complete" {
--- a/lib/explain/explain_test.go
+++ b/lib/explain/explain_test.go
@@ -85,3 +85,13 @@
 		So(timeline.Cause, ShouldNotContainSubstring, "goes on without")
 	})
 }
+
+// Guards against an end of a request that is reported as missing from the logs although they give a reason, one
+// that this program does not know.
+func TestUnknownReasonIsNamed(t *testing.T) {
+	Convey("The cause gives the reason as it was logged", t, func() {
+		timeline, err := Read("r8", strings.NewReader(`{"level":"info","ts":"2026-02-07T16:49:17.1Z","node":"front-b","msg":"request ended","request":"r8","reason":"overheated"}`))
+		So(err, ShouldBeNil)
+		So(timeline.Cause, ShouldEqual, "overheated")
+	})
+}
