--- a/lib/journal/bounds_test.go
+++ b/lib/journal/bounds_test.go
@@ -252,6 +252,35 @@
 		So(err, ShouldBeNil)
 		So(len(objects), ShouldBeLessThanOrEqualTo, 1)
 	})
+	Convey("Segments whose first deletion fails, or loses its response, are deleted all the same", t, func() {
+		for _, fault := range []platform.Fault{platform.FaultUnavailable, platform.FaultLostRequest, platform.FaultLostResponse} {
+			sim := newOwnedSimulation(1)
+			p := sim.processes[0]
+			failed := 0
+			sim.store.Inject = func(verb, key string) platform.Fault {
+				if verb != "delete" || failed == 3 {
+					return platform.NoFault
+				}
+				failed++
+				return fault
+			}
+			body := make([]byte, maxInlineBytes)
+			for i := range 20 {
+				extra := sim.begin(p, &keyModel{name: fmt.Sprint(i)}, "a")
+				sim.advance(4 * advanceStep)
+				p.shard.Complete(sim.key(extra.key), extra.number, Response{200, "", body}, sim.now)
+				sim.advance(advanceStep)
+			}
+			So(len(p.shard.sync.segments), ShouldBeGreaterThan, 2)
+			sim.now = sim.now.Add(keyRetention + clockSlack + time.Minute)
+			sim.beginAndAdvance(p, "new")
+			sim.advance(time.Minute)
+			So(failed, ShouldEqual, 3)
+			objects, _, err := sim.store.List(context.Background(), "journal/booking/0/segment/")
+			So(err, ShouldBeNil)
+			So(len(objects), ShouldBeLessThanOrEqualTo, 1)
+		}
+	})
 	Convey("UUIDv7 keys older than the retention or from the future are refused", t, func() {
 		s := NewShard(Identity{}, "booking", 0)
 		begin := func(created time.Time) Reply {
--- a/lib/journal/sync.go
+++ b/lib/journal/sync.go
@@ -339,7 +339,9 @@
 	case stepCheckSegment:
 		return s.handleCheckedSegment(result, now)
 	case stepDelete:
-		s.sync.garbage = s.sync.garbage[1:]
+		if responded(result.Err) {
+			s.sync.garbage = s.sync.garbage[1:]
+		}
 		return s.noteContact(result.Err, now)
 	default:
 		return nil
