Endpoint: keep the weights of a model whose placement is refused

The versions that the last accepted placement asked for are kept. TestRefusedPlacementDropsNoWeights failed: the weights were dropped.

--- a/endpoint/weights.go
+++ b/endpoint/weights.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -44,6 +45,8 @@
 	distributions  map[string]*transfer.Distribution
 	assignments    map[string]assignment
 	highestFencing map[string]uint64
+	// wanted holds the versions of each model that its last placement asked for, by their digests.
+	wanted map[string]map[string]wantedVersion
 	// handedOverHashes holds the SHA-256 of each version as it was sent to the engine.
 	handedOverHashes map[string]string
 	changed          chan struct{}
@@ -54,7 +57,7 @@
 		vm: s.VM, models: s.Models, store: weights.NewStore(s.WeightsMemoryMB * megabyte), transfer: t,
 		originMbit: s.OriginMbit, log: log, metrics: metrics,
 		distributions: make(map[string]*transfer.Distribution), assignments: make(map[string]assignment),
-		highestFencing: make(map[string]uint64), handedOverHashes: make(map[string]string), changed: make(chan struct{}, 1),
+		highestFencing: make(map[string]uint64), wanted: make(map[string]map[string]wantedVersion), handedOverHashes: make(map[string]string), changed: make(chan struct{}, 1),
 	}
 }
 
@@ -71,7 +74,8 @@
 	defer w.mu.Unlock()
 	keep := make(map[string]wantedVersion)
 	for _, placement := range bundle.GetPlacements() {
-		w.configureModel(bundle, snapshot, placement, keep)
+		w.configureModel(bundle, snapshot, placement)
+		maps.Copy(keep, w.wanted[placement.GetModel()])
 	}
 	for digest, d := range w.distributions {
 		if _, ok := keep[digest]; !ok {
@@ -87,8 +91,8 @@
 	}
 }
 
-// configureModel reads one placement. The caller holds the lock.
-func (w *weightManager) configureModel(bundle *laburnumgwv1.ConfigBundle, snapshot *config.Snapshot, placement *laburnumgwv1.Placement, keep map[string]wantedVersion) {
+// configureModel reads one placement. One with an old fencing number changes nothing. The caller holds the lock.
+func (w *weightManager) configureModel(bundle *laburnumgwv1.ConfigBundle, snapshot *config.Snapshot, placement *laburnumgwv1.Placement) {
 	model := placement.GetModel()
 	if !slices.Contains(w.models, model) {
 		return
@@ -100,6 +104,8 @@
 		return
 	}
 	w.highestFencing[model] = placement.GetFencing()
+	keep := make(map[string]wantedVersion)
+	w.wanted[model] = keep
 	own := ownAssignment(placement, w.vm)
 	if own == nil {
 		delete(w.assignments, model)
