Keep the version of a stream when an attempt beside its silent worker ends

What callers saw: a cut stream although a worker with its weights was free. After the worker that was asked beside a silent one had refused, could not be reached or was superseded, the first worker was lost, and the stream was not resumed.

Cause: the end of the other attempt stated the bytes that the caller had, without the version that had produced them, and was recorded before the end of the first attempt. The planner took the version of the stream for unknown. Found by the review of the change.

Change: only an attempt whose stream was relayed states relayed bytes.

--- a/entry/hosted/attempt.go
+++ b/entry/hosted/attempt.go
@@ -44,11 +44,10 @@
 	startWait   startWait
 
 	// continues is set when the attempt goes on with a stream after lastEventID, on weightVersion.
-	// continuesEvents is set when that is a series of events, and relayedBytes is how much of it the caller had then.
+	// continuesEvents is set when that is a series of events.
 	continues, continuesEvents bool
 	lastEventID                string
 	weightVersion              int
-	relayedBytes               int64
 
 	// began is set once the worker has begun to write a stream, or its response is complete.
 	began bool
@@ -92,9 +91,9 @@
 	return quarantine.Start{Address: a.address, StartedAtMs: a.startedAtMs}
 }
 
-// result returns the end of the attempt.
+// result returns the end of an attempt of which nothing was relayed.
 func (a *attempt) result(outcome laburnumgwv1.Outcome, sent bool, version string, err error) retry.Attempt {
-	return retry.Attempt{Outcome: outcome, Sent: sent, RelayedBytes: a.relayedBytes, VersionDigest: version, Err: err}
+	return retry.Attempt{Outcome: outcome, Sent: sent, VersionDigest: version, Err: err}
 }
 
 // open sends the request to the worker and reads its response until it has begun.
--- /dev/null
+++ b/entry/hosted/hedge_test.go
@@ -0,0 +1,74 @@
+package hosted
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Guards against a begun stream that can't be resumed any more since an attempt beside its silent worker was
+// refused, not sent or superseded: its end was recorded without the version of the stream.
+func TestStreamIsResumedAfterAHedgeThatEnded(t *testing.T) {
+	for name, c := range map[string]struct {
+		attempts string
+		// goesOn has the first worker go on before it is lost, so that the hedge is superseded.
+		goesOn bool
+		// closes is when the worker is lost after the silence, zero for never.
+		closes time.Duration
+		hedge  func(s *callerServer, e *workerExchange)
+	}{
+		"refused": {attempts: "3", hedge: func(_ *callerServer, e *workerExchange) {
+			e.head(http.StatusServiceUnavailable, notRunHeader, "1", "Content-Length", "0")
+		}},
+		"not sent":   {attempts: "2"},
+		"superseded": {attempts: "3", goesOn: true, hedge: func(_ *callerServer, e *workerExchange) { <-time.After(10 * time.Second) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withCallers(t, func(t *testing.T, s *callerServer) {
+				s.put("config", "main", newerConfig("8", `"attempts":2,"resumable"`, `"attempts":`+c.attempts+`,"resumable"`))
+				var hedged atomic.Bool
+				other := func(e *workerExchange) {
+					if c.hedge != nil && hedged.CompareAndSwap(false, true) {
+						c.hedge(s, e)
+						return
+					}
+					pausingStream(0)(e)
+				}
+				first := true
+				s.worker("llm", "w1", 1, func(e *workerExchange) {
+					if !first {
+						other(e)
+						return
+					}
+					first = false
+					if c.hedge == nil {
+						s.mu.Lock()
+						s.refused["w2"] = true
+						s.mu.Unlock()
+						s.worker("llm", "w2", 1, other)
+						time.AfterFunc(2100*time.Millisecond, func() { s.worker("llm", "w3", 1, other) })
+					} else {
+						s.worker("llm", "w2", 1, other)
+						s.worker("llm", "w3", 1, other)
+					}
+					e.stream(1)
+					e.events(1, 2)
+					<-time.After(2250 * time.Millisecond)
+					if c.goesOn {
+						e.events(3, 3)
+						<-time.After(50 * time.Millisecond)
+					}
+					e.Close()
+				})
+				got := s.connect().ask(requestText(http.MethodPost, "/chat/x", "p", deadlineHeader, "6000"))
+				if got.cut || got.body != events(1, 4) {
+					t.Errorf("response %+v", got)
+				}
+				for _, a := range s.arrived() {
+					t.Logf("%s after %q", a.worker, a.header.Get("Last-Event-Id"))
+				}
+			})
+		})
+	}
+}
