Wait for an attempt that is left alone until the deadline of its request

What callers saw: 502 before the deadline, although the second worker would have answered in time: a plain request whose silent first worker was lost 3.5 s after it was sent ended at 4.35 s of 6 s.

Cause: the time left was taken when the second attempt was left alone, and compared with the time since it was sent, so that what it had waited before was subtracted twice. Found by the review of the change.

Change: both count from the time at which the attempt was sent.

--- a/entry/hosted/hedge_test.go
+++ b/entry/hosted/hedge_test.go
@@ -72,3 +72,27 @@
 		})
 	}
 }
+
+// Guards against a hedge that is given up before the request is over, once the first attempt is lost.
+func TestHedgeThatIsLeftIsWaitedForUntilTheDeadline(t *testing.T) {
+	for _, lost := range []time.Duration{2500 * time.Millisecond, 3500 * time.Millisecond, 4500 * time.Millisecond} {
+		t.Run(lost.String(), func(t *testing.T) {
+			withCallers(t, func(t *testing.T, s *callerServer) {
+				s.put("config", "main", newerConfig("8", `"timeout_ms":1200`, `"timeout_ms":6000`))
+				begun := time.Now()
+				s.worker("desk", "w1", 0, func(e *workerExchange) {
+					s.worker("desk", "w2", 0, func(e *workerExchange) {
+						<-time.After(time.Until(begun.Add(5500 * time.Millisecond)))
+						done(e)
+					})
+					<-time.After(lost)
+					e.Close()
+				})
+				got := s.connect().ask(requestText(http.MethodGet, "/view/x", "", deadlineHeader, "6000"))
+				if got.status != http.StatusOK {
+					t.Errorf("response %+v after %v, %d arrivals", got, time.Since(begun), len(s.arrived()))
+				}
+			})
+		})
+	}
+}
--- a/entry/hosted/patience.go
+++ b/entry/hosted/patience.go
@@ -45,13 +45,13 @@
 	return min(maxSilencePatience, max(minSilencePatience, left))
 }
 
-// silenceEnd returns how long a worker that sends nothing is waited for in any case: until the request is over, or
-// until the caller of a stream has left for certain.
+// silenceEnd returns how long a worker that sends nothing is waited for in any case, from the time at which the request was
+// sent to it on: until the request is over, or until the caller of a stream has left for certain.
 func (a *attempt) silenceEnd() time.Duration {
 	if a.route.Kind == catalog.Stream && a.route.Repeatable() {
 		return a.route.CallerEventTimeout() + firstEventReserve
 	}
-	return a.limits.Left(time.Now())
+	return a.limits.Left(a.sentAt)
 }
 
 // eventTimeout returns how long to wait for the next event of a stream that is relayed, or nil for no limit
