Relay an answer that has begun beside a worker that crashes

What callers saw: 502 'the request may have crashed its endpoint' although another worker had begun to answer. The entry waits up to 0.4 s for news of a crash when a connection is lost, and then ended the attempt beside the lost one as well.

Cause: the rule that a request which may have crashed a worker is not sent to another one was applied to an attempt that had been sent before.

Change: an attempt that was sent goes on; no further one is sent, as before.

--- a/entry/hosted/hedge_test.go
+++ b/entry/hosted/hedge_test.go
@@ -1,10 +1,13 @@
 package hosted
 
 import (
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"laburnumgw/lib/quarantine"
 )
 
 // Guards against a begun stream that can't be resumed any more since an attempt beside its silent worker was
@@ -96,3 +99,74 @@
 		})
 	}
 }
+
+// Guards against a response that has begun at another worker and is ended, because the first worker has crashed.
+func TestHedgeThatHasBegunOutlivesACrash(t *testing.T) {
+	t.Run("stream", func(t *testing.T) {
+		withCallers(t, func(t *testing.T, s *callerServer) {
+			s.worker("llm", "w1", 1, func(e *workerExchange) {
+				s.worker("llm", "w2", 1, func(e *workerExchange) {
+					<-time.After(200 * time.Millisecond) // 2.0 s
+					e.stream(1)
+					e.events(1, 4)
+					e.end()
+				})
+				<-time.After(1900 * time.Millisecond)
+				e.Close()
+				<-time.After(250 * time.Millisecond)
+				s.front.view.workerCrashed(quarantine.Start{Address: workerAddress("w1"), StartedAtMs: 1}, "test")
+			})
+			got := s.connect().ask(requestText(http.MethodPost, "/chat/x", "p", deadlineHeader, "6000", prefixHeader, "aa:9,cc:1"))
+			if got.status != http.StatusOK || got.body != events(1, 4) {
+				t.Errorf("response %+v, %d arrivals", got, len(s.arrived()))
+			}
+		})
+	})
+	t.Run("plain", func(t *testing.T) {
+		withCallers(t, func(t *testing.T, s *callerServer) {
+			s.put("config", "main", newerConfig("8", `"timeout_ms":1200`, `"timeout_ms":6000`))
+			v, start := s.front.view, quarantine.Start{Address: "gone", StartedAtMs: 1}
+			v.requestLost(start, []string{quarantine.RequestName("a.example", "/view/x", "ws", nil)}, "ws")
+			v.mu.Lock()
+			v.quarantine.Crashed(start, "a", time.Now())
+			v.mu.Unlock()
+			s.worker("desk", "w1", 0, func(e *workerExchange) {
+				s.worker("desk", "w2", 0, func(e *workerExchange) {
+					<-time.After(600 * time.Millisecond)
+					done(e)
+				})
+				<-time.After(2300 * time.Millisecond)
+				s.mu.Lock()
+				s.connecting = 300 * time.Millisecond
+				s.refused["w1"] = true
+				s.mu.Unlock()
+				e.Close()
+			})
+			got := s.connect().ask(requestText(http.MethodGet, "/view/x", "", deadlineHeader, "6000"))
+			if got.status != http.StatusOK {
+				t.Errorf("response %+v, %d arrivals", got, len(s.arrived()))
+			}
+		})
+	})
+}
+
+// Guards against a whole response of one attempt that is thrown away while another attempt stalls after its head.
+func TestWholeResponseIsRelayedWhileAnotherStalls(t *testing.T) {
+	withCallers(t, func(t *testing.T, s *callerServer) {
+		s.put("config", "main", newerConfig("8", `"timeout_ms":1200`, `"timeout_ms":3500`))
+		s.worker("desk", "w1", 0, func(e *workerExchange) {
+			s.worker("desk", "w2", 0, func(e *workerExchange) {
+				<-time.After(400 * time.Millisecond)
+				done(e)
+			})
+			<-time.After(2050 * time.Millisecond)
+			e.head(http.StatusOK, sealHeader, "seal", "Content-Length", "4")
+			<-time.After(1900 * time.Millisecond)
+			fmt.Fprint(e, "done")
+		})
+		got := s.connect().ask(requestText(http.MethodGet, "/view/x", "", deadlineHeader, "3500"))
+		if got.status != http.StatusOK {
+			t.Errorf("response %+v, %d arrivals", got, len(s.arrived()))
+		}
+	})
+}
--- a/lib/retry/hedge.go
+++ b/lib/retry/hedge.go
@@ -26,12 +26,14 @@
 // requests have used it up since.
 func (p *Planner) Hedge(s *State, now time.Time) bool { return p.budget.tryRetry(p.ahead(s, now), now) }
 
-// MayGoOn reports whether another attempt that runs beside one that has ended may still give the response.
+// MayGoOn reports whether another attempt that was sent beside one that has ended may still give the response. It goes on
+// also when the one that has ended may have crashed its endpoint: the request has reached the other one by then.
 func (p *Planner) MayGoOn(s *State, a Attempt) bool {
-	ended := *s
-	ended.record(a)
-	action, _ := ended.nextAction(a)
-	return action != Respond && a.outcome() != laburnumgwv1.Outcome_OUTCOME_COMPLETE
+	switch a.outcome() {
+	case laburnumgwv1.Outcome_OUTCOME_COMPLETE, laburnumgwv1.Outcome_OUTCOME_IN_PROGRESS:
+		return false
+	}
+	return !s.inProgress
 }
 
 // Ended records the end of an attempt while another one goes on.
