Relay one of two attempts that begin at the moment at which one is given up

What callers saw: a cut stream although two workers had begun to go on with it. An attempt that was waited for in place of a lost one was ended because the attempt beside it had begun; it had begun itself at that moment, its events were relayed from a closed connection, and the other attempt was dropped for it.

Change: an attempt that has begun is not given up, and the events of one whose connection was closed are not relayed.

--- a/entry/hosted/hedge.go
+++ b/entry/hosted/hedge.go
@@ -144,8 +144,7 @@
 	for {
 		more := timeout(time.Since(h.sentAt))
 		if more <= 0 {
-			h.cancel(workerconn.ErrUnresponsive)
-			<-h.done
+			h.giveUp()
 			return
 		}
 		timer := time.NewTimer(more)
@@ -158,6 +157,21 @@
 	}
 }
 
+// giveUp ends a hedge that has not begun. The connection of a stream that begins meanwhile is closed.
+func (h *hedge) giveUp() {
+	select {
+	case <-h.done:
+		return
+	default:
+	}
+	h.cancel(workerconn.ErrUnresponsive)
+	<-h.done
+	if h.brought.stream != nil {
+		h.brought.close()
+		h.brought = opened{ended: h.result(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, versionDigest(h.weightVersion), workerconn.ErrUnresponsive)}
+	}
+}
+
 // dropHedge ends the hedge, if there is one, since another attempt has begun to respond or the request is over.
 func (c *call) dropHedge() {
 	h := c.hedge
--- a/entry/hosted/hedge_test.go
+++ b/entry/hosted/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -170,3 +171,46 @@
 		}
 	})
 }
+
+// Guards against a stream that is cut since the attempt that was waited for was ended at the moment at which it had
+// begun, and the one beside it was dropped for it.
+func TestAttemptsThatBeginTogetherAreNotBothEnded(t *testing.T) {
+	config := strings.Replace(strings.Replace(patientConfig, `"version":7`, `"version":8`, 1), `"attempts":2,"resumable"`, `"attempts":3,"resumable"`, 1)
+	for step := range 120 {
+		t.Run(fmt.Sprint(step), func(t *testing.T) {
+			withCallers(t, func(t *testing.T, s *callerServer) {
+				s.put("config", "main", config)
+				begun := time.Now()
+				other := func(e *workerExchange) {
+					arrivals := len(s.arrived()) - 1
+					at := begun.Add(4200*time.Millisecond + time.Duration(step)*time.Millisecond/2)
+					if arrivals == 2 { // the third worker
+						at = begun.Add(4210 * time.Millisecond)
+					}
+					<-time.After(time.Until(at))
+					e.stream(1)
+					e.events(3, 3)
+					<-time.After(300 * time.Millisecond)
+					e.events(4, 4)
+					e.end()
+				}
+				s.worker("llm", "w1", 1, func(e *workerExchange) {
+					s.worker("llm", "w2", 1, other)
+					s.worker("llm", "w3", 1, other)
+					e.stream(1)
+					e.events(1, 2)
+					<-time.After(3 * time.Second)
+					e.Close()
+				})
+				got := s.connect().ask(requestText(http.MethodPost, "/chat/x", "p", deadlineHeader, "20000"))
+				arrivals := len(s.arrived()) - 1
+				if got.cut || got.body != events(1, 4) {
+					t.Errorf("response %+v after %d", got, arrivals)
+				}
+				if arrivals != 2 {
+					t.Logf("%d arrivals", arrivals)
+				}
+			})
+		})
+	}
+}
