Release the worker of an attempt that panics

An attempt whose code panics, the first one or one beside a silent worker, counted as running at its worker for as long as the worker was listed, so that it got fewer requests than others.

--- a/entry/hosted/attempt.go
+++ b/entry/hosted/attempt.go
@@ -276,6 +276,16 @@
 	return ended
 }
 
+// forget records the end of an attempt that tells nothing about its worker: it was not sent, or it panicked.
+func (a *attempt) forget() {
+	if a.finished {
+		return
+	}
+	a.finished = true
+	a.view.attemptFinished(a.service, a.tracked, routing.Result{Outcome: laburnumgwv1.Outcome_OUTCOME_UNSPECIFIED})
+	a.view.startWaitEnded(a.startWait, waitUnknown)
+}
+
 // endedBeforeResponse reports whether an attempt ended before the first event of its stream, or before
 // its response was complete, although the worker had received the request.
 func (a *attempt) endedBeforeResponse(ended retry.Attempt) bool {
--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -222,7 +222,7 @@
 	finished := false
 	defer func() {
 		if !finished { // it panicked
-			c.view.startWaitEnded(current.startWait, waitUnknown)
+			current.forget()
 		}
 	}()
 	c.attempts = current.number
--- a/entry/hosted/hedge.go
+++ b/entry/hosted/hedge.go
@@ -102,7 +102,7 @@
 			h.metrics.panics.Inc()
 			h.log.Error("attempt panicked", zap.String("request", h.in.ID), zap.Any("panic", cause), zap.Stack("stack"))
 			h.brought = opened{ended: h.result(laburnumgwv1.Outcome_OUTCOME_UNKNOWN, true, "", fmt.Errorf("%w: %v", errAttemptPanicked, cause))}
-			h.view.startWaitEnded(h.startWait, waitUnknown)
+			h.forget()
 		}
 	}()
 	h.brought = h.open(timeout)
@@ -118,8 +118,7 @@
 
 // undoPick takes back the choice of a worker that was not sent anything.
 func (c *call) undoPick() {
-	c.view.attemptFinished(c.service, c.picked.tracked, routing.Result{Outcome: laburnumgwv1.Outcome_OUTCOME_UNSPECIFIED})
-	c.view.startWaitEnded(c.picked.startWait, waitUnknown)
+	c.picked.forget()
 }
 
 // adoptHedge waits for the hedge in place of the attempt that has ended. While it is silent, the request may be
--- a/entry/hosted/hedge_test.go
+++ b/entry/hosted/hedge_test.go
@@ -214,3 +214,54 @@
 		})
 	}
 }
+
+// Guards against a first attempt that panics and counts as running at its worker for ever.
+func TestPanicOfAnAttemptLeavesNothing(t *testing.T) {
+	withCallers(t, func(t *testing.T, s *callerServer) {
+		buffers := s.front.buffers
+		s.front.buffers = nil
+		s.worker("desk", "w1", 0, done)
+		if got := s.connect().ask(requestText(http.MethodGet, "/view/x", "", deadlineHeader, "6000")); got.status != http.StatusBadGateway {
+			t.Errorf("response %+v", got)
+		}
+		s.front.buffers = buffers
+		requireNoAttempts(t, s.deployment)
+	})
+}
+
+// requireNoAttempts fails if an attempt counts as running.
+func requireNoAttempts(t *testing.T, d *deployment) {
+	t.Helper()
+	v := d.front.view
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for name, service := range v.services {
+		for _, status := range service.table.Status() {
+			if status.OwnAttempts != 0 {
+				t.Errorf("%s of %s has %d attempts", status.VM, name, status.OwnAttempts)
+			}
+		}
+	}
+}
+
+// Guards against an attempt beside a silent one that panics and counts as running at its worker for ever.
+func TestPanicOfAHedgeLeavesNothing(t *testing.T) {
+	withCallers(t, func(t *testing.T, s *callerServer) {
+		s.put("config", "main", newerConfig("8", `"timeout_ms":1200`, `"timeout_ms":6000`))
+		buffers := s.front.buffers
+		s.worker("desk", "w1", 0, func(e *workerExchange) {
+			s.worker("desk", "w2", 0, func(e *workerExchange) {
+				s.front.buffers = nil
+				done(e)
+			})
+			<-time.After(2300 * time.Millisecond)
+			s.front.buffers = buffers
+			done(e)
+		})
+		got := s.connect().ask(requestText(http.MethodGet, "/view/x", "", deadlineHeader, "6000"))
+		if got.status != http.StatusOK || s.front.metrics.panics.Get() != 1 {
+			t.Errorf("response %+v, %d panics", got, s.front.metrics.panics.Get())
+		}
+		requireNoAttempts(t, s.deployment)
+	})
+}
