Resume a stream on the version that produced its last events

What callers saw: a cut stream. A worker had changed its weights amid a stream that had been resumed once; when that attempt ended too, a worker with the earlier weights was asked, whose answer is refused as of another version.

Cause: the planner took the version from the first attempt that relayed bytes and kept it.

Change: the version is that of the attempt that relayed the last bytes. TestStreamIsResumedOnTheVersionOfItsLastEvents failed: version 3, want 4.

--- a/lib/retry/hedge_test.go
+++ b/lib/retry/hedge_test.go
@@ -73,3 +73,21 @@
 		t.Errorf("%d sent, want 3", sent)
 	}
 }
+
+// Guards against a stream that is resumed on weights which its worker had left amid it: the version was taken
+// from the first attempt for good.
+func TestStreamIsResumedOnTheVersionOfItsLastEvents(t *testing.T) {
+	now := time.Unix(1000, 0)
+	planner := retry.NewPlanner(retry.Settings{}, retry.NewBudget(retry.BudgetSettings{PerSecond: 10}), rand.New(rand.NewPCG(1, 1)))
+	state := retry.NewState(retry.Request{Idempotent: true, Resumable: true, Deadline: now.Add(time.Minute)})
+	for _, c := range []struct {
+		relayed int64
+		version string
+		want    string
+	}{{10, "3", "3"}, {20, "4", "4"}, {0, "5", "4"}} {
+		ended := retry.Attempt{Outcome: laburnumgwv1.Outcome_OUTCOME_UNKNOWN, Sent: true, RelayedBytes: c.relayed, VersionDigest: c.version}
+		if next := planner.Next(state, ended, now); next.Action != retry.Resume || next.VersionDigest != c.want {
+			t.Errorf("after %+v: %+v, want version %s", c, next, c.want)
+		}
+	}
+}
--- a/lib/retry/plan.go
+++ b/lib/retry/plan.go
@@ -87,8 +87,9 @@
 	request  Request
 	attempts int
 	// sent counts the attempts that were sent.
-	sent    int
-	relayed bool
+	sent int
+	// relayed is how many payload bytes reached the caller, and digest the version that produced the last of them.
+	relayed int64
 	digest  string
 	// notRun is true while every attempt was never sent or refused with NOT_RUN.
 	notRun bool
@@ -121,7 +122,7 @@
 // AcceptsVersion reports whether a response of the given version digest may be relayed.
 // Once bytes were relayed, only the version that produced them may continue.
 func (s *State) AcceptsVersion(digest string) bool {
-	return !s.relayed || digest == s.digest
+	return s.relayed == 0 || digest == s.digest
 }
 
 // Next states what follows an attempt.
@@ -285,8 +286,8 @@
 	s.lastErr = a.Err
 	s.mayHaveCrashed = s.mayHaveCrashed || a.MayHaveCrashed
 	s.retryAfter = max(s.retryAfter, a.RetryAfter)
-	if a.RelayedBytes > 0 && !s.relayed {
-		s.relayed = true
+	if a.RelayedBytes > s.relayed {
+		s.relayed = a.RelayedBytes
 		s.digest = a.VersionDigest
 	}
 	switch a.outcome() {
@@ -310,7 +311,7 @@
 	if s.mayHaveCrashed {
 		return Respond, "the request may have crashed its endpoint"
 	}
-	if s.relayed {
+	if s.relayed > 0 {
 		return s.nextStreamAction()
 	}
 	if a.outcome() == laburnumgwv1.Outcome_OUTCOME_NOT_RUN || s.request.Idempotent {
