Test attempts beside silent workers under random silences, stops and callers that leave

Random silences, refusals, failures, lost connections and callers that leave, 200 seeds of six requests at eight workers each: no event twice, missing or of two runs, no more arrivals than attempts, nothing left open or counted. The same for a worker that trickles bytes without an event, a caller that leaves and a planned stop.

--- a/entry/hosted/hedge_test.go
+++ b/entry/hosted/hedge_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -265,3 +268,223 @@
 		requireNoAttempts(t, s.deployment)
 	})
 }
+
+// Guards against a stream that waits for a worker that trickles bytes without an event, while another one has begun.
+func TestTricklingWorkerIsReplaced(t *testing.T) {
+	withCallers(t, func(t *testing.T, s *callerServer) {
+		s.worker("llm", "w1", 1, func(e *workerExchange) {
+			s.worker("llm", "w2", 1, pausingStream(100*time.Millisecond))
+			e.stream(1)
+			e.events(1, 2)
+			for range 80 {
+				e.chunk("d")
+				<-time.After(50 * time.Millisecond)
+			}
+		})
+		got := s.connect().ask(requestText(http.MethodPost, "/chat/x", "p", deadlineHeader, "6000"))
+		if got.cut || got.body != events(1, 4) || got.took > 2300*time.Millisecond {
+			t.Errorf("response %+v", got)
+		}
+	})
+}
+
+// Guards against two attempts that work on for a caller that has left.
+func TestCallerThatLeavesEndsBothAttempts(t *testing.T) {
+	withCallers(t, func(t *testing.T, s *callerServer) {
+		closed := make(chan time.Duration, 10)
+		begun := time.Now()
+		silent := func(e *workerExchange) {
+			e.Read(make([]byte, 1))
+			closed <- time.Since(begun)
+		}
+		s.worker("llm", "w1", 1, func(e *workerExchange) {
+			s.worker("llm", "w2", 1, silent)
+			e.stream(1)
+			e.events(1, 2)
+			silent(e)
+		})
+		conn := s.connect()
+		conn.send(requestText(http.MethodPost, "/chat/x", "", deadlineHeader, "6000"))
+		go conn.receive()
+		<-time.After(2200 * time.Millisecond)
+		conn.Close()
+		for range 2 {
+			if at := <-closed; at > 2300*time.Millisecond {
+				t.Errorf("ended after %v", at)
+			}
+		}
+		<-time.After(time.Second)
+	})
+}
+
+// Guards against a planned stop that leaves one of two attempts running, or an answer out.
+func TestPlannedStopEndsBothAttempts(t *testing.T) {
+	for _, target := range []string{"/chat/x", "/view/x"} {
+		t.Run(target, func(t *testing.T) {
+			withCallers(t, func(t *testing.T, s *callerServer) {
+				s.put("config", "main", newerConfig("8", `"timeout_ms":1200`, `"timeout_ms":60000`, `"timeout_ms":6000`, `"timeout_ms":60000`))
+				begun := time.Now()
+				ended := make(chan time.Duration, 10)
+				silent := func(e *workerExchange) {
+					_, _ = e.Read(make([]byte, 1))
+					ended <- time.Since(begun)
+				}
+				for i := range 3 {
+					s.worker("llm", fmt.Sprint("w", i), 1, silent)
+					s.worker("desk", fmt.Sprint("d", i), 0, silent)
+				}
+				conn := s.connect()
+				stop := s.beginStop(8 * time.Second)
+				conn.send(requestText(http.MethodPost, target, "p", deadlineHeader, "60000"))
+				got := conn.receive()
+				t.Logf("%+v %d arrivals", got, len(s.arrived()))
+				if got.cut {
+					t.Error("cut")
+				}
+				for range len(s.arrived()) {
+					t.Log(<-ended)
+				}
+				<-stop.ended
+			})
+		})
+	}
+}
+
+// Guards against mixed, doubled or missing events, attempts beyond those of the route, and attempts, memory or waits
+// that are never returned, under random silences, losses and refusals of all workers.
+func TestRandomSilencesKeepThePromises(t *testing.T) {
+	const streamEvents = 6
+	for seed := range uint64(200) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			withCallers(t, func(t *testing.T, s *callerServer) {
+				var mu sync.Mutex
+				rng := rand.New(rand.NewPCG(seed, 1))
+				draw := func(n int) int {
+					mu.Lock()
+					defer mu.Unlock()
+					return rng.IntN(n)
+				}
+				attempts := 2 + draw(2)
+				s.put("config", "main", newerConfig("8", `"attempts":2`, fmt.Sprint(`"attempts":`, attempts), `"timeout_ms":1200`, `"timeout_ms":6000`))
+				pause := func() {
+					<-time.After(time.Duration([]int{0, 5, 300, 1800, 1900, 2020, 2100, 2300, 2500}[draw(9)]) * time.Millisecond)
+				}
+				misbehave := func(e *workerExchange) bool {
+					switch draw(9) {
+					case 0:
+						e.head(http.StatusServiceUnavailable, notRunHeader, "1", "Content-Length", "0")
+					case 1:
+						e.Close()
+					case 2:
+						e.complete(http.StatusInternalServerError, "failed")
+					case 3:
+						e.head(http.StatusOK, versionHeader, "1", "Content-Length", "0")
+					default:
+						return false
+					}
+					return true
+				}
+				plain := func(e *workerExchange) {
+					pause()
+					if misbehave(e) {
+						return
+					}
+					if draw(3) == 0 {
+						e.head(http.StatusOK, sealHeader, "seal", "Content-Length", "4")
+						pause()
+						fmt.Fprint(e, "do")
+						pause()
+						fmt.Fprint(e, "ne")
+						return
+					}
+					done(e)
+				}
+				stream := func(e *workerExchange) {
+					pause()
+					if misbehave(e) {
+						return
+					}
+					from := 1
+					if after, err := strconv.Atoi(e.request.Header.Get("Last-Event-Id")); err == nil {
+						from = after + 1
+					}
+					version := 1
+					if draw(8) == 0 {
+						version = 2
+					}
+					e.stream(version)
+					for id := from; id <= streamEvents; id++ {
+						if draw(2) == 0 {
+							pause()
+						}
+						if draw(10) == 0 {
+							e.Close()
+							return
+						}
+						e.chunk(fmt.Sprintf("id: %d\nda", id))
+						if draw(4) == 0 {
+							pause()
+						}
+						e.chunk("ta: x\n\n")
+					}
+					e.end()
+				}
+				for i := range 4 {
+					s.worker("desk", fmt.Sprint("d", i), 0, plain)
+					s.worker("llm", fmt.Sprint("w", i), 1, stream)
+				}
+				var callers sync.WaitGroup
+				for n := range 6 {
+					conn := s.connect()
+					id := fmt.Sprint("q", n)
+					leaves := time.Duration(draw(9000)) * time.Millisecond
+					callers.Go(func() {
+						<-time.After(time.Duration(100*n) * time.Millisecond)
+						text := requestText(http.MethodPost, "/chat/x", "p", deadlineHeader, "6000")
+						if n%2 == 0 {
+							text = requestText(http.MethodGet, "/view/x", "", deadlineHeader, "6000")
+						}
+						time.AfterFunc(leaves, func() { conn.Close() })
+						conn.send(strings.Replace(text, "r1", id, 1))
+						got := conn.receive()
+						switch {
+						case n%2 == 0 && got.status == http.StatusOK && !got.cut && got.body != "done":
+							t.Errorf("plain %+v", got)
+						case n%2 == 1 && got.status == http.StatusOK && !got.cut && got.body != events(1, streamEvents):
+							t.Errorf("stream %+v", got)
+						case n%2 == 1 && got.status == http.StatusOK && !strings.HasPrefix(events(1, streamEvents), got.body):
+							t.Errorf("cut stream %+v", got)
+						}
+						conn.Close()
+					})
+				}
+				callers.Wait()
+				<-time.After(30 * time.Second)
+				sent := make(map[string]int)
+				for _, a := range s.arrived() {
+					sent[a.header.Get(idHeader)]++
+				}
+				for id, n := range sent {
+					if n > attempts {
+						t.Errorf("%s arrived %d times of %d", id, n, attempts)
+					}
+				}
+				if used := s.front.buffers.used.Load(); used != 0 {
+					t.Errorf("%d bytes of responses are not released", used)
+				}
+				if n := s.front.metrics.panics.Get(); n != 0 {
+					t.Errorf("%d panics", n)
+				}
+				requireNoAttempts(t, s.deployment)
+				v := s.front.view
+				v.mu.Lock()
+				defer v.mu.Unlock()
+				for id, w := range v.workers {
+					if expected := w.waits.Expected(time.Now()); expected > 5*time.Second {
+						t.Errorf("%s: waits of %v are expected", id, expected)
+					}
+				}
+			})
+		})
+	}
+}
