Log the choice of the worker that is asked beside a silent one

The line 'endpoint chosen', with its load, the candidates and the age of its report, was missing for it. A list of tried workers that nothing read any more goes.

--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -66,8 +66,6 @@
 	body      []byte
 	limits    timelimit.Limits
 	attempts  uint32
-	// tried names the workers of earlier attempts.
-	tried []string
 	// silentAttempts counts the attempts that were given up while their connection was open, because the worker
 	// sent nothing, and lastEnd is the end of the last attempt.
 	silentAttempts int
@@ -156,15 +154,20 @@
 			zap.Int64("config", c.snapshot.Version), zap.Duration("left", c.limits.Left(time.Now())), zap.Error(err))
 		return decision, err
 	}
-	fields := []zap.Field{zap.String("request", c.in.ID), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
+	c.logChosen(query, decision)
+	return decision, nil
+}
+
+// logChosen logs a routing decision.
+func (c *call) logChosen(query *routing.Request, decision routing.Decision) {
+	fields := []zap.Field{zap.String("request", c.in.ID), zap.Uint32("attempt", query.Attempt), zap.String("vm", decision.VM),
 		zap.String("zone", decision.Zone), zap.String("reason", string(decision.Reason)), zap.String("weights", decision.VersionDigest),
 		zap.Float64("load", decision.Load), zap.Int("eligible", decision.EligibleCount), zap.Int("pool", decision.PoolSize),
 		zap.Int64("config", c.snapshot.Version), zap.Duration("left", c.limits.Left(time.Now())), zap.Duration("report_age", c.picked.reportAge)}
 	if query.Detail {
 		fields = append(fields, zap.Any("candidates", decision.Candidates))
 	}
-	c.logFor(number == 1).Info("endpoint chosen", fields...)
-	return decision, nil
+	c.logFor(query.Attempt == 1).Info("endpoint chosen", fields...)
 }
 
 // pick chooses an endpoint.
@@ -245,7 +248,6 @@
 
 // record records the end of an attempt in the call.
 func (c *call) record(a *attempt, ended retry.Attempt) {
-	c.tried = append(c.tried, a.decision.VM)
 	c.lastEnd = ended.Err
 	if a.failure != nil {
 		c.lastFailure = a.failure
--- a/entry/hosted/hedge.go
+++ b/entry/hosted/hedge.go
@@ -113,7 +113,12 @@
 
 // pickHedge chooses the worker of a hedge. It does not ask other entries for a part of a limit, which takes time.
 func (c *call) pickHedge(number uint32, digest string, tried []string) (routing.Decision, error) {
-	return c.pick(c.query(number, digest, tried))
+	query := c.query(number, digest, tried)
+	decision, err := c.pick(query)
+	if err == nil {
+		c.logChosen(query, decision)
+	}
+	return decision, err
 }
 
 // undoPick takes back the choice of a worker that was not sent anything.
