End-to-end test of late requests: wait for the response before the stop

Cause: the test, not the entry. It demands that the response of a stream that begins before the stop does not announce the end of its connection. It stopped the entry as soon as an engine had the request in flight, which is up to one token before the head of the response is written. An entry that writes a head during its stop must announce the end (drain.CloseWhileLeaving), as it did.

Evidence: with tokens that take 400 ms in place of 50 ms, so that the stop always comes first, the test failed with the same line, and with that of a request of five tokens, which no longer fit into its second. Beside five busy processes on eight cores neither the old nor the new test failed in three runs each, so that the load itself did not reproduce it.

Change: the test reads the head of the response before it stops the entry, and demands as before that it announces nothing. It also demands that a whole response that begins during the stop is complete and announces the end of its connection, which nothing did.

--- a/e2e/late_requests_test.go
+++ b/e2e/late_requests_test.go
@@ -36,6 +36,16 @@
 	}
 }
 
+// begin reads the head of a response.
+func (c *lateConn) begin(what string) *http.Response {
+	c.t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		c.t.Fatalf("%s: %v", what, err)
+	}
+	return response
+}
+
 // expect reads a response, which must be complete, and announce the end of the connection if last is set.
 func (c *lateConn) expect(what string, status int, part string, last bool) {
 	c.t.Helper()
@@ -44,6 +54,12 @@
 		c.t.Errorf("%s: %v", what, err)
 		return
 	}
+	c.expectRest(what, response, status, part, last)
+}
+
+// expectRest is expect for a response whose head has been read.
+func (c *lateConn) expectRest(what string, response *http.Response, status int, part string, last bool) {
+	c.t.Helper()
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil || response.StatusCode != status || response.Close != last || !strings.Contains(string(body), part) {
@@ -51,8 +67,15 @@
 	}
 }
 
-func lateChat(tokens int, deadline time.Duration) string {
-	body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"stream":true,"messages":[{"role":"user","content":"late"}]}`, model, tokens)
+func lateChat(tokens int, deadline time.Duration) string { return lateRequest(tokens, true, deadline) }
+
+// lateWholeChat is a chat whose response is sent when it is complete.
+func lateWholeChat(tokens int, deadline time.Duration) string {
+	return lateRequest(tokens, false, deadline)
+}
+
+func lateRequest(tokens int, stream bool, deadline time.Duration) string {
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"stream":%t,"messages":[{"role":"user","content":"late"}]}`, model, tokens, stream)
 	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nX-Request-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
 		deadline.Milliseconds(), len(body), body)
 }
@@ -67,11 +90,14 @@
 	entry := w.Entries[0]
 	address := strings.TrimPrefix(entry.HTTP, "http://")
 	dial := func() *lateConn { return dialEntry(t, address) }
-	running, bodiless, outlasting, fitting := dial(), dial(), dial(), dial()
+	running, whole, bodiless, outlasting, fitting := dial(), dial(), dial(), dial(), dial()
 	running.send(lateChat(2000, time.Minute))
+	// A response whose head is written during the stop announces the end of its connection.
+	stream := running.begin("stream at the end")
+	whole.send(lateWholeChat(40, time.Minute))
 	long := lateChat(10, time.Minute)
 	bodiless.send(long[:len(long)-5])
-	w.until("the chat runs", func() bool { return w.inFlight() >= 1 })
+	w.until("the chats run", func() bool { return w.inFlight() >= 2 })
 	begun := time.Now()
 	exited := make(chan error, 1)
 	go func() { exited <- entry.Terminate() }()
@@ -81,7 +107,8 @@
 	outlasting.expect("request that might outlast the entry", http.StatusServiceUnavailable, `"run":"no"`, true)
 	fitting.expect("request that ends in time", http.StatusOK, "[DONE]", true)
 	bodiless.expect("request without its body", http.StatusServiceUnavailable, `"run":"no"`, true)
-	running.expect("stream at the end", http.StatusOK, "event: error", false)
+	whole.expect("response that begins during the stop", http.StatusOK, `"finish_reason":"stop"`, true)
+	running.expectRest("stream at the end", stream, http.StatusOK, "event: error", false)
 	if err := <-exited; err != nil || time.Since(begun) > leaveWait+stopTimeout+time.Second {
 		t.Errorf("entry exited after %v: %v", time.Since(begun), err)
 	}
