Do not end attempts at an endpoint process that sends no reports, in the product's entry

What callers saw: a stream that was cut with an error event, or 502 "outcome unknown", 2.5 s after the process beside their endpoint had last reported, although the endpoint went on.

Cause: membership takes a process that has not reported for 2.5 s for dead, and the entry cancelled all attempts there at once, also those that still brought frames and those that nothing could replace: requests that must not be repeated, and streams whose other endpoints refuse, fail or have other weights. Class: a decision that cannot be undone, taken on the absence of a message, before its replacement is there.

Change: such attempts go on. While one has brought no frame for a second, the request is sent to another endpoint beside it, if the attempts and the retry budget allow it (dispatch.Hedges, as in the hosted entry). The one that brings the next frame gives the response, and the other one is ended then. An attempt that is ended so says nothing about its endpoint. Attempts at a process that has been replaced by a new one are still cancelled. The price: a request that must not be repeated, at a machine that has lost power, is answered at its deadline.

--- a/entry/control.go
+++ b/entry/control.go
@@ -99,8 +99,10 @@
 func (c *control) memberChanged(event membership.Event) {
 	c.routes.applyEvent(event)
 	switch event.Kind {
-	case membership.EndpointDead, membership.EndpointNewIncarnation:
-		c.dispatcher.endpointDead(event.VM)
+	case membership.EndpointDead, membership.EndpointAlive:
+		c.dispatcher.endpointSilent(event.VM, event.Kind == membership.EndpointDead)
+	case membership.EndpointNewIncarnation:
+		c.dispatcher.endpointRestarted(event.VM)
 	case membership.EntryAlive, membership.EntryDead, membership.EntryLeaving:
 		c.updateLiveEntries()
 	}
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -19,8 +19,8 @@
 )
 
 var (
-	// errEndpointDead cancels the attempts on an endpoint that membership declared dead.
-	errEndpointDead = errors.New("endpoint is dead")
+	// errEndpointRestarted cancels the attempts at an endpoint process that has been replaced by a new one.
+	errEndpointRestarted = errors.New("endpoint has restarted")
 	// errIncomplete marks a response without a valid final frame, or with data before
 	// its header.
 	errIncomplete = errors.New("response is incomplete")
@@ -49,14 +49,10 @@
 	loop *dispatch.Loop
 
 	mu sync.Mutex
-	// attempts holds the cancel functions of running attempts by VM.
+	// attempts holds the running attempts by VM.
 	attempts map[string]map[*runningAttempt]struct{}
 }
 
-type runningAttempt struct {
-	cancel context.CancelCauseFunc
-}
-
 // run serves one request and returns the error for the caller, or nil.
 func (d *dispatcher) run(ctx context.Context, r *request, generation uint64, out responder) error {
 	ctx, cancel := context.WithDeadline(ctx, r.limits.Deadline)
@@ -79,11 +75,6 @@
 	return t.routes.pick(t.request, number, digest, tried)
 }
 
-// Attempt implements dispatch.Target.
-func (t *requestTarget) Attempt(ctx context.Context, decision routing.Decision, number uint32, _ *dispatch.Hedges) retry.Attempt {
-	return t.attempt(ctx, t.request, decision, number, t.generation, t.out)
-}
-
 // Retrying implements dispatch.Target.
 func (t *requestTarget) Retrying(decision routing.Decision, number uint32, result retry.Attempt, next retry.Next) {
 	t.metrics.retries.Inc()
@@ -105,16 +96,11 @@
 	}
 }
 
-// attempt sends a request to one endpoint and relays the response.
-func (d *dispatcher) attempt(ctx context.Context, r *request, decision routing.Decision, number uint32, generation uint64, out responder) retry.Attempt {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	unregister := d.register(decision.VM, cancel)
-	defer unregister()
-	ctx, sent := rpc.TrackSent(ctx)
+// attempt sends a request to one endpoint and relays the response. tokens are those that the caller has.
+func (d *dispatcher) attempt(ctx context.Context, r *request, a *runningAttempt, tokens int64, generation uint64) retry.Attempt {
+	decision, number := a.decision, a.number
 	tracked := d.routes.attemptSent(decision, r, number)
-	_, tokens := out.relayedCounts()
-	exchange := &exchange{request: r, number: number, decision: decision, out: out, sum: xxhash.New(),
+	exchange := &exchange{request: r, number: number, decision: decision, out: a.lane, sum: xxhash.New(),
 		onLoad: func(load *laburnumgwv1.Load) { d.routes.loadReceived(tracked, load) }}
 	final, err := d.exchange(ctx, r, decision, &laburnumgwv1.ServeRequest{
 		RequestId: r.id, Attempt: number, Workspace: r.workspace, Priority: r.priority,
@@ -125,38 +111,47 @@
 	if cause := context.Cause(ctx); err != nil && cause != nil {
 		err = cause
 	}
-	result := exchange.result(final, err, sent.Load())
+	result := exchange.result(final, err, a.sent.Load())
 	d.routes.attemptFinished(tracked, decision, r, number, result)
 	d.metrics.countAttempt(result.Outcome)
 	return result
 }
 
-// register makes endpointDead cancel an attempt. The returned function undoes that.
-func (d *dispatcher) register(vm string, cancel context.CancelCauseFunc) func() {
-	running := &runningAttempt{cancel: cancel}
+// register makes the attempt known to endpointSilent and endpointRestarted. The returned function undoes that.
+func (d *dispatcher) register(a *runningAttempt) func() {
+	vm := a.decision.VM
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.attempts[vm] == nil {
 		d.attempts[vm] = make(map[*runningAttempt]struct{})
 	}
-	d.attempts[vm][running] = struct{}{}
+	d.attempts[vm][a] = struct{}{}
 	return func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		delete(d.attempts[vm], running)
+		delete(d.attempts[vm], a)
 		if len(d.attempts[vm]) == 0 {
 			delete(d.attempts, vm)
 		}
 	}
 }
 
-// endpointDead cancels the attempts on a dead endpoint, so that idempotent requests
-// are retried before their deadline.
-func (d *dispatcher) endpointDead(vm string) {
+// endpointSilent tells the attempts at an endpoint whether membership takes it for dead. It may only be slow, so that
+// none is ended: what may be repeated is sent to another endpoint as well.
+func (d *dispatcher) endpointSilent(vm string, silent bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for running := range d.attempts[vm] {
+		running.setSilent(silent)
+	}
+}
+
+// endpointRestarted cancels the attempts at an endpoint process that has been replaced by a new one.
+func (d *dispatcher) endpointRestarted(vm string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for running := range d.attempts[vm] {
-		running.cancel(errEndpointDead)
+		running.cancel(errEndpointRestarted)
 	}
 }
 
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -235,7 +236,12 @@
 		shard := journal.ShardOf(r.service, r.idempotencyKey, r.shardCount)
 		t.owners[shardKey{r.service, uint32(shard)}] = decision.VM
 	}
-	t.table.AttemptFinished(a, routing.Result{Outcome: result.Outcome, Sent: result.Sent}, time.Now())
+	evidence := routing.Result{Outcome: result.Outcome, Sent: result.Sent}
+	if errors.Is(result.Err, errSuperseded) {
+		// That another attempt gives the response says nothing about this endpoint.
+		evidence = routing.Result{Outcome: laburnumgwv1.Outcome_OUTCOME_UNSPECIFIED}
+	}
+	t.table.AttemptFinished(a, evidence, time.Now())
 	t.recentDecisions.SetOutcome(r.id, number, result.Outcome.String())
 	t.log.Info("attempt ended", zap.String("request", r.id), zap.Uint32("attempt", number), zap.String("vm", decision.VM),
 		zap.Stringer("outcome", result.Outcome), zap.Bool("sent", result.Sent), zap.Error(result.Err))
