End-to-end tests: wait for the origin before weights are uploaded

What was seen: TestStoppingEndpointProcessRecordsRunningBookings failed once beside other load (load average about 40 on eight cores): "PUT .../v1/weights/rota/v1: connect: connection refused". It passed when it was run again.

Cause: startSystem waits until the stand-in of the platform responds, and uploads weights to the stand-in of the origin, a process of its own that may not listen yet.

Change: it waits for the origin as well, within the bound of every wait. Nothing that the tests demand changes.

--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -93,6 +93,10 @@
 func (w *system) publish(version string, seed int) {
 	w.t.Helper()
 	w.until("platform responds", func() bool { _, _, err := w.store.List(w.context(), "models/"); return err == nil })
+	w.until("origin responds", func() bool {
+		var served map[string]int64
+		return fleet.GetJSON(w.context(), w.Origin.HTTP+"/admin/served", &served) == nil
+	})
 	data := content(seed)
 	sum := sha256.Sum256(data)
 	w.sha = hex.EncodeToString(sum[:])
