Announce the crash of a worker that was silent just before

What was seen: nothing yet; found while all decisions on the absence of a message were listed. A worker that does not answer one poll within a second and then crashes is not announced as crashed. The entries then take a request that was lost there for harmless, and send it to the next worker, though it may be what the worker hung and crashed on.

Cause: the process beside a worker forgot that the worker had been running as soon as one poll had no answer, and recorded a crash only of a worker that had answered the poll before. The absence of a message erased what was known.

Change: a start of a worker counts as running until it is known to have ended. A refused connection, or another start, after a silence is a crash as it is without one. A silent worker alone is none, as before (TestSilentWorkerIsNoCrash).

Measured: TestCrashAfterASilenceIsAnnounced failed before in both cases (no crash recorded) and passes, five times with the race detector.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -80,6 +80,9 @@
 
 	report          catalog.Report
 	workerReporting bool
+	// workerStarted is set from a report until the start of the worker is known to have ended, also while the
+	// worker is silent.
+	workerStarted bool
 	// switching is set from just before a load order until the worker serves the ordered version.
 	switching bool
 	// switchoverIn is the time until the worker will be ordered to load other weights; zero
@@ -305,11 +308,11 @@
 	if report.Limit != p.report.Limit {
 		p.log.Info("limit in the worker's state", zap.Bool("stated", report.Limit.Kind == workerlimit.Limited), zap.Float64("per_second", report.Limit.PerSecond))
 	}
-	if p.workerReporting && !p.report.Leaving && p.report.StartedAtMs > 0 && report.StartedAtMs > p.report.StartedAtMs {
+	if p.workerStarted && !p.report.Leaving && p.report.StartedAtMs > 0 && report.StartedAtMs > p.report.StartedAtMs {
 		// It was back before the next poll.
 		p.recordCrash()
 	}
-	p.workerReporting = true
+	p.workerReporting, p.workerStarted = true, true
 	p.crashNotices = 0
 	p.report = report
 	p.sendReport()
@@ -318,11 +321,12 @@
 // workerCrashed reports whether a failure to read the worker's state shows that the worker has
 // ended without notice: its machine refuses connections, and it did not state that it is leaving.
 func (p *Process) workerCrashed(err error) bool {
-	return p.workerReporting && !p.report.Leaving && errors.Is(err, syscall.ECONNREFUSED)
+	return p.workerStarted && !p.report.Leaving && errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // recordCrash records that the known start of the worker has crashed, and tells the entries.
 func (p *Process) recordCrash() {
+	p.workerStarted = false
 	p.crashes.Inc()
 	p.log.Warn("worker has crashed", zap.Int64("born", p.report.StartedAtMs))
 	p.crashNotices = crashNotices
