Wait for the probe before another endpoint is asked beside a silent one

What callers saw: nothing; the retry budget paid. After a pause of its own process an entry takes all endpoints for dead until they answer the probes that follow at once.

Measured: TestEndpointThatAnswersItsProbeIsNotReplaced failed before (one call at the other endpoint) and passes, 30 times with the race detector, as do the other tests of silent endpoints: a dead one is still replaced within 0.5 s of its death.

--- a/entry/hedge.go
+++ b/entry/hedge.go
@@ -11,6 +11,7 @@
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/dispatch"
+	"laburnumgw/lib/membership"
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/routing"
 	"laburnumgw/lib/rpc"
@@ -20,8 +21,10 @@
 	// liveFrameAge is the age of the last frame of an attempt below which its endpoint process counts as alive,
 	// although it sends no reports.
 	liveFrameAge = time.Second
-	// hedgeInterval is the pause between two checks whether another endpoint can be asked beside a silent one.
-	hedgeInterval = 200 * time.Millisecond
+	// hedgeInterval is the pause before another endpoint is asked beside one that is taken for dead, and between two checks
+	// whether one can be asked. After a pause of the entry's own process all endpoints are taken for dead until they answer
+	// their probes.
+	hedgeInterval = membership.CallTimeout
 )
 
 var (
@@ -242,7 +245,6 @@
 	check := time.NewTicker(hedgeInterval)
 	defer check.Stop()
 	for {
-		r.hedge(ctx)
 		var secondDone chan struct{}
 		if r.second != nil {
 			secondDone = r.second.done
@@ -257,6 +259,7 @@
 				return r.result(r.first)
 			}
 		case <-check.C:
+			r.hedge(ctx)
 		}
 	}
 }
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -288,6 +288,26 @@
 	})
 }
 
+// Guards against an entry that sends all its requests a second time after its own process was paused: it takes all endpoints for
+// dead then, until they answer the probes that follow at once.
+func TestEndpointThatAnswersItsProbeIsNotReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := &scriptedEndpoint{script: serveStream(3 * time.Second)}, &scriptedEndpoint{script: serveStream(0)}
+		e := newScriptedEntry(t, map[string]*scriptedEndpoint{"a": a, "b": b})
+		alive := time.AfterFunc(membership.DeadAfter+membership.CallTimeout/2, func() {
+			e.control.memberChanged(membership.Event{Kind: membership.EndpointAlive, VM: "a"})
+		})
+		defer alive.Stop()
+		response, took := e.answer(http.MethodPost, "/v1/chat/completions", chatBody)
+		if response.Body.String() != streamText {
+			t.Errorf("after %v: status %d, %q", took, response.Code, response.Body)
+		}
+		if calls, _ := b.counts(); calls > 0 {
+			t.Errorf("%d calls at the other one", calls)
+		}
+	})
+}
+
 // panickingResponder panics once a response begins.
 type panickingResponder struct{ *httpResponder }
 
