--- /dev/null
+++ b/lib/membership/silent_entry_test.go
@@ -0,0 +1,50 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Guards against an entry that gets no reports any more since it was silent for some seconds, so that it takes sound
+// endpoints for dead.
+func TestEntryThatWasSilentGetsReportsAgain(t *testing.T) {
+	for _, silence := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second} {
+		t.Run(silence.String(), func(t *testing.T) {
+			var entries []Peer
+			for i := range 3 {
+				vm := fmt.Sprint("entry-", i)
+				entries = append(entries, Peer{VM: vm, Zone: "a", Address: vm + ":1"})
+			}
+			p := NewEndpoint(Self{VM: "m", Zone: "a", Region: "r", Address: "m:1"}, entries, 0, rand.New(rand.NewPCG(1, 1)))
+			begins := 20 * time.Second
+			ends := begins + silence
+			before, after := make(map[string]bool), make(map[string]time.Duration)
+			for now := time.Duration(0); now < ends+failedExclusion+failedRetryInterval; now = max(p.Next(), now+time.Millisecond) {
+				for _, send := range p.Tick(now) {
+					vm := send.To.VM
+					switch {
+					case now < begins:
+						before[vm] = true
+					case now < ends && vm == "entry-0":
+						p.ReportResult(now, send, nil)
+						continue
+					case now >= ends && after[vm] == 0:
+						after[vm] = now - ends
+					}
+					p.ReportResult(now, send, acknowledge(p, entries))
+				}
+			}
+			for _, entry := range entries {
+				if before[entry.VM] && after[entry.VM] == 0 {
+					t.Errorf("%s gets no reports after a silence of %v", entry.VM, silence)
+				}
+			}
+			if !before["entry-0"] {
+				t.Error("the silent entry had no reports before")
+			}
+			t.Logf("reports %v after the silence", after)
+		})
+	}
+}
