Test an endpoint that is silent while another one says that its request runs already

The answer of the silent one still reaches the caller: a repeat that ends as "in progress" beside it ends only itself. It passes on the code as it stands.

--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -118,6 +118,12 @@
 	}}})
 }
 
+func runsAlready(_ context.Context, c *scriptedCall) error {
+	return c.send(&frame{Frame: &laburnumgwv1.ServeResponse_Final{Final: &laburnumgwv1.Final{
+		Outcome: laburnumgwv1.Outcome_OUTCOME_IN_PROGRESS, ErrorKind: "in_progress", Message: "runs",
+	}}})
+}
+
 func breakOff(context.Context, *scriptedCall) error { return io.ErrUnexpectedEOF }
 
 // scriptedEndpoint is an endpoint process. It counts its calls, and those that were cancelled before they ended.
@@ -233,7 +239,7 @@
 // goes on, and no other one gives the response in its place.
 func TestEndpointWithoutReportsIsGivenUpOnlyOnceAnotherHasBegun(t *testing.T) {
 	const silence = 3500 * time.Millisecond
-	others := map[string]script{"refuses": refuse, "breaks off": breakOff, "is silent as well": serveStream(time.Hour), "has other weights": otherWeights}
+	others := map[string]script{"refuses": refuse, "says that it runs already": runsAlready, "breaks off": breakOff, "is silent as well": serveStream(time.Hour), "has other weights": otherWeights}
 	for name, other := range others {
 		t.Run("the other one "+name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
