Wait for the rest of a response as for its first byte

What callers saw: a response of a sound worker that fell silent inside it for more than two seconds and went on was ended: 502 for a plain one, a cut stream where the silence fell inside an event. It was repeated where attempts and the retry budget allowed it, but only after its connection was closed.

Cause: the connection pool waited two seconds for each further read of a response that had started to arrive, whatever its TimeoutFunc said. A plain response counts as begun only when it is complete, so that the silence behind its head was not hedged either.

Change: a request may state the bound of these waits. The entry gives the wait for a silent worker, so that another one is asked meanwhile, and the first is ended only once that one has begun or the caller's time is over. Without a bound it is two seconds as before.

All tests of entry/hosted and lib/workerconn pass.

--- a/entry/hosted/attempt.go
+++ b/entry/hosted/attempt.go
@@ -97,10 +97,12 @@
 	return retry.Attempt{Outcome: outcome, Sent: sent, RelayedBytes: a.relayedBytes, VersionDigest: version, Err: err}
 }
 
-// open sends the request to the worker and reads its response until it has begun.
-func (a *attempt) open(firstEvent workerconn.TimeoutFunc) opened {
+// open sends the request to the worker and reads its response until it has begun. firstEvent bounds the wait for that,
+// and remainder each wait for more of what has started to arrive.
+func (a *attempt) open(firstEvent, remainder workerconn.TimeoutFunc) opened {
 	request := &workerconn.Request{
-		Method: a.r.Method, Target: a.r.RequestURI, Host: a.r.Host, Body: a.body, ID: a.in.ID, ResponseTimeout: firstEvent, SendUntil: a.sendUntil(),
+		Method: a.r.Method, Target: a.r.RequestURI, Host: a.r.Host, Body: a.body, ID: a.in.ID,
+		ResponseTimeout: firstEvent, RemainderTimeout: remainder, SendUntil: a.sendUntil(),
 		NewConnection: !a.route.Repeatable(),
 		Header:        platform.WorkerHeader(a.forwarded, a.forward()),
 	}
--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -224,7 +224,7 @@
 	}()
 	c.attempts = current.number
 	current.ctx, current.sentAt = ctx, time.Now()
-	brought := current.open(current.firstEventTimeout())
+	brought := current.open(current.firstEventTimeout(), current.remainderTimeout())
 	for {
 		ended := c.relay(current, brought)
 		ended = current.finish(ended)
--- a/entry/hosted/hedge.go
+++ b/entry/hosted/hedge.go
@@ -89,13 +89,13 @@
 	}
 	c.log.Info("worker is silent; the request is sent to another one as well", zap.String("request", c.in.ID), zap.Uint32("attempt", a.number),
 		zap.String("silent", silent.decision.VM), zap.String("vm", a.decision.VM), zap.Bool("resume", a.continues))
-	timeout := a.lastTimeout()
-	go h.run(timeout)
+	remainder := a.unhedgedTimeout()
+	go h.run(a.untilBound(remainder), remainder)
 }
 
 // run opens the attempt. One that has ended without a response is finished here, as that may wait for
 // news of a crash.
-func (h *hedge) run(timeout workerconn.TimeoutFunc) {
+func (h *hedge) run(firstEvent, remainder workerconn.TimeoutFunc) {
 	defer close(h.done)
 	defer func() {
 		if cause := recover(); cause != nil {
@@ -105,7 +105,7 @@
 			h.view.startWaitEnded(h.startWait, waitUnknown)
 		}
 	}()
-	h.brought = h.open(timeout)
+	h.brought = h.open(firstEvent, remainder)
 	if !h.brought.hasBegun() {
 		h.brought.ended = h.finish(h.brought.ended)
 	}
--- a/entry/hosted/patience.go
+++ b/entry/hosted/patience.go
@@ -100,11 +100,19 @@
 	return silencePatience(a.route)
 }
 
-// lastTimeout returns how long to wait for the worker of an attempt beside a silent one. Whether the request is
-// sent to yet another one is not decided here.
-func (a *attempt) lastTimeout() workerconn.TimeoutFunc {
+// remainderTimeout returns how long to wait for more of a response that has started to arrive.
+func (a *attempt) remainderTimeout() workerconn.TimeoutFunc {
+	if timeout := a.eventTimeout(); timeout != nil {
+		return timeout
+	}
+	return a.unhedgedTimeout()
+}
+
+// unhedgedTimeout returns how long to wait for the worker of an attempt beside which no other one is sent, such as one
+// that runs beside a silent one itself.
+func (a *attempt) unhedgedTimeout() workerconn.TimeoutFunc {
 	end := a.silenceEnd()
-	return a.untilBound(func(waited time.Duration) time.Duration { return min(end-waited, reportPollInterval) })
+	return func(waited time.Duration) time.Duration { return min(end-waited, reportPollInterval) }
 }
 
 // untilBound ends a wait for a response to begin at the bound of the weights, after which a request must
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -31,7 +31,8 @@
 	// defaultKeepAlive is how long an idle connection may be reused when the worker does
 	// not state how long it keeps it.
 	defaultKeepAlive = 500 * time.Millisecond
-	// remainderTimeout bounds each wait for more of a response that has started to arrive.
+	// remainderTimeout bounds each wait for more of a response that has started to arrive, unless the request
+	// has a bound of its own.
 	remainderTimeout = 2 * time.Second
 	// maxHeads bounds the response heads that are read for one request: informational
 	// responses, responses to other requests, and the matching one.
@@ -69,6 +70,9 @@
 	ID string
 	// ResponseTimeout bounds the wait for the first byte of the response; nil for no bound.
 	ResponseTimeout TimeoutFunc
+	// RemainderTimeout bounds each wait for more of a response that has started to arrive; nil for
+	// remainderTimeout. It has no effect without ResponseTimeout.
+	RemainderTimeout TimeoutFunc
 	// SendUntil returns the time from which on the request is not sent any more, zero for none; nil for none.
 	// Opening a connection may take until then, and the time may have changed meanwhile.
 	SendUntil func() time.Time
@@ -135,8 +139,9 @@
 	headBytesLeft int
 	// endedBy is the end of the connection as a read has found it; nil before.
 	endedBy error
-	// boundReads is set while each read waits for remainderTimeout at most.
+	// boundReads is set while each read waits for as long as remainder allows.
 	boundReads bool
+	remainder  TimeoutFunc
 	// refused holds the IDs of the requests that were refused on the connection.
 	refused []string
 	// keepAlive is how long the idle connection may be reused; negative for not at all.
@@ -146,22 +151,41 @@
 
 // Read implements io.Reader for the buffered reader, and limits the size of heads.
 func (c *conn) Read(p []byte) (int, error) {
+	read := c.read
 	if c.boundReads {
-		// SetReadDeadline fails only on a closed connection. Its reads return the bytes that have
-		// arrived and then report the close.
-		_ = c.SetReadDeadline(time.Now().Add(remainderTimeout))
+		read = c.readWithin
 	}
 	if c.headBytesLeft < 0 {
-		return c.read(p)
+		return read(p)
 	}
 	if c.headBytesLeft == 0 {
 		return 0, ErrHeadTooLarge
 	}
-	n, err := c.read(p[:min(len(p), c.headBytesLeft)])
+	n, err := read(p[:min(len(p), c.headBytesLeft)])
 	c.headBytesLeft -= n
 	return n, err
 }
 
+// readWithin is read with the bound of remainder.
+func (c *conn) readWithin(p []byte) (int, error) {
+	for started := time.Now(); ; {
+		more := c.remainder(time.Since(started))
+		if more <= 0 {
+			return 0, os.ErrDeadlineExceeded
+		}
+		// SetReadDeadline fails only on a closed connection. Its reads return the bytes that have
+		// arrived and then report the close.
+		_ = c.SetReadDeadline(time.Now().Add(more))
+		n, err := c.read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+	}
+}
+
+// withinRemainderTimeout is the TimeoutFunc of remainderTimeout.
+func withinRemainderTimeout(waited time.Duration) time.Duration { return remainderTimeout - waited }
+
 // read reads from the connection and records its end.
 func (c *conn) read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -224,6 +248,10 @@
 		c.Close()
 		return nil, false, fmt.Errorf("not sent: %w", ErrUnresponsive)
 	}
+	c.remainder = r.RemainderTimeout
+	if c.remainder == nil {
+		c.remainder = withinRemainderTimeout
+	}
 	stop := context.AfterFunc(ctx, c.abort)
 	fail := func(sent bool, err error) (*Response, bool, error) {
 		stop()
@@ -385,7 +413,7 @@
 }
 
 // await waits for the next byte, which is expected since started. Each read of the rest then
-// waits for remainderTimeout at most. Without a timeout function it does not wait, and reads have no bound.
+// waits for as long as remainder allows. Without a timeout function it does not wait, and reads have no bound.
 func (c *conn) await(timeout TimeoutFunc, started time.Time) error {
 	if timeout == nil {
 		if c.boundReads {
--- a/lib/workerconn/progress_test.go
+++ b/lib/workerconn/progress_test.go
@@ -70,6 +70,41 @@
 	})
 }
 
+// Guards against a response that is given up before the bound of its request, or waited for beyond it.
+func TestRequestBoundsTheWaitForMoreOfItsResponse(t *testing.T) {
+	const bound = 3 * time.Second
+	for _, pause := range []time.Duration{bound - time.Millisecond, bound + time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			withPeer(t, func(conn net.Conn, _ int, _ *http.Request) {
+				for _, part := range []string{"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nabc", "def", "ghi"} {
+					fmt.Fprint(conn, part)
+					<-time.After(pause)
+				}
+			}, func(t *testing.T, pool *Pool, _ *peer) {
+				request := &Request{
+					Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Id": {"a"}},
+					ResponseTimeout:  func(waited time.Duration) time.Duration { return time.Second - waited },
+					RemainderTimeout: func(waited time.Duration) time.Duration { return min(bound-waited, 200*time.Millisecond) },
+				}
+				started := time.Now()
+				response, _, err := pool.Send(t.Context(), "worker", request, matchesID("a"))
+				var body []byte
+				if err == nil {
+					body, err = io.ReadAll(response.Body)
+					response.Abort()
+				}
+				if pause < bound && (err != nil || string(body) != "abcdefghi") {
+					t.Errorf("%q, %v", body, err)
+				}
+				if took := time.Since(started); pause > bound && (!errors.Is(err, os.ErrDeadlineExceeded) || took != bound) {
+					t.Errorf("%v after %v", err, took)
+				}
+				<-time.After(time.Minute)
+			})
+		})
+	}
+}
+
 // Guards against a bound on reads that outlasts its response: the next one on the connection may
 // wait longer.
 func TestReadBoundEndsWithItsResponse(t *testing.T) {
