--- a/entry/hosted/hedge_test.go
+++ b/entry/hosted/hedge_test.go
@@ -289,7 +289,7 @@
 }
 
 // Guards against two attempts that work on for a caller that has left.
-func TestCallerThatLeavesEndsBothAttempts(t *testing.T) {
+func TestCallerThatLeavesASilentStreamEndsBothAttempts(t *testing.T) {
 	withCallers(t, func(t *testing.T, s *callerServer) {
 		closed := make(chan time.Duration, 10)
 		begun := time.Now()
@@ -318,7 +318,7 @@
 }
 
 // Guards against a planned stop that leaves one of two attempts running, or an answer out.
-func TestPlannedStopEndsBothAttempts(t *testing.T) {
+func TestPlannedStopAnswersBesideTwoSilentWorkers(t *testing.T) {
 	for _, target := range []string{"/chat/x", "/view/x"} {
 		t.Run(target, func(t *testing.T) {
 			withCallers(t, func(t *testing.T, s *callerServer) {
