--- a/lib/retry/hedge_test.go
+++ b/lib/retry/hedge_test.go
@@ -91,3 +91,19 @@
 		}
 	}
 }
+
+// Guards against a stream that is not resumed since an attempt beside the silent one ended first, before it knew a
+// version: that of the attempt that relayed the events counts.
+func TestVersionOfAStreamOutlivesAnAttemptBesideIt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	planner := retry.NewPlanner(retry.Settings{}, retry.NewBudget(retry.BudgetSettings{PerSecond: 10}), rand.New(rand.NewPCG(1, 1)))
+	state := retry.NewState(retry.Request{Idempotent: true, Resumable: true, Deadline: now.Add(time.Minute)})
+	planner.Ended(state, retry.Attempt{Outcome: laburnumgwv1.Outcome_OUTCOME_NOT_RUN, Sent: true, RelayedBytes: 10})
+	begun := retry.Attempt{Outcome: laburnumgwv1.Outcome_OUTCOME_UNKNOWN, Sent: true, RelayedBytes: 10, VersionDigest: "3"}
+	if next, allowed := planner.MayHedge(state, begun, now); !allowed || next.VersionDigest != "3" {
+		t.Errorf("hedge allowed: %t, %+v", allowed, next)
+	}
+	if next := planner.Next(state, begun, now); next.Action != retry.Resume || next.VersionDigest != "3" {
+		t.Errorf("next: %+v", next)
+	}
+}
--- a/lib/retry/plan.go
+++ b/lib/retry/plan.go
@@ -286,10 +286,10 @@
 	s.lastErr = a.Err
 	s.mayHaveCrashed = s.mayHaveCrashed || a.MayHaveCrashed
 	s.retryAfter = max(s.retryAfter, a.RetryAfter)
-	if a.RelayedBytes > s.relayed {
-		s.relayed = a.RelayedBytes
+	if a.VersionDigest != "" && a.RelayedBytes > 0 && (a.RelayedBytes > s.relayed || s.digest == "") {
 		s.digest = a.VersionDigest
 	}
+	s.relayed = max(s.relayed, a.RelayedBytes)
 	switch a.outcome() {
 	case laburnumgwv1.Outcome_OUTCOME_NOT_RUN:
 	case laburnumgwv1.Outcome_OUTCOME_COMPLETE, laburnumgwv1.Outcome_OUTCOME_FAILED:
