List the faults of a soak run with their times

What callers saw: a run that broke a promise named requests, but not what was in force then; the list of faults was kept in memory and dropped, so that streams that ran twice could not be set against the silences that were drawn.

Change: each fault is noted with the time of the logs, and laburnumsoak writes the list to faults.txt beside the logs of the seed.

--- a/cmd/laburnumsoak/main.go
+++ b/cmd/laburnumsoak/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -84,6 +85,9 @@
 			for _, problem := range result.Violations {
 				fmt.Println("  broken:", problem)
 			}
+			if err := os.WriteFile(filepath.Join(dir, "faults.txt"), []byte(strings.Join(result.Faults, "\n")+"\n"), 0o600); err != nil {
+				return fmt.Errorf("write faults: %w", err)
+			}
 			return nil
 		})
 	}
--- a/soak/changes.go
+++ b/soak/changes.go
@@ -92,7 +92,7 @@
 	for after := time.Duration(0); after < maxSeriesTime; after += time.Duration(50+r.rng.IntN(400)) * time.Millisecond {
 		next, change := r.settings.change(r.rng)
 		r.settings = next
-		r.result.Faults = append(r.result.Faults, fmt.Sprintf("configuration in %s: %s", after, change))
+		r.note("configuration in %s: %s", after, change)
 		time.AfterFunc(after, func() { r.publish(next) })
 		if r.rng.IntN(3) == 0 {
 			return
@@ -125,7 +125,7 @@
 func (r *run) hangUp() {
 	for after := time.Duration(0); after < maxSeriesTime; after += time.Duration(r.rng.IntN(300)) * time.Millisecond {
 		p := pick(r.rng, r.fleet.Entries)
-		r.result.Faults = append(r.result.Faults, fmt.Sprintf("SIGHUP for %s in %s", p.Name, after))
+		r.note("SIGHUP for %s in %s", p.Name, after)
 		time.AfterFunc(after, func() { p.Signal(syscall.SIGHUP) })
 		if r.rng.IntN(3) == 0 {
 			return
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -209,11 +208,11 @@
 	switch {
 	case known:
 	case kind == kindPart:
-		r.result.Faults = append(r.result.Faults, "workers crash on a part of prompts")
+		r.note("workers crash on a part of prompts")
 		r.fleet.SetDeadlyPart(deadlyPart)
 	default:
 		survivalShare := pick(r.rng, []float64{0, 0.25})
-		r.result.Faults = append(r.result.Faults, fmt.Sprintf("workers crash on a whole request of %s; %g survive", kind, survivalShare))
+		r.note("workers crash on a whole request of %s; %g survive", kind, survivalShare)
 		r.fleet.SetDeadlyRequest(kind, deadlyInterval, survivalShare)
 	}
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -19,7 +19,7 @@
 	// Requests counts the requests of all callers, Served the complete success responses.
 	Requests int
 	Served   int
-	// Faults lists the faults in the order in which they started.
+	// Faults lists the faults with their times, in the order in which they started.
 	Faults []string
 	// Violations lists the violated guarantees.
 	Violations []error
@@ -156,7 +156,12 @@
 func (r *run) recordFault(lasts time.Duration, format string, args ...any) {
 	now := time.Now()
 	r.faultWindows = append(r.faultWindows, window{now, now.Add(lasts)})
-	r.result.Faults = append(r.result.Faults, fmt.Sprintf(format, args...))
+	r.note(format, args...)
+}
+
+// note adds a line to the list of faults, with the time as in the logs.
+func (r *run) note(format string, args ...any) {
+	r.result.Faults = append(r.result.Faults, time.Now().UTC().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
 // injectFault injects one random fault. Faults overlap, since timers end them later.
@@ -221,7 +226,7 @@
 	r.version++
 	r.mu.Unlock()
 	r.versionPublishedAt = time.Now()
-	r.result.Faults = append(r.result.Faults, fmt.Sprintf("version %d is named", r.version))
+	r.note("version %d is named", r.version)
 	r.fleet.Origin.SetNewest(r.version)
 	r.fleet.PublishVersion(r.version)
 	r.namings = append(r.namings, naming{r.version, time.Now()})
@@ -239,7 +244,7 @@
 
 // restart asks an entry to stop, as in a planned restart, and starts it again after stopGracePeriod.
 func (r *run) restart(p *Process) {
-	r.result.Faults = append(r.result.Faults, "planned restart of "+p.Name)
+	r.note("planned restart of %s", p.Name)
 	asked := p.Running()
 	now := time.Now()
 	r.plannedRestarts[p.Name] = append(r.plannedRestarts[p.Name], window{now, now.Add(stopGracePeriod + settleWindow)})
@@ -280,7 +285,7 @@
 	if pending {
 		return
 	}
-	r.result.Faults = append(r.result.Faults, m.ID+" leaves")
+	r.note("%s leaves", m.ID)
 	reportedAt := time.Now()
 	r.fleet.Store.Put("servers", m.ID, m.Entry("draining"))
 	time.AfterFunc(drainBound+time.Second, func() {
@@ -303,7 +308,7 @@
 		return
 	}
 	r.limited = m
-	r.result.Faults = append(r.result.Faults, fmt.Sprintf("%s states a limit of %s for %s", m.ID, header, lasts))
+	r.note("%s states a limit of %s for %s", m.ID, header, lasts)
 	m.SetLimit(header)
 	time.AfterFunc(lasts, r.endLimit)
 }
--- a/soak/silence.go
+++ b/soak/silence.go
@@ -1,9 +1,6 @@
 package soak
 
-import (
-	"fmt"
-	"time"
-)
+import "time"
 
 const (
 	// minSilence and maxSilence bound how long a sound worker sends nothing. maxPlainSilence is
@@ -33,7 +30,7 @@
 			if m.Service != modelService {
 				silence = min(silence, maxPlainSilence)
 			}
-			r.result.Faults = append(r.result.Faults, fmt.Sprintf("%s is silent for %s in %s", m.ID, silence, after))
+			r.note("%s is silent for %s in %s", m.ID, silence, after)
 			time.AfterFunc(after, func() { m.Silence(silence) })
 		}
 		if r.rng.IntN(3) == 0 {
--- a/soak/waits.go
+++ b/soak/waits.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"time"
 
 	"laburnumgw/standin/hosted"
@@ -35,7 +34,7 @@
 		}
 		waits := hosted.Waits{Lasts: time.Duration(r.rng.Int64N(int64(maxStartWait))), RunsClosed: r.rng.IntN(2) == 0}
 		lasts := minWaitTime + time.Duration(r.rng.Int64N(int64(maxWaitTime-minWaitTime)))
-		r.result.Faults = append(r.result.Faults, fmt.Sprintf("%s keeps requests waiting in %s for %s: %+v", m.ID, after, lasts, waits))
+		r.note("%s keeps requests waiting in %s for %s: %+v", m.ID, after, lasts, waits)
 		r.silencedAt[m.ID] = from.Add(lasts)
 		time.AfterFunc(after, func() { m.SetWaits(waits) })
 		time.AfterFunc(after+lasts, func() { m.SetWaits(hosted.Waits{RunsClosed: waits.RunsClosed}) })
