Soak: silences of up to 3 s beside all planned work, and overload

What callers saw: streams that were cut while their worker was silent for 2 to 2.6 s and then went on, when another worker refused them. The soak drew silences of 1.5 s at most, not beside each change, and no stand-in refused for want of room, so that it could not show.

Stand-ins record the pauses of each stream as they were. The checks of the other modes are as before, and name the pause.

--- a/cmd/laburnumsoak/main.go
+++ b/cmd/laburnumsoak/main.go
@@ -29,6 +29,8 @@
 	Plain    int           `long:"plain" default:"3" description:"workers of each of the two plain services"`
 	Network  int           `long:"network" default:"10" description:"second byte of the loopback addresses of the first of the parallel seeds"`
 	Planned  bool          `long:"planned" description:"only planned work and silent workers, no faults"`
+	Silence  time.Duration `long:"silence-max" description:"longest silence of sound model workers, which then goes with all planned work; 1.5 s beside some of it when omitted"`
+	Overload bool          `long:"overload" description:"more callers than the model workers have room for"`
 }
 
 func main() {
@@ -75,7 +77,7 @@
 				return fmt.Errorf("create directory: %w", err)
 			}
 			result, err := soak.Run(soak.Options{
-				Binary: o.Binary, Dir: dir, Network: network, Entries: o.Entries, Models: o.Models, Plain: o.Plain, Model: soak.SmallModel(), PlannedOnly: o.Planned,
+				Binary: o.Binary, Dir: dir, Network: network, Entries: o.Entries, Models: o.Models, Plain: o.Plain, Model: soak.SmallModel(), PlannedOnly: o.Planned, SilenceMax: o.Silence, Overload: o.Overload,
 			}, seed, o.Duration)
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -55,15 +55,28 @@
 // callerPause is the time between two requests of one caller.
 const callerPause = 40 * time.Millisecond
 
+// With an overload there are overloadCallers in place of each caller, and overloadRoom streams run at once at a worker.
+const (
+	overloadCallers = 5
+	overloadRoom    = 3
+	// callerNumbers separates the requests of callers of the same kind at an entry.
+	callerNumbers = 1_000_000
+)
+
 // StartCallers starts one caller for each kind of request at each entry. The seed is part of the
 // request ids.
 func (f *Fleet) StartCallers(seed uint64) *Callers {
 	ctx, stop := context.WithCancel(context.Background())
 	c := &Callers{fleet: f, stop: stop, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}}
+	callers := 1
+	if f.Overload {
+		callers = overloadCallers
+	}
 	for i, entry := range f.Entries {
-		for _, kind := range []string{kindChat, kindBook, kindView} {
+		for k := range 3 * callers {
+			kind, first := []string{kindChat, kindBook, kindView}[k%3], k/3*callerNumbers
 			c.done.Go(func() {
-				for n := 0; ctx.Err() == nil; n++ {
+				for n := first; ctx.Err() == nil; n++ {
 					c.record(c.send(entry, kind, fmt.Sprintf("%d-%s-%d-%d", seed, kind, i, n), n))
 					time.Sleep(callerPause)
 				}
--- a/soak/changes.go
+++ b/soak/changes.go
@@ -14,6 +14,8 @@
 	annexService = "annex"
 	// maxSeriesTime bounds a series of changes or signals.
 	maxSeriesTime = 1500 * time.Millisecond
+	// minChatTimeout is the shortest time for a stream in a configuration.
+	minChatTimeout = 4 * time.Second
 	// readyPollInterval is the pause between two checks whether a process is ready.
 	readyPollInterval = 20 * time.Millisecond
 )
@@ -54,7 +56,7 @@
 		s.plainRoutes[route] = backends{plainService, 0.1 + 0.8*rng.Float64()}
 		return s, fmt.Sprintf("%.2f of %s to %s", s.plainRoutes[route].annexShare, route, annexService)
 	case 2:
-		s.chatTimeout, s.plainTimeout = pick(rng, []int{4000, 6000}), pick(rng, []int{1200, 2500})
+		s.chatTimeout, s.plainTimeout = pick(rng, []int{int(minChatTimeout.Milliseconds()), 6000}), pick(rng, []int{1200, 2500})
 		return s, fmt.Sprintf("timeouts of %d and %d ms", s.chatTimeout, s.plainTimeout)
 	case 3:
 		s.workspaces++
@@ -135,6 +137,9 @@
 
 // injectPlanned starts planned work, or silences sound workers. No entry may lose a request by it.
 func (r *run) injectPlanned() {
+	if r.fleet.SilenceMax > 0 {
+		r.silence()
+	}
 	switch r.rng.IntN(9) {
 	case 0, 1:
 		r.silence()
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -76,6 +76,11 @@
 	// UnmarkedEvery is the number of responses of a worker of which one ends with its connection;
 	// zero for none.
 	UnmarkedEvery int
+	// SilenceMax bounds how long sound model workers fall silent, maxSilence when it is zero. With it, silences go
+	// with all planned work.
+	SilenceMax time.Duration
+	// Overload has more callers than the model workers have room for.
+	Overload bool
 }
 
 // Fleet is a running deployment.
@@ -190,6 +195,9 @@
 			// Long streams are more often amid a silence.
 			w.EventGap *= 3
 		}
+		if f.Overload {
+			w.MaxRunning = overloadRoom
+		}
 		if i%3 != 2 {
 			w.Load(1)
 		}
--- a/soak/run.go
+++ b/soak/run.go
@@ -19,6 +19,9 @@
 	// Requests counts the requests of all callers, Served the complete success responses.
 	Requests int
 	Served   int
+	// Repeated counts the requests outside faults that ran more than once, and Silent the longest pause of a stream.
+	Repeated int
+	Silent   time.Duration
 	// Faults lists the faults with their times, in the order in which they started.
 	Faults []string
 	// Violations lists the violated guarantees.
@@ -27,7 +30,8 @@
 
 // String summarises a run.
 func (r Result) String() string {
-	return fmt.Sprintf("seed %d: %d of %d requests served, %d faults, %d promises broken", r.Seed, r.Served, r.Requests, len(r.Faults), len(r.Violations))
+	return fmt.Sprintf("seed %d: %d of %d requests served, %d ran again, longest pause %s, %d faults, %d promises broken",
+		r.Seed, r.Served, r.Requests, r.Repeated, r.Silent.Round(time.Millisecond), len(r.Faults), len(r.Violations))
 }
 
 // window is the time in which a fault or its effects last.
@@ -55,6 +59,9 @@
 	// workerFaults holds the faults of the network before a worker, by its name.
 	workerFaults map[string][]window
 	callers      *Callers
+	// pauses holds the pauses of each stream: the longest that was observed, and the shortest that any of its
+	// workers meant, any of which would have gone on.
+	pauses map[string]hosted.Pause
 
 	// mu also guards version and configVersion, which timers read.
 	mu sync.Mutex
@@ -366,6 +373,7 @@
 		}
 		return total
 	}
+	r.collectPauses()
 	for _, at := range r.fleet.Crashes() {
 		r.faultWindows = append(r.faultWindows, window{at, at.Add(RestartTime)})
 	}
@@ -423,12 +431,17 @@
 // countFaultFree counts the requests outside all faults, and those of them that were served.
 // The requests that end during faultFreeStart are always among them. Requests whose connection
 // is refused during a planned restart, or that reach an entry which has just started, do not count:
-// the users' platform sends callers to another entry until an entry is ready.
+// the users' platform sends callers to another entry until an entry is ready. Neither do streams whose worker
+// paused for longer than the patience, nor refusals under overload.
 func (r *run) countFaultFree(outcomes []Outcome) (total, served int) {
 	for _, o := range outcomes {
 		if o.Deadly || o.Late || !r.faultFree(o.Sent, o.Ended) || r.refusedByRestart(o) || r.starting(o) {
 			continue
 		}
+		refused := o.Status == http.StatusServiceUnavailable || o.Status == http.StatusTooManyRequests
+		if r.outlastsPatience(r.pauses[o.ID]) || (refused && r.fleet.Overload) {
+			continue
+		}
 		total++
 		if o.Status == http.StatusOK && o.Err == nil {
 			served++
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"laburnumgw/standin/hosted"
 )
 
 // Guards against a check of lost requests and of repeats that passes on every run, or that counts
@@ -23,23 +25,36 @@
 		runs   int
 		deadly bool
 		want   int
+		// drawn is set when longer silences are drawn.
+		drawn bool
+		pause hosted.Pause
 	}{
-		"a complete answer":                         {nil, nil, 200, time.Second, 1, false, 0},
-		"a refusal":                                 {nil, nil, 503, time.Second, 0, false, 0},
-		"a stream that is cut":                      {nil, io.ErrUnexpectedEOF, 200, time.Second, 1, false, 1},
-		"a stream that is cut after a fault":        {fault, io.ErrUnexpectedEOF, 200, time.Second, 1, false, 0},
-		"no answer to a request that was forwarded": {nil, io.EOF, 0, 10 * time.Millisecond, 1, false, 1},
-		"no answer to a request that was read":      {nil, io.EOF, 0, time.Second, 0, false, 1},
-		"a close that crosses the request":          {nil, io.EOF, 0, 10 * time.Millisecond, 0, false, 0},
-		"a refused connection of a restarted entry": {nil, syscall.ECONNREFUSED, 0, time.Second, 0, false, 0},
-		"two runs":                          {nil, nil, 200, time.Second, 2, false, 1},
-		"two runs after a fault":            {fault, nil, 200, time.Second, 2, false, 0},
-		"two runs and a cut":                {nil, io.ErrUnexpectedEOF, 200, time.Second, 2, false, 2},
-		"a cut stream with the deadly part": {nil, io.ErrUnexpectedEOF, 200, time.Second, 1, true, 0},
+		"a complete answer":                         {nil, nil, 200, time.Second, 1, false, 0, false, hosted.Pause{}},
+		"a refusal":                                 {nil, nil, 503, time.Second, 0, false, 0, false, hosted.Pause{}},
+		"a stream that is cut":                      {nil, io.ErrUnexpectedEOF, 200, time.Second, 1, false, 1, false, hosted.Pause{}},
+		"a stream that is cut after a fault":        {fault, io.ErrUnexpectedEOF, 200, time.Second, 1, false, 0, false, hosted.Pause{}},
+		"no answer to a request that was forwarded": {nil, io.EOF, 0, 10 * time.Millisecond, 1, false, 1, false, hosted.Pause{}},
+		"no answer to a request that was read":      {nil, io.EOF, 0, time.Second, 0, false, 1, false, hosted.Pause{}},
+		"a close that crosses the request":          {nil, io.EOF, 0, 10 * time.Millisecond, 0, false, 0, false, hosted.Pause{}},
+		"a refused connection of a restarted entry": {nil, syscall.ECONNREFUSED, 0, time.Second, 0, false, 0, false, hosted.Pause{}},
+		"two runs":                            {nil, nil, 200, time.Second, 2, false, 1, false, hosted.Pause{}},
+		"two runs after a fault":              {fault, nil, 200, time.Second, 2, false, 0, false, hosted.Pause{}},
+		"two runs and a cut":                  {nil, io.ErrUnexpectedEOF, 200, time.Second, 2, false, 2, false, hosted.Pause{}},
+		"a cut stream with the deadly part":   {nil, io.ErrUnexpectedEOF, 200, time.Second, 1, true, 0, false, hosted.Pause{}},
+		"a stream that is cut amid a silence": {nil, io.ErrUnexpectedEOF, 200, 3 * time.Second, 1, false, 1, true, hosted.Pause{Observed: 2 * time.Second, Meant: eventTimeout}},
+		"a stream that is cut amid a silence that outlasts callers":   {nil, io.ErrUnexpectedEOF, 200, 3 * time.Second, 1, false, 0, true, hosted.Pause{Observed: 2 * time.Second, Meant: 3 * time.Second}},
+		"a stream that is cut at the end of its time after a silence": {nil, io.ErrUnexpectedEOF, 200, minChatTimeout, 1, false, 0, true, hosted.Pause{Observed: 2 * time.Second, Meant: 2 * time.Second}},
+		"two runs, and a pause within the patience":                   {nil, nil, 200, 3 * time.Second, 2, false, 1, true, hosted.Pause{Observed: patience, Meant: 3 * time.Second}},
+		"two runs after a silence":                                    {nil, nil, 200, 3 * time.Second, 2, false, 0, true, hosted.Pause{Observed: 2 * time.Second}},
+		"three runs after a silence":                                  {nil, nil, 200, 3 * time.Second, 3, false, 1, true, hosted.Pause{Observed: 2 * time.Second}},
+		"two runs after a pause that was not drawn":                   {nil, nil, 200, 3 * time.Second, 2, false, 1, false, hosted.Pause{Observed: 2 * time.Second}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := &run{faultWindows: c.faults, plannedRestarts: map[string][]window{"front-0": {{start, start.Add(time.Second)}}}}
+			r := &run{fleet: &Fleet{}, pauses: map[string]hosted.Pause{"r": c.pause}, faultWindows: c.faults, plannedRestarts: map[string][]window{"front-0": {{start, start.Add(time.Second)}}}}
 			outcome := Outcome{ID: "r", Entry: "front-0", Sent: start, Ended: start.Add(c.took), Status: c.status, Err: c.err, Deadly: c.deadly}
+			if c.drawn {
+				r.fleet.SilenceMax = 3 * time.Second
+			}
 			violations := 0
 			r.checkAnswers([]Outcome{outcome}, func(string) int { return c.runs }, func(string, ...any) { violations++ })
 			if violations != c.want {
@@ -53,7 +68,7 @@
 // platform would send it callers, and against one that is excused once it is ready.
 func TestStartingEntryDoesNotCount(t *testing.T) {
 	start := time.Unix(1_000_000, 0)
-	r := &run{starts: map[string][]window{"front-0": {{start, start.Add(time.Second)}}}}
+	r := &run{fleet: &Fleet{}, starts: map[string][]window{"front-0": {{start, start.Add(time.Second)}}}}
 	for after, counted := range map[time.Duration]int{-time.Millisecond: 1, 0: 0, 999 * time.Millisecond: 0, time.Second: 1} {
 		outcome := Outcome{Entry: "front-0", Sent: start.Add(after), Ended: start.Add(after), Status: http.StatusServiceUnavailable}
 		if total, _ := r.countFaultFree([]Outcome{outcome}); total != counted {
--- a/soak/waits.go
+++ b/soak/waits.go
@@ -29,7 +29,7 @@
 	workers := r.fleet.ModelWorkers
 	for range 1 + r.rng.IntN(max(len(workers)/2, 1)) {
 		m, from := pick(r.rng, workers), time.Now().Add(after)
-		if from.Sub(r.silencedAt[m.ID]) < maxSilence+silencePause {
+		if from.Sub(r.silencedAt[m.ID]) < r.maxSilence()+silencePause {
 			continue
 		}
 		waits := hosted.Waits{Lasts: time.Duration(r.rng.Int64N(int64(maxStartWait))), RunsClosed: r.rng.IntN(2) == 0}
--- a/standin/hosted/silence_test.go
+++ b/standin/hosted/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -39,7 +40,16 @@
 	request.Header.Set("X-Laburnumgw-Request-Id", "r")
 	request.Header.Set("X-Laburnumgw-Expect-Instance", w.ID)
 	out := &timedWriter{start: time.Now(), header: make(http.Header)}
-	go w.ServeHTTP(out, request)
+	go func() {
+		// As the server of net/http does.
+		defer func() {
+			cause := recover()
+			if err, _ := cause.(error); cause != nil && !errors.Is(err, http.ErrAbortHandler) {
+				panic(cause)
+			}
+		}()
+		w.ServeHTTP(out, request)
+	}()
 	return out
 }
 
--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -101,6 +101,8 @@
 	UnmarkedEvery int
 	// RunTime is the time that a plain worker takes for a request.
 	RunTime time.Duration
+	// MaxRunning is the number of streams that run at once. The worker refuses more; zero for no bound.
+	MaxRunning int
 
 	mu sync.Mutex
 	// restarts counts the starts after the first.
@@ -116,7 +118,10 @@
 	limits    []limitChange
 	arrivals  []time.Time
 	responses responses
-	breaks    Breaks
+	// running counts the requests that run, and pauses holds the pauses of each stream by its request.
+	running int
+	pauses  map[string]Pause
+	breaks  Breaks
 	// waits is how requests wait, and starts are their beginnings.
 	waits  Waits
 	starts []Start
@@ -282,6 +287,7 @@
 }
 
 func (w *Worker) serve(out http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
 	id := r.Header.Get("X-Laburnumgw-Request-Id")
 	out.Header().Set("X-Laburnumgw-Request-Id", id)
 	w.countArrival(out.Header())
@@ -303,6 +309,13 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if w.MaxRunning > 0 && w.running >= w.MaxRunning {
+		w.mu.Unlock()
+		refuse(out)
+		return
+	}
+	w.running++
+	defer w.runEnded()
 	if w.runs == nil {
 		w.runs = make(map[string]int)
 	}
@@ -325,6 +338,8 @@
 		w.respondPlain(out, r, body)
 		return
 	}
+	since := arrived
+	defer func() { w.recordPause(id, since) }()
 	if err := w.awaitStart(r.Context(), id, version); err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -344,6 +359,8 @@
 		if err := http.NewResponseController(out).Flush(); err != nil {
 			return
 		}
+		w.recordPause(id, since)
+		since = time.Now()
 		time.Sleep(w.EventGap)
 	}
 }
