Soak: keep slow late streams with a silence within the patience of entries

Cause: a late stream took up to 0.4 s longer at its worker, a silence up to 1.5 s, and both add up to 1.9 s without an event; entries ask another worker after 1.8 s.

Late requests of plain routes are as slow as before.

--- a/soak/late.go
+++ b/soak/late.go
@@ -19,12 +19,8 @@
 const (
 	// lateRequests is the number of silent connections that are opened before each planned stop.
 	lateRequests = 9
-	// maxExtraTime bounds the time that workers take longer for a late request that runs at most once, and
-	// maxRepeatableExtraTime for one that entries repeat when its worker is silent for longer than a
-	// silence and this. maxBodyPause bounds the time between its header and its body.
-	maxExtraTime           = 2 * time.Second
-	maxRepeatableExtraTime = 400 * time.Millisecond
-	maxBodyPause           = 2 * time.Second
+	// maxBodyPause bounds the time between the header and the body of a late request.
+	maxBodyPause = 2 * time.Second
 	// Late requests have between minLateBudget and maxLateBudget of time.
 	minLateBudget = 800 * time.Millisecond
 	maxLateBudget = 6 * time.Second
@@ -92,11 +88,7 @@
 	for i := range lateRequests {
 		kind := []string{kindChat, kindBook, kindView}[i%3]
 		id := fmt.Sprintf("%d-late-%s-%d-%d", r.result.Seed, kind, len(r.result.Faults), i)
-		limit := maxRepeatableExtraTime
-		if kind == kindBook {
-			limit = maxExtraTime
-		}
-		extra := time.Duration(r.rng.Int64N(int64(limit)))
+		extra := time.Duration(r.rng.Int64N(int64(maxExtraTime(kind))))
 		budget := minLateBudget + time.Duration(r.rng.Int64N(int64(maxLateBudget-minLateBudget)))
 		m := message{id: id, kind: kind, method: http.MethodPost, path: hosted.SlowPath("/"+kind+"/", extra) + id, body: "body-" + id, key: apiKey, deadlineMs: strconv.FormatInt(budget.Milliseconds(), 10)}
 		if kind == kindView {
@@ -113,6 +105,19 @@
 	}
 }
 
+// maxExtraTime bounds the time that workers take longer for a late request. With a silence it stays within the
+// patience for a request that entries repeat.
+func maxExtraTime(kind string) time.Duration {
+	switch kind {
+	case kindBook:
+		return 2 * time.Second
+	case kindView:
+		return 400 * time.Millisecond
+	default:
+		return patience - maxSilence
+	}
+}
+
 // open opens the connection of a late request.
 func (l *lateRequest) open() error {
 	request, err := l.httpRequest(context.Background(), l.entry)
--- a/soak/waits_test.go
+++ b/soak/waits_test.go
@@ -1,9 +1,13 @@
 package soak
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"laburnumgw/standin/hosted"
@@ -40,3 +44,53 @@
 		}
 	}
 }
+
+// Guards against silences, waits and slow requests that add up, so that a worker sends nothing for longer than
+// entries wait: streams would run twice without a fault of an entry.
+func TestPausesStayWithinThePatience(t *testing.T) {
+	longest := time.Duration(0)
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			f := &Fleet{}
+			for i := range 4 {
+				f.ModelWorkers = append(f.ModelWorkers, &ProxiedWorker{Worker: &hosted.Worker{ID: fmt.Sprintf("m-%d", i), Service: modelService, Model: SmallModel(), Events: streamEvents, EventGap: 60 * time.Millisecond}})
+			}
+			r := &run{fleet: f, rng: rand.New(rand.NewPCG(seed, 7)), silencedAt: make(map[string]time.Time)}
+			var callers sync.WaitGroup
+			end := time.Now().Add(2 * time.Minute)
+			for _, m := range f.ModelWorkers {
+				for _, extra := range []time.Duration{0, maxExtraTime(kindChat)} {
+					callers.Go(func() {
+						for n := 0; time.Now().Before(end); n++ {
+							request := httptest.NewRequest(http.MethodPost, hosted.SlowPath("/chat/", extra)+"x", nil)
+							request.Header.Set("X-Laburnumgw-Request-Id", fmt.Sprintf("%s slow by %s, %d", m.ID, extra, n))
+							request.Header.Set("X-Laburnumgw-Expect-Instance", m.ID)
+							m.ServeHTTP(httptest.NewRecorder(), request)
+							time.Sleep(callerPause)
+						}
+					})
+				}
+			}
+			for time.Now().Before(end) {
+				if r.rng.IntN(20) > 0 {
+					r.silence()
+				} else {
+					r.keepWaiting(time.Duration(r.rng.Int64N(int64(versionBound))) * time.Duration(r.rng.IntN(2)))
+				}
+				time.Sleep(time.Duration(200+r.rng.IntN(1200)) * time.Millisecond)
+			}
+			callers.Wait()
+			time.Sleep(versionBound + maxWaitTime)
+			r.collectPauses()
+			for id, p := range r.pauses {
+				if p.Observed > patience {
+					t.Errorf("seed %d, %s: paused for %s", seed, id, p.Observed)
+				}
+			}
+			longest = max(longest, r.result.Silent)
+		})
+	}
+	if longest < maxSilence-100*time.Millisecond {
+		t.Errorf("the longest pause was %s", longest)
+	}
+}
