Keep the version of a begun stream when an attempt beside it ends first

What callers saw: on routes with three attempts or more, a stream that was cut when its worker fell silent or broke off, although a third worker could have resumed it. The log gave "the version of the stream is not known", also for streams with two attempts.

Cause: the retry state takes the version from the first attempt that ends after a part was relayed. Since attempts run beside a silent one, that may be one that was refused, which has no version, and the stream counted as one that cannot be resumed.

Change: the state keeps the first version that is known.

TestBegunStreamIsResumedAfterARefusalBesideIt failed before (cut after 2.6 s and 2.05 s) and passes, as does the new case of TestHedgeKeepsTheLimitsOfRepeats.

--- a/entry/hosted/silence_replacement_test.go
+++ b/entry/hosted/silence_replacement_test.go
@@ -129,6 +129,34 @@
 	}
 }
 
+// Guards against a begun stream that forgets its weights when the worker that is asked beside the silent one refuses:
+// no third worker was asked then, neither beside the first one nor once that one had ended.
+func TestBegunStreamIsResumedAfterARefusalBesideIt(t *testing.T) {
+	for name, end := range map[string]func(e *workerExchange){
+		"stays silent": func(*workerExchange) { <-time.After(10 * time.Second) },
+		"breaks off":   func(e *workerExchange) { <-time.After(2050 * time.Millisecond); e.Close() },
+	} {
+		t.Run("the first worker "+name, func(t *testing.T) {
+			withCallers(t, func(t *testing.T, s *callerServer) {
+				s.put("config", "main", newerConfig("8", `"attempts":2,"resumable"`, `"attempts":3,"resumable"`))
+				s.worker("llm", "w1", 1, func(e *workerExchange) {
+					s.worker("llm", "w2", 1, func(e *workerExchange) {
+						s.worker("llm", "w3", 1, pausingStream(0))
+						e.head(http.StatusServiceUnavailable, notRunHeader, "1", "Content-Length", "0")
+					})
+					e.stream(1)
+					e.events(1, 2)
+					end(e)
+				})
+				got := s.connect().ask(requestText(http.MethodPost, "/chat/x", "p", deadlineHeader, "6000"))
+				if got.cut || got.status != http.StatusOK || got.body != events(1, 4) {
+					t.Errorf("response %+v, %d arrivals", got, len(s.arrived()))
+				}
+			})
+		})
+	}
+}
+
 // Guards against an attempt beside a silent one that works on once the other has gone on, and against one that
 // counts as a failure of its worker then.
 func TestAttemptBesideASilentOneEndsWithIt(t *testing.T) {
--- a/lib/retry/hedge_test.go
+++ b/lib/retry/hedge_test.go
@@ -16,6 +16,7 @@
 	silent := retry.Attempt{Outcome: laburnumgwv1.Outcome_OUTCOME_UNKNOWN, Sent: true}
 	begun := retry.Attempt{Outcome: laburnumgwv1.Outcome_OUTCOME_UNKNOWN, Sent: true, RelayedBytes: 10, VersionDigest: "3"}
 	refused := retry.Attempt{Outcome: laburnumgwv1.Outcome_OUTCOME_NOT_RUN, Sent: true}
+	refusedBeside := retry.Attempt{Outcome: laburnumgwv1.Outcome_OUTCOME_NOT_RUN, Sent: true, RelayedBytes: 10}
 	crashed := retry.Attempt{Outcome: laburnumgwv1.Outcome_OUTCOME_UNKNOWN, Sent: true, MayHaveCrashed: true}
 	repeatable := retry.Request{Idempotent: true, Resumable: true, MaxSent: 3, Deadline: now.Add(time.Second)}
 	for name, c := range map[string]struct {
@@ -26,16 +27,17 @@
 		want    bool
 		digest  string
 	}{
-		"repeatable":                 {nil, nil, silent, 10, true, ""},
-		"begun stream":               {nil, nil, begun, 10, true, "3"},
-		"begun stream, not resumed":  {func(r *retry.Request) { r.Resumable = false }, nil, begun, 10, false, ""},
-		"runs once":                  {func(r *retry.Request) { r.Idempotent = false }, nil, silent, 10, false, ""},
-		"deadline":                   {func(r *retry.Request) { r.Deadline = now }, nil, silent, 10, false, ""},
-		"no budget":                  {nil, nil, silent, -1, false, ""},
-		"one attempt":                {func(r *retry.Request) { r.MaxSent = 1 }, nil, silent, 10, false, ""},
-		"one attempt left":           {nil, []retry.Attempt{refused}, silent, 10, true, ""},
-		"no attempt left":            {nil, []retry.Attempt{refused, refused}, silent, 10, false, ""},
-		"an earlier one has crashed": {nil, []retry.Attempt{crashed}, silent, 10, false, ""},
+		"repeatable":                {nil, nil, silent, 10, true, ""},
+		"begun stream":              {nil, nil, begun, 10, true, "3"},
+		"begun stream, not resumed": {func(r *retry.Request) { r.Resumable = false }, nil, begun, 10, false, ""},
+		"runs once":                 {func(r *retry.Request) { r.Idempotent = false }, nil, silent, 10, false, ""},
+		"deadline":                  {func(r *retry.Request) { r.Deadline = now }, nil, silent, 10, false, ""},
+		"no budget":                 {nil, nil, silent, -1, false, ""},
+		"one attempt":               {func(r *retry.Request) { r.MaxSent = 1 }, nil, silent, 10, false, ""},
+		"one attempt left":          {nil, []retry.Attempt{refused}, silent, 10, true, ""},
+		"no attempt left":           {nil, []retry.Attempt{refused, refused}, silent, 10, false, ""},
+		"begun stream, refused by another endpoint": {nil, []retry.Attempt{refusedBeside}, begun, 10, true, "3"},
+		"an earlier one has crashed":                {nil, []retry.Attempt{crashed}, silent, 10, false, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			request := repeatable
--- a/lib/retry/plan.go
+++ b/lib/retry/plan.go
@@ -285,7 +285,8 @@
 	s.lastErr = a.Err
 	s.mayHaveCrashed = s.mayHaveCrashed || a.MayHaveCrashed
 	s.retryAfter = max(s.retryAfter, a.RetryAfter)
-	if a.RelayedBytes > 0 && !s.relayed {
+	if a.RelayedBytes > 0 && s.digest == "" {
+		// An attempt beside the one that has begun may end first, without a version.
 		s.relayed = true
 		s.digest = a.VersionDigest
 	}
