Soak: a late stream may end with the timeout of its route

Cause: its entry ended it after 4.0 s, the timeout of the route in that configuration, while the soak asked whether the budget of the request had passed, which is up to 6 s.

Change: a late stream is excused at the end of its budget, or within 0.2 s after the shorter timeout that configurations give its route, and at no other time. TestLateStreamEndsWithTheTimeoutOfItsRoute failed before.

--- a/soak/late.go
+++ b/soak/late.go
@@ -160,7 +160,7 @@
 	}()
 	o.Status, o.Err, o.Violation = l.receive()
 	o.Ended = time.Now()
-	o.Expired = o.Err != nil && o.Status == http.StatusOK && o.Ended.Sub(o.Sent) >= l.budget
+	o.Expired = o.Err != nil && o.Status == http.StatusOK && l.timeIsOver(o.Ended.Sub(o.Sent))
 	if at := sent.Load(); at != nil && at.Before(o.Ended) {
 		o.Sent = *at
 	} else if o.Err != nil {
@@ -170,6 +170,12 @@
 	return o
 }
 
+// timeIsOver reports whether a stream that took some time ended at the end of its budget, or at that of a shorter
+// timeout of its route, whichever configuration was in force.
+func (l *lateRequest) timeIsOver(took time.Duration) bool {
+	return took >= l.budget || (l.kind == kindChat && took >= minChatTimeout && took < minChatTimeout+readTime)
+}
+
 // receive reads the answer.
 func (l *lateRequest) receive() (status int, err, violation error) {
 	response, err := http.ReadResponse(bufio.NewReader(l.conn), nil)
--- a/soak/late_test.go
+++ b/soak/late_test.go
@@ -50,3 +50,25 @@
 		t.Errorf("path %q", path)
 	}
 }
+
+// Guards against a late stream that counts as cut when the timeout of its route is over before its budget, and
+// against one that is excused at any other time.
+func TestLateStreamEndsWithTheTimeoutOfItsRoute(t *testing.T) {
+	for _, c := range []struct {
+		kind         string
+		budget, took time.Duration
+		want         bool
+	}{
+		{kindChat, 5 * time.Second, 4 * time.Second, true},
+		{kindChat, 5 * time.Second, 3990 * time.Millisecond, false},
+		{kindChat, 5 * time.Second, 4200 * time.Millisecond, false},
+		{kindChat, 5 * time.Second, 5 * time.Second, true},
+		{kindChat, 3 * time.Second, 3 * time.Second, true},
+		{kindView, 5 * time.Second, 4 * time.Second, false},
+	} {
+		late := lateRequest{message: message{kind: c.kind}, budget: c.budget}
+		if got := late.timeIsOver(c.took); got != c.want {
+			t.Errorf("%s with %s after %s: over %t, want %t", c.kind, c.budget, c.took, got, c.want)
+		}
+	}
+}
