--- a/cmd/laburnumsoak/main.go
+++ b/cmd/laburnumsoak/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -28,6 +29,8 @@
 	Plain    int           `long:"plain" default:"3" description:"workers of each of the two plain services"`
 	Network  int           `long:"network" default:"10" description:"second byte of the loopback addresses of the first of the parallel seeds"`
 	Planned  bool          `long:"planned" description:"only planned work and silent workers, no faults"`
+	Silence  time.Duration `long:"silence-max" description:"longest silence of sound model workers, which then goes with all planned work; 1.5 s beside some of it when omitted"`
+	Overload bool          `long:"overload" description:"more callers than the model workers have room for"`
 }
 
 func main() {
@@ -74,7 +77,7 @@
 				return fmt.Errorf("create directory: %w", err)
 			}
 			result, err := soak.Run(soak.Options{
-				Binary: o.Binary, Dir: dir, Network: network, Entries: o.Entries, Models: o.Models, Plain: o.Plain, Model: soak.SmallModel(), PlannedOnly: o.Planned,
+				Binary: o.Binary, Dir: dir, Network: network, Entries: o.Entries, Models: o.Models, Plain: o.Plain, Model: soak.SmallModel(), PlannedOnly: o.Planned, SilenceMax: o.Silence, Overload: o.Overload,
 			}, seed, o.Duration)
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
@@ -84,6 +87,9 @@
 			for _, problem := range result.Violations {
 				fmt.Println("  broken:", problem)
 			}
+			if err := os.WriteFile(filepath.Join(dir, "faults.txt"), []byte(strings.Join(result.Faults, "\n")+"\n"), 0o600); err != nil {
+				return fmt.Errorf("write faults: %w", err)
+			}
 			return nil
 		})
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -19,7 +19,10 @@
 	// Requests counts the requests of all callers, Served the complete success responses.
 	Requests int
 	Served   int
-	// Faults lists the faults in the order in which they started.
+	// Repeated counts the requests outside faults that ran more than once, and Silent the longest pause of a stream.
+	Repeated int
+	Silent   time.Duration
+	// Faults lists the faults with their times, in the order in which they started.
 	Faults []string
 	// Violations lists the violated guarantees.
 	Violations []error
@@ -27,7 +30,8 @@
 
 // String summarises a run.
 func (r Result) String() string {
-	return fmt.Sprintf("seed %d: %d of %d requests served, %d faults, %d promises broken", r.Seed, r.Served, r.Requests, len(r.Faults), len(r.Violations))
+	return fmt.Sprintf("seed %d: %d of %d requests served, %d ran again, longest pause %s, %d faults, %d promises broken",
+		r.Seed, r.Served, r.Requests, r.Repeated, r.Silent.Round(time.Millisecond), len(r.Faults), len(r.Violations))
 }
 
 // window is the time in which a fault or its effects last.
@@ -55,6 +59,9 @@
 	// workerFaults holds the faults of the network before a worker, by its name.
 	workerFaults map[string][]window
 	callers      *Callers
+	// pauses holds the pauses of each stream: the longest that was observed, and the shortest that any of its
+	// workers meant, any of which would have gone on.
+	pauses map[string]hosted.Pause
 
 	// mu also guards version and configVersion, which timers read.
 	mu sync.Mutex
@@ -156,7 +163,12 @@
 func (r *run) recordFault(lasts time.Duration, format string, args ...any) {
 	now := time.Now()
 	r.faultWindows = append(r.faultWindows, window{now, now.Add(lasts)})
-	r.result.Faults = append(r.result.Faults, fmt.Sprintf(format, args...))
+	r.note(format, args...)
+}
+
+// note adds a line to the list of faults, with the time as in the logs.
+func (r *run) note(format string, args ...any) {
+	r.result.Faults = append(r.result.Faults, time.Now().UTC().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
 // injectFault injects one random fault. Faults overlap, since timers end them later.
@@ -221,7 +233,7 @@
 	r.version++
 	r.mu.Unlock()
 	r.versionPublishedAt = time.Now()
-	r.result.Faults = append(r.result.Faults, fmt.Sprintf("version %d is named", r.version))
+	r.note("version %d is named", r.version)
 	r.fleet.Origin.SetNewest(r.version)
 	r.fleet.PublishVersion(r.version)
 	r.namings = append(r.namings, naming{r.version, time.Now()})
@@ -239,7 +251,7 @@
 
 // restart asks an entry to stop, as in a planned restart, and starts it again after stopGracePeriod.
 func (r *run) restart(p *Process) {
-	r.result.Faults = append(r.result.Faults, "planned restart of "+p.Name)
+	r.note("planned restart of %s", p.Name)
 	asked := p.Running()
 	now := time.Now()
 	r.plannedRestarts[p.Name] = append(r.plannedRestarts[p.Name], window{now, now.Add(stopGracePeriod + settleWindow)})
@@ -280,7 +292,7 @@
 	if pending {
 		return
 	}
-	r.result.Faults = append(r.result.Faults, m.ID+" leaves")
+	r.note("%s leaves", m.ID)
 	reportedAt := time.Now()
 	r.fleet.Store.Put("servers", m.ID, m.Entry("draining"))
 	time.AfterFunc(drainBound+time.Second, func() {
@@ -303,7 +315,7 @@
 		return
 	}
 	r.limited = m
-	r.result.Faults = append(r.result.Faults, fmt.Sprintf("%s states a limit of %s for %s", m.ID, header, lasts))
+	r.note("%s states a limit of %s for %s", m.ID, header, lasts)
 	m.SetLimit(header)
 	time.AfterFunc(lasts, r.endLimit)
 }
@@ -361,6 +373,7 @@
 		}
 		return total
 	}
+	r.collectPauses()
 	for _, at := range r.fleet.Crashes() {
 		r.faultWindows = append(r.faultWindows, window{at, at.Add(RestartTime)})
 	}
@@ -418,12 +431,17 @@
 // countFaultFree counts the requests outside all faults, and those of them that were served.
 // The requests that end during faultFreeStart are always among them. Requests whose connection
 // is refused during a planned restart, or that reach an entry which has just started, do not count:
-// the users' platform sends callers to another entry until an entry is ready.
+// the users' platform sends callers to another entry until an entry is ready. Neither do streams whose worker
+// paused for longer than the patience, nor refusals under overload.
 func (r *run) countFaultFree(outcomes []Outcome) (total, served int) {
 	for _, o := range outcomes {
 		if o.Deadly || o.Late || !r.faultFree(o.Sent, o.Ended) || r.refusedByRestart(o) || r.starting(o) {
 			continue
 		}
+		refused := o.Status == http.StatusServiceUnavailable || o.Status == http.StatusTooManyRequests
+		if r.outlastsPatience(r.pauses[o.ID]) || (refused && r.fleet.Overload) {
+			continue
+		}
 		total++
 		if o.Status == http.StatusOK && o.Err == nil {
 			served++
--- a/soak/waits.go
+++ b/soak/waits.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"time"
 
 	"laburnumgw/standin/hosted"
@@ -30,12 +29,12 @@
 	workers := r.fleet.ModelWorkers
 	for range 1 + r.rng.IntN(max(len(workers)/2, 1)) {
 		m, from := pick(r.rng, workers), time.Now().Add(after)
-		if from.Sub(r.silencedAt[m.ID]) < maxSilence+silencePause {
+		if from.Sub(r.silencedAt[m.ID]) < r.maxSilence()+silencePause {
 			continue
 		}
 		waits := hosted.Waits{Lasts: time.Duration(r.rng.Int64N(int64(maxStartWait))), RunsClosed: r.rng.IntN(2) == 0}
 		lasts := minWaitTime + time.Duration(r.rng.Int64N(int64(maxWaitTime-minWaitTime)))
-		r.result.Faults = append(r.result.Faults, fmt.Sprintf("%s keeps requests waiting in %s for %s: %+v", m.ID, after, lasts, waits))
+		r.note("%s keeps requests waiting in %s for %s: %+v", m.ID, after, lasts, waits)
 		r.silencedAt[m.ID] = from.Add(lasts)
 		time.AfterFunc(after, func() { m.SetWaits(waits) })
 		time.AfterFunc(after+lasts, func() { m.SetWaits(hosted.Waits{RunsClosed: waits.RunsClosed}) })
