Believe an endpoint that answers a paused entry

What callers saw: nothing reported; found while all decisions on the absence of a message were listed. After its own process was paused for some 3 s, an entry that shares its zone with others held all endpoints but one for dead, for up to ten seconds: new requests went to one endpoint, or were refused.

Cause: an entry that was silent gets no reports for 10 s, and after a pause it takes all endpoints for dead and probes each once. Their answers state that they do not report to it, which only drops an endpoint that is suspect: a dead one stayed dead. The first was believed, since the zone had no live one.

Change: a dead endpoint that answers is alive. If it reports to others it is dropped when it is suspect again, as any other, and routing chooses it last until its reports come back.

Measured: TestEndpointThatAnswersAPausedEntryIsAlive failed before (two of three endpoints not alive) and passes. The tests of lib/membership and lib/configsync pass, with an hour of a zone without a false death among them.

--- a/lib/membership/endpoints.go
+++ b/lib/membership/endpoints.go
@@ -222,7 +222,8 @@
 		// A restarted process reports by itself; its state is not known yet.
 		return
 	}
-	if info.GetHeartbeat() == 0 && !e.needsSample() {
+	// A dead endpoint that responds is alive, whichever entries it reports to. It is dropped when it is suspect again.
+	if info.GetHeartbeat() == 0 && !e.needsSample() && record.view.State != Dead {
 		e.dropEndpoint(now, record)
 		return
 	}
--- a/lib/membership/silent_entry_test.go
+++ b/lib/membership/silent_entry_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	pb "laburnumgw/api/laburnumgw/v1"
 )
 
 // Guards against an entry that gets no reports any more since it was silent for some seconds, so that it takes sound
@@ -48,3 +50,52 @@
 		})
 	}
 }
+
+// answerToProbe is the response of an endpoint that does not report to the prober, which a heartbeat of 0 states.
+func answerToProbe(vm string) *pb.ReportResponse {
+	return &pb.ReportResponse{Entries: []*pb.EntryInfo{{Vm: vm, Incarnation: &pb.Incarnation{Counter: 1, Id: 9}}}}
+}
+
+// Guards against an entry that holds sound endpoints for dead after a pause of its own process: they report to other
+// entries meanwhile, and come back only when they report to it again.
+func TestEndpointThatAnswersAPausedEntryIsAlive(t *testing.T) {
+	e := testEntry()
+	now := JoinSpread
+	names := []string{"x", "y", "z"}
+	for _, vm := range names {
+		e.Report(now, testReport(vm, 1, 1))
+	}
+	e.Tick(now)
+	now += 3 * time.Second
+	out := e.Tick(now)
+	if len(out.Probes) != len(names) {
+		t.Fatalf("%d probes after the pause", len(out.Probes))
+	}
+	for _, probe := range out.Probes {
+		e.ProbeResult(now, probe.To.VM, answerToProbe(probe.To.VM))
+	}
+	alive := make(map[string]bool)
+	for _, event := range e.Tick(now).Events {
+		alive[event.VM] = event.Kind == EndpointAlive
+	}
+	for _, vm := range names {
+		if !alive[vm] {
+			t.Errorf("%s has answered and is not alive", vm)
+		}
+	}
+	died := 0
+	for end := now + DeadAfter + time.Second; now < end; now += 100 * time.Millisecond {
+		out := e.Tick(now)
+		for _, event := range out.Events {
+			if event.Kind == EndpointDead {
+				died++
+			}
+		}
+		for _, probe := range out.Probes {
+			e.ProbeResult(now, probe.To.VM, answerToProbe(probe.To.VM))
+		}
+	}
+	if died > 0 {
+		t.Errorf("%d endpoints that answer are dead later", died)
+	}
+}
