Soak: mark the end of streams that a stand-in breaks off between two events

Cause: the worker broke streams off after their third event, and ended every fifth response with its connection, without length and chunks. A stream of both kinds looks whole to anybody while its worker accepts connections.

Change: a stream that is broken off between two events has chunks. One that ends within an event may still end with its connection, as do all others. TestBrokenStreamIsNoWholeOne failed before.

--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -345,8 +345,11 @@
 	}
 	out.Header().Set("X-Laburnumgw-Weight-Versions", strconv.Itoa(version))
 	out.Header().Set("Content-Type", "text/event-stream")
-	w.leaveUnmarked(out.Header())
 	breaks := w.currentBreaks()
+	if breaks.After == 0 || breaks.Inside || after > 0 {
+		// A stream that is broken off between two events must not look whole.
+		w.leaveUnmarked(out.Header())
+	}
 	if breaks.failResumed(out, after) {
 		return
 	}
