--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -245,7 +245,7 @@
 }
 
 func (f *Fleet) serve(address string, handler http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listen(address, listenPause)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", address, err)
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -54,6 +56,23 @@
 	return p, p.Listen()
 }
 
+// listenAttempts bounds the attempts to listen on an address.
+const listenAttempts = 100
+
+func listenPause() { time.Sleep(proxyPollInterval) }
+
+// listen listens on an address. It may be in use for a moment after its fleet has ended, since processes that
+// another fleet starts hold copies of the sockets until they run their own program.
+func listen(address string, pause func()) (net.Listener, error) {
+	for attempt := 1; ; attempt++ {
+		listener, err := net.Listen("tcp", address)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || attempt == listenAttempts {
+			return listener, err
+		}
+		pause()
+	}
+}
+
 // Listen accepts connections, unless the proxy does so already or is closed.
 func (p *Proxy) Listen() error {
 	p.mu.Lock()
@@ -61,7 +80,7 @@
 	if p.listener != nil || p.closed {
 		return nil
 	}
-	listener, err := net.Listen("tcp", p.address)
+	listener, err := listen(p.address, listenPause)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", p.address, err)
 	}
