Soak: compare the budget of a late stream as it was sent

Its entry had ended it after 1,440 ms with no time left.

Cause: the header holds whole milliseconds; the soak compared with the drawn time, which may be up to a millisecond longer.

Change: the comparison drops the same fraction. The new case of TestLateStreamEndsWithTheTimeoutOfItsRoute failed before.

--- a/soak/late.go
+++ b/soak/late.go
@@ -173,7 +173,7 @@
 // timeIsOver reports whether a stream that took some time ended at the end of its budget, or at that of a shorter
 // timeout of its route, whichever configuration was in force.
 func (l *lateRequest) timeIsOver(took time.Duration) bool {
-	return took >= l.budget || (l.kind == kindChat && took >= minChatTimeout && took < minChatTimeout+readTime)
+	return took >= l.budget.Truncate(time.Millisecond) || (l.kind == kindChat && took >= minChatTimeout && took < minChatTimeout+readTime)
 }
 
 // receive reads the answer.
--- a/soak/late_test.go
+++ b/soak/late_test.go
@@ -65,6 +65,8 @@
 		{kindChat, 5 * time.Second, 5 * time.Second, true},
 		{kindChat, 3 * time.Second, 3 * time.Second, true},
 		{kindView, 5 * time.Second, 4 * time.Second, false},
+		// The header of the budget holds milliseconds.
+		{kindChat, 1440*time.Millisecond + 900*time.Microsecond, 1440*time.Millisecond + 100*time.Microsecond, true},
 	} {
 		late := lateRequest{message: message{kind: c.kind}, budget: c.budget}
 		if got := late.timeIsOver(c.took); got != c.want {
