--- a/standin/hosted/silence_test.go
+++ b/standin/hosted/silence_test.go
@@ -84,6 +84,7 @@
 					w.Silence(time.Second)
 				}
 				<-time.After(3 * time.Second)
+				synctest.Wait()
 				if got := out.body.String(); c.body != "" && got != c.body {
 					t.Errorf("body %q, want %q", got, c.body)
 				}
