Read what has arrived before a worker is given up after a pause of this process

What callers would see: a needless second run, or an answer that is ended, after the entry's own process stood still (suspended, or without a processor) for longer than it waits: the time had passed before the bytes in the socket were read, and the worker was taken for silent. Found by a run of the soak beside load, in which processes woke up seconds late.

Change: a wait that ends 0.1 s late or more has one more step of 10 ms. TestBytesThatWaitAfterAStallAreRead failed for the first byte and for the rest.

--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -179,14 +179,13 @@
 	if !c.boundReads {
 		return c.Conn.Read(p)
 	}
-	for started := time.Now(); ; {
-		more := c.remainderTimeout(time.Since(started))
-		if more <= 0 {
+	for w := (wait{timeout: c.remainderTimeout, started: time.Now()}); ; {
+		if !w.goOn() {
 			return 0, fmt.Errorf("rest of the response: %w", os.ErrDeadlineExceeded)
 		}
 		// SetReadDeadline fails only on a closed connection. Its reads return the bytes that have
 		// arrived and then report the close.
-		_ = c.SetReadDeadline(time.Now().Add(more))
+		_ = c.SetReadDeadline(w.until)
 		if n, err := c.Conn.Read(p); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
@@ -424,13 +423,12 @@
 		return nil
 	}
 	c.boundReads = false
-	for {
-		more := timeout(time.Since(started))
-		if more <= 0 {
+	for w := (wait{timeout: timeout, started: started}); ; {
+		if !w.goOn() {
 			return ErrUnresponsive
 		}
 		// On a closed connection, on which this fails, the read reports the close.
-		_ = c.SetReadDeadline(time.Now().Add(more))
+		_ = c.SetReadDeadline(w.until)
 		_, err := c.reader.Peek(1)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			continue
