--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,7 @@
 	"repeated-answer": repeatedAnswer,
 	"slow-staging":    slowStaging,
 	"gone-worker":     goneWorker,
+	"late-staging":    lateStaging,
 	"large-bodies":    largeBodies,
 }
 
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -184,7 +184,7 @@
 	f.record.write("version %d is named", version)
 }
 
-// heartbeat writes the entry of a worker to the store at once and then each heartbeat.
+// heartbeat writes the entry of a worker to the store at once and then each heartbeat, unless there is none then.
 func (f *fleet) heartbeat(id string, entry func() map[string]any) {
 	f.mu.Lock()
 	f.published[id] = entry
@@ -205,7 +205,9 @@
 			if current == nil {
 				return
 			}
-			f.store.Put("servers", id, current())
+			if value := current(); value != nil {
+				f.store.Put("servers", id, value)
+			}
 		}
 	}()
 }
--- a/review/standin/weights.go
+++ b/review/standin/weights.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,17 +18,22 @@
 	modelZones = []string{"a", "b", "c", "a"}
 )
 
-// startModelFleet starts two entries and four model workers with their endpoint processes.
-func startModelFleet(f *fleet, prepare func(i int, w *modelWorker)) ([]*process, []*modelWorker, error) {
+// startModelFleet starts two entries and a model worker for each of some zones, with their endpoint processes.
+func startModelFleet(f *fleet, zones []string, prepare func(i int, w *modelWorker)) ([]*process, []*modelWorker, error) {
 	f.publishConfig([]route{{"/chat/", "streaming", modelSvc, 6000, 400, 2, true}}, 16)
 	var workers []*modelWorker
-	for i, zone := range modelZones {
+	for i, zone := range zones {
 		w := newModelWorker(fmt.Sprintf("i-%d", i), zone, fmt.Sprintf("%s:%d", f.ip(2, i), workerPort), f.record)
 		prepare(i, w)
 		if err := w.start(); err != nil {
 			return nil, nil, err
 		}
-		f.heartbeat(w.id, w.entry)
+		f.heartbeat(w.id, func() map[string]any {
+			if !w.isUp() {
+				return nil
+			}
+			return w.entry()
+		})
 		workers = append(workers, w)
 	}
 	f.nameVersion(1)
@@ -78,7 +85,7 @@
 	served := <-done
 	for _, w := range workers {
 		tokens, bad := w.counts()
-		f.record.write("%s: version %d, %d tokens, %d of them with layers that were not whole", w.id, w.state()["layers"].(map[string]any)["version"], tokens, bad)
+		f.record.write("%s: %d tokens, %d of them with layers that were not whole", w.id, tokens, bad)
 	}
 	f.record.write("%d requests served", served)
 	if served == 0 {
@@ -89,7 +96,7 @@
 
 // repeatedAnswer has one worker write one of its answers in 48 once more, where the next answer is due.
 func repeatedAnswer(f *fleet) error {
-	entries, workers, err := startModelFleet(f, func(i int, w *modelWorker) {
+	entries, workers, err := startModelFleet(f, modelZones, func(i int, w *modelWorker) {
 		if i == 0 && f.trouble {
 			w.repeats = func(piece int) bool { return piece == 20 }
 		}
@@ -103,7 +110,7 @@
 // slowStaging has a piece at one worker turn bad while others are staged there. The worker falls silent
 // for most of a second now and then meanwhile.
 func slowStaging(f *fleet) error {
-	entries, workers, err := startModelFleet(f, func(i int, w *modelWorker) {
+	entries, workers, err := startModelFleet(f, modelZones, func(i int, w *modelWorker) {
 		if i != 0 {
 			return
 		}
@@ -122,3 +129,55 @@
 	}
 	return changeWeights(f, entries, workers)
 }
+
+const (
+	// downTime is how long a crashed worker is down.
+	downTime = 2 * time.Second
+	// lateBy is how much later than the others the worker handles one call.
+	lateBy = 1300 * time.Millisecond
+	// versionInterval is the time between two versions.
+	versionInterval = 13 * time.Second
+)
+
+// crashTimes are the times from the naming of a version until the worker crashes, one for each version.
+var crashTimes = []time.Duration{150 * time.Millisecond, 180 * time.Millisecond, 210 * time.Millisecond, 240 * time.Millisecond, 270 * time.Millisecond}
+
+// lateStaging has a worker crash just after a new version was named. When it is back, the call that stages piece 1 of the
+// version before is handled 1.3 s late.
+func lateStaging(f *fleet) error {
+	var late atomic.Bool
+	entries, workers, err := startModelFleet(f, slices.Concat(zoneNames, zoneNames), func(i int, w *modelWorker) {
+		if i != 0 {
+			return
+		}
+		w.beforeStore = func(piece int) {
+			if piece == 1 && late.CompareAndSwap(true, false) {
+				f.record.write("%s handles the staging of piece 1 %v late", w.id, lateBy)
+				time.Sleep(lateBy)
+			}
+		}
+	})
+	if err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	done := make(chan int)
+	go func() {
+		done <- chatFor(f, entries, time.Duration(len(crashTimes))*versionInterval)
+	}()
+	for i, after := range crashTimes {
+		started := time.Now()
+		f.nameVersion(2 + i)
+		time.Sleep(after)
+		late.Store(f.trouble)
+		if err := workers[0].crash(downTime); err != nil {
+			return err
+		}
+		f.store.Put("servers", workers[0].id, workers[0].entry())
+		time.Sleep(versionInterval - time.Since(started))
+	}
+	if <-done == 0 {
+		return errors.New("no request was served")
+	}
+	return nil
+}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -42,7 +42,10 @@
 	madeToken func(id string, event int)
 
 	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]bool
 	born     int64
+	// version is that of the loaded layers, zero without any.
 	version  int
 	sequence int
 	busy     bool
@@ -66,7 +69,7 @@
 	w := &modelWorker{
 		id: id, zone: zone, address: address, record: record, events: 8, gap: 20 * time.Millisecond, storeTime: 15 * time.Millisecond,
 		repeats: func(int) bool { return false }, beforeStore: func(int) {}, madeToken: func(string, int) {}, born: time.Now().UnixMilli(), version: 1,
-		staged: make(map[int][]byte), rotten: make(map[int]time.Time),
+		staged: make(map[int][]byte), rotten: make(map[int]time.Time), conns: make(map[net.Conn]bool),
 	}
 	for i := range chunks {
 		w.staged[i] = model.Chunk(1, i)
@@ -79,27 +82,62 @@
 	if err != nil {
 		return err
 	}
+	w.mu.Lock()
+	w.listener = listener
+	w.mu.Unlock()
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
+			w.mu.Lock()
+			w.conns[conn] = true
+			w.mu.Unlock()
 			go w.serve(conn)
 		}
 	}()
 	return nil
 }
 
+// crash ends the worker and starts it again under its name after some time. Staged data survives, layers don't.
+func (w *modelWorker) crash(down time.Duration) error {
+	w.mu.Lock()
+	w.listener.Close()
+	for conn := range w.conns {
+		conn.Close()
+	}
+	w.version, w.sequence, w.busy, w.bad, w.born = 0, 0, false, nil, 0
+	w.mu.Unlock()
+	w.record.write("%s has crashed", w.id)
+	time.Sleep(down)
+	w.mu.Lock()
+	w.born = time.Now().UnixMilli()
+	w.mu.Unlock()
+	w.record.write("%s is back, without layers", w.id)
+	return w.start()
+}
+
+// isUp reports whether the worker runs.
+func (w *modelWorker) isUp() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.born != 0
+}
+
 // state is what the worker says of itself.
 func (w *modelWorker) state() map[string]any {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return map[string]any{
-		"born": w.born, "stage": "both", "models": []any{map[string]any{"name": modelName, "version": w.version, "adapters": []string{}}},
-		"layers": map[string]any{"from": 0, "target": layers, "version": w.version},
-		"busy":   w.busy, "sequence": w.sequence, "queued_requests": 0, "running_requests": w.running, "kv_cache_used": 0, "kv_cache_total": 90000, "handles": 0, "pace": 1.0,
+	state := map[string]any{
+		"born": w.born, "stage": "both", "models": []any{},
+		"busy": w.busy, "sequence": w.sequence, "queued_requests": 0, "running_requests": w.running, "kv_cache_used": 0, "kv_cache_total": 90000, "handles": 0, "pace": 1.0,
+	}
+	if w.version > 0 {
+		state["models"] = []any{map[string]any{"name": modelName, "version": w.version, "adapters": []string{}}}
+		state["layers"] = map[string]any{"from": 0, "target": layers, "version": w.version}
 	}
+	return state
 }
 
 // entry is the worker's entry in the store.
@@ -114,7 +152,12 @@
 }
 
 func (w *modelWorker) serve(conn net.Conn) {
-	defer conn.Close()
+	defer func() {
+		conn.Close()
+		w.mu.Lock()
+		delete(w.conns, conn)
+		w.mu.Unlock()
+	}()
 	reader := bufio.NewReader(conn)
 	var late []byte
 	for {
@@ -247,6 +290,9 @@
 
 // load loads a version after what is running, without accepting anything new.
 func (w *modelWorker) load(version int, bad []string) {
+	w.mu.Lock()
+	born := w.born
+	w.mu.Unlock()
 	for {
 		w.mu.Lock()
 		running := w.running
@@ -259,6 +305,9 @@
 	time.Sleep(warmTime)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.born != born {
+		return
+	}
 	w.version, w.bad, w.busy = version, bad, false
 	w.record.write("%s has loaded version %d", w.id, version)
 }
@@ -276,7 +325,7 @@
 	switch {
 	case expected != "" && expected != strconv.Itoa(w.version):
 		status = http.StatusMisdirectedRequest
-	case w.busy:
+	case w.busy, w.version == 0:
 		status = http.StatusServiceUnavailable
 	default:
 		w.running++
