--- a/review/standin/stream.go
+++ b/review/standin/stream.go
@@ -28,6 +28,8 @@
 	streamGap    = 200 * time.Millisecond
 	// noticeTime is how long before its end a worker states that it is leaving.
 	noticeTime = 2 * time.Second
+	// unmarkedStreams is how many streams of the leaving worker have neither a length nor chunks.
+	unmarkedStreams = 3
 )
 
 // runWorker is the main function of a worker process. It prints what it runs.
@@ -41,6 +43,11 @@
 		defer mu.Unlock()
 		fmt.Println(id, event)
 	}
+	w.begunUnmarked = func(id string) {
+		mu.Lock()
+		defer mu.Unlock()
+		fmt.Println(commandUnmarked, id)
+	}
 	if err := w.start(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
@@ -70,6 +77,22 @@
 	written int64
 	// last is the last event that was made for each request.
 	last map[string]string
+	// unmarked are the beginnings of the streams that have neither a length nor chunks.
+	unmarked []time.Time
+}
+
+// awaitUnmarked waits until a number of streams without a length or chunks have begun, or the first of them is of an
+// age. It reports false if none has begun within the limit.
+func (w *workerProcess) awaitUnmarked(count int, age, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		w.mu.Lock()
+		begun := w.unmarked
+		w.mu.Unlock()
+		if len(begun) >= count || (len(begun) > 0 && time.Since(begun[0]) > age) {
+			return true
+		}
+	}
+	return false
 }
 
 func (f *fleet) startWorkerProcess(i int, zone string) (*workerProcess, error) {
@@ -97,7 +120,12 @@
 		for lines := bufio.NewScanner(output); lines.Scan(); {
 			id, event, _ := strings.Cut(lines.Text(), " ")
 			w.mu.Lock()
-			w.last[id] = event
+			if id == commandUnmarked {
+				f.record.write("%s begins the stream of request %s without a length or chunks", w.id, event)
+				w.unmarked = append(w.unmarked, time.Now())
+			} else {
+				w.last[id] = event
+			}
 			w.mu.Unlock()
 		}
 		_ = w.command.Wait() // the exit code is not used
@@ -211,11 +239,13 @@
 		}
 	}()
 	leaver := workers[3]
-	time.Sleep(25 * time.Second)
-	for range 3 {
+	time.Sleep(28 * time.Second)
+	for range unmarkedStreams {
 		leaver.tell(commandUnmarked)
 	}
-	time.Sleep(1500 * time.Millisecond)
+	if !leaver.awaitUnmarked(unmarkedStreams, noticeTime, 20*time.Second) {
+		return errors.New("no stream without a length began")
+	}
 	leaver.tell(commandLeave)
 	f.setState(leaver, "draining")
 	leaver.mu.Lock()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -38,8 +38,9 @@
 	repeats func(piece int) bool
 	// beforeStore is called before a piece is stored.
 	beforeStore func(piece int)
-	// madeToken is called for each token.
-	madeToken func(id string, event int)
+	// madeToken is called for each token, and begunUnmarked for each stream that has neither a length nor chunks.
+	madeToken     func(id string, event int)
+	begunUnmarked func(id string)
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -68,7 +69,7 @@
 func newModelWorker(id, zone, address string, record *record) *modelWorker {
 	w := &modelWorker{
 		id: id, zone: zone, address: address, record: record, events: 8, gap: 20 * time.Millisecond, storeTime: 15 * time.Millisecond,
-		repeats: func(int) bool { return false }, beforeStore: func(int) {}, madeToken: func(string, int) {}, born: time.Now().UnixMilli(), version: 1,
+		repeats: func(int) bool { return false }, beforeStore: func(int) {}, madeToken: func(string, int) {}, begunUnmarked: func(string) {}, born: time.Now().UnixMilli(), version: 1,
 		staged: make(map[int][]byte), rotten: make(map[int]time.Time), conns: make(map[net.Conn]bool),
 	}
 	for i := range chunks {
@@ -350,6 +351,7 @@
 		head += "Server-Leaving: 1\r\n"
 	}
 	if unmarked {
+		w.begunUnmarked(id)
 		head += "Connection: close\r\n\r\n"
 	} else {
 		head += "Transfer-Encoding: chunked\r\n\r\n"
