Log the age of the staged weights when a worker accepts an order to load them

A load order was logged with the time that staging and ordering took together, on a clock that stands still with the machine. Neither the hypotheses of the postmortem nor the rule's 3 s could be checked against it. The line now has the time from the first written piece to the order, the same to its answer, which is the latest time of acceptance, and the part of it in which the machine was suspended.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -515,7 +515,7 @@
 func (p *Process) stageAndLoad(ctx context.Context, model string, t *target) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	started := time.Now()
+	staging := suspend.Start()
 	number := t.version.number
 	if err := p.library.stage(ctx, t.version); err != nil {
 		p.log.Warn("weights cannot be staged at the worker", zap.Int("version", number), zap.Error(err))
@@ -524,10 +524,12 @@
 	p.switching = true
 	p.orderedVersion = number
 	p.sendReport()
+	stagedIn := staging.Elapsed()
 	result, err := p.worker.LoadStaged(ctx, model, number, p.report.Sequence)
 	p.orders.Inc()
 	p.log.Info("worker ordered to load", zap.Int("version", number), zap.Int("sequence", p.report.Sequence),
-		zap.Stringer("result", result), zap.Duration("staged_in", time.Since(started)),
+		zap.Stringer("result", result), zap.Duration("staged_in", stagedIn), zap.Duration("oldest_piece", staging.Elapsed()),
+		zap.Duration("suspended", staging.Suspended()),
 		zap.Duration("since_named", time.Since(p.view.namedTime(t.namedVersion))), zap.Error(err))
 	if result == platform.OrderRefused {
 		p.switching = false
