Stand-in worker: what each load takes, and how calls of endpoint processes go wrong

A worker without all layers refuses requests with 421, as one of the platform does; tests that sent requests to workers without weights load them now.

--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -91,6 +91,7 @@
 			w.Recover()
 		}
 	}()
+	w.Load(1) // it loses its layers in each crash
 	w.ServeHTTP(httptest.NewRecorder(), request)
 	return false
 }
--- a/soak/waits_test.go
+++ b/soak/waits_test.go
@@ -59,6 +59,7 @@
 			var callers sync.WaitGroup
 			end := time.Now().Add(2 * time.Minute)
 			for _, m := range f.ModelWorkers {
+				m.Load(1)
 				for _, extra := range []time.Duration{0, maxExtraTime(kindChat)} {
 					callers.Go(func() {
 						for n := 0; time.Now().Before(end); n++ {
--- a/standin/hosted/breaks_test.go
+++ b/standin/hosted/breaks_test.go
@@ -11,6 +11,7 @@
 // can tell it from a whole one, and the soak would blame entries for it.
 func TestBrokenStreamIsNoWholeOne(t *testing.T) {
 	w := &Worker{ID: "w", Model: Model{Name: "m", Chunks: 1, ChunkBytes: 8, Layers: 1}, Events: 3, UnmarkedEvery: 1}
+	w.Load(1)
 	server := httptest.NewServer(w)
 	defer server.Close()
 	for _, breaks := range []Breaks{{}, {After: 1}, {After: 2}} {
--- a/standin/hosted/crash.go
+++ b/standin/hosted/crash.go
@@ -99,6 +99,21 @@
 	w.onCrash, w.triggers = onCrash, triggers
 }
 
+// Crash ends the worker and starts it again at once under its name. It has lost its layers and the orders that it
+// accepted, and still has what was staged. The caller ends its connections.
+func (w *Worker) Crash() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dropLayers()
+}
+
+// dropLayers forgets what a worker loses in a crash. The caller holds the lock.
+func (w *Worker) dropLayers() {
+	w.weights = weights{staged: w.weights.staged, loads: w.weights.loads}
+	w.sequence = 0
+	w.restarts++
+}
+
 // Recover starts the worker again after a crash, without weights.
 func (w *Worker) Recover() {
 	w.mu.Lock()
@@ -128,8 +143,7 @@
 		w.mu.Unlock()
 		return false
 	}
-	w.version, w.sequence = 0, 0
-	w.restarts++
+	w.dropLayers()
 	onCrash := w.onCrash
 	w.mu.Unlock()
 	onCrash()
--- a/standin/hosted/pauses.go
+++ b/standin/hosted/pauses.go
@@ -36,6 +36,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.running--
+	w.beginLoad()
 }
 
 // refuse refuses a request that has not run.
--- a/standin/hosted/pauses_test.go
+++ b/standin/hosted/pauses_test.go
@@ -23,6 +23,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := &Worker{ID: "w", Model: Model{Name: "m", Chunks: 1, ChunkBytes: 8, Layers: 1}, Events: 3, EventGap: 100 * ms}
+				w.Load(1)
 				ctx, leave := context.WithTimeout(t.Context(), c.leavesAfter)
 				defer leave()
 				if c.silentAfter == 0 {
@@ -47,6 +48,7 @@
 func TestWorkerWithoutRoomRefuses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &Worker{ID: "w", Model: Model{Name: "m", Chunks: 1, ChunkBytes: 8, Layers: 1}, Events: 3, EventGap: time.Second, MaxRunning: 1}
+		w.Load(1)
 		for i, refused := range []bool{false, true, false} {
 			if i == 2 {
 				<-time.After(10 * time.Second)
