--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -81,6 +81,8 @@
 	SilenceMax time.Duration
 	// Overload has more callers than the model workers have room for.
 	Overload bool
+	// StoreTime is the time that model workers take to store a staged piece, and LoadTime that for a load of all layers.
+	StoreTime, LoadTime time.Duration
 }
 
 // Fleet is a running deployment.
@@ -190,6 +192,7 @@
 		w := &hosted.Worker{
 			ID: fmt.Sprintf("m-%d", i), Service: modelService, Zone: zoneOf(i), Address: fmt.Sprintf("%s:%d", f.ip(2, i), workerPort),
 			Model: f.Model, Events: streamEvents, EventGap: 20 * time.Millisecond, UnmarkedEvery: f.UnmarkedEvery,
+			StoreTime: f.StoreTime, LoadTime: f.LoadTime,
 		}
 		if f.PlannedOnly {
 			// Long streams are more often amid a silence.
