Stand-in store: status of an object

PUT on /NAME/status replaces the status under a condition on the revision, and writes of the specification keep it, as in the store of the platform. GET of one object is answered too.

--- a/standin/hosted/store.go
+++ b/standin/hosted/store.go
@@ -101,9 +101,16 @@
 	s.write(kind, name, raw)
 }
 
+// write replaces the value of an object and keeps its status. The caller holds the lock.
 func (s *Store) write(kind, name string, raw json.RawMessage) Object {
+	object := s.objects[kind][name]
+	object.Specification = raw
+	return s.replace(kind, name, object)
+}
+
+// replace stores an object under a new revision. The caller holds the lock.
+func (s *Store) replace(kind, name string, object Object) Object {
 	s.revision++
-	object := Object{Specification: raw}
 	object.Metadata.Name = name
 	object.Metadata.Revision = s.revision
 	if s.objects[kind] == nil {
@@ -171,8 +178,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
 		s.watch(w, r, kind)
+	case r.Method == http.MethodGet && name != "":
+		s.get(w, kind, name)
 	case r.Method == http.MethodGet:
 		s.list(w, kind)
+	case r.Method == http.MethodPut && strings.HasSuffix(name, statusSuffix):
+		s.putStatus(w, r, kind, strings.TrimSuffix(name, statusSuffix))
 	case r.Method == http.MethodPost || r.Method == http.MethodPut:
 		s.put(w, r, kind, name)
 	case r.Method == http.MethodDelete:
@@ -182,6 +193,58 @@
 	}
 }
 
+// statusSuffix ends the path of the status of an object.
+const statusSuffix = "/status"
+
+func (s *Store) get(w http.ResponseWriter, kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stored, exists := s.objects[kind][name]
+	if !exists {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The write fails only when the caller has disconnected.
+	_, _ = w.Write(stored.encode())
+}
+
+// Status returns the status of an object, or nil.
+func (s *Store) Status(kind, name string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[kind][name].Status
+}
+
+// putStatus replaces the status of an object, if it has the revision that the call names.
+func (s *Store) putStatus(w http.ResponseWriter, r *http.Request, kind, name string) {
+	var object Object
+	if err := json.NewDecoder(r.Body).Decode(&object); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	expected := r.URL.Query().Get("revision")
+	if object.Metadata.Revision != 0 {
+		expected = strconv.FormatInt(object.Metadata.Revision, 10)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stored, exists := s.objects[kind][name]
+	switch {
+	case !exists:
+		w.WriteHeader(http.StatusNotFound)
+	case object.Metadata.Name != "" && object.Metadata.Name != name:
+		w.WriteHeader(http.StatusBadRequest)
+	case expected != "" && expected != strconv.FormatInt(stored.Metadata.Revision, 10):
+		respond(w, http.StatusConflict, stored)
+	case string(stored.Status) == string(object.Status):
+		respond(w, http.StatusOK, stored)
+	default:
+		stored.Status = object.Status
+		respond(w, http.StatusOK, s.replace(kind, name, stored))
+	}
+}
+
 // remove deletes an object, if it has the revision that the call names.
 func (s *Store) remove(w http.ResponseWriter, r *http.Request, kind, name string) {
 	s.mu.Lock()
