Status of mirrored objects, and what a worker's entry says about its weights

The mirror kept what the writer of an object writes, and dropped its status, which others write. It now carries both, between processes too, so that the process beside a worker can add to the worker's entry which of its weights are known to be whole. Nothing uses it yet.

--- a/lib/catalog/worker.go
+++ b/lib/catalog/worker.go
@@ -37,6 +37,15 @@
 	Weights     Weights
 }
 
+// Proven names weights that are known to have been whole when a worker took them. They stay so until the worker
+// starts again.
+type Proven struct {
+	// StartedAtMs identifies the start of the worker; see Worker.
+	StartedAtMs int64
+	// Version is zero for no weights.
+	Version int
+}
+
 // Report is the state that a worker reports about itself.
 type Report struct {
 	StartedAtMs int64
@@ -52,6 +61,10 @@
 	// SwitchoverIn is the time until the worker will be ordered to load other weights;
 	// zero if no switchover is planned.
 	SwitchoverIn time.Duration
+	// ProvenVersion is the version of the loaded weights, if they are known to be whole; zero if not. Unproven is
+	// set if they may not be.
+	ProvenVersion int
+	Unproven      bool
 	// Leaving is set when the worker states that it is leaving.
 	Leaving bool
 	// Limit is what the worker states about its limit on requests.
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -38,6 +38,8 @@
 	// Revision is that of the object's last change; see NewRevision.
 	Revision int64           `json:"revision"`
 	Value    json.RawMessage `json:"value"`
+	// Status is what others than the writer of Value have added to the object; empty for nothing.
+	Status json.RawMessage `json:"status,omitempty"`
 	// LearnedAt is when this process, or the process that reported the object, learned of
 	// the revision while its copy was up to date. For a revision that was missed and found
 	// later, it is the last earlier time at which the copy was complete, so that bounds
@@ -46,6 +48,11 @@
 	LearnedAt time.Time `json:"-"`
 }
 
+// sameContents reports whether two states of an object hold the same.
+func (o Object) sameContents(other Object) bool {
+	return string(o.Value) == string(other.Value) && string(o.Status) == string(other.Status)
+}
+
 // Event is one change that a watch reports.
 type Event struct {
 	Object  Object
@@ -378,10 +385,10 @@
 	if !ok {
 		old, ok = kept, wasRetained
 	}
-	isSame := ok && EraOf(old.Revision) < EraOf(object.Revision) && string(old.Value) == string(object.Value)
+	isSame := ok && EraOf(old.Revision) < EraOf(object.Revision) && old.sameContents(object)
 	mayBeOlder := ok && (EraOf(old.Revision) < EraOf(object.Revision) || !k.restore.until.IsZero())
 	if isSame || (mayBeOlder && k.restore.isOlder(object.Value, old.Value)) {
-		object.Value, object.LearnedAt = old.Value, old.LearnedAt
+		object.Value, object.Status, object.LearnedAt = old.Value, old.Status, old.LearnedAt
 		isSame = true
 	}
 	delete(k.retained, object.Name)
@@ -389,7 +396,7 @@
 	delete(k.restore.deferred, object.Name)
 	k.objects[object.Name] = object
 	k.recordChange(object.Name)
-	if isSame || (wasRetained && string(kept.Value) == string(object.Value)) {
+	if isSame || (wasRetained && kept.sameContents(object)) {
 		return changes
 	}
 	return append(changes, Change{Object: object, LastCompleteAt: k.completeAt})
--- a/lib/mirror/rpcmirror/rpcmirror.go
+++ b/lib/mirror/rpcmirror/rpcmirror.go
@@ -56,7 +56,7 @@
 		}
 		for _, object := range state.Objects {
 			kind.Objects = append(kind.Objects, &laburnumgwv1.MirroredObject{
-				Name: object.Name, Revision: mirror.NumberOf(object.Revision), Era: mirror.EraOf(object.Revision), Value: object.Value, KnownMs: knownMs(object),
+				Name: object.Name, Revision: mirror.NumberOf(object.Revision), Era: mirror.EraOf(object.Revision), Value: object.Value, Status: object.Status, KnownMs: knownMs(object),
 			})
 		}
 		response.Kinds = append(response.Kinds, kind)
@@ -195,7 +195,7 @@
 		}
 		for _, object := range kind.GetObjects() {
 			state.Objects = append(state.Objects, mirror.Object{
-				Name: object.GetName(), Revision: mirror.NewRevision(object.GetEra(), object.GetRevision()), Value: object.GetValue(), LearnedAt: learnedAt(object, reportedAt),
+				Name: object.GetName(), Revision: mirror.NewRevision(object.GetEra(), object.GetRevision()), Value: object.GetValue(), Status: object.GetStatus(), LearnedAt: learnedAt(object, reportedAt),
 			})
 		}
 		pulled.States = append(pulled.States, state)
