Prove the loads of workers after their orders were accepted, and offer no others

The process beside a worker wrote all chunks, ordered the load and never looked again; whatever happened between the first write and the acceptance of the order was loaded: corruption while the process or the worker stood still, a staging that a worker executed late or that a second answer made look done, an order that was accepted seconds later.

Chunks are now staged on one connection, whose calls the worker executes in their order, so that reading the last one shows that all were written; a chunk that was checked too long before the order is read once more. The order follows a look at the worker's state. When the worker has accepted it, what it took is read back while it loads, and a ledger decides whether the load is proven. Layers that are not are dropped, by orders for halves of the model, and loaded again. Entries offer weights only when their proof is known: by the reports of the process, or by the status of the worker's entry, which outlives the process and reaches entries that get no reports.

--- /dev/null
+++ b/endpoint/hosted/loads.go
@@ -0,0 +1,224 @@
+package hosted
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/loadproof"
+	"laburnumgw/lib/rollout"
+	"laburnumgw/lib/suspend"
+	"laburnumgw/platform"
+)
+
+const (
+	// minReloadPause separates attempts to have the worker load unproven layers again when it does not begin to; it doubles
+	// up to maxReloadPause.
+	minReloadPause = time.Second
+	maxReloadPause = 30 * time.Second
+	// minPublishPause and maxPublishPause bound the random pause after an attempt to write to the worker's entry, as many
+	// processes write at the same time after a new version or an outage.
+	minPublishPause = 300 * time.Millisecond
+	maxPublishPause = 1200 * time.Millisecond
+	// republishPause is how long a written status may take to be listed before it counts as lost.
+	republishPause = 5 * time.Second
+)
+
+// provenStore keeps which weights of a worker are known to be whole, in the worker's entry.
+type provenStore interface {
+	WriteProven(ctx context.Context, worker string, proven catalog.Proven) error
+	ReadProven(ctx context.Context, worker string) (catalog.Proven, error)
+}
+
+// publication is the state of what the worker's entry says about its weights.
+type publication struct {
+	store provenStore
+	// written is what was written last, at a time.
+	written   catalog.Proven
+	writtenAt time.Time
+	// due is when the store may be called again. Only one call is under way.
+	due   time.Time
+	calls chan publicationResult
+	// confirmed is set when the store has no proof of the weights that the worker held when this process first
+	// read its state.
+	confirmed bool
+}
+
+// publicationResult is the result of a call to the store: of a read if it has read.
+type publicationResult struct {
+	isRead bool
+	proven catalog.Proven
+	err    error
+}
+
+// holdings returns the last report as input of the ledger.
+func (p *Process) holdings() loadproof.Holdings {
+	weights := p.report.Weights
+	h := loadproof.Holdings{StartedAtMs: p.report.StartedAtMs, Sequence: p.report.Sequence, Busy: p.report.Busy, Version: weights.Version}
+	if weights.Version > 0 {
+		h.Layers = loadproof.Range{From: weights.From, To: weights.To}
+	}
+	return h
+}
+
+// provenWeights returns the weights of the last report if they are complete and known to be whole. Unproven is set if they
+// are complete and may not be.
+func (p *Process) provenWeights() (proven catalog.Proven, unproven bool) {
+	service := p.view.service()
+	if service == nil || !p.workerReporting || !p.report.Weights.Complete(service.Engine.Layers) {
+		return catalog.Proven{}, false
+	}
+	switch p.stager.ledger.State(p.holdings()) {
+	case loadproof.Whole:
+		return catalog.Proven{StartedAtMs: p.report.StartedAtMs, Version: p.report.Weights.Version}, false
+	case loadproof.Unproven:
+		return catalog.Proven{}, !p.awaitsConfirmation()
+	case loadproof.Pending:
+	}
+	return catalog.Proven{}, false
+}
+
+// awaitsConfirmation reports whether an earlier process may have proven the weights that the worker holds.
+func (p *Process) awaitsConfirmation() bool {
+	return p.stager.ledger.Inherited() && !p.publication.confirmed
+}
+
+// rolloutWorker returns the state of the worker as input of rollout.Decide. Weights that are not proven count as missing, so
+// that the worker loads them again, and those that are being proven as an order in progress.
+func (p *Process) rolloutWorker(layers int) rollout.Worker {
+	held := p.report.Weights
+	worker := rollout.Worker{Version: held.Version, Complete: held.Complete(layers), Busy: p.report.Busy}
+	switch p.stager.ledger.State(p.holdings()) {
+	case loadproof.Pending:
+		worker.Busy = true
+	case loadproof.Unproven:
+		worker.Complete = worker.Complete && p.awaitsConfirmation()
+	case loadproof.Whole:
+	}
+	return worker
+}
+
+// proveLoad reads back what the worker has taken, and tells the entries when the result changes.
+func (p *Process) proveLoad(ctx context.Context) {
+	if err := p.stager.readBack(ctx); err != nil {
+		p.log.Warn("load of the worker is not proven yet", zap.Error(err))
+	}
+	proven, unproven := p.provenWeights()
+	if proven == p.told && unproven == p.toldUnproven {
+		return
+	}
+	p.told, p.toldUnproven = proven, unproven
+	switch {
+	case unproven:
+		p.unprovenLoads.Inc()
+		p.log.Warn("weights of the worker are not proven to be whole; they are offered to no caller",
+			zap.Int("version", p.report.Weights.Version), zap.Int("sequence", p.report.Sequence))
+	case proven.Version > 0:
+		p.provenLoads.Inc()
+		p.log.Info("weights of the worker are whole", zap.Int("version", proven.Version), zap.Int("sequence", p.report.Sequence))
+	default:
+		return
+	}
+	p.sendReportToAll()
+}
+
+// stageAndLoad stages a version at the worker and orders the worker to load it.
+func (p *Process) stageAndLoad(ctx context.Context, t *target, layerCount int) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	staging := suspend.Start()
+	number := t.version.number
+	model := loadproof.Model{Layers: layerCount, Chunks: len(t.version.distribution.Replica().Manifest().Chunks)}
+	layers := p.stager.ledger.Reload(model, number)
+	isReload := number == p.report.Weights.Version
+	if isReload && time.Now().Before(p.reloadDue) {
+		return
+	}
+	if err := p.stager.stage(ctx, t.version, model.ChunksOf(p.stager.ledger.Missing(number, layers))); err != nil {
+		p.log.Warn("weights cannot be staged at the worker", zap.Int("version", number), zap.Error(err))
+		return
+	}
+	p.switching = true
+	p.orderedVersion = number
+	startedAtMs := p.report.StartedAtMs
+	p.pollWorker(ctx)
+	if !p.workerReporting || p.report.StartedAtMs != startedAtMs {
+		p.switching = false
+		return
+	}
+	stagedIn := staging.Elapsed()
+	result, err := p.stager.order(ctx, t.version, model, layers)
+	p.orders.Inc()
+	p.log.Info("worker ordered to load", zap.Int("version", number), zap.Int("layers_from", layers.From), zap.Int("layers_to", layers.To),
+		zap.Int("sequence", p.report.Sequence), zap.Stringer("result", result), zap.Duration("staged_in", stagedIn),
+		zap.Duration("oldest_piece", staging.Elapsed()), zap.Duration("suspended", staging.Suspended()),
+		zap.Duration("since_named", time.Since(p.view.namedTime(t.namedVersion))), zap.Error(err))
+	if result == platform.OrderRefused {
+		p.switching = false
+	}
+	switch {
+	case result == platform.OrderStarted:
+		p.reloadPause = minReloadPause
+	case isReload:
+		p.reloadDue = time.Now().Add(p.reloadPause)
+		p.reloadPause = min(2*p.reloadPause, maxReloadPause)
+	}
+	p.pollWorker(ctx)
+	p.proveLoad(ctx)
+}
+
+// publishProven writes to the worker's entry which of its weights are whole, and reads there what an earlier process has
+// proven.
+func (p *Process) publishProven(ctx context.Context) {
+	id, listed, isListed := p.view.ownWorker(p.report.StartedAtMs)
+	if !isListed || !p.workerReporting {
+		return
+	}
+	if listed.StartedAtMs == p.report.StartedAtMs {
+		p.stager.ledger.Adopt(listed.Version)
+	}
+	now := time.Now()
+	if p.publication.calls != nil || now.Before(p.publication.due) {
+		return
+	}
+	proven, _ := p.provenWeights()
+	isWritten := p.publication.written == proven && now.Sub(p.publication.writtenAt) < republishPause
+	switch {
+	case p.awaitsConfirmation() && p.report.Weights.Version > 0:
+		p.callStore(func() publicationResult {
+			found, err := p.publication.store.ReadProven(ctx, id)
+			return publicationResult{isRead: true, proven: found, err: err}
+		})
+	case proven.Version > 0 && listed != proven && !isWritten:
+		p.callStore(func() publicationResult {
+			return publicationResult{proven: proven, err: p.publication.store.WriteProven(ctx, id, proven)}
+		})
+	}
+}
+
+// callStore makes a call to the store, whose result arrives at finishPublication.
+func (p *Process) callStore(call func() publicationResult) {
+	calls := make(chan publicationResult, 1)
+	p.publication.calls = calls
+	go func() { calls <- call() }()
+}
+
+// finishPublication applies the result of a call to the store.
+func (p *Process) finishPublication(result publicationResult) {
+	now := time.Now()
+	p.publication.calls = nil
+	p.publication.due = now.Add(minPublishPause + rand.N(maxPublishPause-minPublishPause))
+	switch {
+	case result.err != nil:
+		p.log.Warn("status of the worker's entry cannot be written or read", zap.Bool("read", result.isRead), zap.Error(result.err))
+	case !result.isRead:
+		p.publication.written, p.publication.writtenAt = result.proven, now
+	case result.proven.StartedAtMs == p.report.StartedAtMs && result.proven.Version == p.report.Weights.Version:
+		p.stager.ledger.Adopt(result.proven.Version)
+	default:
+		p.publication.confirmed = true
+	}
+}
--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -74,6 +74,8 @@
 	monitor         *suspend.Monitor
 	metrics         *metrics.Set
 	orders          *metrics.Counter
+	provenLoads     *metrics.Counter
+	unprovenLoads   *metrics.Counter
 	crashes         *metrics.Counter
 	log             *zap.Logger
 	rolloutSettings rollout.Settings
@@ -92,6 +94,14 @@
 	orderedVersion int
 	sequence       uint64
 	loggedReason   rollout.Reason
+	stager         *stager
+	publication    publication
+	// told and toldUnproven are what the entries were told last about the weights of the worker.
+	told         catalog.Proven
+	toldUnproven bool
+	// reloadDue is when the worker may be ordered again to load layers that it did not begin to load.
+	reloadDue   time.Time
+	reloadPause time.Duration
 	// pollLoopStarted is when pollLoop started.
 	pollLoopStarted time.Time
 	// crashNotices is how often the last crash of the worker is still to be sent.
@@ -124,7 +134,9 @@
 	})
 	p := &Process{
 		settings: settings, view: v, worker: worker, conns: conns, log: log, metrics: set,
-		orders: set.NewCounter("laburnumgw_worker_orders_total"), crashes: set.NewCounter("laburnumgw_worker_crashes_total"), rolloutSettings: rollout.DefaultSettings(settings.Bounds.VersionApply),
+		orders: set.NewCounter("laburnumgw_worker_orders_total"), crashes: set.NewCounter("laburnumgw_worker_crashes_total"),
+		provenLoads: set.NewCounter(`laburnumgw_worker_loads_total{proven="yes"}`), unprovenLoads: set.NewCounter(`laburnumgw_worker_loads_total{proven="no"}`),
+		stager: newStager(worker, set, log), publication: publication{store: store}, reloadPause: minReloadPause, rolloutSettings: rollout.DefaultSettings(settings.Bounds.VersionApply),
 		library: newLibrary(v, worker, conns, set, log), grpc: grpc.NewServer(rpc.RecoveryOptions(log)...),
 		suspensions: make(chan time.Duration, 4), openBackoff: newOpenBackoff(),
 	}
@@ -252,6 +264,8 @@
 			p.pollWorker(ctx)
 		case result := <-p.pendingOpen:
 			p.finishOpen(result)
+		case result := <-p.publication.calls:
+			p.finishPublication(result)
 		case <-p.openRetry:
 			p.openRetry = nil
 		case <-p.newestComplete():
@@ -315,6 +329,7 @@
 	p.workerReporting, p.workerStarted = true, true
 	p.crashNotices = 0
 	p.report = report
+	p.stager.ledger.Observe(p.holdings(), p.stager.elapsed())
 	p.sendReport()
 }
 
@@ -353,22 +368,34 @@
 // goes to the entries of other zones. Datagrams are not repeated, since the next report
 // replaces a lost one.
 func (p *Process) sendReport() {
+	targets := p.view.reportTargets()
+	receivers := targets.sameZone
+	if (p.sequence+1)%otherZoneReportEvery == 0 || p.switching || p.switchoverIn > 0 {
+		receivers = slices.Concat(targets.sameZone, targets.otherZones)
+	}
+	p.sendReportTo(receivers)
+}
+
+// sendReportToAll sends the worker's state to all entries, also to those that get no reports otherwise.
+func (p *Process) sendReportToAll() {
+	sameZone, otherZones := p.view.entryAddresses()
+	p.sendReportTo(slices.Concat(sameZone, otherZones))
+}
+
+func (p *Process) sendReportTo(receivers []string) {
 	p.sequence++
+	proven, unproven := p.provenWeights()
 	data, err := proto.Marshal(&laburnumgwv1.WorkerReport{
 		Address: p.settings.Worker, Born: p.report.StartedAtMs, Model: p.report.Weights.Model, Version: int32(p.report.Weights.Version),
 		LayersFrom: int32(p.report.Weights.From), LayersTo: int32(p.report.Weights.To), Busy: p.report.Busy || p.switching,
 		Queued: int32(p.report.Queued), Running: int32(p.report.Running), Sequence: p.sequence,
 		ClosesInMs: int32(p.switchoverIn.Milliseconds()), Leaving: p.report.Leaving,
+		ProvenVersion: int32(proven.Version), Unproven: unproven,
 	})
 	if err != nil {
 		p.log.Error("worker report cannot be encoded", zap.Error(err))
 		return
 	}
-	targets := p.view.reportTargets()
-	receivers := targets.sameZone
-	if p.sequence%otherZoneReportEvery == 0 || p.switching || p.switchoverIn > 0 {
-		receivers = slices.Concat(targets.sameZone, targets.otherZones)
-	}
 	p.sendTo(receivers, data)
 }
 
@@ -395,8 +422,9 @@
 	model := service.Engine.Model
 	p.openNewest(ctx, model)
 	p.updateNamedAt(model)
-	weights := p.report.Weights
-	worker := rollout.Worker{Version: weights.Version, Complete: weights.Complete(service.Engine.Layers), Busy: p.report.Busy}
+	p.proveLoad(ctx)
+	p.publishProven(ctx)
+	worker := p.rolloutWorker(service.Engine.Layers)
 	if worker.Complete && worker.Version >= p.orderedVersion {
 		p.switching = false
 	}
@@ -409,7 +437,7 @@
 	p.switchoverIn = decision.ClosesIn
 	for _, t := range p.targets {
 		if t.version.number == decision.Load {
-			p.stageAndLoad(ctx, model, t)
+			p.stageAndLoad(ctx, t, service.Engine.Layers)
 		}
 	}
 }
@@ -510,29 +538,3 @@
 		}
 	}
 }
-
-// stageAndLoad stages a version at the worker and orders the worker to load it.
-func (p *Process) stageAndLoad(ctx context.Context, model string, t *target) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	staging := suspend.Start()
-	number := t.version.number
-	if err := p.library.stage(ctx, t.version); err != nil {
-		p.log.Warn("weights cannot be staged at the worker", zap.Int("version", number), zap.Error(err))
-		return
-	}
-	p.switching = true
-	p.orderedVersion = number
-	p.sendReport()
-	stagedIn := staging.Elapsed()
-	result, err := p.worker.LoadStaged(ctx, model, number, p.report.Sequence)
-	p.orders.Inc()
-	p.log.Info("worker ordered to load", zap.Int("version", number), zap.Int("sequence", p.report.Sequence),
-		zap.Stringer("result", result), zap.Duration("staged_in", stagedIn), zap.Duration("oldest_piece", staging.Elapsed()),
-		zap.Duration("suspended", staging.Suspended()),
-		zap.Duration("since_named", time.Since(p.view.namedTime(t.namedVersion))), zap.Error(err))
-	if result == platform.OrderRefused {
-		p.switching = false
-	}
-	p.pollWorker(ctx)
-}
--- a/endpoint/hosted/silence_test.go
+++ b/endpoint/hosted/silence_test.go
@@ -99,6 +99,6 @@
 	set := metrics.NewSet()
 	return &Process{
 		settings: &platform.Settings{Worker: address}, view: newView(&platform.Settings{}, zap.NewNop()), log: zap.NewNop(), socket: socket,
-		worker: platform.NewWorker(address), crashes: set.NewCounter("crashes"), orders: set.NewCounter("orders"),
+		worker: platform.NewWorker(address), stager: newStager(platform.NewWorker(address), set, zap.NewNop()), crashes: set.NewCounter("crashes"), orders: set.NewCounter("orders"),
 	}
 }
--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -28,7 +28,9 @@
 	mu       sync.Mutex
 	snapshot *catalog.Snapshot
 	workers  map[string]catalog.Worker
-	entries  map[string]platform.Entry
+	// proven holds which weights of each listed worker are known to be whole.
+	proven  map[string]catalog.Proven
+	entries map[string]platform.Entry
 	// targets caches the result of reportTargets; nil after a change of the configuration or of
 	// the entries.
 	targets  *targets
@@ -49,7 +51,7 @@
 
 func newView(settings *platform.Settings, log *zap.Logger) *view {
 	return &view{
-		settings: settings, log: log, wake: make(chan struct{}, 1), workers: make(map[string]catalog.Worker),
+		settings: settings, log: log, wake: make(chan struct{}, 1), workers: make(map[string]catalog.Worker), proven: make(map[string]catalog.Proven),
 		entries: make(map[string]platform.Entry), versions: make(map[string]namedVersion),
 		listedKinds: make(map[string]bool),
 	}
@@ -84,6 +86,10 @@
 		v.snapshot = snapshot
 		v.targets = nil
 	case platform.KindWorkers:
+		v.proven[name] = platform.DecodeProven(change.Object.Status)
+		if change.Deleted {
+			delete(v.proven, name)
+		}
 		worker, err := platform.DecodeWorker(name, value)
 		if change.Deleted || err != nil {
 			v.logIgnored(kind, change, err)
@@ -173,6 +179,18 @@
 	return v.listedKinds[platform.KindWorkers]
 }
 
+// ownWorker returns the name of the entry of a start of this VM's worker, and what it says about the worker's weights.
+func (v *view) ownWorker(startedAtMs int64) (id string, proven catalog.Proven, isListed bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, worker := range v.workers {
+		if worker.Address == v.settings.Worker && worker.StartedAtMs == startedAtMs {
+			return id, v.proven[id], true
+		}
+	}
+	return "", catalog.Proven{}, false
+}
+
 // origin returns the origin of weights, or nil while it is unknown.
 func (v *view) origin() *catalog.Origin {
 	v.mu.Lock()
--- a/endpoint/hosted/weights.go
+++ b/endpoint/hosted/weights.go
@@ -227,24 +227,3 @@
 		v.distribution.SetMembers(members)
 	}
 }
-
-// stage writes every chunk of a version to the worker. All chunks are written just before the
-// load order, since chunks staged earlier may have become corrupt and the worker verifies
-// none.
-func (l *library) stage(ctx context.Context, v *version) error {
-	replica := v.distribution.Replica()
-	manifest := replica.Manifest()
-	for chunk := range manifest.Chunks {
-		data, err := replica.Chunk(chunk)
-		if err != nil {
-			return err
-		}
-		if err := manifest.Verify(chunk, data); err != nil {
-			return err
-		}
-		if err := l.worker.Stage(ctx, manifest.Model, chunk, data); err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/endpoint/hosted/weights_test.go
+++ b/endpoint/hosted/weights_test.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc/status"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/loadproof"
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/rollout"
 	"laburnumgw/lib/rpc"
@@ -89,7 +90,10 @@
 		s.worker.Crash()
 		own := platform.NewWorker(s.view.settings.Worker)
 		ctx := context.Background()
-		So(own.Stage(ctx, "m", 2, []byte("rot")), ShouldBeNil)
+		conn, err := own.OpenStaging(ctx)
+		So(err, ShouldBeNil)
+		Reset(conn.Close)
+		So(conn.Write(ctx, "m", 2, []byte("rot")), ShouldBeNil)
 
 		opened, err := s.library.open(ctx, "m", 1)
 		So(err, ShouldBeNil)
@@ -99,14 +103,15 @@
 			<-opened.distribution.Completed()
 			report, err := own.Report(ctx)
 			So(err, ShouldBeNil)
-			So(s.library.stage(ctx, opened), ShouldBeNil)
-			result, err := own.LoadStaged(ctx, "m", 1, report.Sequence)
+			stager := newStager(own, metrics.NewSet(), zap.NewNop())
+			So(stager.stage(ctx, opened, loadproof.Range{To: testModel.Chunks}), ShouldBeNil)
+			result, err := own.LoadStaged(ctx, "m", 1, platform.LayerRange{}, report.Sequence)
 			So(err, ShouldBeNil)
 			So(result, ShouldEqual, platform.OrderStarted)
 			So(s.worker.Err(), ShouldBeNil)
 
 			Convey("and an order for an earlier state is refused", func() {
-				result, err := own.LoadStaged(ctx, "m", 1, report.Sequence)
+				result, err := own.LoadStaged(ctx, "m", 1, platform.LayerRange{}, report.Sequence)
 				So(err, ShouldNotBeNil)
 				So(result, ShouldEqual, platform.OrderRefused)
 			})
--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -149,7 +149,7 @@
 
 func (d *deployment) put(kind, name, value string) {
 	d.rev++
-	d.front.view.applyChanges(kind, []mirror.Change{{Object: mirror.Object{Name: name, Revision: d.rev, Value: json.RawMessage(value)}}})
+	d.front.view.applyChanges(kind, []mirror.Change{{Object: mirror.Object{Name: name, Revision: d.rev, Value: json.RawMessage(value), Status: provenStatus(kind, value)}}})
 }
 
 // version names a version of the weights.
@@ -168,6 +168,20 @@
 	return netip.AddrPortFrom(netip.AddrFrom16(ip), 80).String()
 }
 
+// provenStatus returns what the process beside a worker writes to the worker's entry when the listed weights are proven.
+func provenStatus(kind, entry string) json.RawMessage {
+	var listed struct {
+		Born   int64 `json:"born"`
+		Layers struct {
+			Version int `json:"version"`
+		} `json:"layers"`
+	}
+	if kind != platform.KindWorkers || json.Unmarshal([]byte(entry), &listed) != nil {
+		return nil
+	}
+	return fmt.Appendf(nil, `{"proven":{"born":%d,"version":%d}}`, listed.Born, listed.Layers.Version)
+}
+
 func workerAt(address string) string {
 	ip := netip.MustParseAddrPort(address).Addr().As16()
 	return strings.TrimRight(string(ip[1:]), "\x00")
--- a/entry/hosted/version_belief_test.go
+++ b/entry/hosted/version_belief_test.go
@@ -27,7 +27,7 @@
 // reportWeights sends a report of a worker to an entry.
 func (d *deployment) reportWeights(id string, version int, sequence uint64) {
 	data, err := proto.Marshal(&laburnumgwv1.WorkerReport{
-		Address: workerAddress(id), Born: 1, Model: "m", Version: int32(version), LayersTo: 16, Sequence: sequence,
+		Address: workerAddress(id), Born: 1, Model: "m", Version: int32(version), LayersTo: 16, Sequence: sequence, ProvenVersion: int32(version),
 	})
 	if err != nil {
 		d.t.Fatal(err)
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -466,6 +466,7 @@
 		w.reportSequence = sequence
 		w.report = report
 		w.reportedAt = time.Now()
+		v.applyProof(w, report)
 		w.crashed = w.crashed && report.StartedAtMs != w.StartedAtMs
 		state := v.services[w.Service]
 		if state != nil && state.config.Engine != nil && report.StartedAtMs == w.StartedAtMs {
--- a/entry/hosted/workers.go
+++ b/entry/hosted/workers.go
@@ -29,6 +29,9 @@
 	// crashed is set when this start of the worker has crashed, until another start is listed, the
 	// worker reports on, or crashedTime has passed.
 	crashed bool
+	// proven names the weights that are known to be whole. They are offered to no caller while revoked is set.
+	proven  catalog.Proven
+	revoked bool
 	// share is this entry's share of the rate that the worker can handle. shareValid is cleared
 	// when it must be computed again.
 	share      senders.Share
@@ -68,6 +71,7 @@
 	v.unindex(known)
 	known.Worker = decoded
 	known.misdirected = false
+	v.addProven(known, platform.DecodeProven(change.Object.Status), "the list of workers")
 	known.shareValid = false
 	known.limit.shareValid = false
 	v.byAddress[known.Address] = append(v.byAddress[known.Address], known)
@@ -157,6 +161,35 @@
 	return w.report.StartedAtMs == w.StartedAtMs && now.Sub(w.reportedAt) < reportStaleness
 }
 
+// addProven records weights that are known to be whole. Later weights of the same start replace earlier ones. The caller
+// holds the lock.
+func (v *view) addProven(w *worker, proven catalog.Proven, source string) {
+	if proven.Version == 0 || proven.StartedAtMs < w.proven.StartedAtMs || (proven.StartedAtMs == w.proven.StartedAtMs && proven.Version <= w.proven.Version) {
+		return
+	}
+	w.proven, w.revoked = proven, false
+	v.log.Info("weights are known to be whole", zap.String("vm", w.ID), zap.Int("version", proven.Version), zap.Int64("born", proven.StartedAtMs), zap.String("from", source))
+}
+
+// applyProof applies what the endpoint process of a worker reports about the proof of the worker's weights. The caller holds the lock.
+func (v *view) applyProof(w *worker, report catalog.Report) {
+	switch {
+	case report.ProvenVersion > 0:
+		v.addProven(w, catalog.Proven{StartedAtMs: report.StartedAtMs, Version: report.ProvenVersion}, "the process beside the worker")
+		if w.proven.StartedAtMs == report.StartedAtMs && w.proven.Version == report.ProvenVersion {
+			w.revoked = false
+		}
+	case report.Unproven && w.proven.StartedAtMs == report.StartedAtMs && !w.revoked:
+		w.revoked = true
+		v.log.Warn("weights are not known to be whole any more", zap.String("vm", w.ID), zap.Int("version", w.proven.Version))
+	}
+}
+
+// isProven reports whether weights of the listed start are known to be whole.
+func (w *worker) isProven(weights catalog.Weights) bool {
+	return !w.revoked && w.proven == catalog.Proven{StartedAtMs: w.StartedAtMs, Version: weights.Version}
+}
+
 // currentWeights returns the weights of the worker as they are known.
 func (w *worker) currentWeights(now time.Time) catalog.Weights {
 	if w.hasReport(now) {
@@ -174,7 +207,7 @@
 			report.Load.Limit = 0
 		}
 	}
-	if weights.Complete(engine.Layers) && weights.Version >= v.requiredVersion(engine.Model, now) {
+	if weights.Complete(engine.Layers) && weights.Version >= v.requiredVersion(engine.Model, now) && w.isProven(weights) {
 		report.Serving = map[string]string{w.Service: strconv.Itoa(weights.Version)}
 	}
 }
