Name the weights in each request to a model worker

A request that waits at a worker, or that an entry sends while it does not know of a load yet, began on whatever the worker had loaded meanwhile, also on weights that are not proven yet. The weights for which the worker was chosen are named now, and another worker takes the request if they have changed. A refusal that a change of the weights explains does not take the worker out until its entry changes; a report of other weights puts it back.

--- a/entry/hosted/attempt.go
+++ b/entry/hosted/attempt.go
@@ -133,7 +133,7 @@
 	}
 	switch {
 	case workerResponse.Misdirected && !a.continues:
-		a.view.markMisdirected(vm)
+		a.view.markMisdirected(vm, a.expectedVersion())
 		return opened{ended: a.result(laburnumgwv1.Outcome_OUTCOME_NOT_RUN, true, "", errMisdirected)}
 	case workerResponse.NotExecuted:
 		response.Discard(workerResponse.KeepAlive)
@@ -214,21 +214,26 @@
 }
 
 // forward returns the headers that are added to a request for a worker. An interrupted stream is
-// resumed after the last event that reached the caller, on the same weights. The weights are named as well
-// where the worker must not run the request on older ones, which it may have.
+// resumed after the last event that reached the caller. The weights for which the worker was chosen are named, since it may
+// load others before it begins, which are out of time or not known to be whole.
 func (a *attempt) forward() platform.ForwardHeaders {
 	f := platform.ForwardHeaders{Worker: a.decision.VM, Workspace: a.workspaceName(), Deadline: a.limits.Left(time.Now())}
 	if a.continues {
 		f.LastEventID = a.lastEventID
 	}
-	// The digest of a decision is always a decimal version number.
-	version, _ := strconv.Atoi(a.decision.VersionDigest)
-	if a.continues || (a.engine != nil && a.view.mayHaveOlderWeights(a.decision.VM, a.engine.Model, version)) {
-		f.WeightVersion = version
+	if a.continues || a.engine != nil {
+		f.WeightVersion = a.expectedVersion()
 	}
 	return f
 }
 
+// expectedVersion returns the weights for which the worker was chosen; zero for a plain worker.
+func (a *attempt) expectedVersion() int {
+	// The digest of a decision is always a decimal version number.
+	version, _ := strconv.Atoi(a.decision.VersionDigest)
+	return version
+}
+
 // finish records the end of the attempt in the view, the metrics and the log. It waits for news of a crash when the
 // request was lost.
 func (a *attempt) finish(ended retry.Attempt) retry.Attempt {
--- a/entry/hosted/versions.go
+++ b/entry/hosted/versions.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -134,19 +133,6 @@
 	return time.Time{}, false
 }
 
-// mayHaveOlderWeights reports whether a worker may have weights that are out of time, or will be before a
-// request begins on them, although it was chosen for a version: it may have started again since, and no recent
-// report tells its weights.
-func (v *view) mayHaveOlderWeights(vm, model string, version int) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	now := time.Now()
-	w := v.workers[vm]
-	reported := w != nil && w.hasReport(now) && now.Sub(w.reportedAt) < aliveReportAge
-	_, olderBounded := v.startBound(model, version-1)
-	return !reported && version > 1 && olderBounded
-}
-
 // requiredVersion returns the oldest version of a model that may get requests.
 func (v *view) requiredVersion(model string, now time.Time) int {
 	required := 0
@@ -170,8 +156,7 @@
 		a.metrics.abandonedStarts.Inc()
 		a.log.Warn("request given up at the bound of its weights", append(fields, zap.Duration("waited", lasted))...)
 	}
-	// The digest of a decision is always a decimal version number.
-	expected, _ := strconv.Atoi(a.decision.VersionDigest)
+	expected := a.expectedVersion()
 	if a.servedVersion > 0 && a.servedVersion < expected {
 		a.metrics.olderWeights.Inc()
 		a.log.Warn("worker responded on older weights than expected", append(fields, zap.Int("served", a.servedVersion))...)
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -467,6 +467,9 @@
 		w.report = report
 		w.reportedAt = time.Now()
 		v.applyProof(w, report)
+		if report.StartedAtMs == w.StartedAtMs && w.misdirectedVersion > 0 && report.Weights.Version != w.misdirectedVersion {
+			w.misdirected = false
+		}
 		w.crashed = w.crashed && report.StartedAtMs != w.StartedAtMs
 		state := v.services[w.Service]
 		if state != nil && state.config.Engine != nil && report.StartedAtMs == w.StartedAtMs {
--- a/entry/hosted/workers.go
+++ b/entry/hosted/workers.go
@@ -24,8 +24,9 @@
 	reportSequence uint64
 	limit          workerLimit
 	// misdirected is set when a request to the worker was refused as misdirected, until the entry
-	// in the list changes.
-	misdirected bool
+	// in the list changes, or the worker reports other weights than misdirectedVersion, which the request expected.
+	misdirected        bool
+	misdirectedVersion int
 	// crashed is set when this start of the worker has crashed, until another start is listed, the
 	// worker reports on, or crashedTime has passed.
 	crashed bool
@@ -125,16 +126,18 @@
 }
 
 // markMisdirected records that a request to a worker was refused as misdirected: another worker
-// is at its address, or it has other weights than expected. The next change of its entry in the
-// list makes it usable again.
-func (v *view) markMisdirected(vm string) {
+// is at its address, or it has other weights than expected. Weights that are known by now to have changed
+// explain the refusal.
+func (v *view) markMisdirected(vm string, expected int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if w := v.workers[vm]; w != nil {
-		w.misdirected = true
-		v.updateRouting(w)
+	v.log.Warn("worker refused the request as misdirected", zap.String("vm", vm), zap.Int("expected_weights", expected))
+	w := v.workers[vm]
+	if w == nil || (expected > 0 && w.currentWeights(time.Now()).Version != expected) {
+		return
 	}
-	v.log.Warn("worker refused the request as misdirected", zap.String("vm", vm))
+	w.misdirected, w.misdirectedVersion = true, expected
+	v.updateRouting(w)
 }
 
 // replaced reports whether the entry of a worker in the list is outdated: the worker has crashed, a
