Test the loads of a worker whose calls go wrong

Each case checks at every step that what the process takes for whole is whole at the stand-in, and that the worker serves in the end.

--- /dev/null
+++ b/endpoint/hosted/loads_test.go
@@ -0,0 +1,333 @@
+package hosted
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/mirror"
+	"laburnumgw/lib/rollout"
+	"laburnumgw/lib/rpc"
+	"laburnumgw/platform"
+	"laburnumgw/standin/hosted"
+)
+
+// memoryProofs keeps what processes write to the entry of the worker, and lists it to them.
+type memoryProofs struct {
+	site *testSite
+
+	mu      sync.Mutex
+	proven  catalog.Proven
+	isDown  bool
+	changed bool
+}
+
+func (m *memoryProofs) WriteProven(_ context.Context, _ string, proven catalog.Proven) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.isDown {
+		return errStoreDown
+	}
+	m.proven, m.changed = proven, true
+	return nil
+}
+
+func (m *memoryProofs) ReadProven(context.Context, string) (catalog.Proven, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.isDown {
+		return catalog.Proven{}, errStoreDown
+	}
+	return m.proven, nil
+}
+
+var errStoreDown = fmt.Errorf("store is down")
+
+// list lists the entry of the worker to a process.
+func (m *memoryProofs) list(p *Process, address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p.report.StartedAtMs == 0 {
+		return
+	}
+	status := json.RawMessage(nil)
+	if !m.isDown {
+		status = fmt.Appendf(nil, `{"proven":{"born":%d,"version":%d}}`, m.proven.StartedAtMs, m.proven.Version)
+	}
+	p.view.applyChanges(platform.KindWorkers, []mirror.Change{{Object: mirror.Object{Name: "w", Status: status, Value: fmt.Appendf(nil,
+		`{"service":"llm","address":%q,"zone":"a","state":"ready","born":%d}`, address, p.report.StartedAtMs)}}})
+}
+
+// loadSite is a process beside a worker whose calls go wrong as a test says.
+type loadSite struct {
+	*testSite
+	t       *testing.T
+	proofs  *memoryProofs
+	process *Process
+	// orders counts the orders that the worker got.
+	orders atomic.Int32
+}
+
+func newLoadSite(t *testing.T) *loadSite {
+	s := &loadSite{testSite: newSite(t), t: t}
+	s.worker.LoadTime = 50 * time.Millisecond
+	s.proofs = &memoryProofs{site: s.testSite}
+	s.faults(func(hosted.Call) hosted.CallFault { return hosted.CallFault{} })
+	s.startProcess()
+	return s
+}
+
+// faults sets how the calls go wrong from now on.
+func (s *loadSite) faults(of func(hosted.Call) hosted.CallFault) {
+	s.worker.OnCall(func(call hosted.Call) hosted.CallFault {
+		if call.Kind == hosted.CallOrder {
+			s.orders.Add(1)
+		}
+		return of(call)
+	})
+}
+
+// startProcess replaces the process by another one, which knows nothing.
+func (s *loadSite) startProcess() {
+	s.t.Helper()
+	socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { socket.Close() })
+	set := metrics.NewSet()
+	worker := platform.NewWorker(s.view.settings.Worker)
+	s.process = &Process{
+		settings: s.view.settings, view: s.view, log: zap.NewNop(), socket: socket, worker: worker,
+		library: newLibrary(s.view, worker, rpc.NewPlainPool(), metrics.NewSet(), zap.NewNop()),
+		stager:  newStager(worker, set, zap.NewNop()), provenLoads: set.NewCounter("proven"), unprovenLoads: set.NewCounter("unproven"),
+		publication: publication{store: s.proofs}, reloadPause: minReloadPause,
+		crashes: set.NewCounter("crashes"), orders: set.NewCounter("orders"), rolloutSettings: rollout.DefaultSettings(time.Minute),
+	}
+}
+
+// open has the process hold a version.
+func (s *loadSite) open(version int) {
+	s.t.Helper()
+	s.origin.SetNewest(version)
+	opened, err := s.process.library.open(s.t.Context(), "m", version)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(opened.distribution.Stop)
+	<-opened.distribution.Completed()
+	// Both its bound and the time of its switchover have passed.
+	s.process.targets = append(s.process.targets, &target{version: opened, namedVersion: namedVersion{number: version, namedAt: time.Now().Add(-time.Hour)}})
+}
+
+// step does what the process does at a tick, and fails if it takes weights for whole that are not.
+func (s *loadSite) step() catalog.Proven {
+	s.t.Helper()
+	p := s.process
+	p.pollWorker(s.t.Context())
+	s.proofs.list(p, s.view.settings.Worker)
+	p.decide(s.t.Context())
+	select {
+	case result := <-p.publication.calls:
+		p.finishPublication(result)
+	default:
+	}
+	proven, _ := p.provenWeights()
+	if proven.Version > 0 && !s.worker.Serves(proven.Version) {
+		s.t.Fatalf("version %d counts as whole: %v", proven.Version, s.worker.Err())
+	}
+	return proven
+}
+
+// until does steps until the weights of a version count as whole.
+func (s *loadSite) until(version int) {
+	s.t.Helper()
+	for deadline := time.Now().Add(25 * time.Second); time.Now().Before(deadline); {
+		if s.step().Version == version {
+			return
+		}
+	}
+	s.t.Fatalf("version %d is not proven; loads %v", version, s.worker.Loads())
+}
+
+// fault is how the first call of a kind goes wrong, and of a piece unless it is negative.
+type fault struct {
+	kind  hosted.CallKind
+	piece int
+	how   hosted.CallFault
+}
+
+// once returns faults of which each happens once.
+func once(faults ...fault) func(hosted.Call) hosted.CallFault {
+	var mu sync.Mutex
+	return func(call hosted.Call) hosted.CallFault {
+		mu.Lock()
+		defer mu.Unlock()
+		for i, f := range faults {
+			if call.Kind == f.kind && (f.piece < 0 || call.Piece == f.piece) {
+				faults = slices.Delete(faults, i, i+1)
+				return f.how
+			}
+		}
+		return hosted.CallFault{}
+	}
+}
+
+// Guards against weights that are offered although a chunk was missing, of another version or had been corrupt for over
+// 3 s when the worker took them, and against workers that stay out although they can load whole weights.
+func TestWeightsThatCountAsWholeAreWhole(t *testing.T) {
+	const last = 5
+	for name, run := range map[string]func(s *loadSite){
+		"without faults": func(s *loadSite) {
+			s.until(2)
+			if orders := s.orders.Load(); orders != 1 {
+				s.t.Errorf("%d orders", orders)
+			}
+		},
+		"response to a staging is written twice": func(s *loadSite) {
+			s.worker.StoreTime = 20 * time.Millisecond
+			s.faults(once(fault{hosted.CallStage, 2, hosted.CallFault{Repeat: hosted.RepeatAtNextCall}}))
+			s.until(2)
+		},
+		"response to a staging is always written twice": func(s *loadSite) {
+			s.worker.StoreTime = 20 * time.Millisecond
+			s.faults(func(call hosted.Call) hosted.CallFault {
+				if call.Kind == hosted.CallStage && call.Piece == 2 {
+					return hosted.CallFault{Repeat: hosted.RepeatAtNextCall}
+				}
+				return hosted.CallFault{}
+			})
+			s.until(2)
+		},
+		"response to a read is written twice": func(s *loadSite) {
+			s.faults(once(fault{hosted.CallStaged, 1, hosted.CallFault{Repeat: hosted.RepeatAtNextCall}},
+				fault{hosted.CallStaged, 3, hosted.CallFault{Repeat: hosted.RepeatAtOnce}}))
+			s.until(2)
+		},
+		"staging is executed late": func(s *loadSite) {
+			s.faults(once(fault{hosted.CallStage, 1, hosted.CallFault{Late: 1300 * time.Millisecond}}))
+			s.until(2)
+		},
+		"staging is executed after that of the next version": func(s *loadSite) {
+			// The call that stages chunk 1 of version 3 is given up; version 4 is staged meanwhile.
+			s.until(2)
+			s.faults(once(fault{hosted.CallStage, 1, hosted.CallFault{Late: 1150 * time.Millisecond}},
+				fault{hosted.CallStage, last, hosted.CallFault{Late: 500 * time.Millisecond}}))
+			s.open(3)
+			s.step()
+			s.open(4)
+			s.until(4)
+		},
+		"chunk becomes corrupt before a late order": func(s *loadSite) {
+			s.faults(once(fault{hosted.CallOrder, -1, hosted.CallFault{Late: 3500 * time.Millisecond}},
+				fault{hosted.CallStage, 1, hosted.CallFault{SpoiltAfter: 100 * time.Millisecond}}))
+			s.until(2)
+		},
+		"chunk becomes corrupt before an order whose response is lost": func(s *loadSite) {
+			s.faults(once(fault{hosted.CallOrder, -1, hosted.CallFault{Late: 900 * time.Millisecond, Lost: true}},
+				fault{hosted.CallStage, 1, hosted.CallFault{SpoiltAfter: 100 * time.Millisecond}}))
+			s.until(2)
+		},
+		"worker is silent with the order unread": func(s *loadSite) {
+			s.faults(once(fault{hosted.CallOrder, -1, hosted.CallFault{Silent: 3800 * time.Millisecond}},
+				fault{hosted.CallStage, 1, hosted.CallFault{SpoiltAfter: 100 * time.Millisecond}}))
+			s.until(2)
+		},
+		"chunk becomes corrupt amid slow stagings": func(s *loadSite) {
+			s.worker.StoreTime = 700 * time.Millisecond
+			s.faults(once(fault{hosted.CallStage, 0, hosted.CallFault{SpoiltAfter: 10 * time.Millisecond}}))
+			s.until(2)
+		},
+		"chunk becomes corrupt after the order": func(s *loadSite) {
+			s.worker.LoadTime = 300 * time.Millisecond
+			var spoilt atomic.Bool
+			s.faults(func(call hosted.Call) hosted.CallFault {
+				if call.Kind == hosted.CallStaged && call.Piece == 0 && spoilt.CompareAndSwap(false, true) {
+					s.worker.Spoil(3)
+				}
+				return hosted.CallFault{}
+			})
+			s.until(2)
+		},
+		"worker starts again between staging and order": func(s *loadSite) {
+			var restarted atomic.Bool
+			s.faults(func(call hosted.Call) hosted.CallFault {
+				if call.Kind == hosted.CallStaged && restarted.CompareAndSwap(false, true) {
+					s.worker.Restart()
+				}
+				return hosted.CallFault{}
+			})
+			s.until(2)
+		},
+		"worker starts again after the order": func(s *loadSite) {
+			var restarted atomic.Bool
+			s.faults(func(call hosted.Call) hosted.CallFault {
+				if call.Kind == hosted.CallOrder && restarted.CompareAndSwap(false, true) {
+					return hosted.CallFault{Answered: s.worker.Restart}
+				}
+				return hosted.CallFault{}
+			})
+			s.until(2)
+		},
+		"process starts again after an order that it has not seen accepted": func(s *loadSite) {
+			s.faults(once(fault{hosted.CallOrder, -1, hosted.CallFault{Lost: true}},
+				fault{hosted.CallStage, 1, hosted.CallFault{SpoiltAfter: 10 * time.Millisecond}}))
+			s.step()
+			s.startProcess()
+			s.open(2)
+			s.until(2)
+		},
+		"process starts again after the proof": func(s *loadSite) {
+			s.until(2)
+			for s.proofs.proven.Version != 2 {
+				s.step()
+			}
+			orders := s.orders.Load()
+			s.startProcess()
+			s.open(2)
+			s.until(2)
+			if now := s.orders.Load(); now != orders {
+				s.t.Errorf("%d orders for weights that an earlier process had proven", now-orders)
+			}
+		},
+		"process starts again after the proof, and the store is away": func(s *loadSite) {
+			s.until(2)
+			orders := s.orders.Load()
+			s.proofs.isDown = true
+			s.startProcess()
+			s.open(2)
+			for range 50 {
+				if s.step().Version != 0 {
+					s.t.Fatal("weights count as whole although nothing is known of them")
+				}
+			}
+			if now := s.orders.Load(); now != orders {
+				s.t.Errorf("%d orders before the store has told whether the weights are proven", now-orders)
+			}
+			s.proofs.mu.Lock()
+			s.proofs.isDown = false
+			s.proofs.mu.Unlock()
+			s.until(2)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newLoadSite(t)
+			s.open(2)
+			run(s)
+			if err := s.worker.RunErr(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
