--- /dev/null
+++ b/entry/hosted/proven_weights_test.go
@@ -0,0 +1,74 @@
+package hosted
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/mirror"
+	"laburnumgw/platform"
+)
+
+// Guards against requests that run on weights which a worker may have taken while a chunk was bad: an entry learns of the
+// weights from the list, from reports or from responses, and of their proof apart from them, or not at all.
+func TestOnlyProvenWeightsAreOffered(t *testing.T) {
+	list := func(d *deployment, born int64, version int, status string) {
+		d.rev++
+		value := fmt.Sprintf(`{"service":"llm","address":%q,"zone":"a","slots":16,"state":"ready","cold_remaining_ms":0,"born":%d,`+
+			`"models":[{"name":"m","version":%d}],"layers":{"from":0,"target":16,"version":%d},"sequence":4}`, workerAddress("w1"), born, version, version)
+		d.front.view.applyChanges(platform.KindWorkers, []mirror.Change{{Object: mirror.Object{Name: "w1", Revision: d.rev, Value: []byte(value), Status: []byte(status)}}})
+	}
+	sequence := uint64(0)
+	report := func(d *deployment, born int64, version, proven int, unproven bool) {
+		sequence++
+		data, err := proto.Marshal(&laburnumgwv1.WorkerReport{
+			Address: workerAddress("w1"), Born: born, Model: "m", Version: int32(version), LayersTo: 16, Sequence: sequence,
+			ProvenVersion: int32(proven), Unproven: unproven,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.front.view.applyDatagram(data)
+	}
+	inVirtualTime(t, func(t *testing.T, d *deployment) {
+		d.scripts["w1"] = func(e *workerExchange) { e.stream(1); e.events(1, 1); e.end() }
+		expect := func(when string, status int) {
+			t.Helper()
+			if got := d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000"); got.status != status {
+				t.Errorf("%s: status %d, want %d", when, got.status, status)
+			}
+		}
+		const none, served = http.StatusServiceUnavailable, http.StatusOK
+		list(d, 1, 1, ``)
+		expect("nothing is known of the weights", none)
+		list(d, 1, 1, `{"proven":{"born":1,"version":2}}`)
+		expect("other weights are proven", none)
+		list(d, 1, 2, `{"proven":{"born":1,"version":2}}`)
+		expect("the list tells of the proof", served)
+		list(d, 1, 2, `null`)
+		expect("the store has lost the proof", served)
+		report(d, 1, 2, 0, false)
+		expect("the process has started again and does not know", served)
+		report(d, 1, 2, 0, true)
+		expect("the process has found no proof", none)
+		list(d, 1, 2, `{"proven":{"born":1,"version":2}}`)
+		expect("the list tells of the earlier proof", none)
+		report(d, 1, 2, 2, false)
+		expect("the process has proven the weights again", served)
+		report(d, 1, 3, 0, false)
+		expect("the worker has loaded others", none)
+		report(d, 1, 3, 3, false)
+		expect("the others are proven", served)
+		list(d, 2, 3, `{"proven":{"born":1,"version":3}}`)
+		expect("the worker has started again", none)
+		report(d, 2, 3, 3, false)
+		expect("its weights are proven again", served)
+		for _, odd := range []string{`[]`, `{"proven":7}`, `{"proven":{"born":"x","version":4}}`, `{"proven":{"born":3,"version":-4}}`} {
+			list(d, 3, 4, odd)
+			expect("the status is "+odd, none)
+		}
+	})
+}
