--- a/e2e/whole_weights_test.go
+++ b/e2e/whole_weights_test.go
@@ -1,11 +1,14 @@
 package e2e
 
 import (
+	"context"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"laburnumgw/fleet"
 	"laburnumgw/soak"
 	"laburnumgw/standin/hosted"
 )
@@ -13,12 +16,18 @@
 // wholeWeightsNetwork is the second byte of the loopback addresses.
 const wholeWeightsNetwork = 45
 
-// startWholeWeights starts a fleet whose workers take some time for pieces and loads, and waits until all
-// serve version 1.
-func startWholeWeights(t *testing.T, network int) (*soak.Fleet, *system) {
+// wholeWeightsOptions returns the options of a fleet whose workers take some time for pieces and loads.
+func wholeWeightsOptions(t *testing.T, network int) soak.Options {
 	t.Helper()
 	options := soakOptions(t, buildPrograms(t), network)
 	options.StoreTime, options.LoadTime = 15*time.Millisecond, 300*time.Millisecond
+	options.Entries = 3 // one in each zone, so that all workers get requests
+	return options
+}
+
+// startWholeWeights starts a fleet and waits until all workers serve version 1.
+func startWholeWeights(t *testing.T, options soak.Options) (*soak.Fleet, *system) {
+	t.Helper()
 	f := startHosted(t, options)
 	w := &system{t: t}
 	w.until("all workers serve version 1", func() bool { return allServe(f, 1) })
@@ -34,39 +43,67 @@
 	return true
 }
 
-// nameVersion names a version while callers send requests, until all workers serve it or a request ran on
-// layers that were not whole. It reports the latter, and what callers saw.
-func nameVersion(t *testing.T, w *system, f *soak.Fleet, version int) {
-	t.Helper()
-	callers := f.StartCallers(uint64(version))
-	f.Origin.SetNewest(version)
-	f.PublishVersion(version)
-	w.until("the version is in force or a rule is broken", func() bool { return allServe(f, version) || anyBadRun(f) })
-	settled := time.Now()
-	w.until("callers have asked all workers", func() bool { return time.Since(settled) > time.Second })
-	for _, o := range callers.Stop() {
-		if o.Violation != nil {
-			t.Errorf("%s at %s: %v", o.ID, o.Entry, o.Violation)
-		}
-	}
-	for _, m := range f.ModelWorkers {
-		runs, tokens := m.BadRuns(), 0
-		for _, r := range runs {
-			tokens += r.Tokens
+// startCallers starts callers, and has the workers write their entries to the store. The returned function ends both,
+// and reports the requests that ran on layers which were not whole, by the names of the cases of the workers, and what
+// callers saw.
+func startCallers(t *testing.T, f *soak.Fleet, cases []string) (end func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	published := make(chan struct{})
+	go func() {
+		f.PublishChanges(ctx)
+		close(published)
+	}()
+	callers := f.StartCallers(1)
+	return func() {
+		t.Helper()
+		outcomes := callers.Stop()
+		cancel()
+		<-published
+		for _, o := range outcomes {
+			if o.Violation != nil {
+				t.Errorf("%s at %s: %v", o.ID, o.Entry, o.Violation)
+			}
 		}
-		if len(runs) > 0 {
-			t.Errorf("%s made %d tokens of %d requests on layers that were not whole, the first: %v", m.ID, tokens, len(runs), runs[0].Fault)
+		for i, m := range f.ModelWorkers {
+			runs, tokens := m.BadRuns(), 0
+			for _, r := range runs {
+				tokens += r.Tokens
+			}
+			if len(runs) > 0 {
+				t.Errorf("%s: %s made %d tokens of %d requests on layers that were not whole, the first: %v", cases[i%len(cases)], m.ID, tokens, len(runs), runs[0].Fault)
+			}
 		}
 	}
 }
 
-func anyBadRun(f *soak.Fleet) bool {
-	for _, m := range f.ModelWorkers {
-		if len(m.BadRuns()) > 0 {
-			return true
+// nameVersion names a version.
+func nameVersion(f *soak.Fleet, version int) {
+	f.Origin.SetNewest(version)
+	f.PublishVersion(version)
+}
+
+// settled reports whether a worker serves a version, or has broken the rule.
+func settled(m *soak.ProxiedWorker, version int) bool {
+	return m.Serves(version) || len(m.BadRuns()) > 0
+}
+
+// awaitSettled waits until all workers serve a version, or have broken the rule, and reports those that do not.
+func awaitSettled(t *testing.T, w *system, workers []*soak.ProxiedWorker, version int) {
+	t.Helper()
+	err := fleet.Until(w.context(), "workers serve the version", func() bool {
+		return !slices.ContainsFunc(workers, func(m *soak.ProxiedWorker) bool { return !settled(m, version) })
+	})
+	for _, m := range workers {
+		if err != nil && !settled(m, version) {
+			t.Errorf("%s holds version %d, not %d; it has accepted %+v", m.ID, m.Version(), version, m.Loads())
 		}
 	}
-	return false
+}
+
+// awaitRequests waits until callers have asked all workers again.
+func awaitRequests(w *system) {
+	from := time.Now()
+	w.until("callers have asked all workers", func() bool { return time.Since(from) > time.Second })
 }
 
 // freeze stops a process for some time.
@@ -97,7 +134,7 @@
 		"five times for 0.76 s": {wholeWeightsNetwork + 1, []int{3, 5, 7, 9, 11}, shortFreeze, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f, w := startWholeWeights(t, c.network)
+			f, w := startWholeWeights(t, wholeWeightsOptions(t, c.network))
 			var mu sync.Mutex
 			frozen := make(map[string]int)
 			for i, m := range f.ModelWorkers {
@@ -122,7 +159,11 @@
 					return fault
 				})
 			}
-			nameVersion(t, w, f, 2)
+			end := startCallers(t, f, []string{name})
+			nameVersion(f, 2)
+			awaitSettled(t, w, f.ModelWorkers, 2)
+			awaitRequests(w)
+			end()
 			mu.Lock()
 			defer mu.Unlock()
 			if len(frozen) == 0 {
@@ -132,3 +173,194 @@
 		})
 	}
 }
+
+// staging is a worker whose staging, or that of the process beside it, goes wrong in a case.
+type staging struct {
+	m *soak.ProxiedWorker
+	p *soak.Process
+
+	mu sync.Mutex
+	// seen are the calls that came already, and struck is set once all of the case has happened.
+	seen   map[hosted.Call]int
+	struck bool
+	// held are the calls that are executed when it is closed.
+	held chan struct{}
+}
+
+// count counts a call, and returns how often it came before.
+func (s *staging) count(c hosted.Call) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen[c]++
+	return s.seen[c] - 1
+}
+
+func (s *staging) times(c hosted.Call) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[c]
+}
+
+func (s *staging) strike() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.struck = true
+}
+
+// release executes the calls that are held.
+func (s *staging) release() {
+	close(s.held)
+	s.strike()
+}
+
+func (s *staging) hasStruck() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.struck
+}
+
+const (
+	// beforeLast is the last piece but one, and midway one that is staged earlier.
+	beforeLast = 14
+	midway     = 5
+	// frozenTime is how long processes are frozen.
+	frozenTime = 3800 * time.Millisecond
+)
+
+func isStage(c hosted.Call, version, piece int) bool {
+	return c == hosted.Call{Kind: hosted.CallStage, Version: version, Piece: piece}
+}
+
+func isOrder(c hosted.Call, version int) bool {
+	return c == hosted.Call{Kind: hosted.CallOrder, Version: version}
+}
+
+// takenForTheLast has the response to the last piece but one written once more, as that to the last, so that the order
+// comes before the last is stored.
+func (s *staging) takenForTheLast(c hosted.Call) hosted.CallFault {
+	if isStage(c, 2, beforeLast) && s.count(c) == 0 {
+		return hosted.CallFault{Repeat: hosted.RepeatAtNextCall}
+	}
+	return hosted.CallFault{}
+}
+
+// answeredOnce is takenForTheLast, and calls a function when the first order is answered.
+func (s *staging) answeredOnce(c hosted.Call, answered func()) hosted.CallFault {
+	if isOrder(c, 2) && s.count(c) == 0 {
+		return hosted.CallFault{Answered: func() {
+			answered()
+			s.strike()
+		}}
+	}
+	return s.takenForTheLast(c)
+}
+
+// heldOrders is the index of the case in which no order for version 2 is executed before version 3 is staged.
+const heldOrders = 3
+
+// stagingCases are the ways in which staging and ordering go wrong, one for each worker. Version 2 is named, and then
+// version 3.
+var stagingCases = []struct {
+	name  string
+	fault func(s *staging, c hosted.Call) hosted.CallFault
+}{
+	{"worker and process stand still while the order is unread", func(s *staging, c hosted.Call) hosted.CallFault {
+		if !isOrder(c, 2) || s.count(c) > 0 {
+			return hosted.CallFault{}
+		}
+		s.m.Spoil(1)
+		freeze(s.p, frozenTime)
+		s.strike()
+		return hosted.CallFault{Late: frozenTime - 200*time.Millisecond}
+	}},
+	{"second response to a staging", func(s *staging, c hosted.Call) hosted.CallFault {
+		s.strike()
+		return s.takenForTheLast(c)
+	}},
+	{"staging is executed after the same piece of the next version", func(s *staging, c hosted.Call) hosted.CallFault {
+		switch {
+		case isStage(c, 2, midway) && s.count(c) == 0:
+			return hosted.CallFault{Until: s.held}
+		case isStage(c, 3, midway) && s.count(c) == 0:
+			return hosted.CallFault{Answered: s.release}
+		}
+		return hosted.CallFault{}
+	}},
+	{"orders are executed while the next version is staged", func(s *staging, c hosted.Call) hosted.CallFault {
+		switch {
+		case isOrder(c, 2):
+			s.count(c)
+			return hosted.CallFault{Until: s.held}
+		case isStage(c, 3, midway) && s.count(c) == 0:
+			return hosted.CallFault{Answered: s.release}
+		}
+		return hosted.CallFault{}
+	}},
+	// Its worker holds version 1 from the start, so that the order names the sequence of a worker that has restarted.
+	{"order is executed again by a restarted worker", func(s *staging, c hosted.Call) hosted.CallFault {
+		if !isOrder(c, 2) {
+			return hosted.CallFault{}
+		}
+		switch s.count(c) {
+		case 0:
+			return hosted.CallFault{Until: s.held}
+		case 1:
+			return hosted.CallFault{Answered: func() {
+				s.m.Spoil(1)
+				time.AfterFunc(frozenTime, func() {
+					s.m.Crash()
+					s.release()
+					s.m.Proxy.Reset()
+				})
+			}}
+		}
+		return hosted.CallFault{}
+	}},
+	{"process is killed when its order is accepted", func(s *staging, c hosted.Call) hosted.CallFault {
+		return s.answeredOnce(c, func() {
+			s.p.Kill()
+			time.AfterFunc(time.Second, func() { _ = s.p.Start() }) // the test waits for what it does
+		})
+	}},
+	{"process is frozen when its order is accepted", func(s *staging, c hosted.Call) hosted.CallFault {
+		return s.answeredOnce(c, func() { freeze(s.p, frozenTime) })
+	}},
+	{"last staging is executed late, after its time", func(s *staging, c hosted.Call) hosted.CallFault {
+		if !isStage(c, 2, beforeLast+1) || s.count(c) > 0 {
+			return hosted.CallFault{}
+		}
+		s.strike()
+		return hosted.CallFault{Late: 1300 * time.Millisecond}
+	}},
+}
+
+// Guards against tokens that are made with weights that were not whole when the worker took them, because what the
+// process beside it had written was not there any more, or not yet, or because it was not the process that wrote
+// it that finds the worker loaded.
+func TestWeightsAreWholeHoweverCallsGoWrong(t *testing.T) {
+	options := wholeWeightsOptions(t, wholeWeightsNetwork+2)
+	options.Models = len(stagingCases)
+	f, w := startWholeWeights(t, options)
+	var stagings []*staging
+	var names []string
+	for i, c := range stagingCases {
+		s := &staging{m: f.ModelWorkers[i], p: f.Endpoints[i], seen: make(map[hosted.Call]int), held: make(chan struct{})}
+		s.m.OnCall(func(call hosted.Call) hosted.CallFault { return c.fault(s, call) })
+		stagings, names = append(stagings, s), append(names, c.name)
+	}
+	end := startCallers(t, f, names)
+	nameVersion(f, 2)
+	w.until("an order is held", func() bool { return stagings[heldOrders].times(hosted.Call{Kind: hosted.CallOrder, Version: 2}) > 0 })
+	awaitSettled(t, w, slices.Concat(f.ModelWorkers[:heldOrders], f.ModelWorkers[heldOrders+1:]), 2)
+	awaitRequests(w)
+	nameVersion(f, 3)
+	awaitSettled(t, w, f.ModelWorkers, 3)
+	awaitRequests(w)
+	end()
+	for i, s := range stagings {
+		t.Logf("%s: %s accepted %+v", names[i], s.m.ID, s.m.Loads())
+		if !s.hasStruck() {
+			t.Errorf("%s: it did not happen", names[i])
+		}
+	}
+}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -27,6 +28,8 @@
 	versionBound = 8 * time.Second
 	// settleWindow is the time after the end of a fault from which time bounds hold again.
 	settleWindow = 3 * time.Second
+	// publishInterval is the interval at which model workers write their entries after a change.
+	publishInterval = 100 * time.Millisecond
 	// plainRunTime is the time that a plain worker takes for a request.
 	plainRunTime = 10 * time.Millisecond
 	// The ports are the same for all processes, since each has its own IP address.
@@ -303,6 +306,28 @@
 	}
 }
 
+// PublishChanges writes the entries of the model workers to the store whenever their layers or orders have changed,
+// until the context ends.
+func (f *Fleet) PublishChanges(ctx context.Context) {
+	ticker := time.NewTicker(publishInterval)
+	defer ticker.Stop()
+	written := make(map[string]string)
+	for {
+		for _, m := range f.ModelWorkers {
+			entry := m.Entry("ready")
+			if text := fmt.Sprint(entry); written[m.ID] != text {
+				written[m.ID] = text
+				f.Store.Put("servers", m.ID, entry)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // PublishVersion writes a new version of the weights to the store.
 func (f *Fleet) PublishVersion(version int) {
 	f.Store.Put("versions", f.Model.Name, map[string]any{"model": f.Model.Name, "version": version})
--- a/standin/hosted/calls.go
+++ b/standin/hosted/calls.go
@@ -28,8 +28,10 @@
 // Call is a call to a worker.
 type Call struct {
 	Kind CallKind
-	// Piece is the index of the piece of CallStage and CallStaged, Version the version that CallOrder names.
-	Piece, Version int
+	// Piece is the index of the piece of CallStage and CallStaged.
+	Piece int
+	// Version is the version that CallOrder names, or of whose bytes CallStage is; zero if they are of none.
+	Version int
 }
 
 // Repeat is when a response is written once more.
@@ -58,6 +60,8 @@
 	// Late is the time after which the worker executes the call, also if it was closed meanwhile. Calls on other
 	// connections go on.
 	Late time.Duration
+	// Until has the worker execute the call when the channel is closed, also if the call was closed before.
+	Until <-chan struct{}
 	// Silent is how long the whole worker falls silent before it executes the call.
 	Silent time.Duration
 	// SpoiltAfter is the time after which a piece that was staged turns bad; zero for never.
@@ -103,6 +107,19 @@
 	return Call{}, false
 }
 
+// newestVersion bounds the versions to which staged bytes are assigned.
+const newestVersion = 64
+
+// versionOf returns the version of which a piece is, or zero.
+func (m Model) versionOf(index int, data []byte) int {
+	for version := 1; version <= newestVersion; version++ {
+		if bytes.Equal(data, m.Chunk(version, index)) {
+			return version
+		}
+	}
+	return 0
+}
+
 // serveCall executes a call of the endpoint process, with its fault, and responds to it.
 func (w *Worker) serveCall(out http.ResponseWriter, r *http.Request, call Call) {
 	body, err := io.ReadAll(r.Body)
@@ -117,7 +134,13 @@
 		}
 		call.Version = o.Version
 	}
+	if call.Kind == CallStage {
+		call.Version = w.Model.versionOf(call.Piece, body)
+	}
 	fault := w.faultOf(call)
+	if fault.Until != nil {
+		<-fault.Until
+	}
 	if fault.Silent > 0 {
 		w.Silence(fault.Silent)
 		time.Sleep(fault.Silent)
