--- a/cmd/laburnumsoak/main.go
+++ b/cmd/laburnumsoak/main.go
@@ -30,6 +30,7 @@
 	Network  int           `long:"network" default:"10" description:"second byte of the loopback addresses of the first of the parallel seeds"`
 	Planned  bool          `long:"planned" description:"only planned work and silent workers, no faults"`
 	Silence  time.Duration `long:"silence-max" description:"longest silence of sound model workers, which then goes with all planned work; 1.5 s beside some of it when omitted"`
+	Staging  bool          `long:"staging" description:"only faults of staging, ordering and loading weights"`
 	Overload bool          `long:"overload" description:"more callers than the model workers have room for"`
 }
 
@@ -77,7 +78,7 @@
 				return fmt.Errorf("create directory: %w", err)
 			}
 			result, err := soak.Run(soak.Options{
-				Binary: o.Binary, Dir: dir, Network: network, Entries: o.Entries, Models: o.Models, Plain: o.Plain, Model: soak.SmallModel(), PlannedOnly: o.Planned, SilenceMax: o.Silence, Overload: o.Overload,
+				Binary: o.Binary, Dir: dir, Network: network, Entries: o.Entries, Models: o.Models, Plain: o.Plain, Model: soak.SmallModel(), PlannedOnly: o.Planned, SilenceMax: o.Silence, Overload: o.Overload, Staging: o.Staging,
 			}, seed, o.Duration)
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
--- a/e2e/hosted_test.go
+++ b/e2e/hosted_test.go
@@ -18,6 +18,7 @@
 	faultFreeNetwork = 31
 	soakNetwork      = 32
 	plannedNetwork   = 48
+	stagingNetwork   = 49
 )
 
 func soakOptions(t *testing.T, bin string, network int) soak.Options {
@@ -125,3 +126,19 @@
 		t.Error(violation)
 	}
 }
+
+// Guards against requests that run on weights which were not whole when their worker took them, and against workers
+// that stay without the newest version, after random faults of staging, ordering and loading.
+func TestHostedSoakOfStaging(t *testing.T) {
+	options := soakOptions(t, buildPrograms(t), stagingNetwork)
+	options.Entries, options.Staging = 3, true
+	const seed, length = 1, 15 * time.Second
+	result, err := soak.Run(options, seed, length)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Log(result)
+	for _, violation := range result.Violations {
+		t.Error(violation)
+	}
+}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -84,6 +84,9 @@
 	SilenceMax time.Duration
 	// Overload has more callers than the model workers have room for.
 	Overload bool
+	// Staging restricts a run to faults of staging, ordering and loading weights, and of the processes and workers that
+	// take part in it.
+	Staging bool
 	// StoreTime is the time that model workers take to store a staged piece, and LoadTime that for a load of all layers.
 	StoreTime, LoadTime time.Duration
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -63,6 +63,8 @@
 	// workers meant, any of which would have gone on.
 	pauses map[string]hosted.Pause
 
+	// noteMu guards the list of faults in result.
+	noteMu sync.Mutex
 	// mu also guards version and configVersion, which timers read.
 	mu sync.Mutex
 	// restoring is set while the store is to come back from a copy.
@@ -110,6 +112,9 @@
 // Run starts a fleet and runs one seed on it for about the duration.
 func Run(options Options, seed uint64, duration time.Duration) (result Result, err error) {
 	options.UnmarkedEvery = unmarkedEvery
+	if options.Staging {
+		options.StoreTime, options.LoadTime = storeTime, loadTime
+	}
 	fleet, err := Start(options)
 	if err != nil {
 		return Result{Seed: seed}, err
@@ -122,8 +127,14 @@
 	callers := fleet.StartCallers(seed)
 	r.callers = callers
 	time.Sleep(faultFreeStart)
+	var weights *weightsRun
+	if options.Staging {
+		weights = r.startWeights(seed, duration)
+	}
 	for end := time.Now().Add(duration - faultFreeStart - faultFreeEnd); time.Now().Before(end); {
-		if options.PlannedOnly || r.rng.IntN(plannedEvery) == 0 {
+		if weights != nil {
+			weights.inject()
+		} else if options.PlannedOnly || r.rng.IntN(plannedEvery) == 0 {
 			r.injectPlanned()
 		} else {
 			r.injectFault()
@@ -131,6 +142,9 @@
 		time.Sleep(time.Duration(200+r.rng.IntN(1200)) * time.Millisecond)
 	}
 	r.endFaults()
+	if weights != nil {
+		weights.end()
+	}
 	time.Sleep(faultFreeEnd)
 	outcomes := callers.Stop()
 	r.awaitRestore()
@@ -168,6 +182,8 @@
 
 // note adds a line to the list of faults, with the time as in the logs.
 func (r *run) note(format string, args ...any) {
+	r.noteMu.Lock()
+	defer r.noteMu.Unlock()
 	r.result.Faults = append(r.result.Faults, time.Now().UTC().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
@@ -419,7 +435,7 @@
 		}
 	}
 	for _, m := range r.fleet.ModelWorkers {
-		if err := m.Err(); err != nil {
+		if err := m.RunErr(); err != nil {
 			violation("%w", err)
 		}
 	}
--- a/standin/hosted/calls.go
+++ b/standin/hosted/calls.go
@@ -74,6 +74,11 @@
 	Answered func()
 }
 
+// Empty reports whether the call goes well.
+func (f CallFault) Empty() bool {
+	return f.Late+f.Silent+f.SpoiltAfter == 0 && f.Until == nil && !f.Lost && f.Repeat == RepeatNever && f.Endless == EndlessNone && f.Answered == nil
+}
+
 // OnCall sets a function that returns how each call goes wrong. It is called before the call is executed.
 func (w *Worker) OnCall(f func(Call) CallFault) {
 	w.mu.Lock()
