Count and log responses that end with their connection

A response without length and chunks ends with its connection, and the entry decides whether it is complete. Nothing told how often it does so, for workers in which state and on what evidence. A counter by decision and by how the worker was listed, and a log line with the evidence, now do. The decisions are the same as before.

--- a/entry/hosted/attempt.go
+++ b/entry/hosted/attempt.go
@@ -61,6 +61,8 @@
 	// failure is a complete response that reports a failure; nil for none.
 	failure *bufferedResponse
 	load    *laburnumgwv1.Load
+	// brokenEnd is the end of a response without length and chunks that was taken for broken off; nil for none.
+	brokenEnd *unmarkedEnd
 }
 
 // opened is what an attempt has brought before any of it was relayed: a stream with its first events, a
--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -95,6 +96,8 @@
 	name string
 	// trial is set while the request is a trial of a block.
 	trial *storedBlock
+	// brokenEnd is the end of an attempt that was taken for broken off, until it is known what follows it; nil for none.
+	brokenEnd *unmarkedEnd
 	// lastFailure is the last failure response of a worker, sent to the caller when no later
 	// attempt gives a better response.
 	lastFailure *bufferedResponse
@@ -229,6 +232,7 @@
 		}
 	}()
 	c.attempts = current.number
+	c.goesOn()
 	current.ctx, current.sentAt = ctx, time.Now()
 	brought := current.open(current.firstEventTimeout())
 	for {
@@ -242,6 +246,7 @@
 		}
 		c.record(current, ended)
 		c.hedges.Ended(ended)
+		c.goesOn()
 		current, brought = c.adoptHedge()
 	}
 }
@@ -249,6 +254,7 @@
 // record records the end of an attempt in the call.
 func (c *call) record(a *attempt, ended retry.Attempt) {
 	c.lastEnd = ended.Err
+	c.brokenEnd = cmp.Or(a.brokenEnd, c.brokenEnd)
 	if a.failure != nil {
 		c.lastFailure = a.failure
 	}
@@ -284,6 +290,7 @@
 func (c *call) finish(ctx context.Context, ended retry.Attempt, err error) string {
 	cause := context.Cause(ctx)
 	stopped := errors.Is(cause, drain.ErrStopping)
+	c.endsAfterBrokenEnd(err)
 	switch {
 	case err == nil:
 		return "complete"
--- a/entry/hosted/crashes.go
+++ b/entry/hosted/crashes.go
@@ -82,6 +82,19 @@
 	return v.hasLeft(start)
 }
 
+// listing returns how a start of a worker is listed: "listed", "leaving" or "unlisted".
+func (v *view) listing(start quarantine.Start, vm string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch w := v.listedStart(start); {
+	case v.departures.Contains(vm, start.StartedAtMs), w != nil && w.Leaving:
+		return "leaving"
+	case w == nil:
+		return "unlisted"
+	}
+	return "listed"
+}
+
 // hasLeft is leaving for callers that hold the lock.
 func (v *view) hasLeft(start quarantine.Start) bool {
 	w := v.listedStart(start)
--- a/entry/hosted/metrics.go
+++ b/entry/hosted/metrics.go
@@ -76,6 +76,12 @@
 	return m.set.GetOrCreateCounter(fmt.Sprintf("laburnumgw_entry_cut_responses_total{reason=%q}", reason))
 }
 
+// unmarkedEnd counts the responses without length and chunks that ended with their connection, by what was decided
+// and by how the worker was listed then.
+func (m *entryMetrics) unmarkedEnd(decision endDecision, listing string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("laburnumgw_entry_unmarked_ends_total{decision=%q,worker=%q}", decision, listing))
+}
+
 // objectsIgnored counts the revisions of objects in the store that cannot be read.
 func (m *entryMetrics) objectsIgnored(kind string) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf("laburnumgw_store_objects_ignored_total{kind=%q}", kind))
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
@@ -164,7 +163,12 @@
 // isBrokenOff reports whether a stream that has ended with its connection is incomplete. It must
 // end after an event, and its worker must not have crashed.
 func (s *stream) isBrokenOff() bool {
-	if lastEventEnd(s.pending) < len(s.pending) || (len(s.pending) == 0 && !s.hasEvents) {
+	switch {
+	case lastEventEnd(s.pending) < len(s.pending):
+		s.a.recordEnd(false, "inside an event")
+		return true
+	case len(s.pending) == 0 && !s.hasEvents:
+		s.a.recordEnd(false, "no event")
 		return true
 	}
 	return s.a.endedInCrash()
@@ -189,21 +193,6 @@
 	s.response.Abort()
 }
 
-// endedInCrash reports whether the worker of a response that has ended with its connection may have
-// crashed, so that the response may be incomplete.
-func (a *attempt) endedInCrash() bool {
-	start := a.start()
-	if a.view.leaving(start) {
-		return false
-	}
-	if errors.Is(a.view.connect(a.ctx, start.Address), syscall.ECONNREFUSED) {
-		a.view.workerCrashed(start, "its machine")
-		return true
-	}
-	// The end of the request leaves it unknown.
-	return a.ctx.Err() != nil
-}
-
 // relay relays what an attempt has brought to the caller, and then what follows.
 func (c *call) relay(a *attempt, o opened) retry.Attempt {
 	switch {
