Require an answer of the worker after the end of a response without length and chunks

What callers saw: streams that ran at a worker that was gone two seconds after its notice ended as complete, sealed and with the last chunk, after 9 to 19 of 24 events; and the half of a plain response, also to a request that must not be repeated, with 200 and a length of ours.

Cause: a response without length and chunks ends with its connection, and the close was believed. Only a worker that was listed and not leaving was checked, by a connection to its machine, and only a refusal counted. The system closes the connections of a killed process in an orderly way, whatever the process has announced before; a machine that does not answer, a worker that is back under its name, and another one at the same address passed the check as well.

Now such a response is complete only if its worker answers a question that is sent after the end, as the same start: a model worker by its report, which names the start and needs no slot, a plain worker by its health check. Then its process has lived on and has closed the connection itself, so that the whole responses of a worker that finishes them while it leaves are kept. A silent worker is asked for as long as the route is patient with silence; a question that is lost is repeated. A stream that goes on with another may have no more events.

The stand-in worker answers the health check, as the platform's workers do.

--- a/entry/hosted/attempt.go
+++ b/entry/hosted/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -184,8 +183,8 @@
 // buffer reads a response that is no stream to its end.
 func (a *attempt) buffer(response *workerconn.Response, workerResponse platform.WorkerResponse) opened {
 	body, release, err := a.buffers.readAll(response.Body)
-	if err == nil && !response.EndMarked() && a.endedInCrash() {
-		err = io.ErrUnexpectedEOF
+	if err == nil && !response.EndMarked() {
+		err = a.checkEnd()
 	}
 	if err != nil {
 		release()
--- a/entry/hosted/crashes.go
+++ b/entry/hosted/crashes.go
@@ -75,13 +75,6 @@
 	}
 }
 
-// leaving reports whether a start of a worker has left, or is leaving.
-func (v *view) leaving(start quarantine.Start) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.hasLeft(start)
-}
-
 // listing returns how a start of a worker is listed: "listed", "leaving" or "unlisted".
 func (v *view) listing(start quarantine.Start, vm string) string {
 	v.mu.Lock()
@@ -95,7 +88,7 @@
 	return "listed"
 }
 
-// hasLeft is leaving for callers that hold the lock.
+// hasLeft reports whether a start of a worker has left, or is leaving. The caller holds the lock.
 func (v *view) hasLeft(start quarantine.Start) bool {
 	w := v.listedStart(start)
 	return w == nil || w.Leaving || v.departures.Contains(w.ID, w.StartedAtMs)
--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -115,6 +115,11 @@
 	scripts  map[string]workerScript
 	arrivals []arrival
 	refused  map[string]bool
+	// identify answers the question who a worker is; nil for the name and the start of its entry.
+	identify workerScript
+	// silentUntil is until when no worker answers it, and questions counts the questions.
+	silentUntil time.Time
+	questions   int
 	// connecting is how long it takes to open a connection.
 	connecting time.Duration
 }
@@ -228,11 +233,40 @@
 		if err != nil {
 			return
 		}
+		exchange := &workerExchange{Conn: conn, request: request, body: body, crash: func() { conn.Close() }}
+		if target := request.RequestURI; target == "/-/report" || target == "/health" {
+			d.answerQuestion(address, exchange)
+			continue
+		}
 		d.mu.Lock()
 		d.arrivals = append(d.arrivals, arrival{address, request.Header, request.Method, request.RequestURI, string(body), time.Now()})
 		d.mu.Unlock()
-		respond(&workerExchange{Conn: conn, request: request, body: body, crash: func() { conn.Close() }})
+		respond(exchange)
+	}
+}
+
+// answerQuestion answers the question who a worker is.
+func (d *deployment) answerQuestion(id string, e *workerExchange) {
+	d.mu.Lock()
+	d.questions++
+	identify, silent := d.identify, time.Until(d.silentUntil)
+	d.mu.Unlock()
+	<-time.After(silent)
+	if identify == nil {
+		identify = func(e *workerExchange) { e.identity(id, 1) }
+	}
+	identify(e)
+}
+
+// identity answers as a start of a worker.
+func (e *workerExchange) identity(id string, born int) {
+	if e.request.RequestURI == "/health" {
+		e.head(http.StatusOK, "X-Laburnumgw-Instance-Id", id, "Content-Length", "0")
+		return
 	}
+	body := fmt.Sprintf(`{"stage":"both","born":%d}`, born)
+	e.head(http.StatusOK, "Content-Length", fmt.Sprint(len(body)))
+	fmt.Fprint(e, body)
 }
 
 func (d *deployment) arrived() []arrival {
--- a/entry/hosted/metrics.go
+++ b/entry/hosted/metrics.go
@@ -36,6 +36,8 @@
 	// those whose response was relayed.
 	hedges        *metrics.Counter
 	hedgesRelayed *metrics.Counter
+	// identityQuestions counts the questions to workers who they are.
+	identityQuestions *metrics.Counter
 }
 
 func newEntryMetrics() *entryMetrics {
@@ -58,6 +60,8 @@
 		silentAttempts:  set.NewCounter("laburnumgw_entry_silent_attempts_total"),
 		hedges:          set.NewCounter("laburnumgw_entry_hedges_total"),
 		hedgesRelayed:   set.NewCounter("laburnumgw_entry_hedges_relayed_total"),
+
+		identityQuestions: set.NewCounter("laburnumgw_entry_identity_questions_total"),
 	}
 }
 
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -153,25 +153,27 @@
 	if s.response.EndMarked() && len(s.pending) > 0 && (s.check.resumes || s.isEvents) {
 		return piece{}, fmt.Errorf("%w: it ends inside an event", errTruncated)
 	}
-	if !s.response.EndMarked() && s.isBrokenOff() {
-		return piece{}, fmt.Errorf("%w: %w", errTruncated, io.ErrUnexpectedEOF)
+	if !s.response.EndMarked() {
+		if err := s.checkEnd(); err != nil {
+			return piece{}, fmt.Errorf("%w: %w", errTruncated, err)
+		}
 	}
 	s.consumed = len(s.pending)
 	return piece{s.pending, true}, nil
 }
 
-// isBrokenOff reports whether a stream that has ended with its connection is incomplete. It must
-// end after an event, and its worker must not have crashed.
-func (s *stream) isBrokenOff() bool {
+// checkEnd is attempt.checkEnd for a stream, which must also end after an event. One that goes on with another may have
+// no more events.
+func (s *stream) checkEnd() error {
 	switch {
 	case lastEventEnd(s.pending) < len(s.pending):
 		s.a.recordEnd(false, "inside an event")
-		return true
-	case len(s.pending) == 0 && !s.hasEvents:
+		return fmt.Errorf("%w inside an event: %w", errUnmarkedEnd, io.ErrUnexpectedEOF)
+	case len(s.pending) == 0 && !s.hasEvents && !s.a.continues:
 		s.a.recordEnd(false, "no event")
-		return true
+		return fmt.Errorf("%w before the first event: %w", errUnmarkedEnd, io.ErrUnexpectedEOF)
 	}
-	return s.a.endedInCrash()
+	return s.a.checkEnd()
 }
 
 // recordBegin records that the stream has had its first event.
--- a/entry/hosted/unmarked_end.go
+++ b/entry/hosted/unmarked_end.go
@@ -2,11 +2,18 @@
 
 import (
 	"errors"
-	"syscall"
+	"fmt"
+	"io"
+	"time"
 
 	"go.uber.org/zap"
+
+	"laburnumgw/lib/catalog"
 )
 
+// errUnmarkedEnd marks a response that ended with its connection while nothing shows that it is complete.
+var errUnmarkedEnd = errors.New("response ended with its connection")
+
 // endDecision is what was decided about a response that ended with its connection.
 type endDecision string
 
@@ -62,26 +69,60 @@
 	}
 }
 
-// endedInCrash reports whether the worker of a response that has ended with its connection may have
-// crashed, so that the response may be incomplete.
-func (a *attempt) endedInCrash() bool {
-	start := a.start()
-	if a.view.leaving(start) {
-		a.recordEnd(true, "not asked")
-		return false
+// checkEnd returns nil if something shows that a response is complete that has ended with its connection. The close
+// alone does not: the system closes the connections of a process that was killed in an orderly way as well. The
+// response is complete if its worker answers afterwards, leaving or not, as the start that was asked: its process has lived
+// on, and has closed the connection itself.
+func (a *attempt) checkEnd() error {
+	start := workerStart{Start: a.start(), vm: a.decision.VM}
+	if a.engine == nil {
+		start.healthPath = a.view.healthPath(a.service)
+	}
+	err := a.answers(a.ctx, start, a.endPatience())
+	switch {
+	case a.ctx.Err() != nil:
+		// The worker may have stopped at the end of the request.
+		err = a.ctx.Err()
+	case errors.Is(err, errRefusesConnections):
+		a.view.workerCrashed(start.Start, "its machine")
+	case err == nil && a.view.isReplaced(start.vm, start.StartedAtMs):
+		err = errAnotherStart
 	}
-	err := a.view.connect(a.ctx, start.Address)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		a.view.workerCrashed(start, "its machine")
-		a.recordEnd(false, "refused")
-		return true
+	switch {
+	case err == nil:
+		a.recordEnd(true, "worker answers")
+		return nil
+	case errors.Is(err, errRefusesConnections), errors.Is(err, errAnotherStart):
+		err = fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, err)
 	}
-	// The end of the request leaves it unknown.
-	over := a.ctx.Err() != nil
-	evidence := "connected"
-	if err != nil {
-		evidence = "not connected"
+	a.recordEnd(false, err.Error())
+	return fmt.Errorf("%w: %w", errUnmarkedEnd, err)
+}
+
+// endPatience returns how long a worker that is silent is asked after the end of a response. The patience with a stream is
+// that between its events, a response that must not be repeated is lost without an answer, and any other is
+// repeated soon.
+func (a *attempt) endPatience() time.Duration {
+	switch {
+	case !a.route.Repeatable():
+		return a.limits.Left(time.Now())
+	case a.route.Kind == catalog.Stream:
+		return silencePatience(a.route)
 	}
-	a.recordEnd(!over, evidence)
-	return over
+	return crashWait
+}
+
+// healthPath returns the path of the health check of a service.
+func (v *view) healthPath(state *service) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return state.config.HealthPath
+}
+
+// isReplaced reports whether another start of a worker is listed than one that was asked.
+func (v *view) isReplaced(vm string, startedAtMs int64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	w := v.workers[vm]
+	return w != nil && w.StartedAtMs != startedAtMs
 }
--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -229,6 +229,8 @@
 		if !w.breakHead(out, "200 OK", false) {
 			respond(out, http.StatusOK, w.state())
 		}
+	case r.URL.Path == "/health":
+		w.health(out, r)
 	case r.URL.Path == "/-/order":
 		if status := w.order(r); !w.breakHead(out, fmt.Sprint(status, " ", http.StatusText(status)), false) {
 			out.WriteHeader(status)
@@ -240,6 +242,18 @@
 	}
 }
 
+// health answers the health check.
+func (w *Worker) health(out http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	crashed := w.crashed
+	w.mu.Unlock()
+	if crashed || w.awaitSilence(r.Context()) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	out.Header().Set("X-Laburnumgw-Instance-Id", w.ID)
+	out.Header().Set("Content-Length", "0")
+}
+
 func (w *Worker) stage(out http.ResponseWriter, r *http.Request) {
 	index, _ := strconv.Atoi(r.URL.Query().Get("item_count"))
 	body, err := io.ReadAll(r.Body)
