--- a/entry/hosted/attempt.go
+++ b/entry/hosted/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -61,6 +60,8 @@
 	// failure is a complete response that reports a failure; nil for none.
 	failure *bufferedResponse
 	load    *laburnumgwv1.Load
+	// brokenEnd is the end of a response without length and chunks that was taken for broken off; nil for none.
+	brokenEnd *unmarkedEnd
 }
 
 // opened is what an attempt has brought before any of it was relayed: a stream with its first events, a
@@ -182,8 +183,8 @@
 // buffer reads a response that is no stream to its end.
 func (a *attempt) buffer(response *workerconn.Response, workerResponse platform.WorkerResponse) opened {
 	body, release, err := a.buffers.readAll(response.Body)
-	if err == nil && !response.EndMarked() && a.endedInCrash() {
-		err = io.ErrUnexpectedEOF
+	if err == nil && !response.EndMarked() {
+		err = a.checkEnd()
 	}
 	if err != nil {
 		release()
--- a/entry/hosted/metrics.go
+++ b/entry/hosted/metrics.go
@@ -36,6 +36,8 @@
 	// those whose response was relayed.
 	hedges        *metrics.Counter
 	hedgesRelayed *metrics.Counter
+	// identityQuestions counts the questions to workers who they are.
+	identityQuestions *metrics.Counter
 }
 
 func newEntryMetrics() *entryMetrics {
@@ -58,6 +60,8 @@
 		silentAttempts:  set.NewCounter("laburnumgw_entry_silent_attempts_total"),
 		hedges:          set.NewCounter("laburnumgw_entry_hedges_total"),
 		hedgesRelayed:   set.NewCounter("laburnumgw_entry_hedges_relayed_total"),
+
+		identityQuestions: set.NewCounter("laburnumgw_entry_identity_questions_total"),
 	}
 }
 
@@ -76,6 +80,12 @@
 	return m.set.GetOrCreateCounter(fmt.Sprintf("laburnumgw_entry_cut_responses_total{reason=%q}", reason))
 }
 
+// unmarkedEnd counts the responses without length and chunks that ended with their connection, by what was decided
+// and by how the worker was listed then.
+func (m *entryMetrics) unmarkedEnd(decision endDecision, listing string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("laburnumgw_entry_unmarked_ends_total{decision=%q,worker=%q}", decision, listing))
+}
+
 // objectsIgnored counts the revisions of objects in the store that cannot be read.
 func (m *entryMetrics) objectsIgnored(kind string) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf("laburnumgw_store_objects_ignored_total{kind=%q}", kind))
--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -205,9 +205,25 @@
 		w.serveCall(out, r, call)
 		return
 	}
+	if r.URL.Path == "/health" {
+		w.health(out, r)
+		return
+	}
 	w.serve(out, r)
 }
 
+// health answers the health check.
+func (w *Worker) health(out http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	crashed := w.crashed
+	w.mu.Unlock()
+	if crashed || w.awaitSilence(r.Context()) != nil {
+		panic(http.ErrAbortHandler)
+	}
+	out.Header().Set("X-Laburnumgw-Instance-Id", w.ID)
+	out.Header().Set("Content-Length", "0")
+}
+
 func (w *Worker) serve(out http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	id := r.Header.Get("X-Laburnumgw-Request-Id")
