Bound the memory that an entry holds for requests and responses together

Cause: each body was read with io.ReadAll, whose growth leaves as much garbage again, without a bound over all requests, and copied once more for each attempt. Only buffered responses had a bound, of their own. The runtime did not know the memory limit of the process.

Now bodies, buffered responses, failures that are kept for the caller and long events draw on one budget (lib/membudget). A declared length is reserved before anything is read, into one buffer; the larger a holding, the more must stay free beside it, so that small requests go on. A body that finds no memory is refused at once as not run, with Retry-After; a response that finds none ends its attempt like one that was cut off, never as not run. An attempt copies 16 KiB of a request at most. Entries and endpoint processes tell the runtime three quarters of their limit.

--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -14,6 +14,7 @@
 
 	"laburnumgw/endpoint"
 	"laburnumgw/entry"
+	"laburnumgw/lib/membudget"
 	"laburnumgw/lib/mtls"
 	"laburnumgw/lib/settings"
 	"laburnumgw/platform"
@@ -124,6 +125,7 @@
 	if err != nil {
 		return settingsError{err}
 	}
+	membudget.LimitRuntime(s.MemoryMB)
 	process, err := initialize(s, options)
 	if err != nil {
 		return err
--- a/entry/hosted/attempt.go
+++ b/entry/hosted/attempt.go
@@ -181,7 +181,7 @@
 
 // buffer reads a response that is no stream to its end.
 func (a *attempt) buffer(response *workerconn.Response, workerResponse platform.WorkerResponse) opened {
-	body, release, err := a.buffers.readAll(response.Body)
+	body, release, err := a.buffers.readAll(a.call, response.Body, response.ContentLength)
 	if err == nil && !response.EndMarked() && a.endedInCrash() {
 		err = io.ErrUnexpectedEOF
 	}
@@ -191,16 +191,18 @@
 	}
 	response.Finish(workerResponse.KeepAlive)
 	a.responseBegan()
-	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
+	buffered := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body, release: release}
 	switch {
 	case a.continues, meansNotRun(buffered.status):
 		// The worker ran the request, although callers take some statuses as "not run".
 	case buffered.status >= http.StatusInternalServerError && a.route.Repeatable():
-		a.failure = buffered
+		a.failure = buffered // keeps its memory
 	default:
 		return opened{buffered: buffered, release: release}
 	}
-	release()
+	if a.failure == nil {
+		release()
+	}
 	return opened{ended: a.result(laburnumgwv1.Outcome_OUTCOME_FAILED, true, "", errWorkerFailed)}
 }
 
--- a/entry/hosted/buffer.go
+++ b/entry/hosted/buffer.go
@@ -3,49 +3,57 @@
 import (
 	"fmt"
 	"io"
-	"sync/atomic"
+
+	"laburnumgw/lib/membudget"
 )
 
-// initialBufferBytes is the initial size of the buffer of a response; it doubles from then on.
-const initialBufferBytes = 4 << 10
+const (
+	// memoryShare is the part of the memory limit of the process that all it holds for callers and workers may take.
+	// The rest is for the process itself, for garbage and for what the kernel has received.
+	memoryShare = 0.45
+	// defaultMemory is the bound without a memory limit.
+	defaultMemory = 64 << 20
+	// requestBytes and connBytes are what a request and a connection take at least: stacks, buffers and heads of
+	// the usual size.
+	requestBytes = 16 << 10
+	connBytes    = 12 << 10
+	// usualEventBytes is the size up to which the buffer of a stream is part of requestBytes.
+	usualEventBytes = 4 << 10
+	// firstResponseBytes bounds the first buffer of a response. What a worker declares may never arrive.
+	firstResponseBytes = 64 << 10
+)
 
-// responseBuffers bounds the memory of responses that are buffered until they are complete, each
-// of them and all together. A faulty worker may send bytes without end.
-type responseBuffers struct {
-	limit int64
-	used  atomic.Int64
+// newMemory returns the bound on the memory that a process with a memory limit holds for others.
+func newMemory(memoryMB int64) *membudget.Budget {
+	if memoryMB <= 0 {
+		return membudget.New(defaultMemory)
+	}
+	return membudget.New(int64(memoryShare * float64(memoryMB<<20)))
 }
 
-// newResponseBuffers returns the bound for a process with a memory limit. It is at least
-// maxBufferedBytes.
-func newResponseBuffers(memoryMB int64) *responseBuffers {
-	limit := int64(bufferedShare * float64(memoryMB<<20))
-	return &responseBuffers{limit: max(limit, maxBufferedBytes)}
+// responseBuffers reads responses that are buffered until they are complete. A faulty worker may send bytes without end.
+type responseBuffers struct{}
+
+// readAll reads a body, of the given length if that is not negative, to its end. The release function returns its memory
+// to the account and must be called in any case, also after an error.
+func (responseBuffers) readAll(c *call, body io.Reader, length int64) (data []byte, release func(), err error) {
+	first, limit := int64(membudget.FirstBytes), int64(maxBufferedBytes)
+	if length >= 0 && length <= limit {
+		first, limit = min(length, firstResponseBytes), length
+	}
+	data, held, err := c.held.ReadAll(body, first, limit)
+	return data, func() { c.held.Release(held) }, c.metrics.countMemoryRefusal("response", err)
 }
 
-// readAll reads a body to its end. The release function returns its memory to the bound and must
-// be called in any case, also after an error.
-func (b *responseBuffers) readAll(body io.Reader) (data []byte, release func(), err error) {
-	taken := int64(0)
-	release = func() { b.used.Add(-taken) }
-	for {
-		if len(data) == cap(data) {
-			grow := int64(max(cap(data), initialBufferBytes))
-			taken += grow
-			if b.used.Add(grow) > b.limit {
-				return nil, release, fmt.Errorf("buffered responses exceed %d bytes", b.limit)
-			}
-			data = append(make([]byte, 0, int64(cap(data))+grow), data...)
-		}
-		n, err := body.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
-		switch {
-		case err == io.EOF:
-			return data, release, nil
-		case err != nil:
-			return nil, release, err
-		case len(data) > maxBufferedBytes:
-			return nil, release, fmt.Errorf("response exceeds %d bytes", maxBufferedBytes)
-		}
+// hold reserves memory for an event that exceeds the usual size.
+func (s *stream) hold() error {
+	size := int64(cap(s.pending))
+	if size <= usualEventBytes || size <= s.held {
+		return nil
+	}
+	if err := s.a.held.Reserve(size-s.held, size); err != nil {
+		return fmt.Errorf("%w: %w", errTruncated, s.a.metrics.countMemoryRefusal("stream", err))
 	}
+	s.held = size
+	return nil
 }
--- a/entry/hosted/call.go
+++ b/entry/hosted/call.go
@@ -13,6 +13,7 @@
 	"laburnumgw/lib/dispatch"
 	"laburnumgw/lib/drain"
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/membudget"
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/routing"
 	"laburnumgw/lib/timelimit"
@@ -20,11 +21,8 @@
 )
 
 const (
-	// maxBufferedBytes bounds a response that is buffered until it is complete, and
-	// bufferedShare is the part of the memory limit of the process that all buffered responses
-	// together may take.
+	// maxBufferedBytes bounds a response that is buffered until it is complete.
 	maxBufferedBytes = 16 << 20
-	bufferedShare    = 0.25
 	// detailEvery is the number of routing decisions of which one is logged with all candidates.
 	detailEvery = 64
 )
@@ -64,8 +62,10 @@
 	engine    *catalog.Engine
 	forwarded http.Header
 	body      []byte
-	limits    timelimit.Limits
-	attempts  uint32
+	// held is the memory that the request and its responses take.
+	held     *membudget.Account
+	limits   timelimit.Limits
+	attempts uint32
 	// silentAttempts counts the attempts that were given up while their connection was open, because the worker
 	// sent nothing, and lastEnd is the end of the last attempt.
 	silentAttempts int
@@ -105,6 +105,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// release returns the memory of the body.
+	release func()
 }
 
 func (c *call) workspaceName() string {
@@ -250,6 +252,9 @@
 func (c *call) record(a *attempt, ended retry.Attempt) {
 	c.lastEnd = ended.Err
 	if a.failure != nil {
+		if c.lastFailure != nil {
+			c.lastFailure.release()
+		}
 		c.lastFailure = a.failure
 	}
 	if a.began {
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -16,6 +16,7 @@
 	"laburnumgw/lib/catalog"
 	"laburnumgw/lib/drain"
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/membudget"
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/workerconn"
 	"laburnumgw/platform"
@@ -34,6 +35,9 @@
 	// unroutedRetryAfter is the time that a caller is told to wait when its request was refused
 	// without the routing, or when neither a worker nor the routing asks for another time.
 	unroutedRetryAfter = 250 * time.Millisecond
+	// memoryRetryAfter is the time after which callers try again for whose request there was no memory. A large body takes
+	// about as long to arrive.
+	memoryRetryAfter = 500 * time.Millisecond
 	// retryAfterJitter is the largest random addition to that time, as a fraction of it. It
 	// spreads the retries of refused callers.
 	retryAfterJitter = 0.5
@@ -52,6 +56,8 @@
 	view    *view
 	conns   *workerconn.Pool
 	buffers *responseBuffers
+	// memory bounds what is held for callers and workers.
+	memory  *membudget.Budget
 	metrics *entryMetrics
 	log     *zap.Logger
 	// detail logs the steps of requests that succeed.
@@ -99,7 +105,9 @@
 // serve handles one request.
 func (f *frontend) serve(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
-	c, err := f.accept(w, r, started)
+	memory := f.memory.Open()
+	defer memory.Close()
+	c, err := f.accept(w, r, started, memory)
 	if err != nil {
 		reason := string(errkind.Of(err))
 		endUnreadBody(w, r)
@@ -152,8 +160,8 @@
 }
 
 // accept checks a request against the configuration and reads its body.
-func (f *frontend) accept(w http.ResponseWriter, r *http.Request, started time.Time) (*call, error) {
-	c := &call{frontend: f, w: w, r: r, started: started, reusedConn: countConnRequest(r.Context())}
+func (f *frontend) accept(w http.ResponseWriter, r *http.Request, started time.Time, memory *membudget.Account) (*call, error) {
+	c := &call{frontend: f, w: w, r: r, started: started, held: memory, reusedConn: countConnRequest(r.Context())}
 	in, err := platform.ParseCall(r.Header)
 	c.in = in
 	if err != nil {
@@ -217,17 +225,24 @@
 	if c.r.ContentLength > limit {
 		return errkind.New(errkind.TooLarge, "send a smaller body", "body of %d bytes exceeds %d", c.r.ContentLength, limit)
 	}
+	if err := c.held.Reserve(requestBytes, requestBytes); err != nil {
+		return c.refusedForMemory(err)
+	}
 	if c.r.ContentLength == 0 {
 		return nil
 	}
 	if err := http.NewResponseController(c.w).SetReadDeadline(c.limits.Deadline); err != nil {
 		return fmt.Errorf("set the read deadline of the body: %w", err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := c.receiveBody(limit)
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return errkind.New(errkind.TooLarge, "send a smaller body", "body exceeds %d bytes", limit)
 	}
+	var exceeded *membudget.ExceededError
+	if errors.As(err, &exceeded) {
+		return c.refusedForMemory(err)
+	}
 	if err != nil {
 		// The rest of the body may still arrive, and is no request.
 		c.w.Header().Set("Connection", "close")
@@ -250,6 +265,22 @@
 	return nil
 }
 
+// receiveBody reads the body. Memory for a declared length is reserved before anything is read.
+func (c *call) receiveBody(limit int64) ([]byte, error) {
+	first := c.r.ContentLength
+	if first < 0 {
+		first = membudget.FirstBytes
+	}
+	data, _, err := c.held.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit), first, limit)
+	return data, err //nolint:wrapcheck // the caller describes the error
+}
+
+// refusedForMemory refuses a request that was not sent to a worker.
+func (c *call) refusedForMemory(err error) error {
+	c.metrics.memoryRefused("request").Inc()
+	return errkind.Wrap(err, errkind.NotRun, "repeat the request on another entry", "memory of this entry is used up").WithRetryAfter(memoryRetryAfter)
+}
+
 // statusOf maps error kinds to the statuses of responses that the entry itself generates.
 var statusOf = map[errkind.Kind]int{
 	errkind.NotRun:           http.StatusServiceUnavailable,
--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -134,7 +134,7 @@
 	d := &deployment{t: t, scripts: make(map[string]workerScript), refused: make(map[string]bool)}
 	v := newView(settings, metrics, zap.NewNop())
 	v.rng = rand.New(rand.NewPCG(1, xxhash.Sum64String(vm)))
-	d.front = &frontend{view: v, conns: workerconn.NewPoolWith(d.dial), buffers: newResponseBuffers(64), metrics: metrics, log: zap.NewNop(), detail: zap.NewNop(), shutdown: drain.NewShutdown()}
+	d.front = &frontend{view: v, conns: workerconn.NewPoolWith(d.dial), buffers: &responseBuffers{}, memory: newMemory(64), metrics: metrics, log: zap.NewNop(), detail: zap.NewNop(), shutdown: drain.NewShutdown()}
 	v.checks.connect = d.front.conns.Check
 	for _, kind := range []string{platform.KindEntries, platform.KindEvacuations, platform.KindBlockedParts} {
 		v.applyChanges(kind, nil)
--- a/entry/hosted/metrics.go
+++ b/entry/hosted/metrics.go
@@ -1,10 +1,13 @@
 package hosted
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"laburnumgw/lib/membudget"
 )
 
 // entryMetrics are the metrics of an entry on the platform. docs/OPERATIONS.md lists them.
@@ -71,6 +74,20 @@
 	return fmt.Sprintf("laburnumgw_entry_limited_attempts_total{vm=%q}", vm)
 }
 
+// memoryRefused counts what was refused because the memory for requests was used up.
+func (m *entryMetrics) memoryRefused(what string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("laburnumgw_entry_memory_refusals_total{for=%q}", what))
+}
+
+// countMemoryRefusal counts an error if it is a refusal of memory, and returns it.
+func (m *entryMetrics) countMemoryRefusal(what string, err error) error {
+	var exceeded *membudget.ExceededError
+	if errors.As(err, &exceeded) {
+		m.memoryRefused(what).Inc()
+	}
+	return err
+}
+
 // cutResponse counts the responses whose connection was closed before they were complete.
 func (m *entryMetrics) cutResponse(reason string) *metrics.Counter {
 	return m.set.GetOrCreateCounter(fmt.Sprintf("laburnumgw_entry_cut_responses_total{reason=%q}", reason))
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -101,9 +101,12 @@
 	metrics.set.NewGauge("laburnumgw_log_lines_dropped", func() float64 { return float64(bounded.Dropped()) })
 	v := newView(settings, metrics, log)
 	v.blockStore = store
+	memory := newMemory(settings.MemoryMB)
+	metrics.set.NewGauge("laburnumgw_entry_memory_held_bytes", func() float64 { return float64(memory.Held()) })
+	metrics.set.NewGauge("laburnumgw_entry_memory_limit_bytes", func() float64 { return float64(memory.Limit()) })
 	p := &Process{
 		settings: settings, view: v, store: store, conns: conns, log: log, restored: make(chan struct{}, 1),
-		frontend: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), buffers: newResponseBuffers(settings.MemoryMB), metrics: metrics, log: log, detail: log.Named(telemetry.DetailName), shutdown: drain.NewShutdown()},
+		frontend: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), buffers: &responseBuffers{}, memory: memory, metrics: metrics, log: log, detail: log.Named(telemetry.DetailName), shutdown: drain.NewShutdown()},
 	}
 	v.checks.connect = p.frontend.conns.Check
 	store.OnEra(func(era int64) { log.Info("store states an era", zap.Int64("era", era)) })
--- a/entry/hosted/relay.go
+++ b/entry/hosted/relay.go
@@ -86,6 +86,8 @@
 	// pending holds what was read: consumed bytes that were returned, and bytes that follow them.
 	pending  []byte
 	consumed int
+	// held is the memory that is reserved for pending.
+	held int64
 	// readErr is the result of the last read, which counts once all events before it were returned.
 	readErr   error
 	hasEvents bool
@@ -119,6 +121,9 @@
 		n, err := s.response.Body.Read(s.buffer[:])
 		s.readErr = err
 		s.pending = append(s.pending, s.buffer[:n]...)
+		if err := s.hold(); err != nil {
+			return piece{}, err
+		}
 		if end := lastEventEnd(s.pending); end > 0 {
 			return s.accept(end)
 		}
@@ -186,6 +191,8 @@
 		streamBuffers.Put(s.buffer)
 		s.buffer = nil
 	}
+	s.a.held.Release(s.held)
+	s.pending, s.held = nil, 0
 	s.response.Abort()
 }
 
--- /dev/null
+++ b/lib/membudget/membudget.go
@@ -0,0 +1,103 @@
+// Package membudget bounds the memory that a process holds for its peers: bodies, heads and connections. It decides
+// only who may hold how much; the bytes themselves are read and stored by its users.
+//
+// A part of the limit is kept for small holdings: the larger a holding gets, the more must stay free beside it. So those
+// that need most are refused first, and among equals those that come last.
+package membudget
+
+import (
+	"fmt"
+	"math"
+	"runtime/debug"
+	"sync"
+)
+
+const (
+	// SmallBytes is the size up to which a holding may use all of the limit.
+	SmallBytes = 64 << 10
+	// largeBytes is the size from which on the whole reserve must stay free beside a holding, half of which must for
+	// any that exceeds SmallBytes.
+	largeBytes = 1 << 20
+	// reserveShare is the part of the limit that large holdings leave free.
+	reserveShare = 5
+	// runtimeShare is the part of the memory limit of a process up to which the Go runtime lets garbage accumulate.
+	// The rest is for what the runtime does not count, such as the program itself and the buffers of the kernel.
+	runtimeShare = 0.75
+)
+
+// Budget is a bound on memory. It is safe for concurrent use.
+type Budget struct {
+	limit, reserve int64
+
+	mu   sync.Mutex
+	held int64
+}
+
+// New returns a budget of limit bytes.
+func New(limit int64) *Budget { return &Budget{limit: limit, reserve: limit / reserveShare} }
+
+// ExceededError refuses memory.
+type ExceededError struct {
+	// Size is the size that the holding would have, of which Needed bytes are new.
+	Size, Needed int64
+	// Held is what is held of Limit, of which Kept bytes are kept for smaller holdings.
+	Held, Limit, Kept int64
+}
+
+// Error implements error.
+func (e *ExceededError) Error() string {
+	return fmt.Sprintf("%d bytes need %d more of the memory for requests, of which %d of %d bytes are held and %d kept for smaller ones",
+		e.Size, e.Needed, e.Held, e.Limit, e.Kept)
+}
+
+// kept returns how much must stay free beside a holding of a size.
+func (b *Budget) kept(size int64) int64 {
+	if size <= SmallBytes {
+		return 0
+	}
+	half := b.reserve / 2
+	return half + int64(float64(b.reserve-half)*float64(min(size, largeBytes))/largeBytes)
+}
+
+// Reserve takes n bytes for a holding that has size bytes with them. It fails with an ExceededError.
+func (b *Budget) Reserve(n, size int64) error {
+	if n < 0 || size < n {
+		panic(fmt.Sprintf("membudget: reserve %d of %d bytes", n, size))
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	kept := b.kept(size)
+	if n > b.limit-kept-b.held {
+		return &ExceededError{Size: size, Needed: n, Held: b.held, Limit: b.limit, Kept: kept}
+	}
+	b.held += n
+	return nil
+}
+
+// Release returns n bytes.
+func (b *Budget) Release(n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n < 0 || n > b.held {
+		panic(fmt.Sprintf("membudget: release %d of %d bytes", n, b.held))
+	}
+	b.held -= n
+}
+
+// Held returns the number of bytes that are held.
+func (b *Budget) Held() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held
+}
+
+// Limit returns the limit.
+func (b *Budget) Limit() int64 { return b.limit }
+
+// LimitRuntime tells the Go runtime about the memory limit of the process, so that it collects garbage more often before
+// the process exceeds it. Zero means no limit.
+func LimitRuntime(memoryMB int64) {
+	if memoryMB > 0 && debug.SetMemoryLimit(-1) == math.MaxInt64 {
+		debug.SetMemoryLimit(int64(runtimeShare * float64(memoryMB<<20)))
+	}
+}
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -255,7 +255,7 @@
 		}
 		return nil, sent, err
 	}
-	upload, n, err := c.startUpload(r.encode())
+	upload, n, err := c.startUpload(r)
 	if err != nil && n == 0 && c.used && ctx.Err() == nil {
 		// The worker has closed the reused connection, and no byte was sent on it.
 		stop()
@@ -277,10 +277,13 @@
 	return response, true, nil
 }
 
-// encode returns the bytes of a request.
-func (r *Request) encode() []byte {
+// usualHeadBytes is what the head of a request takes mostly.
+const usualHeadBytes = 1024
+
+// encode returns the first inlineBytes of a request, and the rest. Most of a long body is not copied.
+func (r *Request) encode() (first []byte, rest [][]byte) {
 	var b bytes.Buffer
-	b.Grow(len(r.Body) + 1024)
+	b.Grow(min(len(r.Body)+usualHeadBytes, inlineBytes))
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -295,8 +298,15 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
+	if head := b.Bytes(); len(head) > inlineBytes {
+		return head[:inlineBytes], [][]byte{head[inlineBytes:], r.Body}
+	}
+	inline := min(len(r.Body), inlineBytes-b.Len())
+	b.Write(r.Body[:inline])
+	if inline < len(r.Body) {
+		rest = [][]byte{r.Body[inline:]}
+	}
+	return b.Bytes(), rest
 }
 
 // readResponse reads the head of the response that matches the request. A response to
--- a/lib/workerconn/upload.go
+++ b/lib/workerconn/upload.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// inlineBytes is how much of a request is written before its response is waited for. It fits into
+// inlineBytes is how much of a request is written in one piece before its response is waited for. It fits into
 // the send buffer of a new connection, so that the write does not wait for the worker.
 const inlineBytes = 16 << 10
 
@@ -17,16 +17,19 @@
 
 // startUpload writes a request, what exceeds inlineBytes in the background. It returns the number of
 // bytes that were written, and the error, of the first part. The write ends with the connection.
-func (c *conn) startUpload(request []byte) (*upload, int, error) {
-	first := min(len(request), inlineBytes)
-	n, err := c.Write(request[:first])
+func (c *conn) startUpload(r *Request) (*upload, int, error) {
+	first, rest := r.encode()
+	n, err := c.Write(first)
 	u := &upload{done: make(chan struct{})}
-	if err != nil || first == len(request) {
+	if err != nil || len(rest) == 0 {
 		u.end(err)
 		return u, n, err
 	}
 	go func() {
-		_, err := c.Write(request[first:])
+		var err error
+		for at := 0; at < len(rest) && err == nil; at++ {
+			_, err = c.Write(rest[at])
+		}
 		u.end(err)
 	}()
 	return u, n, nil
