--- a/cmd/capacitybench/main.go
+++ b/cmd/capacitybench/main.go
@@ -24,7 +24,7 @@
 
 type options struct {
 	Bin     string        `long:"bin" default:"bin" description:"directory of the programs"`
-	Parts   []string      `long:"part" description:"baseline, entry, peers, endpoint, requests, streams, idle or apply; repeat for several, all when missing"`
+	Parts   []string      `long:"part" description:"baseline, entry, peers, endpoint, requests, streams, memory, idle or apply; repeat for several, all when missing"`
 	Warm    time.Duration `long:"warm" default:"10s" description:"warm-up before each measurement"`
 	Period  time.Duration `long:"period" default:"20s" description:"length of the measurement of an entry"`
 	Short   time.Duration `long:"short" default:"10s" description:"length of the other measurements"`
@@ -75,6 +75,7 @@
 		{{"peers", (*bench).peerCost}, {"endpoint", (*bench).endpointCost}, {"idle", (*bench).idleCalls}, {"apply", (*bench).applyTime}},
 		{{"requests", (*bench).requestCost}},
 		{{"streams", (*bench).streamCost}},
+		{{"memory", (*bench).memoryUse}},
 	}
 	for _, group := range groups {
 		if err := b.runGroup(ctx, group); err != nil {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -29,6 +30,8 @@
 	settleWindow = 3 * time.Second
 	// plainRunTime is the time that a plain worker takes for a request.
 	plainRunTime = 10 * time.Millisecond
+	// defaultMemoryMB is the memory limit in the settings of processes.
+	defaultMemoryMB = 256
 	// The ports are the same for all processes, since each has its own IP address.
 	workerPort       = 8100
 	frontendPort     = 8200
@@ -79,6 +82,8 @@
 	// SilenceMax bounds how long sound model workers fall silent, maxSilence when it is zero. With it, silences go
 	// with all planned work.
 	SilenceMax time.Duration
+	// MemoryMB is the memory limit in the settings of the processes; 256 MB when it is zero.
+	MemoryMB int64
 	// Overload has more callers than the model workers have room for.
 	Overload bool
 }
@@ -321,9 +326,9 @@
 	if worker == "" {
 		fmt.Fprintf(&b, "frontend = \"%s:%d\"\nreadiness = \"%s:%d\"\n", ip, frontendPort, ip, readinessPort)
 	}
-	fmt.Fprintf(&b, "[limits]\nlink_mbps = 100.0\nmemory_mb = 256\n[bounds]\nsettle_window_ms = %d\ngrace_s = %d\n"+
+	fmt.Fprintf(&b, "[limits]\nlink_mbps = 100.0\nmemory_mb = %d\n[bounds]\nsettle_window_ms = %d\ngrace_s = %d\n"+
 		"retry_budget_ratio = 0.2\nretry_budget_slack = 104\nbudget_window_s = 10\ncold_overage = 1.5\ncold_slack = 5\nversion_ms = %d\n"+
-		"[platform]\naddress = \"%s:8400\"\n", settleWindow.Milliseconds(), int(stopGracePeriod.Seconds()), versionBound.Milliseconds(), ip)
+		"[platform]\naddress = \"%s:8400\"\n", cmp.Or(f.MemoryMB, defaultMemoryMB), settleWindow.Milliseconds(), int(stopGracePeriod.Seconds()), versionBound.Milliseconds(), ip)
 	path := filepath.Join(f.Dir, name+".toml")
 	if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -334,6 +334,9 @@
 	if w.breakHead(out, "200 OK", after > 0) {
 		return
 	}
+	if w.Model.Name == "" && w.respondVolume(out, r) {
+		return
+	}
 	if w.Model.Name == "" {
 		w.respondPlain(out, r, body)
 		return
