Count heads and connections in the memory of an entry

What callers would see: the server reads up to 260 KiB of a head before a handler is called, on each of up to 3,900 connections, for 30 s; an entry with 284 MB is over its limit at about 1,000 such heads and is killed with all requests in hand. Connections that are kept count nowhere.

Each connection of a caller and each idle one to a worker takes 12 KiB of the bound now, and heads of requests and responses what exceeds 4 KiB. What finds no memory is closed; a caller whose head is not answered knows that its request was not read. The error is one of a read, since the server answers others with 400.

--- a/entry/hosted/buffer.go
+++ b/entry/hosted/buffer.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 
+	"go.uber.org/zap"
+
 	"laburnumgw/lib/membudget"
 )
 
@@ -23,6 +25,22 @@
 	firstResponseBytes = 64 << 10
 )
 
+// connMemory is the memory of connections, with callers and idle ones with workers, and of long heads on them.
+type connMemory struct {
+	*membudget.Account
+	metrics *entryMetrics
+	log     *zap.Logger
+}
+
+// Reserve implements drain.Memory and workerconn.Memory.
+func (m *connMemory) Reserve(n, size int64) error {
+	err := m.metrics.countMemoryRefusal("connection", m.Account.Reserve(n, size))
+	if err != nil {
+		m.log.Info("no memory for a connection", zap.Error(err))
+	}
+	return err
+}
+
 // newMemory returns the bound on the memory that a process with a memory limit holds for others.
 func newMemory(memoryMB int64) *membudget.Budget {
 	if memoryMB <= 0 {
--- a/entry/hosted/frontend.go
+++ b/entry/hosted/frontend.go
@@ -56,10 +56,11 @@
 	view    *view
 	conns   *workerconn.Pool
 	buffers *responseBuffers
-	// memory bounds what is held for callers and workers.
-	memory  *membudget.Budget
-	metrics *entryMetrics
-	log     *zap.Logger
+	// memory bounds what is held for callers and workers, and connMemory is the part of their connections.
+	memory     *membudget.Budget
+	connMemory *connMemory
+	metrics    *entryMetrics
+	log        *zap.Logger
 	// detail logs the steps of requests that succeed.
 	detail   *zap.Logger
 	shutdown *drain.Shutdown
--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -130,11 +130,12 @@
 			VersionApply: 8 * time.Second,
 		},
 	}
-	metrics := newEntryMetrics()
+	metrics, memory := newEntryMetrics(), newMemory(64)
 	d := &deployment{t: t, scripts: make(map[string]workerScript), refused: make(map[string]bool)}
 	v := newView(settings, metrics, zap.NewNop())
 	v.rng = rand.New(rand.NewPCG(1, xxhash.Sum64String(vm)))
-	d.front = &frontend{view: v, conns: workerconn.NewPoolWith(d.dial), buffers: &responseBuffers{}, memory: newMemory(64), metrics: metrics, log: zap.NewNop(), detail: zap.NewNop(), shutdown: drain.NewShutdown()}
+	d.front = &frontend{view: v, conns: workerconn.NewPoolWith(d.dial), buffers: &responseBuffers{}, memory: memory, connMemory: &connMemory{memory.Open(), metrics, zap.NewNop()}, metrics: metrics, log: zap.NewNop(), detail: zap.NewNop(), shutdown: drain.NewShutdown()}
+	d.front.conns.BoundMemory(d.front.connMemory, connBytes)
 	v.checks.connect = d.front.conns.Check
 	for _, kind := range []string{platform.KindEntries, platform.KindEvacuations, platform.KindBlockedParts} {
 		v.applyChanges(kind, nil)
@@ -147,6 +148,9 @@
 	return d
 }
 
+// held returns the memory that the entry holds for requests and their responses.
+func (d *deployment) held() int64 { return d.front.memory.Held() - d.front.connMemory.Held() }
+
 func (d *deployment) put(kind, name, value string) {
 	d.rev++
 	d.front.view.applyChanges(kind, []mirror.Change{{Object: mirror.Object{Name: name, Revision: d.rev, Value: json.RawMessage(value)}}})
--- a/entry/hosted/hedge_test.go
+++ b/entry/hosted/hedge_test.go
@@ -469,7 +469,7 @@
 						t.Errorf("%s arrived %d times of %d", id, n, attempts)
 					}
 				}
-				if used := s.front.memory.Held(); used != 0 {
+				if used := s.held(); used != 0 {
 					t.Errorf("%d bytes of responses are not released", used)
 				}
 				if n := s.front.metrics.panics.Get(); n != 0 {
--- a/entry/hosted/memory_test.go
+++ b/entry/hosted/memory_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -83,7 +84,7 @@
 		held := int64(0)
 		d.worker("desk", "w1", 0, func(e *workerExchange) { e.complete(http.StatusInternalServerError, failure) })
 		d.worker("desk", "w2", 0, func(e *workerExchange) {
-			held = max(held, d.front.memory.Held())
+			held = max(held, d.held())
 			e.complete(http.StatusInternalServerError, failure)
 		})
 		for range 10 {
@@ -94,7 +95,7 @@
 		if held < 1<<20 {
 			t.Errorf("%d bytes held during the second attempt", held)
 		}
-		if used := d.front.memory.Held(); used != 0 {
+		if used := d.held(); used != 0 {
 			t.Errorf("%d bytes still held", used)
 		}
 	})
@@ -108,15 +109,87 @@
 			e.stream(1)
 			e.chunk("id: 1\ndata: " + strings.Repeat("x", 40<<10))
 			<-time.After(100 * time.Millisecond)
-			held = d.front.memory.Held()
+			held = d.held()
 			e.chunk("\n\n")
 			e.end()
 		})
 		if got := d.ask(t.Context(), http.MethodPost, "/chat/x", "p", deadlineHeader, "6000"); got.cut || len(got.body) < 40<<10 {
 			t.Fatalf("status %d, %d bytes", got.status, len(got.body))
 		}
-		if held < requestBytes+40<<10 || d.front.memory.Held() != 0 {
-			t.Errorf("%d bytes held during the event, %d after", held, d.front.memory.Held())
+		if held < requestBytes+40<<10 || d.held() != 0 {
+			t.Errorf("%d bytes held during the event, %d after", held, d.held())
+		}
+	})
+}
+
+// Guards against heads without end, or connections, of many callers that exceed the memory of the entry together: those
+// that need most are closed without an answer, which says that the request was not read, and small requests go on.
+func TestHeadsOfManyCallersStayWithinTheMemory(t *testing.T) {
+	withCallers(t, func(t *testing.T, s *callerServer) {
+		s.worker("desk", "d1", 0, done)
+		head := strings.TrimSuffix(requestText(http.MethodPost, "/book/x", ""), "\r\n") + "X-Long: " + strings.Repeat("h", 200<<10)
+		var open []*callerConn
+		closed := 0
+		for range 200 {
+			conn := s.connect()
+			ended := make(chan int, 1)
+			go func() {
+				_, _ = conn.Write([]byte(head)) // fails when the entry closes the connection
+				n, _ := conn.Read(make([]byte, 1))
+				ended <- n
+			}()
+			synctest.Wait()
+			select {
+			case n := <-ended:
+				closed++
+				if n != 0 {
+					t.Fatal("an unfinished head was answered")
+				}
+			default:
+				open = append(open, conn)
+			}
+		}
+		if held := s.front.memory.Held(); held > s.front.memory.Limit() || closed < 50 || len(open) < 50 {
+			t.Errorf("%d of %d bytes held, %d heads waited for, %d closed", held, s.front.memory.Limit(), len(open), closed)
+		}
+		small := s.connect()
+		for range 5 {
+			if got := small.ask(requestText(http.MethodPost, "/book/x", "b")); got.cut || got.body != "done" {
+				t.Fatalf("small request: %+v", got)
+			}
+		}
+		if n := s.front.metrics.memoryRefused("connection").Get(); int(n) != closed {
+			t.Errorf("%d refusals counted, want %d", n, closed)
+		}
+		for _, conn := range append(open, small) {
+			conn.Close()
+		}
+		s.front.conns.Forget(workerAddress("d1"))
+		synctest.Wait()
+		if held := s.front.memory.Held(); held != 0 {
+			t.Errorf("%d bytes still held", held)
+		}
+	})
+}
+
+// Guards against a head that counts for as long as its connection is kept, and not only until its response is written.
+func TestLongHeadIsReleasedWithItsResponse(t *testing.T) {
+	withCallers(t, func(t *testing.T, s *callerServer) {
+		during := int64(0)
+		s.worker("desk", "d1", 0, func(e *workerExchange) {
+			during = s.front.memory.Held()
+			e.head(http.StatusOK, sealHeader, "seal", "Content-Length", "4", "X-Long", strings.Repeat("h", 30<<10))
+			fmt.Fprint(e, "done")
+		})
+		conn := s.connect()
+		for range 3 {
+			if got := conn.ask(requestText(http.MethodPost, "/view/x", "b", "X-Long", strings.Repeat("h", 100<<10))); got.cut || got.body != "done" {
+				t.Fatalf("response %+v", got)
+			}
+			synctest.Wait()
+			if after := s.front.memory.Held(); during < 100<<10 || after != 2*connBytes {
+				t.Errorf("%d bytes held during the request, %d after it", during, after)
+			}
 		}
 	})
 }
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -106,8 +106,9 @@
 	metrics.set.NewGauge("laburnumgw_entry_memory_limit_bytes", func() float64 { return float64(memory.Limit()) })
 	p := &Process{
 		settings: settings, view: v, store: store, conns: conns, log: log, restored: make(chan struct{}, 1),
-		frontend: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), buffers: &responseBuffers{}, memory: memory, metrics: metrics, log: log, detail: log.Named(telemetry.DetailName), shutdown: drain.NewShutdown()},
+		frontend: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), buffers: &responseBuffers{}, memory: memory, connMemory: &connMemory{memory.Open(), metrics, log}, metrics: metrics, log: log, detail: log.Named(telemetry.DetailName), shutdown: drain.NewShutdown()},
 	}
+	p.frontend.conns.BoundMemory(p.frontend.connMemory, connBytes)
 	v.checks.connect = p.frontend.conns.Check
 	store.OnEra(func(era int64) { log.Info("store states an era", zap.Int64("era", era)) })
 	monitor, err := suspend.NewMonitor(p.handleSuspension)
@@ -229,6 +230,7 @@
 		ConnContext: withCallerConn, ErrorLog: zap.NewStdLog(p.log),
 	}
 	callers := drain.New(server, listener)
+	callers.BoundMemory(p.frontend.connMemory, connBytes)
 	go func() {
 		if err := callers.Serve(); !errors.Is(err, http.ErrServerClosed) {
 			failed <- fmt.Errorf("serve on %s: %w", listener.Addr(), err)
--- a/entry/hosted/silence_harness_test.go
+++ b/entry/hosted/silence_harness_test.go
@@ -364,7 +364,7 @@
 func (f *silentFleet) requireNothingLeft(t *testing.T) {
 	t.Helper()
 	for _, d := range f.entries {
-		if used := d.front.memory.Held(); used != 0 {
+		if used := d.held(); used != 0 {
 			t.Errorf("%s: %d bytes of responses in use", d.front.view.settings.VM, used)
 		}
 		v := d.front.view
--- a/entry/hosted/unbounded_body_test.go
+++ b/entry/hosted/unbounded_body_test.go
@@ -68,7 +68,7 @@
 		if got.status != http.StatusBadGateway || taken > 2*maxBufferedBytes {
 			t.Errorf("response %+v, %d bytes taken", got, taken)
 		}
-		if used := d.front.memory.Held(); used != 0 {
+		if used := d.held(); used != 0 {
 			t.Errorf("%d bytes still counted", used)
 		}
 	})
--- a/lib/drain/drain.go
+++ b/lib/drain/drain.go
@@ -16,6 +16,9 @@
 // stalls within one must not delay for longer.
 const maxHeaderTimeout = 5 * time.Second
 
+// usualHeaderBytes is the size up to which a header is part of what a connection takes at least.
+const usualHeaderBytes = 4 << 10
+
 // Listener tracks the connections of one server, so that Drain can end them.
 type Listener struct {
 	net.Listener
@@ -28,6 +31,9 @@
 	draining bool
 	// readsEnd and writesEnd bound the reads and the writes of the connections; zero for no bound.
 	readsEnd, writesEnd time.Time
+	// memory bounds what the connections hold, each connBytes at least; nil for no bound.
+	memory    Memory
+	connBytes int64
 	// empty is closed when the drain has started and no connection is left.
 	empty chan struct{}
 }
@@ -43,6 +49,18 @@
 	return l
 }
 
+// Memory bounds the memory of connections. Reserve takes n bytes for a connection that holds size bytes with them.
+type Memory interface {
+	Reserve(n, size int64) error
+	Release(n int64)
+}
+
+// BoundMemory has each connection take connBytes of a memory, and what a header exceeds usualHeaderBytes by until its
+// response is written. A connection for which there is none is closed. It is called before Serve.
+func (l *Listener) BoundMemory(memory Memory, connBytes int64) {
+	l.memory, l.connBytes = memory, connBytes
+}
+
 // Serve serves until the listener fails, or returns http.ErrServerClosed after Drain.
 func (l *Listener) Serve() error {
 	return l.server.Serve(l) //nolint:wrapcheck // callers compare with http.ErrServerClosed
@@ -51,6 +69,10 @@
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
+	for err == nil && l.memory != nil && l.memory.Reserve(l.connBytes, l.connBytes) != nil {
+		accepted.Close()
+		accepted, err = l.Listener.Accept()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
@@ -75,12 +97,17 @@
 	switch state {
 	case http.StateIdle:
 		c.idle, c.active = true, false
+		c.releaseHeader()
 		if l.draining {
 			c.expire()
 		}
 	case http.StateActive:
 		c.idle, c.inHeader, c.active = false, false, true
 	case http.StateClosed, http.StateHijacked:
+		c.releaseHeader()
+		if _, ok := l.conns[c]; ok && l.memory != nil {
+			l.memory.Release(l.connBytes)
+		}
 		delete(l.conns, c)
 		l.closeIfEmpty()
 	}
@@ -178,6 +205,8 @@
 	// inHeader is set until the server has read the header of a request, the wait for its first bytes on a
 	// new connection included, and active from the call of the handler to the end of the response.
 	inHeader, active bool
+	// headerBytes is what was read of the header, and headerHeld what of it is reserved.
+	headerBytes, headerHeld int64
 	// readDeadline and writeDeadline are the deadlines that the server or the handler has set.
 	readDeadline, writeDeadline time.Time
 	// answered is set when the response is sent and the connection is kept open only for its caller to
@@ -238,9 +267,37 @@
 			c.boundHeader()
 		}
 	}
+	if c.inHeader {
+		if refused := c.holdHeader(int64(n)); refused != nil {
+			// The server answers other errors than those of a read with 400.
+			return 0, &net.OpError{Op: "read", Net: "tcp", Err: refused}
+		}
+	}
 	return n, err //nolint:wrapcheck // the server checks the errors of its connections
 }
 
+// holdHeader reserves memory for n more bytes of a header. The caller holds the lock.
+func (c *conn) holdHeader(n int64) error {
+	c.headerBytes += n
+	more := c.headerBytes - usualHeaderBytes - c.headerHeld
+	if more <= 0 || c.listener.memory == nil {
+		return nil
+	}
+	if err := c.listener.memory.Reserve(more, c.headerBytes); err != nil {
+		return fmt.Errorf("header: %w", err)
+	}
+	c.headerHeld += more
+	return nil
+}
+
+// releaseHeader returns the memory of a header. The caller holds the lock.
+func (c *conn) releaseHeader() {
+	if c.headerHeld > 0 {
+		c.listener.memory.Release(c.headerHeld)
+	}
+	c.headerBytes, c.headerHeld = 0, 0
+}
+
 // SetReadDeadline implements net.Conn. The server uses it to bound the wait for the next
 // request, which must stay ended during the drain, and the time for a header. It clears the
 // deadline once it has read the header, before it calls the handler.
--- a/lib/membudget/account.go
+++ b/lib/membudget/account.go
@@ -45,6 +45,13 @@
 	a.budget.Release(n)
 }
 
+// Held returns the number of bytes that are held.
+func (a *Account) Held() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.held
+}
+
 // Close returns all memory.
 func (a *Account) Close() {
 	a.mu.Lock()
@@ -54,4 +61,5 @@
 	}
 	a.closed = true
 	a.budget.Release(a.held)
+	a.held = 0
 }
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -16,6 +16,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -41,6 +42,10 @@
 	// only to reuse its connection. A faulty worker may send bytes without end.
 	maxHeadBytes      = 64 << 10
 	maxDiscardedBytes = 16 << 10
+	// requestHeadBytes is what the head of a request takes mostly, and usualHeadBytes the size up to which the head of a
+	// response counts as part of its request.
+	requestHeadBytes = 1 << 10
+	usualHeadBytes   = 4 << 10
 	// maxRefusals bounds the refusals whose IDs a connection remembers.
 	maxRefusals = 32
 	// discardTimeout bounds the wait for a body that is read only to reuse its connection.
@@ -103,6 +108,10 @@
 type Pool struct {
 	dial Dial
 
+	// memory bounds what idle connections, each of connBytes, and long heads hold; nil for no bound.
+	memory    Memory
+	connBytes int64
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 	// opened counts the attempts to open a connection.
@@ -147,6 +156,10 @@
 	// keepAlive is how long the idle connection may be reused; negative for not at all.
 	keepAlive time.Duration
 	idleSince time.Time
+	// memory is the pool's. headHeld is what is reserved for a head, nothing once the connection is closed.
+	memory   Memory
+	headHeld atomic.Int64
+	closed   atomic.Bool
 }
 
 // Read implements io.Reader for the buffered reader, and limits the size of heads.
@@ -159,6 +172,9 @@
 	}
 	n, err := c.read(p[:min(len(p), c.headBytesLeft)])
 	c.headBytesLeft -= n
+	if refused := c.holdHead(int64(maxHeadBytes - c.headBytesLeft)); refused != nil {
+		return 0, refused
+	}
 	return n, err
 }
 
@@ -208,7 +224,7 @@
 		// SetLinger fails only on a closed connection.
 		_ = tcp.SetLinger(0)
 	}
-	c.Close()
+	c.close()
 }
 
 // Response is the response to a request. Its body is read from its connection.
@@ -234,12 +250,12 @@
 	}
 	if r.SendUntil != nil {
 		if until := r.SendUntil(); !until.IsZero() && !time.Now().Before(until) {
-			c.Close()
+			c.close()
 			return nil, false, ErrNotSentInTime
 		}
 	}
 	if r.ResponseTimeout != nil && r.ResponseTimeout(0) <= 0 {
-		c.Close()
+		c.close()
 		return nil, false, fmt.Errorf("not sent: %w", ErrUnresponsive)
 	}
 	c.remainderTimeout = r.RemainderTimeout
@@ -259,7 +275,7 @@
 	if err != nil && n == 0 && c.used && ctx.Err() == nil {
 		// The worker has closed the reused connection, and no byte was sent on it.
 		stop()
-		c.Close()
+		c.close()
 		return p.Send(ctx, address, r, matches)
 	}
 	if err != nil {
@@ -277,13 +293,10 @@
 	return response, true, nil
 }
 
-// usualHeadBytes is what the head of a request takes mostly.
-const usualHeadBytes = 1024
-
 // encode returns the first inlineBytes of a request, and the rest. Most of a long body is not copied.
 func (r *Request) encode() (first []byte, rest [][]byte) {
 	var b bytes.Buffer
-	b.Grow(min(len(r.Body)+usualHeadBytes, inlineBytes))
+	b.Grow(min(len(r.Body)+requestHeadBytes, inlineBytes))
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.Target)
@@ -315,6 +328,7 @@
 	firstRequest := !c.used
 	c.used = true
 	for range maxHeads {
+		c.releaseHead()
 		c.headBytesLeft = maxHeadBytes
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		c.headBytesLeft = -1
@@ -361,11 +375,12 @@
 		}
 		c := list[at]
 		p.idle[address] = slices.Delete(list, at, at+1)
+		p.release(1)
 		if now.Sub(c.idleSince) < c.keepAlive && c.reusable() {
 			p.mu.Unlock()
 			return c, nil
 		}
-		c.Close()
+		c.close()
 	}
 	if len(p.idle[address]) == 0 {
 		delete(p.idle, address)
@@ -376,7 +391,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to worker: %w", err)
 	}
-	c := &conn{Conn: opened, headBytesLeft: -1}
+	c := &conn{Conn: opened, headBytesLeft: -1, memory: p.memory}
 	c.reader = bufio.NewReaderSize(c, bufferBytes)
 	return c, nil
 }
@@ -482,7 +497,7 @@
 	}
 	r.closed = true
 	if !r.stop() || r.Close || r.conn.keepAlive < 0 || r.conn.reader.Buffered() > 0 || !r.EndMarked() || !r.upload.complete() {
-		r.conn.Close()
+		r.conn.close()
 		return
 	}
 	r.conn.keepAlive = defaultKeepAlive
@@ -535,8 +550,9 @@
 func (p *Pool) put(address string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[address]) >= maxIdlePerWorker {
-		c.Close()
+	c.releaseHead()
+	if len(p.idle[address]) >= maxIdlePerWorker || (p.memory != nil && p.memory.Reserve(p.connBytes, p.connBytes) != nil) {
+		c.close()
 		return
 	}
 	p.idle[address] = append(p.idle[address], c)
@@ -547,8 +563,9 @@
 	p.mu.Lock()
 	list := p.idle[address]
 	delete(p.idle, address)
+	p.release(len(list))
 	p.mu.Unlock()
 	for _, c := range list {
-		c.Close()
+		c.close()
 	}
 }
