--- a/entry/hosted/callers_harness_test.go
+++ b/entry/hosted/callers_harness_test.go
@@ -80,7 +80,7 @@
 // callerConn is the connection of a caller.
 type callerConn struct {
 	net.Conn
-	t      *testing.T
+	t      testing.TB
 	reader *bufio.Reader
 }
 
--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -107,7 +107,7 @@
 
 // deployment is an entry with workers whose connections are pipes in memory.
 type deployment struct {
-	t     *testing.T
+	t     testing.TB
 	front *frontend
 	rev   int64
 
@@ -119,10 +119,10 @@
 	connecting time.Duration
 }
 
-func newDeployment(t *testing.T) *deployment { return newEntryDeployment(t, "front-1", "a") }
+func newDeployment(t testing.TB) *deployment { return newEntryDeployment(t, "front-1", "a") }
 
 // newEntryDeployment returns an entry with a name in a zone.
-func newEntryDeployment(t *testing.T, vm, zone string) *deployment {
+func newEntryDeployment(t testing.TB, vm, zone string) *deployment {
 	settings := &platform.Settings{
 		VM: vm, Zone: zone, Region: "r1", IP: "10.0.0.1", Zones: map[string]string{"a": "r1", "b": "r2"},
 		Bounds: platform.Bounds{
