Bound the memory of the product's own entry as well

What callers would see: bodies of up to 4 MiB and responses of up to 16 MiB were read and buffered for any number of callers at once; an entry that exceeds its memory ends with all requests in hand.

Bodies, buffered responses, connections and heads draw on 0.45 of it, as on the users' platform, and the runtime is told three quarters. A body that finds no memory is refused as not run before it is sent; a response that finds none ends as outcome unknown.

--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -40,6 +40,7 @@
 	if err := checkSettings(c.Validate(), &c.Process, mtls.RoleEntry); err != nil {
 		return err
 	}
+	membudget.LimitRuntime(c.MemoryMB)
 	process, err := initializeEntry(&c.Settings)
 	if err != nil {
 		return err
--- a/entry/dispatch_test.go
+++ b/entry/dispatch_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
+	"laburnumgw/lib/membudget"
 )
 
 type frame = laburnumgwv1.ServeResponse
@@ -44,7 +45,7 @@
 func TestOnlyWholeResponsesAreCompleted(t *testing.T) {
 	Convey("Given a caller", t, func() {
 		recorder := httptest.NewRecorder()
-		out := &httpResponder{w: recorder, id: "r", limit: maxResponseBytes, started: time.Now(), metrics: newEntryMetrics()}
+		out := &httpResponder{w: recorder, id: "r", limit: maxResponseBytes, started: time.Now(), metrics: newEntryMetrics(), held: membudget.ForProcess(0).Open()}
 		x := newExchange(out)
 		json := headerFrame("application/json", "")
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"laburnumgw/lib/dispatch"
 	"laburnumgw/lib/drain"
+	"laburnumgw/lib/membudget"
 	"laburnumgw/lib/mtls"
 	"laburnumgw/lib/platform"
 	"laburnumgw/lib/retry"
@@ -24,6 +25,9 @@
 // readHeaderTimeout bounds how long a caller may take to send the headers.
 const readHeaderTimeout = 10 * time.Second
 
+// connBytes is what a connection of a caller takes at least.
+const connBytes = 12 << 10
+
 // Process is a running entry.
 type Process struct {
 	settings *Settings
@@ -43,8 +47,11 @@
 	}
 	d := newDispatcher(r, conns, metrics, log)
 	c := newControl(s, conns, store, r, d, metrics, log)
+	memory := membudget.ForProcess(s.MemoryMB)
+	metrics.set.NewGauge("laburnumgw_entry_memory_held_bytes", func() float64 { return float64(memory.Held()) })
+	metrics.set.NewGauge("laburnumgw_entry_memory_limit_bytes", func() float64 { return float64(memory.Limit()) })
 	return &Process{
-		settings: s, control: c, frontend: newFrontend(c, d, metrics, log),
+		settings: s, control: c, frontend: newFrontend(c, d, memory, metrics, log),
 		grpc: newGRPCServer(keys, c, r, log), conns: conns, log: log,
 	}, nil
 }
@@ -72,6 +79,7 @@
 		return fmt.Errorf("listen on --http-listen %s: %w", p.settings.HTTPListen, err)
 	}
 	httpServer := drain.New(&http.Server{Handler: p.frontend.handler(), ReadHeaderTimeout: readHeaderTimeout}, httpListener)
+	httpServer.BoundMemory(p.frontend.memory, connBytes)
 	serveErrors := make(chan error, 3)
 	go func() { serveErrors <- p.grpc.Serve(grpcListener) }()
 	go func() {
--- a/entry/hosted/buffer.go
+++ b/entry/hosted/buffer.go
@@ -10,11 +10,6 @@
 )
 
 const (
-	// memoryShare is the part of the memory limit of the process that all it holds for callers and workers may take.
-	// The rest is for the process itself, for garbage and for what the kernel has received.
-	memoryShare = 0.45
-	// defaultMemory is the bound without a memory limit.
-	defaultMemory = 64 << 20
 	// requestBytes and connBytes are what a request and a connection take at least: stacks, buffers and heads of
 	// the usual size.
 	requestBytes = 16 << 10
@@ -41,14 +36,6 @@
 	return err
 }
 
-// newMemory returns the bound on the memory that a process with a memory limit holds for others.
-func newMemory(memoryMB int64) *membudget.Budget {
-	if memoryMB <= 0 {
-		return membudget.New(defaultMemory)
-	}
-	return membudget.New(int64(memoryShare * float64(memoryMB<<20)))
-}
-
 // responseBuffers reads responses that are buffered until they are complete. A faulty worker may send bytes without end.
 type responseBuffers struct{}
 
--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"laburnumgw/lib/drain"
+	"laburnumgw/lib/membudget"
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/workerconn"
 	"laburnumgw/platform"
@@ -130,7 +131,7 @@
 			VersionApply: 8 * time.Second,
 		},
 	}
-	metrics, memory := newEntryMetrics(), newMemory(64)
+	metrics, memory := newEntryMetrics(), membudget.ForProcess(64)
 	d := &deployment{t: t, scripts: make(map[string]workerScript), refused: make(map[string]bool)}
 	v := newView(settings, metrics, zap.NewNop())
 	v.rng = rand.New(rand.NewPCG(1, xxhash.Sum64String(vm)))
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -17,6 +17,7 @@
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/dispatch"
 	"laburnumgw/lib/drain"
+	"laburnumgw/lib/membudget"
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/mirror/rpcmirror"
 	"laburnumgw/lib/reload"
@@ -101,7 +102,7 @@
 	metrics.set.NewGauge("laburnumgw_log_lines_dropped", func() float64 { return float64(bounded.Dropped()) })
 	v := newView(settings, metrics, log)
 	v.blockStore = store
-	memory := newMemory(settings.MemoryMB)
+	memory := membudget.ForProcess(settings.MemoryMB)
 	metrics.set.NewGauge("laburnumgw_entry_memory_held_bytes", func() float64 { return float64(memory.Held()) })
 	metrics.set.NewGauge("laburnumgw_entry_memory_limit_bytes", func() float64 { return float64(memory.Limit()) })
 	p := &Process{
--- a/entry/http.go
+++ b/entry/http.go
@@ -14,19 +14,22 @@
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/drain"
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/membudget"
 )
 
 // frontend serves callers over HTTP.
 type frontend struct {
 	control    *control
 	dispatcher *dispatcher
-	metrics    *entryMetrics
-	log        *zap.Logger
-	shutdown   *drain.Shutdown
+	// memory bounds what is held for callers.
+	memory   *membudget.Budget
+	metrics  *entryMetrics
+	log      *zap.Logger
+	shutdown *drain.Shutdown
 }
 
-func newFrontend(c *control, d *dispatcher, metrics *entryMetrics, log *zap.Logger) *frontend {
-	return &frontend{control: c, dispatcher: d, metrics: metrics, log: log, shutdown: drain.NewShutdown()}
+func newFrontend(c *control, d *dispatcher, memory *membudget.Budget, metrics *entryMetrics, log *zap.Logger) *frontend {
+	return &frontend{control: c, dispatcher: d, memory: memory, metrics: metrics, log: log, shutdown: drain.NewShutdown()}
 }
 
 // handler returns the HTTP handler with its middleware.
@@ -91,7 +94,10 @@
 	}
 	ctx, release := f.shutdown.Bound(r.Context())
 	defer release(nil)
+	held := f.memory.Open()
+	defer held.Close()
 	parsed, err := parseRequest(r, id, current.snapshot, started, func(head *request) error {
+		head.held = held
 		head.limits = f.shutdown.Limits(head.limits.Deadline)
 		return f.acceptBody(w, head)
 	})
@@ -106,7 +112,7 @@
 	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
 		f.log.Warn("read deadline not cleared", zap.String("request", id), zap.Error(err))
 	}
-	out := &httpResponder{w: w, id: id, limit: maxResponseBytes, started: started, metrics: f.metrics}
+	out := &httpResponder{w: w, id: id, limit: maxResponseBytes, started: started, metrics: f.metrics, held: held}
 	err = f.dispatcher.run(ctx, parsed, current.generation, out)
 	if err == nil {
 		return ""
@@ -145,6 +151,8 @@
 	limit   int
 	started time.Time
 	metrics *entryMetrics
+	// held is the memory that the request and its response take.
+	held *membudget.Account
 
 	headerSent    bool
 	streaming     bool
@@ -174,6 +182,7 @@
 	}
 	h.streaming = stream
 	h.currentHeader = header
+	h.held.Release(int64(cap(h.buffered)))
 	h.buffered = nil
 	return nil
 }
@@ -186,10 +195,28 @@
 	if len(h.buffered)+len(payload) > h.limit {
 		return errkind.New(errkind.TooLarge, "ask for a smaller response", "response exceeds %d bytes", h.limit)
 	}
+	if err := h.grow(len(h.buffered) + len(payload)); err != nil {
+		return err
+	}
 	h.buffered = append(h.buffered, payload...)
 	return nil
 }
 
+// grow makes room for a size. Both buffers are held until the old one is copied.
+func (h *httpResponder) grow(size int) error {
+	old := cap(h.buffered)
+	if size <= old {
+		return nil
+	}
+	size = max(size, min(2*old, h.limit))
+	if err := h.held.Reserve(int64(size), int64(size)); err != nil {
+		return errkind.Wrap(err, errkind.OutcomeUnknown, "repeat the request with the same Idempotency-Key", "no memory for the response")
+	}
+	h.buffered = append(make([]byte, 0, size), h.buffered...)
+	h.held.Release(int64(old))
+	return nil
+}
+
 func (h *httpResponder) relay(event []byte) error {
 	if !h.headerSent {
 		h.writeHeader()
--- a/entry/request.go
+++ b/entry/request.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"slices"
@@ -14,6 +13,7 @@
 
 	"laburnumgw/lib/config"
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/membudget"
 	"laburnumgw/lib/timelimit"
 )
 
@@ -24,6 +24,8 @@
 	defaultDeadline = 60 * time.Second
 	// maxDeadline bounds the deadline that a caller can set.
 	maxDeadline = 10 * time.Minute
+	// memoryRetryAfter is the time after which callers try again for whose body there was no memory.
+	memoryRetryAfter = 500 * time.Millisecond
 	// maxKeyBytes bounds an idempotency key.
 	maxKeyBytes = 255
 	// maxPriority bounds the absolute value of a priority.
@@ -45,16 +47,18 @@
 
 // request is a caller's request after validation.
 type request struct {
-	id             string
-	workspace      string
-	priority       int32
-	limits         timelimit.Limits
-	model          string
-	service        string
-	method         string
-	path           string
-	contentType    string
-	body           []byte
+	id          string
+	workspace   string
+	priority    int32
+	limits      timelimit.Limits
+	model       string
+	service     string
+	method      string
+	path        string
+	contentType string
+	body        []byte
+	// held is the memory that the request and its response take.
+	held           *membudget.Account
 	idempotent     bool
 	idempotencyKey string
 	shardCount     int
@@ -62,7 +66,7 @@
 }
 
 // parseRequest validates a caller's request against the configuration. acceptBody is called before the
-// body is read.
+// body is read, and sets the memory for it.
 func parseRequest(r *http.Request, id string, snapshot *config.Snapshot, now time.Time, acceptBody func(*request) error) (*request, error) {
 	parsed := &request{
 		id:             id,
@@ -81,7 +85,7 @@
 	if err := acceptBody(parsed); err != nil {
 		return nil, err
 	}
-	body, err := readBody(r)
+	body, err := readBody(r, parsed.held)
 	if err != nil {
 		return nil, err
 	}
@@ -124,8 +128,16 @@
 	return errkind.New(errkind.BadRequest, remedy, "header %s has the invalid value %q", name, value)
 }
 
-func readBody(r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
+func readBody(r *http.Request, held *membudget.Account) ([]byte, error) {
+	first := r.ContentLength
+	if first < 0 {
+		first = membudget.FirstBytes
+	}
+	body, _, err := held.ReadAll(http.MaxBytesReader(nil, r.Body, maxBodyBytes), first, maxBodyBytes)
+	var exceeded *membudget.ExceededError
+	if errors.As(err, &exceeded) {
+		return nil, errkind.Wrap(err, errkind.NotRun, "repeat the request on another entry", "memory of this entry is used up").WithRetryAfter(memoryRetryAfter)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, errkind.New(errkind.TooLarge, "send a smaller body", "body exceeds %d bytes", maxBodyBytes)
--- a/entry/request_test.go
+++ b/entry/request_test.go
@@ -12,6 +12,7 @@
 
 	"laburnumgw/lib/config"
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/membudget"
 )
 
 const testConfig = `
@@ -118,7 +119,7 @@
 // net/http drops the length, so the connection must not carry another request.
 func TestChunkedRequestEndsItsConnection(t *testing.T) {
 	Convey("The response to a chunked request has Connection: close", t, func() {
-		f := newFrontend(&control{}, nil, newEntryMetrics(), zap.NewNop())
+		f := newFrontend(&control{}, nil, membudget.ForProcess(0), newEntryMetrics(), zap.NewNop())
 		recorder := httptest.NewRecorder()
 		request := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", nil)
 		request.TransferEncoding = []string{"chunked"}
@@ -127,4 +128,7 @@
 	})
 }
 
-func acceptAny(*request) error { return nil }
+func acceptAny(head *request) error {
+	head.held = membudget.ForProcess(0).Open()
+	return nil
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -13,10 +13,17 @@
 	HTTPListen      string        `long:"http-listen" env:"LABURNUMGW_HTTP_LISTEN" description:"IP:port for callers"`
 	LeaveWait       time.Duration `long:"leave-wait" env:"LABURNUMGW_LEAVE_WAIT" default:"3s" description:"time in which a stopping entry still takes requests, so that the balancer can notice"`
 	StopTimeout     time.Duration `long:"stop-timeout" env:"LABURNUMGW_STOP_TIMEOUT" default:"10m" description:"longest time that a stopping entry waits for running requests"`
+	MemoryMB        int64         `long:"memory-mb" env:"LABURNUMGW_MEMORY_MB" default:"1024" description:"memory limit of the process in MB, of which requests and responses take 0.45 at most"`
 	RecentDecisions int           `long:"recent-decisions" env:"LABURNUMGW_RECENT_DECISIONS" default:"10000" description:"routing decisions kept for laburnumctl explain"`
 	DetailEvery     int           `long:"detail-every" env:"LABURNUMGW_DETAIL_EVERY" default:"100" description:"log the candidates of every n-th routing decision"`
 }
 
+// minMemoryMB leaves room for the largest response, and maxMemoryMB is 1 TB.
+const (
+	minMemoryMB = 64
+	maxMemoryMB = 1 << 20
+)
+
 // maxRecentDecisions keeps the memory for recent decisions at a few tens of megabytes.
 const maxRecentDecisions = 100_000
 
@@ -46,6 +53,9 @@
 	if s.StopTimeout < time.Second {
 		check.Addf("stop-timeout", "use at least 1s", "%s is out of range", s.StopTimeout)
 	}
+	if s.MemoryMB < minMemoryMB || s.MemoryMB > maxMemoryMB {
+		check.Addf("memory-mb", "use a number from 64 to 1048576", "%d is out of range", s.MemoryMB)
+	}
 	if s.RecentDecisions < 1 || s.RecentDecisions > maxRecentDecisions {
 		check.Addf("recent-decisions", "use a number from 1 to 100000", "%d is out of range", s.RecentDecisions)
 	}
--- a/entry/silence_test.go
+++ b/entry/silence_test.go
@@ -19,6 +19,7 @@
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/membership"
+	"laburnumgw/lib/membudget"
 	"laburnumgw/lib/rpc"
 )
 
@@ -217,7 +218,7 @@
 		e.t.Fatal(err)
 	}
 	recorder := httptest.NewRecorder()
-	out := &httpResponder{w: recorder, id: "r", limit: maxResponseBytes, started: sent, metrics: e.control.metrics}
+	out := &httpResponder{w: recorder, id: "r", limit: maxResponseBytes, started: sent, metrics: e.control.metrics, held: membudget.ForProcess(0).Open()}
 	timers := []*time.Timer{
 		time.AfterFunc(time.Second, func() { e.add("b") }),
 		time.AfterFunc(membership.DeadAfter, func() { e.control.memberChanged(membership.Event{Kind: membership.EndpointDead, VM: "a"}) }),
--- a/lib/membudget/membudget.go
+++ b/lib/membudget/membudget.go
@@ -20,6 +20,11 @@
 	largeBytes = 1 << 20
 	// reserveShare is the part of the limit that large holdings leave free.
 	reserveShare = 5
+	// processShare is the part of the memory limit of a process that all it holds for others may take. The rest is for the
+	// process itself, for garbage and for what the kernel has received.
+	processShare = 0.45
+	// defaultLimit is the bound of a process without a memory limit.
+	defaultLimit = 64 << 20
 	// runtimeShare is the part of the memory limit of a process up to which the Go runtime lets garbage accumulate.
 	// The rest is for what the runtime does not count, such as the program itself and the buffers of the kernel.
 	runtimeShare = 0.75
@@ -36,6 +41,14 @@
 // New returns a budget of limit bytes.
 func New(limit int64) *Budget { return &Budget{limit: limit, reserve: limit / reserveShare} }
 
+// ForProcess returns the budget of a process with a memory limit, zero for none.
+func ForProcess(memoryMB int64) *Budget {
+	if memoryMB <= 0 {
+		return New(defaultLimit)
+	}
+	return New(int64(processShare * float64(memoryMB<<20)))
+}
+
 // ExceededError refuses memory.
 type ExceededError struct {
 	// Size is the size that the holding would have, of which Needed bytes are new.
