--- a/lib/membudget/membudget_test.go
+++ b/lib/membudget/membudget_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"math"
+	"runtime/debug"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -83,3 +85,19 @@
 		}
 	})
 }
+
+// Guards against a runtime that does not know the memory limit of its process, and against one whose own setting is
+// overwritten.
+func TestRuntimeIsToldTheLimit(t *testing.T) {
+	before := debug.SetMemoryLimit(math.MaxInt64)
+	t.Cleanup(func() { debug.SetMemoryLimit(before) })
+	LimitRuntime(0)
+	if got := debug.SetMemoryLimit(-1); got != math.MaxInt64 {
+		t.Errorf("limit %d without one of the process", got)
+	}
+	LimitRuntime(284)
+	LimitRuntime(64)
+	if got := debug.SetMemoryLimit(-1); got != 213<<20 {
+		t.Errorf("limit %d for 284 MB", got)
+	}
+}
