Bound the heads that servers for probes and metrics take

What could be seen: the servers of the readiness probe and of the metrics, which are outside the bound on memory, kept up to 1 MB of each head (the default of net/http) on any number of connections. They take 16 KiB now.

--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -58,8 +58,6 @@
 	// maxOpenRetryDelay. The VMs that read the manifest for their region need about 100 ms.
 	initialOpenRetryDelay = 50 * time.Millisecond
 	maxOpenRetryDelay     = 300 * time.Millisecond
-	// readHeaderTimeout bounds how long a metrics client may take to send its request headers.
-	readHeaderTimeout = 5 * time.Second
 )
 
 // Process is a running endpoint process.
@@ -226,7 +224,8 @@
 
 func (p *Process) serveMetrics() error {
 	address := net.JoinHostPort(p.settings.IP, strconv.Itoa(telemetry.MetricsPort))
-	server := &http.Server{Addr: address, Handler: telemetry.Handler(p.metrics), ReadHeaderTimeout: readHeaderTimeout}
+	server := telemetry.NewServer(telemetry.Handler(p.metrics))
+	server.Addr = address
 	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve metrics on %s: %w", address, err)
 	}
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -199,11 +199,11 @@
 		return nil, fmt.Errorf("listen on %s: %w", p.settings.Frontend, err)
 	}
 	callers := p.serveCallers(listener, failed)
-	if err := serve(p.settings.Readiness, &http.Server{Handler: p.frontend.readiness(), ReadHeaderTimeout: readHeaderTimeout}); err != nil {
+	if err := serve(p.settings.Readiness, telemetry.NewServer(p.frontend.readiness())); err != nil {
 		return nil, err
 	}
 	metrics := net.JoinHostPort(p.settings.IP, strconv.Itoa(telemetry.MetricsPort))
-	if err := serve(metrics, &http.Server{Handler: telemetry.Handler(p.frontend.metrics.set), ReadHeaderTimeout: readHeaderTimeout}); err != nil {
+	if err := serve(metrics, telemetry.NewServer(telemetry.Handler(p.frontend.metrics.set))); err != nil {
 		return nil, err
 	}
 	internal, err := config.Listen(ctx, "tcp", p.internalAddress())
--- a/lib/telemetry/telemetry.go
+++ b/lib/telemetry/telemetry.go
@@ -43,15 +43,24 @@
 }
 
 // readHeaderTimeout bounds how long a client may take to send the headers of a request for
-// metrics.
-const readHeaderTimeout = 5 * time.Second
+// metrics, and maxHeaderBytes what the server keeps of them.
+const (
+	readHeaderTimeout = 5 * time.Second
+	maxHeaderBytes    = 16 << 10
+)
+
+// NewServer returns a server for probes and metrics, whose clients send short requests.
+func NewServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
 
 // Serve serves the metrics of a set at /metrics on an address. It blocks until the server
 // fails, and returns the error.
 func Serve(address string, set *metrics.Set) error {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", Handler(set))
-	server := &http.Server{Addr: address, Handler: mux, ReadHeaderTimeout: readHeaderTimeout}
+	server := NewServer(mux)
+	server.Addr = address
 	if err := server.ListenAndServe(); err != nil {
 		return fmt.Errorf("listen on --metrics-listen %s: %w", address, err)
 	}
