--- a/entry/hosted/unbounded_body_test.go
+++ b/entry/hosted/unbounded_body_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,14 +60,14 @@
 // the bound, and its memory is released.
 func TestBufferedResponsesAreBounded(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T, d *deployment) {
-		taken := 0
+		var taken atomic.Int64
 		d.worker("desk", "w1", 0, func(e *workerExchange) {
 			e.head(http.StatusOK, sealHeader, "seal")
-			taken += writeUntilClosed(e, strings.Repeat("junk ", 10000), 0)
+			taken.Add(int64(writeUntilClosed(e, strings.Repeat("junk ", 10000), 0)))
 		})
 		got := d.ask(t.Context(), http.MethodPost, "/book/x", "b", deadlineHeader, "2500")
-		if got.status != http.StatusBadGateway || taken > 2*maxBufferedBytes {
-			t.Errorf("response %+v, %d bytes taken", got, taken)
+		if got.status != http.StatusBadGateway || taken.Load() > 2*maxBufferedBytes {
+			t.Errorf("response %+v, %d bytes taken", got, taken.Load())
 		}
 		if used := d.held(); used != 0 {
 			t.Errorf("%d bytes still counted", used)
