--- a/cmd/laburnumgw/main.go
+++ b/cmd/laburnumgw/main.go
@@ -14,6 +14,7 @@
 
 	"laburnumgw/endpoint"
 	"laburnumgw/entry"
+	"laburnumgw/lib/membudget"
 	"laburnumgw/lib/mtls"
 	"laburnumgw/lib/settings"
 	"laburnumgw/platform"
@@ -39,6 +40,7 @@
 	if err := checkSettings(c.Validate(), &c.Process, mtls.RoleEntry); err != nil {
 		return err
 	}
+	membudget.LimitRuntime(c.MemoryMB)
 	process, err := initializeEntry(&c.Settings)
 	if err != nil {
 		return err
@@ -124,6 +126,7 @@
 	if err != nil {
 		return settingsError{err}
 	}
+	membudget.LimitRuntime(s.MemoryMB)
 	process, err := initialize(s, options)
 	if err != nil {
 		return err
--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"laburnumgw/lib/drain"
+	"laburnumgw/lib/membudget"
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/workerconn"
 	"laburnumgw/platform"
@@ -107,7 +108,7 @@
 
 // deployment is an entry with workers whose connections are pipes in memory.
 type deployment struct {
-	t     *testing.T
+	t     testing.TB
 	front *frontend
 	rev   int64
 
@@ -124,10 +125,10 @@
 	connecting time.Duration
 }
 
-func newDeployment(t *testing.T) *deployment { return newEntryDeployment(t, "front-1", "a") }
+func newDeployment(t testing.TB) *deployment { return newEntryDeployment(t, "front-1", "a") }
 
 // newEntryDeployment returns an entry with a name in a zone.
-func newEntryDeployment(t *testing.T, vm, zone string) *deployment {
+func newEntryDeployment(t testing.TB, vm, zone string) *deployment {
 	settings := &platform.Settings{
 		VM: vm, Zone: zone, Region: "r1", IP: "10.0.0.1", Zones: map[string]string{"a": "r1", "b": "r2"},
 		Bounds: platform.Bounds{
@@ -135,11 +136,12 @@
 			VersionApply: 8 * time.Second,
 		},
 	}
-	metrics := newEntryMetrics()
+	metrics, memory := newEntryMetrics(), membudget.ForProcess(64)
 	d := &deployment{t: t, scripts: make(map[string]workerScript), refused: make(map[string]bool)}
 	v := newView(settings, metrics, zap.NewNop())
 	v.rng = rand.New(rand.NewPCG(1, xxhash.Sum64String(vm)))
-	d.front = &frontend{view: v, conns: workerconn.NewPoolWith(d.dial), buffers: newResponseBuffers(64), metrics: metrics, log: zap.NewNop(), detail: zap.NewNop(), shutdown: drain.NewShutdown()}
+	d.front = &frontend{view: v, conns: workerconn.NewPoolWith(d.dial), buffers: &responseBuffers{}, memory: memory, connMemory: &connMemory{memory.Open(), metrics, zap.NewNop()}, metrics: metrics, log: zap.NewNop(), detail: zap.NewNop(), shutdown: drain.NewShutdown()}
+	d.front.conns.BoundMemory(d.front.connMemory, connBytes)
 	v.checks.connect = d.front.conns.Check
 	for _, kind := range []string{platform.KindEntries, platform.KindEvacuations, platform.KindBlockedParts} {
 		v.applyChanges(kind, nil)
@@ -152,6 +154,9 @@
 	return d
 }
 
+// held returns the memory that the entry holds for requests and their responses.
+func (d *deployment) held() int64 { return d.front.memory.Held() - d.front.connMemory.Held() }
+
 func (d *deployment) put(kind, name, value string) {
 	d.rev++
 	d.front.view.applyChanges(kind, []mirror.Change{{Object: mirror.Object{Name: name, Revision: d.rev, Value: json.RawMessage(value), Status: provenStatus(kind, value)}}})
--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -17,6 +17,7 @@
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/dispatch"
 	"laburnumgw/lib/drain"
+	"laburnumgw/lib/membudget"
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/mirror/rpcmirror"
 	"laburnumgw/lib/reload"
@@ -101,10 +102,14 @@
 	metrics.set.NewGauge("laburnumgw_log_lines_dropped", func() float64 { return float64(bounded.Dropped()) })
 	v := newView(settings, metrics, log)
 	v.blockStore = store
+	memory := membudget.ForProcess(settings.MemoryMB)
+	metrics.set.NewGauge("laburnumgw_entry_memory_held_bytes", func() float64 { return float64(memory.Held()) })
+	metrics.set.NewGauge("laburnumgw_entry_memory_limit_bytes", func() float64 { return float64(memory.Limit()) })
 	p := &Process{
 		settings: settings, view: v, store: store, conns: conns, log: log, restored: make(chan struct{}, 1),
-		frontend: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), buffers: newResponseBuffers(settings.MemoryMB), metrics: metrics, log: log, detail: log.Named(telemetry.DetailName), shutdown: drain.NewShutdown()},
+		frontend: &frontend{view: v, conns: workerconn.NewPool(connectTimeout, platform.KeepAlive()), buffers: &responseBuffers{}, memory: memory, connMemory: &connMemory{memory.Open(), metrics, log}, metrics: metrics, log: log, detail: log.Named(telemetry.DetailName), shutdown: drain.NewShutdown()},
 	}
+	p.frontend.conns.BoundMemory(p.frontend.connMemory, connBytes)
 	v.checks.connect = p.frontend.conns.Check
 	store.OnEra(func(era int64) { log.Info("store states an era", zap.Int64("era", era)) })
 	monitor, err := suspend.NewMonitor(p.handleSuspension)
@@ -194,11 +199,11 @@
 		return nil, fmt.Errorf("listen on %s: %w", p.settings.Frontend, err)
 	}
 	callers := p.serveCallers(listener, failed)
-	if err := serve(p.settings.Readiness, &http.Server{Handler: p.frontend.readiness(), ReadHeaderTimeout: readHeaderTimeout}); err != nil {
+	if err := serve(p.settings.Readiness, telemetry.NewServer(p.frontend.readiness())); err != nil {
 		return nil, err
 	}
 	metrics := net.JoinHostPort(p.settings.IP, strconv.Itoa(telemetry.MetricsPort))
-	if err := serve(metrics, &http.Server{Handler: telemetry.Handler(p.frontend.metrics.set), ReadHeaderTimeout: readHeaderTimeout}); err != nil {
+	if err := serve(metrics, telemetry.NewServer(telemetry.Handler(p.frontend.metrics.set))); err != nil {
 		return nil, err
 	}
 	internal, err := config.Listen(ctx, "tcp", p.internalAddress())
@@ -226,6 +231,7 @@
 		ConnContext: withCallerConn, ErrorLog: zap.NewStdLog(p.log),
 	}
 	callers := drain.New(server, listener)
+	callers.BoundMemory(p.frontend.connMemory, connBytes)
 	go func() {
 		if err := callers.Serve(); !errors.Is(err, http.ErrServerClosed) {
 			failed <- fmt.Errorf("serve on %s: %w", listener.Addr(), err)
--- a/soak/weights.go
+++ b/soak/weights.go
@@ -83,7 +83,7 @@
 	}
 	switch {
 	case c.Kind == hosted.CallRequest && m == w.faulty && draw < endlessRequests:
-		fault.Endless = hosted.EndlessHead + hosted.Endless(w.callRNG.IntN(2))
+		fault.Endless = hosted.EndlessInHead + hosted.Endless(w.callRNG.IntN(2))
 	case c.Kind == hosted.CallStage && draw < frozenStagings, c.Kind == hosted.CallOrder && draw < frozenOrders/2:
 		fault.Answered = freeze
 	case c.Kind == hosted.CallOrder && draw < frozenOrders:
--- a/standin/hosted/calls.go
+++ b/standin/hosted/calls.go
@@ -51,8 +51,8 @@
 // Parts of a response that have no end.
 const (
 	EndlessNone Endless = iota
-	EndlessHead
-	EndlessBody
+	EndlessInHead
+	EndlessInBody
 )
 
 // CallFault is how a call goes wrong. With the zero value it does not.
@@ -288,7 +288,7 @@
 	}
 	defer conn.Close()
 	head := "HTTP/1.1 200 OK\r\nX-Filler: "
-	if part == EndlessBody {
+	if part == EndlessInBody {
 		head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
 	}
 	if _, err := io.WriteString(conn, head); err != nil {
--- a/standin/hosted/staging.go
+++ b/standin/hosted/staging.go
@@ -55,7 +55,7 @@
 		case happens(f.Repeated):
 			fault.Repeat = RepeatAtOnce + Repeat(rng.IntN(2))
 		case happens(f.Endless):
-			fault.Endless = EndlessHead + Endless(rng.IntN(2))
+			fault.Endless = EndlessInHead + Endless(rng.IntN(2))
 		}
 		return fault
 	}
--- a/standin/hosted/staging_test.go
+++ b/standin/hosted/staging_test.go
@@ -25,7 +25,7 @@
 		for kind, is := range map[string]bool{
 			"spoilt": fault.SpoiltAfter > 0, "late": fault.Late > 0, "lost": fault.Lost, "silent": fault.Silent > 0,
 			"repeated": fault.Repeat == RepeatAtOnce, "repeated later": fault.Repeat == RepeatAtNextCall,
-			"endless head": fault.Endless == EndlessHead, "endless body": fault.Endless == EndlessBody,
+			"endless head": fault.Endless == EndlessInHead, "endless body": fault.Endless == EndlessInBody,
 		} {
 			if is && fault.Empty() {
 				t.Fatalf("no fault: %+v", fault)
--- a/standin/hosted/weights_test.go
+++ b/standin/hosted/weights_test.go
@@ -240,10 +240,10 @@
 		}
 	})
 	t.Run("without end", func(t *testing.T) {
-		for _, part := range []Endless{EndlessHead, EndlessBody} {
+		for _, part := range []Endless{EndlessInHead, EndlessInBody} {
 			_, client, url := start(t, func(Call) CallFault { return CallFault{Endless: part} })
 			response, err := client.Get(url + "/-/report")
-			if part == EndlessHead {
+			if part == EndlessInHead {
 				if err == nil {
 					t.Error("a head without end has ended")
 				}
