Take a response to HEAD as complete with its head

A response to HEAD without a length was treated as one that ends with its connection: its worker was asked who it is, and the response, which has no body, was lost if the worker had gone meanwhile: 502, or a repeat.

Cause: EndMarked looked at the length and the chunks alone. A response to HEAD has no body, so that nothing of it can be missing, and its connection can be used again.

--- a/entry/hosted/unmarked_end_test.go
+++ b/entry/hosted/unmarked_end_test.go
@@ -230,6 +230,13 @@
 	}
 }
 
+// asked returns the number of questions that workers have received who they are.
+func (d *deployment) asked() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.questions
+}
+
 // endsDecided returns the number of ends that are counted with a decision.
 func (d *deployment) endsDecided(decision endDecision) (count uint64) {
 	for _, listing := range []string{"listed", "leaving", "unlisted"} {
@@ -267,8 +274,8 @@
 			e.identity("w1", 1)
 		}
 		checkEndAt(t, s, endRoute{"/view/x", "desk", 0, nil, "half", "done", http.StatusOK, false, endRepeated}, endState{identify: lost, isShown: true})
-		if s.questions != 3 || s.front.metrics.identityQuestions.Get() != 3 {
-			t.Errorf("%d questions arrived", s.questions)
+		if s.asked() != 3 || s.front.metrics.identityQuestions.Get() != 3 {
+			t.Errorf("%d questions arrived", s.asked())
 		}
 	})
 }
@@ -299,3 +306,23 @@
 		})
 	}
 }
+
+// Guards against a whole response to HEAD that is lost because its worker has left: it has no body whose end could be
+// missing.
+func TestResponseToHeadEndsWithItsHead(t *testing.T) {
+	withCallers(t, func(t *testing.T, s *callerServer) {
+		s.worker("desk", "w1", 0, func(e *workerExchange) {
+			s.mu.Lock()
+			s.refused["w1"] = true
+			s.mu.Unlock()
+			e.head(http.StatusOK, sealHeader, "seal")
+			e.Close()
+		})
+		conn := s.connect()
+		conn.send(requestText(http.MethodHead, "/book/x", "", deadlineHeader, "2500"))
+		response, err := http.ReadResponse(conn.reader, &http.Request{Method: http.MethodHead})
+		if err != nil || response.StatusCode != http.StatusOK || s.asked() != 0 {
+			t.Errorf("response %+v, %v, %d questions", response, err, s.asked())
+		}
+	})
+}
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -505,10 +505,10 @@
 	r.Finish(keepAlive)
 }
 
-// EndMarked reports whether a length or a transfer encoding marks the end of the body,
-// so that another response may follow on the connection.
+// EndMarked reports whether a length or a transfer encoding marks the end of the body, or
+// there is none, so that another response may follow on the connection.
 func (r *Response) EndMarked() bool {
-	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.Request.Method == http.MethodHead
 }
 
 // Abort ends a response and closes its connection, so that the worker stops processing
