Take a response of a killed engine or service for incomplete at the endpoint process

What callers of the product saw: the part of a response without length and chunks that its service had written before it was killed, with status 200 and as complete, so that its outcome was recorded as such under its idempotency key.

The system closes the connections of a killed process in an orderly way, and net/http takes that for the end of the body.

The endpoint process now opens a connection to the same address after such an end. It runs on the same machine, which refuses the connection, or resets it, once the process has ended; one that stays open for 50 ms shows a process that goes on. Anything else is an unknown outcome. Responses with a length, chunks, compression by the transport, and event streams, which end with an event of their own, are not affected.

TestResponseOfAnEndpointThatIsKilledIsNotComplete failed before in four of six cases (complete, half of the body).

--- a/endpoint/backend.go
+++ b/endpoint/backend.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -35,6 +36,9 @@
 	// backendRetryAfter is how long a caller should wait before a retry after the endpoint
 	// failed.
 	backendRetryAfter = time.Second
+	// aliveCheck is how long a connection to the endpoint must stay open after a response that has ended with its
+	// connection.
+	aliveCheck = 50 * time.Millisecond
 )
 
 // call is one attempt of a request in the form in which it is sent to the endpoint.
@@ -92,6 +96,7 @@
 // backend sends requests to the endpoint on this VM.
 type backend struct {
 	base string
+	dial dial.Func
 	http *http.Client
 }
 
@@ -99,18 +104,21 @@
 // net/http repeats a request with an Idempotency-Key on its own when a reused
 // connection breaks, which could run a non-idempotent request twice.
 func newBackend(base string) *backend {
-	// A response without length and chunks is complete at the end of its connection, unless that is a reset.
-	connect := dial.ReportingResets(new(net.Dialer).DialContext)
-	transport := &http.Transport{DialContext: connect, DisableKeepAlives: true, MaxResponseHeaderBytes: 64 << 10}
+	// A response without length and chunks that is reset is not complete.
+	dialer := new(net.Dialer).DialContext
+	transport := &http.Transport{DialContext: dial.ReportingResets(dialer), DisableKeepAlives: true, MaxResponseHeaderBytes: 64 << 10}
 	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &backend{base: base, http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
+	return &backend{base: base, dial: dialer, http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
 }
 
 // run sends one call and relays the response. It reports NOT_RUN only when no
 // connection to the endpoint was established.
 func (b *backend) run(ctx context.Context, c call, out sink) result {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connected atomic.Pointer[string]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		address := info.Conn.RemoteAddr().String()
+		connected.Store(&address)
+	}}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), c.method, b.base+c.path, bytes.NewReader(c.body))
 	if err != nil {
 		return notRunResult(errkind.Wrap(err, errkind.NotRun, "check the request's path", "request cannot be built"))
@@ -118,7 +126,7 @@
 	setHeaders(request, c)
 	response, err := b.http.Do(request)
 	if err != nil {
-		if !connected.Load() {
+		if connected.Load() == nil {
 			return notRunResult(errkind.Wrap(err, errkind.NotRun, "retry on another endpoint", "endpoint refused the connection").
 				WithRetryAfter(backendRetryAfter))
 		}
@@ -131,7 +139,31 @@
 	if c.engine && response.StatusCode != http.StatusOK {
 		return engineFailure(response)
 	}
-	return relay(response, c, out)
+	return b.relay(ctx, response, *connected.Load(), c, out)
+}
+
+// endsWithConnection reports whether only the end of its connection ends a response.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed && response.Request.Method != http.MethodHead
+}
+
+// checkAlive returns an error unless the endpoint accepts a connection and keeps it open. The system closes the
+// connections of a process that was killed in an orderly way, and resets those that it had not accepted.
+func (b *backend) checkAlive(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, backendRetryAfter)
+	defer cancel()
+	conn, err := b.dial(ctx, "tcp", address)
+	if err != nil {
+		return err //nolint:wrapcheck // the error names the address
+	}
+	defer conn.Close()
+	if err := conn.SetReadDeadline(time.Now().Add(aliveCheck)); err != nil {
+		return fmt.Errorf("bound the check: %w", err)
+	}
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return fmt.Errorf("connection does not stay open: %w", err)
+	}
+	return ctx.Err() //nolint:wrapcheck // the cause is the end of the request
 }
 
 func setHeaders(request *http.Request, c call) {
@@ -185,7 +217,7 @@
 	}
 }
 
-func relay(response *http.Response, c call, out sink) result {
+func (b *backend) relay(ctx context.Context, response *http.Response, address string, c call, out sink) result {
 	contentType := response.Header.Get("Content-Type")
 	if strings.HasPrefix(contentType, "text/event-stream") {
 		return relayEvents(response, c, out)
@@ -194,6 +226,11 @@
 	if err != nil {
 		return unknownResult("response of the endpoint ended early: %v", err)
 	}
+	if endsWithConnection(response) {
+		if err := b.checkAlive(ctx, address); err != nil {
+			return unknownResult("response of the endpoint ended with its connection, and the endpoint does not run: %v", err)
+		}
+	}
 	if err := checkFingerprint(body, c.fingerprint); err != nil {
 		return wrongWeights(err)
 	}
--- a/endpoint/truncated_test.go
+++ b/endpoint/truncated_test.go
@@ -127,3 +127,53 @@
 		t.Errorf("%d of 200 responses that were cut are complete", complete)
 	}
 }
+
+// Guards against the part of a response without length and chunks that is taken as complete although the endpoint was killed
+// while it wrote it: the system closes the connections of a process that has ended as if the response were whole.
+func TestResponseOfAnEndpointThatIsKilledIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		// kill ends the endpoint and its connection.
+		kill    func(listener net.Listener, conn net.Conn)
+		outcome laburnumgwv1.Outcome
+	}{
+		"lives": {func(_ net.Listener, conn net.Conn) { conn.Close() }, laburnumgwv1.Outcome_OUTCOME_COMPLETE},
+		"is killed": {func(listener net.Listener, conn net.Conn) {
+			listener.Close()
+			conn.Close()
+		}, laburnumgwv1.Outcome_OUTCOME_UNKNOWN},
+		"is killed, its listener ends last": {func(listener net.Listener, conn net.Conn) {
+			conn.Close()
+			next, err := listener.Accept()
+			if err == nil {
+				resetAtTheEnd(next.(*net.TCPConn))
+				next.Close()
+			}
+			listener.Close()
+		}, laburnumgwv1.Outcome_OUTCOME_UNKNOWN},
+	} {
+		for _, method := range []string{http.MethodPost, http.MethodGet} {
+			t.Run(name+", "+method, func(t *testing.T) {
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer listener.Close()
+				go func() {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+						fmt.Fprint(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+					}
+					c.kill(listener, conn)
+				}()
+				var out bufferedResponse
+				got := newBackend("http://"+listener.Addr().String()).run(context.Background(), call{requestID: "1", method: method, path: "/"}, &out)
+				if got.outcome != c.outcome || (out.status != 0) != (c.outcome == laburnumgwv1.Outcome_OUTCOME_COMPLETE) {
+					t.Errorf("%v, status %d, body %q: %s", got.outcome, out.status, out.body, got.message)
+				}
+			})
+		}
+	}
+}
