Ask a silent worker after the end of a response for as long as silence ends nothing

What callers saw: a plain request that may be repeated ran at two sound workers, because the first one fell silent for a second just after it had answered without length and chunks.

Cause: the question who the worker is was given up after 0.4 s on such routes, whether it failed or was not answered yet. A sound worker may be silent for a second or so, so that nothing else is repeated before the patience with silence.

Silence and failed questions now have bounds of their own: silencePatience, and 0.4 s as before. A request that must not be repeated is asked for until it is over. The pause between failed questions is doubled each time, so that such a request asks a handful of times.

TestSilenceAfterTheEndOfAResponseIsOutlasted failed before for the safe route.

--- a/entry/hosted/identity.go
+++ b/entry/hosted/identity.go
@@ -19,7 +19,7 @@
 	// identityTimeout bounds the first question to a worker who it is. Each further one may take twice as long: the
 	// first packet of a connection may be lost, and a plain worker that is busy answers late.
 	identityTimeout = 200 * time.Millisecond
-	// identityPause separates a question that failed at once from the next one.
+	// identityPause separates the first question that failed from the next one, and is doubled with the timeout.
 	identityPause = 50 * time.Millisecond
 )
 
@@ -41,13 +41,18 @@
 }
 
 // answers returns nil once a start of a worker has answered a question that was sent after the call, which shows that its process
-// runs. It asks until the patience is over, unless it is known before that the start has ended.
-func (f *frontend) answers(ctx context.Context, w workerStart, patience time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, patience)
+// runs. It asks for as long as silence while nothing answers, and as failure while questions fail otherwise, unless it is
+// known before that the start has ended.
+func (f *frontend) answers(ctx context.Context, w workerStart, silence, failure time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, silence)
 	defer cancel()
-	for timeout := identityTimeout; ; timeout *= 2 {
+	since := time.Now()
+	for timeout, pause := identityTimeout, identityPause; ; timeout, pause = 2*timeout, 2*pause {
 		err := f.ask(ctx, w, timeout)
-		if err == nil || errors.Is(err, errRefusesConnections) || errors.Is(err, errAnotherStart) || !dispatch.Sleep(ctx, identityPause) {
+		switch {
+		case err == nil, errors.Is(err, errRefusesConnections), errors.Is(err, errAnotherStart):
+			return err
+		case !errors.Is(err, context.DeadlineExceeded) && time.Since(since) >= failure, !dispatch.Sleep(ctx, pause):
 			return err
 		}
 	}
@@ -70,6 +75,9 @@
 	}
 	defer response.Abort()
 	body, err := io.ReadAll(io.LimitReader(response.Body, platform.MaxIdentityBytes))
+	if ctx.Err() != nil {
+		err = ctx.Err()
+	}
 	if err != nil {
 		return fmt.Errorf("read who the worker is: %w", err)
 	}
--- a/entry/hosted/unmarked_end.go
+++ b/entry/hosted/unmarked_end.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"laburnumgw/lib/catalog"
 )
 
 // errUnmarkedEnd marks a response that ended with its connection while nothing shows that it is complete.
@@ -78,7 +76,8 @@
 	if a.engine == nil {
 		start.healthPath = a.view.healthPath(a.service)
 	}
-	err := a.answers(a.ctx, start, a.endPatience())
+	silence, failure := a.endPatience()
+	err := a.answers(a.ctx, start, silence, failure)
 	switch {
 	case a.ctx.Err() != nil:
 		// The worker may have stopped at the end of the request.
@@ -99,17 +98,15 @@
 	return fmt.Errorf("%w: %w", errUnmarkedEnd, err)
 }
 
-// endPatience returns how long a worker that is silent is asked after the end of a response. The patience with a stream is
-// that between its events, a response that must not be repeated is lost without an answer, and any other is
-// repeated soon.
-func (a *attempt) endPatience() time.Duration {
-	switch {
-	case !a.route.Repeatable():
-		return a.limits.Left(time.Now())
-	case a.route.Kind == catalog.Stream:
-		return silencePatience(a.route)
+// endPatience returns how long a worker is asked after the end of a response while it is silent, and while questions
+// fail otherwise. A response that must not be repeated is lost without an answer.
+func (a *attempt) endPatience() (silence, failure time.Duration) {
+	if !a.route.Repeatable() {
+		// The request is over before.
+		left := a.limits.Left(time.Now()) + crashWait
+		return left, left
 	}
-	return crashWait
+	return silencePatience(a.route), crashWait
 }
 
 // healthPath returns the path of the health check of a service.
--- a/entry/hosted/unmarked_end_test.go
+++ b/entry/hosted/unmarked_end_test.go
@@ -95,6 +95,8 @@
 	identify workerScript
 	// silence is how long the worker sends nothing after the response.
 	silence time.Duration
+	// isUnclear is set when the answers do not tell whether it is the same worker.
+	isUnclear bool
 	// isShown is set when the response is complete.
 	isShown bool
 }
@@ -138,9 +140,9 @@
 		"is back, an old answer":           {listing: isBack},
 		"is another one":                   {identify: named},
 		"is silent":                        {silence: time.Minute},
-		"closes the connection":            {identify: closes},
-		"breaks its answer off":            {identify: resets},
-		"does not tell its name":           {identify: nameless},
+		"closes the connection":            {identify: closes, isUnclear: true},
+		"breaks its answer off":            {identify: resets, isUnclear: true},
+		"does not tell its name":           {identify: nameless, isUnclear: true},
 	}
 }
 
@@ -214,11 +216,11 @@
 			wantBody, arrivals = route.other, 2
 		}
 	}
-	if wantStatus == http.StatusBadGateway {
+	if !state.isShown && state.isAskedOn(route) {
+		wantStatus, arrivals, decision = http.StatusGatewayTimeout, 1, endBrokenOff
+	}
+	if wantStatus != http.StatusOK {
 		wantBody = got.body
-		if got.status == http.StatusGatewayTimeout { // its worker was asked until the request was over
-			wantStatus = got.status
-		}
 	}
 	if got.status != wantStatus || got.body != wantBody || got.cut != wantCut || len(s.arrived()) != arrivals {
 		t.Errorf("response %+v, %d arrivals", got, len(s.arrived()))
@@ -237,6 +239,12 @@
 	return d.questions
 }
 
+// isAskedOn reports whether a worker is asked until the timeout of a route: it is shorter than the patience with silence, and a request
+// that must not be repeated has no other bound.
+func (s endState) isAskedOn(route endRoute) bool {
+	return route.service == "desk" && (s.silence > 0 || (s.isUnclear && route.decision == endBrokenOff))
+}
+
 // endsDecided returns the number of ends that are counted with a decision.
 func (d *deployment) endsDecided(decision endDecision) (count uint64) {
 	for _, listing := range []string{"listed", "leaving", "unlisted"} {
@@ -251,6 +259,7 @@
 	for name, route := range map[string]endRoute{
 		"resumable":     {target: "/chat/x", service: "llm", version: 1, whole: events(1, 2)},
 		"not resumable": {target: "/chat/x", service: "llm", version: 1, config: []string{`"resumable":true`, `"resumable":false`}, whole: events(1, 2)},
+		"safe":          {target: "/view/x", service: "desk", whole: "half"},
 		"unsafe":        {target: "/book/x", service: "desk", whole: "half"},
 	} {
 		t.Run(name, func(t *testing.T) {
