--- a/entry/hosted/unmarked_end_test.go
+++ b/entry/hosted/unmarked_end_test.go
@@ -321,10 +321,10 @@
 func TestResponseToHeadEndsWithItsHead(t *testing.T) {
 	withCallers(t, func(t *testing.T, s *callerServer) {
 		s.worker("desk", "w1", 0, func(e *workerExchange) {
-			e.head(http.StatusOK, sealHeader, "seal")
 			s.mu.Lock()
 			s.refused["w1"] = true
 			s.mu.Unlock()
+			e.head(http.StatusOK, sealHeader, "seal")
 			e.Close()
 		})
 		conn := s.connect()
