Order no load that could not be proven, and none while requests wait at the worker

A load that could not be proven, as the worker may still execute a staging of the same chunk, took the worker out and was repeated.

A request that waits at a worker when the order arrives may begin on weights that are not proven yet, since workers compare the named weights when it arrives. The order waits for the queue, which gets no more requests from entries that are told, for 1 s at most: TestOrderWaitsForTheQueueOfTheWorker fails without the wait.

--- a/endpoint/hosted/loads.go
+++ b/endpoint/hosted/loads.go
@@ -23,6 +23,8 @@
 	// processes write at the same time after a new version or an outage.
 	minPublishPause = 300 * time.Millisecond
 	maxPublishPause = 1200 * time.Millisecond
+	// maxQueueWait bounds how long an order waits for requests that have not begun at the worker.
+	maxQueueWait = time.Second
 	// proofNotices is how often all entries are told what is known about weights, since datagrams may be lost.
 	proofNotices = 2
 	// republishPause is how long a written status may take to be listed before it counts as lost.
@@ -145,6 +147,19 @@
 	}
 }
 
+// awaitsQueue reports whether requests wait at the worker that would begin on weights which are not proven yet. Entries send
+// none while they are told of the order; what does not begin within maxQueueWait is not waited for.
+func (p *Process) awaitsQueue() bool {
+	if p.report.Queued == 0 {
+		p.queuedSince = time.Time{}
+		return false
+	}
+	if p.queuedSince.IsZero() {
+		p.queuedSince = time.Now()
+	}
+	return time.Since(p.queuedSince) < maxQueueWait
+}
+
 // delayReload sets when the worker may be ordered again to load weights that are not proven: at once the first time, and later
 // with each further one in succession.
 func (p *Process) delayReload() {
@@ -164,10 +179,14 @@
 	if _, isUnproven := p.provenWeights(); isUnproven && time.Now().Before(p.reloadDue) {
 		return
 	}
-	if err := p.stager.stage(ctx, t.version, model.ChunksOf(p.stager.ledger.Missing(number, layers))); err != nil {
+	chunks := model.ChunksOf(p.stager.ledger.Missing(number, layers))
+	if err := p.stager.stage(ctx, t.version, chunks); err != nil {
 		p.log.Warn("weights cannot be staged at the worker", zap.Int("version", number), zap.Error(err))
 		return
 	}
+	if !p.stager.provable(chunks, number) {
+		return
+	}
 	p.switching = true
 	p.orderedVersion = number
 	startedAtMs := p.report.StartedAtMs
@@ -176,6 +195,9 @@
 		p.switching = false
 		return
 	}
+	if p.awaitsQueue() {
+		return
+	}
 	stagedIn := staging.Elapsed()
 	result, err := p.stager.order(ctx, t.version, model, layers)
 	p.orders.Inc()
--- a/endpoint/hosted/loads_test.go
+++ b/endpoint/hosted/loads_test.go
@@ -5,7 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -358,3 +361,50 @@
 		})
 	}
 }
+
+// queueingWorker states in its reports that requests wait at the worker.
+type queueingWorker struct {
+	worker http.Handler
+	queued atomic.Int32
+}
+
+func (q *queueingWorker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !strings.HasSuffix(r.URL.Path, "report") {
+		q.worker.ServeHTTP(w, r)
+		return
+	}
+	recorder := httptest.NewRecorder()
+	q.worker.ServeHTTP(recorder, r)
+	fmt.Fprint(w, strings.Replace(recorder.Body.String(), `"queued_requests":0`, fmt.Sprintf(`"queued_requests":%d`, q.queued.Load()), 1))
+}
+
+// Guards against requests that wait at a worker and begin on weights that are not proven yet, as the worker was ordered to load
+// them meanwhile; and against a load that never comes, because some request always waits.
+func TestOrderWaitsForTheQueueOfTheWorker(t *testing.T) {
+	for name, isEmptied := range map[string]bool{"that empties": true, "that does not": false} {
+		t.Run(name, func(t *testing.T) {
+			s := newLoadSite(t)
+			queue := &queueingWorker{worker: s.worker}
+			server := httptest.NewServer(queue)
+			t.Cleanup(server.Close)
+			s.view.settings.Worker = strings.TrimPrefix(server.URL, "http://")
+			s.startProcess()
+			s.open(2)
+			queue.queued.Store(3)
+			at := time.Now()
+			for !s.process.switching {
+				s.step()
+			}
+			if orders := s.orders.Load(); orders != 0 {
+				t.Fatalf("%d orders while requests wait", orders)
+			}
+			if isEmptied {
+				queue.queued.Store(0)
+			}
+			s.until(2)
+			if waited := time.Since(at); isEmptied == (waited >= maxQueueWait) {
+				t.Errorf("loaded after %s", waited)
+			}
+		})
+	}
+}
--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -100,7 +100,9 @@
 	// proofNotices is how often all entries are still to be told.
 	proofNotices int
 	// reloadDue is when the worker may be ordered again to load layers that it did not begin to load.
-	reloadDue   time.Time
+	reloadDue time.Time
+	// queuedSince is since when an order waits for requests that have not begun at the worker.
+	queuedSince time.Time
 	reloadPause time.Duration
 	// pollLoopStarted is when pollLoop started.
 	pollLoopStarted time.Time
--- a/endpoint/hosted/staging.go
+++ b/endpoint/hosted/staging.go
@@ -46,7 +46,9 @@
 	ordered map[int]*weights.Manifest
 	// late is the number of connections on which the worker has not executed all writes yet, as far as is known, and
 	// executed delivers the writes on each, or none if that will not become known.
-	late     int
+	late int
+	// awaiting is set while a load is put off for such writes.
+	awaiting bool
 	executed chan []loadproof.WriteID
 }
 
@@ -177,6 +179,17 @@
 	}
 }
 
+// provable reports whether a load of chunks of a version could be proven now. It is logged when it could not.
+func (s *stager) provable(chunks loadproof.Range, version int) bool {
+	s.collectExecuted()
+	provable := s.ledger.Provable(chunks, version)
+	if !provable && !s.awaiting {
+		s.log.Warn("load is put off, as the worker may still execute stagings that it has not answered", zap.Int("version", version))
+	}
+	s.awaiting = !provable
+	return provable
+}
+
 // order orders the worker to load layers of a staged version.
 func (s *stager) order(ctx context.Context, v *version, model loadproof.Model, layers loadproof.Range) (platform.OrderResult, error) {
 	s.collectExecuted()
--- a/lib/loadproof/loadproof.go
+++ b/lib/loadproof/loadproof.go
@@ -415,21 +415,39 @@
 	return missing
 }
 
+// Provable reports whether a load of chunks that are whole could be proven now: it could not while a write that the worker
+// may still execute could hide what it takes.
+func (l *Ledger) Provable(chunks Range, version int) bool {
+	for i := chunks.From; i < chunks.To; i++ {
+		known := l.evidenceOf(i, version)
+		known.checked, known.check.at = true, 0
+		if !l.proves(&load{}, known) {
+			return false
+		}
+	}
+	return true
+}
+
+// evidenceOf returns what is known about a chunk now.
+func (l *Ledger) evidenceOf(chunk, version int) evidence {
+	checked, ok := l.checks[chunk]
+	known := evidence{checked: ok && checked.version == version, check: checked}
+	for _, w := range l.writes {
+		known.rewritten = known.rewritten || w.chunk == chunk && w.version == version
+	}
+	if known.checked {
+		known.check.replaceable = known.check.replaceable || l.replaceable(chunk, version, checked.at)
+	}
+	return known
+}
+
 // BeginOrder returns an order to load layers of a version, and records that it is about to be sent.
 func (l *Ledger) BeginOrder(m Model, version int, layers Range) Order {
 	order := Order{Model: m, Version: version, Layers: layers, Sequence: l.sequence}
 	a := attempt{order: order, chunks: make(map[int]evidence), anchored: l.anchored}
 	chunks := order.Model.ChunksOf(order.Layers)
 	for i := chunks.From; i < chunks.To; i++ {
-		checked, ok := l.checks[i]
-		known := evidence{checked: ok && checked.version == order.Version, check: checked}
-		for _, w := range l.writes {
-			known.rewritten = known.rewritten || w.chunk == i && w.version == order.Version
-		}
-		if known.checked {
-			known.check.replaceable = known.check.replaceable || l.replaceable(i, order.Version, checked.at)
-		}
-		a.chunks[i] = known
+		a.chunks[i] = l.evidenceOf(i, order.Version)
 	}
 	l.attempts = append(l.attempts, a)
 	return order
