explain: load and proof of the weights of the workers that a request was sent to

The record of the incident named a worker and a request, and nothing led from there to the load: the lines of the process beside the worker do not name it. They name its start now, as the line does by which an entry learns of the proof.

--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -87,7 +87,7 @@
 		return err
 	}
 	table := Table{Header: []string{"TIME", "NODE", "EVENT", "DETAILS"}, Summary: "cause: " + timeline.Cause}
-	for _, step := range timeline.Steps {
+	for _, step := range slices.Concat(timeline.Loads, timeline.Steps) {
 		table.Rows = append(table.Rows, []string{step.Time.Format("15:04:05.000"), step.Node, step.Message, step.Details()})
 	}
 	return c.session.Output().Print(timeline, table)
--- a/endpoint/hosted/loads.go
+++ b/endpoint/hosted/loads.go
@@ -139,11 +139,11 @@
 		p.proofNotices = proofNotices
 		p.unprovenLoads.Inc()
 		p.log.Warn("weights of the worker are not proven to be whole; they are offered to no caller",
-			zap.Int("version", p.report.Weights.Version), zap.Int("sequence", p.report.Sequence))
+			zap.Int64("born", p.report.StartedAtMs), zap.Int("version", p.report.Weights.Version), zap.Int("sequence", p.report.Sequence))
 	case proven.Version > 0:
 		p.proofNotices, p.reloadPause = proofNotices, 0
 		p.provenLoads.Inc()
-		p.log.Info("weights of the worker are whole", zap.Int("version", proven.Version), zap.Int("sequence", p.report.Sequence))
+		p.log.Info("weights of the worker are whole", zap.Int64("born", proven.StartedAtMs), zap.Int("version", proven.Version), zap.Int("sequence", p.report.Sequence))
 	}
 }
 
@@ -201,7 +201,7 @@
 	stagedIn := staging.Elapsed()
 	result, err := p.stager.order(ctx, t.version, model, layers)
 	p.orders.Inc()
-	p.log.Info("worker ordered to load", zap.Int("version", number), zap.Int("layers_from", layers.From), zap.Int("layers_to", layers.To),
+	p.log.Info("worker ordered to load", zap.Int64("born", p.report.StartedAtMs), zap.Int("version", number), zap.Int("layers_from", layers.From), zap.Int("layers_to", layers.To),
 		zap.Int("sequence", p.report.Sequence), zap.Stringer("result", result), zap.Duration("staged_in", stagedIn),
 		zap.Duration("oldest_piece", staging.Elapsed()), zap.Duration("suspended", staging.Suspended()),
 		zap.Duration("since_named", time.Since(p.view.namedTime(t.namedVersion))), zap.Error(err))
--- a/lib/explain/explain.go
+++ b/lib/explain/explain.go
@@ -26,6 +26,8 @@
 type Timeline struct {
 	Request string `json:"request"`
 	Steps   []Step `json:"steps"`
+	// Loads holds, for the workers that were chosen, the lines about the load of the weights that they had then.
+	Loads []Step `json:"loads,omitempty"`
 	// Cause states why the request ended, in one line.
 	Cause string `json:"cause"`
 }
@@ -34,9 +36,13 @@
 // of the readers.
 func Read(request string, readers ...io.Reader) (Timeline, error) {
 	timeline := Timeline{Request: request}
+	var loads []Step
 	for _, reader := range readers {
 		err := logline.Read(reader, func(line logline.Line) {
 			if line.Fields["request"] != request {
+				if loadMessages[line.Message] {
+					loads = append(loads, Step{line.Time, line.Node, line.Message, line.Fields})
+				}
 				return
 			}
 			delete(line.Fields, "request")
@@ -47,10 +53,51 @@
 		}
 	}
 	slices.SortStableFunc(timeline.Steps, func(a, b Step) int { return a.Time.Compare(b.Time) })
+	slices.SortStableFunc(loads, func(a, b Step) int { return a.Time.Compare(b.Time) })
+	timeline.Loads = loadsOf(timeline.Steps, loads)
 	timeline.Cause = cause(timeline.Steps)
 	return timeline, nil
 }
 
+// proofMessage is the line of an entry that has learnt that weights of a worker are whole. It names the start of the worker.
+const proofMessage = "weights are known to be whole"
+
+// loadMessages are the messages about the loads of workers. Those of the process beside a worker name its start.
+var loadMessages = map[string]bool{
+	proofMessage: true, "weights are not known to be whole": true, "worker ordered to load": true, "chunk is not whole after its load": true,
+	"weights of the worker are whole": true, "weights of the worker are not proven to be whole": true,
+}
+
+// loadsOf returns the last line of each kind about the weights of each chosen worker, up to when it was chosen.
+func loadsOf(steps, loads []Step) []Step {
+	var found []Step
+	for _, chosen := range steps {
+		if chosen.Message != "endpoint chosen" {
+			continue
+		}
+		before := slices.DeleteFunc(slices.Clone(loads), func(s Step) bool { return s.Time.After(chosen.Time) })
+		vm, born := chosen.Fields["vm"], ""
+		for _, s := range before {
+			if s.Message == proofMessage && s.Fields["vm"] == vm {
+				born = s.Fields["born"]
+			}
+		}
+		last := make(map[string]Step)
+		for _, s := range before {
+			if s.Fields["vm"] == vm || (s.Fields["vm"] == "" && born != "" && s.Fields["born"] == born) {
+				last[s.Message] = s
+			}
+		}
+		for _, s := range last {
+			if !slices.ContainsFunc(found, func(f Step) bool { return f.Time.Equal(s.Time) && f.Message == s.Message }) {
+				found = append(found, s)
+			}
+		}
+	}
+	slices.SortStableFunc(found, func(a, b Step) int { return a.Time.Compare(b.Time) })
+	return found
+}
+
 // Details returns the fields of a step as name=value pairs, sorted by name.
 func (s Step) Details() string {
 	parts := make([]string, 0, len(s.Fields))
--- a/lib/explain/explain_test.go
+++ b/lib/explain/explain_test.go
@@ -34,6 +34,32 @@
 {"level":"info","ts":"2026-02-07T16:49:16.3Z","node":"front-b","msg":"request is blocked","request":"r6","blocked":["request-0123456789abcdef0123456789abcdef"],"workspace":"ws"}
 {"level":"info","ts":"2026-02-07T16:49:16.3Z","node":"front-b","msg":"request ended","request":"r6","reason":"outcome_unknown","attempts":1}`
 
+// loadLog holds the loads of two workers, as an entry and the process beside one of them log them, and a request at that one.
+const loadLog = `{"level":"info","ts":"2026-02-07T16:49:17.1Z","node":"side-1","msg":"worker ordered to load","born":5,"version":2,"oldest_piece":31,"suspended":0}
+{"level":"info","ts":"2026-02-07T16:49:17.2Z","node":"side-1","msg":"weights of the worker are whole","born":5,"version":2}
+{"level":"info","ts":"2026-02-07T16:49:17.2Z","node":"side-2","msg":"weights of the worker are whole","born":6,"version":2}
+{"level":"info","ts":"2026-02-07T16:49:17.3Z","node":"front-b","msg":"weights are known to be whole","vm":"w1","born":5,"version":2,"orders":1}
+{"level":"info","ts":"2026-02-07T16:49:17.3Z","node":"front-b","msg":"weights are known to be whole","vm":"w2","born":6,"version":2,"orders":1}
+{"level":"info","ts":"2026-02-07T16:49:17.4Z","node":"front-b","msg":"endpoint chosen","request":"r7","attempt":1,"vm":"w1","weights":"2"}
+{"level":"info","ts":"2026-02-07T16:49:17.5Z","node":"front-b","msg":"request ended","request":"r7","reason":"complete","attempts":1}
+{"level":"warn","ts":"2026-02-07T16:49:17.6Z","node":"front-b","msg":"weights are not known to be whole","vm":"w1","version":2,"orders":2}`
+
+// Guards against a timeline from which it cannot be told whether the weights of the worker were proven when it was chosen.
+func TestTimelineNamesTheLoadOfTheWorker(t *testing.T) {
+	timeline, err := Read("r7", strings.NewReader(loadLog))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, s := range timeline.Loads {
+		got = append(got, s.Node+": "+s.Message)
+	}
+	want := "side-1: worker ordered to load, side-1: weights of the worker are whole, front-b: weights are known to be whole"
+	if strings.Join(got, ", ") != want {
+		t.Errorf("loads %q, want %q", strings.Join(got, ", "), want)
+	}
+}
+
 // Guards against a timeline that mixes the lines of several requests, is not in the order of
 // time, or does not name the cause.
 func TestTimelines(t *testing.T) {
