Test that workers are offered although a staging never ends

The tests of whole weights took a worker for settled when it held whole layers at one moment, as it did amid repeated loads. They wait for a request that it begins on the version now, so that entries offer it.

TestWorkersAreOfferedAlthoughAStagingNeverEnds: one staging gets a response without end in its head or body, or is never executed.

--- a/e2e/whole_weights_test.go
+++ b/e2e/whole_weights_test.go
@@ -13,8 +13,11 @@
 	"laburnumgw/standin/hosted"
 )
 
-// wholeWeightsNetwork is the second byte of the loopback addresses.
-const wholeWeightsNetwork = 45
+// Second bytes of the loopback addresses.
+const (
+	wholeWeightsNetwork = 45
+	offeredNetwork      = 50
+)
 
 // wholeWeightsOptions returns the options of a fleet whose workers take some time for pieces and loads.
 func wholeWeightsOptions(t *testing.T, network int) soak.Options {
@@ -78,12 +81,12 @@
 	f.PublishVersion(version)
 }
 
-// settled reports whether a worker serves a version, or has broken the rule.
+// settled reports whether a worker serves a version to callers, or has broken the rule.
 func settled(m *soak.ProxiedWorker, version int) bool {
-	return m.Serves(version) || len(m.BadRuns()) > 0
+	return m.RunsOn(version) || len(m.BadRuns()) > 0
 }
 
-// awaitSettled waits until all workers serve a version, or have broken the rule, and reports those that do not.
+// awaitSettled waits until all workers serve a version to callers, or have broken the rule, and reports those that do not.
 func awaitSettled(t *testing.T, w *system, workers []*soak.ProxiedWorker, version int) {
 	t.Helper()
 	err := fleet.Until(w.context(), "workers serve the version", func() bool {
@@ -91,7 +94,7 @@
 	})
 	for _, m := range workers {
 		if err != nil && !settled(m, version) {
-			t.Errorf("%s holds version %d, not %d; it has accepted %+v", m.ID, m.Version(), version, m.Loads())
+			t.Errorf("%s is not offered with version %d, but holds %d and has accepted %d orders", m.ID, version, m.Version(), len(m.Loads()))
 		}
 	}
 }
@@ -251,8 +254,12 @@
 	return s.takenForTheLast(c)
 }
 
-// heldOrders is the index of the case in which no order for version 2 is executed before version 3 is staged.
-const heldOrders = 3
+// heldStaging and heldOrders are the indexes of the cases in which a staging and all orders for version 2 are
+// executed only when version 3 is staged.
+const (
+	heldStaging = 2
+	heldOrders  = 3
+)
 
 // stagingCases are the ways in which staging and ordering go wrong, one for each worker. Version 2 is named, and then
 // version 3.
@@ -347,7 +354,8 @@
 	end := startCallers(t, f, names)
 	nameVersion(f, 2)
 	w.until("an order is held", func() bool { return stagings[heldOrders].times(hosted.Call{Kind: hosted.CallOrder, Version: 2}) > 0 })
-	awaitSettled(t, w, slices.Concat(f.ModelWorkers[:heldOrders], f.ModelWorkers[heldOrders+1:]), 2)
+	w.until("version 2 is in force where a staging is held", func() bool { return f.ModelWorkers[heldStaging].Serves(2) })
+	awaitSettled(t, w, slices.Concat(f.ModelWorkers[:heldStaging], f.ModelWorkers[heldOrders+1:]), 2)
 	awaitRequests(w)
 	nameVersion(f, 3)
 	awaitSettled(t, w, f.ModelWorkers, 3)
@@ -360,3 +368,35 @@
 		}
 	}
 }
+
+// Guards against a worker that is offered to nobody, and ordered to load several times a second, because one staging
+// got no whole response: its write could never be ruled out, so that no load was proven.
+func TestWorkersAreOfferedAlthoughAStagingNeverEnds(t *testing.T) {
+	faults := []hosted.CallFault{{Endless: hosted.EndlessInHead}, {Endless: hosted.EndlessInBody}, {Until: make(chan struct{})}}
+	names := []string{"head without end", "body without end", "never executed"}
+	options := wholeWeightsOptions(t, offeredNetwork)
+	options.Models = len(faults)
+	f, w := startWholeWeights(t, options)
+	for i, m := range f.ModelWorkers {
+		s := &staging{m: m, seen: make(map[hosted.Call]int)}
+		m.OnCall(func(c hosted.Call) hosted.CallFault {
+			if isStage(c, 2, midway) && s.count(c) == 0 {
+				return faults[i]
+			}
+			return hosted.CallFault{}
+		})
+	}
+	end := startCallers(t, f, names)
+	named := time.Now()
+	nameVersion(f, 2)
+	awaitSettled(t, w, f.ModelWorkers, 2)
+	took := time.Since(named)
+	end()
+	for i, m := range f.ModelWorkers {
+		loads := len(m.Loads())
+		t.Logf("%s: %s has accepted %d orders; all were offered after %s", names[i], m.ID, loads, took)
+		if float64(loads) > took.Seconds() {
+			t.Errorf("%s: %s has accepted more than one order a second", names[i], m.ID)
+		}
+	}
+}
--- a/standin/hosted/weights.go
+++ b/standin/hosted/weights.go
@@ -94,6 +94,11 @@
 	return w.weights.fault()
 }
 
+// RunsOn reports whether the worker serves a version, and has begun a request on it, so that entries offer it.
+func (w *Worker) RunsOn(version int) bool {
+	return w.Serves(version) && slices.ContainsFunc(w.Starts(), func(s Start) bool { return s.Version == version })
+}
+
 // Loads returns the load orders that the worker accepted.
 func (w *Worker) Loads() []Load {
 	w.mu.Lock()
