--- a/soak/run.go
+++ b/soak/run.go
@@ -124,6 +124,12 @@
 	if err := fleet.AwaitReady(readyTimeout); err != nil {
 		return r.result, err
 	}
+	if options.Staging {
+		// Entries offer no weights before they are proven, so that requests at the start would be refused.
+		if err := fleet.awaitServing(readyTimeout); err != nil {
+			return r.result, err
+		}
+	}
 	callers := fleet.StartCallers(seed)
 	r.callers = callers
 	time.Sleep(faultFreeStart)
