Pause only loads of the same version, and log the age of the oldest check

A worker whose weights were not proven waited for the pause between repeated loads also when a newer version was due. The age in the line of an order counted from the last turn of the loop; it is that of the oldest check of the chunks now.

--- a/endpoint/hosted/loads.go
+++ b/endpoint/hosted/loads.go
@@ -176,7 +176,7 @@
 	model := loadproof.Model{Layers: layerCount, Chunks: len(t.version.distribution.Replica().Manifest().Chunks)}
 	layers := p.stager.ledger.Reload(model, number)
 	isReload := number == p.report.Weights.Version
-	if _, isUnproven := p.provenWeights(); isUnproven && time.Now().Before(p.reloadDue) {
+	if _, isUnproven := p.provenWeights(); isUnproven && isReload && time.Now().Before(p.reloadDue) {
 		return
 	}
 	chunks := model.ChunksOf(p.stager.ledger.Missing(number, layers))
@@ -198,12 +198,12 @@
 	if p.awaitsQueue() {
 		return
 	}
-	stagedIn := staging.Elapsed()
+	stagedIn, oldest := staging.Elapsed(), min(p.stager.ledger.OldestCheck(chunks), p.stager.elapsed())
 	result, err := p.stager.order(ctx, t.version, model, layers)
 	p.orders.Inc()
 	p.log.Info("worker ordered to load", zap.Int64("born", p.report.StartedAtMs), zap.Int("version", number), zap.Int("layers_from", layers.From), zap.Int("layers_to", layers.To),
 		zap.Int("sequence", p.report.Sequence), zap.Stringer("result", result), zap.Duration("staged_in", stagedIn),
-		zap.Duration("oldest_piece", staging.Elapsed()), zap.Duration("suspended", staging.Suspended()),
+		zap.Duration("oldest_piece", p.stager.elapsed()-oldest), zap.Duration("suspended", staging.Suspended()),
 		zap.Duration("since_named", time.Since(p.view.namedTime(t.namedVersion))), zap.Error(err))
 	if result == platform.OrderRefused {
 		p.switching = false
--- a/lib/loadproof/loadproof.go
+++ b/lib/loadproof/loadproof.go
@@ -10,6 +10,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -403,6 +404,16 @@
 	return stale
 }
 
+// OldestCheck returns the earliest time at which a chunk of a range was known to be whole, or the latest possible one without
+// chunks.
+func (l *Ledger) OldestCheck(chunks Range) time.Duration {
+	oldest := time.Duration(math.MaxInt64)
+	for i := chunks.From; i < chunks.To; i++ {
+		oldest = min(oldest, l.checks[i].at)
+	}
+	return oldest
+}
+
 // Missing returns the layers of an order that the worker would take, as it does not hold them at that version.
 func (l *Ledger) Missing(version int, layers Range) Range {
 	missing := Range{From: layers.To, To: layers.To}
