Entries wait at their start until they know which weights are proven

An entry counts as ready now when the list or the process beside each listed worker has told about its weights, or after 1 s.

--- a/entry/hosted/proven_weights_test.go
+++ b/entry/hosted/proven_weights_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -83,3 +84,45 @@
 		}
 	})
 }
+
+// Guards against an entry that refuses the first requests after its start, since it counts as ready before it knows of any weights
+// that they are proven; and against one that is never ready, because some process beside a worker says nothing.
+func TestStartingEntryIsReadyWhenItKnowsOfProofs(t *testing.T) {
+	for name, c := range map[string]struct {
+		status string
+		report *laburnumgwv1.WorkerReport
+		// waits is set if the entry is not ready at once.
+		waits bool
+	}{
+		"the list tells of the proof":        {`{"proven":{"born":1,"sequence":1,"version":2}}`, nil, false},
+		"a report tells of it":               {"", &laburnumgwv1.WorkerReport{Version: 2, LayersTo: 16, ProvenVersion: 2}, false},
+		"a report tells of a load":           {"", &laburnumgwv1.WorkerReport{Version: 1, LayersTo: 16, Busy: true}, false},
+		"a report does not know of it":       {"", &laburnumgwv1.WorkerReport{Version: 2, LayersTo: 16}, true},
+		"the process beside it says nothing": {"", nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(t *testing.T, d *deployment) {
+				v := d.front.view
+				v.applyChanges(platform.KindVersions, nil)
+				v.applyChanges(platform.KindWorkers, []mirror.Change{{Object: mirror.Object{
+					Name: "w1", Revision: 1, Value: []byte(workerEntry("llm", "w1", "ready", 2)), Status: []byte(c.status),
+				}}})
+				if c.report != nil {
+					c.report.Address, c.report.Born, c.report.Sequence = workerAddress("w1"), 1, 1
+					data, err := proto.Marshal(c.report)
+					if err != nil {
+						t.Fatal(err)
+					}
+					v.applyDatagram(data)
+				}
+				if v.ready() == c.waits {
+					t.Errorf("ready at once: %t", !c.waits)
+				}
+				<-time.After(proofWait)
+				if !v.ready() {
+					t.Error("not ready in the end")
+				}
+			})
+		})
+	}
+}
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -55,6 +55,9 @@
 	// reportReorderWindow is how long a datagram may be overtaken by a later one. After it, a
 	// lower sequence number means that the sender has restarted.
 	reportReorderWindow = time.Second
+	// proofWait bounds how long a starting entry waits until it knows which weights are proven. Processes beside workers
+	// report every 150 to 450 ms.
+	proofWait = time.Second
 	// minEntries is the least number of entries that is assumed: fewer are known until the
 	// entries of the deployment have been read.
 	minEntries = 4
@@ -95,6 +98,9 @@
 	sequence     uint64
 	// listedKinds holds the kinds that were read at least once.
 	listedKinds map[string]bool
+	// isReady is set when the entry has been ready once, and knownSince is when it had read all kinds.
+	isReady    bool
+	knownSince time.Time
 	// departures are the workers that have stated that they are leaving. They hold whatever
 	// state the list of workers has.
 	departures *departure.Set
@@ -485,11 +491,35 @@
 	}
 }
 
-// ready reports whether the entry knows enough to serve callers.
+// ready reports whether the entry knows enough to serve callers. At its start it waits for what the processes beside workers say
+// about the weights, since it offers none that are not proven, for proofWait at most.
 func (v *view) ready() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.knowsAll()
+	if v.isReady || !v.knowsAll() {
+		return v.isReady
+	}
+	now := time.Now()
+	if v.knownSince.IsZero() {
+		v.knownSince = now
+	}
+	v.isReady = now.Sub(v.knownSince) >= proofWait || !v.awaitsProofs()
+	return v.isReady
+}
+
+// awaitsProofs reports whether weights are listed of which it is not known whether they are proven. The caller holds the lock.
+func (v *view) awaitsProofs() bool {
+	for _, w := range v.workers {
+		state := v.services[w.Service]
+		if state == nil || state.config.Engine == nil || !w.Weights.Complete(state.config.Engine.Layers) || v.replaced(w) {
+			continue
+		}
+		isJudged := w.report.StartedAtMs == w.StartedAtMs && (w.report.Busy || w.report.Unproven || w.report.ProvenVersion > 0)
+		if !isJudged && !w.isProven(w.Weights) {
+			return true
+		}
+	}
+	return false
 }
 
 // knowsAll is ready for callers that hold the lock.
