An answer with a status that is none is no response of an endpoint

What callers saw: a service in trouble that answered with the status 000 had that taken for its response. The endpoint process passed it on as complete, recorded it as the response to a booking and replayed it to each repeat, also after a restart; the entry panicked in WriteHeader. The same went for 001 to 099, 600 to 999 and a 101 that nobody asked for. An engine's counted as a failure of the request, which says that it ran.

A final response has a status of 200 to 599. lib/httpstatus decides this for all clients: its transport fails the call, so that neither headers nor body of another answer are believed, and the outcome is unknown. An entry that gets such a status from an endpoint process of another version ends the attempt with an unknown outcome: 502, or a repeat elsewhere where that is allowed.

--- a/endpoint/backend.go
+++ b/endpoint/backend.go
@@ -22,6 +22,7 @@
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/dial"
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/httpstatus"
 )
 
 const (
@@ -97,7 +98,7 @@
 type backend struct {
 	base string
 	dial dial.Func
-	http *http.Client
+	http *httpstatus.Client
 }
 
 // newBackend returns a client that opens a new connection for each request.
@@ -108,7 +109,9 @@
 	dialer := new(net.Dialer).DialContext
 	transport := &http.Transport{DialContext: dial.ReportingResets(dialer), DisableKeepAlives: true, MaxResponseHeaderBytes: 64 << 10}
 	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &backend{base: base, dial: dialer, http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
+	client := httpstatus.NewClient(transport)
+	client.CheckRedirect = refuseRedirect
+	return &backend{base: base, dial: dialer, http: client}
 }
 
 // run sends one call and relays the response. It reports NOT_RUN only when no
@@ -130,7 +133,7 @@
 			return notRunResult(errkind.Wrap(err, errkind.NotRun, "retry on another endpoint", "endpoint refused the connection").
 				WithRetryAfter(backendRetryAfter))
 		}
-		return unknownResult("connection to the endpoint broke before its response: %v", err)
+		return unknownResult("no response of the endpoint on its connection: %v", err)
 	}
 	defer response.Body.Close()
 	if echoed := response.Header.Get("X-Request-Id"); echoed != "" && echoed != c.requestID {
--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/httpstatus"
 )
 
 const (
@@ -47,11 +48,11 @@
 // engineClient sends commands to the model engine on this VM.
 type engineClient struct {
 	base string
-	http *http.Client
+	http *httpstatus.Client
 }
 
 func newEngineClient(base string) *engineClient {
-	return &engineClient{base: base, http: &http.Client{}}
+	return &engineClient{base: base, http: httpstatus.NewClient(http.DefaultTransport)}
 }
 
 // status reads the engine's report.
--- a/endpoint/truncated_test.go
+++ b/endpoint/truncated_test.go
@@ -68,7 +68,7 @@
 }
 
 // Guards against a complete response, or one that has not run, for a response of the endpoint that ends within its
-// head, a chunk header, a trailer or its body.
+// head, a chunk header, a trailer or its body, or that has a status that is none.
 func TestResponseOfTheEndpointThatEndsAtAnyByteIsNotComplete(t *testing.T) {
 	const events = "data: {\"a\":1}\n\ndata: {\"b\":2}\n\ndata: [DONE]\n\n"
 	for name, c := range map[string]struct {
@@ -98,12 +98,20 @@
 				if c.unmarked && !byReset {
 					end = strings.Index(c.text, "\r\n\r\n") + 4
 				}
+				texts := make([]string, 0, end+len(invalidStatuses))
 				for n := range end {
-					server.set(c.text[:n])
+					texts = append(texts, c.text[:n])
+				}
+				_, whole, _ := strings.Cut(c.text, " 200 OK")
+				for _, status := range invalidStatuses {
+					texts = append(texts, "HTTP/1.1 "+status+" Odd"+whole)
+				}
+				for _, text := range texts {
+					server.set(text)
 					var out bufferedResponse
 					got := client.run(context.Background(), call{requestID: "1", method: "POST", path: "/", engine: c.engine, body: []byte("{}")}, &out)
 					if got.outcome != laburnumgwv1.Outcome_OUTCOME_UNKNOWN || (!c.engine && out.status != 0) || strings.Contains(string(out.body), doneEvent) {
-						t.Errorf("ended after %q: %v, status %d, body %q", c.text[:n], got.outcome, out.status, out.body)
+						t.Errorf("ended after %q: %v, status %d, body %q", text, got.outcome, out.status, out.body)
 					}
 				}
 			})
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -13,6 +13,7 @@
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/dispatch"
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/httpstatus"
 	"laburnumgw/lib/retry"
 	"laburnumgw/lib/routing"
 	"laburnumgw/lib/rpc"
@@ -199,6 +200,11 @@
 
 // receive handles one frame. It returns the final frame when the response has ended.
 func (x *exchange) receive(frame *laburnumgwv1.ServeResponse) (*laburnumgwv1.Final, error) {
+	if header := frame.GetHeader(); header != nil {
+		if err := httpstatus.Check(int(header.GetHttpStatus())); err != nil {
+			return nil, err //nolint:wrapcheck // the attempt adds the endpoint
+		}
+	}
 	if load := frame.GetLoad(); load != nil {
 		x.onLoad(load)
 	}
--- a/lib/journal/adapter_test.go
+++ b/lib/journal/adapter_test.go
@@ -185,3 +185,27 @@
 		So(Key{"a", "bc", "d"}.hash(), ShouldNotEqual, Key{"ab", "c", "d"}.hash())
 	})
 }
+
+// Guards against an answer with a status that is none, which a process, or an older one that recorded it, replays as the
+// response to a request.
+func TestAnswerWithAStatusThatIsNoneIsNotReplayed(t *testing.T) {
+	for status, replayed := range map[int]bool{0: false, 42: false, 101: false, 199: false, 200: true, 599: true, 600: false, 999: false} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			entries := []logEntry{
+				{Kind: entryIntent, Key: bookingKey(1).hash(), At: now.Unix()},
+				{Kind: entryResponse, Key: bookingKey(1).hash(), At: now.Unix(), Response: &RecordedResponse{Status: status}},
+			}
+			completed := &Shard{records: newRecords()}
+			completed.records.add(&record{key: bookingKey(1).hash(), at: now.Unix(), state: stateRunning})
+			completed.Complete(bookingKey(1), 0, Response{Status: status}, now)
+			for name, known := range map[string]*records{"completed": completed.records, "read": replayLog(entries, now)} {
+				s := &Shard{records: known}
+				reply := s.beginKnownKey(known.byKey[bookingKey(1).hash()], Call{Key: bookingKey(1)})
+				if (reply.Kind == Replayed) != replayed || (!replayed && !errkind.Is(reply.Err, errkind.OutcomeUnknown)) {
+					t.Errorf("%s: %+v", name, reply)
+				}
+			}
+		})
+	}
+}
--- a/lib/journal/records.go
+++ b/lib/journal/records.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"laburnumgw/lib/httpstatus"
 )
 
 // state is what a process knows about one key.
@@ -143,7 +145,8 @@
 }
 
 // replayLog applies the entries of a log. Intents without a response are unknown:
-// the process that ran them no longer owns the shard.
+// the process that ran them no longer owns the shard. An answer that is no response, which an older process may
+// have recorded, leaves the outcome unknown as well.
 func replayLog(entries []logEntry, now time.Time) *records {
 	r := newRecords()
 	for _, e := range entries {
@@ -153,7 +156,7 @@
 			r.forget(rec)
 		case e.Kind == entryIntent && rec == nil && !keyExpired(e.At, now):
 			r.add(&record{key: e.Key, body: e.Body, at: e.At, state: stateUnknown})
-		case e.Kind == entryResponse && rec != nil && rec.state != stateCompleted:
+		case e.Kind == entryResponse && rec != nil && rec.state != stateCompleted && httpstatus.IsFinal(e.Response.Status):
 			rec.state = stateCompleted
 			rec.completedAt = e.At
 			rec.response = e.Response
--- a/lib/journal/shard.go
+++ b/lib/journal/shard.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/httpstatus"
 )
 
 // Identity names a process and its incarnation.
@@ -239,8 +240,12 @@
 	return true
 }
 
-// Complete records the response of a granted attempt.
+// Complete records the response of a granted attempt. An answer that is no response leaves the outcome unknown.
 func (s *Shard) Complete(key Key, attempt uint64, response Response, now time.Time) {
+	if !httpstatus.IsFinal(response.Status) {
+		s.OutcomeUnknown(key, attempt)
+		return
+	}
 	rec := s.endAttempt(key, attempt)
 	if rec == nil {
 		return
