A worker's answer with a status of 600 to 999, or 101, is a failure of the worker

What callers saw: an answer with a status of 600 to 999 as the response. If it stated that the request was not executed, a booking that may have run was called not run, and could be sent again; a worker whose answer stated a limit or that it is leaving got nothing more. The answer to the question who a worker is was believed with any status from 200 on, so that a response without length and chunks counted as complete. After a 101, which no request asks for, the bytes of the other protocol were read as a response.

The client of workers reads answers by lib/httpstatus: such an answer fails before anything of it is used. The outcome is unknown: requests that may be repeated, and streams, go to another worker, others get 502.

--- a/entry/hosted/continued_stream_test.go
+++ b/entry/hosted/continued_stream_test.go
@@ -90,6 +90,8 @@
 	{"503 that ran", func(e *workerExchange, _ int) { e.complete(http.StatusServiceUnavailable, "error 503") }},
 	{"429 that ran", func(e *workerExchange, _ int) { e.complete(http.StatusTooManyRequests, "error 429") }},
 	{"404", func(e *workerExchange, _ int) { e.complete(http.StatusNotFound, "error 404") }},
+	{"600", func(e *workerExchange, _ int) { e.complete(600, "error 600") }},
+	{"101", func(e *workerExchange, _ int) { e.head(http.StatusSwitchingProtocols, sealHeader, "seal"); e.Close() }},
 	{"204", func(e *workerExchange, _ int) { e.head(http.StatusNoContent, sealHeader, "seal") }},
 	{"refusal", func(e *workerExchange, _ int) {
 		e.head(http.StatusServiceUnavailable, notRunHeader, "1", "Content-Length", "5")
--- a/entry/hosted/unmarked_end_test.go
+++ b/entry/hosted/unmarked_end_test.go
@@ -123,7 +123,12 @@
 	refuses := func(e *workerExchange) {
 		e.head(http.StatusServiceUnavailable, "X-Laburnumgw-Instance-Id", "w1", "Content-Length", "0")
 	}
+	without := func(e *workerExchange) {
+		e.head(600, "X-Laburnumgw-Instance-Id", "w1", "Content-Length", "10")
+		fmt.Fprint(e, `{"born":1}`)
+	}
 	return map[string]endState{
+		"answers without a status":         {identify: without, isUnclear: true},
 		"lives":                            {isShown: true},
 		"lives and is unhealthy":           {identify: refuses, isShown: true},
 		"is gone":                          {gone: true},
--- a/lib/workerconn/pool.go
+++ b/lib/workerconn/pool.go
@@ -19,6 +19,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"laburnumgw/lib/httpstatus"
 )
 
 const (
@@ -59,9 +61,6 @@
 // requests.
 var ErrUnrelatedResponse = errors.New("connection delivers responses to other requests")
 
-// ErrInvalidStatus is returned when a response has a status below 100, which no server can send on.
-var ErrInvalidStatus = errors.New("status of the response is invalid")
-
 // Request is one request on the wire.
 type Request struct {
 	Method string
@@ -336,15 +335,12 @@
 	for range maxHeads {
 		c.releaseHead()
 		c.headBytesLeft = maxHeadBytes
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		response, final, err := httpstatus.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		c.headBytesLeft = -1
 		if err != nil {
 			return nil, c.explain(err)
 		}
-		if response.StatusCode < 100 {
-			return nil, fmt.Errorf("%w: %d", ErrInvalidStatus, response.StatusCode)
-		}
-		if response.StatusCode < 200 {
+		if !final {
 			continue
 		}
 		if matches(response, firstRequest) {
