A status that is none is no response to an order, a staged chunk or a call of the store

What was seen: a worker's answer with the status 000 to 099 or 600 to 999 to an order counted as a refusal, although the order may have begun. One below 200 to a staged chunk counted as informational, so that a later answer was taken for that to this call. The store's counted as its refusal, and its era was believed. An upload of weights that was answered so counted as done, and so did one that was answered 304; a read of the object API had an unknown outcome, which only writes have.

Such a call fails as without an answer: an order and a write have an unknown outcome, a read had no effect, a chunk is fetched again.

The client of the weight store of the product is changed without a test of its own: it already gave up such answers, and fetched the chunk again.

--- a/ctl/publish.go
+++ b/ctl/publish.go
@@ -13,6 +13,7 @@
 	"slices"
 
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/httpstatus"
 	"laburnumgw/lib/weights"
 )
 
@@ -53,12 +54,12 @@
 		return fmt.Errorf("build upload: %w", err)
 	}
 	request.ContentLength = size
-	response, err := http.DefaultClient.Do(request)
+	response, err := httpstatus.NewClient(http.DefaultTransport).Do(request)
 	if err != nil {
 		return errkind.Wrap(err, errkind.Unavailable, "check --origin", "upload to the weight store failed")
 	}
 	defer response.Body.Close()
-	if response.StatusCode >= http.StatusBadRequest {
+	if response.StatusCode >= http.StatusMultipleChoices {
 		return errkind.New(errkind.Failed, "check the weight store", "weight store responded with status %d", response.StatusCode)
 	}
 	return nil
--- a/ctl/record.go
+++ b/ctl/record.go
@@ -15,6 +15,7 @@
 
 	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/httpstatus"
 	"laburnumgw/lib/report"
 )
 
@@ -116,7 +117,7 @@
 	if err != nil {
 		return fmt.Errorf("build metrics request: %w", err)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := httpstatus.NewClient(http.DefaultTransport).Do(request)
 	if err != nil {
 		return err
 	}
--- a/endpoint/origin.go
+++ b/endpoint/origin.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/httpstatus"
 	"laburnumgw/lib/transfer"
 	"laburnumgw/lib/weights"
 )
@@ -23,12 +24,12 @@
 // originClient reads chunks from the weight store by byte range.
 type originClient struct {
 	base string
-	http *http.Client
+	http *httpstatus.Client
 	link *rate.Limiter
 }
 
 func newOriginClient(base string, link *rate.Limiter) *originClient {
-	return &originClient{base: base, http: &http.Client{}, link: link}
+	return &originClient{base: base, http: httpstatus.NewClient(http.DefaultTransport), link: link}
 }
 
 // Chunk implements transfer.Origin: it returns the bytes that the store has at the
--- a/fleet/client.go
+++ b/fleet/client.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"laburnumgw/lib/httpstatus"
 )
 
 // Response is the response to a caller's request.
@@ -28,7 +30,7 @@
 }
 
 // client opens a new connection for each request, as a load balancer may do.
-var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+var client = httpstatus.NewClient(&http.Transport{DisableKeepAlives: true})
 
 // Do sends one request to an entry.
 func Do(ctx context.Context, method, url, body string, headers map[string]string) (Response, error) {
--- a/lib/platform/http.go
+++ b/lib/platform/http.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"laburnumgw/lib/errkind"
+	"laburnumgw/lib/httpstatus"
 )
 
 const (
@@ -34,12 +35,12 @@
 // Client is a Store over the platform's REST object API.
 type Client struct {
 	base string
-	http *http.Client
+	http *httpstatus.Client
 }
 
 // NewClient returns a client for the API at a base URL such as http://127.0.0.1:7000.
 func NewClient(base string) *Client {
-	return &Client{base: base, http: &http.Client{}}
+	return &Client{base: base, http: httpstatus.NewClient(http.DefaultTransport)}
 }
 
 // listResponse is the body of a list or watch response.
--- a/lib/platform/truncated_test.go
+++ b/lib/platform/truncated_test.go
@@ -2,15 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 )
 
 // Guards against a response that ends early and is taken as a shorter list, an older version of an object, or a write
-// that was accepted.
+// that was accepted, and against an answer with a status that is none which says that a write had no effect.
 func TestResponseThatEndsAtAnyByteIsNoShorterOne(t *testing.T) {
 	calls := map[string]struct {
 		body string
@@ -66,6 +68,15 @@
 						t.Errorf("ended after %q: %s, want an error", text[:n], got)
 					}
 				}
+				for _, status := range []string{"000", "042", "099", "101", "199", "600", "999"} {
+					mu.Lock()
+					sent = strings.Replace(text, "200 OK", status+" Odd", 1)
+					mu.Unlock()
+					var unavailable *UnavailableError
+					if got, err := c.call(t.Context(), client); IsUnknown(err) != (name == "update") || errors.As(err, &unavailable) != (name != "update") {
+						t.Errorf("status %s: %s, %v", status, got, err)
+					}
+				}
 			})
 		}
 	}
