Stand-ins: a silence after an unmarked end of a stream is a pause

Cause: a worker ended a stream without length and chunks with its connection and was silent for 2.4 s from then on. The entry asked it whether it lives on, as nothing else shows that the response is whole, got no answer within its patience of 2 s, and resumed the stream elsewhere, as it may. The soak counted its two runs as a broken promise, since the pause of the stream ended with its connection: it read 60 to 80 ms there.

Change: the observed pause after the last event of an unmarked stream that is whole includes what was left of a silence. One that begins later does not count.

--- a/standin/hosted/worker.go
+++ b/standin/hosted/worker.go
@@ -336,4 +336,7 @@
 			breakOffStream(out, event+1, unmarked)
 		}
 	}
+	if unmarked {
+		w.recordUnmarkedEnd(id, since)
+	}
 }
