Soak: only the run that was given up at a bound excuses the next one

Cause: the allowance for a stream that is given up at the bound of its weights took the line of the entry's log for its first attempt.

Change: one run must be at the worker that was given up, begun or dropped there, and the other must have arrived at its worker after that.

Test: four more cases of TestSecondRunIsAllowedAfterAGiveUpAtTheBoundAlone; the check before let "the second run was given up" and the two at other workers pass.

--- a/soak/giveups.go
+++ b/soak/giveups.go
@@ -24,9 +24,16 @@
 	Message string    `json:"msg"`
 	Entry   string    `json:"node"`
 	Request string    `json:"request"`
+	Worker  string    `json:"vm"`
 	Weights int       `json:"weights,string"`
 }
 
+// arrival is when a request arrived at a model worker that ran it, or the zero time if the worker dropped it before it began.
+type arrival struct {
+	worker string
+	at     time.Time
+}
+
 // readGiveUps returns the requests that an entry has given up at the bound of their weights, by its log.
 func readGiveUps(log io.Reader) ([]giveUp, error) {
 	var found []giveUp
@@ -48,7 +55,7 @@
 	}
 }
 
-// collectGiveUps reads the logs of all entries.
+// collectGiveUps reads the logs of all entries, and when the requests in them arrived at workers.
 func (r *run) collectGiveUps() error {
 	r.giveUps = make(map[string][]giveUp)
 	for _, p := range r.fleet.Entries {
@@ -65,6 +72,21 @@
 			r.giveUps[g.Request] = append(r.giveUps[g.Request], g)
 		}
 	}
+	r.arrivals = make(map[string][]arrival)
+	for _, m := range r.fleet.ModelWorkers {
+		begun := make(map[string]int)
+		for _, s := range m.Starts() {
+			if r.giveUps[s.ID] != nil {
+				begun[s.ID]++
+				r.arrivals[s.ID] = append(r.arrivals[s.ID], arrival{m.ID, s.Arrived})
+			}
+		}
+		for id := range r.giveUps {
+			for range m.Runs(id) - begun[id] {
+				r.arrivals[id] = append(r.arrivals[id], arrival{worker: m.ID})
+			}
+		}
+	}
 	return nil
 }
 
@@ -75,7 +97,16 @@
 		return false
 	}
 	g := r.giveUps[o.ID][0]
-	if g.Entry != o.Entry || g.At.Before(o.Sent) || g.At.After(o.Ended) {
+	given, next := 0, 0
+	for _, a := range r.arrivals[o.ID] {
+		switch {
+		case a.at.After(g.At):
+			next++
+		case a.worker == g.Worker:
+			given++
+		}
+	}
+	if g.Entry != o.Entry || g.At.Before(o.Sent) || g.At.After(o.Ended) || given != 1 || next != 1 {
 		return false
 	}
 	for _, named := range r.namings {
--- a/soak/run.go
+++ b/soak/run.go
@@ -66,8 +66,10 @@
 	// pauses holds the pauses of each stream: the longest that was observed, and the shortest that any of its
 	// workers meant, any of which would have gone on.
 	pauses map[string]hosted.Pause
-	// giveUps holds the requests that entries have given up at the bound of their weights, by their ids.
-	giveUps map[string][]giveUp
+	// giveUps holds the requests that entries have given up at the bound of their weights, and arrivals their arrivals at the
+	// workers that ran them, both by their ids.
+	giveUps  map[string][]giveUp
+	arrivals map[string][]arrival
 
 	// noteMu guards the list of faults in result.
 	noteMu sync.Mutex
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -80,25 +81,36 @@
 		runs      int
 		bound     time.Duration // of version 2, after the start
 		want      int
+		second    time.Duration // when the second run arrived, if not after the first was given up
+		worker    string        // that of the first run, if not the one that was given up
+		dropped   bool          // the first worker dropped its run before it began
 	}{
-		"given up shortly before the bound":    {givenUp, kindChat, 2, 1300 * time.Millisecond, 0},
-		"not given up":                         {line("attempt ended", "front-0", "1", time.Second), kindChat, 2, 1300 * time.Millisecond, 1},
-		"three runs":                           {givenUp, kindChat, 3, 1300 * time.Millisecond, 1},
-		"given up twice":                       {givenUp + givenUp, kindChat, 2, 1300 * time.Millisecond, 1},
-		"given up by another entry":            {line(giveUpMessage, "front-1", "1", time.Second), kindChat, 2, 1300 * time.Millisecond, 1},
-		"given up before it was sent":          {line(giveUpMessage, "front-0", "1", -time.Millisecond), kindChat, 2, 1300 * time.Millisecond, 1},
-		"given up after its end":               {line(giveUpMessage, "front-0", "1", 3*time.Second), kindChat, 2, 3300 * time.Millisecond, 1},
-		"given up on newer weights":            {line(giveUpMessage, "front-0", "2", time.Second), kindChat, 2, 1300 * time.Millisecond, 1},
-		"given up long before the bound":       {givenUp, kindChat, 2, time.Second + maxGiveUpMargin + time.Millisecond, 1},
-		"given up after the bound":             {givenUp, kindChat, 2, 999 * time.Millisecond, 1},
-		"a request that must not be run twice": {givenUp, kindBook, 2, 1300 * time.Millisecond, 1},
+		"given up shortly before the bound":    {givenUp, kindChat, 2, 1300 * time.Millisecond, 0, 0, "", false},
+		"not given up":                         {line("attempt ended", "front-0", "1", time.Second), kindChat, 2, 1300 * time.Millisecond, 1, 0, "", false},
+		"three runs":                           {givenUp, kindChat, 3, 1300 * time.Millisecond, 1, 0, "", false},
+		"given up twice":                       {givenUp + givenUp, kindChat, 2, 1300 * time.Millisecond, 1, 0, "", false},
+		"given up by another entry":            {line(giveUpMessage, "front-1", "1", time.Second), kindChat, 2, 1300 * time.Millisecond, 1, 0, "", false},
+		"given up before it was sent":          {line(giveUpMessage, "front-0", "1", -time.Millisecond), kindChat, 2, 1300 * time.Millisecond, 1, 0, "", false},
+		"given up after its end":               {line(giveUpMessage, "front-0", "1", 3*time.Second), kindChat, 2, 3300 * time.Millisecond, 1, 3010 * time.Millisecond, "", false},
+		"given up on newer weights":            {line(giveUpMessage, "front-0", "2", time.Second), kindChat, 2, 1300 * time.Millisecond, 1, 0, "", false},
+		"given up long before the bound":       {givenUp, kindChat, 2, time.Second + maxGiveUpMargin + time.Millisecond, 1, 0, "", false},
+		"given up after the bound":             {givenUp, kindChat, 2, 999 * time.Millisecond, 1, 0, "", false},
+		"a request that must not be run twice": {givenUp, kindBook, 2, 1300 * time.Millisecond, 1, 0, "", false},
+		"the second run was given up":          {givenUp, kindChat, 2, 1300 * time.Millisecond, 1, 500 * time.Millisecond, "", false},
+		"the first run was at another worker":  {givenUp, kindChat, 2, 1300 * time.Millisecond, 1, 0, "m-2", false},
+		"given up and dropped":                 {givenUp, kindChat, 2, 1300 * time.Millisecond, 0, 0, "", true},
+		"dropped elsewhere":                    {givenUp, kindChat, 2, 1300 * time.Millisecond, 1, 0, "m-2", true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			giveUps, err := readGiveUps(strings.NewReader("not a line of a log\n" + c.log))
 			if err != nil {
 				t.Fatal(err)
 			}
-			r := &run{fleet: &Fleet{}, giveUps: map[string][]giveUp{id: giveUps}, namings: []naming{{1, start.Add(-time.Hour)}, {2, start.Add(c.bound - versionBound)}}}
+			arrivals := []arrival{{cmp.Or(c.worker, "m-1"), start.Add(time.Millisecond)}, {"m-3", start.Add(cmp.Or(c.second, 1010*time.Millisecond))}}
+			if c.dropped {
+				arrivals[0].at = time.Time{}
+			}
+			r := &run{fleet: &Fleet{}, giveUps: map[string][]giveUp{id: giveUps}, arrivals: map[string][]arrival{id: arrivals}, namings: []naming{{1, start.Add(-time.Hour)}, {2, start.Add(c.bound - versionBound)}}}
 			violations := 0
 			r.checkAnswers([]Outcome{{ID: id, Kind: c.kind, Entry: "front-0", Sent: start, Ended: start.Add(2 * time.Second), Status: http.StatusOK}},
 				func(string) int { return c.runs }, func(string, ...any) { violations++ })
