A version counts as named from the last proof of the store without it

Cause: a time limit that was sent cannot be moved. An entry that had learned of a version late, since the response of the store was late on the way, sent requests to the old weights with time limits that ended after their bound, and when another entry told it the right date, a worker that stood still began one of them up to 0.2 s late. All that mirror from the entry had its date, so that nobody could have told it sooner.

Change: where changes are dated, a watch dates a version with the last time at which the copy is known to have been complete, a probe of the store or the beginning of the call, and no longer with its arrival. Nor does the arrival prove the copy complete: a second version may have been named while the response was on the way. Such a date cannot be late, so that the bound does not come closer for it. To keep it close, the entry from which the others mirror probes the store each 0.3 s in place of 0.9 s.

Not taken: the arrival until two others confirm it, who mirror from the same reader; short limits, which cut streams beside silences; closing when the bound comes closer, which workers that run what was closed do not notice.

--- a/entry/hosted/harness_test.go
+++ b/entry/hosted/harness_test.go
@@ -123,6 +123,8 @@
 	questions   int
 	// connecting is how long it takes to open a connection.
 	connecting time.Duration
+	// name names a version in a store that the entry reads; nil if the entry learns of it at once.
+	name func(number int)
 }
 
 func newDeployment(t testing.TB) *deployment { return newEntryDeployment(t, "front-1", "a") }
@@ -168,6 +170,10 @@
 
 // version names a version of the weights.
 func (d *deployment) version(number int) {
+	if d.name != nil {
+		d.name(number)
+		return
+	}
 	d.put(platform.KindVersions, "m", fmt.Sprintf(`{"model":"m","version":%d}`, number))
 }
 
--- a/entry/hosted/version_late_test.go
+++ b/entry/hosted/version_late_test.go
@@ -39,6 +39,61 @@
 	return nil, after, ctx.Err()
 }
 
+// lateStore is a store whose responses take some time on the way. It names one version after the other.
+type lateStore struct {
+	stalledWatchStore
+	way     time.Duration
+	changed chan struct{}
+}
+
+func (s *lateStore) travel(ctx context.Context) {
+	select {
+	case <-time.After(s.way):
+	case <-ctx.Done():
+	}
+}
+
+func (s *lateStore) List(ctx context.Context, kind string) ([]mirror.Object, int64, error) {
+	defer s.travel(ctx)
+	return s.stalledWatchStore.List(ctx, kind)
+}
+
+func (s *lateStore) Revision(ctx context.Context) (int64, error) {
+	defer s.travel(ctx)
+	return s.stalledWatchStore.Revision(ctx)
+}
+
+func (s *lateStore) Watch(ctx context.Context, kind string, after int64, wait time.Duration) ([]mirror.Event, int64, error) {
+	if _, revision, _ := s.stalledWatchStore.List(ctx, kind); revision <= after {
+		select {
+		case <-s.changed:
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		}
+	}
+	objects, revision, err := s.List(ctx, kind)
+	if revision <= after || err != nil {
+		return nil, after, err
+	}
+	return []mirror.Event{{Object: objects[0]}}, revision, nil
+}
+
+// readsLateStore has the entry learn of versions from a store whose responses take some time on the way.
+func (d *deployment) readsLateStore(ctx context.Context, way time.Duration) {
+	store := &lateStore{stalledWatchStore{version: 1}, way, make(chan struct{})}
+	d.name = func(number int) {
+		store.mu.Lock()
+		store.version, d.rev = number, int64(number)
+		store.mu.Unlock()
+		close(store.changed)
+	}
+	kinds := map[string]bool{platform.KindVersions: false}
+	go mirror.NewDriver(mirror.Config{
+		Kinds: kinds, DatedKinds: map[string]bool{platform.KindVersions: true}, Store: store, Log: zap.NewNop(), OnChange: d.front.view.applyChanges,
+	}).Run(ctx)
+}
+
 // Guards against requests that start on old weights after their bound: the entry had learned of
 // the new version 0.4 s late and counted the bound from then on, while requests waited long at
 // overloaded workers.
--- a/entry/hosted/version_review_test.go
+++ b/entry/hosted/version_review_test.go
@@ -282,26 +282,28 @@
 }
 
 // Guards against a request that begins on old weights after their bound at a worker that stood still, because the time limit that it was
-// sent with counted from a naming that was learned late, and another entry has told the right one since.
+// sent with counted from a naming that was learned late, and another entry has told the right one since: the response of the store was
+// late on the way.
 func TestTimeLimitFollowsABoundThatCameCloser(t *testing.T) {
-	const late = time.Second
-	for _, wait := range []time.Duration{300, 600, 800} {
-		for _, lasts := range []time.Duration{600, 900, 1200} {
-			t.Run(fmt.Sprintf("wait %v ms, standstill of %v ms", int64(wait), int64(lasts)), func(t *testing.T) {
+	for _, late := range []time.Duration{1000, 1200, 1400, 1800} {
+		for _, c := range []struct{ wait, lasts time.Duration }{{300, 600}, {300, 900}, {300, 1200}, {600, 600}, {600, 900}, {600, 1200}, {800, 600}, {800, 900}, {800, 1200}} {
+			wait, lasts := c.wait, c.lasts
+			t.Run(fmt.Sprintf("%d ms late, wait %d ms, standstill of %d ms", int64(late), int64(wait), int64(lasts)), func(t *testing.T) {
 				inVirtualTime(t, func(t *testing.T, d *deployment) {
+					d.readsLateStore(t.Context(), late*time.Millisecond)
 					w := &stubbornWorker{latency: wait * time.Millisecond, limits: keepsFromArrival}
-					learned := time.Now().Add(2 * time.Second) // as askUntilBound has it
-					bound := learned.Add(8*time.Second - late)
+					named := time.Now().Add(2 * time.Second) // as askUntilBound has it
+					bound := named.Add(8 * time.Second)
 					from := bound.Add(-1100 * time.Millisecond)
 					w.standstills = []standstill{{from, from.Add(lasts * time.Millisecond)}}
 					told := false
 					askUntilBound(t, w, 20, 1, func(since time.Duration) {
 						if !told && !time.Now().Before(bound.Add(-time.Second)) {
 							told = true
-							d.front.view.applyVersionAge(ageOf(d.rev, since+late))
+							d.front.view.applyVersionAge(ageOf(d.rev, since))
 						}
 					}, d)
-					requireStartsWithinBound(t, w, learned.Add(-late))
+					requireStartsWithinBound(t, w, named)
 				})
 			})
 		}
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -59,6 +59,8 @@
 	// levels, so that a longer bound is not for the probes to use up.
 	probeIntervalShare = 0.45
 	maxProbeInterval   = 900 * time.Millisecond
+	// datedProbeInterval bounds it where changes are dated.
+	datedProbeInterval = 300 * time.Millisecond
 	// defaultPropagationBound applies when the configuration sets no bound.
 	defaultPropagationBound = 2 * time.Second
 	// fallbackVerifyShare is the share of the propagation bound that separates two verifications
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -45,7 +45,8 @@
 	// the revision while its copy was up to date. For a revision that was missed and found
 	// later, it is the last earlier time at which the copy was complete, so that bounds
 	// counted from it are not exceeded. What arrived while this process stood still counts from the
-	// beginning of the standstill. It is zero when its age is not known: it was read at startup, or the
+	// beginning of the standstill, and a change of a dated kind always from the last time at which the copy was
+	// complete. It is zero when its age is not known: it was read at startup, or the
 	// copy was never known to be complete.
 	LearnedAt time.Time `json:"-"`
 }
--- a/lib/mirror/probe.go
+++ b/lib/mirror/probe.go
@@ -232,6 +232,16 @@
 	}
 }
 
+// probeInterval returns the time between two probes. A change of a kind that is dated counts from the last one of the reader of the
+// deployment before it.
+func (d *Driver) probeInterval() time.Duration {
+	interval := ProbeInterval(d.config.PropagationBound)
+	if len(d.config.DatedKinds) > 0 && d.preferredSource() == StoreFirst {
+		return min(interval, datedProbeInterval)
+	}
+	return interval
+}
+
 // awaitProbe waits until the next probe of the store. While the store does not respond, the
 // pause grows up to the configured maximum, so that a fleet makes few calls.
 func (d *Driver) awaitProbe(ctx context.Context, pause *backoff.ExponentialBackOff) bool {
@@ -246,7 +256,7 @@
 		return sleep(ctx, min(pause.NextBackOff(), pause.MaxInterval))
 	}
 	pause.Reset()
-	timer := time.NewTimer(ProbeInterval(d.config.PropagationBound))
+	timer := time.NewTimer(d.probeInterval())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/lib/mirror/read.go
+++ b/lib/mirror/read.go
@@ -68,11 +68,11 @@
 		return err
 	}
 	// Events that were made before the watch started, or lay unread during a suspension,
-	// are older than their arrival.
+	// are older than their arrival. Those of a dated kind may be: the response may have been late on the way.
 	late := arrived.Sub(started) < batchWait || asked.Suspended() >= suspend.MinSuspension
 	d.apply(name, kind, FromWatch, func(now time.Time) []Change {
 		learnedAt := kind.EarliestChange(now)
-		if !late && arrived.After(learnedAt) {
+		if !late && arrived.After(learnedAt) && (learnedAt.IsZero() || !kind.dated) {
 			learnedAt = arrived
 		}
 		for i := range events {
@@ -81,7 +81,7 @@
 		changes := kind.ApplyEvents(events, revision, now)
 		switch {
 		case len(events) == 0:
-		case late:
+		case late, kind.dated:
 			kind.MarkComplete(now.Add(-asked.Elapsed()))
 		default:
 			kind.MarkComplete(arrived)
--- a/lib/mirror/standstill_test.go
+++ b/lib/mirror/standstill_test.go
@@ -251,3 +251,32 @@
 	sleep(ctx, s.way)
 	return events, revision, err
 }
+
+// Guards against a version that counts as named when a response of the store that was late on the way arrived: entries sent
+// requests with time limits that ended after the bound of the old weights. That holds for a second version as well, which
+// was named while the response was on the way.
+func TestDatedChangeIsNotDatedAfterItWasMadeByALateResponse(t *testing.T) {
+	for _, way := range []time.Duration{maxStoreWay, 200 * time.Millisecond, time.Second, 3 * time.Second} {
+		for phase := time.Duration(0); phase < time.Second; phase += 100 * time.Millisecond {
+			t.Run(fmt.Sprintf("%v late, %v after the start", way, 3*time.Second+phase), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					store, seen := newFakeStore(), &recorder{started: time.Now()}
+					store.put("versions", "a")
+					kinds := map[string]bool{"versions": false}
+					go NewDriver(Config{
+						Kinds: kinds, DatedKinds: map[string]bool{"versions": true}, Store: &distantStore{store, way}, Log: zap.NewNop(), OnChange: seen.onChange,
+					}).Run(t.Context())
+					<-time.After(3*time.Second + phase)
+					store.put("versions", "b")
+					first := time.Since(seen.started)
+					<-time.After(way / 2)
+					store.put("versions", "c")
+					second := time.Since(seen.started)
+					<-time.After(10 * time.Second)
+					checkLearnedAt(t, seen, "b", first, ProbeInterval(0)+maxStoreWay)
+					checkLearnedAt(t, seen, "c", second, way/2+ProbeInterval(0)+maxStoreWay)
+				})
+			})
+		}
+	}
+}
