Log how the chunks of a version arrived

Where the 3.0 to 3.5 s of a copy go could not be told from the logs. An endpoint process now writes one line per version when all chunks are held: first chunk, half, last, sources, refused, failed and cancelled requests.

--- a/lib/transfer/distribution.go
+++ b/lib/transfer/distribution.go
@@ -130,6 +130,7 @@
 
 	originBytes atomic.Int64
 	peerBytes   atomic.Int64
+	timeline    timeline
 
 	mu        sync.Mutex
 	addresses map[string]string
@@ -233,6 +234,7 @@
 		d.decideUpload(a.ID, refusedUpload(a.ChunkHeld))
 	case swarm.Completed:
 		close(d.completed)
+		d.logCompletion()
 	case swarm.OriginFailed:
 		d.recordOriginFailure(a)
 	case swarm.OriginRecovered:
@@ -257,6 +259,17 @@
 		zap.Duration("waited", a.Elapsed), zap.Error(a.Err))...)
 }
 
+// logCompletion logs how long the chunks took, unless all were held from the start.
+func (d *Distribution) logCompletion() {
+	origin, peers := d.ReceivedBytes()
+	if origin+peers == 0 {
+		return
+	}
+	manifest := d.replica.Manifest()
+	d.transfer.Log.Info("distribution complete", append(d.timeline.fields(), zap.String("model", manifest.Model), zap.String("version", manifest.Version),
+		zap.Duration("took", d.SinceStart()), zap.Int64("origin_bytes", origin), zap.Int64("peer_bytes", peers))...)
+}
+
 func (d *Distribution) endFetch(id swarm.FetchID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -281,9 +294,11 @@
 	}
 	d.endFetch(f.ID)
 	if cancelled {
+		d.timeline.cancel()
 		return
 	}
 	event := fetchResult(f.ID, err)
+	d.timeline.add(d.SinceStart(), len(d.replica.Manifest().Chunks), f.From, event.Result)
 	d.count(f, event.Result, len(data))
 	d.post(event)
 }
