Hold requests for a manifest until a reader of the region knows it

Two VMs of a region read the manifest of a new version; the others asked them at once, were told that it is not known, and asked again after 50 and then 100 ms, while the reads take 20 to 60 ms. They started to fetch up to 0.18 s after the naming was known, and chunks that their region should have passed on by then came later for all.

A reader now holds the request of a VM that does not read itself until it knows the version, for 0.3 s at most from the first request for a version. Readers do not wait for each other, and a reader that gets no manifest delays the others by 0.3 s once.

TestReaderHoldsRequestsForManifest fails without the hold.

--- a/endpoint/hosted/manifest.go
+++ b/endpoint/hosted/manifest.go
@@ -35,6 +35,9 @@
 	// maxManifestReads is the number of times that a manifest is read from the origin, at
 	// most, until two reads agree.
 	maxManifestReads = 4
+	// manifestHold is how long a reader holds the requests of its region for a manifest that it does not know yet, from
+	// the first one. A reader gets a manifest within about 0.1 s, and the others would ask again only later.
+	manifestHold = 300 * time.Millisecond
 	// manifestDigestBytes is the size of one chunk's entry in a manifest: a digest in
 	// hexadecimal with its quotes and comma.
 	manifestDigestBytes = 67
@@ -61,11 +64,16 @@
 }
 
 // GetManifest implements the Manifests service.
-func (s *manifestServer) GetManifest(_ context.Context, request *laburnumgwv1.GetManifestRequest) (*laburnumgwv1.GetManifestResponse, error) {
+func (s *manifestServer) GetManifest(ctx context.Context, request *laburnumgwv1.GetManifestRequest) (*laburnumgwv1.GetManifestResponse, error) {
 	v := s.library.get(int(request.GetVersion()))
 	if request.GetVersion() == 0 {
 		v = s.library.newest()
 	}
+	if v == nil && request.GetVersion() > 0 {
+		if ip, err := callerIP(ctx); err == nil && s.library.readsManifestFor(ip, request.GetModel(), int(request.GetVersion())) {
+			v = s.library.await(ctx, int(request.GetVersion()))
+		}
+	}
 	if v == nil || v.distribution.Replica().Manifest().Model != request.GetModel() {
 		return nil, status.Error(codes.NotFound, "manifest is not known on this VM; ask another VM")
 	}
@@ -79,6 +87,49 @@
 	return response, nil
 }
 
+// readsManifestFor reports whether this VM reads the manifest of a version for a VM that does not read it. Readers do not
+// wait for each other.
+func (l *library) readsManifestFor(vm, model string, number int) bool {
+	ranked := l.rankedVMs(model, number)
+	readers := ranked[:min(manifestReaders, len(ranked))]
+	if !slices.Contains(readers, l.transfer.Address) {
+		return false
+	}
+	return slices.ContainsFunc(l.view.assignments(), func(a *laburnumgwv1.Assignment) bool {
+		return a.GetVm() == vm && a.GetRegion() == l.transfer.Self.Region && !slices.Contains(readers, a.GetAddress())
+	})
+}
+
+// await returns a version once it is known, or nil if it is not known manifestHold after the first call for it, or is no
+// newer than the newest known one.
+func (l *library) await(ctx context.Context, number int) *version {
+	l.mu.Lock()
+	if number > l.heldVersion {
+		l.heldVersion, l.heldUntil = number, time.Now().Add(manifestHold)
+	}
+	held, until := number == l.heldVersion, l.heldUntil
+	l.mu.Unlock()
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	for held {
+		l.mu.Lock()
+		added := l.added
+		l.mu.Unlock()
+		if v := l.get(number); v != nil {
+			return v
+		}
+		if newest := l.newest(); newest != nil && newest.number > number {
+			return nil
+		}
+		select {
+		case <-added:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return nil
+}
+
 // manifest returns the manifest of a version, or of the newest one for number 0. It asks
 // peers first and reads the origin only if the VM ranks among the readers of its region or
 // too many attempts have failed.
--- a/endpoint/hosted/manifest_attempts_test.go
+++ b/endpoint/hosted/manifest_attempts_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"fmt"
+	"net"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
+	"google.golang.org/grpc/peer"
 
+	laburnumgwv1 "laburnumgw/api/laburnumgw/v1"
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/rpc"
 	"laburnumgw/lib/swarm"
@@ -53,3 +58,47 @@
 		return
 	}
 }
+
+// Guards against VMs that ask for a manifest again only long after their region has it, and against readers that wait for each other.
+func TestReaderHoldsRequestsForManifest(t *testing.T) {
+	s := newSite(t)
+	for n := range 5 {
+		s.put(platform.KindWorkers, fmt.Sprint("w", n), fmt.Sprintf(`{"service":"llm","address":"127.77.1.%d:80","zone":"a","slots":1,"state":"ready","born":1}`, n+1))
+	}
+	assignments := s.view.assignments()
+	number := 2
+	for s.library.rankedVMs("m", number)[0] != s.library.transfer.Address {
+		number++
+	}
+	ranked := s.library.rankedVMs("m", number)
+	caller := func(rank int) string {
+		return assignments[slices.IndexFunc(assignments, func(a *laburnumgwv1.Assignment) bool { return a.GetAddress() == ranked[rank] })].GetVm()
+	}
+	s.origin.Newest = number
+	opened, err := s.library.open(t.Context(), "m", number)
+	if err != nil {
+		t.Fatal(err)
+	}
+	opened.distribution.Stop()
+	synctest.Test(t, func(t *testing.T) {
+		l := &library{added: make(chan struct{}), view: s.view, transfer: s.library.transfer, log: zap.NewNop()}
+		server := &manifestServer{library: l}
+		request := func(vm string) (time.Duration, bool) {
+			started := time.Now()
+			ctx := peer.NewContext(t.Context(), &peer.Peer{Addr: &net.TCPAddr{IP: net.ParseIP(vm)}})
+			_, err := server.GetManifest(ctx, &laburnumgwv1.GetManifestRequest{Model: "m", Version: int32(number)})
+			return time.Since(started), err == nil
+		}
+		check := func(what string, rank int, want time.Duration, known bool) {
+			if took, ok := request(caller(rank)); took != want || ok != known {
+				t.Errorf("%s: response after %v, known %t, want %v, %t", what, took, ok, want, known)
+			}
+		}
+		check("the other reader", 1, 0, false)
+		check("first request", 2, manifestHold, false)
+		check("request after the hold", 2, 0, false)
+		l.heldVersion = 0
+		time.AfterFunc(manifestHold/3, func() { l.add(opened) })
+		check("manifest becomes known", 2, manifestHold/3, true)
+	})
+}
--- a/endpoint/hosted/weights.go
+++ b/endpoint/hosted/weights.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
@@ -56,8 +57,12 @@
 	failedManifestAttempts int
 
 	mu sync.Mutex
-	// versions is sorted by ascending number.
+	// versions is sorted by ascending number. added is closed when one is added.
 	versions []*version
+	added    chan struct{}
+	// heldVersion is the newest version whose manifest others wait for here, at most until heldUntil.
+	heldVersion int
+	heldUntil   time.Time
 }
 
 // version is one version of the model with its distribution.
@@ -75,7 +80,7 @@
 	})
 	settings := v.settings
 	return &library{
-		view: v, worker: worker, origin: origin, store: weights.NewStore(weightsMemoryBytes), log: log,
+		added: make(chan struct{}), view: v, worker: worker, origin: origin, store: weights.NewStore(weightsMemoryBytes), log: log,
 		transfer: &transfer.Transfer{
 			Self:    swarm.Member{VM: settings.IP, Zone: settings.Zone, Region: settings.Region},
 			Address: v.assignment(settings.IP, settings.Zone).GetAddress(), Conns: conns, Origin: origin,
@@ -174,6 +179,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.versions = append(l.versions, opened)
+	close(l.added)
+	l.added = make(chan struct{})
 	slices.SortFunc(l.versions, func(a, b *version) int { return a.number - b.number })
 	for len(l.versions) > keptVersions {
 		l.remove(0)
