A VM that starts a version a little later is not avoided for it

VMs start a version within some 0.1 s of each other. The first bitmap that a VM sends to one that has not started yet is answered with NotFound, which counted as a fault: the VM was avoided for 8 chunk times (0.4 s of the 3 s that a copy takes on the users' platform), also after it had sent a bitmap of its own. NotFound now only says that the peer has nothing yet. A peer that does not respond is avoided as before.

TestPeerThatHasNotStartedIsNotAvoided fails without the change.

--- a/lib/swarm/machine.go
+++ b/lib/swarm/machine.go
@@ -146,7 +146,7 @@
 	case BitmapReceived:
 		m.handleBitmap(now, e)
 	case BitmapFailed:
-		if p := m.byVM[e.To]; p != nil {
+		if p := m.byVM[e.To]; p != nil && !e.NotStarted {
 			m.recordFault(now, p)
 		}
 	case ChunkProgress:
--- a/lib/swarm/machine_test.go
+++ b/lib/swarm/machine_test.go
@@ -99,6 +99,21 @@
 	})
 }
 
+// Guards against peers that are avoided for a while because they started the version a little later.
+func TestPeerThatHasNotStartedIsNotAvoided(t *testing.T) {
+	for _, c := range []struct {
+		notStarted bool
+		fetches    int
+	}{{true, 1}, {false, 0}} {
+		m := newMachine("v", 1)
+		m.Step(0, peers(1))
+		m.Step(0, swarm.BitmapFailed{To: "peer-0", NotStarted: c.notStarted})
+		if got := fetches(m.Step(testChunkTime, swarm.BitmapReceived{From: "peer-0", Bitmap: fullBitmap()})); len(got) != c.fetches {
+			t.Errorf("not started %t: %d fetches from the peer, want %d", c.notStarted, len(got), c.fetches)
+		}
+	}
+}
+
 // Guards against several models that each use the entire link of a VM.
 func TestCoordinatorSharesSlots(t *testing.T) {
 	Convey("Three models share the slots of one VM", t, func() {
--- a/lib/swarm/message.go
+++ b/lib/swarm/message.go
@@ -36,8 +36,12 @@
 	Bitmap weights.Bitmap
 }
 
-// BitmapFailed reports that SendBitmap failed or got no response.
-type BitmapFailed struct{ To string }
+// BitmapFailed reports that SendBitmap failed or got no response. NotStarted is set when the peer
+// responded that it does not know the version, as before it has started it.
+type BitmapFailed struct {
+	To         string
+	NotStarted bool
+}
 
 // ChunkProgress reports that bytes of a fetch have arrived. The adapter sends it for the
 // first bytes and may omit further events that follow within a second.
--- a/lib/transfer/distribution.go
+++ b/lib/transfer/distribution.go
@@ -397,7 +397,7 @@
 	defer cancel()
 	bitmap, err := d.callExchange(ctx, send)
 	if err != nil {
-		d.post(swarm.BitmapFailed{To: send.To})
+		d.post(swarm.BitmapFailed{To: send.To, NotStarted: status.Code(err) == codes.NotFound})
 		return
 	}
 	d.post(swarm.BitmapReceived{From: send.To, Bitmap: bitmap})
