Regions pass chunks on where the home region has few VMs

The home region sent each chunk to every other region beside the copies for its own VMs.

Where the further copies would cost the VMs at home more than the hop, each chunk now goes to one other region, which passes it on to two more, and the regions take turns from one chunk to the next. A chunk that is not passed on within 8 chunk times, at least 0.5 s, is fetched from the home region.

TestSmallHomeRegion fails without the change (1.48 to 1.94 V for bounds of 1.45 and 1.55 V), TestCutRegionPassesNothingOn without the fetch from the home region (2.46 to 2.53 V for a bound of 1.9 V).

--- a/lib/swarm/doc.go
+++ b/lib/swarm/doc.go
@@ -2,8 +2,8 @@
 // themselves: which chunk a VM fetches next and from which peer, which peers it serves, and
 // which VM fetches a chunk from the weight store or over an inter-region link.
 //
-// Terms: a region's source is the weight store in the home region, and the home region's
-// VMs elsewhere. The fetchers of a chunk are the VMs of a region that may fetch it from the
+// Terms: a region's source is the weight store in the home region, and elsewhere the VMs of
+// the home region or of another region that passes the chunk on. The fetchers of a chunk are the VMs of a region that may fetch it from the
 // source, by rank: rank 0 fetches first, and each next rank takes over when those before it
 // fail. A region's gateway for a chunk is its fetcher of rank 0. A chunk time is
 // Config.ChunkTime; most timeouts are multiples of it.
--- a/lib/swarm/fetch.go
+++ b/lib/swarm/fetch.go
@@ -183,7 +183,7 @@
 }
 
 // recordChunk marks the chunk of a fetch as held and cancels the other fetches of it. When
-// it came from the weight store, the gateways of the other regions are notified.
+// it came from the region's source, the gateways of other regions are notified.
 func (m *Machine) recordChunk(now time.Duration, f *fetch) {
 	if m.held.Has(f.chunk) {
 		return
@@ -195,7 +195,7 @@
 			m.cancel(other)
 		}
 	}
-	if f.from == nil {
+	if f.source {
 		m.notifyGateways(now, f.chunk)
 	}
 }
--- a/lib/swarm/linkfake/bounds_test.go
+++ b/lib/swarm/linkfake/bounds_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"laburnumgw/lib/swarm"
 )
 
 // execute runs a scenario and logs its seed and result.
@@ -157,6 +159,42 @@
 
 // Guards against VMs that stall for longer than one timed-out fetch after the store was
 // unresponsive: 7 s without a response were followed by up to 1.8 s without a byte.
+// Guards against a small home region whose links limit all regions, as it sends a copy to each of them beside its own.
+func TestSmallHomeRegion(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		vms  []int
+		last float64
+	}{{[]int{4, 5, 5}, 1.45}, {[]int{3, 3, 3}, 1.45}, {[]int{5, 5, 5, 5, 5}, 1.55}, {[]int{2, 3}, 1.45}, {[]int{19, 19, 19}, 1.7}, {[]int{100, 100, 100}, 2.0}} {
+		s := SmallModel(c.vms...)
+		s.Limits = swarm.Limits{UploadSlots: 2, Downloads: 2, ExchangesPerSecond: 15, ExchangeBurst: 4}
+		for s.Seed = range 5 {
+			result := execute(t, s)
+			if result.Incomplete > 0 || result.LastCompletion > c.last || result.OriginCopies > 1.1 {
+				t.Errorf("%d VMs, seed %d: %d incomplete, last after %.2f V, at most %.2f, %.2f copies from the store", c.vms, s.Seed, result.Incomplete, result.LastCompletion, c.last, result.OriginCopies)
+			}
+			for region, received := range result.ReceivedCopies {
+				if sent := result.LinkCopies[region] - received; received > 1.1 || sent > 1.1 {
+					t.Errorf("%d VMs, seed %d: region %s received %.2f copies and sent %.2f", c.vms, s.Seed, region, received, sent)
+				}
+			}
+		}
+	}
+}
+
+// Guards against regions that wait for chunks which a region that is cut off would pass on.
+func TestCutRegionPassesNothingOn(t *testing.T) {
+	t.Parallel()
+	for _, at := range []float64{0.1, 0.3, 0.6} {
+		s := SmallModel(4, 5, 5)
+		s.Faults = []Fault{{At: at, Do: func(r *Run) { r.Partition("b", 1) }}}
+		result := execute(t, s)
+		if result.Incomplete > 0 || result.ByRegion["c"] > 1.9 || result.OriginCopies > 2.1 {
+			t.Errorf("cut at %.1f V: %d incomplete, region c complete after %.2f V, %.2f copies from the store", at, result.Incomplete, result.ByRegion["c"], result.OriginCopies)
+		}
+	}
+}
+
 func TestStoreSilent(t *testing.T) {
 	t.Parallel()
 	const outage = 7 * time.Second
--- a/lib/swarm/linkfake/result.go
+++ b/lib/swarm/linkfake/result.go
@@ -22,8 +22,10 @@
 	OriginCopies float64
 	// ZoneOriginCopies is the same per zone.
 	ZoneOriginCopies map[string]float64
-	// LinkCopies is the number of copies over each region's link, both directions.
-	LinkCopies map[string]float64
+	// LinkCopies is the number of copies over each region's link, both directions, and ReceivedCopies
+	// the number of those that the region received.
+	LinkCopies     map[string]float64
+	ReceivedCopies map[string]float64
 	// ControlMean is the highest mean control traffic of a VM in bytes per second,
 	// sent and received.
 	ControlMean float64
@@ -49,6 +51,7 @@
 		ByZone:           make(map[string]float64),
 		ZoneOriginCopies: make(map[string]float64),
 		LinkCopies:       make(map[string]float64),
+		ReceivedCopies:   make(map[string]float64),
 		OriginCopies:     r.origin.carriedChunks / chunks,
 		OriginRequests:   r.OriginRequests,
 		OriginRefused:    r.OriginRefused,
@@ -57,6 +60,7 @@
 		result.ZoneOriginCopies[zone] = carried / chunks
 	}
 	for name, l := range r.toRegion {
+		result.ReceivedCopies[name] = l.carriedChunks / chunks
 		result.LinkCopies[name] = (l.carriedChunks + r.fromRegion[name].carriedChunks) / chunks
 	}
 	var times []float64
--- a/lib/swarm/machine_test.go
+++ b/lib/swarm/machine_test.go
@@ -114,6 +114,44 @@
 	}
 }
 
+// Guards against chunks that no region fetches from the home region, or that cross more regions than needed.
+func TestChunksReachAllRegions(t *testing.T) {
+	for regions := 1; regions <= 7; regions++ {
+		for _, homeVMs := range []int{0, 1, 4, 1000} {
+			var members []swarm.Member
+			for region := range regions {
+				for vm := range max(1, homeVMs*(1-min(1, region))) {
+					members = append(members, swarm.Member{VM: fmt.Sprint(region, "-", vm), Region: fmt.Sprint("r", region)})
+				}
+			}
+			home := map[bool]string{true: "absent", false: "r0"}[homeVMs == 0]
+			plan := swarm.NewPlan(weights.Sum([]byte("v")), testChunks, home, members)
+			for chunk := range testChunks {
+				direct := 0
+				for region := 1; region < regions; region++ {
+					source, hops := plan.Source(fmt.Sprint("r", region), chunk), 1
+					if source == "r0" {
+						direct++
+					}
+					for ; source != "r0" && hops <= 4; hops++ {
+						source = plan.Source(source, chunk)
+					}
+					if hops > 3 {
+						t.Fatalf("%d regions, %d VMs at home, chunk %d: more than 3 hops to region %d", regions, homeVMs, chunk, region)
+					}
+				}
+				want := min(1, regions-1)
+				if homeVMs == 1000 {
+					want = regions - 1
+				}
+				if direct != want {
+					t.Fatalf("%d regions, %d VMs at home, chunk %d: %d copies from the home region, want %d", regions, homeVMs, chunk, direct, want)
+				}
+			}
+		}
+	}
+}
+
 // Guards against several models that each use the entire link of a VM.
 func TestCoordinatorSharesSlots(t *testing.T) {
 	Convey("Three models share the slots of one VM", t, func() {
--- a/lib/swarm/plan.go
+++ b/lib/swarm/plan.go
@@ -16,6 +16,9 @@
 // treeArity is the number of children of a VM in the fixed tree.
 const treeArity = 2
 
+// relayHopChunkTimes is about the time in chunk times that a chunk takes from one region through another.
+const relayHopChunkTimes = 4
+
 // Plan is the assignment of chunks to VMs that follows from a list of members. Every VM that
 // knows the same members computes the same plan. A Plan is immutable.
 type Plan struct {
@@ -24,7 +27,10 @@
 	members          map[string]Member
 	vmsByRegion      map[string][]string
 	fetchersByRegion map[string][][]string
-	treeOrder        []string
+	// remote lists the regions other than the home region. With relayed set, they pass chunks on to each other.
+	remote    []string
+	relayed   bool
+	treeOrder []string
 }
 
 // NewPlan ranks the members of each region for each chunk. When the home region has no
@@ -52,6 +58,14 @@
 	if len(p.vmsByRegion[home]) == 0 && len(p.regions) > 0 {
 		p.home = p.regions[0]
 	}
+	for _, region := range p.regions {
+		if region != p.home {
+			p.remote = append(p.remote, region)
+		}
+	}
+	// Beside the first copy, each further one that the home region sends to another region costs its VMs
+	// this many chunk times of their links.
+	p.relayed = (len(p.remote)-1)*chunks > relayHopChunkTimes*len(p.vmsByRegion[p.home])
 	name := digest.String()
 	for _, region := range p.regions {
 		ranks := make([][]string, chunks)
@@ -74,6 +88,23 @@
 	return ranks[chunk]
 }
 
+// Source returns the region from which the fetchers of another region than the home fetch a chunk. The
+// home region sends each chunk to every region, or to one that passes it on, if the home region has
+// too few VMs to send all these copies beside its own.
+func (p *Plan) Source(region string, chunk int) string {
+	index := slices.Index(p.remote, region)
+	if !p.relayed || index < 0 {
+		return p.home
+	}
+	position := (index + chunk) % len(p.remote)
+	if position == 0 {
+		return p.home
+	}
+	// Each region passes a chunk on to two others, and its place changes from one chunk to the next.
+	parent := (position - 1) / 2
+	return p.remote[(parent+len(p.remote)-chunk%len(p.remote))%len(p.remote)]
+}
+
 // Home returns the region whose VMs fetch from the weight store.
 func (p *Plan) Home() string { return p.home }
 
--- a/lib/swarm/source.go
+++ b/lib/swarm/source.go
@@ -37,6 +37,8 @@
 	underReplicatedRatio = 4
 	// probeChunkTimes is the time, in chunk times, that probed fetchers have to send their bitmap.
 	probeChunkTimes = 4
+	// relayChunkTimes is the time, in chunk times, that a region has to pass on a chunk which the home region holds.
+	relayChunkTimes = 8
 	// maxSlowdown bounds the factor by which a minority of a region's VMs stretches the
 	// source interval, so that the few VMs that survive a large failure still complete.
 	maxSlowdown = 4
@@ -55,8 +57,11 @@
 	chunk  int
 	rank   int
 	probed bool
-	// homeProbes counts the fetchers of the home region tried so far; it selects the next one.
-	homeProbes int
+	// sourceProbes counts the fetchers of the source tried so far; it selects the next one.
+	sourceProbes int
+	// heldAtHome is set when a VM of the home region is first known to hold the chunk, at heldAtHomeSince.
+	heldAtHome      bool
+	heldAtHomeSince time.Duration
 	// probedAt is the time of the last probe of other fetchers.
 	probedAt time.Duration
 	// offerSeen is set when a trusted peer is first seen to offer the chunk, at offerSeenAt.
@@ -113,7 +118,7 @@
 			m.startFetch(now, a.chunk, nil, true)
 			continue
 		}
-		m.fetchFromHome(now, a)
+		m.fetchFromRegion(now, a)
 	}
 }
 
@@ -242,15 +247,29 @@
 	return false
 }
 
-// fetchFromHome fetches a chunk from a VM of the home region that holds it. When none is
-// known, it asks the next of the chunk's fetchers there for its bitmap.
-func (m *Machine) fetchFromHome(now time.Duration, a *sourceAssignment) {
-	var holders []*peer
+// fetchFromRegion fetches a chunk from a VM of the region's source that holds it, or of the home region
+// if the chunk is not passed on in time. When none is known, it asks the next of the chunk's fetchers there
+// for its bitmap.
+func (m *Machine) fetchFromRegion(now time.Duration, a *sourceAssignment) {
+	source, home := m.plan.Source(m.cfg.Self.Region, a.chunk), m.plan.Home()
+	var holders, homeHolders []*peer
 	for _, p := range m.peersWithChunks {
-		if p.Region == m.plan.Home() && p.held.Has(a.chunk) && p.trusted(now) && now >= p.busyUntil {
+		if !p.held.Has(a.chunk) || !p.trusted(now) || now < p.busyUntil {
+			continue
+		}
+		switch p.Region {
+		case source:
 			holders = append(holders, p)
+		case home:
+			homeHolders = append(homeHolders, p)
 		}
 	}
+	if len(homeHolders) > 0 && !a.heldAtHome {
+		a.heldAtHome, a.heldAtHomeSince = true, now
+	}
+	if len(holders) == 0 && a.heldAtHome && now >= a.heldAtHomeSince+m.timeout(relayChunkTimes) {
+		holders = homeHolders
+	}
 	if len(holders) > 0 {
 		m.startFetch(now, a.chunk, m.pickPeer(holders, a.chunk), true)
 		return
@@ -260,10 +279,13 @@
 	}
 	a.probedAt = now
 	// The fetchers are probed in turn, since one that is stalled does not respond.
-	fetchers := m.plan.Fetchers(m.plan.Home(), a.chunk)
+	fetchers := m.plan.Fetchers(source, a.chunk)
+	if source != home {
+		fetchers = slices.Concat(fetchers, m.plan.Fetchers(home, a.chunk))
+	}
 	for range fetchers {
-		p := m.byVM[fetchers[a.homeProbes%len(fetchers)]]
-		a.homeProbes++
+		p := m.byVM[fetchers[a.sourceProbes%len(fetchers)]]
+		a.sourceProbes++
 		if p != nil && p.trusted(now) {
 			m.exchange(now, p)
 			return
@@ -272,13 +294,14 @@
 }
 
 // notifyGateways sends this VM's bitmap to the gateway of each other region, the first
-// fetcher of chunk there, so that it learns that the chunk is available.
+// fetcher of chunk there, so that it learns that the chunk is available. A VM outside the home region
+// notifies those that fetch the chunk from its region.
 func (m *Machine) notifyGateways(now time.Duration, chunk int) {
 	if m.baseline() {
 		return
 	}
 	for _, region := range m.plan.regions {
-		if region == m.cfg.Self.Region {
+		if region == m.cfg.Self.Region || (!m.inHomeRegion() && m.plan.Source(region, chunk) != m.cfg.Self.Region) {
 			continue
 		}
 		for _, vm := range m.plan.Fetchers(region, chunk)[:1] {
