--- a/lib/swarm/machine_test.go
+++ b/lib/swarm/machine_test.go
@@ -99,6 +99,18 @@
 	})
 }
 
+// Guards against peers that are avoided for a while because they started the version a little later.
+func TestPeerThatHasNotStartedIsNotAvoided(t *testing.T) {
+	for _, notStarted := range []bool{true, false} {
+		m := newMachine("v", 1)
+		m.Step(0, peers(1))
+		m.Step(0, swarm.BitmapFailed{To: "peer-0", NotStarted: notStarted})
+		if got := fetches(m.Step(testChunkTime, swarm.BitmapReceived{From: "peer-0", Bitmap: fullBitmap()})); (len(got) == 1) != notStarted {
+			t.Errorf("not started %t: %d fetches from the peer", notStarted, len(got))
+		}
+	}
+}
+
 // Guards against several models that each use the entire link of a VM.
 func TestCoordinatorSharesSlots(t *testing.T) {
 	Convey("Three models share the slots of one VM", t, func() {
