Mirror: the grace time for expired workers ends before the bounds hold again

Callers' requests reached a worker 3.9 s after the store had acknowledged that it leaves (bound 3 s), from entries of an availability zone that had been cut off for 5.5 s. The worker left 0.16 s after the cut and never reported draining, so that only its removal told. An entry keeps workers that are missing after an outage for 2.2 s, since those that live write themselves again; it counted from when it noticed that the store is back, 1.5 to 2.0 s after the cut, and nothing bounded the sum.

The store now counts as back at most settle_window_ms less 2.6 s after the last call that failed, so that the grace time ends 0.4 s before the bounds can hold again. Copies of a copy end it with their source, as before. "source of the mirror regained" tells the time since that call and the grace time, and one line for a kind tells its end.

--- a/entry/hosted/process.go
+++ b/entry/hosted/process.go
@@ -132,7 +132,7 @@
 		},
 		DatedKinds: map[string]bool{platform.KindVersions: true}, OwnKinds: []string{platform.KindEntries, platform.KindBlockedParts}, Older: platform.Older, OnRestore: p.storeRestored,
 		Store: store, SeedKind: platform.KindEntries, SeedNeighbours: rpcmirror.NewSeedClient(conns, settings.SeedAddresses()), Neighbours: rpcmirror.NewClient(conns, internalAddress(settings), v.neighbours), PreferredSource: v.source, PullWait: pullTimeout, StaleAfter: v.staleAfter,
-		StartupWait: v.startupWait, MaxProbePause: v.maxProbePause, MaxNeighbourStoreAge: v.holdOff, PropagationBound: settings.Bounds.ShortestPropagationBound(), SeedWait: seedWait(settings), DetectSuspension: p.checkSuspension, EarliestArrival: p.pulse.EarliestArrival, OnChange: p.applyChanges, Log: log,
+		StartupWait: v.startupWait, MaxProbePause: v.maxProbePause, MaxNeighbourStoreAge: v.holdOff, PropagationBound: settings.Bounds.ShortestPropagationBound(), Settle: settings.Bounds.Settle, SeedWait: seedWait(settings), DetectSuspension: p.checkSuspension, EarliestArrival: p.pulse.EarliestArrival, OnChange: p.applyChanges, Log: log,
 	})
 	p.frontend.mirrored = p.mirror
 	p.grpc = grpc.NewServer(rpc.RecoveryOptions(log)...)
--- a/lib/mirror/driver.go
+++ b/lib/mirror/driver.go
@@ -135,6 +135,9 @@
 	// PropagationBound is the time within which a change must be known; zero for
 	// defaultPropagationBound.
 	PropagationBound time.Duration
+	// Settle is the time after the end of an outage from which on changes must be known within their
+	// bounds; zero for no such time.
+	Settle time.Duration
 	// MaxProbePause is the longest pause between two probes of a store that does not
 	// respond; nil for maxRetryPause. It grows with the number of processes that probe.
 	MaxProbePause func() time.Duration
@@ -210,7 +213,7 @@
 		reachable: true, recovered: make(chan struct{}), probeRequests: make(chan struct{}, 1), probedRevisions: make(chan int64), neighboursAhead: make(chan string, 1), ensuredAt: make(map[string]time.Time)}
 	for name, expires := range config.Kinds {
 		kind := NewKind(expires)
-		kind.dated = config.DatedKinds[name]
+		kind.dated, kind.settle = config.DatedKinds[name], config.Settle
 		kind.restore.keepsMissing = slices.Contains(config.OwnKinds, name)
 		if config.Older != nil {
 			kind.restore.older = func(first, second json.RawMessage) bool { return config.Older(name, first, second) }
@@ -495,6 +498,7 @@
 		d.mu.Lock()
 		for name, kind := range d.kinds {
 			if changes := kind.Tick(now); len(changes) > 0 {
+				d.config.Log.Info("objects that were kept after an outage are removed", zap.String("kind", name), zap.Int("changes", len(changes)))
 				d.config.OnChange(name, changes)
 				close(d.changed)
 				d.changed = make(chan struct{})
--- a/lib/mirror/mirror.go
+++ b/lib/mirror/mirror.go
@@ -23,6 +23,9 @@
 	// expiryGrace is how long expired objects are retained after an outage. The platform
 	// states that objects of live workers are back within about two seconds.
 	expiryGrace = 2200 * time.Millisecond
+	// removalMargin is how long before the bounds hold again the grace time must be over, so that a removal
+	// still reaches those that mirror from this process.
+	removalMargin = 2 * tickInterval
 )
 
 // ErrHistoryLost is returned by a watch whose start revision is older than the history that
@@ -97,6 +100,9 @@
 	// retained holds objects that were deleted during or just after an outage and are kept
 	// for the grace time.
 	retained map[string]Object
+	// settle is the time after the end of an outage from which on removals must be in force within their
+	// bound; zero for no such time.
+	settle time.Duration
 	// dated is set for kinds of which older dates are passed on.
 	dated bool
 	// restore is what is kept after the store came back from an older copy.
@@ -117,7 +123,8 @@
 	// lastFailure is when the last call began to which the store did not respond.
 	lastFailure time.Time
 	// storeAvailableSince is the time since which the store has responded without
-	// interruption, to this process or to the neighbour that it mirrors from.
+	// interruption, to this process or to the neighbour that it mirrors from. After an outage it is an
+	// earlier time if the end was noticed late, see returnedAt.
 	storeAvailableSince time.Time
 	// completeAt is the latest time at which the copy is known to have held every change, and
 	// publishedCompleteAt the same for readers without the lock of the kind.
@@ -311,11 +318,15 @@
 	if k.synced && !k.failing {
 		return
 	}
+	back := now.Add(-availableFor)
+	k.storeAvailableSince = back
+	if k.failing && availableFor == 0 {
+		k.storeAvailableSince = k.returnedAt(now)
+	}
 	if k.synced && k.expires && now.Sub(k.failedAt) >= expiryOutage {
-		k.graceEnds = now.Add(expiryGrace - availableFor)
+		k.graceEnds = k.storeAvailableSince.Add(expiryGrace)
 	}
-	k.storeAvailableSince = now.Add(-availableFor)
-	if k.failing && k.lastFailure.Sub(k.failedAt) >= expiryOutage && k.lastFailure.Before(k.storeAvailableSince) {
+	if k.failing && k.lastFailure.Sub(k.failedAt) >= expiryOutage && k.lastFailure.Before(back) {
 		// Nothing is changed while the store responds to nobody, so the copy was still
 		// complete at the last failure. The store may have recovered right after it. A
 		// short failure does not count, since it may be that of one call or connection.
@@ -324,6 +335,19 @@
 	k.failing = false
 }
 
+// returnedAt returns when the store counts as back after an outage whose end is noticed now. It may have been
+// back since the last call that failed, and removals made since then must be in force in time.
+func (k *Kind) returnedAt(now time.Time) time.Time {
+	if k.settle == 0 {
+		return now
+	}
+	latest := k.lastFailure.Add(max(0, k.settle-removalMargin-expiryGrace))
+	if latest.Before(now) {
+		return latest
+	}
+	return now
+}
+
 // ApplyList applies the full list of a revision that the store, or a source that receives its
 // state, has sent. A list older than the known revision is ignored.
 func (k *Kind) ApplyList(objects []Object, revision int64, now time.Time) []Change {
--- a/lib/mirror/outage.go
+++ b/lib/mirror/outage.go
@@ -23,6 +23,7 @@
 			zap.String("revision", FormatRevision(kind.Revision())), zap.Error(cause))
 	case wasFailing && !kind.failing:
 		d.config.Log.Info("source of the mirror regained", zap.String("kind", name), zap.Duration("outage", now.Sub(failedAt)),
-			zap.String("revision", FormatRevision(kind.Revision())))
+			zap.String("revision", FormatRevision(kind.Revision())), zap.Duration("since_failure", now.Sub(kind.lastFailure)),
+			zap.Duration("grace", max(0, kind.graceEnds.Sub(now))))
 	}
 }
--- a/lib/mirror/outage_test.go
+++ b/lib/mirror/outage_test.go
@@ -25,6 +25,9 @@
 	return newFleetWithBound(ctx, followers, 0)
 }
 
+// settled is the time after an outage from which on the bounds hold again.
+const settled = 4 * time.Second
+
 // newFleetWithBound returns a fleet with a propagation bound; zero for the default.
 func newFleetWithBound(ctx context.Context, followers int, bound time.Duration) *fleet {
 	f := &fleet{store: newFakeStore()}
@@ -46,6 +49,7 @@
 			StartupWait:          func() time.Duration { return StartupWaitAt(i+1, followers+1) },
 			MaxProbePause:        func() time.Duration { return MaxProbePauseAt(i + 1) },
 			PropagationBound:     bound,
+			Settle:               settled,
 			OnChange:             seen.onChange,
 		})
 		f.followers = append(f.followers, driver)
@@ -304,9 +308,10 @@
 
 // Guards against entries of a large zone that wait too long to ask the store after an
 // outage while the one that they mirror from does not respond: two received a configuration
-// 0.2 and 0.8 s after its bound.
+// 0.2 and 0.8 s after its bound. Guards as well against copies that learn late that the store is back,
+// and keep a worker that left for the whole grace time from then on: it got requests 0.9 s after its bound.
 func TestWaitsAfterAnOutageEndWithinTheBound(t *testing.T) {
-	const settled, within = 4 * time.Second, 3 * time.Second
+	const within = 3 * time.Second
 	for _, after := range []time.Duration{0, 500 * time.Millisecond, 1200 * time.Millisecond, 2300 * time.Millisecond, 3500 * time.Millisecond} {
 		t.Run(after.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -321,11 +326,15 @@
 				f.store.set(func() { f.store.down = false })
 				<-time.After(after)
 				f.store.put("config", "new")
+				f.store.remove("workers", "a")
 				<-time.After(max(settled-after, within))
 				for i, seen := range f.seen {
 					if seen.seenAt("new", false) < 0 {
 						t.Errorf("follower %d has not seen a change of %v ago, made %v after the outage", i, max(settled-after, within), after)
 					}
+					if seen.seenAt("a", true) < 0 {
+						t.Errorf("follower %d has not seen a removal of %v ago, made %v after the outage", i, max(settled-after, within), after)
+					}
 				}
 			})
 		})
--- a/lib/mirror/rpcmirror/fleet_harness_test.go
+++ b/lib/mirror/rpcmirror/fleet_harness_test.go
@@ -448,7 +448,7 @@
 		MaxNeighbourStoreAge: func() time.Duration { return e.tree.HoldOff(probe) },
 		StartupWait:          func() time.Duration { return mirror.StartupWaitAt(len(e.tree.Upstreams()), e.tree.ZoneSize()) },
 		MaxProbePause:        func() time.Duration { return mirror.MaxProbePauseAt(len(e.tree.Upstreams())) },
-		PropagationBound:     e.fleet.bound, OnChange: e.onChange, Log: zap.New(core), EarliestArrival: e.earliestArrival,
+		PropagationBound:     e.fleet.bound, Settle: e.fleet.bound, OnChange: e.onChange, Log: zap.New(core), EarliestArrival: e.earliestArrival,
 	})
 	e.set(func(e *simEntry) {
 		e.driver, e.client, e.stop, e.logs, e.started, e.inForce = driver, client, stop, logs, time.Now(), 0
