A weight store's answer must begin at the offset that was asked for

What was seen: a weight store that ignores Range, or answers with another part, had the first bytes of its answer taken for the chunk. Its digest did not match, so that the chunk was called corrupt, which points at the store's content. Weights were never wrong.

A 200 is the content from its beginning on, and a 206 must state the offset that was asked for, if it states one. Else the chunk fails with an error that names both, and is fetched again as after a broken transfer.

--- a/endpoint/origin.go
+++ b/endpoint/origin.go
@@ -56,9 +56,33 @@
 		return nil, errkind.New(errkind.Unavailable, "check that the version is in the weight store",
 			"weight store responded with status %d", response.StatusCode)
 	}
+	if err := checkStart(response, start); err != nil {
+		return nil, err
+	}
 	return readLimited(ctx, response.Body, length, o.link, progress)
 }
 
+// checkStart returns an error unless the body of a response begins at an offset of the content. Without a Content-Range, the
+// digest of the chunk shows whether it does.
+func checkStart(response *http.Response, want int64) error {
+	var got int64
+	if response.StatusCode == http.StatusPartialContent {
+		stated := response.Header.Get("Content-Range")
+		if stated == "" {
+			return nil
+		}
+		if _, err := fmt.Sscanf(stated, "bytes %d-", &got); err != nil {
+			return errkind.New(errkind.Unavailable, "check the weight store",
+				"weight store sent a part with the Content-Range %q, bytes from %d on were asked for", stated, want)
+		}
+	}
+	if got != want {
+		return errkind.New(errkind.Unavailable, "check that the weight store supports Range",
+			"weight store sent bytes from %d on with status %d, those from %d on were asked for", got, response.StatusCode, want)
+	}
+	return nil
+}
+
 func retryAfter(header http.Header) time.Duration {
 	seconds, err := strconv.Atoi(header.Get("Retry-After"))
 	if err != nil || seconds < 0 {
