startwait: one rule for the end of sending to weights that a newer version replaces

The margins before the bound of a version were constants of entry/hosted, so that lib/rollout, which places the loads before that end, had shares of the bound of its own. They and the two times that follow from them are exported by lib/startwait.

--- a/entry/hosted/patience.go
+++ b/entry/hosted/patience.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"laburnumgw/lib/catalog"
+	"laburnumgw/lib/startwait"
 	"laburnumgw/lib/workerconn"
 )
 
@@ -15,7 +16,7 @@
 	maxSilencePatience = 2 * time.Second
 	// minSilencePatience outlasts the silence of a sound worker. It is less than the time for which the
 	// entry waits for an event on any route.
-	minSilencePatience = 1500 * time.Millisecond
+	minSilencePatience = startwait.MaxStandstill
 	// reportPollInterval is the pause between two checks whether an unresponsive worker still
 	// reports, or another one can be asked beside it.
 	reportPollInterval = 200 * time.Millisecond
--- a/entry/hosted/start_waits.go
+++ b/entry/hosted/start_waits.go
@@ -8,9 +8,6 @@
 	"laburnumgw/lib/startwait"
 )
 
-// startAllowance is what may delay a request to weights with a bound besides its wait.
-var startAllowance = startwait.Allowance{Standstill: minSilencePatience, Reading: readingTime}
-
 // startWait is a request that waits at a worker, as the estimate of its waits knows it.
 type startWait struct {
 	worker      *worker
@@ -91,11 +88,11 @@
 	if !bounded {
 		return startwait.Window{}
 	}
-	window := w.waits.Window(bound, startAllowance, now)
+	window := w.waits.Window(bound, startwait.OutgoingAllowance(), now)
 	if w.waits.Known(now) {
 		return window
 	}
-	return window.Narrowest(state.waits.Window(bound, startAllowance, now))
+	return window.Narrowest(state.waits.Window(bound, startwait.OutgoingAllowance(), now))
 }
 
 // startLimits returns until when a request may begin and be sent on the weights of a decision, and how long requests are
@@ -115,7 +112,7 @@
 	}
 	if bound, bounded := v.startBound(c.engine.Model, version); bounded {
 		unknown := new(startwait.Estimator)
-		return unknown.Window(bound, startAllowance, now), 0
+		return unknown.Window(bound, startwait.OutgoingAllowance(), now), 0
 	}
 	return startwait.Window{}, 0
 }
--- a/entry/hosted/versions.go
+++ b/entry/hosted/versions.go
@@ -10,6 +10,7 @@
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/mirror/rpcmirror"
 	"laburnumgw/lib/retry"
+	"laburnumgw/lib/startwait"
 	"laburnumgw/platform"
 )
 
@@ -91,7 +92,7 @@
 // scheduleRetirement updates the routing now, and again versionMargin before the bound of a
 // version, from when on older weights get no more requests. The caller holds the lock.
 func (v *view) scheduleRetirement(model string, version int, namedAt time.Time) {
-	until := time.Until(namedAt.Add(v.settings.Bounds.VersionApply - versionMargin))
+	until := time.Until(startwait.SendingEnds(namedAt, v.settings.Bounds.VersionApply))
 	v.updateAllRouting()
 	if until <= 0 {
 		return
@@ -186,7 +187,7 @@
 func (v *view) startBound(model string, version int) (time.Time, bool) {
 	for _, named := range v.versions[model] {
 		if named.number > version {
-			return named.namedAt.Add(v.settings.Bounds.VersionApply - startMargin), true
+			return startwait.StartBound(named.namedAt, v.settings.Bounds.VersionApply), true
 		}
 	}
 	return time.Time{}, false
@@ -196,7 +197,7 @@
 func (v *view) requiredVersion(model string, now time.Time) int {
 	required := 0
 	for _, named := range v.versions[model] {
-		if now.Sub(named.namedAt) >= v.settings.Bounds.VersionApply-versionMargin {
+		if !now.Before(startwait.SendingEnds(named.namedAt, v.settings.Bounds.VersionApply)) {
 			required = named.number
 		}
 	}
--- a/entry/hosted/view.go
+++ b/entry/hosted/view.go
@@ -41,16 +41,10 @@
 	// attempt, so that the response can still be in time; a caller that retries after the
 	// objective takes capacity and is late for certain.
 	capacityRetryDivisor = 8
-	// versionMargin is how long before the bound of a version older weights get no more requests, also where none
-	// waits: a sound worker may stand still just before it reads one, and some run a request whose connection was closed
-	// meanwhile.
-	versionMargin = startMargin + minSilencePatience + readingTime
-	// startMargin is how long before the bound a request that waits at a worker with older
-	// weights is given up: the date of the naming may be late, and the way to the worker and the closing take wayTime.
-	startMargin = mirror.DateUncertainty + wayTime
-	wayTime     = 175 * time.Millisecond
-	// readingTime is how long a worker reads a request and its prompt that does not wait.
-	readingTime = 100 * time.Millisecond
+	// versionMargin is how long before the bound of a version older weights get no more requests, also where none waits.
+	versionMargin = startwait.SendMargin
+	// startMargin is how long before the bound a request that waits at a worker with older weights is given up.
+	startMargin = startwait.StartMargin
 	// runReserve is the multiple of its longest run time at usual load that a request must have before the bound of its
 	// weights to be ended there: what its worker breaks off is lost.
 	runReserve = 1.5
