rollout: load from the first whole copy on, in waves by load times

Callers saw two weak seconds before the bound of each version: all chunks were there 3.5 s after the naming, but workers waited for shares of the bound (0.48 to 0.91), and the last were whole 2 s after sending to older weights had ended.

A zone now changes in waves one order apart, two at least, that end with the end of sending where the chunks allow it. Orders are timed by each process, with warm_s and 1.5 mean run times before the first. Workers announce their closing while the last chunks arrive. Who loads a version that a newer one follows is decided by what it would serve and give up, instead of by every second rank.

--- a/endpoint/hosted/loads.go
+++ b/endpoint/hosted/loads.go
@@ -101,9 +101,9 @@
 
 // rolloutWorker returns the state of the worker as input of rollout.Decide. Weights that are not proven count as missing, so
 // that the worker loads them again, and those that are being proven as an order in progress.
-func (p *Process) rolloutWorker(layers int) rollout.Worker {
+func (p *Process) rolloutWorker(engine *catalog.Engine) rollout.Worker {
 	held := p.report.Weights
-	worker := rollout.Worker{Version: held.Version, Complete: held.Complete(layers), Busy: p.report.Busy}
+	worker := rollout.Worker{Version: held.Version, Complete: held.Complete(engine.Layers), Busy: p.report.Busy, LoadTime: p.loadTimes.expected(engine)}
 	switch p.stager.ledger.State(p.holdings()) {
 	case loadproof.Pending:
 		worker.Busy = true
@@ -114,6 +114,50 @@
 	return worker
 }
 
+const (
+	// runReserve is the multiple of the run time of a mean request within which the running requests of a worker end.
+	runReserve = 1.5
+	// maxLoadFactor bounds the time that an order is expected to take, by what the settings tell: one that took longer was
+	// disturbed.
+	maxLoadFactor = 2
+)
+
+// loadTimes measures how long the orders to a worker with running requests take, until it serves again.
+type loadTimes struct {
+	// orderedAt is zero while no order is measured.
+	orderedAt time.Time
+	mean      time.Duration
+}
+
+// begin records that a worker with running requests has begun an order.
+func (l *loadTimes) begin(now time.Time) { l.orderedAt = now }
+
+// cancel drops an order that did not end as usual.
+func (l *loadTimes) cancel() { l.orderedAt = time.Time{} }
+
+// end records that the worker serves what it was ordered to load.
+func (l *loadTimes) end(now time.Time) {
+	if l.orderedAt.IsZero() {
+		return
+	}
+	took := now.Sub(l.orderedAt)
+	if l.mean == 0 {
+		l.mean = took
+	}
+	l.mean = (l.mean + took) / 2
+	l.cancel()
+}
+
+// expected returns how long an order is expected to take: a mean of those measured, and before the first one what the
+// settings of the engine tell.
+func (l *loadTimes) expected(engine *catalog.Engine) time.Duration {
+	stated := engine.LoadTime + time.Duration(runReserve*float64(engine.Duration(0, 0)))
+	if l.mean == 0 {
+		return stated
+	}
+	return min(l.mean, maxLoadFactor*stated)
+}
+
 // proveLoad reads back what the worker has taken, and tells the entries when the result changes.
 func (p *Process) proveLoad(ctx context.Context) {
 	if err := p.stager.readBack(ctx); err != nil {
@@ -208,6 +252,9 @@
 	if result == platform.OrderRefused {
 		p.switching = false
 	}
+	if result == platform.OrderStarted && p.report.Running > 0 {
+		p.loadTimes.begin(time.Now())
+	}
 	if isReload && result != platform.OrderStarted {
 		p.delayReload()
 	}
--- a/endpoint/hosted/process.go
+++ b/endpoint/hosted/process.go
@@ -105,6 +105,7 @@
 	// queuedSince is since when an order waits for requests that have not begun at the worker.
 	queuedSince time.Time
 	reloadPause time.Duration
+	loadTimes   loadTimes
 	// pollLoopStarted is when pollLoop started.
 	pollLoopStarted time.Time
 	// crashNotices is how often the last crash of the worker is still to be sent.
@@ -274,6 +275,7 @@
 			p.pollWorker(ctx)
 		case length := <-p.suspensions:
 			p.log.Warn("machine was suspended", zap.Duration("length", length))
+			p.loadTimes.cancel()
 			p.pollWorker(ctx)
 		case result := <-p.pendingOpen:
 			p.finishOpen(result)
@@ -294,6 +296,25 @@
 	namedVersion namedVersion
 	complete     bool
 	completeAt   time.Time
+	openedAt     time.Time
+	// held of chunks are held, the last one since heldAt.
+	held, chunks int
+	heldAt       time.Time
+}
+
+// observeChunks records which part of the version has arrived.
+func (t *target) observeChunks(now time.Time) {
+	if t.complete {
+		return
+	}
+	replica := t.version.distribution.Replica()
+	t.chunks = len(replica.Manifest().Chunks)
+	if held := replica.Bitmap().Count(); held != t.held {
+		t.held, t.heldAt = held, now
+	}
+	if t.held == t.chunks {
+		t.complete, t.completeAt = true, now
+	}
 }
 
 // newest returns the newest target, or nil.
@@ -355,6 +376,7 @@
 // recordCrash records that the known start of the worker has crashed, and tells the entries.
 func (p *Process) recordCrash() {
 	p.workerStarted = false
+	p.loadTimes.cancel()
 	p.crashes.Inc()
 	p.log.Warn("worker has crashed", zap.Int64("born", p.report.StartedAtMs))
 	p.crashNotices = crashNotices
@@ -437,15 +459,19 @@
 	p.updateNamedAt(model)
 	p.proveLoad(ctx)
 	p.publishProven(ctx)
-	worker := p.rolloutWorker(service.Engine.Layers)
+	worker := p.rolloutWorker(service.Engine)
 	if worker.Complete && worker.Version >= p.orderedVersion {
 		p.switching = false
+		p.loadTimes.end(time.Now())
 	}
-	decision := rollout.Decide(p.rolloutSettings, worker, p.rolloutTargets(), p.settings.IP, p.view.zoneVMs(), time.Now())
+	decision := rollout.Decide(p.rolloutSettings, worker, p.rolloutTargets(), p.settings.IP, p.view.zoneMembers(), time.Now())
 	if decision.Reason != p.loggedReason {
 		p.loggedReason = decision.Reason
 		p.log.Info("change of weights decided", zap.Int("load", decision.Load), zap.String("reason", string(decision.Reason)),
-			zap.Int("version", worker.Version))
+			zap.Int("version", worker.Version), zap.Duration("load_time", worker.LoadTime), zap.Duration("late", decision.Late), zap.String("limit", string(decision.Limit)))
+		if decision.Load > 0 && decision.Late > 0 {
+			p.metrics.GetOrCreateCounter(fmt.Sprintf("laburnumgw_worker_late_changes_total{limit=%q}", decision.Limit)).Inc()
+		}
 	}
 	p.switchoverIn = decision.ClosesIn
 	for _, t := range p.targets {
@@ -460,10 +486,7 @@
 func (p *Process) rolloutTargets() []rollout.Target {
 	list := make([]rollout.Target, 0, len(p.targets))
 	for _, t := range p.targets {
-		if !t.complete && t.version.distribution.Replica().Complete() {
-			t.complete = true
-			t.completeAt = time.Now()
-		}
+		t.observeChunks(time.Now())
 		list = append(list, p.rolloutTarget(t))
 	}
 	return list
@@ -471,7 +494,10 @@
 
 // rolloutTarget returns one target as input of rollout.Decide.
 func (p *Process) rolloutTarget(t *target) rollout.Target {
-	return rollout.Target{Version: t.version.number, NamedAt: p.view.namedTime(t.namedVersion), Complete: t.complete, CompleteAt: t.completeAt}
+	return rollout.Target{
+		Version: t.version.number, NamedAt: p.view.namedTime(t.namedVersion), Complete: t.complete, CompleteAt: t.completeAt,
+		Held: t.held, Chunks: t.chunks, OpenedAt: t.openedAt, HeldAt: t.heldAt,
+	}
 }
 
 // openResult is a version that was opened, or the error that prevented it.
@@ -520,7 +546,7 @@
 		// the naming is known.
 		result.requested = p.view.assumeNamedNow()
 	}
-	p.targets = append(p.targets, &target{version: result.version, namedVersion: result.requested})
+	p.targets = append(p.targets, &target{version: result.version, namedVersion: result.requested, openedAt: time.Now()})
 	if len(p.targets) > keptVersions {
 		p.targets = p.targets[1:]
 	}
--- a/endpoint/hosted/view.go
+++ b/endpoint/hosted/view.go
@@ -14,6 +14,7 @@
 	"laburnumgw/lib/catalog"
 	"laburnumgw/lib/mirror"
 	"laburnumgw/lib/rendezvous"
+	"laburnumgw/lib/rollout"
 	"laburnumgw/lib/senders"
 	"laburnumgw/platform"
 )
@@ -230,15 +231,18 @@
 	}
 }
 
-// zoneVMs returns the VMs of this availability zone that serve the model.
-func (v *view) zoneVMs() []string {
-	var vms []string
-	for _, a := range v.assignments() {
-		if a.GetZone() == v.settings.Zone {
-			vms = append(vms, a.GetVm())
+// zoneMembers returns the VMs of this availability zone that serve the model, and the versions that they serve.
+func (v *view) zoneMembers() []rollout.Member {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	members := []rollout.Member{{VM: v.settings.IP}}
+	for id, worker := range v.workers {
+		ip := hostOf(worker.Address)
+		if worker.Service == v.settings.Service && worker.Zone == v.settings.Zone && ip != v.settings.IP {
+			members = append(members, rollout.Member{VM: ip, Version: v.proven[id].Version})
 		}
 	}
-	return vms
+	return members
 }
 
 // entryAddresses returns the addresses of the entries of this availability zone and of the
--- a/lib/rollout/rollout.go
+++ b/lib/rollout/rollout.go
@@ -4,48 +4,30 @@
 package rollout
 
 import (
-	"slices"
 	"time"
 
 	"laburnumgw/lib/rendezvous"
+	"laburnumgw/lib/startwait"
 )
 
-// Settings are the times of a change of versions. The switchovers are relative to the time
-// at which the version was named.
+// Settings are the times of a change of versions, relative to the time at which the version was named.
 type Settings struct {
-	// FirstSwitchover is when the first worker of an availability zone switches over, if its
-	// weights are complete by then.
-	FirstSwitchover time.Duration
-	// LastSwitchover is when the last worker switches over. A worker accepts no new requests
-	// while it waits for its running ones, so spreading the switchovers keeps most of the
-	// zone in service.
-	LastSwitchover time.Duration
-	// Notice is how long before its switchover a worker is announced to close, so that it
-	// gets only requests that end by then.
+	// Bound is the time after the naming from which on no request may start on older weights.
+	Bound time.Duration
+	// Notice is how long before its turn a worker is announced to close, so that it gets only requests that end by then.
 	Notice time.Duration
 }
 
 const (
-	// firstSwitchoverShare is the share of the bound by which all links have carried a copy
-	// of the weights and the first workers could be announced: 3.8 s of 8 s.
-	firstSwitchoverShare = 0.48
-	// lastSwitchoverShare is the share of the bound by which the last worker switches over:
-	// 0.72 s before a bound of 8 s. Entries stop sending to workers with older weights 1.9 s
-	// before the bound or sooner (versionMargin in entry/hosted). A worker goes on with what it has until
-	// its switchover.
-	lastSwitchoverShare = 0.91
 	// noticeShare is the share of the bound within which most requests end: 1.2 s of 8 s.
 	noticeShare = 0.15
+	// minLoadTime is the least time that an order is expected to take.
+	minLoadTime = 100 * time.Millisecond
 )
 
-// DefaultSettings spreads the change of versions over the bound: the time after the naming of
-// a version (Bounds.VersionApply) from which on no request may start on older weights.
+// DefaultSettings are the settings for a bound of versions.
 func DefaultSettings(bound time.Duration) Settings {
-	return Settings{
-		FirstSwitchover: time.Duration(firstSwitchoverShare * float64(bound)),
-		LastSwitchover:  time.Duration(lastSwitchoverShare * float64(bound)),
-		Notice:          time.Duration(noticeShare * float64(bound)),
-	}
+	return Settings{Bound: bound, Notice: time.Duration(noticeShare * float64(bound))}
 }
 
 // Worker is the state of the worker on the VM of this process.
@@ -56,6 +38,8 @@
 	Complete bool
 	// Busy is set while an order is in progress.
 	Busy bool
+	// LoadTime is how long an order is expected to take, the end of the running requests included.
+	LoadTime time.Duration
 }
 
 // Target is a version that the worker is to serve.
@@ -67,6 +51,21 @@
 	Complete bool
 	// CompleteAt is the time at which the version became complete.
 	CompleteAt time.Time
+	// Held of Chunks have arrived, the last one at HeldAt, since the version was opened at OpenedAt.
+	Held, Chunks     int
+	OpenedAt, HeldAt time.Time
+}
+
+// arrival returns when the version is expected to be complete if its chunks go on arriving as they did, or false before
+// half of them are there.
+func (t Target) arrival() (time.Time, bool) {
+	if t.Complete {
+		return t.CompleteAt, true
+	}
+	if t.Held == 0 || 2*t.Held < t.Chunks {
+		return time.Time{}, false
+	}
+	return t.OpenedAt.Add(time.Duration(float64(t.HeldAt.Sub(t.OpenedAt)) * float64(t.Chunks) / float64(t.Held))), true
 }
 
 // Decision is what the process does with the worker next.
@@ -77,6 +76,29 @@
 	// ClosesIn is the time until the worker will be ordered to load, when that is at most
 	// Settings.Notice away; zero otherwise.
 	ClosesIn time.Duration
+	// Late is by how much the last worker of the zone is whole after sending to older weights has ended, and Limit what
+	// prevents that it is whole by then.
+	Late  time.Duration
+	Limit Limit
+}
+
+// Limit states what keeps a change of versions from ending in time.
+type Limit string
+
+// Limits.
+const (
+	LimitNone Limit = ""
+	// LimitChunks means that the chunks arrived so late that no worker can be whole in time.
+	LimitChunks Limit = "chunks_arrived_late"
+	// LimitZone means that the zone could not be served if all workers were to be whole in time.
+	LimitZone Limit = "zone_is_kept_served"
+)
+
+// Member is a VM of the availability zone that serves the model, with the version that its worker serves by the mirrored
+// list, or zero.
+type Member struct {
+	VM      string
+	Version int
 }
 
 // Reason states why a decision was taken.
@@ -94,13 +116,12 @@
 	ReasonNoTarget   Reason = "no_version_known"
 )
 
-// Decide states whether the worker is to load a version now. Self and zone are the names
-// of the worker's VM and of all VMs of its zone that serve the model.
+// Decide states whether the worker is to load a version now. Self is the name of the worker's
+// VM, and zone all VMs of its zone that serve the model.
 //
-// When a newer version is named while an older one is due, half of the workers switch over
-// to the older one and keep serving until the newer one is complete; the others wait for
-// the newer one and switch over once.
-func Decide(s Settings, w Worker, targets []Target, self string, zone []string, now time.Time) Decision {
+// When a newer version is named while an older one is due, the workers that bridge the time between the end of sending
+// to what they have and the arrival of the newer version load the older one; the others switch over once.
+func Decide(s Settings, w Worker, targets []Target, self string, zone []Member, now time.Time) Decision {
 	newest := 0
 	for _, t := range targets {
 		newest = max(newest, t.Version)
@@ -114,28 +135,37 @@
 		return Decision{Reason: ReasonBusy}
 	}
 	decision := Decision{Reason: ReasonMissing}
-	position := positionOf(self, zone)
+	w.LoadTime = max(w.LoadTime, minLoadTime)
+	end := s.sendingEnds(w, targets)
 	for _, t := range targets {
-		if !t.Complete || (w.Complete && t.Version <= w.Version) || t.Version < decision.Load {
+		if (w.Complete && t.Version <= w.Version) || t.Version < decision.Load {
+			continue
+		}
+		position := positionOf(self, zone, t.Version)
+		if !t.Complete {
+			if decision.Reason == ReasonMissing && w.Complete {
+				decision.ClosesIn = s.earlyNotice(w, t, position, end, now)
+			}
 			continue
 		}
 		if !w.Complete {
 			decision = Decision{Load: t.Version, Reason: ReasonEmpty}
 			continue
 		}
-		if position.skips && s.awaitsNewer(t, targets, now) {
+		if skips(w, t, targets, position, end, now) {
 			if decision.Load == 0 {
-				decision = Decision{Reason: ReasonSkipped, ClosesIn: s.notice(t.NamedAt.Add(s.LastSwitchover).Sub(now))}
+				decision = Decision{Reason: ReasonSkipped, ClosesIn: s.notice(end.Sub(now))}
 			}
 			continue
 		}
-		wait := s.switchoverAt(w, t, targets, position).Sub(now)
+		wait := turn(w, t, position, end).Sub(now)
 		switch {
 		case wait <= 0:
 			decision = Decision{Load: t.Version, Reason: ReasonSwitchover}
 		case decision.Load == 0:
 			decision = Decision{Reason: ReasonWaiting, ClosesIn: s.notice(wait)}
 		}
+		decision.Late, decision.Limit = lateness(w, t, position, end)
 	}
 	return decision
 }
@@ -156,56 +186,121 @@
 	return max(wait, time.Millisecond)
 }
 
-// awaitsNewer reports whether a newer version than t is still incomplete and there is time
-// left to wait for it.
-func (s Settings) awaitsNewer(t Target, targets []Target, now time.Time) bool {
-	if now.After(t.NamedAt.Add(s.LastSwitchover + s.Notice)) {
-		return false
+// earlyNotice returns the wait to announce while chunks are missing, or zero. It is not shorter than half of the notice, and
+// is taken back where the chunks stay away.
+func (s Settings) earlyNotice(w Worker, t Target, p zonePosition, end, now time.Time) time.Duration {
+	arrival, isKnown := t.arrival()
+	if !isKnown || now.After(arrival.Add(s.Notice/2)) {
+		return 0
+	}
+	t.CompleteAt = maxTime(arrival, now)
+	wait := turn(w, t, p, end).Sub(now)
+	if wait > s.Notice {
+		return 0
 	}
-	return slices.ContainsFunc(targets, func(other Target) bool { return other.Version > t.Version && !other.Complete })
+	return max(wait, s.Notice/2)
 }
 
-// zonePosition is the position of a VM in the order of its availability zone, which is the
-// same for all processes.
-type zonePosition struct {
-	// fraction is 0 for the first VM and 1 for the last one.
-	fraction float64
-	// skips is set for every second VM: its worker skips a version while a newer one is
-	// arriving.
-	skips bool
+// sendingEnds returns when the worker gets no more requests on what it has: by the naming of the oldest version that
+// replaces it.
+func (s Settings) sendingEnds(w Worker, targets []Target) time.Time {
+	var end time.Time
+	for _, t := range targets {
+		if ends := startwait.SendingEnds(t.NamedAt, s.Bound); t.Version > w.Version && (end.IsZero() || ends.Before(end)) {
+			end = ends
+		}
+	}
+	return end
 }
 
-func positionOf(self string, zone []string) zonePosition {
-	if len(zone) < 2 {
-		return zonePosition{}
-	}
-	ranked := rendezvous.Rank("change-over", zone)
-	rank := max(0, slices.Index(ranked, self))
-	return zonePosition{fraction: float64(rank) / float64(len(ranked)-1), skips: rank%2 == 1}
-}
-
-// switchoverAt returns when a worker switches over to a target. The switchovers of a zone
-// are spread up to the last switchover of the oldest version that the worker does not serve
-// yet.
-func (s Settings) switchoverAt(w Worker, t Target, targets []Target, p zonePosition) time.Time {
-	first, last := t.NamedAt.Add(s.FirstSwitchover), t.NamedAt.Add(s.LastSwitchover)
-	for _, other := range targets {
-		if end := other.NamedAt.Add(s.LastSwitchover); other.Version > w.Version && other.Version < t.Version && end.Before(last) {
-			last = end
+// skips reports whether the worker waits for a newer version than t that is still incomplete. One that loads t at its turn
+// gives up what it would serve until the end of sending to what it has, and serves t from when it is loaded until the newer
+// version is there. None loads t if it would serve nothing, all do if they serve at least as long as they give up, and
+// otherwise those with the first turns do, so that their zone is served.
+func skips(w Worker, t Target, targets []Target, p zonePosition, end, now time.Time) bool {
+	at := maxTime(turn(w, t, p, end), now)
+	loaded := at.Add(w.LoadTime)
+	for _, newer := range targets {
+		if newer.Version <= t.Version || newer.Complete {
+			continue
+		}
+		serves := newer.arrivalAfter(t, now).Sub(maxTime(end, loaded))
+		givenUp := min(w.LoadTime, end.Sub(at))
+		if serves <= 0 || (serves < givenUp && p.wave(2) > 0) {
+			return true
 		}
 	}
-	at := last
-	if first.Before(last) {
-		at = first.Add(time.Duration(p.fraction * float64(last.Sub(first))))
+	return false
+}
+
+// arrivalAfter returns when the version is expected to be complete, at least at the pace of an older one that is complete:
+// the links carry one copy at a time.
+func (t Target) arrivalAfter(older Target, now time.Time) time.Time {
+	if arrival, isKnown := t.arrival(); isKnown && arrival.After(now) {
+		return arrival
 	}
-	// Weights that became complete late still leave half of the notice, up to the last
-	// switchover.
-	earliest := t.CompleteAt.Add(s.Notice / 2)
-	if earliest.After(last) {
-		earliest = last
+	missing := 1 - float64(t.Held)/float64(max(t.Chunks, 1))
+	return now.Add(time.Duration(missing * float64(older.CompleteAt.Sub(older.NamedAt))))
+}
+
+// lateness returns by how much the last worker of a zone is whole after sending to older weights has ended, and why.
+func lateness(w Worker, t Target, p zonePosition, end time.Time) (time.Duration, Limit) {
+	p.rank = p.size - 1
+	late := turn(w, t, p, end).Add(w.LoadTime).Sub(end)
+	switch {
+	case late <= 0:
+		return 0, LimitNone
+	case t.CompleteAt.Add(w.LoadTime).After(end):
+		return late, LimitChunks
 	}
-	if earliest.After(at) {
-		return earliest
+	return late, LimitZone
+}
+
+// zonePosition is the position of a VM in the order of those of its availability zone whose workers are still to load a
+// version. It is the same for all processes that know the same list.
+type zonePosition struct {
+	rank, size int
+}
+
+// positionOf leaves out the workers that have the version, so that turns that were taken, or whose VMs have left the list,
+// pass to the next.
+func positionOf(self string, zone []Member, version int) zonePosition {
+	p := zonePosition{size: 1}
+	own := rendezvous.Score(turns, self)
+	for _, m := range zone {
+		if m.VM == self || m.Version >= version {
+			continue
+		}
+		p.size++
+		if score := rendezvous.Score(turns, m.VM); score > own || (score == own && m.VM < self) {
+			p.rank++
+		}
+	}
+	return p
+}
+
+// turns is the key of the order of the turns.
+const turns = "change-over"
+
+// wave returns the wave of the VM when its zone switches over in a number of waves of the same size.
+func (p zonePosition) wave(waves int) int { return p.rank * min(waves, p.size) / p.size }
+
+// turn returns when a worker is ordered to load a target. Its zone switches over in as many waves, an order apart, as fit
+// between the arrival of the target and the last time from which on an order ends when sending to older weights ends. They
+// are two at least, so that half of the zone serves, but none waits for its turn longer than it gets requests.
+func turn(w Worker, t Target, p zonePosition, end time.Time) time.Time {
+	first := maxTime(t.CompleteAt, t.NamedAt)
+	waves := max(2, 1+int(end.Add(-w.LoadTime).Sub(first)/w.LoadTime))
+	at := first.Add(time.Duration(p.wave(waves)) * w.LoadTime)
+	if at.After(end) {
+		return maxTime(first, end)
 	}
 	return at
 }
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
