rollout: skip versions by what they would serve

And a version that is itself about to be closed, or that costs one more order when the newer one comes, was not counted as such.

What a worker would serve ends with the end of sending to the older version, and it gives up one more order if the newer one is there before. The halves count the whole zone. A worker without requests is expected to load in warm_s, so that it fills gaps.

TestSkippedVersions fails before: four of six cases, workers of the second half load.

--- a/endpoint/hosted/loads.go
+++ b/endpoint/hosted/loads.go
@@ -103,7 +103,10 @@
 // that the worker loads them again, and those that are being proven as an order in progress.
 func (p *Process) rolloutWorker(engine *catalog.Engine) rollout.Worker {
 	held := p.report.Weights
-	worker := rollout.Worker{Version: held.Version, Complete: held.Complete(engine.Layers), Busy: p.report.Busy, LoadTime: p.loadTimes.expected(engine)}
+	worker := rollout.Worker{
+		Version: held.Version, Complete: held.Complete(engine.Layers), Busy: p.report.Busy, LoadTime: p.loadTimes.expected(engine),
+		IdleLoadTime: engine.LoadTime + reportInterval, Idle: p.report.Running+p.report.Queued == 0,
+	}
 	switch p.stager.ledger.State(p.holdings()) {
 	case loadproof.Pending:
 		worker.Busy = true
--- a/lib/rollout/rollout.go
+++ b/lib/rollout/rollout.go
@@ -4,6 +4,7 @@
 package rollout
 
 import (
+	"math"
 	"time"
 
 	"laburnumgw/lib/rendezvous"
@@ -40,6 +41,17 @@
 	Busy bool
 	// LoadTime is how long an order is expected to take, the end of the running requests included.
 	LoadTime time.Duration
+	// IdleLoadTime is how long it takes without running requests, and Idle is set while there are none and none waits.
+	IdleLoadTime time.Duration
+	Idle         bool
+}
+
+// orderTime returns how long an order that is given now takes.
+func (w Worker) orderTime() time.Duration {
+	if w.Idle {
+		return max(minLoadTime, min(w.IdleLoadTime, w.LoadTime))
+	}
+	return max(minLoadTime, w.LoadTime)
 }
 
 // Target is a version that the worker is to serve.
@@ -135,7 +147,6 @@
 		return Decision{Reason: ReasonBusy}
 	}
 	decision := Decision{Reason: ReasonMissing}
-	w.LoadTime = max(w.LoadTime, minLoadTime)
 	end := s.sendingEnds(w, targets)
 	for _, t := range targets {
 		if (w.Complete && t.Version <= w.Version) || t.Version < decision.Load {
@@ -152,7 +163,7 @@
 			decision = Decision{Load: t.Version, Reason: ReasonEmpty}
 			continue
 		}
-		if skips(w, t, targets, position, end, now) {
+		if s.skips(w, t, targets, position, positionOf(self, zone, math.MaxInt), end, now) {
 			if decision.Load == 0 {
 				decision = Decision{Reason: ReasonSkipped, ClosesIn: s.notice(end.Sub(now))}
 			}
@@ -214,19 +225,24 @@
 }
 
 // skips reports whether the worker waits for a newer version than t that is still incomplete. One that loads t at its turn
-// gives up what it would serve until the end of sending to what it has, and serves t from when it is loaded until the newer
-// version is there. None loads t if it would serve nothing, all do if they serve at least as long as they give up, and
-// otherwise those with the first turns do, so that their zone is served.
-func skips(w Worker, t Target, targets []Target, p zonePosition, end, now time.Time) bool {
+// gives up what it would serve until the end of sending to what it has, and an order more if the newer version is there
+// before the end of sending to t. It serves t from when it is loaded until the earlier of the two. None loads t if it would
+// serve nothing, all do if they serve at least as long as they give up, and otherwise the first half of the zone does, so
+// that it is served. All counts the whole zone: turns that were taken leave that half as it is.
+func (s Settings) skips(w Worker, t Target, targets []Target, p, all zonePosition, end, now time.Time) bool {
 	at := maxTime(turn(w, t, p, end), now)
-	loaded := at.Add(w.LoadTime)
+	loaded := at.Add(w.orderTime())
 	for _, newer := range targets {
 		if newer.Version <= t.Version || newer.Complete {
 			continue
 		}
-		serves := newer.arrivalAfter(t, now).Sub(maxTime(end, loaded))
-		givenUp := min(w.LoadTime, end.Sub(at))
-		if serves <= 0 || (serves < givenUp && p.wave(2) > 0) {
+		until, givenUp := startwait.SendingEnds(newer.NamedAt, s.Bound), max(0, min(w.orderTime(), end.Sub(at)))
+		if arrives := newer.arrivalAfter(t, now); arrives.Before(until) {
+			until = arrives
+			givenUp += w.LoadTime
+		}
+		serves := until.Sub(maxTime(end, loaded))
+		if serves <= 0 || (serves < givenUp && all.wave(2) > 0) {
 			return true
 		}
 	}
@@ -246,11 +262,11 @@
 // lateness returns by how much the last worker of a zone is whole after sending to older weights has ended, and why.
 func lateness(w Worker, t Target, p zonePosition, end time.Time) (time.Duration, Limit) {
 	p.rank = p.size - 1
-	late := turn(w, t, p, end).Add(w.LoadTime).Sub(end)
+	late := turn(w, t, p, end).Add(w.orderTime()).Sub(end)
 	switch {
 	case late <= 0:
 		return 0, LimitNone
-	case t.CompleteAt.Add(w.LoadTime).After(end):
+	case t.CompleteAt.Add(w.orderTime()).After(end):
 		return late, LimitChunks
 	}
 	return late, LimitZone
@@ -290,8 +306,8 @@
 // are two at least, so that half of the zone serves, but none waits for its turn longer than it gets requests.
 func turn(w Worker, t Target, p zonePosition, end time.Time) time.Time {
 	first := maxTime(t.CompleteAt, t.NamedAt)
-	waves := max(2, 1+int(end.Add(-w.LoadTime).Sub(first)/w.LoadTime))
-	at := first.Add(time.Duration(p.wave(waves)) * w.LoadTime)
+	waves := max(2, 1+int(end.Add(-w.orderTime()).Sub(first)/w.orderTime()))
+	at := first.Add(time.Duration(p.wave(waves)) * w.orderTime())
 	if at.After(end) {
 		return maxTime(first, end)
 	}
--- a/lib/rollout/rollout_test.go
+++ b/lib/rollout/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -66,8 +67,11 @@
 func switchovers(members []Member, targets []Target, version, worker int) map[string]time.Duration {
 	at := make(map[string]time.Duration)
 	for ms := time.Duration(0); ms <= 20*time.Second; ms += 50 * time.Millisecond {
-		for _, member := range members {
+		for i, member := range members {
 			vm := member.VM
+			if done, isDone := at[vm]; isDone && ms >= done+loadTime+500*time.Millisecond {
+				members[i].Version = version
+			}
 			if _, done := at[vm]; done {
 				continue
 			}
@@ -247,6 +251,44 @@
 	}
 }
 
+// Guards against workers that load a version late which they would serve for a moment, because others of the first half have
+// taken it, and against idle ones that leave a gap which they could serve.
+func TestSkippedVersions(t *testing.T) {
+	const arrives = 3300 * time.Millisecond
+	members := zone(4)
+	for i := range members {
+		members[i].Version = 2
+	}
+	older := Target{Version: 2, NamedAt: start, Complete: true, CompleteAt: start.Add(arrives)}
+	for name, c := range map[string]struct {
+		idle      bool
+		named, at time.Duration
+		late      int
+	}{
+		"busy, newer one soon":              {false, 4 * time.Second, 4500 * time.Millisecond, 0},
+		"busy, newer one late":              {false, 4 * time.Second, 6 * time.Second, 0},
+		"idle, newer one late":              {true, 5 * time.Second, 6200 * time.Millisecond, 2},
+		"idle, newer one named at once":     {true, time.Second, 7 * time.Second, 0},
+		"busy, newer one named much later":  {false, 5800 * time.Millisecond, 6100 * time.Millisecond, 0},
+		"idle, gap longer than both orders": {true, 5800 * time.Millisecond, 6100 * time.Millisecond, 2},
+	} {
+		late := 0
+		for i := range members {
+			if positionOf(members[i].VM, members, math.MaxInt).wave(2) == 0 {
+				continue
+			}
+			w := Worker{Version: 1, Complete: true, Idle: c.idle, LoadTime: loadTime, IdleLoadTime: 300 * time.Millisecond}
+			targets := []Target{older, {Version: 3, NamedAt: start.Add(c.named), Chunks: 48}}
+			if Decide(settings, w, targets, members[i].VM, members, start.Add(c.at)).Load == 2 {
+				late++
+			}
+		}
+		if late != c.late {
+			t.Errorf("%s: %d of the second half load the older version, want %d", name, late, c.late)
+		}
+	}
+}
+
 // The plan of a fleet of 600 workers in three zones must cost a process less than 1 ms.
 func BenchmarkDecide(b *testing.B) {
 	members := zone(200)
