--- a/cmd/swarmbench/main.go
+++ b/cmd/swarmbench/main.go
@@ -24,6 +24,7 @@
 	Policies []string `long:"policy" description:"policy to run; all when omitted"`
 	Only     []string `long:"scenario" description:"name of a scenario to run; all when omitted"`
 	Deadline float64  `long:"deadline" default:"6" description:"V after which a run is ended"`
+	Changes  bool     `long:"changes" description:"play changes of weights instead, and print the times to half and last, and the lowest capacity"`
 }
 
 func main() {
@@ -48,6 +49,9 @@
 }
 
 func run(opts options) error {
+	if opts.Changes {
+		return printChanges(opts.Seed)
+	}
 	rows := selectRows(opts)
 	fmt.Fprintf(os.Stderr, "seed %d: %d runs, %d at a time\n", opts.Seed, len(rows), max(1, opts.Parallel))
 	var done atomic.Int64
--- a/endpoint/hosted/loads_test.go
+++ b/endpoint/hosted/loads_test.go
@@ -408,3 +408,27 @@
 		})
 	}
 }
+
+// Guards against a plan by settings although orders were measured, and by an order that was disturbed or did not end.
+func TestLoadTimes(t *testing.T) {
+	engine := &catalog.Engine{LoadTime: time.Second}
+	stated := new(loadTimes).expected(engine)
+	var times loadTimes
+	now := time.Now()
+	for _, c := range []struct{ took, want time.Duration }{
+		{stated / 4, stated / 4}, {stated, stated * 5 / 8}, {stated / 8, stated * 3 / 8}, {10 * stated, 2 * stated},
+	} {
+		times.begin(now)
+		times.end(now.Add(c.took))
+		if got := times.expected(engine); got != c.want {
+			t.Errorf("%v expected after one of %v, want %v", got, c.took, c.want)
+		}
+	}
+	times = loadTimes{}
+	times.begin(now)
+	times.cancel()
+	times.end(now.Add(time.Hour))
+	if got := times.expected(engine); got != stated {
+		t.Errorf("%v expected without a measurement, want %v", got, stated)
+	}
+}
