A redirect is the response to a call, and what it leads to is none

An order, a write or a read that was answered with a status of 301 to 308 and a location was repeated there, or the location was read instead, and its status counted as the answer to the call: an order redirected so counted as begun. Clients of lib/httpstatus do not follow redirects. Their http.Client is not exported any more: a zero value, or another transport, got answers that are no responses, and the linter did not see it.

--- a/endpoint/backend.go
+++ b/endpoint/backend.go
@@ -108,10 +108,7 @@
 	// A response without length and chunks that is reset is not complete.
 	dialer := new(net.Dialer).DialContext
 	transport := &http.Transport{DialContext: dial.ReportingResets(dialer), DisableKeepAlives: true, MaxResponseHeaderBytes: 64 << 10}
-	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	client := httpstatus.NewClient(transport)
-	client.CheckRedirect = refuseRedirect
-	return &backend{base: base, dial: dialer, http: client}
+	return &backend{base: base, dial: dialer, http: httpstatus.NewClient(transport)}
 }
 
 // run sends one call and relays the response. It reports NOT_RUN only when no
--- a/lib/httpstatus/httpstatus.go
+++ b/lib/httpstatus/httpstatus.go
@@ -51,14 +51,24 @@
 	return 100 <= status && status < minFinal && status != http.StatusSwitchingProtocols
 }
 
-// Client is a client that gets only responses. Other answers are errors of its calls.
-type Client struct{ http.Client }
+// Client is a client that gets only responses to what it sends. Other answers are errors of its calls, and redirects are
+// responses: what is found elsewhere tells nothing of the request.
+type Client struct{ client *http.Client }
 
 // NewClient returns a client over a transport.
 func NewClient(transport http.RoundTripper) *Client {
-	return &Client{http.Client{Transport: responsesOnly{transport}}}
+	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{&http.Client{Transport: responsesOnly{transport}, CheckRedirect: refuseRedirect}}
 }
 
+// Do sends a request.
+func (c *Client) Do(request *http.Request) (*http.Response, error) {
+	return c.client.Do(request) //nolint:wrapcheck // the caller adds what failed
+}
+
+// CloseIdleConnections closes the connections that no call uses.
+func (c *Client) CloseIdleConnections() { c.client.CloseIdleConnections() }
+
 // responsesOnly is a transport whose calls fail unless the answer is a response.
 type responsesOnly struct{ http.RoundTripper }
 
