rollout: a newer version that has stopped arriving is not awaited

Where the last tenth of a newer version stayed away, for example because its source was cut off, all workers of an availability zone waited for it, with an older version at hand that was still sent to for up to 2 s: at any moment the rest was expected within less than an order takes. Chunks that have stopped arriving are now expected to stay away as long again.

TestNewerVersionThatStopsArrivingIsNotAwaited failed before: 0 of 4 workers loaded the older version with 43, 46 or 47 of 48 chunks there. Tests of lib/rollout pass.

--- a/lib/rollout/rollout.go
+++ b/lib/rollout/rollout.go
@@ -250,13 +250,17 @@
 }
 
 // arrivalAfter returns when the version is expected to be complete, at least at the pace of an older one that is complete:
-// the links carry one copy at a time.
+// the links carry one copy at a time. Chunks that have stopped arriving are expected to stay away as long again.
 func (t Target) arrivalAfter(older Target, now time.Time) time.Time {
 	if arrival, isKnown := t.arrival(); isKnown && arrival.After(now) {
 		return arrival
 	}
 	missing := 1 - float64(t.Held)/float64(max(t.Chunks, 1))
-	return now.Add(time.Duration(missing * float64(older.CompleteAt.Sub(older.NamedAt))))
+	wait := time.Duration(missing * float64(older.CompleteAt.Sub(older.NamedAt)))
+	if t.Held > 0 {
+		wait = max(wait, now.Sub(t.HeldAt))
+	}
+	return now.Add(wait)
 }
 
 // lateness returns by how much the last worker of a zone is whole after sending to older weights has ended, and why.
--- a/lib/rollout/rollout_test.go
+++ b/lib/rollout/rollout_test.go
@@ -226,6 +226,33 @@
 	}
 }
 
+// Guards against a zone that serves nothing while the last chunks of a newer version stay away: all of its workers waited for
+// them, with an older version at hand that still gets requests for 2 s.
+func TestNewerVersionThatStopsArrivingIsNotAwaited(t *testing.T) {
+	const arrives, named = 3300 * time.Millisecond, 2 * time.Second
+	opened := start.Add(named)
+	older := Target{Version: 2, NamedAt: start, Complete: true, CompleteAt: start.Add(arrives)}
+	idleFrom := startwait.SendingEnds(start, settings.Bound).Add(200 * time.Millisecond)
+	for _, held := range []int{10, 24, 40, 43, 46, 47} {
+		members, loads := zone(4), 0
+		for _, member := range members {
+			for now := start.Add(arrives); now.Before(startwait.SendingEnds(opened, settings.Bound).Add(-time.Second)); now = now.Add(50 * time.Millisecond) {
+				newer := Target{Version: 3, NamedAt: opened, OpenedAt: opened, Chunks: 48}
+				newer.Held = min(held, int(48*now.Sub(opened)/arrives))
+				newer.HeldAt = opened.Add(time.Duration(newer.Held) * arrives / 48)
+				w := Worker{Version: 1, Complete: true, LoadTime: loadTime, IdleLoadTime: 400 * time.Millisecond, Idle: now.After(idleFrom)}
+				if Decide(settings, w, []Target{older, newer}, member.VM, members, now).Load == 2 {
+					loads++
+					break
+				}
+			}
+		}
+		if loads < len(members)/2 {
+			t.Errorf("%d of 48 chunks of the newer version: %d of %d workers load the older one", held, loads, len(members))
+		}
+	}
+}
+
 // The plan of a fleet of 600 workers in three zones must cost a process less than 1 ms.
 func BenchmarkDecide(b *testing.B) {
 	members := zone(200)
