rollout: an idle worker keeps the distance of the others' turns

An idle worker spaced its turns by the short order that it expects, so that it loaded while all workers of the waves before it were still loading: for 0.4 s none of the availability zone served. Turns are spaced by orders with running requests.

TestIdleWorkerWaitsForTheOthers failed before (all of 2 workers away 0.4 s after the version was complete). Tests of lib/rollout and endpoint/hosted pass.

--- a/lib/rollout/rollout.go
+++ b/lib/rollout/rollout.go
@@ -307,11 +307,13 @@
 
 // turn returns when a worker is ordered to load a target. Its zone switches over in as many waves, an order apart, as fit
 // between the arrival of the target and the last time from which on an order ends when sending to older weights ends. They
-// are two at least, so that half of the zone serves, but none waits for its turn longer than it gets requests.
+// are two at least, so that half of the zone serves, but none waits for its turn longer than it gets requests. An idle worker
+// keeps the distance of the others: those of the waves before it run requests.
 func turn(w Worker, t Target, p zonePosition, end time.Time) time.Time {
 	first := maxTime(t.CompleteAt, t.NamedAt)
-	waves := max(2, 1+int(end.Add(-w.orderTime()).Sub(first)/w.orderTime()))
-	at := first.Add(time.Duration(p.wave(waves)) * w.orderTime())
+	step := max(minLoadTime, w.LoadTime)
+	waves := max(2, 1+int(end.Add(-step).Sub(first)/step))
+	at := first.Add(time.Duration(p.wave(waves)) * step)
 	if at.After(end) {
 		return maxTime(first, end)
 	}
--- a/lib/rollout/rollout_test.go
+++ b/lib/rollout/rollout_test.go
@@ -253,6 +253,40 @@
 	}
 }
 
+// Guards against a zone that serves nothing because an idle worker, which expects a short order, takes its turn while all the
+// others are still loading.
+func TestIdleWorkerWaitsForTheOthers(t *testing.T) {
+	const idleLoadTime = 400 * time.Millisecond
+	target := Target{Version: 2, NamedAt: start, Complete: true, CompleteAt: start.Add(2 * time.Second)}
+	for vms := 2; vms <= 30; vms++ {
+		members := zone(vms)
+		back := make(map[string]time.Time)
+		for now := target.CompleteAt; now.Before(startwait.SendingEnds(start, settings.Bound)); now = now.Add(10 * time.Millisecond) {
+			away := 0
+			for i, member := range members {
+				w := Worker{Version: 1, Complete: true, LoadTime: loadTime, IdleLoadTime: idleLoadTime}
+				w.Idle = positionOf(member.VM, zone(vms), 2).wave(2) > 0
+				at, isOrdered := back[member.VM]
+				switch {
+				case !isOrdered && Decide(settings, w, []Target{target}, member.VM, members, now).Load == 2:
+					back[member.VM] = now.Add(loadTime)
+					if w.Idle {
+						back[member.VM] = now.Add(idleLoadTime)
+					}
+				case isOrdered && !now.Before(at):
+					members[i].Version = 2
+				}
+				if now.Before(back[member.VM]) {
+					away++
+				}
+			}
+			if away == vms {
+				t.Fatalf("all of %d workers load %v after the version was complete", vms, now.Sub(target.CompleteAt))
+			}
+		}
+	}
+}
+
 // The plan of a fleet of 600 workers in three zones must cost a process less than 1 ms.
 func BenchmarkDecide(b *testing.B) {
 	members := zone(200)
