Endpoint: orders are expected to take no less than the settings tell

A process that had measured short orders, as of a worker with one running request, spaced the waves of its availability zone by them. The expected time now lies between what the settings of the engine tell and twice that.

TestLoadTimes has the new bounds: two of its five cases failed before.

--- a/endpoint/hosted/loads.go
+++ b/endpoint/hosted/loads.go
@@ -151,14 +151,11 @@
 	l.cancel()
 }
 
-// expected returns how long an order is expected to take: a mean of those measured, and before the first one what the
-// settings of the engine tell.
+// expected returns how long an order is expected to take: a mean of those measured, but no less than the settings of the engine
+// tell. Waves that are closer than their orders take leave a zone without workers.
 func (l *loadTimes) expected(engine *catalog.Engine) time.Duration {
 	stated := engine.LoadTime + time.Duration(runReserve*float64(engine.Duration(0, 0)))
-	if l.mean == 0 {
-		return stated
-	}
-	return min(l.mean, maxLoadFactor*stated)
+	return min(max(l.mean, stated), maxLoadFactor*stated)
 }
 
 // proveLoad reads back what the worker has taken, and tells the entries when the result changes.
--- a/endpoint/hosted/loads_test.go
+++ b/endpoint/hosted/loads_test.go
@@ -416,7 +416,7 @@
 	var times loadTimes
 	now := time.Now()
 	for _, c := range []struct{ took, want time.Duration }{
-		{stated / 4, stated / 4}, {stated, stated * 5 / 8}, {stated / 8, stated * 3 / 8}, {10 * stated, 2 * stated},
+		{stated / 4, stated}, {stated * 7 / 4, stated}, {stated * 2, stated * 3 / 2}, {stated / 8, stated}, {10 * stated, 2 * stated},
 	} {
 		times.begin(now)
 		times.end(now.Add(c.took))
