Soak of versions: more workers keep old weights because their process has stopped

Change: two in three workers that new weights reach late, in place of one, have the process beside them stopped. No check is changed.

--- a/soak/versions.go
+++ b/soak/versions.go
@@ -154,7 +154,7 @@
 
 // hold has new weights reach a worker late: it stores pieces slowly, or the process beside it stops.
 func (v *versionsRun) hold(m *ProxiedWorker) {
-	if p := v.fleet.Endpoints[slices.Index(v.fleet.ModelWorkers, m)]; v.rng.IntN(3) == 0 {
+	if p := v.fleet.Endpoints[slices.Index(v.fleet.ModelWorkers, m)]; v.rng.IntN(3) > 0 {
 		v.note("planned stop of %s", p.Name)
 		v.stopped[p] = p.Running()
 		p.Signal(syscall.SIGTERM)
